--- a/passpost/__main__.py
+++ b/passpost/__main__.py
@@ -24,8 +24,9 @@
 # the listening socket's queue is taken and not seen, while an attempt without a connection ends at once.
 CALLERS_SHARE, UPSTREAMS_SHARE = 0.55, 0.35
 
-# A planned restart kills no sooner than the longest deadline and so much later; the spare is for ending.
-KILL_AFTER_S, SPARE_S = 0.7, 0.3
+# A planned restart kills no sooner than the longest deadline, of which no more than so much counts, and so
+# much later; the spare is for ending.
+LONGEST_COUNTED_S, KILL_AFTER_S, SPARE_S = 3.0, 0.7, 0.3
 
 
 class Node:
@@ -56,7 +57,7 @@
     async def stop(self) -> None:
         """Finish what was taken, then close everything."""
         longest = max(c.deadline_ms for c in self._config.settings.classes) / 1000
-        await self.server.drain(longest + KILL_AFTER_S - SPARE_S)
+        await self.server.drain(min(longest, LONGEST_COUNTED_S) + KILL_AFTER_S - SPARE_S)
         self.discovery.stop()
         self.upstreams.stop()
 
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -421,6 +421,22 @@
     run(test())
 
 
+def test_a_request_taken_while_stopping_is_answered_before_the_kill() -> None:
+    async def test() -> None:
+        upstream = FakeServer(silent)
+        async with balancer(upstream) as b:  # its longest deadline is 10 s
+            client = await b.connect()
+            await client.ask("/health/ready")
+            stopping = asyncio.get_running_loop().create_task(b.node.stop())
+            await until(lambda: b.node.server.draining)
+            client.send(X_Remaining="9.0")
+            await until(lambda: len(upstream.got) == 1)
+            assert float(upstream.got[0].headers["x-remaining"]) <= 3.7  # of a longer deadline 3 s count
+            stopping.cancel()
+
+    run(test())
+
+
 def test_while_callers_are_many_answers_close_and_idle_connections_go(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
