Take a try for a later one only while something went unserved

On the wire every refused request was answered within 1 ms, unsent, and all of them came with less time than was usual before (menu-view with 0.05 to 1.25 s in place of 2.8 s); all with the usual time were served. _mark_later_try took whatever is not of the commonest time for a client's later try and moved its aim into the past. These were first tries of callers in a hurry.

A later try needs an earlier one that went unserved. The module now counts those, of each class and for as long as their callers may still wait, and each explains one later try. What is taken for a later try is not counted again, so that a wrong guess does not feed the next.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -453,6 +453,33 @@
     assert sent(actions)[0].timeout_ms == pytest.approx(1_000), "calls of other servers say nothing of that"
 
 
+def test_only_what_went_unserved_comes_again() -> None:
+    desk = Desk(2)
+    for _ in range(100):
+        desk.serve()
+        desk.now += 1_000
+
+    def ask_briefly() -> bool:
+        """Whether a request with little time is sent on; it is served if so."""
+        request, actions = desk.ask(remaining=900)
+        for send in sent(actions):
+            desk.end(request, 0, send.server, Outcome.SERVED)
+        return bool(sent(actions))
+
+    assert all(ask_briefly() for _ in range(50)), "all were served: these are first tries in a hurry"
+    request, actions = desk.ask(PAY)
+    desk.end(request, 0, sent(actions)[0].server, Outcome.ERROR)
+    assert ask_briefly(), "a class says nothing of another"
+    request, _ = desk.ask()
+    desk.tell(ClientLeft(request))
+    assert not ask_briefly(), "one that went unserved, and this is its later try"
+    assert ask_briefly(), "it came again once"
+    request, _ = desk.ask()
+    desk.tell(ClientLeft(request))
+    desk.now += 10 * READ.deadline_ms
+    assert ask_briefly(), "whoever waited for that has long since gone"
+
+
 def copies(desk: Desk, cls: RequestClass, serves_others: bool = False) -> list[Send]:
     """What a call gets that stays out until its patience is over."""
     teach(desk, dict.fromkeys(("s0", "s1", "s2", "s3"), 20.0), 100)
--- a/umberworks/rules.py
+++ b/umberworks/rules.py
@@ -9,7 +9,7 @@
 import math
 import random
 from bisect import bisect
-from collections import Counter
+from collections import Counter, deque
 from heapq import heapify, heappop, heappush
 from itertools import accumulate
 
@@ -35,6 +35,9 @@
 # connections, as what is kept free is then of no use to the others: a few callers are therefore let be.
 KEPT_FREE, KEPT_FOR = 2, 3  # at most so many connections kept free in a drain, one for each so many requests
 TRY_STEP_MS = 50.0  # tries that give this much the same time are alike; the commonest are first tries
+# Any other is a later try only if something has gone unserved that it can be the later try of: a caller may
+# as well be in a hurry. So many go unserved elsewhere, or did before our start, that come here again.
+UNSERVED_UNSEEN = 4
 RETRY_SHARE = 0.2  # further attempts allowed for each first one, so that a failing fleet is not flooded
 RETRY_BURST = 10.0  # further attempts that may be saved up
 PATIENCE = 6.0  # mean times in service after which an answer is so late that a second copy is sent
@@ -78,6 +81,7 @@
         self.deadline, self.aim_at = now + event.remaining_ms, now + cls.aim_ms
         self.attempts: list[_Attempt] = []
         self.owed, self.over_share, self.streaming = True, False, False
+        self.later = False  # taken for a later try of one that went unserved
 
     def is_out(self) -> bool:
         return any(a.out for a in self.attempts)
@@ -102,6 +106,7 @@
         self._held_count, self._retries, self._now = 0, RETRY_BURST, 0.0
         self._room = Room(settings.balancers)
         self._tries: dict[str, Counter[int]] = {c.name: Counter() for c in settings.classes}
+        self._unserved: dict[str, deque[float]] = {c.name: deque() for c in settings.classes}
         self._median, self._median_at, self._usual_rate, self._cold_until = 0.0, -math.inf, 0.0, 0.0
         self._shares = Shares(settings.tenants, settings.balancers)
         self._asked, self._counted, self._sliver, self._list_failures = False, False, False, 0
@@ -206,10 +211,22 @@
 
     def _mark_later_try(self, request: _Request, remaining: float) -> None:
         """Move up the aim of a later try, told by its time left: past the first aim it is worth little."""
-        tries, step = self._tries[request.cls.name], round(remaining / TRY_STEP_MS)
+        cls, step = request.cls, round(remaining / TRY_STEP_MS)
+        tries, unserved = self._tries[cls.name], self._unserved[cls.name]
+        if not tries:
+            unserved.extend([self._now] * UNSERVED_UNSEEN)
+        while unserved and unserved[0] <= self._now - cls.deadline_ms:
+            unserved.popleft()  # whoever waited for that has long since gone
         tries[step] += 1
-        if abs(step - max(tries, key=tries.__getitem__)) > 1:
-            request.aim_at -= max(request.cls.deadline_ms - remaining, 0.0)
+        if abs(step - max(tries, key=tries.__getitem__)) > 1 and unserved:
+            unserved.popleft()
+            request.later = True
+            request.aim_at -= max(cls.deadline_ms - remaining, 0.0)
+
+    def _note_unserved(self, request: _Request) -> None:
+        """Its caller may come again; what came again already is not counted a second time."""
+        if self._settings.calling_tier == 0 and not request.later:
+            self._unserved[request.cls.name].append(self._now)
 
     def _due(self, token: str, now: float) -> None:
         kind, _, number = token.partition(":")
@@ -301,6 +318,7 @@
 
     def _give_up(self, request: _Request) -> None:
         request.owed = False
+        self._note_unserved(request)
         harmless = request.cls.effect is Effect.REPEATABLE or not any(a.ran for a in request.attempts)
         away = min(AWAY_SHARE * request.cls.aim_ms, self._settings.max_retry_after_ms)
         self._actions.append(face.Refuse(request.id, away) if harmless else face.Fail(request.id))
@@ -312,6 +330,8 @@
 
     def _left(self, request_id: int) -> None:
         if (request := self._requests.get(request_id)) is not None:
+            if request.owed:
+                self._note_unserved(request)
             request.owed = False
             self._cancel_rest(request)
             self._drop_if_over(request)
