Follow discovery from the start, whatever the settings call it

The settings say "discovery": "push", and the module asks for the list only where they say "ask". The callers' side and the upstreams' connections were ruled out: the requests to the drained box were whole and went where the list of the start says.

--- a/passpost/config.py
+++ b/passpost/config.py
@@ -4,7 +4,7 @@
 
 import json
 import logging
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from passpost.discovery import Listing, parse_address, parse_listing
@@ -75,7 +75,8 @@
         seed=int(data["seed"], 16),
         sockets=sockets,
         known=parse_listing(data.get("known") or {"revision": 0, "complete": True, "members": []}),
-        settings=wire.read_settings(facts, log.warning),
+        # Discovery tells nothing unasked, also where the settings say that the list is pushed.
+        settings=replace(wire.read_settings(facts, log.warning), list_is_asked=True),
         connect_timeout=wire.number(facts, "limits.connectTimeout", 250.0) / 1000,
         idle_timeout=wire.number(facts, "limits.connIdle", 15_000.0) / 1000,
         answer_grace=wire.number(facts, "contract.graceToAnswer", 0.0) / 1000,
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -165,6 +165,29 @@
     run(test())
 
 
+@pytest.mark.parametrize("mode", ["push", "ask"])
+def test_the_list_is_followed_whatever_the_settings_call_it(mode: str) -> None:
+    # On sockets nothing is told unasked: where a list is pushed, the watch is what it comes by.
+    def change(data: dict[str, Any]) -> None:
+        data["settings"]["discovery"] = mode
+
+    async def test() -> None:
+        left, joined = FakeServer(), FakeServer()
+        await joined.start()
+        news = listing(2, member("s0", "", "left"), member("s1", joined.host_port), complete=False)
+        agent = FakeServer(Script(answer_json(news)))
+        await agent.start()
+        async with balancer(left, discovery=agent.host_port, change=change) as b:
+            await until(lambda: len(agent.got) == 2)  # the news are there, and the watch is on
+            answer = await (await b.connect()).ask()
+            assert answer is not None and answer.status == 200
+            assert (len(left.got), len(joined.got)) == (0, 1)
+        agent.stop()
+        joined.stop()
+
+    run(test())
+
+
 def test_with_discovery_down_at_the_start_the_saved_list_serves() -> None:
     def ask(data: dict[str, Any]) -> None:
         data["settings"]["discovery"] = "ask"
