Keep six connections free in a drain, so that a burst finds one

At 16.984 s of the capture three requests came within 1 ms: each of the two free connections had one, to be refused 0.3 ms later, and the third found none. From then on not one request came for 1.1 s, though 31 connections stood open and idle to 18.09 s: callers that find all of them busy go elsewhere for good.

Ruled out: resets and connections closed early (no FIN or RST from the balancer before its last call), and the room (the two refusals at that moment came for want of a free connection, not after a wait for room).

At fault: KEPT_FREE, two in rules.py. A refusal takes a moment to reach its caller, and more than two may come in it. It is six now; a balancer with few requests open keeps one for each three as before.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -357,6 +357,14 @@
     assert sent(desk.ask()[1]), "else there is no bound"
 
 
+def test_while_many_are_out_a_burst_still_finds_free_connections() -> None:
+    # One that is refused has its connection back a moment later; those that come in that moment need others.
+    desk, free = Desk(16), 40  # more than that have room
+    while sent(desk.ask(free_connections=free - 1)[1]):
+        free -= 1
+    assert 4 < free < 10
+
+
 def test_a_tenant_over_its_share_waits_behind_the_others() -> None:
     desk = Desk(1, tenants=(Tenant("big", 1.0), Tenant("small", 50.0)))
     first = [desk.ask(tenant="big") for _ in range(30)]
--- a/umberworks/rules.py
+++ b/umberworks/rules.py
@@ -31,9 +31,10 @@
 WAIT_SHARE = 0.1  # share of its aim that a request may wait for room before it is refused
 AWAY_SHARE = 0.25  # share of its aim that a refused client is told to stay away: room changes, its aim runs
 # Callers that find every connection busy go elsewhere for good, even if nobody is there. One that is refused
-# has its connection back at once. Guards any drain under load; it does harm where callers don't share their
-# connections, as what is kept free is then of no use to the others: a few callers are therefore let be.
-KEPT_FREE, KEPT_FOR = 2, 3  # at most so many connections kept free in a drain, one for each so many requests
+# has its connection back at once, but several may come before that. Guards any drain under load; it does harm
+# where callers don't share their connections, as what is kept free is then of no use to the others: a few
+# callers are therefore let be.
+KEPT_FREE, KEPT_FOR = 6, 3  # at most so many connections kept free in a drain, one for each so many requests
 TRY_STEP_MS = 50.0  # tries that give this much the same time are alike; the commonest are first tries
 # Any other is a later try only if something has gone unserved that it can be the later try of: a caller may
 # as well be in a hurry. So many go unserved elsewhere, or did before our start, that come here again.
