Refuse a configuration that is nested too deep in one plain line

A start ended in a traceback, and a reload in one from the loop. Now it is refused like any other bad configuration, and on a reload the old one stays. Both tests fail without the change.

--- a/passpost/config.py
+++ b/passpost/config.py
@@ -57,7 +57,15 @@
     try:
         with open(path, encoding="utf-8") as file:
             return read(json.load(file))
-    except (OSError, ValueError, LookupError, TypeError, AttributeError, OverflowError) as error:
+    except (
+        OSError,
+        ValueError,
+        LookupError,
+        TypeError,
+        AttributeError,
+        OverflowError,
+        RecursionError,
+    ) as error:
         reason = f"{type(error).__name__}: {error}".replace("\n", " ")
         raise ConfigError(f"configuration {path!r}: {reason}") from None
 
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from pathlib import Path
 
 import pytest
 
@@ -51,6 +52,14 @@
     assert read.seed == 0x8C1F30D2
 
 
+@pytest.mark.parametrize("text", ["[" * 100_000, '{"settings":' + '{"a":' * 900 + "1" + "}" * 901])
+def test_a_configuration_nested_too_deep_is_refused_like_any_bad_one(tmp_path: Path, text: str) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(text)
+    with pytest.raises(config.ConfigError, match=r"^configuration [^\n]*$"):
+        config.load(str(path))
+
+
 def test_lists_and_flags_are_flattened_as_the_simulator_spells_them() -> None:
     assert config.flatten({"a": {"b": [{"c": True}, {"c": None}], "d": ["x", "y"]}, "e": 1.5, "f": []}) == {
         "a.b.count": "2",
