Bound the calls out of many balancers by their part of the fleet

Counted over the 7 balancers of the first tier: calls in flight at a box rise from 5 to 25 and 47, its calls then take 1.5 s in place of 0.33 s, and the served rate falls to 93 a second.

- rules._has_room let all in when ready < balancers, so with 6 boxes for 7 balancers all admitted by time in service at once.
One balancer's calls out stood at 47 where its room was 10: the time showed the crowd 1.5 s late.
Now calls are counted wherever their time in service is known.
- room.LEAST_ROOM was 16 for each balancer however many: 112 calls, and twice that for a burst, for 6 boxes that carry 50.
Now it is our part with one balancer away, and three deviations of that: no change for 3 balancers.

Ruled out by the same counts: silent connections to the lost boxes (13 resets at once, new connections refused within 1 ms), attempts at gone boxes after the list told of them (none), and inner tiers (their calls slow down after the first tier's). The 26% failed between 5 and 10 s are callers of the two balancers that died.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -376,6 +376,20 @@
     assert steady(desk, 60.0, rounds=40) < 12, "what their half of the fleet has room for, and a little"
 
 
+def test_the_least_rooms_of_many_balancers_together_do_not_crowd_the_servers() -> None:
+    together = 20 * batch(Desk(20, balancers=20), 40, 20.0)
+    assert 4 * 20 < together < 12 * 20, "sixteen of each balancer would be sixteen for each server"
+
+
+def test_calls_out_stay_counted_when_fewer_servers_than_balancers_are_left() -> None:
+    # A lost zone made all balancers at once admit by time, which shows a crowd when it is there already.
+    desk = Desk(10, balancers=8)
+    usual = steady(desk, 20.0, rounds=40, asked=8)
+    desk.show(*members(6))
+    assert usual == 8
+    assert batch(desk, 100, 20.0) <= 24
+
+
 def test_connections_are_kept_free_while_callers_can_open_no_more() -> None:
     desk = Desk(4)
     few = [desk.ask(free_connections=0)[1] for _ in range(2)]
--- a/umberworks/room.py
+++ b/umberworks/room.py
@@ -13,9 +13,11 @@
 FREE_PER_SERVER = 4.0  # calls out for each ready server, over all balancers, let through in any case
 # Of a smaller room chance alone refuses much, all the more while another balancer is away and its callers
 # come here, which nobody tells us. Guards too against a lowest time in service that few calls made too low.
-# It can do harm on fleets of under 8 servers, which several balancers' least rooms crowd: so it holds only
+# All balancers' least rooms together crowd the servers: so it is our part with one of them away and the
+# deviations of that, which add up to little over many balancers where a fixed number would not. It holds only
 # while calls take about as long as at best, and is gone where they take twice that.
-LEAST_ROOM = 16.0  # calls out that a balancer then lets through, up to the room of all servers
+LEAST_ROOM = 16.0  # calls out that a balancer then lets through at the most, up to the room of all servers
+LEAST_DEVIATIONS = 3.0
 LEAST_FULL, LEAST_NONE = 1.5, 2.0  # time in service, in lowest ones, up to which it holds in full, or at all
 LOAD_PRIOR = 2.0  # calls' worth of belief that all is well, so that a few slow calls do not refuse others
 
@@ -64,7 +66,8 @@
         lowest = self.base * self._aims
         slower = self._spent / lowest if lowest else 1.0
         calm = min(max((LEAST_NONE - slower) / (LEAST_NONE - LEAST_FULL), 0.0), 1.0)
-        least = calm * min(LEAST_ROOM, FREE_PER_SERVER * ready)
+        away = FREE_PER_SERVER * ready / max(self._balancers - 1, 1)
+        least = calm * min(LEAST_ROOM, FREE_PER_SERVER * ready, away + LEAST_DEVIATIONS * math.sqrt(away))
         room = max(FREE_PER_SERVER * ours, queued, least)
         # A burst may pass, a standing crowd does harm: the room bounds the mean once it has been measured.
         return 2 * room - min(self._spent / RATE_MEMORY_MS, room) if self.base else room
--- a/umberworks/rules.py
+++ b/umberworks/rules.py
@@ -270,8 +270,10 @@
         return self._random.random() >= max(chance, LEAST_ADMITTED)
 
     def _has_room(self) -> bool:
-        if not self._counted or self._settings.calling_tier > 0:
+        if self._settings.calling_tier > 0:
             return True  # inner tiers let all in: a refusal there wastes what the tiers above have done
+        if not self._counted and not self._room.base:
+            return True  # a sliver of the fleet has no room to count by until its time in service is known
         return self._room.out < self._room.size(len(self._ready))
 
     def _try_send(self, request: _Request, now: float) -> bool:
