--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -79,7 +79,13 @@
             # Each call follows on what the last one told, on one connection, and only watches wait.
             watches = [
                 f"GET /registry/instances?after={n}&wait_ms={w} HTTP/1.1"
-                for n, w in ((1, 0), (1, 10_000), (4, 10_000), (5, 10_000), (9, 10_000))
+                for n, w in (
+                    (1, 0),
+                    (1, module.WATCH_MS),
+                    (4, module.WATCH_MS),
+                    (5, module.WATCH_MS),
+                    (9, module.WATCH_MS),
+                )
             ]
             assert [got.line for got in server.got] == watches
             assert server.connections == 1
@@ -137,6 +143,17 @@
     run(test())
 
 
+def test_a_watch_that_is_lost_is_given_up_before_a_drain_and_its_grace_are_over() -> None:
+    # Told of 6 s late at the most, a drain is no news any more 2 s later.
+    async def test() -> None:
+        async with following(answer_json(listing(1, complete=False))) as (server, _, _heard):
+            await until(lambda: len(server.got) == 2)
+            wait_ms = int(server.got[1].line.split("wait_ms=")[1].split()[0])
+            assert 0 < wait_ms / 1000 + module.CALL_TIMEOUT <= 6
+
+    run(test())
+
+
 def test_a_move_asks_the_new_address_for_the_whole_list_and_ends_the_old_watch() -> None:
     async def test() -> None:
         skipped, new = (
@@ -156,7 +173,7 @@
             assert set(heard.addresses) == {"c"}
             assert [got.line for got in new.got] == [
                 "GET /registry/instances HTTP/1.1",
-                "GET /registry/instances?after=1&wait_ms=10000 HTTP/1.1",
+                f"GET /registry/instances?after=1&wait_ms={module.WATCH_MS} HTTP/1.1",
             ]
             assert skipped.got == [] and new.connections == 1
         skipped.stop()
