--- a/passpost/discovery.py
+++ b/passpost/discovery.py
@@ -16,9 +16,9 @@
 
 log = logging.getLogger(__name__)
 
-# How long a watch may wait. One that falls into a silence is never answered, even if discovery is long back, and
-# what there is to tell counts as told all the same: this and the time-out are how late we notice. The agent is on
-# our own machine: asking it often costs nobody anything.
+# How long a watch may wait. One that falls into a silence is never answered, even if discovery is long back,
+# and what there is to tell counts as told all the same: this and the time-out are how late we notice. The
+# agent is on our own machine: asking it often costs nobody anything.
 WATCH_MS = 2_000
 CALL_TIMEOUT = 2.0  # for the answer, beyond the wait that was asked for
 MAX_LIST = 4 * 1024 * 1024
