Use four fifths of a cold server's budget, as half starved replaced boxes

Counted over the 7 balancers of the first tier: the 4 warm boxes of 10 hold 20 to 26 calls each, and slow down, while each of the 6 new ones is sent 9 to 12 a second and holds 5, until the second in which it counts as warm: then it is sent 20 to 35 and serves them. One balancer's picks, logged: of 6 cold boxes 2 were allowed a call, and when one was, it was taken in every second pick. So the spacing by COLD_SAFETY held them back, at half of the budget of what a warm box serves at the time, which is less than it can.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -653,6 +653,36 @@
     assert len(sent(desk.ask()[1])) == 1
 
 
+def flow(desk: Desk, requests: int, takes: dict[str, float]) -> Counter[str]:
+    """Where requests go that come one every 50 ms, each server taking its own time."""
+    got: Counter[str] = Counter()
+    out: list[tuple[float, int, str]] = []
+    for _ in range(requests):
+        desk.now += 50.0
+        while out and out[0][0] <= desk.now:
+            _, request, server = heappop(out)
+            desk.end(request, 0, server, Outcome.SERVED)
+        request, actions = desk.ask()
+        for send in sent(actions):
+            got[send.server] += 1
+            heappush(out, (desk.now + takes[send.server], request, send.server))
+    return got
+
+
+def test_balancers_together_use_most_of_a_cold_servers_budget_and_never_all() -> None:
+    # With half of it, boxes that replaced others stood idle while the few warm ones were crowded.
+    takes = {"s0": 500.0, "s1": 500.0, "s2": 500.0, "cold": 50.0}
+    to_cold = 0
+    for seed in range(8):
+        desk = Desk(3, seed=seed, balancers=8, calling_tier=1)
+        flow(desk, 600, takes)
+        desk.show(*members(3), Member("cold", up_since_ms=desk.now))
+        to_cold += flow(desk, 100, takes)["cold"]
+    # Three times what a server has, which is from a fifth of the usual on to three fifths after 5 of 10 s.
+    budget = 8 * 3.0 * 0.4 * (100 / 3)
+    assert 0.42 < to_cold / budget < 0.8
+
+
 def test_few_calls_go_by_capacity_not_all_to_the_fastest_of_the_draws() -> None:
     # Where nearly all counts are 0 the fastest of four draws always won: one kind of server was crowded.
     desk = Desk(count=1, balancers=50, sizes_exact=True)
--- a/umberworks/rules.py
+++ b/umberworks/rules.py
@@ -42,7 +42,7 @@
 RETRY_SHARE = 0.2  # further attempts allowed for each first one, so that a failing fleet is not flooded
 RETRY_BURST = 10.0  # further attempts that may be saved up
 PATIENCE = 6.0  # mean times in service after which an answer is so late that a second copy is sent
-COLD_SAFETY = 0.5  # the part of a cold server's budget that we use: other balancers and heavy calls count too
+COLD_SAFETY = 0.8  # the part of a cold server's budget that we use: other balancers and heavy calls count too
 LIST_RETRY_MS = 500.0  # first pause before the list is asked again, doubled at each failure
 
 
