--- a/umberworks/room.py
+++ b/umberworks/room.py
@@ -3,9 +3,6 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Sequence
-from heapq import heappop, heappush
-from typing import Protocol
 
 BASE_CALLS = 30  # served calls that make a measure of the time in service; the first find servers free
 BASE_DRIFT_MS = 100_000.0  # it rises by 1/e over this, so that a fleet that stays slower gets its room back
@@ -22,28 +19,9 @@
 LEAST_ROOM = 16.0  # calls out that a balancer then lets through at the most, up to the room of all servers
 LEAST_DEVIATIONS = 3.0
 LEAST_FULL, LEAST_NONE = 1.5, 2.0  # time in service, in lowest ones, up to which it holds in full, or at all
-SILENT_AFTER = 2.0  # mean times in service after which a call takes up no room if its server alone is silent
 LOAD_PRIOR = 2.0  # calls' worth of belief that all is well, so that a few slow calls do not refuse others
 
 
-class Answering(Protocol):
-    """A server, with the time of its last served call."""
-
-    heard: float
-
-
-class Call(Protocol):
-    """A call: whether it is out, and whether that takes up room."""
-
-    sent: float
-    out: bool
-    counted: bool
-
-    @property
-    def server(self) -> Answering:
-        """Where it was sent."""
-
-
 class Room:
     """Counts the calls out and measures how long they take, in aims of their classes."""
 
@@ -53,7 +31,6 @@
         # In memory: aims of served calls, time in flight; of the block measured: calls, aims, time, start.
         self._aims, self._spent, self._seen = 0.0, 0.0, 0.0
         self._calls, self._block_aims, self._times, self._block_from = 0, 0.0, 0.0, 0.0
-        self._overdue, self._begun = list[tuple[float, int, Call]](), 0
         self.mean, self.base = 0.0, 0.0  # time in service, last and lowest, in aims; 0: not measured yet
 
     def catch_up(self, now: float) -> None:
@@ -77,25 +54,6 @@
             self.base = min(self.base or math.inf, self.mean)
             self._calls, self._block_aims, self._times, self._block_from = 0, 0.0, 0.0, now
 
-    def begin(self, call: Call, aim_ms: float, now: float) -> None:
-        """Count a call out."""
-        self.out += 1
-        if self.mean:
-            self._begun += 1
-            heappush(self._overdue, (now + SILENT_AFTER * self.mean * aim_ms, self._begun, call))
-
-    def write_off(self, ready: Sequence[Answering], now: float) -> None:
-        """Free the room of overdue calls at a server that is silent while most others answer: no crowd."""
-        while self._overdue and self._overdue[0][0] <= now:
-            call = heappop(self._overdue)[-1]
-            silent = call.out and call.server.heard <= call.sent
-            if silent and 2 * sum(s.heard > call.sent for s in ready) > len(ready):
-                call.counted = False
-                self.out -= 1
-                faded = RATE_MEMORY_MS * (1 - math.exp((call.sent - now) / RATE_MEMORY_MS))
-                self._spent = max(self._spent - faded, 0.0)
-                self._times = max(self._times - (now - max(call.sent, self._block_from)), 0.0)
-
     def load(self, aim_ms: float) -> float:
         """The mean time in service as a class with this aim sees it."""
         return self._spent / (self._aims + LOAD_PRIOR * aim_ms)
--- a/umberworks/rules.py
+++ b/umberworks/rules.py
@@ -74,7 +74,6 @@
     def __init__(self, server: _Server, now: float, timeout: float) -> None:
         self.server, self.sent, self.ends = server, now, now + timeout
         self.out, self.ran = True, True  # it may have run until its outcome proves otherwise
-        self.counted = True  # among the calls out that take up room
 
 
 class _Request:
@@ -123,7 +122,6 @@
             self._actions.append(face.Subscribe())
         self._release(now)
         self._room.catch_up(now)
-        self._room.write_off(self._ready, now)
         self._now = max(self._now, now)
         match event:
             case face.AttemptEnded():
@@ -287,8 +285,8 @@
             return False
         server.catch_up(now)
         server.in_flight, server.last_sent = server.in_flight + 1, now
-        request.attempts.append(attempt := _Attempt(server, now, timeout))
-        self._room.begin(attempt, request.cls.aim_ms, now)
+        self._room.out += 1
+        request.attempts.append(_Attempt(server, now, timeout))
         self._actions.append(face.Send(request.id, server.member.server, timeout))
         if self._room.mean and self._settings.may_duplicate and request.cls.effect is not Effect.ONCE:
             patience = PATIENCE * self._room.mean * request.cls.aim_ms
@@ -411,12 +409,11 @@
         """Count a served call; hold a failure's slot to its full time-out: it must not look idle."""
         server = attempt.server
         server.catch_up(now)
-        self._room.out -= attempt.counted
+        self._room.out -= 1
         if outcome is Outcome.SERVED:
             server.served += 1
             server.heard = now
-            if attempt.counted:
-                self._room.served(cls.aim_ms, now)
+            self._room.served(cls.aim_ms, now)
         elif outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT) and attempt.ends > now:
             self._held_count += 1
             heappush(self._held, (attempt.ends, self._held_count, server))
