--- a/passpost/__main__.py
+++ b/passpost/__main__.py
@@ -8,9 +8,11 @@
 import signal
 import sys
 from dataclasses import fields
+from typing import Any
 
 import uvloop
 
+from passpost import control
 from passpost.config import Config, ConfigError, load
 from passpost.discovery import Discovery
 from passpost.engine import Engine
@@ -41,10 +43,34 @@
         self.engine = Engine(
             config.settings, config.seed, self.upstreams, self.discovery.subscribe, config.answer_grace
         )
-        self.server = Server(self.engine, config.listen, max_open=int(config.sockets * CALLERS_SHARE))
+        callers = int(config.sockets * CALLERS_SHARE) - (control.DESCRIPTORS if config.control else 0)
+        self.server = Server(self.engine, config.listen, max_open=callers)
+        self.door = control.Door(self, config.control) if config.control else None
         self.upstreams.start()
         self.discovery.start(self.engine.listed)
         self.server.start()
+        if self.door is not None:
+            self.door.start()
+
+    # ---- what operators ask, see control.py
+
+    def is_serving(self) -> bool:
+        """Whether this process takes clients."""
+        return self.server.is_serving()
+
+    def figures(self) -> dict[str, Any]:
+        """The counters."""
+        return self.engine.counters.figures(self.discovery.count(), self.engine.excluded())
+
+    def quiesce(self) -> None:
+        """Drain, and run on."""
+        self.server.quiesce()
+
+    def resume(self) -> bool:
+        """End the drain; False while the process stops."""
+        return self.server.resume()
+
+    # ---- its life
 
     def reload(self, config: Config) -> None:
         """Take over a changed address of discovery; all else needs a restart, which the log says."""
@@ -58,6 +84,8 @@
         """Finish what was taken, then close everything."""
         longest = max(c.deadline_ms for c in self._config.settings.classes) / 1000
         await self.server.drain(min(longest, LONGEST_COUNTED_S) + KILL_AFTER_S - SPARE_S)
+        if self.door is not None:
+            self.door.stop()
         self.discovery.stop()
         self.upstreams.stop()
 
--- a/passpost/config.py
+++ b/passpost/config.py
@@ -4,6 +4,7 @@
 
 import json
 import logging
+import os
 from dataclasses import dataclass, replace
 from typing import Any
 
@@ -33,6 +34,7 @@
     connect_timeout: float
     idle_timeout: float
     answer_grace: float
+    control: Address | None = None  # where operators call; without it all of their parts are off
 
 
 def flatten(value: Any, path: str = "") -> wire.Fields:
@@ -56,7 +58,7 @@
     """Read the file; raises ConfigError with one plain line on whatever is wrong with it."""
     try:
         with open(path, encoding="utf-8") as file:
-            return read(json.load(file))
+            return read(json.load(file), os.environ.get("EDGE_CONTROL", ""))
     except (
         OSError,
         ValueError,
@@ -70,8 +72,9 @@
         raise ConfigError(f"configuration {path!r}: {reason}") from None
 
 
-def read(data: dict[str, Any]) -> Config:
-    """The file's object as typed values."""
+def read(data: dict[str, Any], control: str = "") -> Config:
+    """The file's object as typed values; a `control` of the environment comes before the file's."""
+    control = control or data.get("control") or ""
     facts = flatten(data["settings"])
     sockets = int(data["limits"]["sockets"])
     if sockets < 64:
@@ -88,4 +91,5 @@
         connect_timeout=wire.number(facts, "limits.connectTimeout", 250.0) / 1000,
         idle_timeout=wire.number(facts, "limits.connIdle", 15_000.0) / 1000,
         answer_grace=wire.number(facts, "contract.graceToAnswer", 0.0) / 1000,
+        control=parse_address(control) if control else None,
     )
--- a/passpost/discovery.py
+++ b/passpost/discovery.py
@@ -115,6 +115,14 @@
         self._tell = tell
         self._apply(self._known, ListKind.SAVED)
 
+    def knows(self, server: str) -> bool:
+        """Whether the list holds it."""
+        return server in self._addresses
+
+    def count(self) -> int:
+        """How many upstreams the list holds."""
+        return len(self._addresses)
+
     def subscribe(self) -> None:
         """Follow the list from now on, until a call fails; the failure is told."""
         if self._task is None or self._task.done():
--- a/passpost/engine.py
+++ b/passpost/engine.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from passpost.counters import Counters
 from passpost.http1 import Address, Answer
 from passpost.upstream import Attempt, Outgoing, Upstreams
 from umberworks import interface as face
@@ -38,8 +39,10 @@
 class _Open:
     """A request that the module has not heard the end of."""
 
-    def __init__(self, caller: Caller, outgoing: Outgoing, guard: asyncio.TimerHandle) -> None:
-        self.caller, self.outgoing, self.guard = caller, outgoing, guard
+    def __init__(
+        self, class_name: str, caller: Caller, outgoing: Outgoing, guard: asyncio.TimerHandle
+    ) -> None:
+        self.class_name, self.caller, self.outgoing, self.guard = class_name, caller, outgoing, guard
         self.attempts: list[Attempt | None] = []
         self.out = 0
         self.finished = False  # answered, or the caller has gone
@@ -59,6 +62,7 @@
     ) -> None:
         self._balancer = Balancer(settings, seed)
         self.classes = {c.name: c for c in settings.classes}
+        self.counters = Counters(self.classes)
         self._upstreams, self._subscribe, self._grace = upstreams, subscribe, answer_grace
         self._requests: dict[int, _Open] = {}
         self._count = 0
@@ -75,6 +79,10 @@
         self._now = max(self._now, self._epoch_ms + time.monotonic() * 1000)
         return self._now
 
+    def excluded(self) -> int:
+        """How many listed upstreams the module avoids now."""
+        return len(self._balancer.avoided())
+
     # ---- happenings
 
     def listed(self, update: face.ListUpdate, addresses: dict[str, Address]) -> None:
@@ -98,7 +106,7 @@
         self._count += 1
         number = self._count
         guard = asyncio.get_running_loop().call_later(remaining + self._grace, self._overdue, number)
-        self._requests[number] = _Open(caller, outgoing, guard)
+        self._requests[number] = _Open(class_name, caller, outgoing, guard)
         self._post(face.RequestArrived(number, class_name, remaining * 1000, tenant, free_connections))
         return number
 
@@ -195,7 +203,11 @@
         if request.finished:  # nothing may be sent after the final answer
             done(Outcome.NOT_SENT, None)
             return
-        attempt = self._upstreams.send(server, request.outgoing, action.timeout_ms / 1000, done)
+
+        def written() -> None:
+            self.counters.written(request.class_name)
+
+        attempt = self._upstreams.send(server, request.outgoing, action.timeout_ms / 1000, done, written)
         if not attempt.is_over():
             request.attempts[index] = attempt
 
--- a/passpost/server.py
+++ b/passpost/server.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import math
+import select
 import socket
 import time
 from collections import deque
@@ -13,6 +14,7 @@
 
 import httptools
 
+from passpost.counters import Final
 from passpost.engine import Engine
 from passpost.http1 import MAX_BODY, MAX_HEAD, Address, Answer, Headers, end_to_end, write_headers
 from passpost.upstream import Outgoing
@@ -33,6 +35,10 @@
 DEALT_AFTER_STOP_S = 0.2  # new connections come for so long at the least; later callers have what they hold
 LAST_CALL_S = 1.2  # the end of a drain: until then callers are kept, as they may have nowhere else to go
 DRAIN_STEP_S = 0.02
+# Told to drain by hand: callers come for 0.2 s more and use what they hold. They are to be gone before 2 s,
+# as what is asked then is still open after 4. Kept so long, a short drain disturbs nobody.
+QUIESCE_KEPT_S = 1.2
+FRESH_S = 0.3  # a new connection brings its first request within this
 LAST_LOOK_S = 0.2  # for the requests on connections taken at the very end
 
 _REASONS = {
@@ -50,6 +56,8 @@
     504: "Gateway Timeout",
 }
 
+_FINALS = {200: Final.SERVED, 503: Final.REFUSED}  # what a status says of a call; all others: failed
+
 
 @dataclass(slots=True)
 class _Request:
@@ -91,6 +99,9 @@
         """The caller has gone, or we have closed."""
         self._server.forget(self)
         self._transport = None
+        for request in [*([self._current] if self._current else []), *self._waiting]:
+            self._count(request, Final.FAILED)
+        self._current = None
         self._waiting.clear()
         self._release()
         if self._number is not None:
@@ -173,6 +184,8 @@
         if not self._bad:
             keep_alive = self._parser.should_keep_alive()
             self._waiting.append(_Request(self._call, bytes(self._body), keep_alive, time.monotonic()))
+            if self._call is not None:
+                self._server.engine.counters.taken()
 
     # ---- from a request to its answer
 
@@ -204,6 +217,8 @@
             self.fail(504)
             return
         if call.txn in self._server.open_ids:  # an upstream would take the second for a copy of the first
+            for dropped in (request, *self._waiting):
+                self._count(dropped, Final.FAILED)
             self._current, self._bad = None, 409
             self._waiting.clear()
             return
@@ -221,6 +236,10 @@
         if self._current is request:  # it may have been answered at once
             self._number = number
 
+    def _count(self, request: _Request, final: Final) -> None:
+        if request.call is not None:
+            self._server.engine.counters.ended(request.call.class_name, final)
+
     def _release(self) -> None:
         """The id of the open request may be used again."""
         if self._txn is not None:
@@ -246,6 +265,7 @@
         if request is None:
             return
         self._current, self._number = None, None
+        self._count(request, _FINALS.get(status, Final.FAILED))
         self._release()
         self.since = time.monotonic()
         ends = self._server.closing or self._server.is_crowded()
@@ -298,6 +318,16 @@
         """Whether its caller can send a request on it."""
         return self.is_idle() and not self._lingers
 
+    def is_spare(self, now: float) -> bool:
+        """Whether it can be closed in a drain: idle, and nothing of a request lies unread in the kernel."""
+        if not self.is_free() or self._transport is None:
+            return False
+        if not self._useful and now - self.since < FRESH_S:
+            return False
+        poll = select.poll()
+        poll.register(self._transport.get_extra_info("socket"), select.POLLIN)
+        return not poll.poll(0)
+
     def worth(self) -> int | None:
         """How ill it can be spared when there are too many, the least first; None if it can't be."""
         if self.is_busy() or self._transport is None:
@@ -359,6 +389,8 @@
         self.engine = engine
         self.draining, self.closing = False, False  # not ready any more; each answer closes its connection
         self._ends, self._dealt_until = math.inf, math.inf
+        self._stopping = False
+        self._quiesce: asyncio.TimerHandle | None = None  # runs while told to drain by hand
         self._max_open = max_open
         self._connections: set[_Connection] = set()
         self.open_ids: set[bytes] = set()
@@ -395,12 +427,40 @@
         if self._socket.fileno() >= 0:
             self._resume()
 
+    def is_serving(self) -> bool:
+        """Whether clients are taken."""
+        return self._socket.fileno() >= 0
+
+    def quiesce(self) -> None:
+        """Drain by hand: not ready at once, the callers sent off a little later; the process runs on."""
+        if not self.draining:
+            self.draining = True
+            self._quiesce = asyncio.get_running_loop().call_later(QUIESCE_KEPT_S, self._send_off)
+
+    def resume(self) -> bool:
+        """End a drain by hand; whether we are at work again, as a drain at the end can't be taken back."""
+        if self._quiesce is not None and not self._stopping:
+            self._quiesce.cancel()
+            self._quiesce = None
+            self.draining = self.closing = False
+        return not self.draining
+
+    def _send_off(self) -> None:
+        """From now on each answer closes its connection, and idle ones go."""
+        self.closing = True
+        now = time.monotonic()
+        for connection in list(self._connections):
+            if connection.is_spare(now):
+                connection.close()
+        self._quiesce = asyncio.get_running_loop().call_later(DRAIN_STEP_S, self._send_off)
+
     async def drain(self, within: float) -> None:
         """Stop without losing a request, with all answered `within` so many seconds.
 
         At first only readiness ends: a caller keeps its connection until the last call, and then each answer
         closes one. What lies in the listening socket's queue counts as taken, so it is emptied up to the end.
         """
+        self._stopping = True
         self.draining, self._ends = True, time.monotonic() + within
         self._dealt_until = time.monotonic() + DEALT_AFTER_STOP_S
         await asyncio.sleep(ACCEPT_AFTER_STOP_S)
@@ -419,8 +479,9 @@
             await asyncio.sleep(DRAIN_STEP_S)
         for connection in list(self._connections):  # half a request, or an answer that nobody reads
             connection.abort()
-        if self._sweeper is not None:
-            self._sweeper.cancel()
+        for timer in (self._sweeper, self._quiesce):
+            if timer is not None:
+                timer.cancel()
 
     def free_connections(self) -> float:
         """How many more requests callers can send at once; no bound while they can open connections."""
--- a/passpost/upstream.py
+++ b/passpost/upstream.py
@@ -40,7 +40,9 @@
 class Attempt:
     """One attempt; it ends exactly once, with the outcome that `done` is told."""
 
-    def __init__(self, request: Outgoing, timeout: float, done: Done) -> None:
+    def __init__(
+        self, request: Outgoing, timeout: float, done: Done, written: Callable[[], None] = lambda: None
+    ) -> None:
         loop = asyncio.get_running_loop()
         self.request = request
         self.connection: _Connection | None = None
@@ -48,6 +50,7 @@
         self._ends = time.monotonic() + timeout
         self._timer = loop.call_later(timeout, self._timed_out)
         self._done: Done | None = done
+        self.written = written  # told once the last byte has gone out
 
     def remaining(self) -> float:
         """How long we still wait, in seconds."""
@@ -100,6 +103,8 @@
         attempt.connection = self
         self.unwritten = False  # the transport says at once if it could not write it all: see pause_writing
         self._transport.write(attempt.request.write(attempt.remaining()))
+        if not self.unwritten:
+            attempt.written()
 
     def is_spent(self) -> bool:
         """Whether it can carry no more: it is closing, or has been told something since the last answer.
@@ -131,6 +136,8 @@
     def resume_writing(self) -> None:
         """The last byte has gone out."""
         self.unwritten = False
+        if self._attempt is not None:
+            self._attempt.written()
 
     def data_received(self, data: bytes) -> None:
         """A piece of the answer; without an attempt it is stray, and the connection can't be trusted."""
@@ -219,9 +226,16 @@
             if name not in self._upstreams:
                 self._upstreams[name] = _Upstream(name, address)
 
-    def send(self, server: str, request: Outgoing, timeout: float, done: Done) -> Attempt:
+    def send(
+        self,
+        server: str,
+        request: Outgoing,
+        timeout: float,
+        done: Done,
+        written: Callable[[], None] = lambda: None,
+    ) -> Attempt:
         """Make one attempt; `done` is told its outcome once, later or at once."""
-        attempt = Attempt(request, timeout, done)
+        attempt = Attempt(request, timeout, done, written)
         upstream = self._upstreams.get(server)
         if upstream is None:
             attempt.end(Outcome.NOT_SENT)
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -177,6 +177,11 @@
         return await self.answer()
 
 
+def operated(data: dict[str, Any]) -> None:
+    """A change of the configuration: with a door for operators."""
+    data["control"] = "127.0.0.1:0"
+
+
 class Balancer:
     """A balancer and whoever talks to it."""
 
@@ -189,6 +194,22 @@
         self._writers.append(writer)
         return Client(reader, writer)
 
+    async def call(self, line: bytes, end: bool = True) -> bytes:
+        """The operators' door: all that it answers to a line."""
+        assert self.node.door is not None
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.node.door.port)
+        self._writers.append(writer)
+        writer.write(line + b"\n" * end)
+        answer = await reader.read()
+        writer.close()
+        return answer
+
+    async def figures(self) -> dict[str, Any]:
+        answer = await self.call(b"counters")
+        assert answer.startswith(b"OK {") and answer.endswith(b"}\nEND\n") and answer.count(b"\n") == 2
+        read: dict[str, Any] = json.loads(answer[3:-5])
+        return read
+
     def hang_up(self) -> None:
         for writer in self._writers:
             writer.close()
@@ -209,6 +230,8 @@
         yield started
     finally:
         started.hang_up()
+        if started.node.door is not None:
+            started.node.door.stop()
         started.node.discovery.stop()
         started.node.upstreams.stop()
         for upstream in upstreams:
--- /dev/null
+++ b/tests/test_control.py
@@ -0,0 +1,369 @@
+"""The operators' door, the figures and the drain by hand, over loopback sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import math
+import os
+import socket
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from passpost import config, control, server
+from tests.loopback import (
+    AWAY,
+    OK,
+    FakeServer,
+    Got,
+    Writer,
+    balancer,
+    config_data,
+    operated,
+    run,
+    silent,
+    until,
+)
+from umberworks.interface import ListKind, ListUpdate, Member
+
+ROOT = Path(__file__).parent.parent
+
+
+# ---- the door
+
+
+@pytest.mark.parametrize(
+    ("line", "answer"),
+    [
+        (b"health", b"OK serving\n"),
+        (b"  health \r", b"OK serving\n"),
+        (b"quiesce", b"OK draining\n"),
+        (b"resume", b"OK back to work\n"),
+        (b"", b"ERR the line is empty\n"),
+        (b" \r", b"ERR the line is empty\n"),
+        (b"health now", b"ERR health takes nothing behind it\n"),
+        (b"\x00\x01", b"ERR the line is not plain text\n"),
+        (b"health\x07", b"ERR the line is not plain text\n"),
+        (b"\xff\xfe", b"ERR the line is not plain text\n"),
+        (b"x" * 100_000, b"ERR the line is longer than 1024 bytes\n"),
+    ],
+)
+def test_a_line_gets_one_answer_and_the_next_is_answered_too(line: bytes, answer: bytes) -> None:
+    async def test() -> None:
+        async with balancer(change=operated) as b:
+            assert await b.call(line) == answer
+            assert await b.call(b"health") == b"OK serving\n"
+
+    run(test())
+
+
+def test_an_unknown_call_is_told_those_that_are_known() -> None:
+    async def test() -> None:
+        async with balancer(change=operated) as b:
+            answer = await b.call(b"HEALTH")
+            assert answer.startswith(b"ERR unknown call 'HEALTH'; known are health, ")
+
+    run(test())
+
+
+def test_a_line_may_come_in_pieces_or_end_with_the_sending() -> None:
+    async def test() -> None:
+        async with balancer(change=operated) as b:
+            assert b.node.door is not None
+            for end in (True, False):
+                reader, writer = await asyncio.open_connection("127.0.0.1", b.node.door.port)
+                for byte in b"health\n" if end else b"health":
+                    writer.write(bytes([byte]))
+                    await asyncio.sleep(0)
+                if not end:
+                    writer.write_eof()
+                assert await reader.read() == b"OK serving\n"
+                writer.close()
+
+    run(test())
+
+
+def test_silent_callers_give_way_to_one_that_speaks() -> None:
+    async def test() -> None:
+        async with balancer(change=operated) as b:
+            assert b.node.door is not None
+            held = [
+                await asyncio.open_connection("127.0.0.1", b.node.door.port)
+                for _ in range(control.MAX_CALLS * 3)
+            ]
+            held[-1][1].write(b"heal")
+            assert await b.call(b"health") == b"OK serving\n"
+            assert len(b.node.door._calls) <= control.MAX_CALLS
+            assert await held[0][0].read() == b""  # the oldest has gone
+            held[-1][1].write(b"th\n")  # the youngest has not
+            assert await held[-1][0].read() == b"OK serving\n"
+            for _, writer in held:
+                writer.close()
+
+    run(test())
+
+
+def test_who_never_ends_the_line_or_never_leaves_is_let_go(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(control, "LINE_S", 0.02)
+    monkeypatch.setattr(control, "LINGER_S", 0.02)
+
+    async def test() -> None:
+        async with balancer(change=operated) as b:
+            assert b.node.door is not None
+            for line, answer in ((b"heal", b""), (b"nothing\n", b"ERR")):
+                reader, writer = await asyncio.open_connection("127.0.0.1", b.node.door.port)
+                writer.write(line)
+                assert (await reader.read()).startswith(answer)
+                await until(lambda: b.node.door is not None and not b.node.door._calls)
+                writer.close()
+
+    run(test())
+
+
+def test_a_fault_in_a_call_is_answered_and_the_door_stays_open(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        async with balancer(change=operated) as b:
+            monkeypatch.setattr(type(b.node), "figures", lambda node: 1 / 0)
+            assert (await b.call(b"counters")).startswith(b"ERR ")
+            assert await b.call(b"health") == b"OK serving\n"
+
+    run(test())
+
+
+def test_without_an_address_there_is_no_door(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        async with balancer(FakeServer()) as b:
+            assert b.node.door is None
+            with_door = config_data([])
+            operated(with_door)
+            assert config.read(with_door).control == ("127.0.0.1", 0)
+            assert config.read(config_data([]) | {"control": None}).control is None
+
+    run(test())
+
+
+def test_the_environment_comes_before_the_file() -> None:
+    data = config_data([]) | {"control": "127.0.0.1:7"}
+    assert config.read(data, "127.0.0.1:8").control == ("127.0.0.1", 8)
+
+
+@pytest.mark.parametrize("taken", [True, False])
+def test_an_address_that_can_not_be_had_is_one_plain_line(tmp_path: Path, taken: bool) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(config_data([])))
+    with socket.create_server(("127.0.0.1", 0)) as other:
+        address = f"127.0.0.1:{other.getsockname()[1]}" if taken else "nowhere"
+        done = subprocess.run(
+            [sys.executable, "-m", "passpost"],
+            cwd=ROOT,
+            env=os.environ | {"EDGE_CONFIG": str(path), "EDGE_CONTROL": address},
+            capture_output=True,
+            text=True,
+        )
+    assert done.returncode == (1 if taken else 2)
+    assert done.stderr.startswith("passpost: ") and done.stderr.count("\n") == 1
+
+
+# ---- the figures
+
+
+def rows(**changes: Any) -> dict[str, dict[str, int]]:
+    zeros = dict.fromkeys(("served", "refused", "failed", "attempts"), 0)
+    return {name: zeros | changes.get(name, {}) for name in ("read", "order", "pay")}
+
+
+def test_the_figures_begin_with_zeros_for_every_class() -> None:
+    async def test() -> None:
+        async with balancer(FakeServer(), change=operated) as b:
+            assert await b.figures() == {
+                "requests": rows(),
+                "attempts": 0,
+                "in_flight": 0,
+                "upstreams_known": 1,
+                "upstreams_excluded": 0,
+            }
+
+    run(test())
+
+
+def test_each_request_counts_once_by_what_its_caller_saw() -> None:
+    async def test() -> None:
+        answers = {"served": OK, "broken": b"HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n", "away": AWAY}
+
+        async def reply(request: Got, writer: Writer) -> None:
+            writer.write(answers[request.headers["x-what"]])
+
+        upstream = FakeServer(reply)
+        async with balancer(upstream, change=operated) as b:
+            client = await b.connect()
+            for what, status in (("served", 200), ("broken", 502), ("away", 503)):
+                answer = await client.ask("/pay", method="POST", X_What=what)
+                assert answer is not None and answer.status == status
+            late = await client.ask(X_Remaining="0")
+            assert late is not None and late.status == 504
+            ready = await client.ask("/health/ready")
+            assert ready is not None and ready.status == 200  # no call: counts for nothing
+            bad = await (await b.connect()).ask("/nowhere")
+            assert bad is not None and bad.status == 404
+            figures = await b.figures()
+            attempts = len(upstream.got)
+            assert attempts >= 3 and figures["attempts"] == attempts
+            pay = {"served": 1, "refused": 1, "failed": 1, "attempts": attempts}
+            assert figures["requests"] == rows(pay=pay, read={"failed": 1})
+            assert figures["in_flight"] == 0
+
+    run(test())
+
+
+def test_what_is_open_is_in_flight_until_it_ends_or_its_caller_goes() -> None:
+    async def test() -> None:
+        upstream = FakeServer(silent)
+        async with balancer(upstream, change=operated) as b:
+            clients = [await b.connect() for _ in range(3)]
+            for client in clients:
+                client.send()
+            clients[0].send()  # sent ahead
+            await until(lambda: len(upstream.got) == 3)
+            await until(lambda: b.node.engine.counters.in_flight == 4)
+            assert (await b.figures())["in_flight"] == 4
+            for client in clients:
+                client.writer.close()
+            await until(lambda: b.node.engine.counters.in_flight == 0)
+            figures = await b.figures()
+            assert sum(sum(row.values()) for row in figures["requests"].values()) == 4 + 3
+
+    run(test())
+
+
+def test_an_id_that_is_open_counts_as_failed_for_the_second() -> None:
+    async def test() -> None:
+        upstream = FakeServer(silent)
+        async with balancer(upstream, change=operated) as b:
+            first, second = await b.connect(), await b.connect()
+            first.send(X_Txn="same")
+            await until(lambda: len(upstream.got) == 1)
+            answer = await second.ask(X_Txn="same")
+            assert answer is not None and answer.status == 409
+            figures = await b.figures()
+            assert figures["in_flight"] == 1
+            assert figures["requests"]["read"] == {"served": 0, "refused": 0, "failed": 1, "attempts": 1}
+
+    run(test())
+
+
+def test_an_attempt_that_did_not_go_out_whole_is_none() -> None:
+    async def test() -> None:
+        async with balancer(change=operated) as b:  # nobody listens at port 1
+            b.node.engine.listed(*_one_listed("s0", ("127.0.0.1", 1)))
+            answer = await (await b.connect()).ask("/pay", method="POST")
+            assert answer is not None and answer.status == 503
+            assert (await b.figures())["attempts"] == 0
+
+    run(test())
+
+
+def _one_listed(name: str, address: tuple[str, int]) -> Any:
+    return ListUpdate(ListKind.WHOLE, (Member(name),)), {name: address}
+
+
+# ---- the drain by hand
+
+
+async def ready(b: Any) -> int:
+    answer = await (await b.connect()).ask("/health/ready")
+    return int(answer.status)
+
+
+def test_quiesce_ends_readiness_at_once_and_callers_a_little_later(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(server, "FRESH_S", 0.0)
+
+    async def test() -> None:
+        release = asyncio.Event()
+
+        async def reply(request: Got, writer: Writer) -> None:
+            if request.headers["x-txn"] == "slow":
+                await release.wait()
+            writer.write(OK)
+
+        upstream = FakeServer(reply)
+        async with balancer(upstream, change=operated) as b:
+            idle, silent_one, busy = await b.connect(), await b.connect(), await b.connect()
+            assert await idle.ask() is not None
+            busy.send(X_Txn="slow")
+            await until(lambda: len(upstream.got) == 2)
+            monkeypatch.setattr(server, "QUIESCE_KEPT_S", 0.2)
+            for _ in range(2):  # twice is once
+                assert await b.call(b"quiesce") == b"OK draining\n"
+            assert await b.call(b"health") == b"OK serving\n"  # the process is well
+            assert await ready(b) == 503
+            answer = await idle.ask()
+            assert answer is not None and answer.status == 200
+            assert await idle.answer() is None and await silent_one.answer() is None  # closed in good order
+            release.set()
+            answer = await busy.answer()
+            assert answer is not None and answer.status == 200 and not answer.reusable
+            late = await (await b.connect()).ask()
+            assert late is not None and late.status == 200 and not late.reusable
+            assert await b.call(b"resume") == b"OK back to work\n"
+            assert await ready(b) == 200
+            again = await (await b.connect()).ask()
+            assert again is not None and again.reusable
+
+    run(test())
+
+
+def test_resume_in_the_middle_leaves_connections_alone() -> None:
+    async def test() -> None:
+        async with balancer(FakeServer(), change=operated) as b:
+            client = await b.connect()
+            assert await client.ask() is not None
+            await b.call(b"quiesce")
+            for _ in range(2):
+                assert await b.call(b"resume") == b"OK back to work\n"
+            assert await ready(b) == 200 and b.node.server._quiesce is None
+            answer = await client.ask()
+            assert answer is not None and answer.status == 200 and answer.reusable
+
+    run(test())
+
+
+def test_a_request_that_lies_unread_is_not_closed_upon() -> None:
+    async def test() -> None:
+        async with balancer(FakeServer(), change=operated) as b:
+            with socket.create_connection(("127.0.0.1", b.node.server.port)) as client:
+                await until(lambda: bool(b.node.server._connections))
+                (connection,) = b.node.server._connections
+                await until(lambda: connection._transport is not None)
+                assert connection.is_spare(math.inf)
+                client.sendall(b"GET /read HTTP/1.1\r\nX-Txn: a\r\n\r\n")  # the loop has had no turn since
+                assert not connection.is_spare(math.inf)
+                await until(lambda: connection._useful and connection.is_spare(math.inf))
+                assert client.recv(65536).startswith(b"HTTP/1.1 200 ")
+
+    run(test())
+
+
+def test_a_stop_in_a_drain_ends_in_order_and_can_not_be_taken_back(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(server, "QUIESCE_KEPT_S", 0.0)
+    monkeypatch.setattr(server, "ACCEPT_AFTER_STOP_S", 0.05)
+
+    async def test() -> None:
+        upstream = FakeServer(silent)
+        async with balancer(upstream, change=operated) as b:
+            client = await b.connect()
+            client.send()
+            await until(lambda: len(upstream.got) == 1)
+            await b.call(b"quiesce")
+            stopped = asyncio.get_running_loop().create_task(b.node.stop())
+            await until(lambda: b.node.server._stopping)
+            assert await b.call(b"resume") == b"ERR the process is stopping\n"
+            upstream.writers[0].write(OK)
+            answer = await client.answer()
+            assert answer is not None and answer.status == 200 and not answer.reusable
+            await stopped
+
+    run(test())
--- a/umberworks/interface.py
+++ b/umberworks/interface.py
@@ -221,7 +221,15 @@
     token: str
 
 
-Event = ListUpdate | RequestArrived | AnswerStarted | AttemptEnded | ClientLeft | TimerDue
+@dataclass(frozen=True, slots=True)
+class Cordon:
+    """Operators hold a server out, whatever the list says of it, until the same with `out` false."""
+
+    server: str
+    out: bool
+
+
+Event = ListUpdate | RequestArrived | AnswerStarted | AttemptEnded | ClientLeft | TimerDue | Cordon
 
 
 # ---- actions ------------------------------------------------------------------------------------
--- /dev/null
+++ b/umberworks/members.py
@@ -0,0 +1,68 @@
+"""The servers: what is known of each, and which are listed or held out by hand (umberworks/interface.py)."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+
+from umberworks import interface as face
+
+MEMORY_MS = 6_000.0  # evidence fades by 1/e over this; long enough for a few calls, short enough to recover
+
+
+class Server:
+    """What is known of one server: its list entry, our calls there and the evidence on its capacity."""
+
+    def __init__(self, member: face.Member, now: float, rank: float) -> None:
+        self.member, self.rank, self.size = member, rank, 1.0
+        self.fit, self.heard = False, now
+        self.in_flight = 0  # m of the design, held slots of failures included
+        self.last_sent = -math.inf
+        self.forget(now)
+
+    def forget(self, now: float) -> None:
+        """Drop the evidence: the process behind the name is a new one."""
+        self.served, self.busy, self.seen = 0.0, 0.0, now
+
+    def catch_up(self, now: float) -> None:
+        """Bring the evidence to `now`: calls in flight add time, and all of it fades."""
+        gap = now - self.seen
+        if gap > 0:
+            fade = math.exp(-gap / MEMORY_MS)
+            self.served *= fade
+            self.busy = self.busy * fade + self.in_flight * gap
+            self.seen = now
+
+
+class Members:
+    """The names that the list holds, and those that operators hold out, whatever the list says of them."""
+
+    def __init__(self) -> None:
+        self.listed = set[str]()  # draining ones too
+        self.cordoned = set[str]()
+
+    def follow(self, event: face.ListUpdate) -> None:
+        """Take over news of the list."""
+        if event.kind is not face.ListKind.CHANGES:
+            self.listed.clear()
+        for member in event.members:
+            if member.readiness is face.Readiness.GONE:
+                self.listed.discard(member.server)
+            else:
+                self.listed.add(member.server)
+
+    def cordon(self, event: face.Cordon) -> None:
+        """Hold a server out, or end that; once undoes it, however often it was said."""
+        if event.out:
+            self.cordoned.add(event.server)
+        else:
+            self.cordoned.discard(event.server)
+
+    def usable(self, servers: Iterable[Server]) -> list[Server]:
+        """Those that may be sent to, in the order of our ranks."""
+        able = [s for s in servers if s.fit and s.member.server not in self.cordoned]
+        return sorted(able, key=lambda s: s.rank)
+
+    def avoided(self, kept_to: Iterable[Server]) -> frozenset[str]:
+        """The listed servers that get no calls now: cordoned, draining, or not among those kept to."""
+        return frozenset(self.listed) - {s.member.server for s in kept_to}
--- a/umberworks/rules.py
+++ b/umberworks/rules.py
@@ -15,11 +15,11 @@
 
 from umberworks import interface as face
 from umberworks.interface import Effect, ListKind, Outcome, RepeatGroup
+from umberworks.members import MEMORY_MS, Members, Server
 from umberworks.room import RATE_MEMORY_MS, Room
 from umberworks.shares import Shares
 
 DRAWS = 4  # d of the design; with few calls out for each server a draw of 2 too often misses the free one
-MEMORY_MS = 6_000.0  # evidence fades by 1/e over this; long enough for a few calls, short enough to recover
 LEAST_KEPT = 16  # servers that a balancer keeps to at the least: of fewer, a few failing ones weigh too much
 CALLS_EACH = 4.0  # calls in memory for each server kept to beyond these; with fewer our view is a sliver
 GOOD = 0.5  # of its usual capacity; below it a server is slow, cold or silent
@@ -46,32 +46,8 @@
 LIST_RETRY_MS = 500.0  # first pause before the list is asked again, doubled at each failure
 
 
-class _Server:
-    """What is known of one server: its list entry, our calls there and the evidence on its capacity."""
-
-    def __init__(self, member: face.Member, now: float, rank: float) -> None:
-        self.member, self.rank, self.size = member, rank, 1.0
-        self.fit, self.heard = False, now
-        self.in_flight = 0  # m of the design, held slots of failures included
-        self.last_sent = -math.inf
-        self.forget(now)
-
-    def forget(self, now: float) -> None:
-        """Drop the evidence: the process behind the name is a new one."""
-        self.served, self.busy, self.seen = 0.0, 0.0, now
-
-    def catch_up(self, now: float) -> None:
-        """Bring the evidence to `now`: calls in flight add time, and all of it fades."""
-        gap = now - self.seen
-        if gap > 0:
-            fade = math.exp(-gap / MEMORY_MS)
-            self.served *= fade
-            self.busy = self.busy * fade + self.in_flight * gap
-            self.seen = now
-
-
 class _Attempt:
-    def __init__(self, server: _Server, now: float, timeout: float) -> None:
+    def __init__(self, server: Server, now: float, timeout: float) -> None:
         self.server, self.sent, self.ends = server, now, now + timeout
         self.out, self.ran = True, True  # it may have run until its outcome proves otherwise
 
@@ -99,11 +75,12 @@
         self._settings = settings
         self._classes = {c.name: c for c in settings.classes}
         self._random = random.Random(seed)
-        self._servers: dict[str, _Server] = {}
-        self._ready, self._fit = list[_Server](), list[_Server]()  # fit: the part of them that we keep to
+        self._servers: dict[str, Server] = {}
+        self._ready, self._fit = list[Server](), list[Server]()  # fit: the part of them that we keep to
+        self._members = Members()
         self._requests: dict[int, _Request] = {}
         self._waiting: list[tuple[bool, float, int]] = []
-        self._held: list[tuple[float, int, _Server]] = []
+        self._held: list[tuple[float, int, Server]] = []
         self._held_count, self._retries, self._now = 0, RETRY_BURST, 0.0
         self._room = Room(settings.balancers)
         self._tries: dict[str, Counter[int]] = {c.name: Counter() for c in settings.classes}
@@ -134,11 +111,22 @@
                 self._listed(event, now)
             case face.ClientLeft():
                 self._left(event.request)
+            case face.Cordon():
+                self._members.cordon(event)
+                self._take_ready()
             case face.AnswerStarted():
                 self._made(event)[0].streaming = True
         self._pump(now)
         return self._actions
 
+    def avoided(self) -> frozenset[str]:
+        """The listed servers that get no calls now, by hand or by choice."""
+        return self._members.avoided(self._fit)
+
+    def cordoned(self) -> frozenset[str]:
+        """The servers that operators hold out, listed or not."""
+        return frozenset(self._members.cordoned)
+
     def _listed(self, event: face.ListUpdate, now: float) -> None:
         if event.kind is ListKind.FAILED:
             # The list is out of reach: the old one stands; ask again, not all balancers in step.
@@ -154,16 +142,21 @@
         if event.kind is not ListKind.CHANGES:
             for known in self._servers.values():
                 known.fit = False  # missing from a whole list means gone
+        self._members.follow(event)
         for member in event.members:
             server = self._servers.get(member.server)
             if server is None:
-                server = self._servers[member.server] = _Server(member, now, self._random.random())
+                server = self._servers[member.server] = Server(member, now, self._random.random())
             if member.up_since_ms > server.member.up_since_ms:
                 server.forget(now)  # the same name, a new process
             server.size = member.size if self._settings.sizes_exact else 1.0
             server.member, server.fit = member, member.readiness is face.Readiness.READY
         self._servers = {name: s for name, s in self._servers.items() if s.fit or s.in_flight}
-        self._ready = sorted((s for s in self._servers.values() if s.fit), key=lambda s: s.rank)
+        self._take_ready()
+
+    def _take_ready(self) -> None:
+        """Take over which servers may be sent to, with the measures of them all."""
+        self._ready = self._members.usable(self._servers.values())
         self._choose()
         started = max((s.member.up_since_ms for s in self._ready), default=0.0)
         self._cold_until = started + self._settings.cold_ms
@@ -194,6 +187,9 @@
         if event.free_connections < min(KEPT_FREE, len(self._requests) // KEPT_FOR):
             self._give_up(request)
             return
+        if self._members.cordoned and not self._ready:
+            self._give_up(request)  # held out by hand, they don't come back while a request waits
+            return
         if self._crowded(request):
             self._refuse_for_room(request, now)
             return
@@ -343,7 +339,7 @@
         if not request.owed and not request.is_out():
             self._requests.pop(request.id, None)
 
-    def _harmless(self, request: _Request, now: float) -> list[_Server]:
+    def _harmless(self, request: _Request, now: float) -> list[Server]:
         """The fit servers to which the next attempt can do no harm; all of them if none may have run."""
         cls = request.cls
         ran = next((a for a in request.attempts if a.ran), None)
@@ -362,7 +358,7 @@
 
     # ---- the ordinary path ----------------------------------------------------------------------
 
-    def _pick(self, request: _Request, now: float) -> _Server | None:
+    def _pick(self, request: _Request, now: float) -> Server | None:
         """Draw servers by capacity and take the one least loaded after this call."""
         median = self._known_median(now)
         able = self._harmless(request, now)
@@ -387,7 +383,7 @@
                 break
         return chosen
 
-    def _capacity(self, server: _Server, median: float, now: float) -> float:
+    def _capacity(self, server: Server, median: float, now: float) -> float:
         """c of the design: served calls over our time in flight there, leaning on the median."""
         server.catch_up(now)
         usual = median * server.size
@@ -426,7 +422,7 @@
             server.catch_up(now)
             server.in_flight -= 1
 
-    def _warmth(self, server: _Server, now: float) -> float:
+    def _warmth(self, server: Server, now: float) -> float:
         """The share of its capacity that a server has at the least, by its age."""
         age = now - server.member.up_since_ms
         if server.member.up_since_ms <= 0 or age >= self._settings.cold_ms:
@@ -434,7 +430,7 @@
         start = self._settings.cold_from
         return start + (1 - start) * max(age, 0.0) / self._settings.cold_ms
 
-    def _cold_room(self, server: _Server, now: float) -> bool:
+    def _cold_room(self, server: Server, now: float) -> bool:
         """Whether a cold server can take a call: evenly spaced, as bursts and roundings of many add up."""
         warmth = self._warmth(server, now)
         rate = COLD_SAFETY * self._settings.cold_overload_factor * warmth * self._usual_rate
