--- a/passpost/__main__.py
+++ b/passpost/__main__.py
@@ -62,6 +62,19 @@
         """The counters."""
         return self.engine.counters.figures(self.discovery.count(), self.engine.excluded())
 
+    def cordon(self, server: str) -> None:
+        """Leave an upstream out; KeyError if it is neither listed nor left out already."""
+        self._hold(server, True)
+
+    def uncordon(self, server: str) -> None:
+        """Use it again; KeyError if it is neither listed nor left out."""
+        self._hold(server, False)
+
+    def _hold(self, server: str, out: bool) -> None:
+        if not self.discovery.knows(server) and server not in self.engine.cordoned():
+            raise KeyError(server)
+        self.engine.cordon(server, out)
+
     def quiesce(self) -> None:
         """Drain, and run on."""
         self.server.quiesce()
--- a/passpost/control.py
+++ b/passpost/control.py
@@ -33,6 +33,12 @@
     def figures(self) -> dict[str, Any]:
         """The counters."""
 
+    def cordon(self, server: str) -> None:
+        """Leave an upstream out; KeyError if it is unknown."""
+
+    def uncordon(self, server: str) -> None:
+        """Use it again; KeyError if it is unknown."""
+
     def quiesce(self) -> None:
         """Drain, and run on."""
 
@@ -149,11 +155,23 @@
             "quiesce": self._quiesce,
             "resume": self._resume,
         }
+        naming = {"cordon": self._operated.cordon, "uncordon": self._operated.uncordon}
+        if word in naming:
+            return self._named(word, naming[word], rest)
         if word in plain:
             if rest:
                 raise _Refused(f"{word} takes nothing behind it")
             return plain[word]()
-        raise _Refused(f"unknown call {word!r}; known are {', '.join(plain)}")
+        raise _Refused(f"unknown call {word!r}; known are {', '.join([*plain, *naming])}")
+
+    def _named(self, word: str, act: Callable[[str], None], rest: list[str]) -> bytes:
+        if len(rest) != 1:
+            raise _Refused(f"{word} takes the id of one upstream")
+        try:
+            act(rest[0])
+        except KeyError:
+            raise _Refused(f"no upstream {rest[0]!r} is known") from None
+        return self._done(f"{word} {rest[0]}")
 
     def _health(self) -> bytes:
         if not self._operated.is_serving():
--- a/passpost/engine.py
+++ b/passpost/engine.py
@@ -83,8 +83,17 @@
         """How many listed upstreams the module avoids now."""
         return len(self._balancer.avoided())
 
+    def cordoned(self) -> frozenset[str]:
+        """The upstreams that operators hold out, listed or not."""
+        return self._balancer.cordoned()
+
     # ---- happenings
 
+    def cordon(self, server: str, out: bool) -> None:
+        """Operators hold an upstream out, or end that."""
+        self._post(face.Cordon(server, out))
+        self._upstreams.keep_none(self.cordoned())
+
     def listed(self, update: face.ListUpdate, addresses: dict[str, Address]) -> None:
         """News of the list; the addresses come first, as the module may send at once."""
         self._upstreams.route(addresses)
--- a/passpost/upstream.py
+++ b/passpost/upstream.py
@@ -203,6 +203,7 @@
         self._upstreams: dict[str, _Upstream] = {}
         self._open = 0
         self._said_full = False
+        self._kept_none = frozenset[str]()
         self._sweeper: asyncio.TimerHandle | None = None
 
     def start(self) -> None:
@@ -256,6 +257,13 @@
             attempt.end(Outcome.UNREACHED)
         return attempt
 
+    def keep_none(self, servers: frozenset[str]) -> None:
+        """From now on these alone have no idle connections; attempts that are out go on."""
+        self._kept_none = servers
+        for name in servers & self._upstreams.keys():
+            for connection in list(self._upstreams[name].idle):
+                connection.drop()
+
     def _idle(self, upstream: _Upstream) -> _Connection | None:
         """The idle connection to use: the latest that has rested, else the one idle for longest."""
         limit = time.monotonic() - REST_S
@@ -268,8 +276,8 @@
         return None
 
     def rest(self, connection: _Connection, upstream: _Upstream) -> None:
-        """Keep a connection for the next attempt, unless its upstream has left or moved."""
-        if self._upstreams.get(upstream.name) is not upstream:
+        """Keep a connection for the next attempt, unless its upstream has left, moved or is held out."""
+        if self._upstreams.get(upstream.name) is not upstream or upstream.name in self._kept_none:
             connection.drop()
             return
         connection.idle_since = time.monotonic()
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -15,6 +15,7 @@
 import pytest
 
 from passpost import config, control, server
+from passpost.discovery import Listing
 from tests.loopback import (
     AWAY,
     OK,
@@ -270,6 +271,77 @@
     return ListUpdate(ListKind.WHOLE, (Member(name),)), {name: address}
 
 
+# ---- upstreams out by hand
+
+
+def test_a_cordoned_upstream_gets_nothing_until_it_is_put_back() -> None:
+    async def test() -> None:
+        first, second = FakeServer(), FakeServer()
+        async with balancer(first, second, change=operated) as b:
+            client = await b.connect()
+            while not first.got or not second.got:
+                assert await client.ask() is not None
+            for _ in range(2):  # twice is once
+                assert await b.call(b"cordon s0") == b"OK cordon s0\n"
+            await until(lambda: first.closed == first.connections)  # idle connections go
+            had = len(first.got)
+            figures = await b.figures()
+            assert (figures["upstreams_known"], figures["upstreams_excluded"]) == (2, 1)
+            for _ in range(30):
+                answer = await client.ask()
+                assert answer is not None and answer.status == 200
+            assert len(first.got) == had
+            assert await b.call(b"uncordon s0") == b"OK uncordon s0\n"
+            assert (await b.figures())["upstreams_excluded"] == 0
+            while len(first.got) == had:
+                assert await client.ask() is not None
+
+    run(test())
+
+
+def test_what_is_out_at_a_cordoned_upstream_finishes_and_its_connection_goes() -> None:
+    async def test() -> None:
+        upstream = FakeServer(silent)
+        async with balancer(upstream, change=operated) as b:
+            client = await b.connect()
+            client.send()
+            await until(lambda: len(upstream.got) == 1)
+            await b.call(b"cordon s0")
+            upstream.writers[0].write(OK)
+            answer = await client.answer()
+            assert answer is not None and answer.status == 200
+            await until(lambda: upstream.closed == 1)
+            refused = await client.ask(X_Remaining="9.0")  # nothing else is there: no waiting for it
+            assert refused is not None and refused.status == 503
+            assert len(upstream.got) == 1
+
+    run(test())
+
+
+@pytest.mark.parametrize("line", [b"cordon", b"uncordon", b"cordon a b", b"cordon s9", b"uncordon s9"])
+def test_a_cordon_of_nothing_known_is_refused(line: bytes) -> None:
+    async def test() -> None:
+        async with balancer(FakeServer(), change=operated) as b:
+            assert (await b.call(line)).startswith(b"ERR ")
+            assert (await b.figures())["upstreams_excluded"] == 0
+
+    run(test())
+
+
+def test_a_cordon_outlasts_the_list_that_drops_its_upstream() -> None:
+    async def test() -> None:
+        async with balancer(FakeServer(), change=operated) as b:
+            await b.call(b"cordon s0")
+            b.node.discovery._apply(Listing(2, True, (), {}), ListKind.WHOLE)
+            assert (await b.figures())["upstreams_known"] == 0
+            assert (await b.figures())["upstreams_excluded"] == 0  # only what is listed counts
+            assert (await b.call(b"cordon s0")).startswith(b"OK ")
+            assert (await b.call(b"uncordon s0")).startswith(b"OK ")
+            assert (await b.call(b"uncordon s0")).startswith(b"ERR ")
+
+    run(test())
+
+
 # ---- the drain by hand
 
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -13,6 +13,7 @@
     AnswerStarted,
     AttemptEnded,
     ClientLeft,
+    Cordon,
     Effect,
     Fail,
     ListKind,
@@ -435,6 +436,67 @@
     assert 50 < again < 100
 
 
+# ---- upstreams out by hand
+
+
+def draws(desk: Desk, count: int = 200) -> Counter[str]:
+    return Counter(desk.serve(takes=20.0) for _ in range(count))
+
+
+@pytest.mark.parametrize("kind", [ListKind.WHOLE, ListKind.CHANGES, ListKind.SAVED])
+def test_a_cordon_holds_whatever_the_list_says(kind: ListKind) -> None:
+    desk = Desk(3)
+    for _ in range(2):
+        desk.tell(Cordon("s1", True))
+    assert desk.balancer.avoided() == desk.balancer.cordoned() == {"s1"}
+    assert set(draws(desk)) == {"s0", "s2"}
+    gone = Member("s1", readiness=Readiness.GONE)
+    desk.show(gone, kind=ListKind.CHANGES)
+    assert desk.balancer.avoided() == frozenset() and desk.balancer.cordoned() == {"s1"}
+    desk.show(*members(3), kind=kind)
+    assert set(draws(desk)) == {"s0", "s2"}
+    desk.tell(Cordon("s1", False))
+    assert desk.balancer.avoided() == desk.balancer.cordoned() == frozenset()
+    assert set(draws(desk)) == {"s0", "s1", "s2"}
+
+
+def test_a_second_try_does_not_go_to_a_cordoned_server_either() -> None:
+    desk = Desk(2)
+    request, actions = desk.ask(ANYWHERE)
+    first = sent(actions)[0].server
+    other = ({"s0", "s1"} - {first}).pop()
+    desk.tell(Cordon(other, True))
+    again = sent(desk.end(request, 0, first, Outcome.TURNED_AWAY))
+    assert [s.server for s in again] in ([], [first])
+
+
+def test_a_server_restarted_while_out_returns_cold() -> None:
+    desk = Desk(3)
+    draws(desk)
+    desk.tell(Cordon("s1", True))
+    desk.show(Member("s1", up_since_ms=desk.now), kind=ListKind.CHANGES)
+    desk.tell(Cordon("s1", False))
+    server = desk.balancer._servers["s1"]
+    assert server.served == 0 and desk.balancer._warmth(server, desk.now) == pytest.approx(0.2)
+    assert draws(desk, 300)["s1"] > 0
+
+
+def test_with_all_held_out_a_request_is_refused_at_once() -> None:
+    desk = Desk(2)
+    for server in ("s0", "s1"):
+        desk.tell(Cordon(server, True))
+    _, actions = desk.ask(PAY)
+    assert of_kind(actions, Refuse) and not sent(actions)
+
+
+def test_draining_servers_are_listed_and_avoided() -> None:
+    desk = Desk(3)
+    desk.show(Member("s2", readiness=Readiness.DRAINING), kind=ListKind.CHANGES)
+    assert desk.balancer.avoided() == {"s2"}
+    desk.show(*members(2))
+    assert desk.balancer.avoided() == frozenset()
+
+
 # ---- settings, determinism ----------------------------------------------------------------------
 
 
