Give the counters alone, then END: behind an OK they were read as empty

Ruled out: late answers (0 of 188 were), a count wrong by itself (all figures were read as 0 or missing at once). Lines at fault: the framing in Door._counters.

--- a/passpost/control.py
+++ b/passpost/control.py
@@ -179,7 +179,7 @@
         return b"OK serving\n"
 
     def _counters(self) -> bytes:
-        return b"OK %b\nEND\n" % json.dumps(self._operated.figures(), separators=(",", ":")).encode()
+        return b"%b\nEND\n" % json.dumps(self._operated.figures(), separators=(",", ":")).encode()
 
     def _quiesce(self) -> bytes:
         self._operated.quiesce()
