--- a/passpost/__main__.py
+++ b/passpost/__main__.py
@@ -3,16 +3,20 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import os
 import signal
+import socket
 import sys
+import time
 from dataclasses import fields
 from typing import Any
+from urllib.parse import quote
 
 import uvloop
 
-from passpost import control
+from passpost import control, handover
 from passpost.config import Config, ConfigError, load
 from passpost.discovery import Discovery
 from passpost.engine import Engine
@@ -30,12 +34,19 @@
 # much later; the spare is for ending.
 LONGEST_COUNTED_S, KILL_AFTER_S, SPARE_S = 3.0, 0.7, 0.3
 
+# Beside an old process a new one takes clients once it has a list of its own, or after so long with the one
+# that it was given. A new one that has asked but does not serve yet is waited for before we stop without it.
+LIST_S, HEIR_S = 1.5, 1.0
+
 
 class Node:
     """The parts of one balancer, wired together and started."""
 
-    def __init__(self, config: Config) -> None:
-        self._config = config
+    def __init__(
+        self, config: Config, meeting: str | None = None, old: handover.Inherited | None = None
+    ) -> None:
+        """`meeting`: the path where a new process finds us; `old`: what the old one has handed over."""
+        self._config, self._meeting = config, meeting
         self.upstreams = Upstreams(
             config.connect_timeout, config.idle_timeout, max_open=int(config.sockets * UPSTREAMS_SHARE)
         )
@@ -44,14 +55,106 @@
             config.settings, config.seed, self.upstreams, self.discovery.subscribe, config.answer_grace
         )
         callers = int(config.sockets * CALLERS_SHARE) - (control.DESCRIPTORS if config.control else 0)
-        self.server = Server(self.engine, config.listen, max_open=callers)
+        self.server = Server(
+            self.engine,
+            config.listen,
+            max_open=callers,
+            listener=old.listener if old else None,
+            shared=config.control is not None,
+        )
+        self._post: handover.Post | None = None
+        self._old: handover.Channel | None = None
+        self._heir: handover.Channel | None = None
+        self._heir_serves = asyncio.Event()
+        self._joining: asyncio.Task[None] | None = None
         self.door = control.Door(self, config.control) if config.control else None
         self.upstreams.start()
         self.discovery.start(self.engine.listed)
-        self.server.start()
+        if old is not None:
+            self._joining = asyncio.get_running_loop().create_task(self._join(old))
+        else:
+            self._serve()
         if self.door is not None:
             self.door.start()
 
+    def _serve(self) -> None:
+        self.server.start()
+        if self._meeting:
+            try:
+                self._post = handover.Post(self._meeting, self._meet)
+            except OSError as error:
+                log.warning("handover: none from us to a new process: %s", error)
+
+    # ---- an upgrade, see handover.py
+
+    async def _join(self, old: handover.Inherited) -> None:
+        """Be one balancer with the old process: what operators told it holds here before a client comes."""
+        self._old = handover.Channel(old.line, self._heard, self._old_ended)
+        for server in old.cordoned:
+            self.engine.cordon(server, True)
+        if old.closing:
+            self.server.send_off()
+        elif old.draining:
+            self.server.quiesce()
+        self.server.lend(old.callers)
+        self.upstreams.share(True)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(LIST_S):
+                await self.discovery.heard.wait()
+        self._serve()
+        self._old.say(serving=True)
+        log.info("handover: serving beside the old process")
+
+    def _meet(self, line: socket.socket) -> None:
+        """A new process has asked: it gets the listening socket, and what operators said."""
+        if self._heir is not None:
+            self._heir.close()
+        self._heir_serves.clear()
+        heir = self._heir = handover.Channel(line, self._heard, self._heir_ended)
+        self.upstreams.share(True)
+        heir.give(
+            self.server.listener().fileno(),
+            cordoned=sorted(self.engine.cordoned()),
+            draining=self.server.draining,
+            closing=self.server.closing,
+            callers=self.server.count(),
+        )
+        log.info("handover: a new process has the listening socket")
+
+    def _heard(self, message: dict[str, Any], handed: socket.socket | None) -> None:
+        if handed is not None:
+            self.server.adopt(handed, bool(message["useful"]), float(message["age"]))
+        elif "cordon" in message:
+            self.engine.cordon(str(message["cordon"]), bool(message["out"]))
+        elif "draining" in message:
+            if message["draining"]:
+                self.server.quiesce()
+            else:
+                self.server.resume()
+        elif message.get("serving"):
+            self.server.stand_back(True)
+            self._heir_serves.set()
+
+    def _heir_ended(self) -> None:
+        self._heir_serves.clear()
+        self.server.stand_back(False)
+        self._alone()
+
+    def _old_ended(self) -> None:
+        self.server.lend(0)
+        self._alone()
+
+    def _alone(self) -> None:
+        lines = [line for line in (self._old, self._heir) if line is not None and line.is_open()]
+        self.upstreams.share(bool(lines))
+
+    def _tell(self, **message: Any) -> bool:
+        """Tell the other processes of an upgrade; whether there is one."""
+        lines = [line for line in (self._old, self._heir) if line is not None and line.is_open()]
+        for line in lines:
+            line.say(**message)
+        return bool(lines)
+
     # ---- what operators ask, see control.py
 
     def is_serving(self) -> bool:
@@ -74,14 +177,17 @@
         if not self.discovery.knows(server) and server not in self.engine.cordoned():
             raise KeyError(server)
         self.engine.cordon(server, out)
+        self._tell(cordon=server, out=out)
 
     def quiesce(self) -> None:
         """Drain, and run on."""
         self.server.quiesce()
+        self._tell(draining=True)
 
     def resume(self) -> bool:
         """End the drain; False while the process stops."""
-        return self.server.resume()
+        told = self._tell(draining=False)
+        return self.server.resume() or told
 
     # ---- its life
 
@@ -93,16 +199,49 @@
         self._config = config
         self.discovery.move(config.discovery)
 
+    async def _leave(self, within: float) -> None:
+        """Finish what was taken, with a new process beside us or without."""
+        began = time.monotonic()
+        if self._post is not None:
+            self._post.close()  # nobody else begins with what we are about to end
+        if self._heir is not None and self._heir.is_open():
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(HEIR_S):
+                    await self._heir_serves.wait()
+        within -= time.monotonic() - began
+        if self._heir is not None and self._heir_serves.is_set():
+            await self.server.hand_over(self._heir.give, within)
+        else:
+            await self.server.drain(within)
+
     async def stop(self) -> None:
         """Finish what was taken, then close everything."""
         longest = max(c.deadline_ms for c in self._config.settings.classes) / 1000
-        await self.server.drain(min(longest, LONGEST_COUNTED_S) + KILL_AFTER_S - SPARE_S)
+        await self._leave(min(longest, LONGEST_COUNTED_S) + KILL_AFTER_S - SPARE_S)
+        self.close()
+
+    def close(self) -> None:
+        """End everything at once."""
+        if self._joining is not None:
+            self._joining.cancel()
+        if self._post is not None:
+            self._post.close()
+        for line in (self._old, self._heir):
+            if line is not None:
+                line.close()
         if self.door is not None:
             self.door.stop()
         self.discovery.stop()
         self.upstreams.stop()
 
 
+def meeting_path(config: Config, directory: str | None) -> str | None:
+    """The path by which an old and a new process of one balancer meet; none without operators' parts."""
+    if config.control is None or not directory or not os.path.isdir(directory):
+        return None
+    return os.path.join(directory, "handover." + quote(config.name, safe=""))
+
+
 async def serve(path: str) -> None:
     """Run until SIGTERM, by the configuration at `path`; SIGHUP reads it again."""
     node: Node | None = None
@@ -123,7 +262,8 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     config = load(path)
-    node = Node(config)
+    meeting = meeting_path(config, os.environ.get("TMPDIR"))
+    node = Node(config, meeting, handover.ask(meeting) if meeting else None)
     log.info("%s serves on %s:%d", config.name, config.listen[0], node.server.port)
     await stop.wait()
     log.info("stopping: finishing what was taken")
--- a/passpost/discovery.py
+++ b/passpost/discovery.py
@@ -109,6 +109,7 @@
         self._addresses: dict[str, Address] = {}
         self._tell: Callable[[ListUpdate, dict[str, Address]], None] = lambda update, addresses: None
         self._task: asyncio.Task[None] | None = None
+        self.heard = asyncio.Event()  # discovery has answered
 
     def start(self, tell: Callable[[ListUpdate, dict[str, Address]], None]) -> None:
         """Tell the saved list; what comes later goes to the same place."""
@@ -152,6 +153,7 @@
                     kind = ListKind.WHOLE if listing.complete else ListKind.CHANGES
                     self._apply(listing, kind)
                 self._revision = listing.revision
+                self.heard.set()
                 wait = WATCH_MS
         except (OSError, TimeoutError, EOFError, BadAnswerError) as error:
             log.warning("discovery: %s: %s", type(error).__name__, error)
--- a/passpost/server.py
+++ b/passpost/server.py
@@ -10,7 +10,7 @@
 import time
 from collections import deque
 from dataclasses import dataclass
-from typing import cast
+from typing import Protocol, cast
 
 import httptools
 
@@ -39,6 +39,7 @@
 # as what is asked then is still open after 4. Kept so long, a short drain disturbs nobody.
 QUIESCE_KEPT_S = 1.2
 FRESH_S = 0.3  # a new connection brings its first request within this
+CLOSE_AT_S = 0.5  # before the end of an upgrade, answers close what could not be handed over
 LAST_LOOK_S = 0.2  # for the requests on connections taken at the very end
 
 _REASONS = {
@@ -69,10 +70,17 @@
     came: float
 
 
+class Give(Protocol):
+    """Hands an idle connection to the new process."""
+
+    def __call__(self, descriptor: int, *, useful: bool, age: float) -> bool:
+        """False if it can't go now."""
+
+
 class _Connection(asyncio.Protocol):
     """One caller's connection. It is the `Caller` of the request that is open on it."""
 
-    def __init__(self, server: Server) -> None:
+    def __init__(self, server: Server, useful: bool = False) -> None:
         self._server = server
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
@@ -83,7 +91,7 @@
         self._current: _Request | None = None
         self._number: int | None = None  # of the request that the engine has
         self._txn: bytes | None = None  # its id
-        self._useful = False  # a good request has come by it
+        self._useful = useful  # a good request has come by it
         self._bad = 0  # the status that ends this connection once all before it is answered
         self._lingers = False
         self._clogged = False  # answers pile up unread
@@ -277,6 +285,8 @@
                 self.close()
             elif self._waiting or self._bad:
                 asyncio.get_running_loop().call_soon(self._next)
+            elif self._server.is_handing_over():
+                asyncio.get_running_loop().call_soon(self._server.pass_on, self)
 
     def _answer(
         self, status: int, headers: Headers | None = None, body: bytes = b"", close: bool = False
@@ -328,6 +338,21 @@
         poll.register(self._transport.get_extra_info("socket"), select.POLLIN)
         return not poll.poll(0)
 
+    def is_whole(self) -> bool:
+        """Whether another process could go on with it: between requests, with all answers sent."""
+        transport = self._transport
+        return self.is_free() and transport is not None and transport.get_write_buffer_size() == 0
+
+    def hand_over(self, give: Give) -> bool:
+        """Give it to the new process; bytes that lie unread go along, as reading has not begun on them."""
+        assert self._transport is not None
+        descriptor = self._transport.get_extra_info("socket").fileno()
+        if not give(descriptor, useful=self._useful, age=time.monotonic() - self.since):
+            return False
+        self._lingers = True  # nothing more is read here
+        self._transport.abort()
+        return True
+
     def worth(self) -> int | None:
         """How ill it can be spared when there are too many, the least first; None if it can't be."""
         if self.is_busy() or self._transport is None:
@@ -385,17 +410,29 @@
 class Server:
     """The listening socket and the connections that came in by it, `max_open` at most."""
 
-    def __init__(self, engine: Engine, address: Address, max_open: int) -> None:
+    def __init__(
+        self,
+        engine: Engine,
+        address: Address,
+        max_open: int,
+        listener: socket.socket | None = None,
+        shared: bool = False,
+    ) -> None:
+        """With a `listener` of the old process that one is used; `shared`: another process may listen too."""
         self.engine = engine
         self.draining, self.closing = False, False  # not ready any more; each answer closes its connection
         self._ends, self._dealt_until = math.inf, math.inf
-        self._stopping = False
+        self._stopping, self._started, self._yielding = False, False, False
+        self._lent = 0  # connections that the old process still holds: they count together
+        self._give: Give | None = None  # hands a connection to the new process
         self._quiesce: asyncio.TimerHandle | None = None  # runs while told to drain by hand
         self._max_open = max_open
         self._connections: set[_Connection] = set()
         self.open_ids: set[bytes] = set()
         self._accepting = False
-        self._socket = socket.create_server(address, backlog=BACKLOG, family=_family(address))
+        self._socket = listener or socket.create_server(
+            address, backlog=BACKLOG, family=_family(address), reuse_port=shared
+        )
         self._socket.setblocking(False)
         self._sweeper: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task[object]] = set()
@@ -418,18 +455,39 @@
 
     def start(self) -> None:
         """Begin to accept."""
+        self._started = True
         self._resume()
         self._sweep()
 
+    def lend(self, connections: int) -> None:
+        """The old process holds so many connections yet."""
+        self._lent = connections
+        self._resume()
+
+    def stand_back(self, yielding: bool) -> None:
+        """The new process accepts in our place, or has gone and we do again."""
+        self._yielding = yielding
+        if yielding:
+            self._pause()
+        else:
+            self._resume()
+
+    def listener(self) -> socket.socket:
+        """The listening socket, for the new process."""
+        return self._socket
+
+    def count(self) -> int:
+        """The connections that are open."""
+        return len(self._connections)
+
     def forget(self, connection: _Connection) -> None:
         """A connection is over; another may come in for it."""
         self._connections.discard(connection)
-        if self._socket.fileno() >= 0:
-            self._resume()
+        self._resume()
 
     def is_serving(self) -> bool:
         """Whether clients are taken."""
-        return self._socket.fileno() >= 0
+        return self._started and self._socket.fileno() >= 0
 
     def quiesce(self) -> None:
         """Drain by hand: not ready at once, the callers sent off a little later; the process runs on."""
@@ -437,6 +495,13 @@
             self.draining = True
             self._quiesce = asyncio.get_running_loop().call_later(QUIESCE_KEPT_S, self._send_off)
 
+    def send_off(self) -> None:
+        """Take over a drain by hand that is past its first part."""
+        self.quiesce()
+        if self._quiesce is not None:
+            self._quiesce.cancel()
+            self._send_off()
+
     def resume(self) -> bool:
         """End a drain by hand; whether we are at work again, as a drain at the end can't be taken back."""
         if self._quiesce is not None and not self._stopping:
@@ -454,6 +519,35 @@
                 connection.close()
         self._quiesce = asyncio.get_running_loop().call_later(DRAIN_STEP_S, self._send_off)
 
+    async def hand_over(self, give: Give, within: float) -> None:
+        """Stop while a new process serves: idle connections go there, open requests are answered here.
+
+        Readiness stays as it is: the two are one balancer. What is left near the end is closed as in a drain.
+        """
+        self._stopping, self._ends = True, time.monotonic() + within
+        self._pause()
+        self._socket.close()  # its queue is the new process's
+        self._give = give
+        while self._connections and self.time_left() > 0:
+            self.closing = self.closing or self.time_left() < CLOSE_AT_S
+            for connection in list(self._connections):
+                self.pass_on(connection)
+            await asyncio.sleep(DRAIN_STEP_S)
+        self._end()
+
+    def is_handing_over(self) -> bool:
+        """Whether connections go to a new process as soon as they are idle."""
+        return self._give is not None
+
+    def pass_on(self, connection: _Connection) -> None:
+        """Hand an idle connection to the new process; should that have gone, close it between requests."""
+        if self._give is None or not connection.is_whole():
+            return
+        if connection.hand_over(self._give):
+            return
+        if self.closing and connection.is_spare(math.inf):
+            connection.close()
+
     async def drain(self, within: float) -> None:
         """Stop without losing a request, with all answered `within` so many seconds.
 
@@ -477,6 +571,9 @@
                 if connection.is_idle():
                     connection.close()
             await asyncio.sleep(DRAIN_STEP_S)
+        self._end()
+
+    def _end(self) -> None:
         for connection in list(self._connections):  # half a request, or an answer that nobody reads
             connection.abort()
         for timer in (self._sweeper, self._quiesce):
@@ -494,7 +591,9 @@
         return self._ends - time.monotonic()
 
     def _resume(self) -> None:
-        if not self._accepting and len(self._connections) < self._max_open:
+        if self._yielding or not self._started or self._socket.fileno() < 0:
+            return
+        if not self._accepting and len(self._connections) + self._lent < self._max_open:
             self._accepting = True
             asyncio.get_running_loop().add_reader(self._socket, self._accept)
 
@@ -509,7 +608,7 @@
         At the limit the connection that is worth least makes room; if all are busy, the queue waits.
         """
         for _ in range(ACCEPT_AT_ONCE):
-            full = len(self._connections) >= self._max_open
+            full = len(self._connections) + self._lent >= self._max_open
             spare = self._spare() if full else None
             if full and spare is None:
                 self._pause()
@@ -525,14 +624,23 @@
             if spare is not None:
                 self._connections.discard(spare)
                 spare.give_way()
-            client.setblocking(False)
-            connection = _Connection(self)
-            self._connections.add(connection)
-            task = asyncio.get_running_loop().create_task(self._adopt(client, connection))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self._take_in(client, _Connection(self))
         return False
 
+    def adopt(self, client: socket.socket, useful: bool, age: float) -> None:
+        """Take over an idle connection of the old process, with what is held for or against it."""
+        self._lent = max(self._lent - 1, 0)
+        connection = _Connection(self, useful)
+        connection.since -= max(age, 0.0)
+        self._take_in(client, connection)
+
+    def _take_in(self, client: socket.socket, connection: _Connection) -> None:
+        client.setblocking(False)
+        self._connections.add(connection)
+        task = asyncio.get_running_loop().create_task(self._adopt(client, connection))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     async def _adopt(self, client: socket.socket, connection: _Connection) -> None:
         try:
             await asyncio.get_running_loop().connect_accepted_socket(lambda: connection, client)
@@ -551,8 +659,7 @@
         now = time.monotonic()
         for connection in list(self._connections):
             connection.sweep(now)
-        if self._socket.fileno() >= 0:
-            self._resume()
+        self._resume()
 
 
 def _family(address: Address) -> socket.AddressFamily:
--- a/passpost/upstream.py
+++ b/passpost/upstream.py
@@ -199,7 +199,7 @@
     def __init__(self, connect_timeout: float, idle_timeout: float, max_open: int) -> None:
         self._connect_timeout = connect_timeout
         self._idle_limit = idle_timeout * IDLE_SHARE
-        self._max_open = max_open
+        self._max_open = self._allowed = max_open
         self._upstreams: dict[str, _Upstream] = {}
         self._open = 0
         self._said_full = False
@@ -264,6 +264,12 @@
             for connection in list(self._upstreams[name].idle):
                 connection.drop()
 
+    def share(self, shared: bool) -> None:
+        """While two processes are one balancer each has half of the connections; idle ones go for that."""
+        self._allowed = self._max_open // 2 if shared else self._max_open
+        while self._open > self._allowed and self._drop_oldest():
+            pass
+
     def _idle(self, upstream: _Upstream) -> _Connection | None:
         """The idle connection to use: the latest that has rested, else the one idle for longest."""
         limit = time.monotonic() - REST_S
@@ -320,8 +326,9 @@
 
     def _has_room(self) -> bool:
         """Whether another connection may be opened; the one idle for longest gives way."""
-        if self._open < self._max_open:
-            return True
+        return self._open < self._allowed or self._drop_oldest()
+
+    def _drop_oldest(self) -> bool:
         oldest = min(
             (u.idle[0] for u in self._upstreams.values() if u.idle), key=lambda c: c.idle_since, default=None
         )
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -230,9 +230,6 @@
         yield started
     finally:
         started.hang_up()
-        if started.node.door is not None:
-            started.node.door.stop()
-        started.node.discovery.stop()
-        started.node.upstreams.stop()
+        started.node.close()
         for upstream in upstreams:
             upstream.stop()
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,330 @@
+"""Upgrades: an old and a new process of one balancer, over loopback sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from passpost import __main__ as program
+from passpost import config, handover
+from passpost.__main__ import Node
+from passpost.discovery import parse_address
+from tests.loopback import (
+    OK,
+    Balancer,
+    Client,
+    FakeServer,
+    Got,
+    Writer,
+    config_data,
+    member,
+    operated,
+    run,
+    silent,
+    until,
+)
+
+ROOT = Path(__file__).parent.parent
+
+
+@asynccontextmanager
+async def processes(
+    tmp_path: Path, *upstreams: FakeServer
+) -> AsyncIterator[Callable[[], Awaitable[Balancer]]]:
+    """Starts one process of the balancer after the other, all of which meet in one directory."""
+    for upstream in upstreams:
+        await upstream.start()
+    data = config_data([member(f"s{i}", u.host_port) for i, u in enumerate(upstreams)])
+    operated(data)
+    started: list[Balancer] = []
+
+    async def start() -> Balancer:
+        read = config.read(data)
+        path = program.meeting_path(read, str(tmp_path))
+        assert path is not None
+        # A process that starts asks before it has anything else to do: here the old one shares its loop.
+        started.append(Balancer(Node(read, path, await asyncio.to_thread(handover.ask, path))))
+        return started[-1]
+
+    try:
+        yield start
+    finally:
+        for b in started:
+            b.hang_up()
+            b.node.close()
+        for upstream in upstreams:
+            upstream.stop()
+
+
+async def serving(b: Balancer) -> None:
+    while await b.call(b"health") != b"OK serving\n":
+        await asyncio.sleep(0.005)
+
+
+async def answered(client: Client, **more: Any) -> None:
+    answer = await client.ask(**more)
+    assert answer is not None and answer.status == 200
+
+
+@pytest.fixture(autouse=True)
+def no_list(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(program, "LIST_S", 0.05)  # nobody is there to ask for one
+
+
+def test_an_upgrade_loses_no_connection_and_no_request(tmp_path: Path) -> None:
+    async def test() -> None:
+        release = asyncio.Event()
+
+        async def reply(request: Got, writer: Writer) -> None:
+            if request.headers["x-txn"] == "slow":
+                await release.wait()
+            writer.write(OK)
+
+        upstream = FakeServer(reply)
+        async with processes(tmp_path, upstream) as start:
+            old = await start()
+            idle, fresh, busy = await old.connect(), await old.connect(), await old.connect()
+            await answered(idle)
+            busy.send(X_Txn="slow")
+            await until(lambda: len(upstream.got) == 2)
+            new = await start()
+            assert await new.call(b"health") == b"ERR not taking clients yet\n"
+            await serving(new)
+            await until(lambda: old.node.server._yielding)
+            assert new.node.server.port == old.node.server.port
+            stopped = asyncio.get_running_loop().create_task(old.node.stop())
+            await until(lambda: new.node.server.count() == 2)
+            await answered(idle)
+            await answered(fresh)
+            await answered(await new.connect())
+            assert not stopped.done()
+            release.set()
+            answer = await busy.answer()
+            assert answer is not None and answer.status == 200 and answer.reusable
+            await stopped  # with nothing left to answer it ends early
+            await answered(busy)  # its connection has been handed over too
+            assert new.node.server._lent == 0 and new.node.upstreams._allowed == new.node.upstreams._max_open
+
+    run(test())
+
+
+def test_a_request_that_lies_unread_goes_along_with_its_connection(tmp_path: Path) -> None:
+    async def test() -> None:
+        upstream = FakeServer()
+        async with processes(tmp_path, upstream) as start:
+            old = await start()
+            with socket.create_connection(("127.0.0.1", old.node.server.port)) as client:
+                await until(lambda: old.node.server.count() == 1)
+                (connection,) = old.node.server._connections
+                await until(connection.is_whole)
+                new = await start()
+                await serving(new)
+                heir = old.node._heir
+                assert heir is not None
+                client.sendall(b"GET /read HTTP/1.1\r\nX-Txn: a\r\n\r\n")
+                assert connection.hand_over(heir.give)  # the loop has had no turn since
+                await until(lambda: new.node.engine.counters.figures(0, 0)["requests"]["read"]["served"] == 1)
+                assert client.recv(65536).startswith(b"HTTP/1.1 200 ")
+                assert len(upstream.got) == 1
+
+    run(test())
+
+
+def test_readiness_stays_through_an_upgrade(tmp_path: Path) -> None:
+    async def test() -> None:
+        upstream = FakeServer(silent)
+        async with processes(tmp_path, upstream) as start:
+            old = await start()
+            busy = await old.connect()
+            busy.send()
+            await until(lambda: len(upstream.got) == 1)
+            new = await start()
+            await serving(new)
+            stopped = asyncio.get_running_loop().create_task(old.node.stop())
+            await until(lambda: old.node.server.is_handing_over())
+            assert old.node.server.is_ready() and new.node.server.is_ready()
+            stopped.cancel()
+
+    run(test())
+
+
+def test_cordons_and_a_drain_hold_in_both_wherever_they_are_called(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with processes(tmp_path, FakeServer(), FakeServer()) as start:
+            old = await start()
+            await old.call(b"cordon s0")
+            await old.call(b"quiesce")
+            new = await start()
+            await serving(new)
+            assert new.node.engine.cordoned() == {"s0"}
+            assert not new.node.server.is_ready()
+            await new.call(b"uncordon s0")
+            await old.call(b"cordon s1")
+            assert await new.call(b"resume") == b"OK back to work\n"
+            await until(lambda: old.node.engine.cordoned() == new.node.engine.cordoned() == {"s1"})
+            await until(lambda: old.node.server.is_ready() and new.node.server.is_ready())
+
+    run(test())
+
+
+def test_a_drain_that_has_sent_callers_off_goes_on_in_the_new_process(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with processes(tmp_path, FakeServer()) as start:
+            old = await start()
+            old.node.server.send_off()
+            new = await start()
+            await serving(new)
+            answer = await (await new.connect()).ask()
+            assert answer is not None and answer.status == 200 and not answer.reusable
+
+    run(test())
+
+
+def test_a_third_process_takes_over_from_the_second(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with processes(tmp_path, FakeServer()) as start:
+            first = await start()
+            client = await first.connect()
+            await answered(client)
+            await first.call(b"cordon s0")
+            await first.call(b"uncordon s0")
+            for _ in range(2):
+                second = await start()
+                await serving(second)
+                await first.node.stop()
+                await answered(client)
+                first = second
+            assert os.listdir(tmp_path) == ["handover.n0"]
+
+    run(test())
+
+
+def test_the_old_process_goes_on_when_the_new_one_dies(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with processes(tmp_path, FakeServer()) as start:
+            old = await start()
+            new = await start()
+            await serving(new)
+            await until(lambda: old.node.server._yielding)
+            new.node.server._pause()
+            new.node.server._socket.close()
+            new.node.close()
+            await until(lambda: old.node.server._accepting)
+            await answered(await old.connect())
+            assert old.node.upstreams._allowed == old.node.upstreams._max_open
+
+    run(test())
+
+
+def test_the_new_process_serves_on_when_the_old_one_dies(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with processes(tmp_path, FakeServer()) as start:
+            old = await start()
+            await old.connect()
+            new = await start()
+            old.node.server._pause()
+            old.node.server._socket.close()
+            old.node.close()  # with no word, before the new one serves
+            await serving(new)
+            await answered(await new.connect())
+            assert new.node.server._lent == 0
+
+    run(test())
+
+
+@pytest.mark.parametrize("left", ["file", "stale", "mute", "noise", "empty"])
+def test_without_a_word_from_the_old_process_the_new_one_starts_by_itself(
+    tmp_path: Path, left: str, caplog: pytest.LogCaptureFixture
+) -> None:
+    path = tmp_path / "handover.n0"
+
+    async def test() -> None:
+        with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as old:
+            if left == "file":
+                path.write_text("spoilt")
+            else:
+                old.bind(str(path))
+            if left in ("mute", "noise", "empty"):
+                old.listen(1)
+            answering = asyncio.get_running_loop().run_in_executor(None, _say, old, left)
+            async with processes(tmp_path, FakeServer()) as start:
+                new = await start()
+                await serving(new)
+                await answered(await new.connect())
+            await answering
+
+    run(test())
+    lines = [r for r in caplog.records if "starting by ourselves" in r.getMessage()]
+    assert len(lines) == 1 and "\n" not in lines[0].getMessage()
+
+
+def _say(old: socket.socket, what: str) -> None:
+    if what in ("noise", "empty"):
+        line, _ = old.accept()
+        line.send({"noise": b"\xff{", "empty": b"{}"}[what])
+        line.close()
+
+
+def test_a_message_that_makes_no_sense_ends_neither_process(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture
+) -> None:
+    async def test() -> None:
+        async with processes(tmp_path, FakeServer()) as start:
+            old = await start()
+            taken = await asyncio.to_thread(handover.ask, str(tmp_path / "handover.n0"))
+            assert taken is not None
+            for message in (b"{", b"[]", b'{"cordon": "s0"}', b'{"strange": 1}'):
+                taken.line.send(message)
+            await until(lambda: sum("could not be used" in r.getMessage() for r in caplog.records) == 3)
+            await answered(await old.connect())
+            taken.line.close()
+            taken.listener.close()
+
+    run(test())
+
+
+def test_without_a_control_address_nothing_is_left_for_a_successor(tmp_path: Path) -> None:
+    plain = config.read(config_data([]))
+    assert program.meeting_path(plain, str(tmp_path)) is None
+
+    async def test() -> None:
+        Node(plain).close()
+        assert os.listdir(tmp_path) == []
+
+    run(test())
+
+
+def test_run_started_again_takes_over_under_the_same_address(tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(config_data([member("s0", "127.0.0.1:9")])))
+    env = os.environ | {"EDGE_CONFIG": str(path), "EDGE_CONTROL": "127.0.0.1:0", "TMPDIR": str(tmp_path)}
+
+    def start() -> subprocess.Popen[str]:
+        return subprocess.Popen(
+            [sys.executable, "-m", "passpost"], cwd=ROOT, env=env, stderr=subprocess.PIPE, text=True
+        )
+
+    with start() as old:
+        assert old.stderr is not None
+        address = next(line for line in old.stderr if "serves on" in line).split()[-1]
+        with socket.create_connection(parse_address(address)) as client, start() as new:
+            assert new.stderr is not None
+            assert next(line for line in new.stderr if "serves on" in line).split()[-1] == address
+            next(line for line in new.stderr if "serving beside" in line)
+            old.send_signal(signal.SIGTERM)
+            assert old.wait() == 0
+            client.sendall(b"GET /health/ready HTTP/1.1\r\n\r\n")
+            assert client.recv(65536).startswith(b"HTTP/1.1 200 ")
+            new.send_signal(signal.SIGTERM)
+            assert new.wait() == 0
