Begin a new process with what the old one has learned, and a put-back server at the median

Ruled out before: crowded callers' connections closing. At fault: Room began with no lowest time in service and measured it among the calls of both processes; _capacity held a put-back server to its cold share, with which it loses to each idle one.

Server holds its last send for the cold spacing over the upgrade; CallsBeside keeps both processes' calls under one room until the old one has ended.

--- a/passpost/__main__.py
+++ b/passpost/__main__.py
@@ -22,6 +22,7 @@
 from passpost.engine import Engine
 from passpost.server import Server
 from passpost.upstream import Upstreams
+from umberworks import interface as face
 
 log = logging.getLogger("passpost")
 
@@ -37,6 +38,7 @@
 # Beside an old process a new one takes clients once it has a list of its own, or after so long with the one
 # that it was given. A new one that has asked but does not serve yet is waited for before we stop without it.
 LIST_S, HEIR_S = 1.5, 1.0
+BESIDE_S = 0.05  # how often the new process hears of the calls that the old one has out
 
 
 class Node:
@@ -119,8 +121,18 @@
             closing=self.server.closing,
             callers=self.server.count(),
         )
+        for part in handover.write_learned(self.engine.learned()):
+            heir.say(learned=part)
+        self._tell_calls()
         log.info("handover: a new process has the listening socket")
 
+    def _tell_calls(self, told: int = -1) -> None:
+        """Let the new process know how many calls we have out, until it is alone."""
+        if self._heir is not None and self._heir.is_open():
+            if (out := self.engine.calls_out()) != told:
+                self._heir.say(beside=out)
+            asyncio.get_running_loop().call_later(BESIDE_S, self._tell_calls, out)
+
     def _heard(self, message: dict[str, Any], handed: socket.socket | None) -> None:
         if handed is not None:
             self.server.adopt(handed, bool(message["useful"]), float(message["age"]))
@@ -131,6 +143,10 @@
                 self.server.quiesce()
             else:
                 self.server.resume()
+        elif "learned" in message:
+            self.engine.told(handover.read_learned(message["learned"]))
+        elif "beside" in message:
+            self.engine.told(face.CallsBeside(int(message["beside"])))
         elif message.get("serving"):
             self.server.stand_back(True)
             self._heir_serves.set()
@@ -142,6 +158,7 @@
 
     def _old_ended(self) -> None:
         self.server.lend(0)
+        self.engine.told(face.CallsBeside(0))
         self._alone()
 
     def _alone(self) -> None:
--- a/passpost/engine.py
+++ b/passpost/engine.py
@@ -89,6 +89,18 @@
 
     # ---- happenings
 
+    def learned(self) -> face.Learned:
+        """What the module has learned, for the process that takes our place."""
+        return self._balancer.learned()
+
+    def calls_out(self) -> int:
+        """Attempts that are out now."""
+        return sum(request.out for request in self._requests.values())
+
+    def told(self, event: face.Learned | face.CallsBeside) -> None:
+        """News of the other process of an upgrade."""
+        self._post(event)
+
     def cordon(self, server: str, out: bool) -> None:
         """Operators hold an upstream out, or end that."""
         self._post(face.Cordon(server, out))
--- a/passpost/handover.py
+++ b/passpost/handover.py
@@ -15,13 +15,16 @@
 import socket
 from collections import deque
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass, replace
 from typing import Any
 
+from umberworks import interface as face
+
 log = logging.getLogger(__name__)
 
 ASK_S = 0.5  # an old process that has not answered by then is not waited for
 MAX_MESSAGE = 64 * 1024
+EVIDENCE_AT_ONCE = 200  # servers in one message
 
 Heard = Callable[[dict[str, Any], socket.socket | None], None]
 
@@ -78,6 +81,19 @@
     return inherited
 
 
+def write_learned(learned: face.Learned) -> Iterator[dict[str, Any]]:
+    """What the module has learned, in messages that are short enough."""
+    rest = learned.evidence
+    for i in range(0, max(len(rest), 1), EVIDENCE_AT_ONCE):
+        yield asdict(replace(learned, evidence=rest[i : i + EVIDENCE_AT_ONCE]))
+
+
+def read_learned(data: dict[str, Any]) -> face.Learned:
+    """The same back; raises ValueError, LookupError or TypeError if it is not one."""
+    evidence = tuple(face.Evidence(**item) for item in data["evidence"])
+    return face.Learned(float(data["lowest"]), float(data["aims_ms"]), float(data["spent_ms"]), evidence)
+
+
 class Channel:
     """The line between the two processes, from either end."""
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -34,6 +34,7 @@
     silent,
     until,
 )
+from umberworks import interface as face
 
 ROOT = Path(__file__).parent.parent
 
@@ -191,6 +192,36 @@
     run(test())
 
 
+def test_what_the_old_process_has_learned_goes_along(tmp_path: Path) -> None:
+    async def test() -> None:
+        upstream = FakeServer(silent)
+        async with processes(tmp_path, upstream) as start:
+            old = await start()
+            client = await old.connect()
+            client.send()
+            await until(lambda: len(upstream.got) == 1)
+            module = old.node.engine._balancer
+            module._room.base, module._servers["s0"].served = 0.25, 7.0
+            new = await start()
+            await until(lambda: new.node.engine._balancer._room.base >= 0.25)
+            assert new.node.engine._balancer._servers["s0"].served == pytest.approx(7.0, rel=0.1)
+            await until(lambda: new.node.engine._balancer._room.beside == 1)
+            upstream.writers[0].write(OK)
+            await until(lambda: new.node.engine._balancer._room.beside == 0)
+
+    run(test())
+
+
+def test_long_lists_of_evidence_go_in_parts() -> None:
+    evidence = tuple(face.Evidence(f"s{i}", 0.0, 1.0, 2.0, 3.0) for i in range(500))
+    learned = face.Learned(0.3, 10.0, 5.0, evidence)
+    parts = [json.dumps(part) for part in handover.write_learned(learned)]
+    assert len(parts) == 3 and max(map(len, parts)) < handover.MAX_MESSAGE
+    back = [handover.read_learned(json.loads(part)) for part in parts]
+    assert tuple(item for part in back for item in part.evidence) == evidence
+    assert {part.lowest for part in back} == {0.3}
+
+
 def test_a_third_process_takes_over_from_the_second(tmp_path: Path) -> None:
     async def test() -> None:
         async with processes(tmp_path, FakeServer()) as start:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections import Counter
+from collections.abc import Callable
 from heapq import heappop, heappush
 
 import pytest
@@ -12,10 +14,13 @@
 from umberworks.interface import (
     AnswerStarted,
     AttemptEnded,
+    CallsBeside,
     ClientLeft,
     Cordon,
     Effect,
+    Evidence,
     Fail,
+    Learned,
     ListKind,
     ListUpdate,
     Log,
@@ -768,3 +773,67 @@
     number, _ = desk.ask()
     desk.now += 200
     assert desk.tell(TimerDue(f"wait:{number}"))[-1] == Refuse(number, wanted)
+
+
+# ---- two processes that are one balancer
+
+
+def test_a_new_process_begins_with_what_the_old_one_has_learned() -> None:
+    old = Desk(4)
+    takes = {"s0": 20.0, "s1": 20.0, "s2": 20.0, "s3": 200.0}
+    for _ in range(120):
+        old.serve(takes=takes)
+    learned = old.balancer.learned()
+    assert learned.lowest == old.balancer._room.base > 0
+    new = Desk(4)
+    new.now = old.now
+    new.tell(learned)
+    assert new.balancer._room.base == learned.lowest
+    shares = Counter(new.serve(takes=takes) for _ in range(60))
+    assert shares["s3"] < 10
+    assert new.balancer._room.base <= learned.lowest  # measured among the calls of both it would be higher
+
+
+def test_what_was_learned_of_a_server_that_has_restarted_says_nothing() -> None:
+    desk = Desk(2)
+    evidence = (Evidence("s0", 5.0, 100, 9_000, 50), Evidence("s9", 7.0, 100, 9_000, 50))
+    desk.tell(Learned(0.3, 10.0, 5.0, evidence))
+    assert desk.balancer._servers["s0"].served == 0  # it is up since another moment
+    desk.show(Member("s9", up_since_ms=7.0), kind=ListKind.CHANGES)  # seen only now
+    server = desk.balancer._servers["s9"]
+    assert (server.served, server.busy, server.last_sent) == (100, 9_000, desk.now - 50)
+
+
+def test_calls_of_the_other_process_take_room() -> None:
+    desk = Desk(2, balancers=1)
+    desk.tell(CallsBeside(100))
+    _, actions = desk.ask()
+    assert not sent(actions)
+    desk.tell(CallsBeside(0))
+    _, actions = desk.ask()
+    assert sent(actions)
+
+
+def test_a_cold_server_put_back_is_called_also_where_calls_are_few() -> None:
+    desk = Desk(6)
+    draws(desk, 300)
+    desk.tell(Cordon("s1", True))
+    draws(desk, 20)
+    desk.show(Member("s1", up_since_ms=desk.now), kind=ListKind.CHANGES)
+    desk.tell(Cordon("s1", False))
+    assert "s1" in draws(desk, 30)
+    assert not desk.balancer._servers["s1"].back
+
+
+@pytest.mark.parametrize(
+    "make",
+    [
+        lambda: Learned(math.nan, 0, 0),
+        lambda: Learned(0, -1, 0),
+        lambda: Evidence("s0", 0, math.inf, 0, 0),
+        lambda: CallsBeside(-1),
+    ],
+)
+def test_what_was_learned_must_make_sense(make: Callable[[], object]) -> None:
+    with pytest.raises(ValueError):
+        make()
--- a/umberworks/interface.py
+++ b/umberworks/interface.py
@@ -229,7 +229,60 @@
     out: bool
 
 
-Event = ListUpdate | RequestArrived | AnswerStarted | AttemptEnded | ClientLeft | TimerDue | Cordon
+@dataclass(frozen=True, slots=True)
+class Evidence:
+    """What a balancer knows of one server: our calls served, the time in flight, and since the last send."""
+
+    server: str
+    up_since_ms: float
+    served: float
+    busy_ms: float
+    unsent_ms: float
+
+    def __post_init__(self) -> None:
+        for value in (self.up_since_ms, self.served, self.busy_ms, self.unsent_ms):
+            _require(math.isfinite(value) and value >= 0, "evidence", "must be finite and not negative")
+
+
+@dataclass(frozen=True, slots=True)
+class Learned:
+    """What the process whose place we take has learned: the two are one balancer.
+
+    `lowest`: the lowest time in service, in aims; `aims_ms` and `spent_ms`: aims of calls served and time in
+    flight, as they are in memory.
+    """
+
+    lowest: float
+    aims_ms: float
+    spent_ms: float
+    evidence: tuple[Evidence, ...] = ()
+
+    def __post_init__(self) -> None:
+        for value in (self.lowest, self.aims_ms, self.spent_ms):
+            _require(math.isfinite(value) and value >= 0, "learned", "must be finite and not negative")
+
+
+@dataclass(frozen=True, slots=True)
+class CallsBeside:
+    """How many calls the other process of an upgrade has out."""
+
+    out: int
+
+    def __post_init__(self) -> None:
+        _require(self.out >= 0, "out", "must not be negative")
+
+
+Event = (
+    ListUpdate
+    | RequestArrived
+    | AnswerStarted
+    | AttemptEnded
+    | ClientLeft
+    | TimerDue
+    | Cordon
+    | Learned
+    | CallsBeside
+)
 
 
 # ---- actions ------------------------------------------------------------------------------------
--- a/umberworks/members.py
+++ b/umberworks/members.py
@@ -16,6 +16,7 @@
     def __init__(self, member: face.Member, now: float, rank: float) -> None:
         self.member, self.rank, self.size = member, rank, 1.0
         self.fit, self.heard = False, now
+        self.back = False  # put back by hand, and not sent to since
         self.in_flight = 0  # m of the design, held slots of failures included
         self.last_sent = -math.inf
         self.forget(now)
@@ -34,12 +35,22 @@
             self.seen = now
 
 
+def evidence(server: Server, now: float) -> face.Evidence:
+    """What a process that takes our place begins with."""
+    server.catch_up(now)
+    unsent = now - max(server.last_sent, 0.0)
+    return face.Evidence(
+        server.member.server, server.member.up_since_ms, server.served, server.busy, max(unsent, 0.0)
+    )
+
+
 class Members:
     """The names that the list holds, and those that operators hold out, whatever the list says of them."""
 
     def __init__(self) -> None:
         self.listed = set[str]()  # draining ones too
         self.cordoned = set[str]()
+        self._left = dict[str, face.Evidence]()  # by the process before us, on servers not seen yet
 
     def follow(self, event: face.ListUpdate) -> None:
         """Take over news of the list."""
@@ -51,13 +62,28 @@
             else:
                 self.listed.add(member.server)
 
-    def cordon(self, event: face.Cordon) -> None:
+    def cordon(self, event: face.Cordon, server: Server | None) -> None:
         """Hold a server out, or end that; once undoes it, however often it was said."""
+        if server is not None:
+            server.back = not event.out
         if event.out:
             self.cordoned.add(event.server)
         else:
             self.cordoned.discard(event.server)
 
+    def told(self, event: face.Learned, servers: Iterable[Server], now: float) -> None:
+        """Take over what the process before us has learned, or keep it until its servers are seen."""
+        self._left |= {item.server: item for item in event.evidence}
+        for server in servers:
+            self.remember(server, now)
+
+    def remember(self, server: Server, now: float) -> None:
+        """Take over what was left on a server; on one that restarted since, it says nothing."""
+        item = self._left.pop(server.member.server, None)
+        if item is not None and item.up_since_ms == server.member.up_since_ms:
+            server.served, server.busy, server.seen = item.served, item.busy_ms, now
+            server.last_sent = max(server.last_sent, now - item.unsent_ms)
+
     def usable(self, servers: Iterable[Server]) -> list[Server]:
         """Those that may be sent to, in the order of our ranks."""
         able = [s for s in servers if s.fit and s.member.server not in self.cordoned]
--- a/umberworks/room.py
+++ b/umberworks/room.py
@@ -4,6 +4,8 @@
 
 import math
 
+from umberworks.interface import Learned
+
 BASE_CALLS = 30  # served calls that make a measure of the time in service; the first find servers free
 BASE_DRIFT_MS = 100_000.0  # it rises by 1/e over this, so that a fleet that stays slower gets its room back
 RATE_MEMORY_MS = 2_000.0  # smoothing of our own served rate
@@ -27,7 +29,7 @@
 
     def __init__(self, balancers: int) -> None:
         self._balancers = balancers
-        self.out = 0
+        self.out, self.beside = 0, 0  # calls out, ours and those of the other process of an upgrade
         # In memory: aims of served calls, time in flight; of the block measured: calls, aims, time, start.
         self._aims, self._spent, self._seen = 0.0, 0.0, 0.0
         self._calls, self._block_aims, self._times, self._block_from = 0, 0.0, 0.0, 0.0
@@ -54,6 +56,19 @@
             self.base = min(self.base or math.inf, self.mean)
             self._calls, self._block_aims, self._times, self._block_from = 0, 0.0, 0.0, now
 
+    def learned(self) -> tuple[float, float, float]:
+        """The lowest time in service and the memory, for a process that takes our place."""
+        return self.base, self._aims, self._spent
+
+    def told(self, event: Learned) -> None:
+        """Begin with what the process before us has learned: a measure among its calls would mislead."""
+        self.mean = self.base = event.lowest
+        self._aims, self._spent = event.aims_ms, event.spent_ms
+
+    def is_full(self, ready: int) -> bool:
+        """Whether no more calls may go out."""
+        return self.out + self.beside >= self.size(ready)
+
     def load(self, aim_ms: float) -> float:
         """The mean time in service as a class with this aim sees it."""
         return self._spent / (self._aims + LOAD_PRIOR * aim_ms)
--- a/umberworks/rules.py
+++ b/umberworks/rules.py
@@ -15,7 +15,7 @@
 
 from umberworks import interface as face
 from umberworks.interface import Effect, ListKind, Outcome, RepeatGroup
-from umberworks.members import MEMORY_MS, Members, Server
+from umberworks.members import MEMORY_MS, Members, Server, evidence
 from umberworks.room import RATE_MEMORY_MS, Room
 from umberworks.shares import Shares
 
@@ -112,8 +112,14 @@
             case face.ClientLeft():
                 self._left(event.request)
             case face.Cordon():
-                self._members.cordon(event)
+                self._members.cordon(event, self._servers.get(event.server))
                 self._take_ready()
+            case face.CallsBeside():
+                self._room.beside = event.out
+            case face.Learned():
+                self._room.told(event)
+                self._members.told(event, self._servers.values(), now)
+                self._median_at = -math.inf
             case face.AnswerStarted():
                 self._made(event)[0].streaming = True
         self._pump(now)
@@ -127,6 +133,10 @@
         """The servers that operators hold out, listed or not."""
         return frozenset(self._members.cordoned)
 
+    def learned(self) -> face.Learned:
+        """What a process that takes our place begins with."""
+        return face.Learned(*self._room.learned(), tuple(evidence(s, self._now) for s in self._ready))
+
     def _listed(self, event: face.ListUpdate, now: float) -> None:
         if event.kind is ListKind.FAILED:
             # The list is out of reach: the old one stands; ask again, not all balancers in step.
@@ -147,6 +157,7 @@
             server = self._servers.get(member.server)
             if server is None:
                 server = self._servers[member.server] = Server(member, now, self._random.random())
+                self._members.remember(server, now)
             if member.up_since_ms > server.member.up_since_ms:
                 server.forget(now)  # the same name, a new process
             server.size = member.size if self._settings.sizes_exact else 1.0
@@ -184,12 +195,10 @@
             self._mark_later_try(request, event.remaining_ms)
         self._requests[request.id] = request
         self._retries = min(RETRY_BURST, self._retries + RETRY_SHARE)
-        if event.free_connections < min(KEPT_FREE, len(self._requests) // KEPT_FOR):
+        held_out = bool(self._members.cordoned) and not self._ready  # none comes back while a request waits
+        if held_out or event.free_connections < min(KEPT_FREE, len(self._requests) // KEPT_FOR):
             self._give_up(request)
             return
-        if self._members.cordoned and not self._ready:
-            self._give_up(request)  # held out by hand, they don't come back while a request waits
-            return
         if self._crowded(request):
             self._refuse_for_room(request, now)
             return
@@ -270,7 +279,7 @@
             return True  # inner tiers let all in: a refusal there wastes what the tiers above have done
         if not self._counted and not self._room.base:
             return True  # a sliver of the fleet has no room to count by until its time in service is known
-        return self._room.out < self._room.size(len(self._ready))
+        return not self._room.is_full(len(self._ready))
 
     def _try_send(self, request: _Request, now: float) -> bool:
         timeout = request.useful_until() - now
@@ -280,7 +289,7 @@
         if server is None:
             return False
         server.catch_up(now)
-        server.in_flight, server.last_sent = server.in_flight + 1, now
+        server.in_flight, server.last_sent, server.back = server.in_flight + 1, now, False
         self._room.out += 1
         request.attempts.append(_Attempt(server, now, timeout))
         self._actions.append(face.Send(request.id, server.member.server, timeout))
@@ -388,7 +397,8 @@
         server.catch_up(now)
         usual = median * server.size
         estimate = (server.served + PRIOR_CALLS) / (server.busy + PRIOR_CALLS / usual)
-        warmth = self._warmth(server, now) if now < self._cold_until else 1.0
+        # One put back by hand starts at the median, like a new id: cold, it would lose to each idle one.
+        warmth = self._warmth(server, now) if now < self._cold_until and not server.back else 1.0
         return min(estimate, usual * warmth) if warmth < 1 else estimate
 
     def _known_median(self, now: float) -> float:
