Pass long answers and bodies on as they come, and take blanks off header values

Seen: 396 answers of 400 at two nodes, all to heads with a blank behind a value ('X-Txn: 9b1f '), which the parser leaves in place.

--- a/passpost/__main__.py
+++ b/passpost/__main__.py
@@ -31,6 +31,8 @@
 # the listening socket's queue is taken and not seen, while an attempt without a connection ends at once.
 CALLERS_SHARE, UPSTREAMS_SHARE = 0.55, 0.35
 
+HELD_SHARE = 0.125  # the part of the memory that long bodies held whole may take
+
 # A planned restart kills no sooner than the longest deadline, of which no more than so much counts, and so
 # much later; the spare is for ending.
 LONGEST_COUNTED_S, KILL_AFTER_S, SPARE_S = 3.0, 0.7, 0.3
@@ -63,6 +65,7 @@
             max_open=callers,
             listener=old.listener if old else None,
             shared=config.control is not None,
+            held=int(config.memory * HELD_SHARE),
         )
         self._post: handover.Post | None = None
         self._old: handover.Channel | None = None
--- a/passpost/config.py
+++ b/passpost/config.py
@@ -28,6 +28,7 @@
     listen: Address
     discovery: Address
     seed: int
+    memory: int  # bytes
     sockets: int
     known: Listing
     settings: Settings
@@ -85,6 +86,7 @@
         discovery=parse_address(data["discovery"]),
         seed=int(data["seed"], 16),
         sockets=sockets,
+        memory=int(float(data["limits"].get("memory_mb", 64)) * 1_000_000),
         known=parse_listing(data.get("known") or {"revision": 0, "complete": True, "members": []}),
         # Discovery tells nothing unasked, also where the settings say that the list is pushed.
         settings=replace(wire.read_settings(facts, log.warning), list_is_asked=True),
--- a/passpost/engine.py
+++ b/passpost/engine.py
@@ -14,7 +14,7 @@
 from typing import Protocol
 
 from passpost.counters import Counters
-from passpost.http1 import Address, Answer
+from passpost.http1 import Address, Answer, Flow, Start
 from passpost.upstream import Attempt, Outgoing, Upstreams
 from umberworks import interface as face
 from umberworks.interface import Outcome
@@ -29,6 +29,18 @@
     def serve(self, answer: Answer) -> None:
         """Pass on an upstream's answer."""
 
+    def begin(self, start: Start, flow: Flow) -> None:
+        """Pass on a long answer as it comes."""
+
+    def more(self, data: bytes) -> None:
+        """A piece of it."""
+
+    def complete(self) -> None:
+        """It has ended in order."""
+
+    def break_off(self) -> None:
+        """It never will: end it so that whoever reads it can tell."""
+
     def refuse(self, retry_after_ms: float) -> None:
         """Say that trying again is harmless, best after so long; 0 for no advice."""
 
@@ -39,16 +51,33 @@
 class _Open:
     """A request that the module has not heard the end of."""
 
-    def __init__(
-        self, class_name: str, caller: Caller, outgoing: Outgoing, guard: asyncio.TimerHandle
-    ) -> None:
-        self.class_name, self.caller, self.outgoing, self.guard = class_name, caller, outgoing, guard
+    def __init__(self, class_name: str, caller: Caller, outgoing: Outgoing, remaining: float) -> None:
+        self.class_name, self.caller, self.outgoing = class_name, caller, outgoing
+        self.remaining = remaining
+        self.guard: asyncio.TimerHandle | None = None  # runs once the request is whole
+        self.passing: Attempt | None = None  # whose answer is passed on as it comes
         self.attempts: list[Attempt | None] = []
         self.out = 0
         self.finished = False  # answered, or the caller has gone
         self.status = 502  # for a failure: 504 if the last attempt timed out
 
 
+class _Sink:
+    """Where the answer of one attempt goes if it is passed on as it comes."""
+
+    def __init__(self, engine: Engine, number: int, request: _Open, index: int) -> None:
+        self._engine, self._number, self._request, self._index = engine, number, request, index
+
+    def start(self, start: Start, flow: Flow) -> bool:
+        """It begins; False if nobody wants it any more."""
+        return self._engine.begun(self._number, self._request, self._index, start, flow)
+
+    def more(self, data: bytes) -> None:
+        """A piece of its body."""
+        if not self._request.finished:
+            self._request.caller.more(data)
+
+
 class Engine:
     """The one owner of the module, its clock, its timers and the open requests."""
 
@@ -126,16 +155,32 @@
         """A request is there, with so many seconds to answer it; the result is its number."""
         self._count += 1
         number = self._count
-        guard = asyncio.get_running_loop().call_later(remaining + self._grace, self._overdue, number)
-        self._requests[number] = _Open(class_name, caller, outgoing, guard)
-        self._post(face.RequestArrived(number, class_name, remaining * 1000, tenant, free_connections))
+        request = self._requests[number] = _Open(class_name, caller, outgoing, remaining)
+        whole = outgoing.upload is None or outgoing.upload.whole
+        if whole:
+            self._guard(number, request)
+        self._post(face.RequestArrived(number, class_name, remaining * 1000, tenant, free_connections, whole))
         return number
 
+    def whole(self, number: int) -> None:
+        """The last byte of a request that arrived unfinished is there: its time runs."""
+        request = self._requests.get(number)
+        if request is not None and not request.finished:
+            if request.passing is None:
+                self._guard(number, request)
+            self._post(face.RequestWhole(number))
+
+    def _guard(self, number: int, request: _Open) -> None:
+        delay = request.remaining + self._grace
+        request.guard = asyncio.get_running_loop().call_later(delay, self._overdue, number)
+
     def left(self, number: int) -> None:
         """The caller has gone."""
         request = self._requests.get(number)
         if request is not None and self._finish(number, request):
             self._post(face.ClientLeft(number))
+            if request.passing is not None:
+                request.passing.cancel()  # nobody reads on: the upstream is free for others
 
     def _overdue(self, number: int) -> None:
         """The module owes an answer in time; should it ever miss one, the caller still gets it."""
@@ -217,6 +262,7 @@
         index = len(request.attempts)
         request.attempts.append(None)
         request.out += 1
+        sink = _Sink(self, number, request, index)
 
         def done(outcome: Outcome, answer: Answer | None) -> None:
             self._ended(number, request, index, server, outcome, answer)
@@ -228,29 +274,55 @@
         def written() -> None:
             self.counters.written(request.class_name)
 
-        attempt = self._upstreams.send(server, request.outgoing, action.timeout_ms / 1000, done, written)
+        attempt = self._upstreams.send(
+            server, request.outgoing, action.timeout_ms / 1000, done, written, sink
+        )
         if not attempt.is_over():
             request.attempts[index] = attempt
 
+    def begun(self, number: int, request: _Open, index: int, start: Start, flow: Flow) -> bool:
+        """A long answer has begun; whether it is wanted. Its deadline no longer runs."""
+        if request.finished or request.passing is not None:
+            return False
+        request.passing = request.attempts[index]
+        if request.guard is not None:
+            request.guard.cancel()
+        request.caller.begin(start, flow)
+        self._post(face.AnswerStarted(number, index))
+        return True
+
     def _ended(
         self, number: int, request: _Open, index: int, server: str, outcome: Outcome, answer: Answer | None
     ) -> None:
+        passed = request.passing is not None and request.passing is request.attempts[index]
         request.attempts[index] = None
         request.out -= 1
         request.status = 504 if outcome is Outcome.TIMED_OUT else 502
+        repeatable = request.outgoing.is_sendable()
         try:
-            if outcome is Outcome.SERVED and answer is not None and self._finish(number, request):
+            if passed:
+                self._end_passing(number, request, outcome)
+            elif outcome is Outcome.SERVED and answer is not None and self._finish(number, request):
                 request.caller.serve(answer)
         finally:  # the module is owed the outcome, whatever became of the answer
             self._forget_if_over(number, request)
-            self._post(face.AttemptEnded(number, index, server, outcome, request.finished))
+            self._post(face.AttemptEnded(number, index, server, outcome, request.finished, repeatable))
+
+    def _end_passing(self, number: int, request: _Open, outcome: Outcome) -> None:
+        """The answer that was passed on has ended, in order or not; it was the request's one answer."""
+        if self._finish(number, request):
+            if outcome is Outcome.SERVED:
+                request.caller.complete()
+            else:
+                request.caller.break_off()
 
     def _finish(self, number: int, request: _Open) -> bool:
         """Note the end of a request; True the first time, which is when its answer goes out."""
         if request.finished:
             return False
         request.finished = True
-        request.guard.cancel()
+        if request.guard is not None:
+            request.guard.cancel()
         for attempt in request.attempts:
             if attempt is not None and not attempt.is_written():
                 attempt.end(Outcome.NOT_SENT)  # nothing may be sent after the final answer
--- a/passpost/http1.py
+++ b/passpost/http1.py
@@ -2,15 +2,23 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+from typing import Protocol
 
 import httptools
 
 Address = tuple[str, int]
 Headers = list[tuple[bytes, bytes]]
 
+OWS = b" \t"  # may surround a header's value and is no part of it; the parser leaves what is behind it
 MAX_HEAD = 16 * 1024
-MAX_BODY = 64 * 1024  # the protocol's bound, for requests and answers alike
+MAX_BODY = 32 * 1024 * 1024  # the bound for requests and answers alike
+HELD_BODY = (
+    64 * 1024
+)  # a body up to this is held whole: it can be tried again, and its last byte is what counts
+HELD_UNKNOWN = (
+    16 * 1024
+)  # of a body whose length nobody knows yet, so much is held: its first bytes may count
 
 _HOP_BY_HOP = frozenset(
     b"connection keep-alive proxy-authenticate proxy-authorization proxy-connection te trailer "
@@ -48,20 +56,41 @@
     reusable: bool
 
 
+@dataclass(frozen=True, slots=True)
+class Start:
+    """The beginning of an answer that is passed on as it comes; `length` is None if nobody knows it yet."""
+
+    headers: Headers
+    length: int | None
+
+
+class Flow(Protocol):
+    """Where bytes come from; it can be told to wait."""
+
+    def pause(self) -> None:
+        """Read no more for now."""
+
+    def resume(self) -> None:
+        """Read on."""
+
+
 class AnswerReader:
     """Reads the one answer that is due on a connection.
 
-    An answer that ends only with its connection is never whole: nothing tells it from one cut short.
+    With `held`, a good answer longer than that is passed on: `start` says so once, then `take` what has come.
     """
 
-    def __init__(self, max_body: int = MAX_BODY) -> None:
+    def __init__(self, max_body: int = MAX_BODY, held: int | None = None) -> None:
         self._parser = httptools.HttpResponseParser(self)
-        self._max_body = max_body
-        self._head_size, self._head_done = 0, False
+        self._max_body, self._held = max_body, held
+        self._head_size, self._head_done, self._status = 0, False, 0
         self._headers: Headers = []
-        self._body = bytearray()
+        self._body, self._size = bytearray(), 0
+        self._length: int | None = None
+        self._to_the_end = False  # its body ends with the connection
+        self._started = False
         self._whole: Answer | None = None
-        self._surplus, self._too_long = False, False
+        self._surplus, self._bad = False, ""
 
     def feed(self, data: bytes) -> Answer | None:
         """The answer once it is whole; raises BadAnswerError on anything that can't become one."""
@@ -73,21 +102,49 @@
             if self._whole is None:
                 raise BadAnswerError(str(error)) from None
             self._surplus = True
-        if self._too_long:
-            raise BadAnswerError("the body is too long")
+        if self._bad:
+            raise BadAnswerError(self._bad)
         if self._whole is None:
             if not self._head_done and self._head_size > MAX_HEAD:
                 raise BadAnswerError("the head is too long")
-            self._check_body(self._body)
             return None
-        self._check_body(self._whole.body)
         if self._surplus:  # the answer is good, but what follows it belongs to no request
-            return Answer(self._whole.status, self._whole.headers, self._whole.body, False)
+            return replace(self._whole, reusable=False)
         return self._whole
 
-    def _check_body(self, body: bytes | bytearray) -> None:
-        if len(body) > self._max_body:
-            raise BadAnswerError("the body is too long")
+    def end(self) -> Answer | None:
+        """The connection has ended in order: the answer if that is how it ends; None if it is cut short."""
+        if self._head_done and self._to_the_end and self._whole is None and not self._bad:
+            self._whole = Answer(self._status, self._headers, self._rest(), False)
+            return self._whole
+        return None
+
+    def start(self, waited: bool = False) -> Start | None:
+        """The beginning, once, of an answer too long to be held, or too slow if we have `waited` for it."""
+        if self._held is None or self._started or self._status != 200 or not self._head_done:
+            return None
+        if self._length is None:
+            due = waited or self._whole is not None or self._size > min(self._held, HELD_UNKNOWN)
+        else:
+            due = self._length > self._held
+        if not due or (self._whole is not None and self._size <= self._held):
+            return None
+        self._started = True
+        length = self._length if self._whole is None else self._size
+        return Start(self._headers, length)
+
+    def is_open_ended(self) -> bool:
+        """Whether a good answer is coming whose length nobody knows yet."""
+        return self._head_done and self._status == 200 and self._length is None and self._whole is None
+
+    def take(self) -> bytes:
+        """What has come of the body since the last time."""
+        data = bytes(self._body)
+        self._body.clear()
+        return data
+
+    def _rest(self) -> bytes:
+        return b"" if self._started else bytes(self._body)
 
     # ---- httptools' callbacks
 
@@ -98,26 +155,42 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """One header, or a trailer, which nobody needs."""
         if not self._head_done:
-            self._headers.append((name, value))
+            self._headers.append((name, value.strip(OWS)))
 
     def on_headers_complete(self) -> None:
         """The head is there; a length beyond the bound is not waited for."""
         self._head_done = True
-        if self._whole is None:
-            lengths = [int(v) for n, v in self._headers if n.lower() == b"content-length"]
-            self._too_long = any(length > self._max_body for length in lengths)
+        if self._whole is not None:
+            return
+        self._status = self._parser.get_status_code()
+        fields = {n.lower(): v for n, v in self._headers}
+        coding = fields.get(b"transfer-encoding")
+        if coding is not None and coding.strip().lower() != b"chunked":
+            self._bad = "a transfer coding that nobody asked for"
+        length = fields.get(b"content-length")
+        self._length = int(length) if length is not None and coding is None else None
+        self._to_the_end = length is None and coding is None
+        if self._length is not None and self._length > self._max_body:
+            self._bad = "the body is too long"
 
     def on_body(self, data: bytes) -> None:
-        """A piece of the body; one piece past the bound is enough to know."""
-        if len(self._body) <= self._max_body and self._whole is None:
+        """A piece of the body; a longer one than the bound, or one to hold of an error, is bad."""
+        if self._whole is not None or self._bad:
+            return
+        self._size += len(data)
+        if self._size > (self._max_body if self._status == 200 else min(self._max_body, HELD_BODY)):
+            self._bad = "the body is too long"
+        else:
             self._body += data
 
     def on_message_complete(self) -> None:
         """The answer is whole, unless it is a 1xx, which only announces it."""
-        status = self._parser.get_status_code()
         if self._whole is not None:
             return
-        if status >= 200:
+        if self._status >= 200:
             keep = self._parser.should_keep_alive()
-            self._whole = Answer(status, self._headers, bytes(self._body), keep)
-        self._headers, self._head_done = [], False
+            self._whole = Answer(self._status, self._headers, b"", keep)
+            if not self._started:
+                self._whole = replace(self._whole, body=bytes(self._body))
+        else:
+            self._headers, self._head_done, self._status = [], False, 0
--- a/passpost/upstream.py
+++ b/passpost/upstream.py
@@ -11,50 +11,152 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import cast
+from typing import Protocol, cast
 
-from passpost.http1 import Address, Answer, AnswerReader, BadAnswerError
+from passpost.http1 import HELD_BODY, Address, Answer, AnswerReader, BadAnswerError, Flow, Start
 from umberworks.interface import Outcome
 
 log = logging.getLogger(__name__)
 
 IDLE_SHARE = 0.5  # of the upstream's idle time after which we close: a request must not cross its close
 SWEEP_S = 1.0
+STALL_S = 10.0  # an upstream that neither takes nor gives a byte of a long message for so long is given up
+LENGTH_S = 0.1  # an answer of unknown length is held so long from its head on, and then passed on as it comes
 REST_S = 0.005  # an upstream that closes behind an answer, or sends more than it, does so within this
 
 Done = Callable[[Outcome, Answer | None], None]
 
 
+class Carrier(Protocol):
+    """The connection by which an upload goes on."""
+
+    def forward(self, data: bytes) -> None:
+        """Pass a piece of the body on."""
+
+    def forward_end(self) -> None:
+        """The body has ended in order."""
+
+    def abandon(self) -> None:
+        """The body will never be whole."""
+
+
+class Upload:
+    """A body that is passed on while it comes. One attempt can carry it; what is gone can't be sent again."""
+
+    def __init__(self, length: int | None, first: bytes, flow: Flow) -> None:
+        self.length, self.whole, self.failed, self.carried = length, False, False, False
+        self.flow = flow  # of the caller's bytes
+        self._held, self._size = [first], len(first)
+        self._carrier: Carrier | None = None
+
+    def is_fresh(self) -> bool:
+        """Whether nothing of it is gone."""
+        return not self.carried and not self.failed
+
+    def feed(self, data: bytes) -> None:
+        """A piece has come; without a carrier some is held, and then the caller has to wait."""
+        if self._carrier is not None:
+            self._carrier.forward(data)
+        elif self.is_fresh():
+            self._held.append(data)
+            self._size += len(data)
+            if self._size > HELD_BODY:
+                self.flow.pause()
+
+    def finish(self) -> None:
+        """Its last byte has come."""
+        self.whole = True
+        if self._carrier is not None:
+            self._carrier.forward_end()
+
+    def fail(self) -> None:
+        """It will never be whole: the caller has gone, or sends what is no body."""
+        if not self.whole and not self.failed:
+            self.failed = True
+            self._held = []
+            if self._carrier is not None:
+                self._carrier.abandon()
+
+    def attach(self, carrier: Carrier) -> None:
+        """Pass on what has come, and from now on what comes."""
+        self.carried, self._carrier = True, carrier
+        held, self._held = self._held, []
+        for data in held:
+            carrier.forward(data)
+        if self.whole:
+            carrier.forward_end()
+        else:
+            self.flow.resume()
+
+    def detach(self) -> None:
+        """Its attempt is over; what still comes is of no use."""
+        self._carrier = None
+        self.flow.resume()
+
+
 @dataclass(frozen=True, slots=True)
 class Outgoing:
     """A request as it goes on, but for the time left, which is known when it is written."""
 
     head: bytes
     body: bytes
+    upload: Upload | None = None  # in place of a body that is there already
 
     def write(self, remaining: float) -> bytes:
         """The bytes for the wire."""
         return b"%bX-Remaining: %.3f\r\n\r\n%b" % (self.head, remaining, self.body)
 
+    def is_sendable(self) -> bool:
+        """Whether an attempt can be made: nothing of it is gone."""
+        return self.upload is None or self.upload.is_fresh()
+
+
+class Sink(Protocol):
+    """Who gets a long answer as it comes."""
+
+    def start(self, start: Start, flow: Flow) -> bool:
+        """It begins; False if nobody wants it any more."""
+
+    def more(self, data: bytes) -> None:
+        """A piece of its body."""
+
 
 class Attempt:
     """One attempt; it ends exactly once, with the outcome that `done` is told."""
 
     def __init__(
-        self, request: Outgoing, timeout: float, done: Done, written: Callable[[], None] = lambda: None
+        self,
+        request: Outgoing,
+        timeout: float,
+        done: Done,
+        written: Callable[[], None] = lambda: None,
+        sink: Sink | None = None,
     ) -> None:
-        loop = asyncio.get_running_loop()
         self.request = request
         self.connection: _Connection | None = None
         self.connecting: asyncio.Task[None] | None = None
+        self.started = False  # its answer is being passed on
+        self._timeout = timeout
         self._ends = time.monotonic() + timeout
-        self._timer = loop.call_later(timeout, self._timed_out)
+        self._timer: asyncio.TimerHandle | None = None
+        if request.upload is None or request.upload.whole:
+            self._run_timer()
         self._done: Done | None = done
+        self._sink = sink
         self.written = written  # told once the last byte has gone out
 
+    def _run_timer(self) -> None:
+        self._ends = time.monotonic() + self._timeout
+        self._timer = asyncio.get_running_loop().call_later(self._timeout, self._timed_out)
+
+    def whole(self) -> None:
+        """The last byte of a request that was passed on as it came is there: its time runs from now on."""
+        if self._done is not None and self._timer is None and not self.started:
+            self._run_timer()
+
     def remaining(self) -> float:
         """How long we still wait, in seconds."""
-        return max(self._ends - time.monotonic(), 0.0)
+        return self._timeout if self._timer is None else max(self._ends - time.monotonic(), 0.0)
 
     def is_over(self) -> bool:
         """Whether the outcome has been told."""
@@ -64,16 +166,37 @@
         """Whether the last byte has gone out, so that it may have run."""
         return self.connection is not None and not self.connection.unwritten
 
+    def is_holding(self) -> bool:
+        """Whether long answers can be passed on as they come."""
+        return self._sink is not None
+
+    def start(self, start: Start, flow: Flow) -> bool:
+        """Its answer is passed on from now on, for as long as it comes; False if nobody wants it."""
+        if self._sink is None or not self._sink.start(start, flow):
+            return False
+        self.started = True
+        if self._timer is not None:
+            self._timer.cancel()
+        return True
+
+    def more(self, data: bytes) -> None:
+        """A piece of the answer that is passed on."""
+        if self._sink is not None and self._done is not None and data:
+            self._sink.more(data)
+
     def end(self, outcome: Outcome, answer: Answer | None = None) -> None:
         """Tell the outcome, once; a connection that still waits for the answer is of no further use."""
         if self._done is None:
             return
         done, self._done = self._done, None
-        self._timer.cancel()
+        if self._timer is not None:
+            self._timer.cancel()
         if self.connecting is not None:
             self.connecting.cancel()
         if self.connection is not None:
             self.connection.drop()
+        if self.request.upload is not None and self.request.upload.carried:
+            self.request.upload.detach()
         done(outcome, answer)
 
     def cancel(self) -> None:
@@ -93,19 +216,88 @@
         self._reader: AnswerReader | None = None
         self._transport: asyncio.Transport | None = None
         self._poll = select.poll()
+        self._upload: Upload | None = None
+        self._clogged = False  # the transport holds bytes that the upstream has not taken
+        self._waiting = False  # for whoever gets the answer
+        self._moved = 0.0  # when the last byte of a long message moved
+        self._length_timer: asyncio.TimerHandle | None = None
         self.unwritten = True
         self.idle_since = 0.0
 
     def carry(self, attempt: Attempt) -> None:
         """Write the attempt's request."""
         assert self._transport is not None
-        self._attempt, self._reader = attempt, AnswerReader()
+        self._attempt = attempt
+        self._reader = AnswerReader(held=HELD_BODY if attempt.is_holding() else None)
         attempt.connection = self
-        self.unwritten = False  # the transport says at once if it could not write it all: see pause_writing
+        self._moved = time.monotonic()
+        # The transport says at once if it could not write it all: see pause_writing.
+        self._upload, self._clogged, self.unwritten = attempt.request.upload, False, False
         self._transport.write(attempt.request.write(attempt.remaining()))
-        if not self.unwritten:
+        if self._upload is not None:
+            self.unwritten = True
+            self._upload.attach(self)
+        elif not self.unwritten:
             attempt.written()
 
+    # ---- an upload's carrier
+
+    def forward(self, data: bytes) -> None:
+        """Pass a piece of the body on."""
+        if self._upload is None or self._transport is None:
+            return
+        self._moved = time.monotonic()
+        if self._upload.length is None:
+            data = b"%x\r\n%b\r\n" % (len(data), data)
+        self._transport.write(data)
+
+    def forward_end(self) -> None:
+        """The body is whole: once its last byte is out the attempt may run."""
+        if self._upload is None or self._transport is None or self._attempt is None:
+            return
+        if self._upload.length is None:
+            self._transport.write(b"0\r\n\r\n")
+        self._attempt.whole()
+        if not self._clogged:
+            self._wrote()
+
+    def abandon(self) -> None:
+        """The body will never be whole: the upstream can't have begun it."""
+        if self._attempt is not None:
+            self._attempt.end(Outcome.UNREACHED)
+
+    def _wrote(self) -> None:
+        self.unwritten = False
+        if self._attempt is not None:
+            self._attempt.written()
+
+    # ---- the flow of an answer that is passed on
+
+    def pause(self) -> None:
+        """Whoever gets the answer is behind: read no more for now."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._waiting = True
+            self._transport.pause_reading()
+
+    def resume(self) -> None:
+        """Read on."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._waiting, self._moved = False, time.monotonic()
+            self._transport.resume_reading()
+
+    def stalls(self, since: float) -> bool:
+        """Whether it is the upstream for which a long message has stood still since then."""
+        attempt = self._attempt
+        if attempt is None or self._moved > since:
+            return False
+        return (attempt.started and not self._waiting) or (self._upload is not None and self._clogged)
+
+    def give_up(self) -> None:
+        """End an attempt that stalls."""
+        if self._attempt is not None:
+            log.warning("upstream %s: a long message stands still", self._upstream.name)
+            self._attempt.end(Outcome.UNREACHED if self.unwritten else Outcome.BROKEN)
+
     def is_spent(self) -> bool:
         """Whether it can carry no more: it is closing, or has been told something since the last answer.
 
@@ -116,7 +308,8 @@
 
     def drop(self) -> None:
         """Close at once; an attempt on it has been told its end."""
-        self._attempt, self._reader = None, None
+        self._attempt, self._reader, self._upload = None, None, None
+        self._forget_timer()
         self._pool.forget(self, self._upstream)
         if self._transport is not None:
             self._transport.abort()
@@ -131,13 +324,17 @@
 
     def pause_writing(self) -> None:
         """Part of the request is still with us: the upstream can't have begun it."""
-        self.unwritten = True
+        self.unwritten = self._clogged = True
+        if self._upload is not None and not self._upload.whole:
+            self._upload.flow.pause()
 
     def resume_writing(self) -> None:
-        """The last byte has gone out."""
-        self.unwritten = False
-        if self._attempt is not None:
-            self._attempt.written()
+        """All that was written has gone out; unless more of a body is to come, so has the last byte."""
+        self._clogged, self._moved = False, time.monotonic()
+        if self._upload is None or self._upload.whole:
+            self._wrote()
+        else:
+            self._upload.flow.resume()
 
     def data_received(self, data: bytes) -> None:
         """A piece of the answer; without an attempt it is stray, and the connection can't be trusted."""
@@ -145,23 +342,60 @@
         if attempt is None or reader is None:
             self.drop()
             return
+        self._moved = time.monotonic()
         try:
             answer = reader.feed(data)
         except BadAnswerError as error:
             log.warning("upstream %s: bad answer: %s", self._upstream.name, error)
             attempt.end(Outcome.BROKEN)
             return
-        if answer is None:
+        self._pass_on(attempt, reader)
+        if answer is None and not attempt.is_over():
+            if reader.is_open_ended() and not attempt.started and self._length_timer is None:
+                timer = asyncio.get_running_loop().call_later(LENGTH_S, self._waited)
+                self._length_timer = timer
+        elif answer is not None:
+            self._answered(attempt, answer)
+
+    def _pass_on(self, attempt: Attempt, reader: AnswerReader, waited: bool = False) -> None:
+        """Begin or go on with an answer that is too long to be held."""
+        if not attempt.started and (start := reader.start(waited)) is not None:
+            self._forget_timer()
+            if not attempt.start(start, self):
+                attempt.cancel()
+                return
+        if attempt.started:
+            attempt.more(reader.take())
+
+    def _waited(self) -> None:
+        self._length_timer = None
+        if self._attempt is not None and self._reader is not None:
+            self._pass_on(self._attempt, self._reader, waited=True)
+
+    def _forget_timer(self) -> None:
+        if self._length_timer is not None:
+            self._length_timer.cancel()
+            self._length_timer = None
+
+    def _answered(self, attempt: Attempt, answer: Answer) -> None:
+        """The answer is whole; its connection goes on if both sides are through with their messages."""
+        if attempt.is_over():
             return
-        reusable = answer.reusable and not self.unwritten
-        if reusable:
-            self._attempt, self._reader, attempt.connection = None, None, None
+        self._forget_timer()
+        if answer.reusable and not self.unwritten:
+            if self._waiting:
+                self.resume()
+            self._attempt, self._reader, self._upload, attempt.connection = None, None, None, None
             self._pool.rest(self, self._upstream)
         attempt.end(_outcome(answer), answer)
 
     def eof_received(self) -> None:
-        """The upstream has closed: an idle connection must not be used again, an answer is cut short."""
-        self._ended()
+        """The upstream has closed: an idle connection must not be used again, an answer may end so."""
+        attempt, reader = self._attempt, self._reader
+        if attempt is not None and reader is not None and (answer := reader.end()) is not None:
+            self._answered(attempt, answer)
+        else:
+            self._ended()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """As eof_received."""
@@ -234,11 +468,12 @@
         timeout: float,
         done: Done,
         written: Callable[[], None] = lambda: None,
+        sink: Sink | None = None,
     ) -> Attempt:
         """Make one attempt; `done` is told its outcome once, later or at once."""
-        attempt = Attempt(request, timeout, done, written)
+        attempt = Attempt(request, timeout, done, written, sink)
         upstream = self._upstreams.get(server)
-        if upstream is None:
+        if upstream is None or not request.is_sendable():
             attempt.end(Outcome.NOT_SENT)
             return attempt
         if (connection := self._idle(upstream)) is not None:
@@ -340,6 +575,9 @@
         self._sweeper = asyncio.get_running_loop().call_later(SWEEP_S, self._sweep)
         self._said_full = False
         limit = time.monotonic() - self._idle_limit
+        stalled = time.monotonic() - STALL_S
         for upstream in self._upstreams.values():
+            for connection in [c for c in upstream.open if c.stalls(stalled)]:
+                connection.give_up()
             while upstream.idle and upstream.idle[0].idle_since < limit:
                 upstream.idle[0].drop()
--- a/umberworks/interface.py
+++ b/umberworks/interface.py
@@ -179,6 +179,8 @@
     """A client's request; exactly one final answer is owed within `remaining_ms`.
 
     `free_connections`: those left to the callers while they can open no more, as in a drain.
+    `whole`: false for one whose body is passed on as it comes. Its time, and the time-out of its attempts,
+    run from `RequestWhole` on.
     """
 
     request: int
@@ -186,6 +188,14 @@
     remaining_ms: float
     tenant: str | None = None
     free_connections: float = math.inf
+    whole: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class RequestWhole:
+    """The last byte of a request that arrived unfinished is there."""
+
+    request: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -198,13 +208,17 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptEnded:
-    """An attempt is over; `answered` says that the request has its final answer."""
+    """An attempt is over; `answered` says that the request has its final answer.
+
+    `repeatable`: false if no further attempt can be made, as part of the body is gone.
+    """
 
     request: int
     attempt: int
     server: str
     outcome: Outcome
     answered: bool = False
+    repeatable: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -275,6 +289,7 @@
 Event = (
     ListUpdate
     | RequestArrived
+    | RequestWhole
     | AnswerStarted
     | AttemptEnded
     | ClientLeft
--- a/umberworks/rules.py
+++ b/umberworks/rules.py
@@ -16,6 +16,7 @@
 from umberworks import interface as face
 from umberworks.interface import Effect, ListKind, Outcome, RepeatGroup
 from umberworks.members import MEMORY_MS, Members, Server, evidence
+from umberworks.requests import Attempt, Request
 from umberworks.room import RATE_MEMORY_MS, Room
 from umberworks.shares import Shares
 
@@ -46,28 +47,6 @@
 LIST_RETRY_MS = 500.0  # first pause before the list is asked again, doubled at each failure
 
 
-class _Attempt:
-    def __init__(self, server: Server, now: float, timeout: float) -> None:
-        self.server, self.sent, self.ends = server, now, now + timeout
-        self.out, self.ran = True, True  # it may have run until its outcome proves otherwise
-
-
-class _Request:
-    def __init__(self, event: face.RequestArrived, cls: face.RequestClass, now: float) -> None:
-        self.id, self.cls = event.request, cls
-        self.deadline, self.aim_at = now + event.remaining_ms, now + cls.aim_ms
-        self.attempts: list[_Attempt] = []
-        self.owed, self.over_share, self.streaming = True, False, False
-        self.later = False  # taken for a later try of one that went unserved
-
-    def is_out(self) -> bool:
-        return any(a.out for a in self.attempts)
-
-    def useful_until(self) -> float:
-        """When an answer stops being worth anything."""
-        return self.deadline if self.cls.late_share > 0 else min(self.deadline, self.aim_at)
-
-
 class Balancer:
     """The decisions of one balancer instance: feed it events in order, carry out the actions it returns."""
 
@@ -78,7 +57,7 @@
         self._servers: dict[str, Server] = {}
         self._ready, self._fit = list[Server](), list[Server]()  # fit: the part of them that we keep to
         self._members = Members()
-        self._requests: dict[int, _Request] = {}
+        self._requests: dict[int, Request] = {}
         self._waiting: list[tuple[bool, float, int]] = []
         self._held: list[tuple[float, int, Server]] = []
         self._held_count, self._retries, self._now = 0, RETRY_BURST, 0.0
@@ -121,7 +100,10 @@
                 self._members.told(event, self._servers.values(), now)
                 self._median_at = -math.inf
             case face.AnswerStarted():
-                self._made(event)[0].streaming = True
+                self._started(event, now)
+            case face.RequestWhole():
+                if (request := self._requests.get(event.request)) is not None:
+                    request.complete(now)
         self._pump(now)
         return self._actions
 
@@ -189,7 +171,7 @@
             raise ValueError(f"request {event.request} has arrived before")
         if event.class_name not in self._classes:
             raise ValueError(f"request {event.request} is of unknown class {event.class_name!r}")
-        request = _Request(event, self._classes[event.class_name], now)
+        request = Request(event, self._classes[event.class_name], now)
         request.over_share = self._shares.is_over(event.tenant, now)
         if self._settings.calling_tier == 0:
             self._mark_later_try(request, event.remaining_ms)
@@ -209,13 +191,13 @@
         heappush(self._waiting, (request.over_share, -now, request.id))
         self._pump(now)
         if not request.attempts:
-            wait = min(WAIT_SHARE * request.cls.aim_ms, request.useful_until() - now - self._settings.tick_ms)
+            wait = min(WAIT_SHARE * request.cls.aim_ms, request.time_left(now) - self._settings.tick_ms)
             if wait > 0:
                 self._actions.append(face.SetTimer(now + wait, f"wait:{request.id}"))
             else:
                 self._give_up(request)
 
-    def _mark_later_try(self, request: _Request, remaining: float) -> None:
+    def _mark_later_try(self, request: Request, remaining: float) -> None:
         """Move up the aim of a later try, told by its time left: past the first aim it is worth little."""
         cls, step = request.cls, round(remaining / TRY_STEP_MS)
         tries, unserved = self._tries[cls.name], self._unserved[cls.name]
@@ -229,7 +211,7 @@
             request.later = True
             request.aim_at -= max(cls.deadline_ms - remaining, 0.0)
 
-    def _note_unserved(self, request: _Request) -> None:
+    def _note_unserved(self, request: Request) -> None:
         """Its caller may come again; what came again already is not counted a second time."""
         if self._settings.calling_tier == 0 and not request.later:
             self._unserved[request.cls.name].append(self._now)
@@ -246,13 +228,13 @@
         elif not request.attempts:
             self._refuse_for_room(request, now)
 
-    def _refuse_for_room(self, request: _Request, now: float) -> None:
+    def _refuse_for_room(self, request: Request, now: float) -> None:
         if now > self._refusing_until:
             self._actions.append(face.Log(f"no room: refusing; {self._room.out} calls out"))
         self._refusing_until = now + MEMORY_MS
         self._give_up(request)
 
-    def _copy(self, request: _Request, now: float) -> None:
+    def _copy(self, request: Request, now: float) -> None:
         """Send a copy of what is overdue at a server that has served nothing since: it may hang."""
         silent = request.is_out() and all(a.server.heard <= a.sent for a in request.attempts if a.out)
         if silent and self._has_room():
@@ -266,7 +248,7 @@
                 return
             heappop(self._waiting)
 
-    def _crowded(self, request: _Request) -> bool:
+    def _crowded(self, request: Request) -> bool:
         """Whether to refuse by the mean time in service; calls still out are in it: a stall shows at once."""
         if self._counted or self._settings.calling_tier > 0:
             return False
@@ -281,8 +263,8 @@
             return True  # a sliver of the fleet has no room to count by until its time in service is known
         return not self._room.is_full(len(self._ready))
 
-    def _try_send(self, request: _Request, now: float) -> bool:
-        timeout = request.useful_until() - now
+    def _try_send(self, request: Request, now: float) -> bool:
+        timeout = request.time_left(now)
         if timeout <= self._settings.tick_ms or len(request.attempts) >= self._settings.max_attempts:
             return False
         server = self._pick(request, now)
@@ -291,14 +273,14 @@
         server.catch_up(now)
         server.in_flight, server.last_sent, server.back = server.in_flight + 1, now, False
         self._room.out += 1
-        request.attempts.append(_Attempt(server, now, timeout))
+        request.attempts.append(Attempt(server, now, timeout))
         self._actions.append(face.Send(request.id, server.member.server, timeout))
         if self._room.mean and self._settings.may_duplicate and request.cls.effect is not Effect.ONCE:
             patience = PATIENCE * self._room.mean * request.cls.aim_ms
             self._actions.append(face.SetTimer(now + patience, f"copy:{request.id}"))
         return True
 
-    def _made(self, event: face.AttemptEnded | face.AnswerStarted) -> tuple[_Request, _Attempt]:
+    def _made(self, event: face.AttemptEnded | face.AnswerStarted) -> tuple[Request, Attempt]:
         request = self._requests.get(event.request)
         if request is None or not 0 <= event.attempt < len(request.attempts):
             raise ValueError(f"attempt {event.attempt} of request {event.request} was never made")
@@ -313,18 +295,28 @@
         if event.answered:
             request.owed = False
             self._cancel_rest(request)
-        elif request.owed and not request.is_out() and not self._try_again(request, now):
+        elif (
+            request.owed and not request.is_out() and not (event.repeatable and self._try_again(request, now))
+        ):
             self._give_up(request)
         self._drop_if_over(request)
 
-    def _try_again(self, request: _Request, now: float, keep: float = 0.0) -> bool:
+    def _started(self, event: face.AnswerStarted, now: float) -> None:
+        """Of a long answer the first bytes count: its time in service ends here, its call goes on."""
+        request, attempt = self._made(event)
+        if attempt.out and not attempt.started:
+            request.streaming = attempt.started = True
+            self._room.out -= 1
+            self._room.served(request.cls.aim_ms, now)
+
+    def _try_again(self, request: Request, now: float, keep: float = 0.0) -> bool:
         """Make a further attempt out of the savings, of which `keep` stay for others."""
         if self._retries < keep + 1 or request.streaming or not self._try_send(request, now):
             return False
         self._retries -= 1
         return True
 
-    def _give_up(self, request: _Request) -> None:
+    def _give_up(self, request: Request) -> None:
         request.owed = False
         self._note_unserved(request)
         harmless = request.cls.effect is Effect.REPEATABLE or not any(a.ran for a in request.attempts)
@@ -332,7 +324,7 @@
         self._actions.append(face.Refuse(request.id, away) if harmless else face.Fail(request.id))
         self._drop_if_over(request)
 
-    def _cancel_rest(self, request: _Request) -> None:
+    def _cancel_rest(self, request: Request) -> None:
         if self._settings.may_cancel and not request.streaming:
             self._actions.extend(face.Cancel(request.id, i) for i, a in enumerate(request.attempts) if a.out)
 
@@ -344,11 +336,11 @@
             self._cancel_rest(request)
             self._drop_if_over(request)
 
-    def _drop_if_over(self, request: _Request) -> None:
+    def _drop_if_over(self, request: Request) -> None:
         if not request.owed and not request.is_out():
             self._requests.pop(request.id, None)
 
-    def _harmless(self, request: _Request, now: float) -> list[Server]:
+    def _harmless(self, request: Request, now: float) -> list[Server]:
         """The fit servers to which the next attempt can do no harm; all of them if none may have run."""
         cls = request.cls
         ran = next((a for a in request.attempts if a.ran), None)
@@ -367,7 +359,7 @@
 
     # ---- the ordinary path ----------------------------------------------------------------------
 
-    def _pick(self, request: _Request, now: float) -> Server | None:
+    def _pick(self, request: Request, now: float) -> Server | None:
         """Draw servers by capacity and take the one least loaded after this call."""
         median = self._known_median(now)
         able = self._harmless(request, now)
@@ -411,15 +403,16 @@
                 self._median = known[len(known) // 2]
         return self._median or 1.0
 
-    def _book(self, attempt: _Attempt, outcome: Outcome, cls: face.RequestClass, now: float) -> None:
+    def _book(self, attempt: Attempt, outcome: Outcome, cls: face.RequestClass, now: float) -> None:
         """Count a served call; hold a failure's slot to its full time-out: it must not look idle."""
         server = attempt.server
         server.catch_up(now)
-        self._room.out -= 1
+        self._room.out -= not attempt.started
         if outcome is Outcome.SERVED:
             server.served += 1
             server.heard = now
-            self._room.served(cls.aim_ms, now)
+            if not attempt.started:
+                self._room.served(cls.aim_ms, now)
         elif outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT) and attempt.ends > now:
             self._held_count += 1
             heappush(self._held, (attempt.ends, self._held_count, server))
