--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -330,7 +330,11 @@
     assert program.meeting_path(plain, str(tmp_path)) is None
 
     async def test() -> None:
-        Node(plain).close()
+        node = Node(plain)
+        assert node.door is None and node._post is None
+        # Nobody else can listen on the same address beside it.
+        assert not node.server.listener().getsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT)
+        node.close()
         assert os.listdir(tmp_path) == []
 
     run(test())
