--- a/passpost/handover.py
+++ b/passpost/handover.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import contextlib
+import errno
 import json
 import logging
 import os
@@ -24,6 +25,7 @@
 
 ASK_S = 0.5  # an old process that has not answered by then is not waited for
 MAX_MESSAGE = 64 * 1024
+FULL = (errno.EAGAIN, errno.ETOOMANYREFS)  # the other process has yet to read what is on its way
 EVIDENCE_AT_ONCE = 200  # servers in one message
 
 Heard = Callable[[dict[str, Any], socket.socket | None], None]
@@ -118,10 +120,9 @@
             return False
         try:
             socket.send_fds(self._line, [json.dumps(message).encode()], [descriptor])
-        except BlockingIOError:
-            return False
-        except OSError:
-            self.close()
+        except OSError as error:
+            if error.errno not in FULL:
+                self.close()
             return False
         return True
 
@@ -202,6 +203,5 @@
             return
         try:
             self._hello(line)
-        except Exception as error:
+        except Exception as error:  # it goes on with what it has been told, or by itself
             log.error("handover: could not answer the new process: %r", error)
-            line.close()
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import json
 import os
 import signal
@@ -212,6 +213,51 @@
     run(test())
 
 
+@pytest.mark.parametrize("number", [errno.EAGAIN, errno.ETOOMANYREFS])
+def test_a_full_channel_gives_later_and_stays(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, number: int
+) -> None:
+    async def test() -> None:
+        async with processes(tmp_path, FakeServer()) as start:
+            old = await start()
+            client = await old.connect()
+            await answered(client)
+            new = await start()
+            await serving(new)
+            send, tries = socket.send_fds, 0
+
+            def full(*args: Any) -> int:
+                nonlocal tries
+                tries += 1
+                if tries < 4:
+                    raise OSError(number, os.strerror(number))
+                return send(*args)
+
+            monkeypatch.setattr(socket, "send_fds", full)
+            await old.node.stop()
+            await answered(client)
+            assert tries == 4
+
+    run(test())
+
+
+def test_a_fault_in_what_was_learned_leaves_the_rest_of_an_upgrade_alone(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def test() -> None:
+        async with processes(tmp_path, FakeServer()) as start:
+            old = await start()
+            client = await old.connect()
+            await answered(client)
+            monkeypatch.setattr(old.node.engine, "learned", lambda: 1 / 0)
+            new = await start()
+            await serving(new)
+            await old.node.stop()
+            await answered(client)
+
+    run(test())
+
+
 def test_long_lists_of_evidence_go_in_parts() -> None:
     evidence = tuple(face.Evidence(f"s{i}", 0.0, 1.0, 2.0, 3.0) for i in range(500))
     learned = face.Learned(0.3, 10.0, 5.0, evidence)
--- a/umberworks/interface.py
+++ b/umberworks/interface.py
@@ -254,7 +254,8 @@
     unsent_ms: float
 
     def __post_init__(self) -> None:
-        for value in (self.up_since_ms, self.served, self.busy_ms, self.unsent_ms):
+        _require(math.isfinite(self.up_since_ms), "up_since_ms", "must be finite")
+        for value in (self.served, self.busy_ms, self.unsent_ms):
             _require(math.isfinite(value) and value >= 0, "evidence", "must be finite and not negative")
 
 
