Wait in an upgrade for long answers, as in a drain, and give slow readers 20 s

Logged: at each, the old process's own time of 3.4 s was over, _end aborted the connection, and its caller was clogged. Ruled out: the hand-over itself, the limits of connections, stalls. At fault: the loop of hand_over, which, unlike the drain's, did not wait for what is busy.

A long answer's caller may stand still for 20 s in place of 5: between two steps of the transport's buffer (320 KiB at the most, 16 at the least) one that reads 64 kB a second takes 4.8 s.

--- a/passpost/server.py
+++ b/passpost/server.py
@@ -46,7 +46,8 @@
 HELD_EACH = (
     1024 * 1024
 )  # a body up to this is held whole while there is memory: slow callers bind no upstream
-UNREAD_S = 5.0  # the end of an answer may lie unread so long, and a long one stand still
+UNREAD_S = 5.0  # the end of an answer may lie unread so long
+STUCK_S = 20.0  # a long one may stand still so long: what a slow caller reads moves on in large steps only
 LINGER_S = 2.0  # an error is left so long to be read before its connection goes
 LINGER_BODY_S = 8.0  # the same for a caller that is still sending its body: it may read only after that
 SWEEP_S = 0.25  # these bounds are kept to within this
@@ -516,6 +517,10 @@
         """Whether a whole request waits for its answer."""
         return self._current is not None or bool(self._waiting)
 
+    def is_sending(self) -> bool:
+        """Whether the open request's body still comes."""
+        return self._sending is not None
+
     def is_idle(self) -> bool:
         """Whether no request is open or being read."""
         return not self.is_busy() and not self._reading and self._transport is not None
@@ -591,7 +596,7 @@
             self._cut_upload()
             self._next()
         elif self._current is not None:
-            if self._flow is not None and self._clogged and now - self._clogged_at > UNREAD_S:
+            if self._flow is not None and self._clogged and now - self._clogged_at > STUCK_S:
                 transport.abort()
         elif self._lingers:
             if age > self._linger_s:
@@ -765,7 +770,7 @@
         self._pause()
         self._socket.close()  # its queue is the new process's
         self._give = give
-        while self._connections and self.time_left() > 0:
+        while self._connections and (self.time_left() > 0 or self._is_due()):
             self.closing = self.closing or self.time_left() < CLOSE_AT_S
             for connection in list(self._connections):
                 self.pass_on(connection)
@@ -803,13 +808,20 @@
         self._pause()
         self._socket.close()
         await asyncio.sleep(LAST_LOOK_S)
-        while self._connections and (self.time_left() > 0 or any(c.is_busy() for c in self._connections)):
+        while self._connections and (self.time_left() > 0 or self._is_due()):
             for connection in list(self._connections):
                 if connection.is_idle():
                     connection.close()
             await asyncio.sleep(DRAIN_STEP_S)
         self._end()
 
+    def _is_due(self) -> bool:
+        """Whether somebody waits for an answer: a long one too, as cut off by us it would be lost.
+
+        Whoever wants us gone before its end kills us. A body that still comes is no request yet.
+        """
+        return any(c.is_busy() and not c.is_sending() for c in self._connections)
+
     def _end(self) -> None:
         for connection in list(self._connections):  # half a request, or an answer that nobody reads
             connection.abort()
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -143,6 +143,33 @@
     run(test())
 
 
+def test_an_upgrade_does_not_cut_off_a_long_answer(tmp_path: Path) -> None:
+    async def test() -> None:
+        release, body = asyncio.Event(), bytes(200_000)
+
+        async def reply(request: Got, writer: Writer) -> None:
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + body[:100_000])
+            await release.wait()
+            writer.write(body[100_000:])
+
+        async with processes(tmp_path, FakeServer(reply)) as start:
+            old = await start()
+            client = await old.connect()
+            client.send()
+            await client.reader.readuntil(b"\r\n\r\n")
+            new = await start()
+            await serving(new)
+            stopped = asyncio.get_running_loop().create_task(old.node.stop())
+            await until(old.node.server.is_handing_over)
+            old.node.server._ends = 0.0  # all the time there was has passed
+            await until(lambda: not old.node.server._accepting)
+            release.set()
+            assert len(await client.reader.readexactly(200_000)) == 200_000
+            await stopped
+
+    run(test())
+
+
 def test_readiness_stays_through_an_upgrade(tmp_path: Path) -> None:
     async def test() -> None:
         upstream = FakeServer(silent)
