--- /dev/null
+++ b/mastturn/emulator/clients.py
@@ -0,0 +1,227 @@
+"""Clients (BRIEF, "What clients do"; WIRE, "Client behaviour"): arrivals drawn ahead, later tries, early
+leaving.
+
+Arrivals don't wait for answers. A try is given up after a share of the class's deadline; the whole request
+at its deadline. What failed is tried again if its class may repeat, what was refused or met no balancer in
+any case.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+import numpy as np
+
+from mastturn.emulator.calls import Call, Cause, Final, First, Loss
+from mastturn.emulator.chance import Stream, generator
+from mastturn.emulator.day import ClassFigures, Day
+from mastturn.emulator.events import START_MS
+from mastturn.emulator.judge import is_served
+
+if TYPE_CHECKING:
+    from mastturn.emulator.world import World
+
+TENANT_BURST_MS = 2_000.0  # of its rate, that a tenant may use at once before it counts as over its share
+UNREACHED_MS = 1.0  # until a client knows that its connection was refused
+BURST_STEPS_MS = (3_000.0, 8_000.0)  # how long a bursty day keeps one rate
+LEAST_TRY_MS = 20.0  # a client with less time than this does not try again
+
+
+class RateWindow:
+    """A stretch of the day in which clients come at another rate."""
+
+    def __init__(self, start_ms: float, end_ms: float, factor: float, zone: int | None = None) -> None:
+        self.start_ms, self.end_ms, self.factor, self.zone = start_ms, end_ms, factor, zone
+
+
+class Clients:
+    """All clients of a day."""
+
+    def __init__(self, world: World, windows: list[RateWindow]) -> None:
+        self._world = world
+        self._chance = Stream(world.day.seed, "clients")
+        self._firsts = draw_arrivals(world.day, windows)
+        self._next = 0
+        self.leave_share = 0.0  # set by a trouble: clients that give up early
+
+    def begin(self) -> None:
+        """Come one after another."""
+        if self._firsts:
+            self._world.events.at(self._firsts[0].arrived_ms, self._arrive)
+
+    def _arrive(self, _: None) -> None:
+        first = self._firsts[self._next]
+        self._next += 1
+        if self._next < len(self._firsts):
+            self._world.events.at(self._firsts[self._next].arrived_ms, self._arrive)
+        self._world.judge.firsts.append(first)
+        if self.leave_share and self._chance.uniform() < self.leave_share:
+            first.leaves_ms = first.arrived_ms + first.cls.aim_ms * self._chance.between(0.1, 0.9)
+        self._try(first)
+
+    def _try(self, first: First) -> None:
+        world = self._world
+        now = world.events.now
+        first.tries += 1
+        left = first.arrived_ms + first.cls.deadline_ms - now
+        remaining = min(world.day.clients.try_share * first.cls.deadline_ms, left)
+        host = world.front.pick(first.zone)
+        if host is None or (not host.alive):
+            first.loss = Loss(0, Cause.BALANCER_DIED)
+            world.judge.counts["unreached by clients"] += 1
+            world.events.after(UNREACHED_MS, self._heard, (first, Final.UNREACHED, 0.0))
+            return
+        call = Call(world.next_number(), first, host, self, remaining, now)
+        world.events.after(world.network.client_delay_ms(), host.take, call)
+        if first.leaves_ms < now + remaining:
+            world.events.at(first.leaves_ms, self._leave, call)
+
+    def _leave(self, call: Call) -> None:
+        if not call.done:
+            call.first.ended_ms = self._world.events.now
+            call.first.loss = Loss(0, Cause.LEFT)
+            call.host.client_left(call)
+
+    def take_answer(self, call: Call, final: Final, advice_ms: float) -> None:
+        """A balancer's answer is on its way to the client."""
+        first = call.first
+        if first.loss is not None and first.loss.cause is Cause.LEFT:
+            return
+        if final is Final.SERVED:
+            first.useful_ms = call.useful_ms
+        else:
+            first.loss = call.loss
+        self._world.events.after(
+            self._world.network.client_delay_ms(), self._heard, (first, final, advice_ms)
+        )
+
+    def _heard(self, answer: tuple[First, Final, float]) -> None:
+        first, final, advice_ms = answer
+        world = self._world
+        now = world.events.now
+        if world.watch is not None:
+            world.watch.line(now, first, "client", "", f"try {first.tries} {final.value}")
+        first.ended_ms = now
+        if final is Final.SERVED:
+            first.served_ms = now
+            if not is_served(first):
+                first.loss = Loss(0, Cause.ON_THE_WAY)
+            return
+        figures = world.day.clients
+        harmless = final in (Final.REFUSED, Final.UNREACHED) or not first.cls.once
+        if not harmless or first.tries > figures.retries:
+            return
+        wait = figures.backoff_ms
+        if final is Final.REFUSED and first.honours:
+            wait = max(wait, min(advice_ms, figures.max_retry_after_ms))
+        if now + wait < first.arrived_ms + first.cls.deadline_ms - LEAST_TRY_MS:
+            world.judge.counts["later tries"] += 1
+            world.events.after(wait, self._try, first)
+
+
+# ---- what is drawn ahead ---------------------------------------------------------------------------
+
+
+def draw_arrivals(day: Day, windows: list[RateWindow]) -> list[First]:
+    """All first tries of a day, in order; each figure has random numbers of its own."""
+    seed, length = day.seed, day.fleet.length_ms
+    times, zones = _times(day, windows, generator(seed, "arrivals"))
+    count = len(times)
+    classes = generator(seed, "classes").choice(len(day.classes), count, p=[c.portion for c in day.classes])
+    brands = generator(seed, "brands").choice(len(day.brands), count, p=[b.sent_share for b in day.brands])
+    works = _works(day.classes, classes, generator(seed, "work"))
+    honours = generator(seed, "honours").random(count) < day.clients.honour_share
+    leaving = generator(seed, "leaving")
+    leaves = leaving.random(count) < day.clients.impatient_share
+    patience = leaving.uniform(0.1, 0.9, count)
+    means = np.array([tier.calls for tier in day.tiers[1:]])  # each drawn as a whole number beside its mean
+    calls = np.maximum(1, np.floor(means + generator(seed, "calls").random((count, len(means)))))
+    over = _over_share(times, brands, [b.quota_per_s for b in day.brands])
+    firsts = []
+    for i in range(count):
+        cls = day.classes[int(classes[i])]
+        arrived = START_MS + float(times[i])
+        worth = cls.worth * float(works[i]) / cls.work_ms
+        if over[i]:
+            worth *= day.clients.over_share_worth
+        firsts.append(
+            First(
+                number=i,
+                arrived_ms=arrived,
+                cls=cls,
+                class_number=int(classes[i]),
+                brand=int(brands[i]),
+                zone=day.network.zones[int(zones[i])],
+                work_ms=float(works[i]),
+                honours=bool(honours[i]),
+                leaves_ms=arrived + cls.aim_ms * float(patience[i]) if leaves[i] else math.inf,
+                over_share=bool(over[i]),
+                worth=worth,
+                calls=tuple(int(n) for n in calls[i]),
+            )
+        )
+    assert not firsts or firsts[-1].arrived_ms <= START_MS + length
+    return firsts
+
+
+def _times(day: Day, windows: list[RateWindow], chance: np.random.Generator) -> tuple[np.ndarray, np.ndarray]:
+    """Moments and zones of a Poisson process whose rate follows the day: more are drawn, then thinned."""
+    length, figures = day.fleet.length_ms, day.clients
+    most = (1.0 + figures.swing) * math.prod(max(w.factor, 1.0) for w in windows)
+    count = int(chance.poisson(day.requests_per_s * most * length / 1000))
+    times = np.sort(chance.uniform(0.0, length, count))
+    zones = chance.choice(len(day.network.zones), count, p=list(day.zone_weights))
+    rates = _shape(times, day, chance)
+    for window in windows:
+        inside = (times >= window.start_ms) & (times < window.end_ms)
+        if window.zone is not None:
+            inside &= zones == window.zone % len(day.network.zones)
+        rates = np.where(inside, rates * window.factor, rates)
+    kept = chance.random(count) * most < rates
+    return times[kept], zones[kept]
+
+
+def _shape(times: np.ndarray, day: Day, chance: np.random.Generator) -> np.ndarray:
+    """The rate at each moment, around 1: a wave, or steps up and down."""
+    figures = day.clients
+    if not figures.bursty:
+        phase = chance.uniform(0.0, 2 * math.pi)
+        return np.asarray(1.0 + figures.swing * np.sin(2 * math.pi * times / figures.period_ms + phase))
+    ends, levels, at = [], [], 0.0
+    while at < day.fleet.length_ms:
+        at += float(chance.uniform(*BURST_STEPS_MS))
+        ends.append(at)
+        levels.append(1.0 + figures.swing * float(chance.uniform(-1.0, 1.0)))
+    return np.asarray(np.array(levels)[np.searchsorted(np.array(ends), times, side="right")])
+
+
+def _works(classes: tuple[ClassFigures, ...], which: np.ndarray, chance: np.random.Generator) -> np.ndarray:
+    """The work of each request: the class's mean and deviation, by its own kind of spread."""
+    normals, uniforms = chance.standard_normal(len(which)), chance.random(len(which))
+    works = np.empty(len(which))
+    for number, cls in enumerate(classes):
+        mine = which == number
+        if cls.spread == "pareto":
+            shape = 1.0 + math.sqrt(1.0 + 1.0 / cls.variation**2)
+            least = cls.work_ms * (shape - 1.0) / shape
+            works[mine] = least * (1.0 - uniforms[mine]) ** (-1.0 / shape)
+        else:
+            variance = math.log(1.0 + cls.variation**2)
+            works[mine] = cls.work_ms * np.exp(math.sqrt(variance) * normals[mine] - variance / 2)
+    return works
+
+
+def _over_share(times: np.ndarray, brands: np.ndarray, quotas: list[float]) -> list[bool]:
+    """Which requests go beyond their tenant's share, over the whole fleet."""
+    rates = [quota / 1000 for quota in quotas]
+    levels = [rate * TENANT_BURST_MS for rate in rates]
+    seen = [0.0] * len(rates)
+    over = []
+    for time, brand in zip(times.tolist(), brands.tolist(), strict=True):
+        rate = rates[brand]
+        level = min(rate * TENANT_BURST_MS, levels[brand] + (time - seen[brand]) * rate)
+        seen[brand] = time
+        over.append(level < 1.0)
+        levels[brand] = level if level < 1.0 else level - 1.0
+    return over
--- /dev/null
+++ b/mastturn/emulator/day.py
@@ -0,0 +1,374 @@
+"""One day of a site: every range drawn, every machine named. Frozen; nothing here changes while a day runs.
+
+`stretch` makes work, aims and deadlines that much longer, so that a fleet of many machines is asked that
+much less often: real days on many balancers are played thin in the same way (FLEET, "traffic is spread
+thin").
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from mastturn.emulator.chance import Stream
+from mastturn.emulator.site import Kind, Range, RequestKind, Site, Tier, span
+
+_One = Callable[[Range], float]  # draws one figure from a range
+CELL_SIZE = 4  # machines of one cell (site file, `cell_size` 3 to 5)
+
+
+@dataclass(frozen=True, slots=True)
+class Fleet:
+    """How many of what there are, and how hard they are used."""
+
+    balancers_front: int
+    machines_front: int
+    load_share: float  # of the capacity of the tier that runs out first
+    stretch: float
+    length_ms: float
+    uneven: float  # spread of the balancers' parts of the traffic, as the deviation of their logarithm
+
+
+@dataclass(frozen=True, slots=True)
+class Machine:
+    """One machine; work is in milliseconds of a yardstick core, `speed` in yardstick cores."""
+
+    name: str
+    tier: int
+    zone: str
+    cell: int
+    kind: str
+    cores: int
+    speed: float
+    slots: int
+    queue: int
+    thrash: float
+    thrash_at: float
+    cold_from: float
+    cold_ms: float
+    pause_every_ms: float
+    pause_ms: float
+    error_share: float
+    connection_cap: int
+
+
+@dataclass(frozen=True, slots=True)
+class ChokeFigures:
+    """When a crowded machine turns slower, and when it recovers."""
+
+    waiting_per_core: float
+    over_ms: float
+    slower: float
+    rest_ms: float
+    below: float
+    most_ms: float
+    price: float
+
+
+@dataclass(frozen=True, slots=True)
+class TierFigures:
+    """What all machines of a tier have in common."""
+
+    name: str
+    work_share: float
+    calls: float
+    report_every_ms: float
+    report_delay_ms: float
+    report_noise: float
+    handshake_round_trips: float
+    handshake_work_ms: float
+    idle_ms: float
+    connect_timeout_ms: float
+    full_tax: float
+    choke: ChokeFigures | None
+
+
+@dataclass(frozen=True, slots=True)
+class ClassFigures:
+    """A class of requests."""
+
+    name: str
+    portion: float
+    work_ms: float
+    wait_ms: float
+    spread: str
+    variation: float
+    attempt_noise: float
+    aim_ms: float
+    deadline_ms: float
+    worth: float
+    once: bool
+
+
+@dataclass(frozen=True, slots=True)
+class BrandFigures:
+    """A tenant; its quota is over all balancers."""
+
+    name: str
+    sent_share: float
+    quota_per_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class ClientFigures:
+    """What callers do on this day."""
+
+    retries: int
+    try_share: float
+    backoff_ms: float
+    honour_share: float
+    impatient_share: float
+    max_retry_after_ms: float
+    swing: float
+    period_ms: float
+    bursty: bool
+    over_share_worth: float
+
+
+@dataclass(frozen=True, slots=True)
+class NetworkFigures:
+    """One-way delays."""
+
+    zones: tuple[str, ...]
+    same_zone_ms: float
+    cross_zone_ms: float
+    client_ms: float
+    jitter: float
+    front_notice_ms: tuple[float, float]
+
+
+@dataclass(frozen=True, slots=True)
+class DiscoveryFigures:
+    """How late the list is."""
+
+    notice_ms: tuple[float, float]
+    silent_notice_ms: tuple[float, float]
+    add_ms: tuple[float, float]
+    period_ms: float
+    spread_ms: float
+    watch_ms: float
+    told_within_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Day:
+    """Everything that is drawn before a day begins."""
+
+    seed: int
+    site: Site
+    fleet: Fleet
+    tiers: tuple[TierFigures, ...]
+    machines: tuple[tuple[Machine, ...], ...]  # for each tier
+    classes: tuple[ClassFigures, ...]
+    brands: tuple[BrandFigures, ...]
+    clients: ClientFigures
+    network: NetworkFigures
+    discovery: DiscoveryFigures
+    passes_deadline: bool
+    zone_weights: tuple[float, ...]
+    requests_per_s: float
+
+
+def draw(site: Site, fleet: Fleet, seed: int) -> Day:
+    """Draw a day; each part has random numbers of its own."""
+    day = Stream(seed, "day")
+
+    def one(value: Range) -> float:
+        low, high = span(value)
+        return day.between(low, high)
+
+    def ms(value: Range) -> float:
+        return one(value) * 1000
+
+    classes = _classes(site, fleet, one)
+    tiers = tuple(_tier(tier, one, day) for tier in site.tiers)
+    zones = site.network.zones[: max(1, min(len(site.network.zones), fleet.balancers_front))]
+    machines = tuple(
+        _machines(site.tiers[number], number, _count(site, number, fleet, one), zones, seed)
+        for number in range(len(site.tiers))
+    )
+    capacity = _capacity_per_s(machines, tiers, classes)
+    skew = one(site.clients.zone_skew)
+    weights = tuple(1.0 + skew * (2 * day.uniform() - 1) for _ in zones)
+    at_once = day.uniform() < site.clients.at_once_share
+    network, clients, disco = site.network, site.clients, site.discovery
+    quota = one(clients.quota_share) * capacity
+    usage = [brand.portion * one(brand.usage) for brand in site.brands]
+    low, high = span(network.front_notice_s)
+    return Day(
+        seed=seed,
+        site=site,
+        fleet=fleet,
+        tiers=tiers,
+        machines=machines,
+        classes=classes,
+        brands=tuple(
+            BrandFigures(b.name, u / sum(usage), quota * b.portion)
+            for b, u in zip(site.brands, usage, strict=True)
+        ),
+        clients=ClientFigures(
+            retries=round(one(clients.retries)),
+            try_share=one(clients.try_share),
+            backoff_ms=0.0 if at_once else one(clients.backoff_ms),
+            honour_share=one(clients.honour_share),
+            impatient_share=one(clients.impatient_share),
+            max_retry_after_ms=clients.max_retry_after_ms,
+            swing=one(clients.swing_share),
+            period_ms=day.between(15_000, 40_000),
+            bursty=day.uniform() < 0.5,
+            over_share_worth=clients.over_share_worth,
+        ),
+        network=NetworkFigures(
+            zones,
+            one(network.same_zone_ms),
+            one(network.cross_zone_ms),
+            one(network.client_ms),
+            one(network.jitter_share),
+            (low * 1000, high * 1000),
+        ),
+        discovery=DiscoveryFigures(
+            _span_ms(disco.notice_s),
+            _span_ms(disco.silent_notice_s),
+            _span_ms(disco.add_s),
+            one(disco.period_ms),
+            one(disco.spread_ms),
+            disco.watch_ms,
+            disco.told_within_ms,
+        ),
+        passes_deadline=day.uniform() < site.passes_deadline_share,
+        zone_weights=tuple(w / sum(weights) for w in weights),
+        requests_per_s=fleet.load_share * capacity,
+    )
+
+
+def _span_ms(value: Range) -> tuple[float, float]:
+    low, high = span(value)
+    return low * 1000, high * 1000
+
+
+def _classes(site: Site, fleet: Fleet, one: _One) -> tuple[ClassFigures, ...]:
+    portions = [one(cls.portion) for cls in site.classes]
+    return tuple(
+        _class(cls, portion / sum(portions), fleet.stretch, one)
+        for cls, portion in zip(site.classes, portions, strict=True)
+    )
+
+
+def _class(cls: RequestKind, portion: float, stretch: float, one: _One) -> ClassFigures:
+    return ClassFigures(
+        cls.name,
+        portion,
+        one(cls.work_ms) * stretch,
+        one(cls.wait_ms) * stretch,
+        cls.spread,
+        one(cls.variation),
+        one(cls.attempt_noise),
+        cls.aim_ms * stretch,
+        cls.deadline_ms * stretch,
+        cls.worth,
+        cls.effect == "once",
+    )
+
+
+def _tier(tier: Tier, one: _One, day: Stream) -> TierFigures:
+    choke = tier.choke
+    figures = ChokeFigures(
+        one(choke.waiting_per_core),
+        one(choke.over_s) * 1000,
+        one(choke.slower),
+        one(choke.rest_s) * 1000,
+        one(choke.below_share),
+        one(choke.most_s) * 1000,
+        choke.price,
+    )
+    return TierFigures(
+        tier.name,
+        tier.work_share,
+        one(tier.calls),
+        one(tier.report.every_ms),
+        one(tier.report.delay_ms),
+        one(tier.report.noise_share),
+        one(tier.connections.handshake_round_trips),
+        one(tier.connections.handshake_us) / 1000,
+        tier.connections.idle_s * 1000,
+        tier.connections.connect_timeout_ms,
+        one(tier.connections.full_tax_share),
+        figures if day.uniform() < choke.day_share else None,
+    )
+
+
+def _count(site: Site, tier: int, fleet: Fleet, one: _One) -> int:
+    """How many machines a tier has; the ratio is drawn for each."""
+    return max(1, round(fleet.machines_front * (one(site.tiers[tier].machines_per_first) if tier else 1.0)))
+
+
+def _machines(tier: Tier, number: int, count: int, zones: tuple[str, ...], seed: int) -> tuple[Machine, ...]:
+    stream = Stream(seed, "machines", number)
+    portions = [stream.between(*span(kind.portion)) for kind in tier.kinds]
+    figures = [_Kind(kind, stream) for kind in tier.kinds]
+    cap = stream.between(*span(tier.connections.cap_per_core))
+    made = []
+    for i in range(count):
+        part = (i + 0.5) / count * sum(portions)  # kinds in their shares exactly, spread over the zones
+        chosen = 0
+        while part > sum(portions[: chosen + 1]):
+            chosen += 1
+        made.append(figures[chosen].machine(f"{tier.name}-{i}", number, i, zones, cap, stream))
+    return tuple(made)
+
+
+class _Kind:
+    """One kind's own draw of its ranges."""
+
+    def __init__(self, kind: Kind, stream: Stream) -> None:
+        def one(value: Range) -> float:
+            return stream.between(*span(value))
+
+        self.kind = kind
+        self.speed, self.spread = one(kind.speed), one(kind.speed_spread)
+        self.slots, self.queue = one(kind.slots_per_core), one(kind.queue_per_core)
+        self.thrash, self.thrash_at = one(kind.thrash), one(kind.thrash_at)
+        self.cold_from, self.cold_ms = one(kind.cold_from_share), one(kind.cold_s) * 1000
+        self.pause_every_ms, self.pause_ms = one(kind.pause_every_s) * 1000, one(kind.pause_ms)
+        self.error_share = one(kind.error_share)
+
+    def machine(
+        self, name: str, tier: int, i: int, zones: tuple[str, ...], cap: float, stream: Stream
+    ) -> Machine:
+        """The `i`th machine of its tier, with a speed of its own."""
+        kind = self.kind
+        return Machine(
+            name,
+            tier,
+            zones[i % len(zones)],
+            i // CELL_SIZE,
+            kind.name,
+            kind.cores,
+            self.speed * stream.factor(self.spread),
+            round(self.slots * kind.cores),
+            round(self.queue * kind.cores),
+            self.thrash,
+            self.thrash_at,
+            self.cold_from,
+            self.cold_ms,
+            self.pause_every_ms,
+            self.pause_ms,
+            self.error_share,
+            round(cap * kind.cores),
+        )
+
+
+def _capacity_per_s(
+    machines: tuple[tuple[Machine, ...], ...],
+    tiers: tuple[TierFigures, ...],
+    classes: tuple[ClassFigures, ...],
+) -> float:
+    """Requests a second from clients that the tier which runs out first can do (BENCH, "This kind")."""
+    work = sum(c.portion * c.work_ms for c in classes)
+    rate, calls = math.inf, 1.0
+    for tier, boxes in zip(tiers, machines, strict=True):
+        calls *= tier.calls
+        power = sum(m.cores * m.speed for m in boxes)  # yardstick milliseconds a millisecond
+        rate = min(rate, power * 1000 / (tier.work_share * work * calls))
+    return rate
--- /dev/null
+++ b/mastturn/emulator/reports.py
@@ -0,0 +1,50 @@
+"""Load reports (PROTOCOL, X-Pressure): use of the cores and service time, refreshed now and then, late,
+noisy."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+
+from mastturn.emulator.chance import Stream
+from mastturn.emulator.day import TierFigures
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """What one answer says: mean service time without waiting, and the share of the cores in use."""
+
+    latency_ms: float
+    util: float
+
+
+class Gauge:
+    """One machine's report, taken only when an answer asks for it."""
+
+    def __init__(self, tier: TierFigures, chance: Stream) -> None:
+        self._tier, self._chance = tier, chance
+        self._taken_ms, self._busy_then = 0.0, 0.0
+        self._served, self._service_ms = 0, 0.0
+        self._told: deque[tuple[float, LoadReport]] = deque()
+        self._last: LoadReport | None = None
+        self.added_delay_ms = 0.0
+
+    def served(self, service_ms: float) -> None:
+        """Count an answer and the time it took beside waiting."""
+        self._served += 1
+        self._service_ms += service_ms
+
+    def read(self, now: float, busy_core_ms: float, cores: int) -> LoadReport | None:
+        """The report that an answer carries now; `busy_core_ms` is the machine's own count."""
+        gap = now - self._taken_ms
+        if gap >= self._tier.report_every_ms:
+            noise = self._chance.factor(self._tier.report_noise)
+            util = min(max((busy_core_ms - self._busy_then) / (cores * gap) * noise, 0.0), 1.0)
+            mean = self._service_ms / self._served if self._served else 0.0
+            due = now + self._tier.report_delay_ms + self.added_delay_ms
+            self._told.append((due, LoadReport(mean * self._chance.factor(self._tier.report_noise), util)))
+            self._taken_ms, self._busy_then = now, busy_core_ms
+            self._served, self._service_ms = 0, 0.0
+        while self._told and self._told[0][0] <= now:
+            self._last = self._told.popleft()[1]
+        return self._last
--- /dev/null
+++ b/mastturn/emulator/troubles.py
@@ -0,0 +1,413 @@
+"""Troubles as data (BENCH, "Troubles"; FLEET, the days): what goes wrong, when, to how many, how badly.
+
+Moments and lengths are in seconds from the day's start; a range is drawn from for each seed, from random
+numbers that belong to the trouble's place in its scenario. `tiers` names the tiers it befalls, all if there
+are none.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from mastturn.emulator.chance import Stream
+from mastturn.emulator.clients import RateWindow
+from mastturn.emulator.events import START_MS
+from mastturn.emulator.machine import Box
+from mastturn.emulator.site import Range, span
+
+if TYPE_CHECKING:
+    from mastturn.emulator.host import Host
+    from mastturn.emulator.world import World
+
+
+class _Trouble(msgspec.Struct, frozen=True, forbid_unknown_fields=True, tag_field="kind", kw_only=True):
+    at_s: Range
+
+
+class _Lasting(_Trouble, frozen=True, kw_only=True):
+    for_s: Range
+
+
+class _OfBoxes(_Lasting, frozen=True, kw_only=True):
+    part: Range  # of the tiers' boxes
+    tiers: tuple[str, ...] = ()
+
+
+class Slow(_OfBoxes, frozen=True, tag="slow", kw_only=True):
+    """Some boxes run several times slower."""
+
+    slower: Range
+
+
+class Errors(_OfBoxes, frozen=True, tag="errors", kw_only=True):
+    """Some boxes answer with an error."""
+
+    share: Range
+
+
+class Pauses(_OfBoxes, frozen=True, tag="pauses", kw_only=True):
+    """Some boxes stand still every few seconds."""
+
+    pause_ms: Range
+    every_s: Range
+
+
+class Neighbour(_OfBoxes, frozen=True, tag="neighbour", kw_only=True):
+    """Another program takes a share of some machines, on and off."""
+
+    taken_share: Range
+    phase_s: Range
+
+
+class Silent(_OfBoxes, frozen=True, tag="silent", kw_only=True):
+    """Some machines vanish without a word and come back cold."""
+
+
+class SharedSlow(_Lasting, frozen=True, tag="shared_slow", kw_only=True):
+    """Something that all boxes depend on makes every one of them slower."""
+
+    slower: Range
+
+
+class LateReports(_Lasting, frozen=True, tag="late_reports", kw_only=True):
+    """Load reports come later than usual."""
+
+    delay_s: Range
+
+
+class LateList(_Lasting, frozen=True, tag="late_list", kw_only=True):
+    """News of the list comes later than usual."""
+
+    delay_s: Range
+
+
+class SilentDiscovery(_Lasting, frozen=True, tag="silent_discovery", kw_only=True):
+    """Discovery answers nobody."""
+
+
+class LostAnswers(_Lasting, frozen=True, tag="lost_answers", kw_only=True):
+    """Answers of boxes get lost on their way."""
+
+    share: Range
+
+
+class Resets(_Lasting, frozen=True, tag="resets", kw_only=True):
+    """Connections are reset under requests."""
+
+    share: Range
+
+
+class LeaveEarly(_Lasting, frozen=True, tag="leave_early", kw_only=True):
+    """Clients give up before their time."""
+
+    share: Range
+
+
+class Burst(_Lasting, frozen=True, tag="burst", kw_only=True):
+    """Clients come more often."""
+
+    factor: Range
+
+
+class ZoneShift(_Lasting, frozen=True, tag="zone_shift", kw_only=True):
+    """One zone's clients come more often, or less."""
+
+    factor: Range
+
+
+class CutZone(_Lasting, frozen=True, tag="cut_zone", kw_only=True):
+    """A zone is cut off from the others: nothing passes, nothing is said."""
+
+
+class LostZone(_Lasting, frozen=True, tag="lost_zone", kw_only=True):
+    """All boxes of a zone vanish and come back cold."""
+
+
+class Release(_Trouble, frozen=True, tag="release", kw_only=True):
+    """Boxes are replaced in steps: each drains, ends, and comes back cold, under its name or another."""
+
+    part: Range
+    steps: int
+    step_s: Range
+    drain_s: Range
+    down_s: Range
+    renamed: bool = False
+    tiers: tuple[str, ...] = ()
+
+
+class KillBalancers(_Trouble, frozen=True, tag="kill_balancers", kw_only=True):
+    """Front balancers are killed at once and start again from nothing."""
+
+    part: Range
+    down_s: Range
+
+
+class RestartBalancers(_Trouble, frozen=True, tag="restart_balancers", kw_only=True):
+    """All front balancers are restarted, some at a time: the front stops sending, they end their work."""
+
+    step_part: Range
+    step_s: Range
+
+
+Trouble = (
+    Slow | Errors | Pauses | Neighbour | Silent | SharedSlow | LateReports | LateList | SilentDiscovery
+    | LostAnswers | Resets | LeaveEarly | Burst | ZoneShift | CutZone | LostZone | Release | KillBalancers
+    | RestartBalancers
+)  # fmt: skip
+
+FRONT_STOPS_MS = 300.0  # after SIGTERM, until no new connections arrive (PROTOCOL: 0.2 to 0.4 s)
+KILLED_AFTER_MS = 700.0  # beyond the longest deadline, that one between a restart's two signals (PROTOCOL)
+READY_MS = 300.0  # from a balancer's start until the front sends it clients
+
+
+class Drawn:
+    """One trouble's own draws, and its start and end on the world's clock."""
+
+    def __init__(self, world: World, trouble: Trouble, number: int) -> None:
+        self.chance = Stream(world.day.seed, "trouble", number)
+        self.start_ms = START_MS + self.one(trouble.at_s) * 1000
+        self.length_ms = self.one(trouble.for_s) * 1000 if isinstance(trouble, _Lasting) else 0.0
+        self.end_ms = self.start_ms + self.length_ms
+
+    def one(self, value: Range) -> float:
+        """A figure from its range."""
+        return self.chance.between(*span(value))
+
+    def boxes(self, world: World, part: float, tiers: tuple[str, ...]) -> list[Box]:
+        """So many of the tiers' boxes."""
+        able = [b for b in world.boxes.values() if not tiers or world.day.tiers[b.number].name in tiers]
+        return [able[i] for i in self.chance.some(round(part * len(able)), len(able))]
+
+    def zone(self, world: World) -> str:
+        """One zone."""
+        zones = world.day.network.zones
+        return zones[self.chance.below(len(zones))]
+
+
+def rate_windows(world: World, troubles: tuple[Trouble, ...]) -> list[RateWindow]:
+    """What the troubles do to how often clients come; drawn before the day begins."""
+    windows = []
+    for number, trouble in enumerate(troubles):
+        if isinstance(trouble, (Burst, ZoneShift)):
+            drawn = Drawn(world, trouble, number)
+            zone = (
+                drawn.chance.below(len(world.day.network.zones)) if isinstance(trouble, ZoneShift) else None
+            )
+            start, end = drawn.start_ms - START_MS, drawn.end_ms - START_MS
+            windows.append(RateWindow(start, end, drawn.one(trouble.factor), zone))
+    return windows
+
+
+def plan(world: World, troubles: tuple[Trouble, ...]) -> None:
+    """Ask for everything that will go wrong."""
+    for number, trouble in enumerate(troubles):
+        drawn = Drawn(world, trouble, number)
+        world.marks.append((str(trouble.__struct_config__.tag), drawn.start_ms, drawn.end_ms))
+        _plan(world, trouble, drawn)
+
+
+def _plan(world: World, trouble: Trouble, drawn: Drawn) -> None:
+    match trouble:
+        case Slow():
+            factor = drawn.one(trouble.slower)
+            for box in drawn.boxes(world, drawn.one(trouble.part), trouble.tiers):
+                _for_a_while(world, drawn, _Multiply([box], factor))
+        case SharedSlow():
+            _for_a_while(world, drawn, _Multiply(list(world.boxes.values()), drawn.one(trouble.slower)))
+        case Errors():
+            boxes = drawn.boxes(world, drawn.one(trouble.part), trouble.tiers)
+            _for_a_while(world, drawn, _Errors(boxes, drawn.one(trouble.share)))
+        case Pauses():
+            boxes = drawn.boxes(world, drawn.one(trouble.part), trouble.tiers)
+            figures = (drawn.one(trouble.pause_ms), drawn.one(trouble.every_s) * 1000)
+            _for_a_while(world, drawn, _Pauses(boxes, *figures))
+        case Neighbour():
+            _neighbour(world, trouble, drawn)
+        case Silent():
+            boxes = drawn.boxes(world, drawn.one(trouble.part), trouble.tiers)
+            _vanish(world, boxes, drawn)
+        case LostZone():
+            zone = drawn.zone(world)
+            _vanish(world, [b for b in world.boxes.values() if b.zone == zone], drawn)
+        case CutZone():
+            _for_a_while(world, drawn, _Cut(world, drawn.zone(world)))
+        case LateReports():
+            _for_a_while(world, drawn, _LateReports(world, drawn.one(trouble.delay_s) * 1000))
+        case LateList():
+            _for_a_while(world, drawn, _LateList(world, drawn.one(trouble.delay_s) * 1000))
+        case SilentDiscovery():
+            _for_a_while(world, drawn, _SilentDiscovery(world, drawn.end_ms))
+        case LostAnswers():
+            _for_a_while(world, drawn, _NetworkShare(world, "answers_lost_share", drawn.one(trouble.share)))
+        case Resets():
+            _for_a_while(world, drawn, _NetworkShare(world, "resets_share", drawn.one(trouble.share)))
+        case LeaveEarly():
+            _for_a_while(world, drawn, _Leaving(world, drawn.one(trouble.share)))
+        case Release():
+            _release(world, trouble, drawn)
+        case KillBalancers():
+            _kill(world, trouble, drawn)
+        case RestartBalancers():
+            _restart(world, trouble, drawn)
+        case Burst() | ZoneShift():
+            pass  # in the arrivals already
+
+
+class _Change:
+    """What holds for a while: begun, then ended."""
+
+    def begin(self, _: None) -> None:
+        self.set(True)
+
+    def end(self, _: None) -> None:
+        self.set(False)
+
+    def set(self, on: bool) -> None:
+        raise NotImplementedError
+
+
+def _for_a_while(world: World, drawn: Drawn, change: _Change) -> None:
+    world.events.at(drawn.start_ms, change.begin)
+    world.events.at(drawn.end_ms, change.end)
+
+
+class _Multiply(_Change):
+    def __init__(self, boxes: list[Box], factor: float) -> None:
+        self._boxes, self._factor = boxes, factor
+
+    def set(self, on: bool) -> None:
+        for box in self._boxes:
+            box.slower *= self._factor if on else 1.0 / self._factor
+            box.retune()
+
+
+class _Errors(_Change):
+    def __init__(self, boxes: list[Box], share: float) -> None:
+        self._boxes, self._share = boxes, share
+
+    def set(self, on: bool) -> None:
+        for box in self._boxes:
+            box.errors = self._share if on else box.figures.error_share
+
+
+class _Pauses(_Change):
+    def __init__(self, boxes: list[Box], pause_ms: float, every_ms: float) -> None:
+        self._boxes, self._figures = boxes, (pause_ms, every_ms)
+
+    def set(self, on: bool) -> None:
+        for box in self._boxes:
+            usual = (box.figures.pause_ms, box.figures.pause_every_ms)
+            box.pause_ms, box.pause_every_ms = self._figures if on else usual
+
+
+class _Cut(_Change):
+    def __init__(self, world: World, zone: str) -> None:
+        self._network, self._zone = world.network, zone
+
+    def set(self, on: bool) -> None:
+        (self._network.cut_off.add if on else self._network.cut_off.discard)(self._zone)
+
+
+class _LateReports(_Change):
+    def __init__(self, world: World, delay_ms: float) -> None:
+        self._world, self._delay_ms = world, delay_ms
+
+    def set(self, on: bool) -> None:
+        for box in self._world.boxes.values():
+            box.gauge.added_delay_ms = self._delay_ms if on else 0.0
+
+
+class _LateList(_Change):
+    def __init__(self, world: World, delay_ms: float) -> None:
+        self._world, self._delay_ms = world, delay_ms
+
+    def set(self, on: bool) -> None:
+        for registry in self._world.registries:
+            registry.added_delay_ms = self._delay_ms if on else 0.0
+
+
+class _SilentDiscovery(_Change):
+    def __init__(self, world: World, until_ms: float) -> None:
+        self._world, self._until_ms = world, until_ms
+
+    def set(self, on: bool) -> None:
+        if on:
+            for registry in self._world.registries:
+                registry.fall_silent(self._until_ms)
+
+
+class _NetworkShare(_Change):
+    def __init__(self, world: World, name: str, share: float) -> None:
+        self._network, self._name, self._share = world.network, name, share
+
+    def set(self, on: bool) -> None:
+        setattr(self._network, self._name, self._share if on else 0.0)
+
+
+class _Leaving(_Change):
+    def __init__(self, world: World, share: float) -> None:
+        self._world, self._share = world, share
+
+    def set(self, on: bool) -> None:
+        self._world.clients.leave_share = self._share if on else 0.0
+
+
+class _Taken:
+    """A neighbour's share of one machine."""
+
+    def __init__(self, box: Box, share: float) -> None:
+        self._box, self._share = box, share
+
+    def turn(self, on: bool) -> None:
+        """Take the share, or give it back."""
+        self._box.taken = self._share if on else 0.0
+        self._box.retune()
+
+
+def _neighbour(world: World, trouble: Neighbour, drawn: Drawn) -> None:
+    for box in drawn.boxes(world, drawn.one(trouble.part), trouble.tiers):
+        taken = _Taken(box, drawn.one(trouble.taken_share))
+        at, on = drawn.start_ms, True
+        while at < drawn.end_ms:
+            world.events.at(at, taken.turn, on)
+            at, on = at + drawn.one(trouble.phase_s) * 1000, not on
+        world.events.at(drawn.end_ms, taken.turn, False)
+
+
+def _vanish(world: World, boxes: list[Box], drawn: Drawn) -> None:
+    for box in boxes:
+        world.events.at(drawn.start_ms, world.box_vanishes, box)
+        world.events.at(drawn.end_ms, world.box_starts, box)
+
+
+def _release(world: World, trouble: Release, drawn: Drawn) -> None:
+    boxes = drawn.boxes(world, drawn.one(trouble.part), trouble.tiers)
+    order = [boxes[i] for i in drawn.chance.order(len(boxes))]
+    step_ms = drawn.one(trouble.step_s) * 1000
+    for place, box in enumerate(order):
+        at = drawn.start_ms + step_ms * (place * trouble.steps // max(len(order), 1))
+        ends = at + drawn.one(trouble.drain_s) * 1000
+        world.events.at(at, world.box_drains, box)
+        world.events.at(ends, world.box_stops, box)
+        back = world.box_replaced if trouble.renamed else world.box_starts
+        world.events.at(ends + drawn.one(trouble.down_s) * 1000, back, box)
+
+
+def _kill(world: World, trouble: KillBalancers, drawn: Drawn) -> None:
+    hosts = world.hosts[0]
+    for i in drawn.chance.some(round(drawn.one(trouble.part) * len(hosts)), len(hosts)):
+        world.events.at(drawn.start_ms, world.balancer_dies, hosts[i])
+        world.events.at(drawn.start_ms + drawn.one(trouble.down_s) * 1000, world.balancer_starts, hosts[i])
+
+
+def _restart(world: World, trouble: RestartBalancers, drawn: Drawn) -> None:
+    hosts: list[Host] = world.hosts[0]
+    size = max(1, round(drawn.one(trouble.step_part) * len(hosts)))
+    longest = max(c.deadline_ms for c in world.day.classes)
+    for place, host in enumerate(hosts):
+        at = drawn.start_ms + drawn.one(trouble.step_s) * 1000 * (place // size)
+        world.events.at(at + FRONT_STOPS_MS, world.front.leave_out, host)
+        world.events.at(at + longest + KILLED_AFTER_MS, world.balancer_dies, host)
+        world.events.at(at + longest + KILLED_AFTER_MS + 1.0, world.balancer_starts, host)
--- /dev/null
+++ b/mastturn/emulator/world.py
@@ -0,0 +1,377 @@
+"""The whole world: machines, balancers, list, network and clients of one day, played to its end."""
+
+from __future__ import annotations
+
+import hashlib
+import struct
+from dataclasses import dataclass
+from typing import Any
+
+from mastturn.emulator.calls import Attempt, Loss
+from mastturn.emulator.chance import Stream, generator
+from mastturn.emulator.clients import Clients
+from mastturn.emulator.contract import BoxState, Fault, Version
+from mastturn.emulator.day import Day, Machine
+from mastturn.emulator.discovery import Entry, Phase, Registry
+from mastturn.emulator.events import START_MS, Events
+from mastturn.emulator.front import Front
+from mastturn.emulator.host import Host
+from mastturn.emulator.judge import Judge, Parts, parts
+from mastturn.emulator.machine import Box
+from mastturn.emulator.network import Network
+from mastturn.emulator.troubles import READY_MS, Trouble, plan, rate_windows
+from mastturn.emulator.visit import Visit
+from mastturn.emulator.watch import Watch
+
+SAMPLE_MS = 1_000.0
+COLD_SHARE = 2.0 / 3.0  # of the work sent, from balancers that were told: then a fall breaks the rule (WIRE)
+RESET_WAIT_MS = 20.0  # mean time until a connection that is reset under a request breaks
+# Noise of single attempts comes from a table, by request, so that it is the same whichever version decides.
+NOISES, LEAST_NOISE = 8_191, 0.2
+
+
+@dataclass(frozen=True, slots=True)
+class Sample:
+    """The state once a second, for pictures: calls out to each tier, use of each box's cores."""
+
+    at_ms: float
+    out: tuple[int, ...]
+    util: tuple[float, ...]  # in the order of `World.box_names`
+
+
+@dataclass(frozen=True, slots=True)
+class Played:
+    """A day that is over."""
+
+    day: Day
+    judge: Judge
+    parts: Parts
+    digest: str
+    events: int
+    samples: tuple[Sample, ...]
+    box_names: tuple[str, ...]
+    marks: tuple[tuple[str, float, float], ...]  # troubles: name, start and end in ms from the day's start
+    choked_share: float
+    fallen: int
+    fault: str | None
+
+
+class World:
+    """Everything that there is on one day; a day is played once."""
+
+    def __init__(
+        self, day: Day, troubles: tuple[Trouble, ...], version: Version, watch: Watch | None = None
+    ) -> None:
+        self.day, self.version, self.watch = day, version, watch
+        self.events = Events()
+        self.judge = Judge(len(day.tiers))
+        self.network = Network(day.network, Stream(day.seed, "network"))
+        self.marks: list[tuple[str, float, float]] = []
+        self._numbers = 0
+        self._noise = generator(day.seed, "attempt work").standard_normal(NOISES).tolist()
+        self._fault_chance = Stream(day.seed, "faults")
+        self._members: dict[Entry, Any] = {}
+        self._samples: list[Sample] = []
+        self._busy: list[float] = []
+        self.fallen = 0
+        self.boxes: dict[str, Box] = {}
+        self.registries = [
+            Registry(day.discovery, self.events, Stream(day.seed, "discovery", t))
+            for t in range(len(day.tiers))
+        ]
+        self.hosts: list[list[Host]] = [[] for _ in day.tiers]
+        self._settings: list[Any] = []
+        self._build()
+        self.front = Front(self.hosts[0], day.fleet.uneven, Stream(day.seed, "front"))
+        self.clients = Clients(self, rate_windows(self, troubles))
+        self._notice = Stream(day.seed, "front notice")
+        plan(self, troubles)
+
+    # ---- building --------------------------------------------------------------------------------
+
+    def _build(self) -> None:
+        day = self.day
+        for tier, machines in enumerate(day.machines):
+            for machine in machines:
+                self.boxes[machine.name] = Box(machine, day.tiers[tier], self.events, day.seed)
+            self.registries[tier].list_at_start(
+                [Entry(m.name, Phase.READY, m.zone, m.cell) for m in machines]
+            )
+        zones = day.network.zones
+        for i in range(day.fleet.balancers_front):
+            self.hosts[0].append(Host(self, 0, i, zones[i % len(zones)], self.registries[0]))
+        for box in list(self.boxes.values()):
+            self._put_balancer_beside(box)
+        counts = [len(hosts) for hosts in self.hosts]
+        self._settings = [self.version.settings(day, t, counts[t]) for t in range(len(day.tiers))]
+
+    def _put_balancer_beside(self, box: Box) -> None:
+        tier = box.number + 1
+        if tier < len(self.day.tiers):
+            box.beside = Host(self, tier, len(self.hosts[tier]), box.zone, self.registries[tier])
+            self.hosts[tier].append(box.beside)
+
+    def settings(self, tier: int) -> Any:
+        """What an instance that calls a tier is told."""
+        return self._settings[tier]
+
+    def module_seed(self, tier: int, number: int, life: int) -> int:
+        """An instance's own seed; new with each start."""
+        return int(generator(self.day.seed, "module", tier, number, life).integers(2**52))
+
+    def member(self, entry: Entry) -> Any:
+        """A list entry in the words of the module's contract."""
+        known = self._members.get(entry)
+        if known is None:
+            face = self.version.face
+            known = self._members[entry] = face.Member(
+                entry.server,
+                face.Readiness[entry.phase.name],
+                entry.zone,
+                entry.cell,
+                1.0,
+                entry.up_since_ms,
+            )
+        return known
+
+    def truth(self, server: str) -> BoxState:
+        """The true state of a box, for baselines that may see it."""
+        box = self.boxes[server]
+        power = box.power() * (1.0 - box.taken) / (box.slower * box.choke.factor())
+        return BoxState(box.running, box.held, power, box.up and not box.draining and not box.fallen)
+
+    def next_number(self) -> int:
+        """A number for a request; never used again."""
+        self._numbers += 1
+        return self._numbers
+
+    # ---- the day ---------------------------------------------------------------------------------
+
+    def play(self) -> Played:
+        """Play the day: arrivals for its length, and then on until all is answered."""
+        fault = None
+        try:
+            for hosts in self.hosts:
+                for host in hosts:
+                    host.start()
+            for box in self.boxes.values():
+                if box.pause_ms > 0 or box.pause_every_ms > 0:
+                    box.plan_pause()
+            self.clients.begin()
+            self._busy = [0.0] * len(self.boxes)
+            self.events.after(SAMPLE_MS, self._sample)
+            longest = max(c.deadline_ms for c in self.day.classes) + self.day.site.rules.answer_slack_ms
+            self.events.run(START_MS + self.day.fleet.length_ms + longest)
+        except Fault as error:
+            fault = str(error)
+        return self._result(fault)
+
+    def _result(self, fault: str | None) -> Played:
+        boxes = list(self.boxes.values())
+        for box in boxes:
+            box.retune()
+        choked = sum(box.choke.ever for box in boxes) / len(boxes)
+        judged = parts(self.day, self.judge, sum(b.work_done_ms for b in boxes), choked)
+        if fault is not None:
+            judged = Parts(
+                0.0, judged.whole, judged.worst_window, judged.worst_class, judged.worst_tenant, judged.prices
+            )
+        marks = tuple((name, start - START_MS, end - START_MS) for name, start, end in self.marks)
+        return Played(
+            self.day,
+            self.judge,
+            judged,
+            self._digest(),
+            self.events.handled,
+            tuple(self._samples),
+            tuple(self.boxes),
+            marks,
+            choked,
+            self.fallen,
+            fault,
+        )
+
+    def _digest(self) -> str:
+        """One text for all that happened: equal only if each request ended alike at the same moment."""
+        digest = hashlib.sha256()
+        for first in self.judge.firsts:
+            digest.update(
+                struct.pack(
+                    "<qqddd", first.number, first.tries, first.arrived_ms, first.served_ms, first.ended_ms
+                )
+            )
+        digest.update(struct.pack(f"<{len(self.judge.sends)}q", *self.judge.sends))
+        return digest.hexdigest()[:32]
+
+    def _sample(self, _: Any) -> None:
+        boxes = list(self.boxes.values())
+        self._busy += [0.0] * (len(boxes) - len(self._busy))
+        util = []
+        for i, box in enumerate(boxes):
+            box.retune()
+            util.append((box.busy_core_ms - self._busy[i]) / (SAMPLE_MS * box.figures.cores))
+            self._busy[i] = box.busy_core_ms
+        out = tuple(sum(h.out for h in hosts) for hosts in self.hosts)
+        self._samples.append(Sample(self.events.now - START_MS, out, tuple(util)))
+        self.events.after(SAMPLE_MS, self._sample)
+
+    # ---- requests at boxes -----------------------------------------------------------------------
+
+    def box_receives(self, attempt: Attempt) -> bool:
+        """A request's last byte is at its box; whether it is turned away."""
+        box, first, tier = attempt.box, attempt.call.first, attempt.box.tier
+        first.received += 1
+        noise = self._noise[(first.number * 61 + first.received * 17 + box.number) % NOISES]
+        share = tier.work_share * max(1.0 + first.cls.attempt_noise * noise, LEAST_NOISE)
+        work = first.work_ms * share
+        if box.budget is not None and not box.fallen:
+            told = attempt.call.host.knows_start(box)
+            if box.budget.sent(work, told, box.power(), self.events.now):
+                self._falls(box)
+                self.events.after(RESET_WAIT_MS, attempt.call.host.reset_by_box, attempt)
+                return False
+        last = box.number + 1 >= len(self.day.tiers)
+        calls = 0 if last else first.calls[box.number]
+        visit = Visit(self, attempt, work, first.cls.wait_ms * share, calls)
+        if attempt.handshake:
+            visit.extra_ms = tier.handshake_work_ms
+        attempt.visit = visit
+        if box.admit(visit):
+            if self.watch is not None:
+                self.watch.line(
+                    self.events.now,
+                    first,
+                    "",
+                    box.name,
+                    f"request {attempt.call.number} at the box,"
+                    f" {box.running} on {box.figures.cores} cores, {len(box.waiting)} wait",
+                )
+            return False
+        attempt.visit = None
+        return True
+
+    def box_answers(self, attempt: Attempt, visit: Visit, served: bool, loss: Loss | None) -> None:
+        """A box has an answer; it may be lost on its way."""
+        host, box = attempt.call.host, attempt.box
+        if self.watch is not None:
+            self.watch.line(
+                self.events.now,
+                attempt.call.first,
+                "",
+                box.name,
+                f"request {attempt.call.number} {'answered' if served else 'failed'}",
+            )
+        if attempt.over or host.life != attempt.life:
+            return
+        if self.network.is_cut(host.zone, box.zone) or self.network.loses_answer():
+            return
+        way = self.network.delay_ms(host.zone, box.zone)
+        self.events.after(way, host.answered, (attempt, served, loss, box.report(), visit.useful_ms))
+
+    def reset_wait_ms(self) -> float:
+        """How long a request is under way before its connection breaks."""
+        return 2 * RESET_WAIT_MS * self._fault_chance.uniform()
+
+    # ---- what befalls boxes ----------------------------------------------------------------------
+
+    def _entry(self, box: Box, phase: Phase) -> Entry:
+        figures: Machine = box.figures
+        since = max(box.started_ms, 0.0)
+        return Entry(box.name, phase, figures.zone, figures.cell, since)
+
+    def _end_process(self, box: Box, silent: bool) -> None:
+        died = box.stop(silent)
+        if box.beside is not None and box.beside.alive:
+            box.beside.stop()
+        if silent:
+            return
+        for visit in died:
+            attempt = visit.attempt
+            if not attempt.over:
+                way = self.network.delay_ms(attempt.call.host.zone, box.zone)
+                if not attempt.call.host.is_cut_from(box):
+                    self.events.after(way, attempt.call.host.reset_by_box, attempt)
+
+    def _falls(self, box: Box) -> None:
+        """A cold box is pushed over and stays out of service."""
+        assert box.budget is not None
+        self.fallen += 1
+        if box.budget.by_told_share() >= COLD_SHARE:
+            self.judge.break_rule("cold", f"{box.name} was pushed over {box.started_ms - START_MS:.0f} ms")
+        self._end_process(box, silent=False)
+        box.fallen = True
+        self.registries[box.number].tell(self._entry(box, Phase.GONE), self.day.discovery.notice_ms)
+
+    def box_vanishes(self, box: Box) -> None:
+        """The machine is gone without a word."""
+        if box.up:
+            self._end_process(box, silent=True)
+            self.registries[box.number].tell(
+                self._entry(box, Phase.GONE), self.day.discovery.silent_notice_ms
+            )
+
+    def box_drains(self, box: Box) -> None:
+        """It completes what it holds and wants nothing new."""
+        if box.up:
+            box.draining = True
+            self.registries[box.number].tell(self._entry(box, Phase.DRAINING), self.day.discovery.add_ms)
+
+    def box_stops(self, box: Box) -> None:
+        """Its process ends: connections are reset, new ones refused."""
+        if box.up:
+            self._end_process(box, silent=False)
+            self.registries[box.number].tell(self._entry(box, Phase.GONE), self.day.discovery.notice_ms)
+
+    def box_starts(self, box: Box) -> None:
+        """A new process on the same machine, cold, with a new balancer beside it."""
+        if box.up or box.fallen:
+            return
+        rules = self.day.site.rules
+        box.start(rules.fall_multiple, rules.fall_ms)
+        if box.beside is not None:
+            box.beside.start()
+        self.registries[box.number].tell(self._entry(box, Phase.READY), self.day.discovery.add_ms)
+
+    def box_replaced(self, box: Box) -> None:
+        """Another machine takes its place, under a name of its own."""
+        old = box.figures
+        count = sum(1 for name in self.boxes if name.startswith(f"{old.name}-new"))
+        values = {name: getattr(old, name) for name in old.__dataclass_fields__}
+        machine = Machine(**(values | {"name": f"{old.name}-new{count}"}))
+        new = Box(machine, box.tier, self.events, self.day.seed)
+        new.up = False
+        self.boxes[machine.name] = new
+        self._put_balancer_beside(new)
+        if new.pause_ms > 0:
+            new.plan_pause()
+        self.box_starts(new)
+
+    # ---- what befalls front balancers ------------------------------------------------------------
+
+    def balancer_dies(self, host: Host) -> None:
+        """Killed; the front learns of it some seconds later."""
+        if host.alive:
+            host.stop()
+            wait = self._notice.between(*self.day.network.front_notice_ms)
+            self.events.after(wait, self._front_notices, (host, host.life))
+
+    def _front_notices(self, dead: tuple[Host, int]) -> None:
+        host, life = dead
+        if host.life == life:
+            self.front.leave_out(host)
+
+    def balancer_starts(self, host: Host) -> None:
+        """It starts again from nothing; the front admits it once it is ready."""
+        if not host.alive:
+            host.start()
+            self.events.after(READY_MS, self._front_admits, (host, host.life))
+
+    def _front_admits(self, ready: tuple[Host, int]) -> None:
+        host, life = ready
+        if host.life == life:
+            self.front.admit(host)
+
+
+def play(day: Day, troubles: tuple[Trouble, ...], version: Version, watch: Watch | None = None) -> Played:
+    """Play one day with one version of the module."""
+    return World(day, troubles, version, watch).play()
--- /dev/null
+++ b/mastturn/report/__init__.py
@@ -0,0 +1,1 @@
+"""What runs show: tables, pictures and one page a run."""
