--- /dev/null
+++ b/mastturn/cli.py
@@ -0,0 +1,260 @@
+"""The command `mastturn`: it reads words, calls the rooms that do the work, and prints what they return."""
+
+from __future__ import annotations
+
+import os
+import sys
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from pathlib import Path
+
+import click
+import msgspec
+from rich.console import Console
+from rich.progress import BarColumn, MofNCompleteColumn, Progress, TextColumn, TimeRemainingColumn
+
+from mastturn.emulator.baselines import BASELINES
+from mastturn.lab import scenario as scenarios
+from mastturn.lab.compare import differences, tasks
+from mastturn.lab.run import Task, Values, keep, run_all, together
+from mastturn.lab.scenario import LabError
+from mastturn.lab.versions import HERE, MODULE, Versions, open_version
+from mastturn.report import tables
+
+BAD_INPUT = 2
+RUN_FAILED = 1
+
+console = Console()
+notes = Console(stderr=True)
+
+
+class Main(click.Group):
+    """The top of the command: what can't be had is one line and exit status 2."""
+
+    def invoke(self, ctx: click.Context) -> object:
+        """Run a command."""
+        try:
+            return super().invoke(ctx)
+        except LabError as error:
+            click.echo(f"mastturn: {error}", err=True)
+            ctx.exit(BAD_INPUT)
+
+
+@click.group(cls=Main, context_settings={"help_option_names": ["-h", "--help"]})
+def main() -> None:
+    """Tools around the balancer: play days in the emulator, compare versions, see where worth was lost.
+
+    \b
+    Example:
+      mastturn lab run fleet-200 --seed 3
+    """
+
+
+@main.group()
+def lab() -> None:
+    """Scenarios in the emulator.
+
+    \b
+    Example:
+      mastturn lab list
+    """
+
+
+def _seeds(text: str | None, seed: int | None) -> list[int]:
+    if text is None:
+        return [seed if seed is not None else 1]
+    if seed is not None:
+        raise LabError("--seed and --seeds: one of the two")
+    first, dots, last = text.partition("..")
+    try:
+        low, high = int(first), int(last if dots else first)
+    except ValueError:
+        raise LabError(f"--seeds {text!r}: allowed: A..B, two whole numbers") from None
+    if not 0 <= low <= high:
+        raise LabError(f"--seeds {text!r}: allowed: A..B with A at most B, none under 0")
+    return list(range(low, high + 1))
+
+
+@contextmanager
+def _bar(label: str, count: int) -> Iterator[Callable[[], None]]:
+    """A bar for long work; calls of what it gives move it on."""
+    columns = (TextColumn("{task.description}"), BarColumn(), MofNCompleteColumn(), TimeRemainingColumn())
+    with Progress(*columns, console=notes, transient=True, disable=not notes.is_terminal) as progress:
+        task = progress.add_task(label, total=count)
+        yield lambda: progress.advance(task)
+
+
+def _play(found: list[Task], jobs: int, out: Path | None, label: str) -> list[Values]:
+    with _bar(label, len(found)) as step:
+
+        def done(values: Values) -> None:
+            if out is not None:
+                keep(values, out)
+            step()
+
+        return list(run_all(found, jobs, done))
+
+
+def _write(path: Path | None, values: object) -> None:
+    if path is not None:
+        try:
+            path.write_bytes(msgspec.json.format(msgspec.json.encode(values), indent=1) + b"\n")
+        except OSError as error:
+            raise LabError(f"{path}: {error.strerror}") from None
+
+
+_jobs = click.option(
+    "--jobs",
+    type=click.IntRange(1),
+    default=os.cpu_count() or 1,
+    show_default="all cores",
+    help="Runs at a time.",
+)
+
+
+@lab.command("list")
+def list_scenarios() -> None:
+    """Name the scenarios that ship, and the versions that can play them.
+
+    \b
+    Example:
+      mastturn lab list
+    """
+    console.print(tables.scenarios(scenarios.listed()))
+    console.print(f"\nversions: {MODULE}, {', '.join(BASELINES)}, '.' or any commit of git's")
+
+
+@lab.command("run")
+@click.argument("scenario")
+@click.option("--seed", type=click.IntRange(0), help="The one day to play; 1 if nothing is said.")
+@click.option("--seeds", metavar="A..B", help="All days from seed A to seed B.")
+@click.option("--version", default=MODULE, show_default=True, help="A baseline, '.', or a commit.")
+@_jobs
+@click.option(
+    "--json", "file", type=click.Path(dir_okay=False, path_type=Path), help="Write the result there."
+)
+@click.option(
+    "--out", type=click.Path(file_okay=False, path_type=Path), help="Keep each run under this folder."
+)
+@click.option("--why-lost", is_flag=True, help="Show where the worth went.")
+def run(
+    scenario: str,
+    seed: int | None,
+    seeds: str | None,
+    version: str,
+    jobs: int,
+    file: Path | None,
+    out: Path | None,
+    why_lost: bool,
+) -> None:
+    """Play SCENARIO (a name of 'lab list', or a TOML file) and judge it.
+
+    \b
+    Example:
+      mastturn lab run fleet-200 --seed 3 --json fleet.json
+    """
+    scenarios.find(scenario)
+    with Versions() as versions:
+        folder = versions.folder(version)
+        found = [Task(scenario, number, version, folder) for number in _seeds(seeds, seed)]
+        runs = _play(found, jobs, out, scenario)
+    console.print(tables.runs(runs))
+    for values in runs:
+        if values["fault"]:
+            click.echo(f"seed {values['seed']}: fault: {values['fault']}", err=True)
+        for words in values.get("breaks", ()):
+            click.echo(f"seed {values['seed']}: rule broken: {words}", err=True)
+        if why_lost and "losses" in values:
+            console.print(f"\nseed {values['seed']}: where the worth went")
+            console.print(tables.losses(values))
+    _write(file, together(runs))
+    if any(values["fault"] for values in runs):
+        sys.exit(RUN_FAILED)
+
+
+@lab.command()
+@click.argument("names", nargs=-1, required=True, metavar="SCENARIO...")
+@click.option("--base", required=True, help="The version to hold against: a commit, '.', or a baseline.")
+@click.option("--new", default=HERE, show_default=True, help="The version that is new.")
+@click.option("--seeds", metavar="A..B", default="1..8", show_default=True, help="The days both play.")
+@_jobs
+@click.option(
+    "--json", "file", type=click.Path(dir_okay=False, path_type=Path), help="Write the result there."
+)
+@click.option(
+    "--out", type=click.Path(file_okay=False, path_type=Path), help="Keep each run under this folder."
+)
+def compare(
+    names: tuple[str, ...], base: str, new: str, seeds: str, jobs: int, file: Path | None, out: Path | None
+) -> None:
+    """Play the same days with two versions, and tell their difference with its interval.
+
+    \b
+    Example:
+      mastturn lab compare lost-zone-40 herd-40 --base HEAD~1 --seeds 1..12
+    """
+    for name in names:
+        scenarios.find(name)
+    with Versions() as versions:
+        pair = [(base, versions.folder(base)), (new, versions.folder(new))]
+        found = _play(tasks(list(names), _seeds(seeds, None), pair), jobs, out, "compare")
+    for values in found:
+        if values["fault"]:
+            click.echo(
+                f"{values['scenario']} seed {values['seed']} {values['version']}: {values['fault']}", err=True
+            )
+    seen = differences(found, base, new)
+    console.print(tables.differences(seen))
+    _write(file, [msgspec.to_builtins(item) for item in seen])
+
+
+@lab.command()
+@click.argument("scenario")
+@click.option("--seed", type=click.IntRange(0), default=1, show_default=True, help="The day.")
+@click.option("--version", default=MODULE, show_default=True, help="A baseline, '.', or a commit.")
+@click.option("--request", type=click.IntRange(0), help="Follow the client's request of this number.")
+@click.option("--server", help="Follow a box or a balancer by its name.")
+def trace(scenario: str, seed: int, version: str, request: int | None, server: str | None) -> None:
+    """Follow one request, or one server, through the whole fleet.
+
+    \b
+    Example:
+      mastturn lab trace calm-3 --seed 3 --request 17
+    """
+    from mastturn.emulator.watch import Watch
+    from mastturn.emulator.world import World
+
+    if (request is None) == (server is None):
+        raise LabError("trace: give one of --request and --server")
+    found = scenarios.find(scenario)
+    with Versions() as versions:
+        watch = Watch(request, server)
+        world = World(found.day(seed), found.troubles, open_version(versions.folder(version)), watch)
+        played = world.play()
+    if request is not None and request >= len(played.judge.firsts):
+        raise LabError(f"--request {request}: this day has requests 0 to {len(played.judge.firsts) - 1}")
+    names = [host.name for hosts in world.hosts for host in hosts]
+    if server is not None and server not in world.boxes and server not in names:
+        some = ", ".join([*list(world.boxes)[:2], *names[:2]])
+        raise LabError(f"--server {server!r}: no such box or balancer; for example {some}")
+    console.print(tables.lines(watch.lines))
+    if watch.left_out:
+        click.echo(f"mastturn: {watch.left_out} further lines left out", err=True)
+
+
+@lab.command()
+@click.option("--bins", type=click.IntRange(3), default=10_000, show_default=True, help="How many bins.")
+@click.option("--seed", type=click.IntRange(0), default=1, show_default=True)
+def paper(bins: int, seed: int) -> None:
+    """Hold the maximum load over non-uniform bins against the paper's bound (Theorem 3).
+
+    \b
+    Example:
+      mastturn lab paper --bins 100000
+    """
+    from mastturn.lab.bins import fill, mixed
+
+    for draws in (1, 2, 3, 4):
+        filled = fill(mixed(bins), draws, seed)
+        bound = "none" if draws == 1 else f"{filled.bound:.2f} + O(1)"
+        console.print(f"d = {draws}: maximum load {filled.max_load:.2f}, bound {bound}")
--- /dev/null
+++ b/mastturn/lab/compare.py
@@ -0,0 +1,62 @@
+"""Two versions of the module on the same days: differences paired by seed, with their interval."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from mastturn.lab.run import Task, Values
+from mastturn.lab.stats import Interval, bootstrap
+
+FIGURES: dict[str, Callable[[Values], float]] = {
+    "score": lambda run: run["score"]["value"],
+    "whole": lambda run: run["parts"]["whole"]["value"],
+    "worst 10 s": lambda run: run["parts"]["worst_window"]["value"],
+    "worst class": lambda run: run["parts"]["worst_class"]["value"],
+    "prices": lambda run: sum(price["value"] for price in run["prices"].values()),
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Difference:
+    """One figure of one scenario: the mean of the base, and what the new version has more."""
+
+    scenario: str
+    figure: str
+    base_mean: float
+    difference: Interval
+
+    def verdict(self) -> str:
+        """What can be said."""
+        if self.difference.count < 2:
+            return "one seed says nothing"
+        if self.difference.holds_zero():
+            return "no difference seen"
+        better = (self.difference.mean > 0) != (self.figure == "prices")
+        return "better" if better else "worse"
+
+
+def tasks(scenarios: list[str], seeds: list[int], versions: list[tuple[str, str]]) -> list[Task]:
+    """Every run that a comparison needs; `versions` are names and folders, the base first."""
+    return [
+        Task(scenario, seed, name, folder, series=False)
+        for scenario in scenarios
+        for seed in seeds
+        for name, folder in versions
+    ]
+
+
+def differences(runs: list[Values], base: str, new: str) -> list[Difference]:
+    """Pair the runs by scenario and seed; runs with a fault of the emulator's own are left out by both."""
+    scored = {(r["scenario"], r["seed"], r["version"]): r for r in runs if "parts" in r}
+    found = []
+    for scenario in dict.fromkeys(run["scenario"] for run in runs):
+        seeds = [s for (name, s, v) in scored if name == scenario and v == base and (name, s, new) in scored]
+        if not seeds:
+            continue
+        for figure, read in FIGURES.items():
+            before = [read(scored[scenario, seed, base]) for seed in seeds]
+            after = [read(scored[scenario, seed, new]) for seed in seeds]
+            paired = [b - a for a, b in zip(before, after, strict=True)]
+            found.append(Difference(scenario, figure, sum(before) / len(before), bootstrap(paired)))
+    return found
--- /dev/null
+++ b/mastturn/lab/outcome.py
@@ -0,0 +1,127 @@
+"""The result of one played day as plain values: what JSON files hold and what tables and pictures are made
+of."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from hdrh.histogram import HdrHistogram
+
+from mastturn.emulator.events import START_MS
+from mastturn.emulator.judge import RULES, counted, is_served
+from mastturn.emulator.world import Played
+from mastturn.lab.losses import losses
+
+QUANTILES = (50.0, 90.0, 99.0, 99.9)
+LOWEST_US, HIGHEST_US, DIGITS = 1, 3_600_000_000, 3
+SHARE = "share of the worth asked, 0 to 1"
+POINTS = "points taken off the score"
+
+
+def _figure(value: float, unit: str) -> dict[str, Any]:
+    return {"value": round(value, 6), "unit": unit}
+
+
+def latencies(played: Played) -> HdrHistogram:
+    """Times of the answers that were served, in microseconds, from the client's first try."""
+    histogram = HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+    for first in counted(played.judge.firsts):
+        if first.served_ms >= 0:
+            histogram.record_value(max(LOWEST_US, int((first.served_ms - first.arrived_ms) * 1000)))
+    return histogram
+
+
+def _series(played: Played) -> dict[str, Any]:
+    """Figures of each second, for pictures."""
+    length = int(played.day.fleet.length_ms // 1000)
+    asked, served, refused = ([0.0] * length for _ in range(3))
+    for first in played.judge.firsts:
+        second = int((first.arrived_ms - START_MS) // 1000)
+        if second < length:
+            asked[second] += first.worth
+            served[second] += first.worth * is_served(first)
+            refused[second] += first.worth * (not is_served(first) and first.served_ms < 0)
+    samples = [s for s in played.samples if s.at_ms <= played.day.fleet.length_ms]
+    return {
+        "unit": "worth asked, served, unanswered in each second of arrival; calls out; cores in use",
+        "asked": [round(v, 3) for v in asked],
+        "served": [round(v, 3) for v in served],
+        "unanswered": [round(v, 3) for v in refused],
+        "out": [list(s.out) for s in samples],
+        "util": [[round(u, 2) for u in s.util] for s in samples],
+        "boxes": list(played.box_names),
+    }
+
+
+def as_values(name: str, version: str, played: Played, series: bool = True) -> dict[str, Any]:
+    """One run as plain values, each with its unit; nothing in it depends on when or where it ran."""
+    judge, parts, day = played.judge, played.parts, played.day
+    histogram = latencies(played)
+    tiers = [tier.name for tier in day.tiers]
+    served = sum(is_served(f) for f in judge.firsts)
+    result: dict[str, Any] = {
+        "scenario": name,
+        "seed": day.seed,
+        "version": version,
+        "digest": played.digest,
+        "fault": played.fault,
+        "score": _figure(parts.g, SHARE),
+        "parts": {
+            "whole": _figure(parts.whole, SHARE),
+            "worst_window": _figure(parts.worst_window, f"{SHARE}, of the worst 10 s"),
+            "worst_class": _figure(parts.worst_class, SHARE),
+            "worst_tenant": _figure(parts.worst_tenant, SHARE),
+        },
+        "prices": {key: _figure(value, POINTS) for key, value in parts.prices.items()},
+        "rules": {rule: _figure(judge.rules[rule], "times broken") for rule in RULES},
+        "breaks": judge.breaks,
+        "counts": {
+            "requests": _figure(len(judge.firsts), "clients' first tries"),
+            "served": _figure(served, "first tries answered within their aim"),
+            "unreached": _figure(judge.counts["unreached by clients"], "tries that met no balancer"),
+            "later_tries": _figure(judge.counts["later tries"], "tries"),
+            "list_calls": _figure(judge.counts["list calls"], "calls for the list of servers"),
+            "fallen": _figure(played.fallen, "cold boxes pushed over"),
+            "events": _figure(played.events, "simulated events"),
+        },
+        "tiers": {
+            tier: {
+                "calls": _figure(judge.calls[i], "requests at balancers"),
+                "sends": _figure(judge.sends[i], "attempts"),
+                "retries": _figure(judge.retries[i], "attempts after the first"),
+                "handshakes": _figure(judge.handshakes[i], "connections opened"),
+                "outcomes": dict(sorted(judge.outcomes[i].items())),
+                "answers": {final.value: count for final, count in sorted(judge.ended[i].items(), key=str)},
+            }
+            for i, tier in enumerate(tiers)
+        },
+        "latency": {
+            **{f"p{q:g}": _figure(histogram.get_value_at_percentile(q) / 1000, "ms") for q in QUANTILES},
+            "histogram": histogram.encode().decode(),
+        },
+        "losses": [
+            {
+                "tier": lost.tier,
+                "cause": lost.cause,
+                "worth_share": round(lost.worth_share, 6),
+                "requests": lost.requests,
+                "by_class": {k: round(v, 6) for k, v in lost.by_class.items()},
+                "by_second": {str(k): round(v, 6) for k, v in lost.by_second.items()},
+            }
+            for lost in losses(played)
+        ],
+        "troubles": [{"name": n, "start_s": s / 1000, "end_s": e / 1000} for n, s, e in played.marks],
+        "day": {
+            "balancers": [
+                len(day.machines[t - 1]) if t else day.fleet.balancers_front for t in range(len(tiers))
+            ],
+            "boxes": [len(machines) for machines in day.machines],
+            "requests_per_s": round(day.requests_per_s, 3),
+            "load_share": round(day.fleet.load_share, 4),
+            "length_s": day.fleet.length_ms / 1000,
+            "passes_deadline": day.passes_deadline,
+        },
+    }
+    if series:
+        result["series"] = _series(played)
+    return result
--- /dev/null
+++ b/mastturn/lab/scenario.py
@@ -0,0 +1,210 @@
+"""Scenarios: TOML files that ship with the package, or files of one's own of the same form.
+
+A scenario names its site, its load, its troubles and the sizes of fleet that it is meant for; `KIND-SIZE` is
+one of them at one size. Values are checked when read: a fault names the file, the key and what is allowed.
+"""
+
+from __future__ import annotations
+
+import re
+import tomllib
+from dataclasses import dataclass
+from importlib import resources
+from pathlib import Path
+from typing import Any, TypeVar
+
+import msgspec
+
+from mastturn.emulator.chance import Stream
+from mastturn.emulator.day import Day, Fleet, draw
+from mastturn.emulator.site import Range, Site, span
+from mastturn.emulator.troubles import Trouble
+
+T = TypeVar("T")
+SHIPPED = resources.files("mastturn.lab")
+_NAME = re.compile(r"(?P<kind>[a-z0-9-]+?)-(?P<size>\d+)")
+_UNKNOWN = re.compile(r"unknown field `(?P<field>[^`]+)`")
+_MISSING = re.compile(r"missing required field `(?P<field>[^`]+)`")
+_PLACE = re.compile(r" - at `\$(?P<place>[^`]*)`")
+
+
+class LabError(Exception):
+    """Something that was asked for can't be had, in one plain line."""
+
+
+class FleetFile(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A fleet of one size."""
+
+    balancers_front: int
+    machines_front: int
+    stretch: float
+    uneven: float
+    length_s: float
+
+
+class ScenarioFile(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What a scenario's file holds."""
+
+    title: str
+    load_share: Range  # of the capacity of the tier that runs out first
+    sizes: tuple[int, ...] = ()
+    site: str = "midlands-main"
+    length_s: float | None = None  # the fleet's own if not given
+    fleet: FleetFile | None = None  # a fleet of one's own, in place of `sizes`
+    troubles: tuple[Trouble, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Scenario:
+    """A scenario at one size."""
+
+    name: str
+    title: str
+    site: Site
+    fleet: FleetFile
+    load_share: tuple[float, float]
+    length_ms: float
+    troubles: tuple[Trouble, ...]
+
+    def day(self, seed: int) -> Day:
+        """The day that a seed stands for."""
+        load = Stream(seed, "load").between(*self.load_share)
+        figures = self.fleet
+        fleet = Fleet(
+            figures.balancers_front,
+            figures.machines_front,
+            load,
+            figures.stretch,
+            self.length_ms,
+            figures.uneven,
+        )
+        return draw(self.site, fleet, seed)
+
+
+def _plain(error: msgspec.ValidationError, kind: Any) -> str:
+    """A fault of a value in words: where it stands, what is wrong, what is allowed."""
+    text = str(error)
+    place = _PLACE.search(text)
+    where = place["place"].lstrip(".") if place else ""
+    said = _PLACE.sub("", text)
+    unknown, missing = _UNKNOWN.search(text), _MISSING.search(text)
+    if unknown:
+        key = f"{where}.{unknown['field']}".lstrip(".")
+        return f"{key}: unknown key; {_allowed(kind, where)}"
+    if missing:
+        return f"{f'{where}.' if where else ''}{missing['field']}: is missing"
+    return f"{where or 'the file'}: {said[:1].lower()}{said[1:]}"
+
+
+def _allowed(kind: Any, where: str) -> str:
+    """The keys that are known beside an unknown one."""
+    if where.startswith("troubles"):
+        return "see mastturn/emulator/troubles.py for the keys of each kind of trouble"
+    return "allowed: " + ", ".join(msgspec.structs.fields(kind)[i].name for i in _indices(kind))
+
+
+def _indices(kind: Any) -> range:
+    return range(len(msgspec.structs.fields(kind)))
+
+
+def _decode(text: str, kind: type[T], file: str) -> T:
+    try:
+        return msgspec.convert(tomllib.loads(text), kind)
+    except tomllib.TOMLDecodeError as error:
+        raise LabError(f"{file}: no TOML: {error}") from None
+    except msgspec.ValidationError as error:
+        raise LabError(f"{file}: {_plain(error, kind)}") from None
+
+
+def _check_ranges(value: Any, file: str, where: str = "") -> None:
+    """Refuse ranges turned round, and negative figures, wherever they stand."""
+    if isinstance(value, msgspec.Struct):
+        for field in msgspec.structs.fields(value):
+            _check_ranges(getattr(value, field.name), file, f"{where}.{field.name}".lstrip("."))
+    elif isinstance(value, tuple):
+        if len(value) == 2 and all(isinstance(v, float) for v in value) and value[0] > value[1]:
+            raise LabError(
+                f"{file}: {where}: range turned round: [{value[0]:g}, {value[1]:g}], low end first"
+            )
+        for i, item in enumerate(value):
+            _check_ranges(item, file, f"{where}[{i}]" if isinstance(item, msgspec.Struct) else where)
+    elif isinstance(value, (int, float)) and not isinstance(value, bool) and value < 0:
+        raise LabError(f"{file}: {where}: {value:g} is negative")
+
+
+def read_site(name: str) -> Site:
+    """A site that ships with the package, or a file of one's own."""
+    path = SHIPPED / "sites" / f"{name}.toml"
+    if not path.is_file():
+        if not Path(name).is_file():
+            raise LabError(f"site {name!r}: no such site or file; sites: {', '.join(_names('sites'))}")
+        path = Path(name)
+    site = _decode(path.read_text(encoding="utf-8"), Site, name)
+    _check_ranges(site, name)
+    return site
+
+
+def _names(folder: str) -> list[str]:
+    return sorted(
+        p.name.removesuffix(".toml") for p in (SHIPPED / folder).iterdir() if p.name.endswith(".toml")
+    )
+
+
+def _fleets() -> dict[int, FleetFile]:
+    text = (SHIPPED / "fleets.toml").read_text(encoding="utf-8")
+    return {int(size): msgspec.convert(value, FleetFile) for size, value in tomllib.loads(text).items()}
+
+
+def _build(name: str, read: ScenarioFile, fleet: FleetFile, file: str) -> Scenario:
+    low, high = span(read.load_share)
+    if not 0 < low <= high <= 10:
+        raise LabError(f"{file}: load_share: [{low:g}, {high:g}], allowed: over 0 and at most 10")
+    length = read.length_s if read.length_s is not None else fleet.length_s
+    if not 1 <= length <= 3_600:
+        raise LabError(f"{file}: length_s: {length:g}, allowed: 1 to 3600")
+    for field, least in (("balancers_front", 1), ("machines_front", 1), ("stretch", 0.01)):
+        if getattr(fleet, field) < least:
+            raise LabError(f"{file}: fleet.{field}: {getattr(fleet, field):g}, allowed: {least:g} and more")
+    return Scenario(name, read.title, read_site(read.site), fleet, (low, high), length * 1000, read.troubles)
+
+
+def find(name: str) -> Scenario:
+    """A scenario by its name, or by the path of a file of one's own; raises LabError."""
+    if name.endswith(".toml"):
+        path = Path(name)
+        if not path.is_file():
+            raise LabError(f"{name}: no such file")
+        read = _read(path.read_text(encoding="utf-8"), name)
+        fleet = read.fleet or (_fleets().get(read.sizes[0]) if read.sizes else None)
+        if fleet is None:
+            raise LabError(f"{name}: fleet: is missing; or sizes, one of {_sizes()}")
+        return _build(path.stem, read, fleet, name)
+    match = _NAME.fullmatch(name)
+    kinds = _names("scenarios")
+    if match is None or match["kind"] not in kinds:
+        raise LabError(f"scenario {name!r}: unknown; 'mastturn lab list' names them all")
+    read = _read((SHIPPED / "scenarios" / f"{match['kind']}.toml").read_text(encoding="utf-8"), name)
+    size = int(match["size"])
+    if size not in read.sizes:
+        sizes = ", ".join(str(s) for s in read.sizes)
+        raise LabError(f"scenario {name!r}: no fleet of {size} balancers; sizes: {sizes}")
+    return _build(name, read, _fleets()[size], f"{match['kind']}.toml")
+
+
+def _read(text: str, file: str) -> ScenarioFile:
+    read = _decode(text, ScenarioFile, file)
+    _check_ranges(read, file)
+    return read
+
+
+def _sizes() -> str:
+    return ", ".join(str(size) for size in _fleets())
+
+
+def listed() -> list[Scenario]:
+    """Every scenario that ships, at each of its sizes."""
+    found = []
+    for kind in _names("scenarios"):
+        read = _read((SHIPPED / "scenarios" / f"{kind}.toml").read_text(encoding="utf-8"), kind)
+        found += [find(f"{kind}-{size}") for size in read.sizes]
+    return found
--- /dev/null
+++ b/mastturn/lab/stats.py
@@ -0,0 +1,55 @@
+"""Statistics over seeds."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import numpy as np
+
+from mastturn.emulator.chance import generator
+
+RESAMPLES = 10_000
+LEVEL = 0.95
+
+
+@dataclass(frozen=True, slots=True)
+class Interval:
+    """A mean and the interval that holds it with probability `LEVEL`, by bootstrap."""
+
+    mean: float
+    low: float
+    high: float
+    count: int
+
+    def holds_zero(self) -> bool:
+        """Whether no difference is seen."""
+        return self.low <= 0.0 <= self.high
+
+
+def bootstrap(values: list[float], seed: int = 0) -> Interval:
+    """The mean of paired differences, or of any figures, with its interval; ValueError for none."""
+    if not values:
+        raise ValueError("no values")
+    data = np.array(values)
+    if len(data) == 1:
+        return Interval(float(data[0]), -np.inf, np.inf, 1)
+    draws = generator(seed, "bootstrap").integers(len(data), size=(RESAMPLES, len(data)))
+    means = data[draws].mean(axis=1)
+    low, high = np.quantile(means, [(1 - LEVEL) / 2, (1 + LEVEL) / 2])
+    return Interval(float(data.mean()), float(low), float(high), len(data))
+
+
+def ranks(values: list[float]) -> np.ndarray:
+    """Ranks from 0, equal values sharing their mean rank."""
+    data = np.array(values)
+    _, inverse, counts = np.unique(data, return_inverse=True, return_counts=True)
+    ends = np.cumsum(counts)
+    return np.asarray((ends - (counts + 1) / 2)[inverse])
+
+
+def spearman(one: list[float], other: list[float]) -> float:
+    """The rank correlation of two lists of the same length; nan if one of them is constant."""
+    a, b = ranks(one), ranks(other)
+    if a.std() == 0 or b.std() == 0:
+        return float("nan")
+    return float(np.corrcoef(a, b)[0, 1])
--- /dev/null
+++ b/mastturn/lab/versions.py
@@ -0,0 +1,71 @@
+"""Versions of the decision module: the one of this checkout, one of git's, or a baseline by name."""
+
+from __future__ import annotations
+
+import io
+import subprocess
+import tarfile
+import tempfile
+from contextlib import ExitStack
+from pathlib import Path
+
+from mastturn.emulator.baselines import BASELINES, baseline
+from mastturn.emulator.contract import PACKAGE, Version, installed, load
+from mastturn.lab.scenario import LabError
+
+HERE = "."
+MODULE = "module"
+
+
+def _git(root: Path, *words: str) -> bytes:
+    try:
+        return subprocess.run(["git", "-C", str(root), *words], check=True, capture_output=True).stdout
+    except FileNotFoundError:
+        raise LabError("git: not installed; versions by commit can't be had") from None
+    except subprocess.CalledProcessError as error:
+        reason = error.stderr.decode(errors="replace").strip().splitlines()
+        raise LabError(f"git: {reason[-1] if reason else 'failed'}") from None
+
+
+class Versions:
+    """Keeps the folders of versions from git for as long as they are needed; a context manager."""
+
+    def __init__(self, root: Path | None = None) -> None:
+        self._root = root or Path.cwd()
+        self._kept = ExitStack()
+        self._folders: dict[str, Path] = {}
+
+    def __enter__(self) -> Versions:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._kept.close()
+
+    def folder(self, rev: str) -> str:
+        """Where a version lies, for `open_version` in any process; raises LabError for a REV that is none."""
+        if rev in BASELINES or rev == MODULE:
+            return rev
+        if rev == HERE:
+            return str(self._root) if (self._root / PACKAGE).is_dir() else MODULE
+        if rev not in self._folders:
+            try:
+                commit = _git(self._root, "rev-parse", "--verify", "--quiet", f"{rev}^{{commit}}")
+            except LabError:
+                raise LabError(
+                    f"version {rev!r}: no such commit; or '.', or {', '.join(BASELINES)}"
+                ) from None
+            packed = _git(self._root, "archive", commit.decode().strip(), PACKAGE)
+            folder = Path(self._kept.enter_context(tempfile.TemporaryDirectory(prefix="mastturn-")))
+            with tarfile.open(fileobj=io.BytesIO(packed)) as archive:
+                archive.extractall(folder, filter="data")
+            self._folders[rev] = folder
+        return str(self._folders[rev])
+
+
+def open_version(folder: str) -> Version:
+    """A version that `Versions.folder` has found."""
+    if folder in BASELINES:
+        return baseline(folder)
+    if folder == MODULE:
+        return installed()
+    return load(Path(folder), folder)
