--- a/mastturn/emulator/clients.py
+++ b/mastturn/emulator/clients.py
@@ -15,7 +15,7 @@
 
 from mastturn.emulator.calls import Call, Cause, Final, First, Loss
 from mastturn.emulator.chance import Stream, generator
-from mastturn.emulator.day import ClassFigures, Day
+from mastturn.emulator.day import Day
 from mastturn.emulator.events import START_MS
 from mastturn.emulator.judge import is_served
 
@@ -130,7 +130,7 @@
     count = len(times)
     classes = generator(seed, "classes").choice(len(day.classes), count, p=[c.portion for c in day.classes])
     brands = generator(seed, "brands").choice(len(day.brands), count, p=[b.sent_share for b in day.brands])
-    works = _works(day.classes, classes, generator(seed, "work"))
+    works = _works(day, classes, generator(seed, "work"))
     honours = generator(seed, "honours").random(count) < day.clients.honour_share
     leaving = generator(seed, "leaving")
     leaves = leaving.random(count) < day.clients.impatient_share
@@ -196,11 +196,11 @@
     return np.asarray(np.array(levels)[np.searchsorted(np.array(ends), times, side="right")])
 
 
-def _works(classes: tuple[ClassFigures, ...], which: np.ndarray, chance: np.random.Generator) -> np.ndarray:
-    """The work of each request: the class's mean and deviation, by its own kind of spread."""
+def _works(day: Day, which: np.ndarray, chance: np.random.Generator) -> np.ndarray:
+    """The work of each request: the class's mean and deviation by its kind of spread, cut at the most."""
     normals, uniforms = chance.standard_normal(len(which)), chance.random(len(which))
     works = np.empty(len(which))
-    for number, cls in enumerate(classes):
+    for number, cls in enumerate(day.classes):
         mine = which == number
         if cls.spread == "pareto":
             shape = 1.0 + math.sqrt(1.0 + 1.0 / cls.variation**2)
@@ -209,7 +209,8 @@
         else:
             variance = math.log(1.0 + cls.variation**2)
             works[mine] = cls.work_ms * np.exp(math.sqrt(variance) * normals[mine] - variance / 2)
-    return works
+    most = day.site.most_work * np.array([cls.work_ms for cls in day.classes])
+    return np.asarray(np.minimum(works, most[which]))
 
 
 def _over_share(times: np.ndarray, brands: np.ndarray, quotas: list[float]) -> list[bool]:
--- a/mastturn/emulator/host.py
+++ b/mastturn/emulator/host.py
@@ -119,13 +119,16 @@
             raise Fault(f"{self.name}: {len(actions)} actions for one event, at {event!r}")
         for action in actions:
             do = self._do.get(type(action))
-            if do is None:
-                raise Fault(f"{self.name}: {action!r} is no action, at {event!r}")
-            do(action)
+            try:
+                if do is None:
+                    raise Fault(f"{action!r} is no action")
+                do(action)
+            except Fault as error:
+                raise Fault(f"{self.name}: {error}, at {event!r}") from None
 
     def _set_timer(self, action: Any) -> None:
         if not math.isfinite(action.at_ms):
-            raise Fault(f"{self.name}: timer at {action.at_ms}")
+            raise Fault(f"timer at {action.at_ms}")
         self.world.events.at(action.at_ms, self._timer_due, (self.life, action.token))
 
     def _timer_due(self, timer: tuple[int, str]) -> None:
@@ -273,10 +276,10 @@
         now, judge = world.events.now, world.judge
         call = self._open_call(action)
         if call is None:
-            raise Fault(f"{self.name}: {action!r} for a request that is not open")
+            raise Fault(f"{action!r} for a request that is not open")
         box = world.boxes.get(action.server)
         if box is None or action.server not in self._named or box.number != self.tier:
-            raise Fault(f"{self.name}: {action!r} to a server that its list has not named")
+            raise Fault(f"{action!r} to a server that its list has not named")
         earlier = call.attempts
         if any(not a.over for a in earlier):
             judge.break_rule("duplicate", f"{self.name}: {call.number} has two attempts out")
--- a/mastturn/emulator/site.py
+++ b/mastturn/emulator/site.py
@@ -197,4 +197,5 @@
     tiers: tuple[Tier, ...]
     classes: tuple[RequestKind, ...]
     brands: tuple[Brand, ...]
+    most_work: float  # of one request, as a multiple of its class's mean; see docs/emulator.md
     passes_deadline_share: float  # of the days on which a call carries its caller's time left
--- a/mastturn/emulator/troubles.py
+++ b/mastturn/emulator/troubles.py
@@ -158,7 +158,7 @@
 )  # fmt: skip
 
 FRONT_STOPS_MS = 300.0  # after SIGTERM, until no new connections arrive (PROTOCOL: 0.2 to 0.4 s)
-KILLED_AFTER_MS = 700.0  # beyond the longest deadline, that one between a restart's two signals (PROTOCOL)
+LONGEST_MS, KILLED_AFTER_MS = 3_000.0, 700.0  # between a restart's two signals: the longest deadline and more
 READY_MS = 300.0  # from a balancer's start until the front sends it clients
 
 
@@ -405,7 +405,7 @@
 def _restart(world: World, trouble: RestartBalancers, drawn: Drawn) -> None:
     hosts: list[Host] = world.hosts[0]
     size = max(1, round(drawn.one(trouble.step_part) * len(hosts)))
-    longest = max(c.deadline_ms for c in world.day.classes)
+    longest = min(max(c.deadline_ms for c in world.day.classes), LONGEST_MS)
     for place, host in enumerate(hosts):
         at = drawn.start_ms + drawn.one(trouble.step_s) * 1000 * (place // size)
         world.events.at(at + FRONT_STOPS_MS, world.front.leave_out, host)
--- a/mastturn/report/tables.py
+++ b/mastturn/report/tables.py
@@ -16,7 +16,7 @@
 def _table(*columns: str) -> Table:
     table = Table(box=None, pad_edge=False, header_style="bold")
     for i, column in enumerate(columns):
-        table.add_column(column, justify="left" if i == 0 else "right", overflow="fold")
+        table.add_column(column, justify="left" if i == 0 else "right", no_wrap=True, overflow="ellipsis")
     return table
 
 
@@ -85,16 +85,15 @@
 
 def differences(found: list[Difference]) -> Table:
     """One line a figure."""
-    table = _table("scenario", "figure", "base", "difference", "95% interval", "seeds", "verdict")
+    table = _table("scenario", "figure", "base", "change", "95% interval", "verdict")
     for item in found:
         gap = item.difference
         table.add_row(
             item.scenario,
             item.figure,
-            f"{item.base_mean:.4f}",
-            f"{gap.mean:+.4f}",
-            f"{gap.low:+.4f} to {gap.high:+.4f}",
-            str(gap.count),
+            f"{item.base_mean:.3f}",
+            f"{gap.mean:+.3f}",
+            f"{gap.low:+.3f}..{gap.high:+.3f}",
             item.verdict(),
         )
     return table
