Probe servers that owe answers: silent ones get no calls, hold no room, and lose theirs

Tried first: to suspect a server by its silence alone (answers owed at the rate at which calls come back). So silence raises a doubt and a probe settles it: a connection to a silent machine does not come up in 150 ms. The contract gains Probe and Probed; passpost opens a connection and keeps it, the wire says sound_out and check_result.

A server found silent gets no calls until it answers or a connection comes up, its calls take up no room, and those that may run twice are made elsewhere out of the retry budget.

--- a/mastturn/emulator/contract.py
+++ b/mastturn/emulator/contract.py
@@ -64,6 +64,7 @@
             "list_is_asked": True,  # discovery tells nothing unasked on sockets (PROTOCOL, "Discovery")
             "max_attempts": rules.max_attempts,
             "may_cancel": True,
+            "may_probe": True,
             "may_duplicate": False,
             "max_retry_after_ms": day.clients.max_retry_after_ms,
             "sizes_exact": False,
--- a/mastturn/emulator/host.py
+++ b/mastturn/emulator/host.py
@@ -53,6 +53,8 @@
             face.Subscribe: self._subscribe,
             face.Log: self._log,
         }
+        if hasattr(face, "Probe"):
+            self._do[face.Probe] = self._probe
 
     # ---- its process -----------------------------------------------------------------------------
 
@@ -322,6 +324,30 @@
             world.judge.handshakes[self.tier] += 1
             events.after((2 * box.tier.handshake_round_trips + 1) * way, self._arrive, attempt)
 
+    def _probe(self, action: Any) -> None:
+        """Open a connection and keep it, as `passpost` does."""
+        world = self.world
+        box = world.boxes.get(action.server)
+        if box is None or action.server not in self._named or box.number != self.tier:
+            raise Fault(f"{action!r} at a server that its list has not named")
+        way = world.network.delay_ms(self.zone, box.zone)
+        silent = box.silent or self.is_cut_from(box)
+        reached = box.up and not silent and box.connections < box.figures.connection_cap
+        world.judge.counts["probes by connection"] += 1
+        if reached:
+            self.pool.opened(box)
+            self.pool.keep(box, box.epoch, world.events.now)
+            world.judge.handshakes[self.tier] += 1
+            wait = 2 * box.tier.handshake_round_trips * way
+        else:
+            wait = box.tier.connect_timeout_ms if silent else 2 * way
+        world.events.after(wait, self._probed, (self.life, action.server, reached))
+
+    def _probed(self, found: tuple[int, str, bool]) -> None:
+        life, server, reached = found
+        if life == self.life:
+            self.tell(self._face.Probed(server, reached))
+
     def _arrive(self, attempt: Attempt) -> None:
         """Its last byte is at the box."""
         if attempt.over:
--- a/passpost/engine.py
+++ b/passpost/engine.py
@@ -247,6 +247,8 @@
                 request = self._requests.get(number)
                 if request is not None and self._finish(number, request):
                     request.caller.fail(request.status)
+            case face.Probe(server):
+                self._upstreams.probe(server, lambda reached: self._post(face.Probed(server, reached)))
             case face.Subscribe():
                 self._subscribe()
             case face.Log(text):
--- a/passpost/upstream.py
+++ b/passpost/upstream.py
@@ -439,6 +439,7 @@
         self._said_full = False
         self._kept_none = frozenset[str]()
         self._sweeper: asyncio.TimerHandle | None = None
+        self._probes = set[asyncio.Task[None]]()
 
     def start(self) -> None:
         """Begin to close idle connections in time."""
@@ -448,6 +449,8 @@
         """Close everything."""
         if self._sweeper is not None:
             self._sweeper.cancel()
+        for probe in self._probes:
+            probe.cancel()
         self.route({})
 
     def route(self, addresses: dict[str, Address]) -> None:
@@ -479,9 +482,7 @@
         if (connection := self._idle(upstream)) is not None:
             self._carry(connection, attempt)
         elif self._has_room():
-            connection = _Connection(upstream, self)
-            upstream.open.add(connection)
-            self._open += 1
+            connection = self._new(upstream)
             attempt.connecting = asyncio.get_running_loop().create_task(
                 self._connect(connection, upstream, attempt)
             )
@@ -492,6 +493,35 @@
             attempt.end(Outcome.UNREACHED)
         return attempt
 
+    def probe(self, server: str, found: Callable[[bool], None]) -> None:
+        """See whether a connection comes up, and keep it; `found` is told once, later.
+
+        Where none can be opened, for want of a descriptor, nothing is known against the upstream.
+        """
+        upstream = self._upstreams.get(server)
+        if upstream is None or not self._has_room():
+            asyncio.get_running_loop().call_soon(found, True)
+            return
+        probe = asyncio.get_running_loop().create_task(self._probe(self._new(upstream), upstream, found))
+        self._probes.add(probe)
+        probe.add_done_callback(self._probes.discard)
+
+    async def _probe(
+        self, connection: _Connection, upstream: _Upstream, found: Callable[[bool], None]
+    ) -> None:
+        reached = await self._reach(connection, upstream)
+        if reached:
+            self.rest(connection, upstream)
+        else:
+            connection.drop()
+        found(reached)
+
+    def _new(self, upstream: _Upstream) -> _Connection:
+        connection = _Connection(upstream, self)
+        upstream.open.add(connection)
+        self._open += 1
+        return connection
+
     def keep_none(self, servers: frozenset[str]) -> None:
         """From now on these alone have no idle connections; attempts that are out go on."""
         self._kept_none = servers
@@ -532,24 +562,31 @@
             if connection in upstream.idle:
                 upstream.idle.remove(connection)
 
-    async def _connect(self, connection: _Connection, upstream: _Upstream, attempt: Attempt) -> None:
+    async def _reach(self, connection: _Connection, upstream: _Upstream) -> bool:
+        """Whether a connection comes up in time."""
         try:
             async with asyncio.timeout(self._connect_timeout):
                 await asyncio.get_running_loop().create_connection(lambda: connection, *upstream.address)
-        except asyncio.CancelledError:  # the attempt has ended
-            connection.drop()
         except Exception as error:
             if not isinstance(error, OSError | TimeoutError):
                 log.exception("connecting to %s", upstream.name)
+            return False
+        return True
+
+    async def _connect(self, connection: _Connection, upstream: _Upstream, attempt: Attempt) -> None:
+        try:
+            reached = await self._reach(connection, upstream)
+        except asyncio.CancelledError:  # the attempt has ended
+            connection.drop()
+            return
+        attempt.connecting = None
+        if not reached:
             connection.drop()
-            attempt.connecting = None
             attempt.end(Outcome.UNREACHED)
+        elif attempt.is_over():
+            connection.drop()
         else:
-            attempt.connecting = None
-            if attempt.is_over():
-                connection.drop()
-            else:
-                self._carry(connection, attempt)
+            self._carry(connection, attempt)
 
     def _carry(self, connection: _Connection, attempt: Attempt) -> None:
         try:
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -143,7 +143,7 @@
     git = ["git", "-C", str(root), "-c", "user.name=a", "-c", "user.email=a@localhost"]
     for words in (["init", "-q"], ["add", "-A"], ["commit", "-qm", "first"]):
         subprocess.run([*git, *words], check=True)
-    rules = target / "rules.py"
+    rules = target / "choice.py"
     rules.write_text(rules.read_text().replace("DRAWS = 4", "DRAWS = 1"))
     with Versions(root) as versions:
         before, after = (
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -482,7 +482,7 @@
     desk.show(Member("s1", up_since_ms=desk.now), kind=ListKind.CHANGES)
     desk.tell(Cordon("s1", False))
     server = desk.balancer._servers["s1"]
-    assert server.served == 0 and desk.balancer._warmth(server, desk.now) == pytest.approx(0.2)
+    assert server.served == 0 and desk.balancer._choice._warmth(server, desk.now) == pytest.approx(0.2)
     assert draws(desk, 300)["s1"] > 0
 
 
@@ -628,7 +628,9 @@
 def test_ties_go_to_the_larger_capacity_and_draws_follow_it(monkeypatch: pytest.MonkeyPatch) -> None:
     desk = Desk(2)
     capacity = {"s0": 2.0, "s1": 1.0}
-    monkeypatch.setattr(desk.balancer, "_capacity", lambda s, _median, _now: capacity[s.member.server])
+    monkeypatch.setattr(
+        desk.balancer._choice, "_capacity", lambda s, _median, _now: capacity[s.member.server]
+    )
     desk.balancer._servers["s0"].in_flight = 1  # (1 + 1) / 2 ties with (0 + 1) / 1
     request, _ = desk.ask()
     known = desk.balancer._requests[request]
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -302,3 +302,36 @@
             assert answer is not None and answer.status == 200  # a request turned away never ran
 
     run(test())
+
+
+def test_a_probe_tells_whether_a_connection_comes_up_and_keeps_it() -> None:
+    async def play() -> None:
+        server = FakeServer()
+        async with calls(server) as made:
+            found = list[bool]()
+            made.upstreams.probe("s0", found.append)
+            await until(lambda: len(found) == 1)
+            assert found == [True]
+            assert await made.outcome() is Outcome.SERVED
+            assert server.connections == 1  # the one that the probe opened
+            server.stop()
+            made.upstreams.probe("s0", found.append)
+            await until(lambda: len(found) == 2)
+            assert found == [True, False]
+
+    run(play())
+
+
+def test_a_probe_that_can_not_be_made_tells_nothing_against_the_upstream() -> None:
+    async def play() -> None:
+        server = FakeServer(silent)
+        async with calls(server, max_open=1) as made:
+            found = list[bool]()
+            made.send()
+            await until(lambda: len(server.got) == 1)
+            made.upstreams.probe("s0", found.append)
+            made.upstreams.probe("nowhere", found.append)
+            await until(lambda: len(found) == 2)
+            assert found == [True, True]
+
+    run(play())
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -9,9 +9,9 @@
 
 import pytest
 
-from umberworks.interface import Cancel, Fail, Log, Refuse, Send, SetTimer, Subscribe
+from umberworks.interface import Cancel, Fail, Log, Probe, Probed, Refuse, Send, SetTimer, Subscribe
 from umberworks.simhost import Host
-from umberworks.wire import read_fields, read_settings, write_action
+from umberworks.wire import read_event, read_fields, read_settings, write_action
 
 FACTS = (
     "azs=a balancers=2 classes.count=1 classes.0.name=read classes.0.target=900.0 "
@@ -177,3 +177,10 @@
     for allowed, wanted in (("true", 1_500.0), ("false", 0.0)):
         facts = read_fields([*FACTS.split(), f"limits.retryAfter={allowed}", "limits.maxRetryAfter=1500.0"])
         assert read_settings(facts, lambda note: None).max_retry_after_ms == wanted
+
+
+def test_probes_travel_on_the_wire() -> None:
+    assert write_action("3", Probe("upstream_x")) == "sound_out who=3 upstream=upstream_x"
+    for verdict, reached in (("1", True), ("3", True), ("4", False)):
+        fields = {"who": "3", "upstream": "upstream_x", "verdict": verdict}
+        assert read_event("check_result", fields, lambda _: None) == Probed("upstream_x", reached)
--- a/umberworks/interface.py
+++ b/umberworks/interface.py
@@ -3,11 +3,11 @@
 The contract. The caller owns the clock: all times and spans are milliseconds on one clock that may stand
 still but never goes backwards. It calls `Balancer.handle` with one event at a time, in the order in which
 they happened, carries out the returned actions in order, and delivers in turn: for each `Send` exactly one
-`AttemptEnded`, for each `SetTimer` one `TimerDue` at or after its moment, for each `Subscribe` the list and
-then its changes. A served attempt ends its request; every other request ends with the one `Refuse` or
-`Fail` that the balancer returns. A balancer is single-threaded and shares nothing; its only chance comes
-from its seed. Settings out of range and impossible events (an unknown class, a request seen twice, an
-attempt never made) raise `ValueError`.
+`AttemptEnded`, for each `Probe` one `Probed`, for each `SetTimer` one `TimerDue` at or after its moment, for
+each `Subscribe` the list and then its changes. A served attempt ends its request; every other request ends
+with the one `Refuse` or `Fail` that the balancer returns. A balancer is single-threaded and shares nothing;
+its only chance comes from its seed. Settings out of range and impossible events (an unknown class, a request
+seen twice, an attempt never made) raise `ValueError`.
 
 Every type is a frozen value; the decisions are in `umberworks.rules`.
 """
@@ -123,6 +123,7 @@
     ask_within_ms: float = 10_000.0
     max_attempts: int = 3
     may_cancel: bool = False
+    may_probe: bool = False  # `Probe` permitted
     may_duplicate: bool = False
     max_retry_after_ms: float = 0.0  # the longest that clients stay away when told to; 0: they are not told
     sizes_exact: bool = False  # a member's size is the one it was registered with, neither rough nor made up
@@ -235,6 +236,14 @@
     token: str
 
 
+@dataclass(frozen=True, slots=True)
+class Probed:
+    """What a `Probe` found: whether a connection to the server came up in time."""
+
+    server: str
+    reached: bool
+
+
 @dataclass(frozen=True, slots=True)
 class Cordon:
     """Operators hold a server out, whatever the list says of it, until the same with `out` false."""
@@ -295,6 +304,7 @@
     | AttemptEnded
     | ClientLeft
     | TimerDue
+    | Probed
     | Cordon
     | Learned
     | CallsBeside
@@ -321,6 +331,13 @@
     attempt: int
 
 
+@dataclass(frozen=True, slots=True)
+class Probe:
+    """See whether a connection to a server comes up, which may then serve calls; `Probed` answers it."""
+
+    server: str
+
+
 @dataclass(frozen=True, slots=True)
 class Refuse:
     """Final answer: not done, and trying again is harmless, best after `retry_after_ms` (0: no advice)."""
@@ -356,4 +373,4 @@
     text: str
 
 
-Action = Send | Cancel | Refuse | Fail | SetTimer | Subscribe | Log
+Action = Send | Cancel | Probe | Refuse | Fail | SetTimer | Subscribe | Log
--- a/umberworks/members.py
+++ b/umberworks/members.py
@@ -4,12 +4,45 @@
 
 import math
 from collections.abc import Iterable
+from heapq import heappop, heappush
 
 from umberworks import interface as face
 
 MEMORY_MS = 6_000.0  # evidence fades by 1/e over this; long enough for a few calls, short enough to recover
 
 
+PRIOR_CALLS = 2.0  # calls' worth of belief in the median, so that one slow answer does not ruin an estimate
+
+
+class Owed:
+    """Calls that are out to somewhere, and the call time that has gone by there since anything was heard."""
+
+    __slots__ = ("_seen", "_waited", "out")
+
+    def __init__(self) -> None:
+        self.out, self._waited, self._seen = 0, 0.0, 0.0
+
+    def sent(self, now: float) -> None:
+        """A call goes out."""
+        self.waited(now)
+        self.out += 1
+
+    def ended(self, now: float) -> None:
+        """A call is over; unless it was answered, that says nothing."""
+        self.waited(now)
+        self.out -= 1
+
+    def heard(self, now: float) -> None:
+        """Something has answered: nothing is owed from before."""
+        self._waited, self._seen = 0.0, now
+
+    def waited(self, now: float) -> float:
+        """Call time since anything was heard, in milliseconds."""
+        self._waited += self.out * (now - self._seen)
+        self._seen = now
+        return self._waited
+
+
 class Server:
     """What is known of one server: its list entry, our calls there and the evidence on its capacity."""
 
@@ -19,12 +52,19 @@
         self.back = False  # put back by hand, and not sent to since
         self.in_flight = 0  # m of the design, held slots of failures included
         self.last_sent = -math.inf
+        self.owed = Owed()
         self.forget(now)
 
     def forget(self, now: float) -> None:
         """Drop the evidence: the process behind the name is a new one."""
         self.served, self.busy, self.seen = 0.0, 0.0, now
 
+    def rate(self, usual: float, now: float) -> float:
+        """Answers for each millisecond of a call, as far as it gave any; at most the usual."""
+        self.catch_up(now)
+        heard = max(self.busy - self.owed.waited(now), 0.0)
+        return min(usual, (self.served + PRIOR_CALLS) / (heard + PRIOR_CALLS / usual))
+
     def catch_up(self, now: float) -> None:
         """Bring the evidence to `now`: calls in flight add time, and all of it fades."""
         gap = now - self.seen
@@ -35,6 +75,26 @@
             self.seen = now
 
 
+class HeldSlots:
+    """Slots of failed calls, in flight to their full time-out: a failing server must not look idle."""
+
+    def __init__(self) -> None:
+        self._held: list[tuple[float, int, Server]] = []
+        self._count = 0
+
+    def hold(self, server: Server, until: float) -> None:
+        """Keep the slot of a call that has failed."""
+        self._count += 1
+        heappush(self._held, (until, self._count, server))
+
+    def release(self, now: float) -> None:
+        """Give back the slots whose time is over."""
+        while self._held and self._held[0][0] <= now:
+            server = heappop(self._held)[2]
+            server.catch_up(now)
+            server.in_flight -= 1
+
+
 def evidence(server: Server, now: float) -> face.Evidence:
     """What a process that takes our place begins with."""
     server.catch_up(now)
--- a/umberworks/requests.py
+++ b/umberworks/requests.py
@@ -13,6 +13,9 @@
         self.server, self.sent, self.ends = server, now, now + timeout
         self.out, self.ran = True, True  # it may have run until its outcome proves otherwise
         self.started = False  # its answer has begun
+        self.owing = False  # it is counted among the calls that its server owes an answer to
+        self.apart = False  # at a suspect: it takes up no room
+        self.paid = False  # called off to be made elsewhere, out of the savings
 
 
 class Request:
--- a/umberworks/wire.py
+++ b/umberworks/wire.py
@@ -22,6 +22,8 @@
     Log,
     Member,
     Outcome,
+    Probe,
+    Probed,
     Readiness,
     Refuse,
     RepeatGroup,
@@ -48,6 +50,7 @@
     "6": Outcome.CANCELLED,
     "7": Outcome.NOT_SENT,
 }
+_NOT_CONNECTED = "4"
 _READINESS = {"0": Readiness.GONE, "1": Readiness.READY, "2": Readiness.DRAINING}
 _LIST_KINDS = {"0": ListKind.SAVED, "2": ListKind.WHOLE, "3": ListKind.CHANGES, "4": ListKind.FAILED}
 _EFFECTS = {"retryable": Effect.REPEATABLE, "dedup": Effect.KEYED, "fragile": Effect.ONCE}
@@ -207,6 +210,7 @@
         ask_within_ms=number(facts, "contract.askWithin", 10_000.0),
         max_attempts=int(number(facts, "limits.attemptsCap", 1.0)),
         may_cancel=_flag(facts, "limits.mayCancel"),
+        may_probe=_flag(facts, "limits.probes"),
         may_duplicate=_flag(facts, "limits.mayDuplicate"),
         max_retry_after_ms=(
             number(facts, "limits.maxRetryAfter", 0.0) if _flag(facts, "limits.retryAfter") else 0.0
@@ -254,7 +258,9 @@
             return Start(whole(fields, "prng"), read_settings(facts, note))
         case "killed":
             return Stop()
-        case "note_from" | "check_result":
+        case "check_result":
+            return Probed(need(fields, "upstream"), need(fields, "verdict") != _NOT_CONNECTED)
+        case "note_from":
             return None
     note(f"event {word!r} is unknown and ignored")
     return None
@@ -279,6 +285,8 @@
             return f"abort who={who} corr={request}"
         case Cancel(request, attempt):
             return f"cancel who={who} corr={request} shot={attempt}"
+        case Probe(server):
+            return f"sound_out who={who} upstream={server}"
         case Subscribe():
             return f"follow who={who} enable=1"
         case Log(text):
