Let reported use of the cores widen the room after calls hung at silent servers

For 6 s after a server was found silent the room may grow to the calls that were out when the reports were made, times 0.85 over the reported use.

--- a/passpost/__main__.py
+++ b/passpost/__main__.py
@@ -56,7 +56,12 @@
         )
         self.discovery = Discovery(config.discovery, config.known)
         self.engine = Engine(
-            config.settings, config.seed, self.upstreams, self.discovery.subscribe, config.answer_grace
+            config.settings,
+            config.seed,
+            self.upstreams,
+            self.discovery.subscribe,
+            config.answer_grace,
+            config.report_fields,
         )
         callers = int(config.sockets * CALLERS_SHARE) - (control.DESCRIPTORS if config.control else 0)
         self.server = Server(
--- a/passpost/config.py
+++ b/passpost/config.py
@@ -35,6 +35,7 @@
     connect_timeout: float
     idle_timeout: float
     answer_grace: float
+    report_fields: tuple[str, ...] = ()  # what load reports in answers hold
     control: Address | None = None  # where operators call; without it all of their parts are off
 
 
@@ -93,5 +94,6 @@
         connect_timeout=wire.number(facts, "limits.connectTimeout", 250.0) / 1000,
         idle_timeout=wire.number(facts, "limits.connIdle", 15_000.0) / 1000,
         answer_grace=wire.number(facts, "contract.graceToAnswer", 0.0) / 1000,
+        report_fields=wire.report_fields(facts),
         control=parse_address(control) if control else None,
     )
--- a/passpost/engine.py
+++ b/passpost/engine.py
@@ -15,6 +15,7 @@
 
 from passpost.counters import Counters
 from passpost.http1 import Address, Answer, Flow, Start
+from passpost.reports import LoadReports
 from passpost.upstream import Attempt, Outgoing, Upstreams
 from umberworks import interface as face
 from umberworks.interface import Outcome
@@ -88,11 +89,13 @@
         upstreams: Upstreams,
         subscribe: Callable[[], None],
         answer_grace: float,
+        report_fields: tuple[str, ...] = (),
     ) -> None:
         self._balancer = Balancer(settings, seed)
         self.classes = {c.name: c for c in settings.classes}
         self.counters = Counters(self.classes)
         self._upstreams, self._subscribe, self._grace = upstreams, subscribe, answer_grace
+        self._reports = LoadReports(report_fields)
         self._requests: dict[int, _Open] = {}
         self._count = 0
         self._events: deque[face.Event] = deque()
@@ -308,7 +311,10 @@
                 request.caller.serve(answer)
         finally:  # the module is owed the outcome, whatever became of the answer
             self._forget_if_over(number, request)
-            self._post(face.AttemptEnded(number, index, server, outcome, request.finished, repeatable))
+            report = self._reports.read(answer.headers) if answer is not None else None
+            self._post(
+                face.AttemptEnded(number, index, server, outcome, request.finished, repeatable, report)
+            )
 
     def _end_passing(self, number: int, request: _Open, outcome: Outcome) -> None:
         """The answer that was passed on has ended, in order or not; it was the request's one answer."""
--- a/umberworks/interface.py
+++ b/umberworks/interface.py
@@ -207,11 +207,25 @@
     attempt: int
 
 
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """What a server says of itself, late and noisy: share of its cores in use, time without waiting."""
+
+    util: float
+    latency_ms: float | None = None
+
+    def __post_init__(self) -> None:
+        _require(0 <= self.util <= 1, "util", "must be between 0 and 1")
+        if self.latency_ms is not None:
+            _require(0 <= self.latency_ms < math.inf, "latency_ms", "must be finite and not negative")
+
+
 @dataclass(frozen=True, slots=True)
 class AttemptEnded:
     """An attempt is over; `answered` says that the request has its final answer.
 
-    `repeatable`: false if no further attempt can be made, as part of the body is gone.
+    `repeatable`: false if no further attempt can be made, as part of the body is gone. `report`: what the
+    server's answer said of its load, if anything.
     """
 
     request: int
@@ -220,6 +234,7 @@
     outcome: Outcome
     answered: bool = False
     repeatable: bool = True
+    report: LoadReport | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/umberworks/room.py
+++ b/umberworks/room.py
@@ -5,6 +5,7 @@
 import math
 
 from umberworks.interface import Learned
+from umberworks.reports import Reports
 
 BASE_CALLS = 30  # served calls that make a measure of the time in service; the first find servers free
 BASE_DRIFT_MS = 100_000.0  # it rises by 1/e over this, so that a fleet that stays slower gets its room back
@@ -21,6 +22,13 @@
 LEAST_ROOM = 16.0  # calls out that a balancer then lets through at the most, up to the room of all servers
 LEAST_DEVIATIONS = 3.0
 LEAST_FULL, LEAST_NONE = 1.5, 2.0  # time in service, in lowest ones, up to which it holds in full, or at all
+# What the servers report of their cores says how much more work they could do; all balancers see the same,
+# so that each may take that much more than it has. It is asked only after calls have hung at a silent server,
+# when what was served says little: on other days another tier may be the full one, which the next tier's cores
+# don't show. It holds only while calls take about as long as at best, as reports are late.
+USE_FULL = 0.85  # share of the cores in use beyond which calls mostly wait
+SPOILT_MS = 6_000.0  # after calls hung at a silent server, what was served says little of what could be
+LEAST_USE = 0.1  # an idle fleet says little of what a busy one could do
 LOAD_PRIOR = 2.0  # calls' worth of belief that all is well, so that a few slow calls do not refuse others
 
 
@@ -32,6 +40,8 @@
         self.out, self.beside = 0, 0  # calls out, ours and those of the other process of an upgrade
         # In memory: aims of served calls, time in flight; of the block measured: calls, aims, time, start.
         self._aims, self._spent, self._seen = 0.0, 0.0, 0.0
+        self.reports, self.spoilt_until = Reports(), -math.inf
+        self._earlier = 0.0  # mean calls out, about as old as what is reported of them
         self._calls, self._block_aims, self._times, self._block_from = 0, 0.0, 0.0, 0.0
         self.mean, self.base = 0.0, 0.0  # time in service, last and lowest, in aims; 0: not measured yet
 
@@ -43,6 +53,7 @@
             self._aims *= fade
             self._spent = self._spent * fade + self.out * RATE_MEMORY_MS * (1 - fade)
             self._times += self.out * gap
+            self._earlier += (self._spent / RATE_MEMORY_MS - self._earlier) * (1 - fade)
             self.base = min(self.base * math.exp(min(gap / BASE_DRIFT_MS, 1.0)), 1.0)  # idle for hours
             self._seen = now
 
@@ -56,6 +67,10 @@
             self.base = min(self.base or math.inf, self.mean)
             self._calls, self._block_aims, self._times, self._block_from = 0, 0.0, 0.0, now
 
+    def spoilt(self, now: float) -> None:
+        """Calls have hung at a silent server: what is served now is less than could be."""
+        self.spoilt_until = now + SPOILT_MS
+
     def learned(self) -> tuple[float, float, float]:
         """The lowest time in service and the memory, for a process that takes our place."""
         return self.base, self._aims, self._spent
@@ -83,6 +98,8 @@
         calm = min(max((LEAST_NONE - slower) / (LEAST_NONE - LEAST_FULL), 0.0), 1.0)
         away = FREE_PER_SERVER * ready / max(self._balancers - 1, 1)
         least = calm * min(LEAST_ROOM, FREE_PER_SERVER * ready, away + LEAST_DEVIATIONS * math.sqrt(away))
-        room = max(FREE_PER_SERVER * ours, queued, least)
+        use = self.reports.use(self._seen) if self._seen < self.spoilt_until else None
+        idle = calm * self._earlier * USE_FULL / max(use, LEAST_USE) if use is not None else 0.0
+        room = max(FREE_PER_SERVER * ours, queued, least, idle)
         # A burst may pass, a standing crowd does harm: the room bounds the mean once it has been measured.
         return 2 * room - min(self._spent / RATE_MEMORY_MS, room) if self.base else room
--- a/umberworks/rules.py
+++ b/umberworks/rules.py
@@ -267,6 +267,8 @@
         if not attempt.out:
             return
         attempt.out, attempt.ran = False, event.outcome not in face.NEVER_RAN
+        if event.report is not None:
+            self._room.reports.told(event.report, now)
         self._book(attempt, event.outcome, request.cls, now)
         if event.answered:
             request.owed = False
@@ -332,6 +334,7 @@
     def _suspect(self, server: Server, now: float) -> None:
         """It is silent: its calls take up no room, and are made elsewhere if they may."""
         self._silence.silent(server)
+        self._room.spoilt(now)
         for request in list(self._requests.values()):
             for number, attempt in enumerate(request.attempts):
                 if attempt.server is server and attempt.out and not attempt.started:
--- a/umberworks/simhost.py
+++ b/umberworks/simhost.py
@@ -19,6 +19,7 @@
         self._errors = errors
         self._noted: set[str] = set()
         self._balancers: dict[str, Balancer | None] = {}
+        self._reported: dict[str, tuple[str, ...]] = {}
         self._ledgers: dict[int, tuple[Member, ...]] = {}
         self._now = 0.0
         self._batch = "?"
@@ -85,7 +86,7 @@
 
     def _take(self, word: str, fields: wire.Fields, reply: list[str]) -> None:
         try:
-            event = wire.read_event(word, fields, self._note)
+            event = wire.read_event(word, fields, self._note, self._reported.get(fields.get("who", ""), ()))
         except wire.WireError:
             raise
         except ValueError as error:  # settings out of range
@@ -95,6 +96,7 @@
         who = wire.need(fields, "who")
         if isinstance(event, wire.Start):
             self._balancers[who] = Balancer(event.settings, event.seed)
+            self._reported[who] = event.report_fields
             return
         if who not in self._balancers:
             raise wire.WireError(f"instance {who!r} is unknown")
--- a/umberworks/wire.py
+++ b/umberworks/wire.py
@@ -4,7 +4,7 @@
 
 import math
 import re
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import TypeVar
 
@@ -19,6 +19,7 @@
     Fail,
     ListKind,
     ListUpdate,
+    LoadReport,
     Log,
     Member,
     Outcome,
@@ -51,6 +52,7 @@
     "7": Outcome.NOT_SENT,
 }
 _NOT_CONNECTED = "4"
+_UTIL, _LATENCY = ("load_share", "util"), ("mean_ms", "latency_ms")  # on the wire, and elsewhere
 _READINESS = {"0": Readiness.GONE, "1": Readiness.READY, "2": Readiness.DRAINING}
 _LIST_KINDS = {"0": ListKind.SAVED, "2": ListKind.WHOLE, "3": ListKind.CHANGES, "4": ListKind.FAILED}
 _EFFECTS = {"retryable": Effect.REPEATABLE, "dedup": Effect.KEYED, "fragile": Effect.ONCE}
@@ -85,6 +87,7 @@
 
     seed: int
     settings: Settings
+    report_fields: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -162,6 +165,39 @@
     return known
 
 
+def report_fields(facts: Fields) -> tuple[str, ...]:
+    """The values that answers report, in the order of a `gauge`; none if answers carry no reports."""
+    told = facts.get("telemetry.fields", "") if facts.get("telemetry.how") == "answers" else ""
+    return tuple(name for name in told.split(",") if name)
+
+
+def read_report(values: Iterable[tuple[str, object]]) -> LoadReport | None:
+    """A load report by the names of its values; None if it is spoilt or says nothing of the cores."""
+    util: float | None = None
+    latency: float | None = None
+    for name, value in values:
+        if isinstance(value, bool) or not isinstance(value, int | float):
+            continue
+        if name in _UTIL:
+            util = float(value)
+        elif name in _LATENCY:
+            latency = float(value)
+    try:
+        return None if util is None else LoadReport(util, latency)
+    except ValueError:
+        return None
+
+
+def _gauge(fields: Fields, names: tuple[str, ...]) -> LoadReport | None:
+    row = fields.get("gauge")
+    if not row or not names:
+        return None
+    try:
+        return read_report(zip(names, map(float, row.split(",")), strict=True))
+    except ValueError:
+        return None
+
+
 def read_member(fields: Fields) -> Member:
     """One entry of a ledger."""
     size = number(fields, "nominal", 1.0)
@@ -225,9 +261,12 @@
 
 
 def read_event(
-    word: str, fields: Fields, note: Callable[[str], None]
+    word: str, fields: Fields, note: Callable[[str], None], reported: tuple[str, ...] = ()
 ) -> Event | Start | Stop | ListNews | None:
-    """The event of one line, or None for a kind that is unknown or of no use to a balancer."""
+    """The event of one line, or None for a kind that is unknown or of no use to a balancer.
+
+    `reported`: what the instance's `report_fields` are.
+    """
     match word:
         case "knock":
             return RequestArrived(
@@ -243,6 +282,7 @@
                 need(fields, "upstream"),
                 _outcome(fields, note),
                 fields.get("complete") == "1",
+                report=_gauge(fields, reported),
             )
         case "reminder":
             return TimerDue(need(fields, "ctx"))
@@ -255,7 +295,7 @@
             return ListNews(kind, None if kind is ListKind.FAILED else whole(fields, "list"))
         case "up":
             facts = {name: value for name, value in fields.items() if name not in ("who", "prng")}
-            return Start(whole(fields, "prng"), read_settings(facts, note))
+            return Start(whole(fields, "prng"), read_settings(facts, note), report_fields(facts))
         case "killed":
             return Stop()
         case "check_result":
