--- a/mastturn/cli.py
+++ b/mastturn/cli.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from pathlib import Path
+from typing import Any
 
 import click
 import msgspec
@@ -16,7 +17,7 @@
 from mastturn.emulator.baselines import BASELINES
 from mastturn.lab import scenario as scenarios
 from mastturn.lab.compare import differences, tasks
-from mastturn.lab.run import Task, Values, keep, run_all, together
+from mastturn.lab.run import Task, Values, keep, read_kept, run_all, together
 from mastturn.lab.scenario import LabError
 from mastturn.lab.versions import HERE, MODULE, Versions, open_version
 from mastturn.report import tables
@@ -50,6 +51,49 @@
     """
 
 
+def _summary(result: dict[str, Any], file: Path | None) -> None:
+    ends = "  ".join(f"{end} {result[end]}" for end in ("asked", "served", "refused", "failed", "lost"))
+    quantiles = "  ".join(f"{name} {value:.1f}" for name, value in result["latency_ms"].items())
+    click.echo(f"{ends}\nlatency in ms: {quantiles}")
+    if result["ran_twice"]:
+        click.echo(f"requests that ran twice and must not: {result['ran_twice']}", err=True)
+    _write(file, result)
+
+
+@main.command()
+@click.option("--seconds", type=float, default=20.0, show_default=True, help="How long clients ask.")
+@click.option(
+    "--json", "file", type=click.Path(dir_okay=False, path_type=Path), help="Write the result there."
+)
+def demo(seconds: float, file: Path | None) -> None:
+    """Start two tiers of upstreams, real balancers and clients on loopback, with a release in the middle.
+
+    \b
+    Example:
+      mastturn demo --seconds 8
+    """
+    from mastturn.standins import plan, play
+
+    _summary(play.play(plan.demo(seconds), click.echo), file)
+
+
+@main.command()
+@click.argument("path", type=click.Path(path_type=Path), metavar="FILE")
+@click.option(
+    "--json", "file", type=click.Path(dir_okay=False, path_type=Path), help="Write the result there."
+)
+def load(path: Path, file: Path | None) -> None:
+    """Play a scenario of one's own on loopback: a TOML file, open-loop, latency from the intended start.
+
+    \b
+    Example:
+      printf 'seconds = 10.0\\nsilent_at_s = 3.0\\n' > mine.toml && mastturn load mine.toml
+    """
+    from mastturn.standins import plan, play
+
+    _summary(play.play(plan.read_plan(path), click.echo), file)
+
+
 @main.group()
 def lab() -> None:
     """Scenarios in the emulator.
@@ -242,6 +286,58 @@
         click.echo(f"mastturn: {watch.left_out} further lines left out", err=True)
 
 
+@lab.command()
+@click.argument("folder", type=click.Path(path_type=Path), metavar="DIR")
+@click.option(
+    "--to", "file", type=click.Path(dir_okay=False, path_type=Path), help="DIR/report.html if not said."
+)
+def report(folder: Path, file: Path | None) -> None:
+    """Write one HTML page on the runs that 'lab run --out DIR' or 'lab compare --out DIR' has kept.
+
+    \b
+    Example:
+      mastturn lab run herd-40 --seeds 1..4 --out runs && mastturn lab report runs
+    """
+    from mastturn.report.page import page
+
+    path = file or folder / "report.html"
+    text = page(read_kept(folder))
+    try:
+        path.write_text(text, encoding="utf-8")
+    except OSError as error:
+        raise LabError(f"{path}: {error.strerror}") from None
+    click.echo(str(path))
+
+
+@lab.command()
+@click.option("--journal", type=click.Path(path_type=Path), default=Path("journal"), show_default=True)
+@click.option("--seeds", metavar="A..B", default="1..2", show_default=True, help="The days of each scenario.")
+@_jobs
+def validate(journal: Path, seeds: str, jobs: int) -> None:
+    """Play the versions of the module that the journal keeps, and hold them against the bench's figures.
+
+    \b
+    Example:
+      mastturn lab validate --seeds 1..3
+    """
+    import tempfile
+
+    from mastturn.lab import validate as validation
+
+    versions = validation.read_journal(journal)
+    numbers = _seeds(seeds, None)
+    plays = sum(len(validation.KINDS[kind]) for seen in versions for kind in seen.days) * len(numbers)
+    with tempfile.TemporaryDirectory(prefix="mastturn-") as folder, _bar("validate", plays) as step:
+        found = validation.cells(versions, Path(folder), numbers, jobs, lambda _: step())
+    console.print(tables.cells(found))
+    kinds = validation.by_kind(found)
+    console.print(tables.cells(kinds))
+    click.echo(
+        f"versions {len(versions)}, rank correlation over all {validation.rank_correlation(found):.3f}, "
+    )
+    click.echo(f"over kinds of days {validation.rank_correlation(kinds):.3f}")
+
+
 @lab.command()
 @click.option("--bins", type=click.IntRange(3), default=10_000, show_default=True, help="How many bins.")
 @click.option("--seed", type=click.IntRange(0), default=1, show_default=True)
@@ -258,3 +354,7 @@
         filled = fill(mixed(bins), draws, seed)
         bound = "none" if draws == 1 else f"{filled.bound:.2f} + O(1)"
         console.print(f"d = {draws}: maximum load {filled.max_load:.2f}, bound {bound}")
+
+
+if __name__ == "__main__":
+    main()
--- a/mastturn/lab/scenario.py
+++ b/mastturn/lab/scenario.py
@@ -116,6 +116,17 @@
         raise LabError(f"{file}: {_plain(error, kind)}") from None
 
 
+def read_toml(path: Path, kind: type[T]) -> T:
+    """A file of one's own as typed values; raises LabError."""
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise LabError(f"{path}: {getattr(error, 'strerror', None) or error}") from None
+    values = _decode(text, kind, str(path))
+    _check_ranges(values, str(path))
+    return values
+
+
 def _check_ranges(value: Any, file: str, where: str = "") -> None:
     """Refuse ranges turned round, and negative figures, wherever they stand."""
     if isinstance(value, msgspec.Struct):
--- a/mastturn/report/tables.py
+++ b/mastturn/report/tables.py
@@ -9,6 +9,7 @@
 from mastturn.emulator.watch import Line
 from mastturn.lab.compare import Difference
 from mastturn.lab.scenario import Scenario
+from mastturn.lab.validate import Cell
 
 MOST_CAUSES = 12
 
@@ -99,6 +100,14 @@
     return table
 
 
+def cells(found: list[Cell]) -> Table:
+    """Bench and emulator, version by version."""
+    table = _table("kind of day", "version", "plays", "bench G", "emulated G")
+    for cell in found:
+        table.add_row(cell.kind, cell.version, str(cell.plays), f"{cell.bench:.3f}", f"{cell.emulated:.3f}")
+    return table
+
+
 def lines(found: list[Line]) -> Table:
     """A trace, line by line."""
     table = Table(box=None, pad_edge=False, header_style="bold")
--- /dev/null
+++ b/mastturn/standins/__init__.py
@@ -0,0 +1,1 @@
+"""The balancer's neighbours on real loopback sockets, all of our own: upstreams, discovery, clients."""
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -192,3 +192,40 @@
     assert four.max_load <= two.max_load < one.max_load
     with pytest.raises(ValueError, match="1 or more"):
         fill([], 2, 1)
+
+
+def test_a_report_is_one_page_with_pictures_and_the_causes(own: Path, tmp_path: Path) -> None:
+    out = tmp_path / "out"
+    assert call("lab", "run", own, "--seeds", "1..2", "--out", out).exit_code == 0
+    assert call("lab", "run", own, "--seed", "1", "--version", "random", "--out", out).exit_code == 0
+    assert call("lab", "report", out).exit_code == 0
+    text = (out / "report.html").read_text()
+    assert text.count("data:image/png;base64,") == 4  # versions, course, boxes, latency
+    assert "http" not in text.replace("http-equiv", "")  # nothing is fetched
+    assert "Where the worth went" in text and "random" in text
+    assert call("lab", "report", tmp_path / "none").exit_code == 2
+
+
+def test_versions_in_a_journal_are_played_and_held_against_its_figures(tmp_path: Path) -> None:
+    import hashlib
+
+    import umberworks
+    from mastturn.lab.validate import cells, rank_correlation, read_journal
+
+    journal, source = tmp_path / "journal", Path(str(umberworks.__file__)).parent
+    (journal / "blobs").mkdir(parents=True)
+    files = []
+    for path in sorted(source.glob("*.py")):
+        digest = hashlib.sha256(path.read_bytes()).hexdigest()
+        (journal / "blobs" / f"{digest[:16]}.txt").write_bytes(path.read_bytes())
+        files.append({"path": f"umberworks/{path.name}", "sha256": digest})
+    days = [{"name": "disco+vast", "G": 0.9}, {"name": "unknown", "G": 0.1}]
+    (journal / "1.json").write_text(json.dumps({"policy": files, "days": days}))
+    (journal / "2.json").write_text(json.dumps({"policy": [], "days": days}))
+    versions = read_journal(journal)
+    assert [(v.days, len(v.texts)) for v in versions] == [({"disco+vast": [0.9]}, len(files))]
+    found = cells(versions, tmp_path, [1], 1, lambda _: None)
+    assert found[0].kind == "disco+vast" and found[0].bench == 0.9 and 0.3 < found[0].emulated < 1
+    assert rank_correlation(found) != rank_correlation(found)  # of one pair there is none
+    with pytest.raises(LabError, match="no such folder"):
+        read_journal(tmp_path / "none")
--- a/umberworks/room.py
+++ b/umberworks/room.py
@@ -22,10 +22,10 @@
 LEAST_ROOM = 16.0  # calls out that a balancer then lets through at the most, up to the room of all servers
 LEAST_DEVIATIONS = 3.0
 LEAST_FULL, LEAST_NONE = 1.5, 2.0  # time in service, in lowest ones, up to which it holds in full, or at all
-# What the servers report of their cores says how much more work they could do; all balancers see the same,
-# so that each may take that much more than it has. It is asked only after calls have hung at a silent server,
-# when what was served says little: on other days another tier may be the full one, which the next tier's cores
-# don't show. It holds only while calls take about as long as at best, as reports are late.
+# What the servers report of their cores says how much more they could do; all balancers see the same,
+# so that each may take that much more than it has. They are asked only after calls hung at a silent server,
+# when what was served says little: on other days another tier may be the full one, which the next tier's
+# cores don't show. It holds only while calls take about as long as at best, as reports are late.
 USE_FULL = 0.85  # share of the cores in use beyond which calls mostly wait
 SPOILT_MS = 6_000.0  # after calls hung at a silent server, what was served says little of what could be
 LEAST_USE = 0.1  # an idle fleet says little of what a busy one could do
