Say in the log and the counters which servers are silent, and probe none that is held out

A server left out for its silence was not among upstreams_excluded, though the balancer avoids it, and nothing told staff of it. It counts now, with a line when it falls silent and one when it answers again. A cordoned or draining server with calls out could still be probed, which opens a connection; what is no longer to be used is forgotten, also on a cordon.

--- a/mastturn/report/pictures.py
+++ b/mastturn/report/pictures.py
@@ -28,14 +28,14 @@
     for row, trouble in enumerate(sorted(run["troubles"], key=lambda t: t["start_s"])):
         start, end = trouble["start_s"], trouble["end_s"]
         if end > start:
-            axes.axvspan(start, end, color=TROUBLE, alpha=0.35, lw=0)
+            axes.axvspan(start, end, color=TROUBLE, alpha=0.45, lw=0, zorder=0)
         else:
             axes.axvline(start, color=UNSERVED, lw=1, ls=":")
         if words:
             name = trouble["name"].replace("_", " ")
             axes.annotate(
                 name,
-                (start, 1.02 + 0.09 * (row % 3)),
+                (start, 1.02 + 0.07 * (row % 3)),
                 xycoords=("data", "axes fraction"),
                 fontsize=8,
                 color="#555555",
@@ -53,6 +53,7 @@
         seconds, asked, step="post", color=UNSERVED, alpha=0.55, label="asked, not served in time"
     )
     top.fill_between(seconds, served, step="post", color=SERVED, label="served in time")
+    top.set_ylim(bottom=0)
     top.set_ylabel("worth a second")
     top.legend(loc="lower right", fontsize=8)
     share = np.divide(served, asked, out=np.ones_like(served), where=asked > 0)
@@ -140,7 +141,7 @@
                 label=name if row == 0 else None,
             )
     axes.set_yticks(range(len(scored)), list(scored))
-    axes.invert_yaxis()
+    axes.set_ylim(len(scored) - 0.4, -0.6)
     axes.set_xlabel("mean score with its 95% interval")
     axes.legend(fontsize=8, loc="center left", bbox_to_anchor=(1.0, 0.5))
     axes.grid(alpha=0.25, axis="x")
--- a/umberworks/rules.py
+++ b/umberworks/rules.py
@@ -105,7 +105,7 @@
 
     def avoided(self) -> frozenset[str]:
         """The listed servers that get no calls now, by hand or by choice."""
-        return self._members.avoided(self._choice.fit)
+        return self._members.avoided(self._silence.answering(self._choice.fit))
 
     def cordoned(self) -> frozenset[str]:
         """The servers that operators hold out, listed or not."""
@@ -142,11 +142,11 @@
             server.size = member.size if self._settings.sizes_exact else 1.0
             server.member, server.fit = member, member.readiness is face.Readiness.READY
         self._servers = {name: s for name, s in self._servers.items() if s.fit or s.in_flight}
-        self._silence.forget({name for name, s in self._servers.items() if s.fit})
         self._take_ready()
 
     def _take_ready(self) -> None:
         self._choice.take(self._members.usable(self._servers.values()), self._now)
+        self._silence.forget({s.member.server for s in self._choice.ready})
 
     # ---- a request's path -----------------------------------------------------------------------
 
@@ -321,9 +321,8 @@
         """Have the servers probed that owe too much."""
         self._looking = False
         if self._choice.median and self._settings.may_probe:
-            self._actions.extend(
-                face.Probe(s.member.server) for s in self._silence.doubts(self._choice.median, now)
-            )
+            doubted = self._silence.doubts(self._choice.median, now)
+            self._actions.extend(face.Probe(s.member.server) for s in doubted)
             if self._silence.any():
                 self._look_later(now)
 
@@ -333,14 +332,14 @@
 
     def _suspect(self, server: Server, now: float) -> None:
         """It is silent: its calls take up no room, and are made elsewhere if they may."""
-        self._silence.silent(server)
+        if self._silence.silent(server):
+            self._actions.append(face.Log(f"{server.member.server} gives no answers: left out"))
         self._room.spoilt(now)
         for request in list(self._requests.values()):
             for number, attempt in enumerate(request.attempts):
                 if attempt.server is server and attempt.out and not attempt.started:
-                    if not attempt.apart:
-                        attempt.apart = True
-                        self._room.out -= 1
+                    self._room.out -= not attempt.apart
+                    attempt.apart = True
                     self._call_off(request, number, attempt, now)
 
     def _call_off(self, request: Request, number: int, attempt: Attempt, now: float) -> None:
@@ -364,9 +363,10 @@
         """It answers: if it was suspected, the calls that are still out there take up room again."""
         if not self._silence.heard(server, now):
             return
+        self._actions.append(face.Log(f"{server.member.server} answers again"))
         for request in self._requests.values():
             for attempt in request.attempts:
-                if attempt.out and attempt.apart and not self._silence.suspects(attempt.server):
+                if attempt.out and attempt.apart and attempt.server is server:
                     attempt.apart = False
                     self._room.out += 1
 
--- a/umberworks/silence.py
+++ b/umberworks/silence.py
@@ -54,10 +54,12 @@
         """A call could not connect, which may be for want of a descriptor here: a doubt."""
         self._unreached[server.member.server] = server
 
-    def silent(self, server: Server) -> None:
-        """A probe's connection to it did not come up."""
+    def silent(self, server: Server) -> bool:
+        """A probe's connection to it did not come up; true if that is news."""
+        news = server.member.server not in self._suspects
         self._asked.discard(server.member.server)
         self._suspects[server.member.server] = server
+        return news
 
     def suspects(self, server: Server) -> bool:
         """Whether a server is known to give no answers."""
@@ -85,7 +87,7 @@
         return list(due.values())
 
     def forget(self, names: set[str]) -> None:
-        """Keep nothing of servers that are no longer listed."""
+        """Keep nothing of servers but these: none is probed that is not to be used."""
         for kept in (self._suspects, self._watched, self._unreached, self._probed):
             for name in [name for name in kept if name not in names]:
                 del kept[name]
