Add the core of the list service: entries, history, leases, replicas and agents' choices

Need: the balancers' list is served by somebody else's program; our stand-in for it has no faults. Releases, membership and zones need a list that survives its own failures.

Design (fleet/registry, pure: events in, actions out): each replica takes writes alone and passes its log on in the published watch form; of two reports of one instance the later in a total order wins (incarnation, then active < leaving < removed, then turns of its lease). Leases are judged by their holder alone, on its own clock; when more than a fifth is late, nobody is taken off until they renew. An agent holds lists against what it has told by vectors.

Rejected: one leader with a quorum. It gives one order of all changes, which nobody needs here, and takes no writes, and with leases no renewals, while a majority is away, which is when the list is needed most. Rejected too: epochs as a second number beside the revision, since clients of the published form do not send one back.

Tests: 37 of the core, among them 30 random histories of three replicas with cuts, kills and lapses that end in one list.

--- /dev/null
+++ b/fleet/registry/__init__.py
@@ -0,0 +1,1 @@
+"""The list of instances: kept by replicas, followed by agents. The invariants stand in `replica.py`."""
--- /dev/null
+++ b/fleet/registry/entries.py
@@ -0,0 +1,162 @@
+"""One instance as the list shows it, and which of two reports of it is the later one.
+
+Replicas take writes without asking each other, so that any two reports of one instance must be comparable
+by themselves. `order` is total; the greater one wins, on every replica, in whatever order they come:
+
+1. the higher `incarnation`: a new process is not what was said of the one before it;
+2. the higher `word`: within an incarnation an instance goes from active to leaving to removed and never
+   back, so that a removal wins over a renewal that another replica took meanwhile (the renewal says that
+   the process lives, the removal that nobody wants it; a process that is wanted again comes with a new
+   incarnation);
+3. the higher `turn`: counts what replicas did with it, moves of its lease and lapses, and lets the replica
+   that holds a lease refute another's belief that it has lapsed;
+4. at the same turn one that has not lapsed, and then the names and values: any order will do, if it is
+   one.
+"""
+
+from __future__ import annotations
+
+import enum
+import ipaddress
+import math
+from dataclasses import dataclass, replace
+
+LARGEST = 2**53 - 1  # what every JSON reader holds exactly
+LONGEST_NAME = 200
+LEASE_MS = (500.0, 3_600_000.0)
+"""The shortest and the longest lease; 0 stands for none."""
+
+
+class Word(enum.IntEnum):
+    """What its registrant or an operator last said of an incarnation."""
+
+    ACTIVE = 0
+    LEAVING = 1
+    REMOVED = 2
+
+
+PHASES = {"active": Word.ACTIVE, "leaving": Word.LEAVING, "left": Word.REMOVED}
+
+
+class BadEntryError(ValueError):
+    """A value that no entry can have; the text names the field and what is allowed."""
+
+
+def _require(condition: bool, field: str, allowed: str) -> None:
+    if not condition:
+        raise BadEntryError(f"{field}: allowed is {allowed}")
+
+
+def _is_name(text: str, least: int) -> bool:
+    return least <= len(text) <= LONGEST_NAME and text.isprintable() and not any(c.isspace() for c in text)
+
+
+def _is_address(text: str) -> bool:
+    host, colon, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+    except ValueError:
+        return False
+    return bool(colon) and port.isascii() and port.isdigit() and 0 < int(port) < 65536
+
+
+Key = tuple[str, str]
+"""The list and the id: what an entry is known by."""
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """One instance in one list. `lease_ms` 0: it stays until it is removed; spans are milliseconds."""
+
+    id: str
+    host_port: str = ""
+    list: str = ""
+    locality: str = ""
+    flavor: str = ""
+    cell: int = 0
+    size: float = 1.0
+    up_since_ms: float = 0.0
+    incarnation: int = 0
+    word: Word = Word.ACTIVE
+    lease_ms: float = 0.0
+    holder: str = ""  # the replica that was told last: it alone says that the lease has lapsed
+    turn: int = 0
+    lapsed: bool = False
+
+    def __post_init__(self) -> None:
+        _require(_is_name(self.id, 1), "id", f"1 to {LONGEST_NAME} printable characters without blanks")
+        for field in ("list", "locality", "flavor", "holder"):
+            value = getattr(self, field)
+            _require(_is_name(value, 0), field, f"at most {LONGEST_NAME} printable characters without blanks")
+        gone = self.word is Word.REMOVED and not self.host_port
+        _require(
+            gone or _is_address(self.host_port), "host_port", "an IP address and a port, as 10.0.0.4:7070"
+        )
+        for field in ("incarnation", "turn", "cell"):
+            _require(0 <= getattr(self, field) <= LARGEST, field, "a whole number from 0 to 2^53 - 1")
+        _require(math.isfinite(self.size) and self.size > 0, "size", "a finite number above 0")
+        _require(math.isfinite(self.up_since_ms), "up_since_ms", "a finite number of milliseconds")
+        low, high = LEASE_MS
+        _require(
+            self.lease_ms == 0 or low <= self.lease_ms <= high,
+            "lease_ms",
+            f"0 for none, or {low:g} to {high:g}",
+        )
+
+    @property
+    def key(self) -> Key:
+        """What it is known by."""
+        return (self.list, self.id)
+
+    @property
+    def is_gone(self) -> bool:
+        """Whether readers see it as `left`."""
+        return self.lapsed or self.word is Word.REMOVED
+
+    @property
+    def phase(self) -> str:
+        """The published form's word."""
+        return "left" if self.is_gone else "leaving" if self.word is Word.LEAVING else "active"
+
+    @property
+    def order(self) -> tuple[object, ...]:
+        """Greater is later; see the top of the file."""
+        return (
+            self.incarnation,
+            self.word,
+            self.turn,
+            not self.lapsed,
+            self.holder,
+            self.host_port,
+            self.locality,
+            self.flavor,
+            self.cell,
+            self.size,
+            self.up_since_ms,
+            self.lease_ms,
+        )
+
+    def says_as(self, other: Entry) -> bool:
+        """Whether both say the same of the instance, whoever holds it and whatever its phase."""
+        return self._said() == other._said()
+
+    def _said(self) -> tuple[object, ...]:
+        return (
+            self.host_port,
+            self.locality,
+            self.flavor,
+            self.cell,
+            self.size,
+            self.up_since_ms,
+            self.lease_ms,
+        )
+
+
+def later(one: Entry, other: Entry) -> Entry:
+    """The one that wins; commutative, associative and idempotent, as `order` is total."""
+    return one if one.order >= other.order else other
+
+
+def held_by(entry: Entry, holder: str) -> Entry:
+    """The same, alive, with its lease at another holder."""
+    return replace(entry, holder=holder, turn=entry.turn + 1, lapsed=False)
--- /dev/null
+++ b/fleet/registry/leases.py
@@ -0,0 +1,110 @@
+"""Leases of the entries that one replica holds, and whether their running out is to be believed.
+
+A registrant renews at a third of its lease. One that is silent for half of it is late. A lease that runs
+out is a reason to take an instance off only while few are late: when more than `DOUBT_SHARE` of all are,
+it is more likely that they can't reach us than that they have all died at once, and nobody is taken off.
+Whoever ran out earlier than the others did so up to a third of a lease before them; by then the others are
+late already, so that the first of a mass is kept as well. Doubt ends by renewals alone: when no more than
+half of that share is late. Those that are silent then get one more lease.
+
+All times are milliseconds of the caller's own clock that never goes back; no replica's clock is compared
+with another's, nor with a registrant's.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from heapq import heappop, heappush
+
+from fleet.registry.entries import Key
+
+DOUBT_SHARE = 0.2
+LEAST_LATE = 3  # fewer late ones are no mass, whatever their share
+RENEW_PARTS = 3  # renewals in one lease
+LATE_PARTS = 2  # silent for one part in so many of its lease, one is late
+
+
+@dataclass(slots=True)
+class _Lease:
+    length: float
+    renewed: float
+    row: int  # the one row of the queue that speaks of it
+
+
+class Leases:
+    """Who has renewed when."""
+
+    def __init__(self) -> None:
+        self._held: dict[Key, _Lease] = {}
+        self._due: list[tuple[float, int, Key]] = []
+        self._rows = 0
+        self.doubts = False
+
+    def __len__(self) -> int:
+        return len(self._held)
+
+    def __contains__(self, key: object) -> bool:
+        return key in self._held
+
+    def renew(self, key: Key, length: float, now: float) -> None:
+        """A registrant has spoken."""
+        known = self._held.get(key)
+        if known is None or length < known.length:
+            known = self._held[key] = _Lease(length, now, 0)
+            self._queue(key, known, now + length)
+        known.length, known.renewed = length, now
+
+    def _queue(self, key: Key, held: _Lease, due: float) -> None:
+        self._rows += 1
+        held.row = self._rows
+        heappush(self._due, (due, held.row, key))
+
+    def drop(self, key: Key) -> None:
+        """It is not ours to watch any more."""
+        self._held.pop(key, None)
+
+    def late(self, now: float) -> int:
+        """How many have missed a renewal."""
+        return sum(now - held.renewed > held.length / LATE_PARTS for held in self._held.values())
+
+    def due_at(self) -> float | None:
+        """When to look next."""
+        return self._due[0][0] if self._due else None
+
+    def is_alive(self, key: Key, now: float) -> bool:
+        """Whether its lease runs."""
+        held = self._held.get(key)
+        return held is not None and now - held.renewed < held.length
+
+    def run_out(self, now: float) -> list[Key]:
+        """Those to take off now; none while we doubt. `doubts` is brought up to date."""
+        over = []
+        while self._due and self._due[0][0] <= now:
+            _, row, key = heappop(self._due)
+            held = self._held.get(key)
+            if held is None or held.row != row:
+                continue
+            if held.renewed + held.length > now:
+                self._queue(key, held, held.renewed + held.length)
+            else:
+                over.append(key)
+        if over or self.doubts:
+            self._judge(now)
+        if not self.doubts:
+            for key in over:
+                del self._held[key]
+            return over
+        for key in over:  # kept: looked at again in half a lease
+            held = self._held[key]
+            self._queue(key, held, now + held.length / LATE_PARTS)
+        return []
+
+    def _judge(self, now: float) -> None:
+        late = self.late(now)
+        if not self.doubts:
+            self.doubts = late >= LEAST_LATE and late > DOUBT_SHARE * len(self._held)
+        elif late <= DOUBT_SHARE / 2 * len(self._held):
+            self.doubts = False
+            for held in self._held.values():  # whoever is silent still gets one more lease
+                if now - held.renewed > held.length / LATE_PARTS:
+                    held.renewed = now
--- a/mastturn/cli.py
+++ b/mastturn/cli.py
@@ -20,6 +20,7 @@
 from mastturn.lab.run import Task, Values, keep, read_kept, run_all, together
 from mastturn.lab.scenario import LabError
 from mastturn.lab.versions import HERE, MODULE, Versions, open_version
+from mastturn.registry.commands import registry
 from mastturn.report import tables
 
 BAD_INPUT = 2
@@ -94,6 +95,9 @@
     _summary(play.play(plan.read_plan(path), click.echo), file)
 
 
+main.add_command(registry)
+
+
 @main.group()
 def lab() -> None:
     """Scenarios in the emulator.
--- /dev/null
+++ b/mastturn/registry/__init__.py
@@ -0,0 +1,1 @@
+"""The list service on sockets: replicas, agents, registrants. Decisions are in `fleet.registry`."""
--- /dev/null
+++ b/mastturn/registry/agent.py
@@ -0,0 +1,189 @@
+"""The agent on a balancer's machine: follows the replicas, answers the balancer at once with what it holds.
+
+While every replica fails it stays silent to watches, since it can't know whether anything has changed, and
+still gives the list that it has to whoever asks for it whole, with its age (`age_ms`, header `Age`).
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import random
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+import msgspec
+from aiohttp import web
+
+from fleet.registry import follower as core
+from fleet.registry.entries import Entry
+from fleet.registry.history import Saved
+from mastturn.registry.form import PATH, Detail, FormError, Source, as_detail, as_entry, write_listing
+from mastturn.registry.http import AskError, Place, Question, Waiters, ask_list, now_ms, send, session
+
+log = logging.getLogger(__name__)
+
+SAVE_S = 1.0  # the snapshot is written so often at the most
+FORMAT = 1
+
+
+@dataclass(frozen=True, slots=True)
+class Options:
+    """An agent's place: `replicas` are addresses, `snapshot` a file or nothing."""
+
+    listen: str
+    replicas: tuple[str, ...]
+    list: str = ""
+    snapshot: Path | None = None
+    seed: int | None = None
+
+
+class Snapshot(msgspec.Struct, frozen=True):
+    """The agent's file."""
+
+    format: int
+    list: str
+    revision: int
+    floor: int
+    holes: tuple[tuple[int, int], ...]
+    seen: dict[str, int]
+    entries: tuple[tuple[int, Detail], ...]
+
+
+def read_snapshot(path: Path, list_name: str) -> core.Kept:
+    """What an earlier process has kept; nothing, with a line in the log, if that is spoilt."""
+    try:
+        told = msgspec.json.decode(path.read_bytes(), type=Snapshot)
+        if told.format != FORMAT or told.list != list_name:
+            raise FormError(f"it is of format {told.format} and of list {told.list!r}")
+        entries: tuple[tuple[int, Entry], ...] = tuple((r, as_entry(e, e.id)) for r, e in told.entries)
+    except FileNotFoundError:
+        return core.Kept()
+    except (OSError, msgspec.MsgspecError, UnicodeDecodeError, FormError) as error:
+        log.error("discovery: snapshot %s can't be used: %s", path, error)
+        return core.Kept()
+    return core.Kept(Saved(told.revision, told.floor, told.holes, entries), told.seen)
+
+
+def write_snapshot(path: Path, list_name: str, kept: core.Kept) -> None:
+    """Write it whole or not at all; raises OSError."""
+    entries = tuple((revision, as_detail(entry)) for revision, entry in kept.history.entries)
+    marks = kept.history
+    told = Snapshot(FORMAT, list_name, marks.revision, marks.floor, marks.holes, kept.seen, entries)
+    part = path.with_name(path.name + ".part")
+    part.write_bytes(msgspec.json.encode(told))
+    os.replace(part, path)
+
+
+class Agent:
+    """One list, for the balancers of one machine."""
+
+    def __init__(self, options: Options) -> None:
+        """Raises ValueError on options that can't be used."""
+        self._options = options
+        seed = options.seed if options.seed is not None else random.getrandbits(64)
+        kept = read_snapshot(options.snapshot, options.list) if options.snapshot else None
+        self.follower = core.Follower(options.replicas, options.list, seed, time.time(), kept)
+        self.waiters = Waiters()
+        self._up = asyncio.Event()
+        self._has_list = asyncio.Event()
+        if len(self.follower.history):
+            self._has_list.set()
+        self._asking: asyncio.Task[None] | None = None
+        self._pausing: asyncio.TimerHandle | None = None
+        self._saving: asyncio.TimerHandle | None = None
+        self.place = Place(options.listen, [web.get(PATH, self._read), web.get("/health/live", self._live)])
+
+    async def start(self) -> None:
+        """Listen and follow; raises OSError."""
+        await self.place.start()
+        log.info("discovery: agent at %s, %d entries", self.place.address, len(self.follower.history))
+        self._client = session()
+        self._do(core.Begin())
+
+    async def stop(self) -> None:
+        """End."""
+        for timer in (self._pausing, self._saving):
+            if timer is not None:
+                timer.cancel()
+        if self._asking is not None:
+            self._asking.cancel()
+            await asyncio.gather(self._asking, return_exceptions=True)
+        if self._saving is not None:
+            self._save()
+        await self._client.close()
+        await self.place.stop()
+
+    # ---- the decisions ---------------------------------------------------------------------------
+
+    def _do(self, event: core.Event) -> None:
+        loop = asyncio.get_running_loop()
+        actions = self.follower.handle(event, now_ms())
+        if isinstance(event, core.Told) and self.follower.heard_at is not None:
+            self._has_list.set()
+        if self.follower.is_down:
+            self._up.clear()
+        elif self.follower.heard_at is not None:
+            self._up.set()
+        for action in actions:
+            match action:
+                case core.Ask():
+                    self._asking = loop.create_task(self._ask(action))
+                case core.Pause(wait):
+                    self._pausing = loop.call_later(wait / 1000, self._do, core.PauseOver())
+                case core.Changed():
+                    self.waiters.wake(None)
+                    if self._options.snapshot is not None and self._saving is None:
+                        self._saving = loop.call_later(SAVE_S, self._save)
+                case core.Log(text):
+                    log.info("%s", text)
+
+    async def _ask(self, ask: core.Ask) -> None:
+        event: core.Event
+        try:
+            got = await ask_list(self._client, ask.replica, ask.after, ask.wait_ms, list=self._options.list)
+            event = core.Told(ask.replica, got.replica, got.changes, got.epoch, got.seen)
+        except AskError as error:
+            event = core.Failed(ask.replica, str(error))
+        self._do(event)
+
+    def _save(self) -> None:
+        self._saving = None
+        if self._options.snapshot is not None:
+            try:
+                write_snapshot(self._options.snapshot, self._options.list, self.follower.kept())
+            except OSError as error:
+                log.error("discovery: no snapshot: %s", error)
+
+    # ---- readers ---------------------------------------------------------------------------------
+
+    def _age_ms(self) -> float:
+        heard = self.follower.heard_at
+        return now_ms() - heard if heard is not None else 0.0
+
+    async def _read(self, request: web.Request) -> web.StreamResponse:
+        question = Question(request)
+        if question.list not in ("", self._options.list):
+            raise FormError(f"list: this agent has {self._options.list!r} alone")
+        await self._has_list.wait()  # silent until there is something to say
+        history = self.follower.history
+        after = question.after
+        if after is not None and history.is_ahead(after):
+            history.skip_past(after)
+        if after is not None and history.is_ours(after):
+            if question.wait_s and not history.after(after).entries:
+                await self.waiters.wait("", question.wait_s)
+            if not history.after(after).entries:
+                # That nothing has changed is more than we know while every replica is silent.
+                await self._up.wait()
+            changes = history.after(after)
+        else:
+            changes = history.after(None)
+        age = self._age_ms()
+        body = write_listing(changes, history.epoch, question.detail, Source(self.follower.source), age)
+        return await send(request, body, {"Age": str(int(age / 1000))})
+
+    async def _live(self, request: web.Request) -> web.StreamResponse:
+        return web.Response(text="live\n")
--- /dev/null
+++ b/mastturn/registry/service.py
@@ -0,0 +1,304 @@
+"""A replica on sockets: what readers, registrants and peers call are events of `fleet.registry.replica`."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+import random
+import time
+from collections import Counter
+from dataclasses import dataclass
+from pathlib import Path
+
+from aiohttp import web
+
+from fleet.registry import replica as core
+from fleet.registry.entries import Entry, Key
+from fleet.registry.history import Changes
+from mastturn.registry.figures import figures_text
+from mastturn.registry.form import PATH, FormError, Source, read_number, read_written, write_listing
+from mastturn.registry.http import AskError, Place, Question, Waiters, ask_list, now_ms, send, session
+from mastturn.registry.store import Store, StoreError
+
+log = logging.getLogger(__name__)
+
+PEER_WAIT_MS = 4_000.0
+SYNC_S = 2.0  # a new process waits so long for a peer's list before it answers readers from its own alone
+PAUSE_S = (0.1, 1.0)  # before a peer that failed is asked again
+SNAPSHOT_S = 300.0
+RETRY_S = 1.0  # how often a disk that failed is tried again
+WAKE_S = 0.02  # changes within so long are told together
+
+
+@dataclass(frozen=True, slots=True)
+class Options:
+    """One replica's place: `peers` are addresses by name, `data` its file."""
+
+    name: str
+    listen: str
+    data: Path
+    peers: dict[str, str]
+    forget_s: float = 86_400.0
+
+
+class Service:
+    """One replica: hosts the decisions, the disk and the watches."""
+
+    def __init__(self, options: Options) -> None:
+        """Raises StoreError and ValueError on options that can't be used."""
+        self._options = options
+        settings = core.Settings(options.name, tuple(options.peers), options.forget_s * 1000)
+        self._store = Store(options.data, options.name)
+        kept = self._store.open()
+        if self._store.lost:
+            log.error("registry: %s; what is missing comes from the peers", self._store.lost)
+        self.replica = core.Replica(settings, time.time(), now_ms(), kept)
+        self._stored_seen = dict(self.replica.seen)
+        self._unstored: dict[Key, tuple[int, Entry]] = {}
+        self._forgotten: dict[Key, None] = {}
+        self.failing = ""  # what the disk said last, if it fails
+        self.waiters = Waiters()
+        self.counts: Counter[str] = Counter()
+        self.peers_heard: dict[str, float] = {}
+        self._replies: dict[int, core.Reply] = {}
+        self._calls = 0
+        self._timer: asyncio.TimerHandle | None = None
+        self._waking: asyncio.TimerHandle | None = None
+        self._to_wake: set[str] = set()
+        self._answers: dict[tuple[int | None, str, bool], tuple[Changes, bytes]] = {}
+        self._answers_at = -1
+        self._synced = asyncio.Event()
+        self._tasks: list[asyncio.Task[None]] = []
+        self.place = Place(
+            options.listen,
+            [
+                web.get(PATH, self._read),
+                web.put(PATH + "/{id}", self._put),
+                web.delete(PATH + "/{id}", self._remove),
+                web.get("/health/live", self._live),
+                web.get("/health/ready", self._ready),
+                web.get("/metrics", self._metrics),
+            ],
+        )
+
+    # ---- its life --------------------------------------------------------------------------------
+
+    async def start(self) -> None:
+        """Listen and follow the peers; raises OSError."""
+        await self.place.start()
+        log.info("registry: replica %s at %s, %d entries", self._options.name, self.place.address,
+                 len(self.replica.history))  # fmt: skip
+        loop = asyncio.get_running_loop()
+        self._client = session()
+        self._tasks = [loop.create_task(self._follow(name)) for name in self._options.peers]
+        self._tasks.append(loop.create_task(self._keep()))
+        if self._options.peers:
+            loop.call_later(SYNC_S, self._synced.set)
+        else:
+            self._synced.set()
+        self._do(core.TimeDue())
+
+    async def stop(self) -> None:
+        """End; everything that was acknowledged is on disk."""
+        for timer in (self._timer, self._waking):
+            if timer is not None:
+                timer.cancel()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._client.close()
+        await self.place.stop()
+        with contextlib.suppress(StoreError):
+            self._write()
+        self._store.close()
+
+    # ---- the decisions ---------------------------------------------------------------------------
+
+    def _do(self, event: core.Event) -> None:
+        loop = asyncio.get_running_loop()
+        for action in self.replica.handle(event, now_ms()):
+            match action:
+                case core.Store(entries, forgotten):
+                    self._unstored.update({entry.key: (revision, entry) for revision, entry in entries})
+                    for key in forgotten:
+                        self._unstored.pop(key, None)
+                        self._forgotten[key] = None
+                    self._try_to_write()
+                case core.Told(lists):
+                    self._to_wake |= lists
+                    if self._waking is None:
+                        self._waking = loop.call_later(WAKE_S, self._wake)
+                case core.Reply():
+                    self._replies[action.call] = action
+                case core.SetTimer(at):
+                    if self._timer is not None:
+                        self._timer.cancel()
+                    self._timer = loop.call_later(max(at - now_ms(), 0.0) / 1000, self._due)
+                case core.Log(text):
+                    log.info("%s", text)
+
+    def _due(self) -> None:
+        self._timer = None
+        self._do(core.TimeDue())
+
+    def _wake(self) -> None:
+        self._waking = None
+        lists, self._to_wake = frozenset(self._to_wake), set()
+        self.waiters.wake(lists)
+
+    # ---- the disk --------------------------------------------------------------------------------
+
+    def _write(self) -> None:
+        rows, gone = list(self._unstored.values()), list(self._forgotten)
+        replica = self.replica
+        self._store.write(rows, gone, replica.history.marks(), replica.seen, replica.acked)
+        self._unstored.clear()
+        self._forgotten.clear()
+        self._stored_seen = dict(replica.seen)
+
+    def _try_to_write(self) -> None:
+        try:
+            self._write()
+        except StoreError as error:
+            if not self.failing:
+                log.error("registry: %s; writes are refused until it can be written again", error)
+            self.failing = str(error)
+        else:
+            if self.failing:
+                log.info("registry: the disk can be written again")
+            self.failing = ""
+
+    async def _keep(self) -> None:
+        """Write down how far the peers' logs are known, try a disk that failed again, take snapshots."""
+        last = -SNAPSHOT_S
+        while True:
+            await asyncio.sleep(RETRY_S)
+            if self.failing or self._stored_seen != self.replica.seen:
+                self._try_to_write()
+            if time.monotonic() - last >= SNAPSHOT_S and not self.failing:
+                last = time.monotonic()
+                try:
+                    self._store.snapshot()
+                except StoreError as error:
+                    log.error("registry: no snapshot: %s", error)
+
+    # ---- peers -----------------------------------------------------------------------------------
+
+    async def _follow(self, peer: str) -> None:
+        """Take over what a peer's log tells, for as long as we run."""
+        said = ""
+        while True:
+            pause = 0.0
+            # What is not on disk yet is asked for again: a peer may forget what we say that we have.
+            after = self._stored_seen.get(peer)
+            try:
+                got = await ask_list(
+                    self._client, self._options.peers[peer], after, PEER_WAIT_MS, replica=self._options.name
+                )
+                if got.replica != peer:
+                    raise AskError(f"it calls itself {got.replica!r}")
+                self._do(core.PeerTold(peer, got.changes, got.seen))
+                if not self.failing:
+                    self._stored_seen[peer] = self.replica.seen[peer]
+                self.peers_heard[peer] = time.monotonic()
+                self._synced.set()
+                if said:
+                    log.info("registry: peer %s answers again", peer)
+                said = ""
+                pause = RETRY_S if self.failing else 0.0
+            except AskError as error:
+                if not said:
+                    log.warning("registry: peer %s: %s", peer, error)
+                said = str(error)
+                pause = random.uniform(*PAUSE_S)
+            await asyncio.sleep(pause)
+
+    # ---- readers ---------------------------------------------------------------------------------
+
+    async def _read(self, request: web.Request) -> web.StreamResponse:
+        question = Question(request)
+        await self._synced.wait()
+        history = self.replica.history
+        is_peer = question.replica in self._options.peers
+        if question.replica and not is_peer:
+            raise FormError(f"replica: {question.replica!r} is no peer of {self._options.name!r}")
+        after = question.after
+        if after is not None:
+            if history.is_ahead(after):
+                history.skip_past(after)
+                log.warning("registry: a reader knows revision %d, which we have lost: a new epoch", after)
+            if is_peer:
+                self._do(core.PeerAsked(question.replica, after))
+        changes, body = self._answer(after, question, is_peer)
+        if not changes.whole and not changes.entries and question.wait_s:
+            await self.waiters.wait(None if is_peer else question.list, question.wait_s)
+            changes, body = self._answer(after, question, is_peer)
+        return await send(request, body)
+
+    def _answer(self, after: int | None, question: Question, is_peer: bool) -> tuple[Changes, bytes]:
+        """The answer and its bytes, which are the same for all who know the same."""
+        history = self.replica.history
+        if self._answers_at != history.revision:
+            self._answers.clear()
+            self._answers_at = history.revision
+        place = (after, "\n" if is_peer else question.list, question.detail)
+        if (found := self._answers.get(place)) is None:
+            changes = history.after(after)
+            if not is_peer:
+                changes = changes.only(question.list)
+            who = Source(self._options.name, self.replica.vector()) if question.detail else Source()
+            body = write_listing(changes, history.epoch, question.detail, who, doubt=self.replica.doubts())
+            found = self._answers[place] = (changes, body)
+        return found
+
+    # ---- writers ---------------------------------------------------------------------------------
+
+    async def _put(self, request: web.Request) -> web.StreamResponse:
+        list_name = request.query.get("list", "")
+        entry, incarnation = read_written(await request.read(), request.match_info["id"], list_name)
+        self._calls += 1
+        return self._reply(core.Put(self._calls, entry, incarnation))
+
+    async def _remove(self, request: web.Request) -> web.StreamResponse:
+        words = request.query
+        number = None
+        if "incarnation" in words:
+            number = read_number(words["incarnation"], "incarnation", 2**53 - 1)
+        self._calls += 1
+        key = (words.get("list", ""), request.match_info["id"])
+        return self._reply(core.Remove(self._calls, key, number))
+
+    def _reply(self, event: core.Put | core.Remove) -> web.Response:
+        if self.failing:
+            self.counts["503"] += 1
+            return web.Response(status=503, text=f"not stored: {self.failing}\n")
+        self._do(event)
+        reply = self._replies.pop(event.call)
+        status = 503 if self.failing and reply.status == 200 else reply.status
+        self.counts[str(status)] += 1
+        if status == 503:
+            return web.Response(status=503, text=f"not stored: {self.failing}\n")
+        if reply.entry is None:
+            return web.Response(status=status, text=f"{reply.reason}\n")
+        entry = reply.entry
+        values = {
+            "id": entry.id,
+            "incarnation": entry.incarnation,
+            "phase": entry.phase,
+            "revision": self.replica.history.at(entry.key),
+            "replica": self._options.name,
+        }
+        return web.json_response(values)
+
+    # ---- health ----------------------------------------------------------------------------------
+
+    async def _live(self, request: web.Request) -> web.StreamResponse:
+        return web.Response(text="live\n")
+
+    async def _ready(self, request: web.Request) -> web.StreamResponse:
+        ready = self._synced.is_set()
+        return web.Response(status=200 if ready else 503, text="ready\n" if ready else "no list yet\n")
+
+    async def _metrics(self, request: web.Request) -> web.StreamResponse:
+        return web.Response(body=figures_text(self), headers={"Content-Type": "application/openmetrics-text"})
--- /dev/null
+++ b/tests/test_registry_core.py
@@ -0,0 +1,525 @@
+"""The list's decisions, without clocks and sockets: which report wins, what readers are told, whose lease."""
+
+from __future__ import annotations
+
+import itertools
+import random
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from fleet.registry import follower as follow
+from fleet.registry.entries import BadEntryError, Entry, Key, Word
+from fleet.registry.follower import Follower
+from fleet.registry.history import PER_SECOND, SLOTS, Changes, History
+from fleet.registry.leases import Leases
+from fleet.registry.replica import (
+    LEAST_KEPT_MS,
+    LOOK_MS,
+    ORPHAN_LEASES,
+    Kept,
+    PeerAsked,
+    PeerTold,
+    Put,
+    Remove,
+    Replica,
+    Reply,
+    Settings,
+    TimeDue,
+)
+
+START_S = 1_700_000_000.0
+LEASE = 3_000.0
+
+
+def entry(id_: str = "x", port: int = 1, **more: Any) -> Entry:
+    return replace(Entry(id_, f"127.0.0.1:{port}"), **more)
+
+
+class Fleet:
+    """Replicas without a network between them but `sync`."""
+
+    def __init__(self, *names: str) -> None:
+        self.now = 1_000.0
+        self.names = names
+        self.replicas = {name: self.make(name) for name in names}
+        self._calls = itertools.count()
+
+    def make(self, name: str, kept: Kept | None = None, start_s: float = START_S) -> Replica:
+        peers = tuple(n for n in self.names if n != name)
+        return Replica(Settings(name, peers), start_s, self.now, kept)
+
+    def put(self, name: str, told: Entry, incarnation: int | None = None) -> Reply:
+        return self._write(name, Put(next(self._calls), told, incarnation))
+
+    def remove(self, name: str, id_: str, incarnation: int | None = None) -> Reply:
+        return self._write(name, Remove(next(self._calls), ("", id_), incarnation))
+
+    def _write(self, name: str, event: Put | Remove) -> Reply:
+        actions = self.replicas[name].handle(event, self.now)
+        (reply,) = [a for a in actions if isinstance(a, Reply)]
+        return reply
+
+    def sync(self, *pairs: tuple[str, str]) -> None:
+        """Each second of a pair asks the first for what it does not have yet."""
+        for source, reader in pairs or tuple(itertools.permutations(self.names, 2)):
+            told = self.replicas[source]
+            after = self.replicas[reader].seen.get(source)
+            if after is not None:
+                told.handle(PeerAsked(reader, after), self.now)
+            answer = PeerTold(source, told.history.after(after), told.vector())
+            self.replicas[reader].handle(answer, self.now)
+
+    def wait(self, ms: float, step: float = 250.0) -> None:
+        until = self.now + ms
+        while self.now < until:
+            self.now += step
+            for replica in self.replicas.values():
+                replica.handle(TimeDue(), self.now)
+
+    def phase(self, name: str, id_: str = "x") -> str:
+        found = self.replicas[name].history.get(("", id_))
+        return found.phase if found is not None else "unknown"
+
+    def lists(self) -> list[dict[Key, Entry]]:
+        return [{e.key: e for e in r.history.entries()} for r in self.replicas.values()]
+
+
+def kept(replica: Replica) -> Kept:
+    return Kept(replica.history.saved(), dict(replica.seen), dict(replica.acked))
+
+
+# ---- entries and history ---------------------------------------------------------------------------
+
+
+def test_of_two_reports_the_same_wins_in_every_order() -> None:
+    chance = random.Random(3)
+    for _ in range(200):
+        reports = [
+            entry(
+                port=chance.randint(1, 3),
+                incarnation=chance.randint(0, 2),
+                word=Word(chance.randint(0, 2)),
+                turn=chance.randint(0, 2),
+                lapsed=chance.random() < 0.5,
+                holder=chance.choice("ab"),
+            )
+            for _ in range(4)
+        ]
+        winners = set()
+        for order in itertools.permutations(reports):
+            best = order[0]
+            for report in order[1:]:
+                best = report if report.order > best.order else best
+            winners.add(best)
+        assert len(winners) == 1
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [("id", ""), ("id", "a b"), ("id", "x" * 201), ("host_port", "nowhere:1"), ("host_port", "127.0.0.1:0"),
+     ("size", 0.0), ("size", float("nan")), ("cell", -1), ("incarnation", 2**53), ("lease_ms", 1.0),
+     ("up_since_ms", float("inf")), ("locality", "a\nb")],
+)  # fmt: skip
+def test_a_value_that_no_entry_can_have_is_named(field: str, value: Any) -> None:
+    with pytest.raises(BadEntryError, match=f"^{field}: allowed is "):
+        replace(entry(), **{field: value})
+
+
+def test_changes_lead_from_any_revision_to_the_list_or_the_answer_is_whole() -> None:
+    for seed in range(20):
+        chance = random.Random(seed)
+        history = History(chance.randrange(SLOTS), START_S)
+        known: dict[int, dict[Key, Entry]] = {history.revision: {}}
+        for _ in range(300):
+            act = chance.random()
+            if act < 0.9:
+                history.put(entry(f"s{chance.randrange(8)}", lapsed=chance.random() < 0.4))
+            elif act < 0.95:
+                gone = [e.key for e in history.entries() if e.is_gone]
+                if gone:
+                    history.forget(chance.choice(gone))
+            elif act < 0.97:
+                history.compact()
+            else:  # a new process, sometimes from nothing but an older state and with a clock set back
+                saved = history.saved()
+                before = history.revision
+                history = History(history.revision % SLOTS, START_S - chance.randrange(60), saved)
+                assert history.revision > before
+            now = {e.key: e for e in history.entries() if not e.is_gone}
+            known[history.revision] = now
+            after = chance.choice(list(known))
+            answer = history.after(after)
+            told = {} if answer.whole else dict(known[after])
+            told |= {e.key: e for e in answer.entries}
+            assert {k: e for k, e in told.items() if not e.is_gone} == now
+            assert answer.revision >= after
+
+
+def test_a_reader_who_knows_more_than_an_old_snapshot_gets_the_whole_list() -> None:
+    history = History(2, START_S)
+    history.put(entry("a"))
+    old = history.saved()
+    for i in range(5):
+        history.put(entry("b", port=i + 1))
+    lost = history.revision
+    restored = History(2, START_S - 3_600, old)  # its clock is an hour behind as well
+    assert restored.after(old.revision).whole is False  # what both have is a place to go on from
+    if restored.is_ahead(lost):
+        restored.skip_past(lost)
+    for i in range(9):
+        restored.put(entry("c", port=i + 1))
+    answer = restored.after(lost)
+    assert answer.whole and answer.revision > lost and restored.epoch > lost
+
+
+def test_another_keepers_number_and_a_list_of_other_make_get_the_whole_list() -> None:
+    one, two = History(1, START_S), History(2, START_S)
+    for history in (one, two):
+        history.put(entry())
+    assert one.after(two.revision).whole and one.after(41).whole and one.after(0).whole
+    assert not one.after(one.revision).whole
+    assert one.revision < 2**53 and one.revision // SLOTS >= START_S * PER_SECOND
+
+
+# ---- replicas --------------------------------------------------------------------------------------
+
+
+def test_replicas_come_to_one_list_whatever_is_cut_meanwhile() -> None:
+    for seed in range(30):
+        chance, fleet = random.Random(seed), Fleet("a", "b", "c")
+        for _ in range(150):
+            name, id_ = chance.choice(fleet.names), f"s{chance.randrange(5)}"
+            act = chance.random()
+            if act < 0.35:
+                fleet.put(name, entry(id_, chance.randint(1, 2), lease_ms=LEASE), chance.randint(0, 3))
+            elif act < 0.45:
+                fleet.put(name, entry(id_, word=Word.LEAVING), chance.randint(0, 3))
+            elif act < 0.55:
+                fleet.remove(name, id_)
+            elif act < 0.65:
+                fleet.wait(chance.choice((250.0, LEASE)))
+            elif act < 0.7:  # killed, and back with what it had
+                fleet.replicas[name] = fleet.make(name, kept(fleet.replicas[name]), START_S + 1)
+            else:
+                fleet.sync(tuple(chance.sample(fleet.names, 2)))  # type: ignore[arg-type]
+        for _ in range(4):
+            fleet.sync()
+        one, two, three = fleet.lists()
+        assert one == two == three
+
+
+def test_a_removal_wins_over_a_renewal_and_a_new_incarnation_over_a_removal() -> None:
+    fleet = Fleet("a", "b")
+    fleet.put("a", entry(lease_ms=LEASE), 5)
+    fleet.sync()
+    fleet.remove("a", "x")  # cut from each other from here on
+    fleet.put("b", entry(lease_ms=LEASE), 5)
+    fleet.sync()
+    assert (fleet.phase("a"), fleet.phase("b")) == ("left", "left")
+    fleet.remove("a", "x", 5)
+    fleet.put("b", entry(port=9, lease_ms=LEASE), 6)
+    fleet.sync()
+    assert (fleet.phase("a"), fleet.phase("b")) == ("active", "active")
+
+
+def test_a_restart_under_the_same_id_wins_over_the_old_lease_that_lives_elsewhere() -> None:
+    fleet = Fleet("a", "b")
+    fleet.put("a", entry(port=1, lease_ms=LEASE), 1)
+    fleet.sync()
+    fleet.put("b", entry(port=2, lease_ms=LEASE), 2)
+    fleet.sync()
+    late = fleet.put("a", entry(port=1, lease_ms=LEASE), 1)  # the old process' last renewal
+    assert late.status == 409 and late.reason.startswith("incarnation: 1 is older than 2")
+    fleet.wait(2 * LEASE, LEASE / 3)  # a's lease of the old one takes nothing off
+    for replica in fleet.replicas.values():
+        found = replica.history.get(("", "x"))
+        assert found is not None and found.host_port == "127.0.0.1:2"
+
+
+@pytest.mark.parametrize(
+    ("second", "number", "reason"),
+    [
+        (entry(port=7), 4, "incarnation: 4 is older"),
+        (entry(port=7, word=Word.LEAVING), 5, "incarnation: 5 is listed with other values"),
+        (entry(), 5, "phase: incarnation 5 is leaving already"),
+    ],
+)
+def test_a_write_that_can_not_follow_is_refused_and_changes_nothing(
+    second: Entry, number: int, reason: str
+) -> None:
+    fleet = Fleet("a")
+    fleet.put("a", entry(), 5)
+    fleet.put("a", entry(word=Word.LEAVING), 5)
+    before = fleet.replicas["a"].history.revision
+    reply = fleet.put("a", second, number)
+    assert reply.status == 409 and reply.reason.startswith(reason)
+    assert fleet.replicas["a"].history.revision == before
+
+
+def test_a_registrant_that_names_no_incarnation_renews_with_the_same_and_changes_with_the_next() -> None:
+    fleet = Fleet("a")
+    first = fleet.put("a", entry(port=1))
+    again = fleet.put("a", entry(port=1))
+    moved = fleet.put("a", entry(port=2))
+    numbers = [r.entry.incarnation for r in (first, again, moved) if r.entry is not None]
+    assert numbers == [0, 0, 1]
+
+
+def test_one_that_does_not_renew_is_left_and_comes_back_by_renewing() -> None:
+    fleet = Fleet("a")
+    for i in range(10):
+        fleet.put("a", entry(f"s{i}", lease_ms=LEASE), 1)
+    for _ in range(12):
+        fleet.wait(LEASE / 3)
+        for i in range(9):
+            fleet.put("a", entry(f"s{i}", lease_ms=LEASE), 1)
+    assert fleet.phase("a", "s9") == "left"
+    assert {fleet.phase("a", f"s{i}") for i in range(9)} == {"active"}
+    fleet.put("a", entry("s9", lease_ms=LEASE), 1)
+    assert fleet.phase("a", "s9") == "active"
+
+
+def test_nobody_is_taken_off_while_most_are_silent_and_one_that_stays_so_goes_afterwards() -> None:
+    fleet = Fleet("a")
+    ids = [f"s{i}" for i in range(10)]
+    for id_ in ids:  # renewals are spread over a third of the lease
+        fleet.put("a", entry(id_, lease_ms=LEASE), 1)
+        fleet.wait(100.0, 100.0)
+    fleet.wait(20 * LEASE)
+    assert {fleet.phase("a", id_) for id_ in ids} == {"active"}
+    assert fleet.replicas["a"].doubts()
+    fleet.wait(20 * LEASE)
+    assert fleet.replicas["a"].doubts()  # time alone ends no doubt
+    for _ in range(8):
+        for id_ in ids[1:]:
+            fleet.put("a", entry(id_, lease_ms=LEASE), 1)
+        fleet.wait(LEASE / 3)
+    assert not fleet.replicas["a"].doubts()
+    assert fleet.phase("a", ids[0]) == "left"
+    assert {fleet.phase("a", id_) for id_ in ids[1:]} == {"active"}
+
+
+def test_a_holder_refutes_that_its_lease_has_lapsed() -> None:
+    fleet = Fleet("a", "b")
+    fleet.put("a", entry(lease_ms=LEASE), 1)
+    fleet.sync()
+    for _ in range(6 * ORPHAN_LEASES):  # a goes on and is cut off from b
+        fleet.put("a", entry(lease_ms=LEASE), 1)
+        fleet.wait(LEASE / 3)
+    assert (fleet.phase("a"), fleet.phase("b")) == ("active", "left")
+    for _ in range(2):
+        fleet.sync()
+    assert (fleet.phase("a"), fleet.phase("b")) == ("active", "active")
+    assert fleet.lists()[0] == fleet.lists()[1]
+
+
+def test_only_the_first_that_can_be_heard_takes_over_the_leases_of_a_silent_replica() -> None:
+    fleet = Fleet("a", "b", "c")
+    fleet.put("a", entry(lease_ms=LEASE), 1)
+    fleet.sync()
+    for _ in range(4 * (ORPHAN_LEASES + 1)):
+        fleet.wait(LEASE / 4)
+        fleet.sync(("b", "c"), ("c", "b"))
+        held = fleet.replicas["c"].history.get(("", "x"))
+        assert held is not None and held.holder in ("a", "b")
+    assert fleet.phase("b") == fleet.phase("c") == "left"
+
+
+def test_what_is_gone_is_remembered_until_every_peer_has_it() -> None:
+    fleet = Fleet("a", "b", "c")
+    fleet.put("a", entry(), 1)
+    fleet.sync()
+    fleet.remove("a", "x")
+    for _ in range(2):
+        fleet.sync(("a", "b"), ("b", "a"))
+    fleet.wait(LEAST_KEPT_MS + LOOK_MS, LOOK_MS)
+    assert fleet.phase("a") == "left"  # c could still bring it back
+    for _ in range(2):
+        fleet.sync()
+    fleet.wait(LEAST_KEPT_MS + LOOK_MS, LOOK_MS)
+    assert [fleet.phase(name) for name in fleet.names] == ["unknown"] * 3
+
+
+def test_a_replica_from_an_old_snapshot_brings_back_nothing_that_all_have_forgotten() -> None:
+    fleet = Fleet("a", "b")
+    fleet.put("a", entry("kept"), 1)
+    fleet.put("a", entry("removed"), 1)
+    for _ in range(2):
+        fleet.sync()
+    old = kept(fleet.replicas["a"])
+    fleet.put("a", entry("late"), 1)
+    fleet.remove("a", "removed")
+    for _ in range(3):
+        fleet.sync()
+    fleet.wait(LEAST_KEPT_MS + LOOK_MS, LOOK_MS)
+    assert fleet.phase("b", "removed") == "unknown"
+    fleet.replicas["a"] = fleet.make("a", old, START_S + 3_600)
+    fleet.replicas["a"].seen.clear()  # it asks for the whole list
+    for _ in range(3):
+        fleet.sync()
+    assert fleet.phase("a", "removed") == "left" and fleet.phase("b", "removed") != "active"
+    assert fleet.phase("a", "late") == fleet.phase("b", "kept") == "active"
+
+
+def test_what_one_replica_alone_acknowledged_is_passed_on_after_its_restart() -> None:
+    fleet = Fleet("a", "b")
+    fleet.sync()
+    fleet.put("a", entry(), 1)  # killed before b heard of it
+    fleet.replicas["a"] = fleet.make("a", kept(fleet.replicas["a"]), START_S + 5)
+    for _ in range(2):
+        fleet.sync()
+    assert fleet.phase("a") == fleet.phase("b") == "active"
+
+
+def test_leases_of_which_a_few_are_silent_run_out_one_by_one() -> None:
+    leases = Leases()
+    for i in range(20):
+        leases.renew(("", str(i)), 1_000.0, 0.0)
+    for now in (400.0, 800.0):
+        for i in range(18):
+            leases.renew(("", str(i)), 1_000.0, now)
+    assert sorted(leases.run_out(1_000.0)) == [("", "18"), ("", "19")]
+    assert leases.run_out(1_100.0) == [] and len(leases) == 18
+
+
+# ---- the agent -------------------------------------------------------------------------------------
+
+
+class Desk:
+    """A follower and what it asked last."""
+
+    def __init__(self, *replicas: str, kept_: follow.Kept | None = None, start_s: float = START_S) -> None:
+        self.follower = Follower(replicas, "", 7, start_s, kept_)
+        self.now, self.actions = 0.0, list[follow.Action]()
+        self.do(follow.Begin())
+
+    def do(self, event: follow.Event) -> None:
+        self.actions = self.follower.handle(event, self.now)
+
+    def asked(self) -> follow.Ask:
+        while not any(isinstance(a, follow.Ask) for a in self.actions):
+            (pause,) = [a for a in self.actions if isinstance(a, follow.Pause)]
+            self.now += pause.wait_ms
+            self.do(follow.PauseOver())
+        return next(a for a in self.actions if isinstance(a, follow.Ask))
+
+    def hear(self, source: Replica, name: str) -> None:
+        """The answer of a replica to what was asked."""
+        ask = self.asked()
+        changes = source.history.after(ask.after)
+        if changes.whole:
+            changes = replace(changes, entries=tuple(e for e in changes.entries if not e.is_gone))
+        self.do(follow.Told(ask.replica, name, changes, source.history.epoch, source.vector()))
+
+    def fail(self) -> None:
+        self.do(follow.Failed(self.asked().replica, "cut"))
+
+    def listed(self) -> set[str]:
+        return {e.id for e in self.follower.history.entries() if not e.is_gone}
+
+
+def test_an_agent_tells_nothing_older_when_it_moves_to_a_replica_that_lags() -> None:
+    fleet = Fleet("a", "b")
+    desk = Desk("a", "b")
+    first = desk.asked().replica
+    other = "b" if first == "a" else "a"
+    for id_ in ("x", "y"):
+        fleet.put(first, entry(id_), 1)
+    fleet.sync()
+    fleet.put(first, entry("z"), 1)
+    fleet.remove(first, "y")
+    desk.hear(fleet.replicas[first], first)
+    assert desk.listed() == {"x", "z"}
+    revision = desk.follower.history.revision
+    desk.fail()
+    assert desk.asked().replica == other
+    desk.hear(fleet.replicas[other], other)  # it knows neither z nor that y is gone
+    assert "z" in desk.listed() and desk.follower.history.revision >= revision
+    fleet.sync()
+    while desk.asked().replica != other:
+        desk.fail()
+    desk.hear(fleet.replicas[other], other)
+    assert desk.listed() == {"x", "z"}
+
+
+def test_an_agent_does_not_take_back_what_a_replica_from_an_old_snapshot_lacks() -> None:
+    fleet = Fleet("a", "b")
+    desk = Desk("a", "b")
+    first = desk.asked().replica
+    old = kept(fleet.replicas[first])
+    fleet.put(first, entry("x"), 1)
+    desk.hear(fleet.replicas[first], first)
+    fleet.sync()
+    fleet.replicas[first] = fleet.make(first, old, START_S + 60)
+    desk.hear(fleet.replicas[first], first)
+    assert desk.listed() == {"x"}
+    other = desk.asked().replica
+    assert other != first
+    desk.hear(fleet.replicas[other], other)
+    assert desk.listed() == {"x"}
+
+
+def test_what_every_replica_has_lost_goes_in_the_end() -> None:
+    fleet = Fleet("a")
+    desk = Desk("a")
+    old = kept(fleet.replicas["a"])
+    fleet.put("a", entry("x"), 1)
+    desk.hear(fleet.replicas["a"], "a")
+    fleet.replicas["a"] = fleet.make("a", old, START_S + 60)
+    fleet.put("a", entry("y"), 1)
+    desk.hear(fleet.replicas["a"], "a")
+    assert desk.listed() == {"x", "y"}
+    began = desk.now
+    while desk.listed() != {"y"}:
+        desk.hear(fleet.replicas["a"], "a")
+        assert desk.now < began + 2 * follow.UNSURE_MS
+    assert desk.now >= began + follow.UNSURE_MS / 2
+
+
+def test_an_empty_list_after_a_full_one_is_believed_from_two_replicas_alone() -> None:
+    def empty(desk: Desk) -> None:
+        ask = desk.asked()
+        seen = {name: 2**50 for name in "ab"}
+        desk.do(follow.Told(ask.replica, ask.replica, Changes(2**50, True, ()), 0, seen))
+
+    fleet = Fleet("a", "b")
+    for replicas, believed in ((("a", "b"), True), (("a",), False)):
+        desk = Desk(*replicas)
+        name = desk.asked().replica
+        fleet.put(name, entry("x"), 1)
+        desk.hear(fleet.replicas[name], name)
+        desk.fail()
+        for _ in range(6):
+            desk.follower.handle(follow.PauseOver(), desk.now)
+            empty(desk)
+            if "x" not in desk.listed():
+                break
+        assert ("x" not in desk.listed()) is believed
+
+
+def test_an_agent_without_a_replica_keeps_its_list_pauses_ever_longer_and_starts_from_its_snapshot() -> None:
+    fleet = Fleet("a", "b", "c")
+    fleet.put("a", entry("x"), 1)
+    fleet.sync()
+    desk = Desk("a", "b", "c")
+    desk.hear(fleet.replicas[desk.asked().replica], desk.asked().replica)
+    pauses = []
+    for _ in range(30):
+        desk.fail()
+        pauses += [a.wait_ms for a in desk.actions if isinstance(a, follow.Pause)]
+    assert desk.follower.is_down and desk.listed() == {"x"}
+    assert max(pauses[:1]) <= follow.SPREAD_MS and 1_000 < max(pauses) <= follow.LONGEST_PAUSE_MS
+    told = desk.follower.history.revision
+    again = Desk("a", "b", "c", kept_=desk.follower.kept(), start_s=START_S - 60)
+    assert again.listed() == {"x"} and again.follower.history.revision > told
+    again.hear(fleet.replicas[again.asked().replica], again.asked().replica)
+    assert again.listed() == {"x"} and not again.follower.is_down
+
+
+def test_an_entry_of_another_list_spoils_the_answer() -> None:
+    desk = Desk("a")
+    changes = Changes(16, True, (entry(list="kitchen"),))
+    desk.do(follow.Told("a", "a", changes, 0, {"a": 16}))
+    assert desk.listed() == set() and desk.follower.is_down
