Follow the list at several addresses, with the agent's protections, and test the service with faults

Need: a balancer with one address of discovery is blind while that one place is down.

`discovery` in the configuration may name several addresses (a list, or one text with commas). They are followed by the same decisions as the agent's (fleet/registry/follower.py): nothing older than what was told, no empty list from one alone, spoilt answers passed over. `counters` then has `list` with source, epoch and age. With one address nothing changes and nothing of it is imported (a test holds that). Rejected: a second, simpler set of protections in passpost, which would have had no vectors and dropped servers that a lagging replica had not heard of yet.

Replicas answer peers before they have a list themselves: together at a start, each had waited for the other for 2 s. TOML reading moved to mastturn/files.py, so that the service imports no emulator.

--- a/mastturn/cli.py
+++ b/mastturn/cli.py
@@ -15,10 +15,10 @@
 from rich.progress import BarColumn, MofNCompleteColumn, Progress, TextColumn, TimeRemainingColumn
 
 from mastturn.emulator.baselines import BASELINES
+from mastturn.files import LabError
 from mastturn.lab import scenario as scenarios
 from mastturn.lab.compare import differences, tasks
 from mastturn.lab.run import Task, Values, keep, read_kept, run_all, together
-from mastturn.lab.scenario import LabError
 from mastturn.lab.versions import HERE, MODULE, Versions, open_version
 from mastturn.registry.commands import registry
 from mastturn.report import tables
--- a/mastturn/lab/run.py
+++ b/mastturn/lab/run.py
@@ -14,8 +14,9 @@
 import msgspec
 
 from mastturn.emulator.world import play
+from mastturn.files import LabError
 from mastturn.lab.outcome import as_values
-from mastturn.lab.scenario import LabError, find
+from mastturn.lab.scenario import find
 from mastturn.lab.versions import open_version
 
 Values = dict[str, Any]
--- a/mastturn/lab/scenario.py
+++ b/mastturn/lab/scenario.py
@@ -11,7 +11,6 @@
 from dataclasses import dataclass
 from importlib import resources
 from pathlib import Path
-from typing import Any, TypeVar
 
 import msgspec
 
@@ -19,17 +18,10 @@
 from mastturn.emulator.day import Day, Fleet, draw
 from mastturn.emulator.site import Range, Site, span
 from mastturn.emulator.troubles import Trouble
+from mastturn.files import LabError, check_ranges, decode
 
-T = TypeVar("T")
 SHIPPED = resources.files("mastturn.lab")
 _NAME = re.compile(r"(?P<kind>[a-z0-9-]+?)-(?P<size>\d+)")
-_UNKNOWN = re.compile(r"unknown field `(?P<field>[^`]+)`")
-_MISSING = re.compile(r"missing required field `(?P<field>[^`]+)`")
-_PLACE = re.compile(r" - at `\$(?P<place>[^`]*)`")
-
-
-class LabError(Exception):
-    """Something that was asked for can't be had, in one plain line."""
 
 
 class FleetFile(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -81,68 +73,6 @@
         return draw(self.site, fleet, seed)
 
 
-def _plain(error: msgspec.ValidationError, kind: Any) -> str:
-    """A fault of a value in words: where it stands, what is wrong, what is allowed."""
-    text = str(error)
-    place = _PLACE.search(text)
-    where = place["place"].lstrip(".") if place else ""
-    said = _PLACE.sub("", text)
-    unknown, missing = _UNKNOWN.search(text), _MISSING.search(text)
-    if unknown:
-        key = f"{where}.{unknown['field']}".lstrip(".")
-        return f"{key}: unknown key; {_allowed(kind, where)}"
-    if missing:
-        return f"{f'{where}.' if where else ''}{missing['field']}: is missing"
-    return f"{where or 'the file'}: {said[:1].lower()}{said[1:]}"
-
-
-def _allowed(kind: Any, where: str) -> str:
-    """The keys that are known beside an unknown one."""
-    if where.startswith("troubles"):
-        return "see mastturn/emulator/troubles.py for the keys of each kind of trouble"
-    return "allowed: " + ", ".join(msgspec.structs.fields(kind)[i].name for i in _indices(kind))
-
-
-def _indices(kind: Any) -> range:
-    return range(len(msgspec.structs.fields(kind)))
-
-
-def _decode(text: str, kind: type[T], file: str) -> T:
-    try:
-        return msgspec.convert(tomllib.loads(text), kind)
-    except tomllib.TOMLDecodeError as error:
-        raise LabError(f"{file}: no TOML: {error}") from None
-    except msgspec.ValidationError as error:
-        raise LabError(f"{file}: {_plain(error, kind)}") from None
-
-
-def read_toml(path: Path, kind: type[T]) -> T:
-    """A file of one's own as typed values; raises LabError."""
-    try:
-        text = path.read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        raise LabError(f"{path}: {getattr(error, 'strerror', None) or error}") from None
-    values = _decode(text, kind, str(path))
-    _check_ranges(values, str(path))
-    return values
-
-
-def _check_ranges(value: Any, file: str, where: str = "") -> None:
-    """Refuse ranges turned round, and negative figures, wherever they stand."""
-    if isinstance(value, msgspec.Struct):
-        for field in msgspec.structs.fields(value):
-            _check_ranges(getattr(value, field.name), file, f"{where}.{field.name}".lstrip("."))
-    elif isinstance(value, tuple):
-        if len(value) == 2 and all(isinstance(v, float) for v in value) and value[0] > value[1]:
-            raise LabError(
-                f"{file}: {where}: range turned round: [{value[0]:g}, {value[1]:g}], low end first"
-            )
-        for i, item in enumerate(value):
-            _check_ranges(item, file, f"{where}[{i}]" if isinstance(item, msgspec.Struct) else where)
-    elif isinstance(value, (int, float)) and not isinstance(value, bool) and value < 0:
-        raise LabError(f"{file}: {where}: {value:g} is negative")
-
-
 def read_site(name: str) -> Site:
     """A site that ships with the package, or a file of one's own."""
     path = SHIPPED / "sites" / f"{name}.toml"
@@ -150,8 +80,8 @@
         if not Path(name).is_file():
             raise LabError(f"site {name!r}: no such site or file; sites: {', '.join(_names('sites'))}")
         path = Path(name)
-    site = _decode(path.read_text(encoding="utf-8"), Site, name)
-    _check_ranges(site, name)
+    site = decode(path.read_text(encoding="utf-8"), Site, name)
+    check_ranges(site, name)
     return site
 
 
@@ -203,8 +133,8 @@
 
 
 def _read(text: str, file: str) -> ScenarioFile:
-    read = _decode(text, ScenarioFile, file)
-    _check_ranges(read, file)
+    read = decode(text, ScenarioFile, file)
+    check_ranges(read, file)
     return read
 
 
--- a/mastturn/lab/validate.py
+++ b/mastturn/lab/validate.py
@@ -18,8 +18,8 @@
 import msgspec
 
 from mastturn.emulator.contract import PACKAGE
+from mastturn.files import LabError
 from mastturn.lab.run import Task, Values, run_all
-from mastturn.lab.scenario import LabError
 from mastturn.lab.stats import spearman
 
 # Kinds of days on the bench, and the scenarios that have the same troubles at about the same size.
--- a/mastturn/lab/versions.py
+++ b/mastturn/lab/versions.py
@@ -11,7 +11,7 @@
 
 from mastturn.emulator.baselines import BASELINES, baseline
 from mastturn.emulator.contract import PACKAGE, Version, installed, load
-from mastturn.lab.scenario import LabError
+from mastturn.files import LabError
 
 HERE = "."
 MODULE = "module"
--- a/mastturn/registry/agent.py
+++ b/mastturn/registry/agent.py
@@ -25,7 +25,7 @@
 
 log = logging.getLogger(__name__)
 
-SAVE_S = 1.0  # the snapshot is written so often at the most
+PACE = 4.0  # the next answer is asked for after so many times what the snapshot took to write
 FORMAT = 1
 
 
@@ -93,7 +93,7 @@
             self._has_list.set()
         self._asking: asyncio.Task[None] | None = None
         self._pausing: asyncio.TimerHandle | None = None
-        self._saving: asyncio.TimerHandle | None = None
+        self._pace_s = 0.0
         self.place = Place(options.listen, [web.get(PATH, self._read), web.get("/health/live", self._live)])
 
     async def start(self) -> None:
@@ -105,15 +105,13 @@
 
     async def stop(self) -> None:
         """End."""
-        for timer in (self._pausing, self._saving):
-            if timer is not None:
-                timer.cancel()
+        if self._pausing is not None:
+            self._pausing.cancel()
         if self._asking is not None:
             self._asking.cancel()
             await asyncio.gather(self._asking, return_exceptions=True)
-        if self._saving is not None:
-            self._save()
         await self._client.close()
+        self.waiters.wake(None)
         await self.place.stop()
 
     # ---- the decisions ---------------------------------------------------------------------------
@@ -131,17 +129,19 @@
             match action:
                 case core.Ask():
                     self._asking = loop.create_task(self._ask(action))
+                    self._pace_s = 0.0
                 case core.Pause(wait):
                     self._pausing = loop.call_later(wait / 1000, self._do, core.PauseOver())
                 case core.Changed():
+                    self._save()  # first of all: a new process must not begin before what was told
                     self.waiters.wake(None)
-                    if self._options.snapshot is not None and self._saving is None:
-                        self._saving = loop.call_later(SAVE_S, self._save)
                 case core.Log(text):
                     log.info("%s", text)
 
     async def _ask(self, ask: core.Ask) -> None:
         event: core.Event
+        if self._pace_s:
+            await asyncio.sleep(self._pace_s)
         try:
             got = await ask_list(self._client, ask.replica, ask.after, ask.wait_ms, list=self._options.list)
             event = core.Told(ask.replica, got.replica, got.changes, got.epoch, got.seen)
@@ -150,12 +150,14 @@
         self._do(event)
 
     def _save(self) -> None:
-        self._saving = None
-        if self._options.snapshot is not None:
-            try:
-                write_snapshot(self._options.snapshot, self._options.list, self.follower.kept())
-            except OSError as error:
-                log.error("discovery: no snapshot: %s", error)
+        if self._options.snapshot is None:
+            return
+        began = time.monotonic()
+        try:
+            write_snapshot(self._options.snapshot, self._options.list, self.follower.kept())
+        except OSError as error:
+            log.error("discovery: no snapshot: %s", error)
+        self._pace_s = PACE * (time.monotonic() - began)
 
     # ---- readers ---------------------------------------------------------------------------------
 
@@ -182,7 +184,9 @@
         else:
             changes = history.after(None)
         age = self._age_ms()
-        body = write_listing(changes, history.epoch, question.detail, Source(self.follower.source), age)
+        body = write_listing(
+            changes, history.epoch, question.detail, Source(self.follower.source, self.follower.seen), age
+        )
         return await send(request, body, {"Age": str(int(age / 1000))})
 
     async def _live(self, request: web.Request) -> web.StreamResponse:
--- a/mastturn/registry/commands.py
+++ b/mastturn/registry/commands.py
@@ -14,7 +14,7 @@
 from rich.console import Console
 from rich.table import Table
 
-from mastturn.lab.scenario import LabError
+from mastturn.files import LabError
 
 
 @click.group()
--- a/mastturn/registry/form.py
+++ b/mastturn/registry/form.py
@@ -6,13 +6,13 @@
 
 from __future__ import annotations
 
-import re
 from typing import Any
 
 import msgspec
 
 from fleet.registry.entries import PHASES, BadEntryError, Entry, Word
 from fleet.registry.history import Changes
+from mastturn.files import place_and_words
 
 MOST_ENTRIES = 20_000  # of one answer: more is no list of ours
 MOST_BYTES = 16 * 1024 * 1024
@@ -90,15 +90,9 @@
     age_ms: float = 0.0
 
 
-_PLACE = re.compile(r" - at `(?P<place>\$[^`]*)`$")
-
-
 def _plain(error: msgspec.ValidationError) -> str:
-    text = str(error)
-    place = _PLACE.search(text)
-    said = _PLACE.sub("", text)
-    where = place["place"].lstrip("$").lstrip(".") if place else ""
-    return f"{where or 'body'}: {said[:1].lower()}{said[1:]}"
+    where, said = place_and_words(error)
+    return f"{where or 'body'}: {said}"
 
 
 def _phase(phase: str, field: str = "phase") -> Word:
--- a/mastturn/registry/service.py
+++ b/mastturn/registry/service.py
@@ -108,6 +108,7 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._client.close()
+        self.waiters.wake(None)
         await self.place.stop()
         with contextlib.suppress(StoreError):
             self._write()
@@ -218,9 +219,10 @@
 
     async def _read(self, request: web.Request) -> web.StreamResponse:
         question = Question(request)
-        await self._synced.wait()
         history = self.replica.history
         is_peer = question.replica in self._options.peers
+        if not is_peer:  # peers begin together: one that waited for the other would wait for itself
+            await self._synced.wait()
         if question.replica and not is_peer:
             raise FormError(f"replica: {question.replica!r} is no peer of {self._options.name!r}")
         after = question.after
--- a/mastturn/standins/balancers.py
+++ b/mastturn/standins/balancers.py
@@ -13,7 +13,7 @@
 
 from aiohttp import ClientError, ClientSession
 
-from mastturn.lab.scenario import LabError
+from mastturn.files import LabError
 from mastturn.standins.plan import Plan
 
 READY_S = 15.0  # until a balancer has to be ready
--- a/mastturn/standins/plan.py
+++ b/mastturn/standins/plan.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from mastturn.lab.scenario import LabError, read_toml
+from mastturn.files import LabError, read_toml
 
 
 class Kind(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/passpost/__main__.py
+++ b/passpost/__main__.py
@@ -10,7 +10,7 @@
 import socket
 import sys
 import time
-from dataclasses import fields
+from dataclasses import fields, replace
 from typing import Any
 from urllib.parse import quote
 
@@ -18,7 +18,7 @@
 
 from passpost import control, handover
 from passpost.config import Config, ConfigError, load
-from passpost.discovery import Discovery
+from passpost.discovery import Discovery, Source
 from passpost.engine import Engine
 from passpost.server import Server
 from passpost.upstream import Upstreams
@@ -43,6 +43,15 @@
 BESIDE_S = 0.05  # how often the new process hears of the calls that the old one has out
 
 
+def _source(config: Config) -> Source:
+    """What keeps the list; for one address nothing of the other kind is imported."""
+    if len(config.discovery) == 1:
+        return Discovery(config.discovery[0], config.known)
+    from passpost.followed import Followed
+
+    return Followed(config.discovery, config.known, config.seed)
+
+
 class Node:
     """The parts of one balancer, wired together and started."""
 
@@ -54,7 +63,7 @@
         self.upstreams = Upstreams(
             config.connect_timeout, config.idle_timeout, max_open=int(config.sockets * UPSTREAMS_SHARE)
         )
-        self.discovery = Discovery(config.discovery, config.known)
+        self.discovery = _source(config)
         self.engine = Engine(
             config.settings,
             config.seed,
@@ -188,7 +197,10 @@
 
     def figures(self) -> dict[str, Any]:
         """The counters."""
-        return self.engine.counters.figures(self.discovery.count(), self.engine.excluded())
+        figures = self.engine.counters.figures(self.discovery.count(), self.engine.excluded())
+        if source := self.discovery.figures():
+            figures["list"] = source
+        return figures
 
     def cordon(self, server: str) -> None:
         """Leave an upstream out; KeyError if it is neither listed nor left out already."""
@@ -221,6 +233,9 @@
         changed = [f.name for f in fields(Config) if getattr(config, f.name) != getattr(self._config, f.name)]
         if later := [name for name in changed if name not in ("discovery", "known", "seed")]:
             log.warning("configuration: a change of %s waits for a restart", ", ".join(later))
+        if (len(config.discovery) > 1) != (len(self._config.discovery) > 1):
+            log.warning("configuration: one address of discovery in place of several waits for a restart")
+            config = replace(config, discovery=self._config.discovery)
         self._config = config
         self.discovery.move(config.discovery)
 
@@ -279,7 +294,8 @@
         except ConfigError as error:
             log.error("the old configuration stays: %s", error)
         else:
-            log.info("configuration read again; discovery at %s:%d", *config.discovery)
+            places = ", ".join(f"{host}:{port}" for host, port in config.discovery)
+            log.info("configuration read again; discovery at %s", places)
             node.reload(config)
 
     loop, stop = asyncio.get_running_loop(), asyncio.Event()
--- a/passpost/config.py
+++ b/passpost/config.py
@@ -26,7 +26,7 @@
 
     name: str
     listen: Address
-    discovery: Address
+    discovery: tuple[Address, ...]  # one, or several that tell the same list
     seed: int
     memory: int  # bytes
     sockets: int
@@ -74,6 +74,15 @@
         raise ConfigError(f"configuration {path!r}: {reason}") from None
 
 
+def _places(value: Any) -> tuple[Address, ...]:
+    """One address of discovery, or several: a list, or one text with commas."""
+    texts = value.split(",") if isinstance(value, str) else value
+    places = tuple(parse_address(str(text).strip()) for text in texts)
+    if not places or len(set(places)) != len(places):
+        raise ValueError("discovery: one address or more, each once")
+    return places
+
+
 def read(data: dict[str, Any], control: str = "") -> Config:
     """The file's object as typed values; a `control` of the environment comes before the file's."""
     control = control or data.get("control") or ""
@@ -84,7 +93,7 @@
     return Config(
         name=str(data["name"]),
         listen=parse_address(data["listen"]),
-        discovery=parse_address(data["discovery"]),
+        discovery=_places(data["discovery"]),
         seed=int(data["seed"], 16),
         sockets=sockets,
         memory=int(float(data["limits"].get("memory_mb", 64)) * 1_000_000),
--- a/passpost/discovery.py
+++ b/passpost/discovery.py
@@ -9,7 +9,7 @@
 import math
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, Protocol
 
 from passpost.http1 import Address, Answer, AnswerReader, BadAnswerError
 from umberworks.interface import ListKind, ListUpdate, Member, Readiness
@@ -23,7 +23,7 @@
 CALL_TIMEOUT = 2.0  # for the answer, beyond the wait that was asked for
 MAX_LIST = 4 * 1024 * 1024
 
-_PATH = "/registry/instances"
+PATH = "/registry/instances"
 _PHASES = {"active": Readiness.READY, "leaving": Readiness.DRAINING, "left": Readiness.GONE}
 
 
@@ -70,7 +70,7 @@
     return Listing(int(data["revision"]), bool(data["complete"]), tuple(members), addresses)
 
 
-class _Line:
+class Line:
     """A connection to discovery, kept for call after call."""
 
     def __init__(self, address: Address) -> None:
@@ -99,6 +99,33 @@
             self._stream = None
 
 
+class Source(Protocol):
+    """Where the list comes from: `Discovery`, or `Followed` where there are several places."""
+
+    heard: asyncio.Event
+
+    def start(self, tell: Callable[[ListUpdate, dict[str, Address]], None]) -> None:
+        """Tell the saved list; what comes later goes to the same place."""
+
+    def knows(self, server: str) -> bool:
+        """Whether the list holds it."""
+
+    def count(self) -> int:
+        """How many upstreams the list holds."""
+
+    def subscribe(self) -> None:
+        """Follow the list from now on."""
+
+    def move(self, addresses: tuple[Address, ...]) -> None:
+        """Follow the list elsewhere."""
+
+    def figures(self) -> dict[str, Any]:
+        """Where it comes from and how old it is, if there is something to tell."""
+
+    def stop(self) -> None:
+        """Ask no more."""
+
+
 class Discovery:
     """Keeps the list as discovery tells it; `subscribe` asks for it, once for each time the module does."""
 
@@ -129,8 +156,9 @@
         if self._task is None or self._task.done():
             self._task = asyncio.get_running_loop().create_task(self._follow())
 
-    def move(self, address: Address) -> None:
+    def move(self, addresses: tuple[Address, ...]) -> None:
         """Follow the list at another address; what is known stays until the whole list comes from there."""
+        (address,) = addresses
         if address == self._address:
             return
         self._address, self._revision = address, None  # the new place may count its versions anew
@@ -138,13 +166,17 @@
         self._task = None
         self.subscribe()
 
+    def figures(self) -> dict[str, Any]:
+        """Nothing to tell beside the list: there is one place that it can come from."""
+        return {}
+
     def stop(self) -> None:
         """Ask no more."""
         if self._task is not None:
             self._task.cancel()
 
     async def _follow(self) -> None:
-        line = _Line(self._address)
+        line = Line(self._address)
         wait = 0  # the first answer comes at once, so that the module hears whether the list is back
         try:
             while True:
@@ -172,8 +204,8 @@
         self._addresses = {k: a for k, a in (kept | listing.addresses).items() if k not in left}
         self._tell(ListUpdate(kind, listing.members), self._addresses)
 
-    async def _call(self, line: _Line, wait_ms: int) -> Listing:
-        target = _PATH if self._revision is None else f"{_PATH}?after={self._revision}&wait_ms={wait_ms}"
+    async def _call(self, line: Line, wait_ms: int) -> Listing:
+        target = PATH if self._revision is None else f"{PATH}?after={self._revision}&wait_ms={wait_ms}"
         async with asyncio.timeout(wait_ms / 1000 + CALL_TIMEOUT):
             answer = await line.get(target)
         if answer.status != 200:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -15,7 +15,7 @@
 import pytest
 
 from passpost import config, control, server
-from passpost.discovery import Listing
+from passpost.discovery import Discovery, Listing
 from tests.loopback import (
     AWAY,
     OK,
@@ -342,6 +342,7 @@
     async def test() -> None:
         async with balancer(FakeServer(), change=operated) as b:
             await b.call(b"cordon s0")
+            assert isinstance(b.node.discovery, Discovery)
             b.node.discovery._apply(Listing(2, True, (), {}), ListKind.WHOLE)
             assert (await b.figures())["upstreams_known"] == 0
             assert (await b.figures())["upstreams_excluded"] == 0  # only what is listed counts
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -164,11 +164,11 @@
         await new.start()
         async with following(answer_json(listing(7, complete=False))) as (old, discovery, heard):
             await until(lambda: len(old.got) == 2)  # the watch is on
-            discovery.move(parse_address(skipped.host_port))
-            discovery.move(parse_address(new.host_port))
+            discovery.move((parse_address(skipped.host_port),))
+            discovery.move((parse_address(new.host_port),))
             assert set(heard.addresses) == {"a", "b"}  # they serve until the new list is there
             await until(lambda: len(new.got) == 2 and old.closed == 1)
-            discovery.move(parse_address(new.host_port))  # nothing to do
+            discovery.move((parse_address(new.host_port),))  # nothing to do
             assert heard.kinds == [ListKind.SAVED, ListKind.CHANGES, ListKind.WHOLE]
             assert set(heard.addresses) == {"c"}
             assert [got.line for got in new.got] == [
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -18,7 +18,7 @@
 def engine() -> Engine:
     read = config.read(config_data([]))
     upstreams = Upstreams(read.connect_timeout, read.idle_timeout, 10)
-    return Engine(read.settings, 1, upstreams, Discovery(read.discovery, read.known).subscribe, 0.016)
+    return Engine(read.settings, 1, upstreams, Discovery(read.discovery[0], read.known).subscribe, 0.016)
 
 
 def test_the_clock_is_unix_time_and_never_goes_back(monkeypatch: pytest.MonkeyPatch) -> None:
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -9,9 +9,10 @@
 from click.testing import CliRunner, Result
 
 from mastturn.cli import main
+from mastturn.files import LabError
 from mastturn.lab.bins import fill, mixed
 from mastturn.lab.run import Task, run_all, run_one
-from mastturn.lab.scenario import LabError, find, listed
+from mastturn.lab.scenario import find, listed
 from mastturn.lab.stats import bootstrap, spearman
 from mastturn.lab.versions import Versions
 
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -14,6 +14,7 @@
 
 from passpost import server
 from passpost import upstream as upstream_module
+from passpost.discovery import Discovery
 from passpost.http1 import HELD_BODY, AnswerReader, BadAnswerError
 from tests.loopback import (
     AWAY,
@@ -470,6 +471,7 @@
             with socket.socket() as unused:
                 unused.bind(("127.0.0.1", 0))  # bound, but it does not listen
                 addresses = {"s0": unused.getsockname()}
+                assert isinstance(b.node.discovery, Discovery)
                 good = dict(b.node.discovery._addresses)
                 b.node.upstreams.route(addresses)
                 sends = b.node.upstreams.send
