Add the fleet rig: mastturn chaos runs real programs with faults between them and judges a history

Need: the list service, and all that follows it, has to be shown with several copies of the program and faults between them, and the verdict has to be read off what happened, not off what the rig meant to do.

Rejected: a proxy inside the programs, which would have tested other programs than those that run; network namespaces, which need root and cut no single link.

Standins: one class for processes (standins/process.py), which balancers and the rig share; clients can be heard.

--- a/mastturn/cli.py
+++ b/mastturn/cli.py
@@ -14,6 +14,7 @@
 from rich.console import Console
 from rich.progress import BarColumn, MofNCompleteColumn, Progress, TextColumn, TimeRemainingColumn
 
+from mastturn.chaos.commands import chaos
 from mastturn.emulator.baselines import BASELINES
 from mastturn.files import LabError
 from mastturn.lab import scenario as scenarios
@@ -96,6 +97,7 @@
 
 
 main.add_command(registry)
+main.add_command(chaos)
 
 
 @main.group()
--- a/mastturn/registry/commands.py
+++ b/mastturn/registry/commands.py
@@ -11,8 +11,6 @@
 from typing import Any
 
 import click
-from rich.console import Console
-from rich.table import Table
 
 from mastturn.files import LabError
 
@@ -206,6 +204,8 @@
         click.echo(f"{address}: {reason}", err=True)
     if not found:
         raise click.exceptions.Exit(3)
+    from rich.console import Console
+
     Console().print(_table({a: found[a] for a in addresses if a in found}))
     for address in addresses:
         if address in found:
@@ -213,7 +213,9 @@
             click.echo(f"{address}: {got.replica or '-'}, revision {got.changes.revision}, epoch {got.epoch}")
 
 
-def _table(found: dict[str, Any]) -> Table:
+def _table(found: dict[str, Any]) -> Any:
+    from rich.table import Table
+
     table = Table("id", "address", "phase", "zone", "incarnation", "held by")
     lists = {address: {e.id: e for e in got.changes.entries} for address, got in found.items()}
     for id_ in sorted({id_ for entries in lists.values() for id_ in entries}):
--- a/mastturn/standins/balancers.py
+++ b/mastturn/standins/balancers.py
@@ -2,23 +2,14 @@
 
 from __future__ import annotations
 
-import asyncio
 import json
-import os
 import socket
-import sys
 import time
 from pathlib import Path
 from typing import Any
 
-from aiohttp import ClientError, ClientSession
-
-from mastturn.files import LabError
 from mastturn.standins.plan import Plan
-
-READY_S = 15.0  # until a balancer has to be ready
-END_S = 5.0  # until one that was told to end has to have ended
-LOOK_S = 0.02  # between two looks
+from mastturn.standins.process import Process, answers
 
 
 def free_port() -> int:
@@ -74,7 +65,12 @@
     """One balancer process; started again it has the same name and address."""
 
     def __init__(
-        self, name: str, discovery: str, known: dict[str, Any], figures: dict[str, Any], folder: Path
+        self,
+        name: str,
+        discovery: str | list[str],
+        known: dict[str, Any] | None,
+        figures: dict[str, Any],
+        folder: Path,
     ) -> None:
         self.name, self._folder = name, folder
         self.address = f"127.0.0.1:{free_port()}"
@@ -86,65 +82,21 @@
             "known": known,
             "settings": figures,
         }
-        self._process: asyncio.subprocess.Process | None = None
-
-    @property
-    def log(self) -> Path:
-        """What it has written."""
-        return self._folder / f"{self.name}.log"
+        self.process = Process(name, folder)
 
     async def start(self) -> None:
         """Start it, and wait until it is ready; LabError if it ends or does not get ready."""
         path = self._folder / f"{self.name}.json"
         seed = f"{time.time_ns() & 0xFFFFFFFFFFFFFFFF:016x}"
         path.write_text(json.dumps(self._config | {"seed": seed}))
-        environment = {key: value for key, value in os.environ.items() if not key.startswith("EDGE_")}
-        with self.log.open("ab") as log:
-            self._process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                "passpost",
-                env=environment | {"EDGE_CONFIG": str(path), "TMPDIR": str(self._folder)},
-                stdin=asyncio.subprocess.DEVNULL,
-                stdout=log,
-                stderr=log,
-                start_new_session=True,  # Ctrl-C is for us: we end what we have started
-            )
-        await self._wait_ready()
-
-    async def _wait_ready(self) -> None:
-        assert self._process is not None
-        until = time.monotonic() + READY_S
-        async with ClientSession() as session:
-            while time.monotonic() < until:
-                if self._process.returncode is not None:
-                    raise LabError(f"{self.name} ended with {self._process.returncode}: {self._last_words()}")
-                try:
-                    async with session.get(f"http://{self.address}/health/ready") as answer:
-                        if answer.status == 200:
-                            return
-                except (ClientError, OSError):
-                    pass
-                await asyncio.sleep(LOOK_S)
-        raise LabError(f"{self.name} is not ready after {READY_S:.0f} s: {self._last_words()}")
-
-    def _last_words(self) -> str:
-        lines = self.log.read_text(errors="replace").strip().splitlines()
-        return lines[-1] if lines else "it has written nothing"
+        environment = {"EDGE_CONFIG": str(path), "TMPDIR": str(self._folder)}
+        await self.process.start("passpost", environment=environment)
+        await self.process.until_ready(lambda: answers(self.address, "/health/ready"))
 
     async def kill(self) -> None:
         """End it without a word."""
-        if self._process is not None and self._process.returncode is None:
-            self._process.kill()
-            await self._process.wait()
+        await self.process.kill()
 
     async def stop(self) -> None:
         """Tell it to end, and kill it if it does not."""
-        if self._process is None or self._process.returncode is not None:
-            return
-        self._process.terminate()
-        try:
-            async with asyncio.timeout(END_S):
-                await self._process.wait()
-        except TimeoutError:
-            await self.kill()
+        await self.process.stop()
--- a/mastturn/standins/clients.py
+++ b/mastturn/standins/clients.py
@@ -9,9 +9,10 @@
 import math
 import time
 from collections import Counter
+from collections.abc import Callable
 from itertools import count
 
-from aiohttp import ClientError, ClientSession, ClientTimeout, TCPConnector
+from aiohttp import ClientConnectorError, ClientError, ClientSession, ClientTimeout, TCPConnector
 from hdrh.histogram import HdrHistogram
 
 from mastturn.emulator.chance import Stream
@@ -25,8 +26,19 @@
 class Clients:
     """Everything that asks, and what came of it: served, refused, failed, lost."""
 
-    def __init__(self, plan: Plan, balancers: list[str]) -> None:
+    def __init__(
+        self,
+        plan: Plan,
+        balancers: list[str],
+        names: list[str] | None = None,
+        heard: Callable[..., None] | None = None,
+    ) -> None:
+        """`names` of the balancers stand in the ids of requests; `heard` is told of each try and its end."""
         self._plan, self._balancers = plan, balancers
+        self._heard: Callable[..., None] = heard or (lambda what, **more: None)
+        self._names = names or [str(i) for i in range(len(balancers))]
+        # Where each try is written down it has a connection of its own: the client sends none of them anew.
+        self._close = heard is not None
         self._chance = Stream(plan.seed, "clients on sockets")
         self.ended: Counter[str] = Counter()
         self.by_class: dict[str, Counter[str]] = {kind.name: Counter() for kind in plan.classes}
@@ -47,7 +59,7 @@
         """Ask until the play's time is over or `stop` is set, and wait for the answers."""
         end = time.monotonic() + self._plan.seconds
         due = time.monotonic()
-        connector = TCPConnector(limit=0, keepalive_timeout=30)
+        connector = TCPConnector(limit=0, force_close=True) if self._close else TCPConnector(limit=0)
         async with ClientSession(connector=connector) as session, asyncio.TaskGroup() as asking:
             while due < end and not stop.is_set():
                 await asyncio.sleep(max(due - time.monotonic(), 0.0))
@@ -74,30 +86,35 @@
             remaining = kind.deadline_ms / 1000 - (time.monotonic() - due)
             if remaining <= 0:
                 return "lost"
-            address = self._balancers[(first + turn) % len(self._balancers)]
-            headers = {"X-Txn": f"{number}-{turn}", "X-Remaining": f"{remaining:.3f}", "X-Org": "demo"}
-            method = "POST" if kind.effect == "once" else "GET"
-            try:
-                async with session.request(
-                    method,
-                    f"http://{address}/{kind.name}",
-                    headers=headers,
-                    timeout=ClientTimeout(total=remaining + GRACE_S),
-                ) as answer:
-                    return _end(answer.status, await answer.text(), headers["X-Txn"])
-            except TimeoutError:
-                return "lost"
-            except ClientError as error:
-                if not _is_unreached(error):
-                    return "lost"
+            place = (first + turn) % len(self._balancers)
+            address, txn = self._balancers[place], f"{number}-{turn}.{self._names[place]}"
+            self._heard("asked", txn=txn, kind=kind.name, at=self._names[place], within_s=remaining)
+            end, why = await self._try(session, kind, address, txn, remaining)
+            self._heard("ended", txn=txn, how=end, why=why)
+            if end != "unreached":
+                return end
         return "failed"
 
-
-def _is_unreached(error: ClientError) -> bool:
-    """Whether nothing of the request can have been taken."""
-    from aiohttp import ClientConnectorError
-
-    return isinstance(error, ClientConnectorError)
+    async def _try(
+        self, session: ClientSession, kind: Kind, address: str, txn: str, remaining: float
+    ) -> tuple[str, str]:
+        """One try at one balancer: how it ended, and why it was lost."""
+        headers = {"X-Txn": txn, "X-Remaining": f"{remaining:.3f}", "X-Org": "demo"}
+        method = "POST" if kind.effect == "once" else "GET"
+        try:
+            async with session.request(
+                method,
+                f"http://{address}/{kind.name}",
+                headers=headers,
+                timeout=ClientTimeout(total=remaining + GRACE_S),
+            ) as answer:
+                return _end(answer.status, await answer.text(), txn), f"status {answer.status}"
+        except TimeoutError:
+            return "lost", "no answer in time"
+        except ClientConnectorError as error:  # nothing of the request can have been taken
+            return "unreached", str(error)
+        except ClientError as error:
+            return "lost", f"{type(error).__name__}: {error}"
 
 
 def _end(status: int, body: str, number: str) -> str:
--- a/mastturn/standins/upstream.py
+++ b/mastturn/standins/upstream.py
@@ -9,6 +9,7 @@
 import asyncio
 import json
 import time
+from collections.abc import Callable
 from itertools import count
 
 from aiohttp import ClientError, ClientSession, ClientTimeout, web
@@ -30,6 +31,7 @@
         self.up_since_ms = 0
         self.draining = self.silent = False
         self.begun_once_only = list[str]()  # ids of requests that must not run twice, as they were begun
+        self.on_begin: Callable[[str, str], None] = lambda number, kind: None  # hears of each that begins
         self._free = asyncio.Semaphore(cores)
         self._held = 0
         self._busy_s, self._report_at, self._util = 0.0, time.monotonic(), 0.0
@@ -78,6 +80,7 @@
         if kind is None:
             return web.Response(status=400)
         body = await request.read()
+        self.on_begin(number, kind.name)
         if kind.effect == "once":
             self.begun_once_only.append(number)
         self._held += 1
