--- a/mastturn/chaos/links.py
+++ b/mastturn/chaos/links.py
@@ -76,6 +76,8 @@
                 pair.reset()
                 return
             await pair.carry()
+        except asyncio.CancelledError:
+            pass  # reset by a fault
         finally:
             del self._pairs[number]
             pair.close()
@@ -115,7 +117,6 @@
         self._far: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
         self._waits_for = ""
         self._task = asyncio.current_task()
-        self._is_reset = False
 
     async def carry(self) -> None:
         """Pass on both ways until both have ended, or one is broken."""
@@ -125,10 +126,12 @@
         except (OSError, TimeoutError):
             self.reset()
             return
-        with contextlib.suppress(OSError, asyncio.CancelledError):
+        try:
             async with asyncio.TaskGroup() as both:
                 both.create_task(self._pass_on(self._near[0], self._far[1], "out"))
                 both.create_task(self._pass_on(self._far[0], self._near[1], "in"))
+        except* OSError:
+            self.reset()  # one end has reset it: the other finds the same
 
     async def _pass_on(self, source: asyncio.StreamReader, to: asyncio.StreamWriter, way: str) -> None:
         while data := await source.read(CHUNK):
@@ -150,11 +153,10 @@
 
     def reset(self) -> None:
         """Both ends find their connection reset."""
-        self._is_reset = True
         for half in (self._near, self._far):
             if half is not None:
                 raw = half[1].get_extra_info("socket")
-                with contextlib.suppress(OSError):
+                with contextlib.suppress(OSError, ValueError):  # closed already
                     raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _HARD)
                 half[1].transport.abort()
         if self._task is not None and self._task is not asyncio.current_task():
