Judge writes that nobody acknowledged, and connections that upstreams reset, as what they are

Tried writes are rows now, and a link says when either end has gone. The old state of a replica is copied with what is still in its log of writes: the bare file was an empty one.

--- a/mastturn/chaos/fleet.py
+++ b/mastturn/chaos/fleet.py
@@ -5,8 +5,10 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import shutil
 import signal
+import sqlite3
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
@@ -172,7 +174,12 @@
     def keep_state(self, replica: str) -> Path:
         """A copy of a replica's file as it is now."""
         copy = self.folder / f"{replica}.old"
-        shutil.copyfile(self.data(replica), copy)
+        copy.unlink(missing_ok=True)
+        with (
+            contextlib.closing(sqlite3.connect(f"file:{self.data(replica)}?mode=ro", uri=True)) as now,
+            contextlib.closing(sqlite3.connect(copy)) as old,
+        ):
+            now.backup(old)  # with what is still in its log of writes
         return copy
 
     async def put_back(self, replica: str, copy: Path) -> None:
--- a/mastturn/chaos/links.py
+++ b/mastturn/chaos/links.py
@@ -144,8 +144,7 @@
             if way == "in" and self._waits_for:
                 self._link.spy("answered", self._number, txn=self._waits_for)
                 self._waits_for = ""
-        if way == "out" and self._waits_for:
-            self._link.spy("hung up", self._number, txn=self._waits_for)
+        self._given_up()
         await self._link.passes(way, 0)
         with contextlib.suppress(OSError):
             if to.can_write_eof():
@@ -153,6 +152,7 @@
 
     def reset(self) -> None:
         """Both ends find their connection reset."""
+        self._given_up()
         for half in (self._near, self._far):
             if half is not None:
                 raw = half[1].get_extra_info("socket")
@@ -162,6 +162,12 @@
         if self._task is not None and self._task is not asyncio.current_task():
             self._task.cancel()
 
+    def _given_up(self) -> None:
+        """Whoever waits for an answer here waits no longer: either end has gone."""
+        if self._waits_for:
+            self._link.spy("hung up", self._number, txn=self._waits_for)
+            self._waits_for = ""
+
     def close(self) -> None:
         """Let go of both ends."""
         for half in (self._near, self._far):
--- a/mastturn/chaos/rules.py
+++ b/mastturn/chaos/rules.py
@@ -201,30 +201,36 @@
 
 def kept(rows: list[Row], faults: list[Span]) -> list[Breach]:
     """`kept`: every acknowledged write, or a later word on the same instance, is in the list at the end."""
-    finals = of_kind(rows, "final")
     best: dict[str, Row] = {}
     for row in of_kind(rows, "acknowledged"):
-        if _was_undone(row, faults):
-            continue
-        order = (row["incarnation"], row["removed"])
-        if row["id"] not in best or order > (best[row["id"]]["incarnation"], best[row["id"]]["removed"]):
+        if not _was_undone(row, faults) and (row["id"] not in best or _order(row) > _order(best[row["id"]])):
             best[row["id"]] = row
+    # A later write may have been taken though nobody said so, or though its replica has forgotten it.
+    gone_later = {
+        row["id"]
+        for row in of_kind(rows, "tried")
+        if row["removed"] and row["id"] in best and _order(row) > _order(best[row["id"]])
+    }
     found = []
-    for final in finals:
+    for final in of_kind(rows, "final"):
         listed = {item[0]: item for item in final["members"]}
         for id_, row in best.items():
             has = listed.get(id_)
-            if not row["removed"] and (has is None or has[1] < row["incarnation"]):
-                words = (
-                    f"{id_} {row['incarnation']}, acknowledged by {row['replica']}, is not at {final['who']}"
-                )
-                found.append(Breach("kept", row["t"], words))
-            if row["removed"] and has is not None and has[1] <= row["incarnation"]:
-                words = f"{id_} {row['incarnation']}, removed at {row['replica']}, is back at {final['who']}"
+            what = f"{id_} {row['incarnation']}"
+            if row["removed"]:
+                if has is not None and has[1] <= row["incarnation"]:
+                    words = f"{what}, removed at {row['replica']}, is back at {final['who']}"
+                    found.append(Breach("kept", row["t"], words))
+            elif (has is None and id_ not in gone_later) or (has is not None and has[1] < row["incarnation"]):
+                words = f"{what}, acknowledged by {row['replica']}, is not at {final['who']}"
                 found.append(Breach("kept", row["t"], words))
     return found
 
 
+def _order(row: Row) -> tuple[int, bool]:
+    return (row["incarnation"], row["removed"])
+
+
 def _was_undone(row: Row, faults: list[Span]) -> bool:
     """Whether its replica was put back to a state before it, and may not have passed it on."""
     for span in faults:
--- a/mastturn/chaos/watchers.py
+++ b/mastturn/chaos/watchers.py
@@ -68,6 +68,8 @@
         replica, address = self._chance.choice(list(self._fleet.replicas.items()))
         id_, number = f"item-{self._chance.randrange(IDS)}", next(self._numbers)
         removed = self._chance.random() < 0.3
+        what = {"replica": replica, "id": id_, "incarnation": number, "removed": removed}
+        self._recorder.write("writer", "tried", **what)
         try:
             if removed:
                 await remove(client, address, id_, SCRATCH, number)
@@ -76,9 +78,7 @@
                 await put(client, address, id_, SCRATCH, values)
         except (RefusedError, ClientError, TimeoutError, OSError):
             return  # nothing was promised
-        self._recorder.write(
-            "writer", "acknowledged", replica=replica, id=id_, incarnation=number, removed=removed
-        )
+        self._recorder.write("writer", "acknowledged", **what)
 
 
 async def lists_of(fleet: Fleet, list_name: str = "") -> dict[str, dict[str, Entry] | None]:
--- a/tests/test_chaos.py
+++ b/tests/test_chaos.py
@@ -64,8 +64,10 @@
     )
 
 
-def wrote(t: float, number: int, removed: bool = False, replica: str = "replica-a") -> Row:
-    return row(t, "writer", "acknowledged", id="x", incarnation=number, removed=removed, replica=replica)
+def wrote(
+    t: float, number: int, removed: bool = False, replica: str = "replica-a", what: str = "acknowledged"
+) -> Row:
+    return row(t, "writer", what, id="x", incarnation=number, removed=removed, replica=replica)
 
 
 def final(*members: tuple[Any, ...]) -> Row:
@@ -136,6 +138,8 @@
     ),
     ("kept", [wrote(1.0, 3), final(("x", 3, 0, 1, "active"))], []),
     ("lost a write", [wrote(1.0, 3), final()], ["kept"]),
+    ("removed by a call without an answer", [wrote(1.0, 3), wrote(2.0, 4, True, what="tried"), final()], []),
+    ("written by a call without an answer", [wrote(1.0, 3), wrote(2.0, 4, what="tried"), final()], ["kept"]),
     ("an older one", [wrote(1.0, 3), final(("x", 2, 0, 1, "active"))], ["kept"]),
     ("back from the dead", [wrote(1.0, 3, True), final(("x", 3, 0, 1, "active"))], ["kept"]),
     ("removed, then newer", [wrote(1.0, 3, True), final(("x", 4, 0, 1, "active"))], []),
