--- a/fleet/registry/history.py
+++ b/fleet/registry/history.py
@@ -78,7 +78,7 @@
         for revision, entry in sorted(saved.entries, key=lambda item: item[0]):
             self._entries[entry.key], self._at[entry.key] = entry, revision
             self._log.append((revision, entry.key))
-        self._jump(max(int(start_s) * PER_SECOND, saved.revision // SLOTS + 1))
+        self._jump(max(int(start_s * PER_SECOND), saved.revision // SLOTS + 1))
         if not saved.revision:
             self._floor = self.revision  # nobody knows an empty list of ours
 
--- a/mastturn/chaos/fleet.py
+++ b/mastturn/chaos/fleet.py
@@ -31,6 +31,7 @@
 
     def __init__(self, process: Process, start: Callable[[], Awaitable[None]], address: str) -> None:
         self.process, self._start, self.address = process, start, address
+        self.turn = asyncio.Lock()  # one fault after another: none falls on a program that another one starts
 
     @property
     def name(self) -> str:
--- a/mastturn/chaos/run.py
+++ b/mastturn/chaos/run.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from mastturn.chaos.fleet import Fleet
+from mastturn.chaos.fleet import Fleet, Program
 from mastturn.chaos.history import Recorder
 from mastturn.chaos.plan import ON_PROGRAMS, Fault, Plan, targets
 from mastturn.chaos.watchers import Convergence, Writer, read, write_finals
@@ -63,6 +63,10 @@
 
     async def _on_program(self, fault: Fault, name: str) -> None:
         program = self._fleet.programs[name]
+        async with program.turn:
+            await self._befall(fault, program)
+
+    async def _befall(self, fault: Fault, program: Program) -> None:
         match fault.kind:
             case "kill":
                 await program.kill()
@@ -77,9 +81,9 @@
             case "replace":
                 await program.replace()
             case "old_state":
-                copy = self._fleet.keep_state(name)
+                copy = self._fleet.keep_state(program.name)
                 await asyncio.sleep(fault.lasts_s)
-                await self._fleet.put_back(name, copy)
+                await self._fleet.put_back(program.name, copy)
 
     async def _on_links(self, fault: Fault, names: list[str]) -> None:
         found = [self._fleet.links[name] for name in names]
@@ -191,4 +195,14 @@
     if any(out.glob("*.jsonl")):
         raise LabError(f"{out}: holds a history already; give a new folder")
     with tempfile.TemporaryDirectory(prefix="mastturn-") as folder:
-        asyncio.run(_run(plan, Path(folder), out, say))
+        try:
+            asyncio.run(_run(plan, Path(folder), out, say))
+        except* LabError as group:
+            raise _first(group) from None
+
+
+def _first(group: BaseExceptionGroup[LabError]) -> BaseException:
+    error: BaseException = group
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    return error
--- a/mastturn/emulator/calls.py
+++ b/mastturn/emulator/calls.py
@@ -4,14 +4,10 @@
 
 import enum
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Protocol
+from typing import Protocol
 
 from mastturn.emulator.day import ClassFigures
-
-if TYPE_CHECKING:
-    from mastturn.emulator.host import Host
-    from mastturn.emulator.machine import Box
-    from mastturn.emulator.visit import Visit
+from mastturn.emulator.machine import Balancing, Box
 
 
 class Final(enum.Enum):
@@ -50,6 +46,14 @@
     cause: Cause
 
 
+class Stay(Protocol):
+    """An attempt's time in its box, as far as others ask."""
+
+    answered: bool
+    waits: bool
+    call: Call | None
+
+
 class Caller(Protocol):
     """Whoever asked a balancer."""
 
@@ -88,7 +92,7 @@
                  "remaining_ms", "taken_ms", "useful_ms")  # fmt: skip
 
     def __init__(
-        self, number: int, first: First, host: Host, caller: Caller, remaining_ms: float, now: float
+        self, number: int, first: First, host: Balancing, caller: Caller, remaining_ms: float, now: float
     ) -> None:
         self.number, self.first, self.host, self.caller = number, first, host, caller
         self.remaining_ms, self.taken_ms = remaining_ms, now
@@ -111,7 +115,7 @@
         self.over = self.connected = self.handshake = self.arrived = False
         self.outcome = ""
         self.ended_ms = -1.0
-        self.visit: Visit | None = None
+        self.visit: Stay | None = None
 
 
 def whereabouts(attempt: Attempt, cut: bool) -> Loss:
--- a/mastturn/emulator/clients.py
+++ b/mastturn/emulator/clients.py
@@ -9,18 +9,18 @@
 from __future__ import annotations
 
 import math
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 import numpy as np
 
 from mastturn.emulator.calls import Call, Cause, Final, First, Loss
 from mastturn.emulator.chance import Stream, generator
 from mastturn.emulator.day import Day
-from mastturn.emulator.events import START_MS
-from mastturn.emulator.judge import is_served
-
-if TYPE_CHECKING:
-    from mastturn.emulator.world import World
+from mastturn.emulator.events import START_MS, Events
+from mastturn.emulator.front import Front
+from mastturn.emulator.judge import Judge, is_served
+from mastturn.emulator.network import Network
+from mastturn.emulator.watch import Watch
 
 TENANT_BURST_MS = 2_000.0  # of its rate, that a tenant may use at once before it counts as over its share
 UNREACHED_MS = 1.0  # until a client knows that its connection was refused
@@ -35,10 +35,24 @@
         self.start_ms, self.end_ms, self.factor, self.zone = start_ms, end_ms, factor, zone
 
 
+class Around(Protocol):
+    """What clients need of the world."""
+
+    day: Day
+    events: Events
+    front: Front
+    judge: Judge
+    network: Network
+    watch: Watch | None
+
+    def next_number(self) -> int:
+        """A number for a request."""
+
+
 class Clients:
     """All clients of a day."""
 
-    def __init__(self, world: World, windows: list[RateWindow]) -> None:
+    def __init__(self, world: Around, windows: list[RateWindow]) -> None:
         self._world = world
         self._chance = Stream(world.day.seed, "clients")
         self._firsts = draw_arrivals(world.day, windows)
--- a/mastturn/emulator/discovery.py
+++ b/mastturn/emulator/discovery.py
@@ -12,15 +12,12 @@
 import enum
 import math
 from dataclasses import dataclass, replace
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
 from mastturn.emulator.chance import Stream
 from mastturn.emulator.day import DiscoveryFigures
 from mastturn.emulator.events import Events
 
-if TYPE_CHECKING:
-    from mastturn.emulator.host import Host
-
 ANSWER_MS = 0.3  # of the agent, which is on the balancer's own machine
 LATE_MS = 200.0  # by which a watch that is never answered fails after its wait
 
@@ -108,10 +105,20 @@
         return entry.published_ms + self._figures.told_within_ms
 
 
+class Listener(Protocol):
+    """The balancer that an agent passes the list on to."""
+
+    def listed(self, entries: tuple[Entry, ...], gone: tuple[Entry, ...], whole: bool) -> None:
+        """News of the list; what is missing from a whole list is gone."""
+
+    def list_failed(self) -> None:
+        """A call for the list has failed."""
+
+
 class Agent:
     """What stands beside one balancer and passes the list on."""
 
-    def __init__(self, registry: Registry, host: Host, events: Events) -> None:
+    def __init__(self, registry: Registry, host: Listener, events: Events) -> None:
         self._registry, self._host, self._events = registry, host, events
         self._subscribed = False
         self._life = 0  # of the balancer: what was on its way to one that has died is gone
--- a/mastturn/emulator/host.py
+++ b/mastturn/emulator/host.py
@@ -9,26 +9,58 @@
 from __future__ import annotations
 
 import math
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
 from mastturn.emulator.calls import Attempt, Call, Cause, Final, Loss, whereabouts
-from mastturn.emulator.contract import MOST_ACTIONS, Decider, Fault
+from mastturn.emulator.contract import MOST_ACTIONS, BoxState, Decider, Fault, Version
+from mastturn.emulator.day import Day
 from mastturn.emulator.discovery import Agent, Entry, Phase, Registry
+from mastturn.emulator.events import Events
+from mastturn.emulator.judge import Judge
 from mastturn.emulator.machine import Box
+from mastturn.emulator.network import Network
 from mastturn.emulator.pool import Pool
 from mastturn.emulator.reports import LoadReport
-
-if TYPE_CHECKING:
-    from mastturn.emulator.world import World
+from mastturn.emulator.watch import Watch
 
 NEVER_RAN = ("TURNED_AWAY", "UNREACHED", "NOT_SENT")
 SWEEP_MS = 1_000.0  # how often idle connections are looked at
 
 
+class Around(Protocol):
+    """What a balancer's process needs of the world."""
+
+    day: Day
+    events: Events
+    judge: Judge
+    network: Network
+    version: Version
+    watch: Watch | None
+    boxes: dict[str, Box]
+
+    def settings(self, tier: int) -> Any:
+        """What an instance that calls a tier is told."""
+
+    def module_seed(self, tier: int, number: int, life: int) -> int:
+        """An instance's own seed."""
+
+    def member(self, entry: Entry) -> Any:
+        """A list entry in the words of the module's contract."""
+
+    def truth(self, server: str) -> BoxState:
+        """The true state of a box."""
+
+    def box_receives(self, attempt: Attempt) -> bool:
+        """A request's last byte is at its box; whether it is turned away."""
+
+    def reset_wait_ms(self) -> float:
+        """How long a request is under way before its connection breaks."""
+
+
 class Host:
     """One balancer, over all the processes that it has had."""
 
-    def __init__(self, world: World, tier: int, number: int, zone: str, registry: Registry) -> None:
+    def __init__(self, world: Around, tier: int, number: int, zone: str, registry: Registry) -> None:
         self.world, self.tier, self.number, self.zone = world, tier, number, zone
         self.name = f"{world.day.tiers[tier].name}-balancer-{number}"
         self.registry = registry
--- a/mastturn/emulator/machine.py
+++ b/mastturn/emulator/machine.py
@@ -10,7 +10,7 @@
 import math
 from collections import deque
 from heapq import heappop, heappush
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
 from mastturn.emulator.chance import Stream
 from mastturn.emulator.choke import Choke
@@ -19,15 +19,56 @@
 from mastturn.emulator.events import Events
 from mastturn.emulator.reports import Gauge, LoadReport
 
-if TYPE_CHECKING:
-    from mastturn.emulator.host import Host
-    from mastturn.emulator.visit import Visit
-
 WARM_STEP_MS = 250.0  # how often a cold machine's speed is brought up to its age
 CHECK_MS = 250.0  # how often a crowded machine is looked at
 DONE = 1e-9  # progress that rounding may leave over
 
 
+class Inside(Protocol):
+    """A request in a box, as the machine knows it."""
+
+    attempt: Any  # whose request it is, for whoever ends it
+
+    def begin(self) -> None:
+        """It has a slot."""
+
+    def worked(self) -> None:
+        """The work that it gave to the cores is done."""
+
+
+class Balancing(Protocol):
+    """A balancer, as requests and boxes know it; one beside a box starts and stops with its process."""
+
+    name: str
+    zone: str
+    life: int
+    alive: bool
+
+    def start(self) -> None:
+        """A new process."""
+
+    def stop(self) -> None:
+        """It ends."""
+
+    def take(self, call: Any) -> None:
+        """A request has come in whole."""
+
+    def client_left(self, call: Any) -> None:
+        """The caller has gone away."""
+
+    def is_cut_from(self, box: Box) -> bool:
+        """Whether nothing passes between it and a box."""
+
+    def knows_start(self, box: Box) -> bool:
+        """Whether it has been told of a box's latest start."""
+
+    def answered(self, answer: Any) -> None:
+        """An upstream's answer has come."""
+
+    def reset_by_box(self, attempt: Any) -> None:
+        """The box's process has died with the request in it."""
+
+
 class Box:
     """A machine and the process on it."""
 
@@ -36,7 +77,7 @@
         self.name, self.zone, self.number = figures.name, figures.zone, figures.tier
         self.chance = Stream(seed, "box", figures.name)
         self.gauge = Gauge(tier, Stream(seed, "report", figures.name))
-        self.beside: Host | None = None  # the balancer of its own calls, one tier further
+        self.beside: Balancing | None = None  # the balancer of its own calls, one tier further
         self.up, self.draining, self.silent, self.fallen = True, False, False, False
         self.epoch = 0  # counts the processes it has had
         self.silent_epochs = set[
@@ -46,15 +87,15 @@
         self.budget: ColdBudget | None = None  # while cold
         self.connections = 0
         self.slots_used = 0
-        self.waiting: deque[Visit] = deque()
-        self.inside: dict[Visit, None] = {}  # all that it holds, in the order in which they came
+        self.waiting: deque[Inside] = deque()
+        self.inside: dict[Inside, None] = {}  # all that it holds, in the order in which they came
         # What slows it: factors of its speed, each set by one trouble.
         self.slower, self.taken, self.errors = 1.0, 0.0, figures.error_share
         self.pause_ms, self.pause_every_ms = figures.pause_ms, figures.pause_every_ms
         self.pause_grows = True
         self._paused_until = -math.inf
         self.choke = Choke(tier.choke)
-        self._jobs: list[tuple[float, int, Visit]] = []
+        self._jobs: list[tuple[float, int, Inside]] = []
         self._number_of_jobs, self._progress, self._rate, self._seen = 0, 0.0, 0.0, events.now
         self._next_due = math.inf
         self.busy_core_ms = self.work_done_ms = 0.0
@@ -135,7 +176,7 @@
         for visit in done:
             visit.worked()
 
-    def work(self, visit: Visit, work_ms: float) -> None:
+    def work(self, visit: Inside, work_ms: float) -> None:
         """Give a request in a slot so much work on the cores."""
         self._catch_up()
         self._number_of_jobs += 1
@@ -158,7 +199,7 @@
 
     # ---- requests --------------------------------------------------------------------------------
 
-    def admit(self, visit: Visit) -> bool:
+    def admit(self, visit: Inside) -> bool:
         """Take a request into a slot or the waiting room; false: turned away unseen."""
         if self.draining or self.fallen:
             return False
@@ -174,7 +215,7 @@
             return True
         return False
 
-    def leave(self, visit: Visit) -> None:
+    def leave(self, visit: Inside) -> None:
         """A request has left its slot: the oldest that waits takes it."""
         del self.inside[visit]
         self.slots_used -= 1
@@ -191,7 +232,7 @@
 
     # ---- its process -----------------------------------------------------------------------------
 
-    def stop(self, silent: bool) -> list[Visit]:
+    def stop(self, silent: bool) -> list[Inside]:
         """The process ends, or the machine vanishes without a word; returns the requests that die with it."""
         self._catch_up()
         if silent:
--- a/mastturn/emulator/troubles.py
+++ b/mastturn/emulator/troubles.py
@@ -7,20 +7,21 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 import msgspec
 
 from mastturn.emulator.chance import Stream
-from mastturn.emulator.clients import RateWindow
-from mastturn.emulator.events import START_MS
+from mastturn.emulator.clients import Clients, RateWindow
+from mastturn.emulator.day import Day
+from mastturn.emulator.discovery import Registry
+from mastturn.emulator.events import START_MS, Events
+from mastturn.emulator.front import Front
+from mastturn.emulator.host import Host
 from mastturn.emulator.machine import Box
+from mastturn.emulator.network import Network
 from mastturn.emulator.site import Range, span
 
-if TYPE_CHECKING:
-    from mastturn.emulator.host import Host
-    from mastturn.emulator.world import World
-
 
 class _Trouble(msgspec.Struct, frozen=True, forbid_unknown_fields=True, tag_field="kind", kw_only=True):
     at_s: Range
@@ -162,10 +163,45 @@
 READY_MS = 300.0  # from a balancer's start until the front sends it clients
 
 
+class Befallen(Protocol):
+    """What troubles act on: the parts of a world, and what can befall them."""
+
+    day: Day
+    events: Events
+    network: Network
+    clients: Clients
+    front: Front
+    boxes: dict[str, Box]
+    hosts: list[list[Host]]
+    registries: list[Registry]
+    marks: list[tuple[str, float, float]]
+
+    def box_vanishes(self, box: Box) -> None:
+        """The machine is gone without a word."""
+
+    def box_drains(self, box: Box) -> None:
+        """It completes what it holds and wants nothing new."""
+
+    def box_stops(self, box: Box) -> None:
+        """Its process ends."""
+
+    def box_starts(self, box: Box) -> None:
+        """A new process on the same machine."""
+
+    def box_replaced(self, box: Box) -> None:
+        """Another machine takes its place."""
+
+    def balancer_dies(self, host: Host) -> None:
+        """Killed."""
+
+    def balancer_starts(self, host: Host) -> None:
+        """It starts again from nothing."""
+
+
 class Drawn:
     """One trouble's own draws, and its start and end on the world's clock."""
 
-    def __init__(self, world: World, trouble: Trouble, number: int) -> None:
+    def __init__(self, world: Befallen, trouble: Trouble, number: int) -> None:
         self.chance = Stream(world.day.seed, "trouble", number)
         self.start_ms = START_MS + self.one(trouble.at_s) * 1000
         self.length_ms = self.one(trouble.for_s) * 1000 if isinstance(trouble, _Lasting) else 0.0
@@ -175,18 +211,18 @@
         """A figure from its range."""
         return self.chance.between(*span(value))
 
-    def boxes(self, world: World, part: float, tiers: tuple[str, ...]) -> list[Box]:
+    def boxes(self, world: Befallen, part: float, tiers: tuple[str, ...]) -> list[Box]:
         """So many of the tiers' boxes."""
         able = [b for b in world.boxes.values() if not tiers or world.day.tiers[b.number].name in tiers]
         return [able[i] for i in self.chance.some(round(part * len(able)), len(able))]
 
-    def zone(self, world: World) -> str:
+    def zone(self, world: Befallen) -> str:
         """One zone."""
         zones = world.day.network.zones
         return zones[self.chance.below(len(zones))]
 
 
-def rate_windows(world: World, troubles: tuple[Trouble, ...]) -> list[RateWindow]:
+def rate_windows(world: Befallen, troubles: tuple[Trouble, ...]) -> list[RateWindow]:
     """What the troubles do to how often clients come; drawn before the day begins."""
     windows = []
     for number, trouble in enumerate(troubles):
@@ -200,7 +236,7 @@
     return windows
 
 
-def plan(world: World, troubles: tuple[Trouble, ...]) -> None:
+def plan(world: Befallen, troubles: tuple[Trouble, ...]) -> None:
     """Ask for everything that will go wrong."""
     for number, trouble in enumerate(troubles):
         drawn = Drawn(world, trouble, number)
@@ -208,7 +244,7 @@
         _plan(world, trouble, drawn)
 
 
-def _plan(world: World, trouble: Trouble, drawn: Drawn) -> None:
+def _plan(world: Befallen, trouble: Trouble, drawn: Drawn) -> None:
     match trouble:
         case Slow():
             factor = drawn.one(trouble.slower)
@@ -268,7 +304,7 @@
         raise NotImplementedError
 
 
-def _for_a_while(world: World, drawn: Drawn, change: _Change) -> None:
+def _for_a_while(world: Befallen, drawn: Drawn, change: _Change) -> None:
     world.events.at(drawn.start_ms, change.begin)
     world.events.at(drawn.end_ms, change.end)
 
@@ -303,7 +339,7 @@
 
 
 class _Cut(_Change):
-    def __init__(self, world: World, zone: str) -> None:
+    def __init__(self, world: Befallen, zone: str) -> None:
         self._network, self._zone = world.network, zone
 
     def set(self, on: bool) -> None:
@@ -311,7 +347,7 @@
 
 
 class _LateReports(_Change):
-    def __init__(self, world: World, delay_ms: float) -> None:
+    def __init__(self, world: Befallen, delay_ms: float) -> None:
         self._world, self._delay_ms = world, delay_ms
 
     def set(self, on: bool) -> None:
@@ -320,7 +356,7 @@
 
 
 class _LateList(_Change):
-    def __init__(self, world: World, delay_ms: float) -> None:
+    def __init__(self, world: Befallen, delay_ms: float) -> None:
         self._world, self._delay_ms = world, delay_ms
 
     def set(self, on: bool) -> None:
@@ -329,7 +365,7 @@
 
 
 class _SilentDiscovery(_Change):
-    def __init__(self, world: World, until_ms: float) -> None:
+    def __init__(self, world: Befallen, until_ms: float) -> None:
         self._world, self._until_ms = world, until_ms
 
     def set(self, on: bool) -> None:
@@ -339,7 +375,7 @@
 
 
 class _NetworkShare(_Change):
-    def __init__(self, world: World, name: str, share: float) -> None:
+    def __init__(self, world: Befallen, name: str, share: float) -> None:
         self._network, self._name, self._share = world.network, name, share
 
     def set(self, on: bool) -> None:
@@ -347,7 +383,7 @@
 
 
 class _Leaving(_Change):
-    def __init__(self, world: World, share: float) -> None:
+    def __init__(self, world: Befallen, share: float) -> None:
         self._world, self._share = world, share
 
     def set(self, on: bool) -> None:
@@ -366,7 +402,7 @@
         self._box.retune()
 
 
-def _neighbour(world: World, trouble: Neighbour, drawn: Drawn) -> None:
+def _neighbour(world: Befallen, trouble: Neighbour, drawn: Drawn) -> None:
     for box in drawn.boxes(world, drawn.one(trouble.part), trouble.tiers):
         taken = _Taken(box, drawn.one(trouble.taken_share))
         at, on = drawn.start_ms, True
@@ -376,13 +412,13 @@
         world.events.at(drawn.end_ms, taken.turn, False)
 
 
-def _vanish(world: World, boxes: list[Box], drawn: Drawn) -> None:
+def _vanish(world: Befallen, boxes: list[Box], drawn: Drawn) -> None:
     for box in boxes:
         world.events.at(drawn.start_ms, world.box_vanishes, box)
         world.events.at(drawn.end_ms, world.box_starts, box)
 
 
-def _release(world: World, trouble: Release, drawn: Drawn) -> None:
+def _release(world: Befallen, trouble: Release, drawn: Drawn) -> None:
     boxes = drawn.boxes(world, drawn.one(trouble.part), trouble.tiers)
     order = [boxes[i] for i in drawn.chance.order(len(boxes))]
     step_ms = drawn.one(trouble.step_s) * 1000
@@ -395,14 +431,14 @@
         world.events.at(ends + drawn.one(trouble.down_s) * 1000, back, box)
 
 
-def _kill(world: World, trouble: KillBalancers, drawn: Drawn) -> None:
+def _kill(world: Befallen, trouble: KillBalancers, drawn: Drawn) -> None:
     hosts = world.hosts[0]
     for i in drawn.chance.some(round(drawn.one(trouble.part) * len(hosts)), len(hosts)):
         world.events.at(drawn.start_ms, world.balancer_dies, hosts[i])
         world.events.at(drawn.start_ms + drawn.one(trouble.down_s) * 1000, world.balancer_starts, hosts[i])
 
 
-def _restart(world: World, trouble: RestartBalancers, drawn: Drawn) -> None:
+def _restart(world: Befallen, trouble: RestartBalancers, drawn: Drawn) -> None:
     hosts: list[Host] = world.hosts[0]
     size = max(1, round(drawn.one(trouble.step_part) * len(hosts)))
     longest = min(max(c.deadline_ms for c in world.day.classes), LONGEST_MS)
--- a/mastturn/emulator/visit.py
+++ b/mastturn/emulator/visit.py
@@ -7,25 +7,37 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from mastturn.emulator.calls import Attempt, Call, Cause, Final, Loss
-
-if TYPE_CHECKING:
-    from mastturn.emulator.world import World
+from mastturn.emulator.day import Day
+from mastturn.emulator.events import Events
 
 BEFORE_CALLS = 0.5  # of a box's own work
 LOOPBACK_MS = 0.05  # between a box and the balancer beside it
 LEAST_REMAINING_MS = 1.0  # less time than this for a call is none
 
 
+class Around(Protocol):
+    """What a request in a box needs of the world."""
+
+    day: Day
+    events: Events
+
+    def next_number(self) -> int:
+        """A number for a request."""
+
+    def box_answers(self, attempt: Attempt, visit: Visit, served: bool, loss: Loss | None) -> None:
+        """A box has an answer."""
+
+
 class Visit:
     """An attempt that has reached its box."""
 
     __slots__ = ("_begun_ms", "_calls_left", "_epoch", "_rest_ms", "_service_ms", "_wait_ms", "_world",
                  "answered", "attempt", "call", "extra_ms", "useful_ms", "waits", "work_ms")  # fmt: skip
 
-    def __init__(self, world: World, attempt: Attempt, work_ms: float, wait_ms: float, calls: int) -> None:
+    def __init__(self, world: Around, attempt: Attempt, work_ms: float, wait_ms: float, calls: int) -> None:
         self._world, self.attempt = world, attempt
         self.work_ms, self._wait_ms, self._calls_left = work_ms, wait_ms, calls
         self.extra_ms = 0.0  # of a handshake
--- a/mastturn/registry/service.py
+++ b/mastturn/registry/service.py
@@ -16,7 +16,7 @@
 from fleet.registry import replica as core
 from fleet.registry.entries import Entry, Key
 from fleet.registry.history import Changes
-from mastturn.registry.figures import figures_text
+from mastturn.registry.figures import State, figures_text
 from mastturn.registry.form import PATH, FormError, Source, read_number, read_written, write_listing
 from mastturn.registry.http import AskError, Place, Question, Waiters, ask_list, now_ms, send, session
 from mastturn.registry.store import Store, StoreError
@@ -303,4 +303,7 @@
         return web.Response(status=200 if ready else 503, text="ready\n" if ready else "no list yet\n")
 
     async def _metrics(self, request: web.Request) -> web.StreamResponse:
-        return web.Response(body=figures_text(self), headers={"Content-Type": "application/openmetrics-text"})
+        state = State(self.replica, self.waiters.count, bool(self.failing), self.counts, self.peers_heard)
+        return web.Response(
+            body=figures_text(state), headers={"Content-Type": "application/openmetrics-text"}
+        )
--- a/tests/test_registry_core.py
+++ b/tests/test_registry_core.py
@@ -174,6 +174,16 @@
     assert answer.whole and answer.revision > lost and restored.epoch > lost
 
 
+def test_two_lives_that_begin_in_one_second_use_no_number_twice() -> None:
+    first = History(1, START_S)
+    old = first.saved()
+    second = History(1, START_S + 0.1, old)
+    second.put(entry())
+    third = History(1, START_S + 0.3, old)  # the same old state once more, in the same second
+    third.put(entry("other"))
+    assert third.revision > second.revision and third.after(second.revision).whole
+
+
 def test_another_keepers_number_and_a_list_of_other_make_get_the_whole_list() -> None:
     one, two = History(1, START_S), History(2, START_S)
     for history in (one, two):
