--- a/mastturn/chaos/fleet.py
+++ b/mastturn/chaos/fleet.py
@@ -16,7 +16,7 @@
 
 from mastturn.chaos.history import Recorder
 from mastturn.chaos.links import Link
-from mastturn.chaos.plan import NAMES, Plan
+from mastturn.chaos.plan import NAMES, SCRATCH_AGENT, Plan, agents
 from mastturn.chaos.upstream import Told
 from mastturn.standins import plan as standins
 from mastturn.standins.balancers import Balancer, free_port, settings
@@ -61,11 +61,11 @@
 
 
 def kinds() -> tuple[standins.Kind, ...]:
-    """The classes of requests that a run sends."""
+    """The classes of requests that a run sends: long enough that faults meet some of them under way."""
     return (
-        standins.Kind("menu-view", 0.5, 12.0, 1_500.0, 3_000.0),
-        standins.Kind("pick-save", 0.3, 8.0, 1_000.0, 2_000.0),
-        standins.Kind("box-pay", 0.2, 6.0, 800.0, 2_000.0, "once"),
+        standins.Kind("menu-view", 0.5, 100.0, 1_500.0, 3_000.0),
+        standins.Kind("pick-save", 0.3, 60.0, 1_000.0, 2_000.0),
+        standins.Kind("box-pay", 0.2, 60.0, 800.0, 2_000.0, "once"),
     )
 
 
@@ -102,7 +102,7 @@
                     await self._link(f"{one}>{other}", address)
         await asyncio.gather(*(self._start_replica(name) for name in self.replicas))
         await asyncio.gather(*(self._start_upstream(i) for i in range(self.plan.upstreams)))
-        await asyncio.gather(*(self._start_agent(i) for i in range(self.plan.balancers)))
+        await asyncio.gather(*(self._start_agent(name) for name in agents(self.plan)))
         await asyncio.gather(*(self._start_balancer(i) for i in range(self.plan.balancers)))
 
     async def stop(self) -> None:
@@ -152,10 +152,10 @@
 
         await self._add(process, start, f"127.0.0.1:{port}").start()
 
-    async def _start_agent(self, number: int) -> None:
-        name = f"agent-{number}"
+    async def _start_agent(self, name: str) -> None:
         address = f"127.0.0.1:{free_port()}"
         words = ["agent", "--listen", address, "--snapshot", str(self.folder / f"{name}.snapshot.json")]
+        words += ["--list", SCRATCH if name == SCRATCH_AGENT else ""]
         for replica, target in self.replicas.items():
             words += ["--replica", await self._link(f"{name}>{replica}", target)]
         process = Process(name, self.folder)
--- a/mastturn/chaos/plan.py
+++ b/mastturn/chaos/plan.py
@@ -21,6 +21,7 @@
 ]
 ON_PROGRAMS: tuple[Kind, ...] = ("kill", "stop", "replace", "old_state")
 ALL: tuple[Kind, ...] = (*ON_PROGRAMS, "cut", "cut_in", "cut_out", "delay", "reset")
+SCRATCH_AGENT = "agent-scratch"
 NAMES = "abcdefghijklmnop"
 
 
@@ -92,11 +93,16 @@
     return draw(check(msgspec.structs.replace(plan, **changes), str(path)))
 
 
+def agents(plan: Plan) -> list[str]:
+    """One beside each balancer, and one of the list that is written to all the time."""
+    return [*(f"agent-{i}" for i in range(plan.balancers)), SCRATCH_AGENT]
+
+
 def programs(plan: Plan) -> list[str]:
     """All that can be killed, stopped and replaced."""
     return [
         *(f"replica-{NAMES[i]}" for i in range(plan.replicas)),
-        *(f"agent-{i}" for i in range(plan.balancers)),
+        *agents(plan),
         *(f"balancer-{i}" for i in range(plan.balancers)),
         *(f"upstream-{i}" for i in range(plan.upstreams)),
     ]
@@ -106,7 +112,7 @@
     """All that can be cut."""
     replicas = [f"replica-{NAMES[i]}" for i in range(plan.replicas)]
     found = [f"{one}>{other}" for one in replicas for other in replicas if one != other]
-    found += [f"agent-{i}>{replica}" for i in range(plan.balancers) for replica in replicas]
+    found += [f"{agent}>{replica}" for agent in agents(plan) for replica in replicas]
     found += [f"upstream-{i}>{replica}" for i in range(plan.upstreams) for replica in replicas]
     return found + [f"balancers>upstream-{i}" for i in range(plan.upstreams)]
 
--- a/mastturn/chaos/run.py
+++ b/mastturn/chaos/run.py
@@ -14,9 +14,9 @@
 
 import msgspec
 
-from mastturn.chaos.fleet import Fleet, Program
+from mastturn.chaos.fleet import SCRATCH, Fleet, Program
 from mastturn.chaos.history import Recorder
-from mastturn.chaos.plan import ON_PROGRAMS, Fault, Plan, targets
+from mastturn.chaos.plan import ON_PROGRAMS, SCRATCH_AGENT, Fault, Plan, targets
 from mastturn.chaos.watchers import Convergence, Writer, read, write_finals
 from mastturn.files import LabError
 from mastturn.registry.http import session
@@ -148,7 +148,9 @@
     troubles = Troubles(fleet, recorder, say)
     async with session() as client:
         side = [
-            asyncio.create_task(read(client, recorder, name, p.address))
+            asyncio.create_task(
+                read(client, recorder, name, p.address, SCRATCH if name == SCRATCH_AGENT else "")
+            )
             for name, p in fleet.programs.items()
             if name.startswith(("agent-", "replica-"))
         ]
--- a/mastturn/chaos/watchers.py
+++ b/mastturn/chaos/watchers.py
@@ -25,12 +25,12 @@
     return (entry.id, entry.incarnation, int(entry.word), entry.turn, entry.phase)
 
 
-async def read(client: ClientSession, recorder: Recorder, source: str, address: str) -> None:
+async def read(client: ClientSession, recorder: Recorder, source: str, address: str, list_name: str) -> None:
     """Follow one place's list for as long as we run, and write down all that it tells."""
     after: int | None = None
     while True:
         try:
-            got = await ask_list(client, address, after, WAIT_MS)
+            got = await ask_list(client, address, after, WAIT_MS, list=list_name)
         except AskError:
             await asyncio.sleep(PAUSE_S)
             continue
--- a/mastturn/cli.py
+++ b/mastturn/cli.py
@@ -14,6 +14,7 @@
 from rich.console import Console
 from rich.progress import BarColumn, MofNCompleteColumn, Progress, TextColumn, TimeRemainingColumn
 
+from mastturn.bench.commands import bench
 from mastturn.chaos.commands import chaos
 from mastturn.emulator.baselines import BASELINES
 from mastturn.files import LabError
@@ -98,6 +99,7 @@
 
 main.add_command(registry)
 main.add_command(chaos)
+main.add_command(bench)
 
 
 @main.group()
--- a/mastturn/registry/commands.py
+++ b/mastturn/registry/commands.py
@@ -52,11 +52,13 @@
 
 def run(work: Coroutine[Any, Any, None]) -> None:
     """Run a program of the service; what can't be had is one line."""
+    import uvloop
+
     from mastturn.registry.store import StoreError
 
     logging.basicConfig(level=logging.INFO, format="%(levelname)s %(message)s")
     try:
-        asyncio.run(work)
+        uvloop.run(work)
     except (OSError, StoreError, ValueError) as error:
         raise LabError(str(error)) from None
 
--- a/mastturn/registry/figures.py
+++ b/mastturn/registry/figures.py
@@ -24,6 +24,7 @@
     watches: int
     failing: bool  # the disk
     writes: Counter[str]  # answers by status
+    answers: int  # to readers and peers
     heard: dict[str, float]  # when each peer last answered, on the system's monotonic clock, in seconds
 
 
@@ -60,6 +61,9 @@
         for peer, heard in sorted(state.heard.items()):
             silence.add_metric([peer], round(time.monotonic() - heard, 3))
         yield silence
+        answered = CounterMetricFamily("registry_answers", "Answers to readers and peers")
+        answered.add_metric([], state.answers)
+        yield answered
         writes = CounterMetricFamily("registry_writes", "Answers to writes by status", labels=["status"])
         for status, number in sorted(state.writes.items()):
             writes.add_metric([status], number)
--- a/mastturn/registry/service.py
+++ b/mastturn/registry/service.py
@@ -60,6 +60,7 @@
         self.failing = ""  # what the disk said last, if it fails
         self.waiters = Waiters()
         self.counts: Counter[str] = Counter()
+        self.answers = 0
         self.peers_heard: dict[str, float] = {}
         self._replies: dict[int, core.Reply] = {}
         self._calls = 0
@@ -236,6 +237,7 @@
         if not changes.whole and not changes.entries and question.wait_s:
             await self.waiters.wait(None if is_peer else question.list, question.wait_s)
             changes, body = self._answer(after, question, is_peer)
+        self.answers += 1
         return await send(request, body)
 
     def _answer(self, after: int | None, question: Question, is_peer: bool) -> tuple[Changes, bytes]:
@@ -303,7 +305,9 @@
         return web.Response(status=200 if ready else 503, text="ready\n" if ready else "no list yet\n")
 
     async def _metrics(self, request: web.Request) -> web.StreamResponse:
-        state = State(self.replica, self.waiters.count, bool(self.failing), self.counts, self.peers_heard)
+        state = State(
+            self.replica, self.waiters.count, bool(self.failing), self.counts, self.answers, self.peers_heard
+        )
         return web.Response(
             body=figures_text(state), headers={"Content-Type": "application/openmetrics-text"}
         )
--- a/mastturn/standins/process.py
+++ b/mastturn/standins/process.py
@@ -32,6 +32,12 @@
         """Whether there is a process."""
         return self._process is not None and self._process.returncode is None
 
+    @property
+    def pid(self) -> int:
+        """The number of the process that was started last."""
+        assert self._process is not None
+        return self._process.pid
+
     @property
     def status(self) -> int | None:
         """How the last one ended."""
--- a/tests/test_chaos.py
+++ b/tests/test_chaos.py
@@ -271,7 +271,7 @@
     assert one == two and len(one.faults) == 30 and one != draw(Plan(60.0, drawn=Drawn(30), seed=5))
     check(one, "drawn")
     assert all(targets(one, fault) for fault in one.faults)
-    assert len(programs(plan)) == 3 + 2 + 2 + 4 and len(set(links(plan))) == 6 + 6 + 12 + 4
+    assert len(programs(plan)) == 3 + 3 + 2 + 4 and len(set(links(plan))) == 6 + 9 + 12 + 4
 
 
 # ---- runs ------------------------------------------------------------------------------------------
@@ -327,7 +327,7 @@
         assert "links are up" in process.stdout.readline()
         place = Path(f"/proc/{process.pid}/task/{process.pid}/children")
         children = [int(word) for word in place.read_text().split()]
-        assert len(children) == 3 + 1 + 1 + 1
+        assert len(children) == 3 + 2 + 1 + 1
         process.send_signal(signal.SIGINT)
         process.stdout.read()
         process.wait(60)
