Judge whether registrants are cut off over all replicas, not over one replica's few leases

Seen in the rig: 4 registrants on 3 replicas, all cut off from the service for four leases: all were taken off. Each replica held one or two leases, too few to tell a mass from a death (the guard wants three late ones).

Replicas tell each other in their answers how many of their leases are late, and of how many. A lease that has run out waits for what the peers say as of that moment (their watches wait 1 s in place of 4), and the sum is judged. Doubt ends also when too few are late for a mass: with four registrants, one dead one would have kept it up. Rejected: to doubt by shares alone; the one lease of a replica would then never lapse.

Tests: the rig's run with all registrants cut off and one really dead (nobody taken off, over 0.8 served), the same with four leases in the core, a liar among the replicas, 200 agents that come back at once, a start without any replica, compaction under a sleeping watcher.

--- a/fleet/registry/leases.py
+++ b/fleet/registry/leases.py
@@ -1,5 +1,8 @@
 """Leases of the entries that one replica holds, and whether their running out is to be believed.
 
+A replica counts its own late ones and those that the others say they have: with few registrants on each, one
+alone could not tell a mass from a single death. It waits for what they say as of the moment of the lapse.
+
 A registrant renews at a third of its lease. One that is silent for half of it is late. A lease that runs
 out is a reason to take an instance off only while few are late: when more than `DOUBT_SHARE` of all are,
 it is more likely that they can't reach us than that they have all died at once, and nobody is taken off.
@@ -13,6 +16,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from heapq import heappop, heappush
 
@@ -21,6 +25,7 @@
 DOUBT_SHARE = 0.2
 LEAST_LATE = 3  # fewer late ones are no mass, whatever their share
 RENEW_PARTS = 3  # renewals in one lease
+ASK_MS = 250.0  # a lease that has run out is looked at again so often until the others have been heard
 LATE_PARTS = 2  # silent for one part in so many of its lease, one is late
 
 
@@ -31,6 +36,15 @@
     row: int  # the one row of the queue that speaks of it
 
 
+@dataclass(frozen=True, slots=True)
+class Elsewhere:
+    """The leases of the other replicas that can be heard, and the moment as of which all are known."""
+
+    late: int = 0
+    held: int = 0
+    known_at: float = math.inf
+
+
 class Leases:
     """Who has renewed when."""
 
@@ -76,20 +90,24 @@
         held = self._held.get(key)
         return held is not None and now - held.renewed < held.length
 
-    def run_out(self, now: float) -> list[Key]:
+    def run_out(self, now: float, elsewhere: Elsewhere | None = None) -> list[Key]:
         """Those to take off now; none while we doubt. `doubts` is brought up to date."""
+        others = elsewhere or Elsewhere()
         over = []
         while self._due and self._due[0][0] <= now:
             _, row, key = heappop(self._due)
             held = self._held.get(key)
             if held is None or held.row != row:
                 continue
-            if held.renewed + held.length > now:
-                self._queue(key, held, held.renewed + held.length)
+            ends = held.renewed + held.length
+            if ends > now:
+                self._queue(key, held, ends)
+            elif ends > others.known_at:  # it may be one of many that are late elsewhere
+                self._queue(key, held, now + ASK_MS)
             else:
                 over.append(key)
         if over or self.doubts:
-            self._judge(now)
+            self._judge(now, others)
         if not self.doubts:
             for key in over:
                 del self._held[key]
@@ -99,11 +117,11 @@
             self._queue(key, held, now + held.length / LATE_PARTS)
         return []
 
-    def _judge(self, now: float) -> None:
-        late = self.late(now)
+    def _judge(self, now: float, others: Elsewhere) -> None:
+        late, count = self.late(now) + others.late, len(self._held) + others.held
         if not self.doubts:
-            self.doubts = late >= LEAST_LATE and late > DOUBT_SHARE * len(self._held)
-        elif late <= DOUBT_SHARE / 2 * len(self._held):
+            self.doubts = late >= LEAST_LATE and late > DOUBT_SHARE * count
+        elif late <= max(DOUBT_SHARE / 2 * count, LEAST_LATE - 1):
             self.doubts = False
             for held in self._held.values():  # whoever is silent still gets one more lease
                 if now - held.renewed > held.length / LATE_PARTS:
--- a/fleet/registry/replica.py
+++ b/fleet/registry/replica.py
@@ -27,13 +27,15 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field, replace
+from math import inf
 
 from fleet.registry.entries import Entry, Key, Word, held_by, later
 from fleet.registry.history import Changes, History, Saved
-from fleet.registry.leases import Leases
+from fleet.registry.leases import Elsewhere, Leases
 
 ORPHAN_LEASES = 10
 LEAST_KEPT_MS = 600_000.0  # a gone entry is remembered so long at least, for watchers that sleep
+SILENT_MS = 5_000.0  # after so long without an answer, a peer is not waited for
 LOOK_MS = 1_000.0  # how often memory is tidied and orphans are looked for
 
 
@@ -82,11 +84,13 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerTold:
-    """A peer's answer: its log or whole list, and what it has taken over from whom."""
+    """A peer's answer: its log or whole list, what it has taken over from whom, and its leases."""
 
     peer: str
     changes: Changes
     seen: dict[str, int] = field(default_factory=dict)
+    late: int = 0
+    held: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -170,6 +174,7 @@
         self.seen = dict(kept.seen)  # of each peer: its revision up to which we have everything
         self.acked = dict(kept.acked)  # of each peer: our revision up to which it has everything
         self._heard = dict.fromkeys(settings.peers, now)  # when a peer last answered
+        self._leases_of = dict.fromkeys(settings.peers, (0, 0))  # late and held ones, as it said then
         self._gone_since: dict[Key, float] = {}
         self._changed: dict[Key, None] = {}
         self._forgotten: list[Key] = []
@@ -201,6 +206,10 @@
         """What we have of each replica's log, our own included: whoever has no less knows no less."""
         return {**self.seen, self._settings.name: self.history.revision}
 
+    def late_and_held(self, now: float) -> tuple[int, int]:
+        """How many of the leases that we hold are late, and of how many."""
+        return self.leases.late(now), len(self.leases)
+
     def doubts(self) -> bool:
         """Whether we take nobody off, since too many are late."""
         return self.leases.doubts
@@ -292,7 +301,7 @@
         if told.peer not in self._heard:
             self._log.append(Log(f"registry: {told.peer} is no peer of ours: its answer is left out"))
             return
-        self._heard[told.peer] = now
+        self._heard[told.peer], self._leases_of[told.peer] = now, (told.late, told.held)
         ours, had = told.seen.get(self._settings.name, 0), self.seen.get(told.peer, 0)
         for entry, at in zip(told.changes.entries, told.changes.at, strict=True):
             known = self.history.get(entry.key)
@@ -331,14 +340,15 @@
 
     def _look(self, now: float) -> None:
         doubted = self.leases.doubts
-        for key in self.leases.run_out(now):
+        elsewhere = self._elsewhere(now)
+        for key in self.leases.run_out(now, elsewhere):
             entry = self.history.get(key)
             if entry is not None and not entry.is_gone:
                 self._log.append(Log(f"registry: {entry.id} has not renewed its lease: left"))
                 holder = self._settings.name
                 self._take(replace(entry, lapsed=True, holder=holder, turn=entry.turn + 1), now)
         if self.leases.doubts and not doubted:
-            late, held = self.leases.late(now), len(self.leases)
+            late, held = self.leases.late(now) + elsewhere.late, len(self.leases) + elsewhere.held
             self._log.append(Log(f"registry: {late} of {held} registrants are late: nobody is taken off"))
         elif doubted and not self.leases.doubts:
             self._log.append(Log("registry: registrants renew again: leases count as before"))
@@ -347,6 +357,13 @@
             self._adopt(now)
             self._forget(now)
 
+    def _elsewhere(self, now: float) -> Elsewhere:
+        """The leases of the peers that can be heard."""
+        heard = [name for name, at in self._heard.items() if now - at < SILENT_MS]
+        late = sum(self._leases_of[name][0] for name in heard)
+        held = sum(self._leases_of[name][1] for name in heard)
+        return Elsewhere(late, held, min((self._heard[name] for name in heard), default=inf))
+
     def _adopt(self, now: float) -> None:
         """Take over the leases of a peer that has been silent for many of them."""
         silent = {name: now - heard for name, heard in self._heard.items()}
--- a/mastturn/registry/form.py
+++ b/mastturn/registry/form.py
@@ -75,6 +75,8 @@
     replica: str = ""
     seen: dict[str, int] = {}
     doubt: bool = False
+    late: int = 0
+    held: int = 0
 
 
 class Shown(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -88,6 +90,8 @@
     seen: dict[str, int] = {}
     doubt: bool = False
     age_ms: float = 0.0
+    late: int = 0  # of the leases that the replica holds
+    held: int = 0
 
 
 def _plain(error: msgspec.ValidationError) -> str:
@@ -196,6 +200,8 @@
 
     replica: str = ""
     seen: dict[str, int] = {}
+    late: int = 0
+    held: int = 0
 
 
 class Received(msgspec.Struct, frozen=True):
@@ -205,6 +211,8 @@
     epoch: int
     replica: str
     seen: dict[str, int]
+    late: int
+    held: int
 
 
 def read_listing(body: bytes, after: int | None) -> Received:
@@ -215,7 +223,7 @@
         raise FormError(_plain(error)) from None
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise FormError(f"no JSON: {error}") from None
-    if min(told.revision, told.epoch, *told.seen.values(), 0) < 0:
+    if min(told.revision, told.epoch, told.late, told.held, *told.seen.values(), 0) < 0:
         raise FormError("revision: allowed are whole numbers from 0 on")
     if not told.complete and (after is None or told.revision < after):
         raise FormError(f"revision: changes up to {told.revision} do not follow on {after}")
@@ -225,7 +233,14 @@
     if len({entry.key for entry in entries}) != len(entries):
         raise FormError("members: an id stands there twice")
     at = tuple(item.at for item in told.members)
-    return Received(Changes(told.revision, told.complete, entries, at), told.epoch, told.replica, told.seen)
+    return Received(
+        Changes(told.revision, told.complete, entries, at),
+        told.epoch,
+        told.replica,
+        told.seen,
+        told.late,
+        told.held,
+    )
 
 
 def write_listing(
@@ -242,7 +257,16 @@
     else:
         members = [as_instance(entry) for entry in changes.entries if not (changes.whole and entry.is_gone)]
     shown = Shown(
-        changes.revision, changes.whole, members, epoch, source.replica, source.seen, doubt, round(age_ms)
+        changes.revision,
+        changes.whole,
+        members,
+        epoch,
+        source.replica,
+        source.seen,
+        doubt,
+        round(age_ms),
+        source.late,
+        source.held,
     )
     return msgspec.json.encode(shown)
 
--- a/mastturn/registry/service.py
+++ b/mastturn/registry/service.py
@@ -23,7 +23,7 @@
 
 log = logging.getLogger(__name__)
 
-PEER_WAIT_MS = 4_000.0
+PEER_WAIT_MS = 1_000.0  # short: the answer tells how many of a peer's leases are late
 SYNC_S = 2.0  # a new process waits so long for a peer's list before it answers readers from its own alone
 PAUSE_S = (0.1, 1.0)  # before a peer that failed is asked again
 SNAPSHOT_S = 300.0
@@ -67,7 +67,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._waking: asyncio.TimerHandle | None = None
         self._to_wake: set[str] = set()
-        self._answers: dict[tuple[int | None, str, bool], tuple[Changes, bytes]] = {}
+        self._answers: dict[tuple[int | None, str, bool, tuple[int, int]], tuple[Changes, bytes]] = {}
         self._answers_at = -1
         self._synced = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
@@ -200,7 +200,7 @@
                 )
                 if got.replica != peer:
                     raise AskError(f"it calls itself {got.replica!r}")
-                self._do(core.PeerTold(peer, got.changes, got.seen))
+                self._do(core.PeerTold(peer, got.changes, got.seen, got.late, got.held))
                 if not self.failing:
                     self._stored_seen[peer] = self.replica.seen[peer]
                 self.peers_heard[peer] = time.monotonic()
@@ -246,12 +246,15 @@
         if self._answers_at != history.revision:
             self._answers.clear()
             self._answers_at = history.revision
-        place = (after, "\n" if is_peer else question.list, question.detail)
+        leases = self.replica.late_and_held(now_ms()) if is_peer else (0, 0)
+        place = (after, "\n" if is_peer else question.list, question.detail, leases)
         if (found := self._answers.get(place)) is None:
             changes = history.after(after)
             if not is_peer:
                 changes = changes.only(question.list)
-            who = Source(self._options.name, self.replica.vector()) if question.detail else Source()
+            who = Source()
+            if question.detail:
+                who = Source(self._options.name, self.replica.vector(), *leases)
             body = write_listing(changes, history.epoch, question.detail, who, doubt=self.replica.doubts())
             found = self._answers[place] = (changes, body)
         return found
--- a/tests/test_chaos.py
+++ b/tests/test_chaos.py
@@ -313,6 +313,37 @@
     assert sum(r["what"] == "asked" for r in rows) > 200
 
 
+CUT = """
+seconds = 8.0
+requests_per_s = 40.0
+lease_s = 1.0
+faults = [
+  {kind = "cut", on = ["upstream-*>replica-*"], at_s = 1.0, lasts_s = 4.0},
+  {kind = "kill", on = ["upstream-3"], at_s = 2.0, lasts_s = 2.0},
+]
+"""
+
+
+def test_with_all_registrants_cut_off_nobody_is_taken_off_and_a_dead_one_is_found_by_the_balancers(
+    tmp_path: Path,
+) -> None:
+    done = play(tmp_path, CUT)
+    assert done.exit_code == 0, done.output
+    rows = read(tmp_path / "run")
+    cut = next(r["t"] for r in rows if r["what"] == "fault" and r["kind"] == "cut")
+    gone = [
+        item[0]
+        for r in rows
+        if r["what"] == "told" and r["source"].startswith("agent-") and cut < r["t"] < cut + 4.0
+        for item in r["members"]
+        if item[-1] == "left" and item[0].startswith("upstream-")
+    ]
+    assert gone == []  # for four times their lease
+    asked = [r["txn"] for r in rows if r["what"] == "asked" and cut + 1.5 < r["t"] < cut + 2.5]
+    ends = {r["txn"]: r["how"] for r in rows if r["what"] == "ended"}
+    assert len(asked) > 20 and sum(ends[txn] == "served" for txn in asked) > 0.8 * len(asked)
+
+
 def test_an_interrupted_run_ends_all_that_it_started(tmp_path: Path) -> None:
     path = tmp_path / "plan.toml"
     path.write_text("seconds = 300.0\nbalancers = 1\nupstreams = 1\n")
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -385,6 +385,27 @@
     run(test())
 
 
+def test_an_agent_passes_over_a_replica_that_lies(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with three(tmp_path) as (fleet, client):
+            async with put(client, fleet.addresses["a"], "s-1"):
+                pass
+            lies = (b"{", b"[]", json.dumps({"revision": -1, "complete": True, "members": []}).encode())
+            for lie in lies:
+                liar = FakeServer(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(lie), lie))
+                await liar.start()
+                for seed in (1, 2):  # whichever is asked first
+                    options = agents.Options(ANY, (liar.host_port, fleet.addresses["a"]), seed=seed)
+                    agent = agents.Agent(options)
+                    await agent.start()
+                    await until_ids(client, agent.place.address, {"s-1"})
+                    assert agent.follower.source == fleet.addresses["a"]
+                    await agent.stop()
+                liar.stop()
+
+    run(test())
+
+
 def test_an_agent_is_silent_to_watches_while_all_replicas_are_down_and_still_gives_its_list(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -529,6 +550,67 @@
     run(test())
 
 
+@pytest.mark.parametrize("known", [True, False])
+def test_a_balancer_that_starts_while_all_replicas_are_down_serves_by_what_it_knows(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, known: bool
+) -> None:
+    monkeypatch.setattr("fleet.registry.follower.WAIT_MS", 100.0)
+
+    async def test() -> None:
+        async with three(tmp_path) as (fleet, client):
+            places = list(fleet.addresses.values())
+            for name in list(fleet.running):
+                await fleet.stop(name)
+
+            def change(data: dict[str, Any]) -> None:
+                data["discovery"] = places
+                if not known:
+                    del data["known"]
+
+            upstream = FakeServer()
+            async with balancer(upstream, change=change) as b:
+                answer = await (await b.connect()).ask()
+                assert answer is not None and answer.status == (200 if known else 503)
+                await fleet.start("b")
+                async with put(client, fleet.addresses["b"], "s0", host_port=upstream.host_port):
+                    pass
+                while answer is None or answer.status != 200:
+                    answer = await (await b.connect()).ask()
+
+    run(test())
+
+
+def test_a_storm_of_agents_that_come_back_together_is_spread_and_ends_with_equal_lists(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("fleet.registry.follower.WAIT_MS", 200.0)
+    monkeypatch.setattr("fleet.registry.follower.LONGEST_PAUSE_MS", 1_000.0)
+
+    async def test() -> None:
+        async with three(tmp_path) as (fleet, client):
+            async with put(client, fleet.addresses["a"], "s-1"):
+                pass
+            places = tuple(fleet.addresses.values())
+            found = [agents.Agent(agents.Options(ANY, places, seed=i)) for i in range(200)]
+            for agent in found:
+                await agent.start()
+            await until(lambda: all(agent.follower.heard_at is not None for agent in found))
+            for name in list(fleet.running):
+                await fleet.stop(name)
+            await until(lambda: all(agent.follower.is_down for agent in found))
+            assert all(len(agent.follower.history) == 1 for agent in found)
+            for name in fleet.addresses:
+                await fleet.start(name)
+            async with put(client, fleet.addresses["b"], "s-2"):
+                pass
+            await until(lambda: all(len(agent.follower.history) == 2 for agent in found))
+            asked = sum(one.answers for one in fleet.running.values())
+            assert asked < 20 * len(found)  # no agent hammers: a few lists each, and their watches
+            await asyncio.gather(*(agent.stop() for agent in found))
+
+    run(test())
+
+
 def test_with_one_address_nothing_of_the_list_service_is_imported(tmp_path: Path) -> None:
     path = tmp_path / "config.json"
     path.write_text(json.dumps(config_data([])))
--- a/tests/test_registry_core.py
+++ b/tests/test_registry_core.py
@@ -68,7 +68,8 @@
             after = self.replicas[reader].seen.get(source)
             if after is not None:
                 told.handle(PeerAsked(reader, after), self.now)
-            answer = PeerTold(source, told.history.after(after), told.vector())
+            leases = told.late_and_held(self.now)
+            answer = PeerTold(source, told.history.after(after), told.vector(), *leases)
             self.replicas[reader].handle(answer, self.now)
 
     def wait(self, ms: float, step: float = 250.0) -> None:
@@ -311,6 +312,23 @@
     assert {fleet.phase("a", id_) for id_ in ids[1:]} == {"active"}
 
 
+def test_a_mass_is_seen_though_each_replica_holds_but_one_or_two_of_it() -> None:
+    fleet = Fleet("a", "b", "c")
+    ids = [f"s{i}" for i in range(4)]
+    for i, id_ in enumerate(ids):
+        fleet.put(fleet.names[i % 3], entry(id_, lease_ms=LEASE), 1)
+    for _ in range(40):  # all registrants are cut off
+        fleet.wait(LEASE / 4)
+        fleet.sync()
+    assert {fleet.phase(name, id_) for name in fleet.names for id_ in ids} == {"active"}
+    for _ in range(16):  # all but one can be heard again
+        for i, id_ in enumerate(ids[1:], 1):
+            fleet.put(fleet.names[i % 3], entry(id_, lease_ms=LEASE), 1)
+        fleet.wait(LEASE / 4)
+        fleet.sync()
+    assert [fleet.phase("b", id_) for id_ in ids] == ["left", "active", "active", "active"]
+
+
 def test_a_holder_refutes_that_its_lease_has_lapsed() -> None:
     fleet = Fleet("a", "b")
     fleet.put("a", entry(lease_ms=LEASE), 1)
@@ -329,7 +347,7 @@
     fleet = Fleet("a", "b", "c")
     fleet.put("a", entry(lease_ms=LEASE), 1)
     fleet.sync()
-    for _ in range(4 * (ORPHAN_LEASES + 1)):
+    for _ in range(4 * (ORPHAN_LEASES + 2)):
         fleet.wait(LEASE / 4)
         fleet.sync(("b", "c"), ("c", "b"))
         held = fleet.replicas["c"].history.get(("", "x"))
@@ -533,3 +551,32 @@
     changes = Changes(16, True, (entry(list="kitchen"),))
     desk.do(follow.Told("a", "a", changes, 0, {"a": 16}))
     assert desk.listed() == set() and desk.follower.is_down
+
+
+def test_a_watcher_that_sleeps_over_a_compaction_is_told_the_whole_list() -> None:
+    fleet = Fleet("a")
+    fleet.put("a", entry("x"), 1)
+    history = fleet.replicas["a"].history
+    asleep = history.revision
+    fleet.put("a", entry("y"), 1)
+    fleet.put("a", entry("x", word=Word.LEAVING), 1)
+    two = history.after(asleep)  # two changes in one answer
+    assert not two.whole and {(e.id, e.phase) for e in two.entries} == {("x", "leaving"), ("y", "active")}
+    history.compact()
+    answer = history.after(asleep)
+    assert answer.whole and {e.id for e in answer.entries} == {"x", "y"}
+    assert not history.after(answer.revision).whole
+
+
+def test_leases_do_not_depend_on_what_time_another_replica_has() -> None:
+    fleet = Fleet("a", "b")
+    fleet.replicas["b"] = fleet.make("b", start_s=START_S + 30)  # half a minute ahead
+    fleet.put("a", entry(lease_ms=LEASE), 1)
+    for _ in range(30):
+        fleet.sync()
+        fleet.put("a", entry(lease_ms=LEASE), 1)
+        fleet.wait(LEASE / 3)
+    assert fleet.phase("a") == fleet.phase("b") == "active"
+    fleet.wait(LEASE + LOOK_MS)
+    fleet.sync()
+    assert fleet.phase("a") == fleet.phase("b") == "left"
