--- a/fleet/registry/leases.py
+++ b/fleet/registry/leases.py
@@ -8,7 +8,7 @@
 it is more likely that they can't reach us than that they have all died at once, and nobody is taken off.
 Whoever ran out earlier than the others did so up to a third of a lease before them; by then the others are
 late already, so that the first of a mass is kept as well. Doubt ends by renewals alone: when no more than
-half of that share is late. Those that are silent then get one more lease.
+half of that share is late, or too few for a mass. Those that are silent then get one more lease.
 
 All times are milliseconds of the caller's own clock that never goes back; no replica's clock is compared
 with another's, nor with a registrant's.
--- a/mastturn/cli.py
+++ b/mastturn/cli.py
@@ -346,6 +346,35 @@
     click.echo(f"over kinds of days {validation.rank_correlation(kinds):.3f}")
 
 
+@lab.command()
+@click.option("--agents", type=click.IntRange(1, 5_000), default=200, show_default=True)
+@click.option("--seed", type=click.IntRange(0), default=1, show_default=True)
+@click.option(
+    "--out", type=click.Path(file_okay=False, path_type=Path), help="Write the pictures into this folder."
+)
+def listing(agents: int, seed: int, out: Path | None) -> None:
+    """How long a change of the list takes to all agents: against replicas, loss of messages, rate of change.
+
+    \b
+    Example:
+      mastturn lab listing --agents 200 --out pictures
+    """
+    from mastturn.lab.listing import SWEEPS, sweep
+    from mastturn.report.pictures import convergence
+
+    for what in SWEEPS:
+        points = sweep(what, agents, seed)
+        for at, outcome in points:
+            click.echo(f"{what} {at:g}: {outcome.words()}")
+        if out is not None:
+            figure = convergence("", what, [(at, o.median_ms, o.most_ms) for at, o in points])
+            try:
+                out.mkdir(parents=True, exist_ok=True)
+                figure.savefig(out / f"listing-{what.split()[0]}.png", dpi=110)
+            except OSError as error:
+                raise LabError(f"{out}: {error.strerror}") from None
+
+
 @lab.command()
 @click.option("--bins", type=click.IntRange(3), default=10_000, show_default=True, help="How many bins.")
 @click.option("--seed", type=click.IntRange(0), default=1, show_default=True)
--- a/mastturn/report/pictures.py
+++ b/mastturn/report/pictures.py
@@ -146,3 +146,15 @@
     axes.legend(fontsize=8, loc="center left", bbox_to_anchor=(1.0, 0.5))
     axes.grid(alpha=0.25, axis="x")
     return figure
+
+
+def convergence(title: str, what: str, points: list[tuple[float, float, float]]) -> Figure:
+    """How long changes take to agents, median and 99%, against one figure; points are (it, ms, ms)."""
+    figure = Figure(figsize=(WIDTH_IN / 2, 3.2), layout="constrained")
+    axes = figure.subplots()
+    places = [point[0] for point in points]
+    axes.plot(places, [point[1] for point in points], "o-", color=SERVED, label="median")
+    axes.plot(places, [point[2] for point in points], "s--", color=UNSERVED, label="99%")
+    axes.set(xlabel=what, ylabel="from the write to an agent, ms", title=title, ylim=(0, None))
+    axes.legend(frameon=False)
+    return figure
