--- a/mastturn/bench/registry.py
+++ b/mastturn/bench/registry.py
@@ -28,7 +28,7 @@
 from mastturn.standins.process import Process, answers
 
 TICK_S = os.sysconf("SC_CLK_TCK")
-AGENT_PROCESSES, WATCHER_PROCESSES = 4, 2
+AGENT_PROCESSES, WATCHER_PROCESSES = 5, 3
 IDLE_S, SETTLE_S = 5.0, 1.0
 LONGEST_S = 300.0  # a measure ends by itself
 Line = Callable[[str], None]
--- a/mastturn/registry/agent.py
+++ b/mastturn/registry/agent.py
@@ -19,7 +19,7 @@
 
 from fleet.registry import follower as core
 from fleet.registry.entries import Entry
-from fleet.registry.history import Saved
+from fleet.registry.history import Changes, Saved
 from mastturn.registry.form import PATH, Detail, FormError, Source, as_detail, as_entry, write_listing
 from mastturn.registry.http import AskError, Place, Question, Waiters, ask_list, now_ms, send, session
 
@@ -27,6 +27,7 @@
 
 PACE = 4.0  # the next answer is asked for after so many times what the snapshot took to write
 FORMAT = 1
+MOST_BODIES = 64  # of answers that are kept for others who ask the same
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,6 +95,9 @@
         self._asking: asyncio.Task[None] | None = None
         self._pausing: asyncio.TimerHandle | None = None
         self._pace_s = 0.0
+        self._shared: dict[int | None, Changes] = {}  # answers at one revision
+        self._shared_at = -1
+        self._bodies: dict[tuple[int | None, bool, float], bytes] = {}
         self.place = Place(options.listen, [web.get(PATH, self._read), web.get("/health/live", self._live)])
 
     async def start(self) -> None:
@@ -175,19 +179,38 @@
         if after is not None and history.is_ahead(after):
             history.skip_past(after)
         if after is not None and history.is_ours(after):
-            if question.wait_s and not history.after(after).entries:
+            if question.wait_s and not self._changes(after).entries:
                 await self.waiters.wait("", question.wait_s)
-            if not history.after(after).entries:
+            if not self._changes(after).entries:
                 # That nothing has changed is more than we know while every replica is silent.
                 await self._up.wait()
-            changes = history.after(after)
         else:
-            changes = history.after(None)
-        age = self._age_ms()
-        body = write_listing(
-            changes, history.epoch, question.detail, Source(self.follower.source, self.follower.seen), age
-        )
+            after = None
+        body, age = self._body(after, question.detail)
         return await send(request, body, {"Age": str(int(age / 1000))})
 
+    def _changes(self, after: int | None) -> Changes:
+        """What came after a revision; the same for all who ask from there."""
+        history = self.follower.history
+        if self._shared_at != history.revision:
+            self._shared_at = history.revision
+            self._shared.clear()
+            self._bodies.clear()
+        if (found := self._shared.get(after)) is None:
+            found = self._shared[after] = history.after(after)
+        return found
+
+    def _body(self, after: int | None, detail: bool) -> tuple[bytes, float]:
+        """An answer's bytes, and the list's age in ms, to a tenth of a second."""
+        changes = self._changes(after)
+        history, age = self.follower.history, self._age_ms() // 100 * 100
+        place = (after, detail, age)
+        if (body := self._bodies.get(place)) is None:
+            source = Source(self.follower.source, self.follower.seen)
+            if len(self._bodies) >= MOST_BODIES:
+                self._bodies.clear()
+            body = self._bodies[place] = write_listing(changes, history.epoch, detail, source, age)
+        return body, age
+
     async def _live(self, request: web.Request) -> web.StreamResponse:
         return web.Response(text="live\n")
