--- a/mastturn/registry/http.py
+++ b/mastturn/registry/http.py
@@ -186,6 +186,8 @@
         async with asyncio.timeout(WRITE_S):
             await response.prepare(request)
             await response.write_eof()
+    except ConnectionError:
+        pass  # the reader has gone
     except TimeoutError:
         log.warning("registry: a reader at %s takes no answer: dropped", request.remote)
         if request.transport is not None:
