Answer watches with fewer timers, and look for what is long gone once a minute

Profile of an agent: its answers' way through aiohttp, two timers an answer, and a walk over the whole list at each change for what is long gone. A small answer needs no time-out of its own (the system holds it), a watch one timer in place of a wrapped wait.

--- a/fleet/registry/follower.py
+++ b/fleet/registry/follower.py
@@ -23,6 +23,7 @@
 SPREAD_MS = 500.0  # the first retry comes within so long: agents that fail together spread out
 LONGEST_PAUSE_MS = 5_000.0
 UNSURE_MS = 30_000.0
+FORGET_EVERY_MS = 60_000.0  # how often that is looked at
 FORGET_MS = 3_600_000.0  # how long what is gone is remembered
 HOME_MS = (30_000.0, 90_000.0)  # after so long with another replica, we try the first of our order again
 
@@ -127,6 +128,7 @@
         self._unsure_since: float | None = None
         self._unsure_tries = 0
         self._gone_since = dict[Key, float]()
+        self._forget_at = 0.0
         self._empty_at: set[str] = set()
         self._home_at = 0.0
         self.heard_at: float | None = None  # when a replica last answered well
@@ -264,6 +266,9 @@
 
     def _forget(self, now: float) -> None:
         """Drop the memory of what is long gone: no replica can still be so far behind."""
+        if now < self._forget_at:
+            return
+        self._forget_at = now + FORGET_EVERY_MS
         gone = [entry.key for entry in self.history.entries() if entry.is_gone]
         self._gone_since = {key: self._gone_since.get(key, now) for key in gone}
         for key, since in list(self._gone_since.items()):
--- a/mastturn/registry/http.py
+++ b/mastturn/registry/http.py
@@ -33,6 +33,7 @@
 WRITE_S = 5.0  # a reader that takes longer to take what it asked for is dropped
 BACKLOG = 1024
 MOST_BODY = 64 * 1024
+SMALL_BODY = 16 * 1024
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
@@ -114,15 +115,16 @@
 
     async def wait(self, of: str | None, seconds: float) -> None:
         """Return once there may be news, or after so long."""
-        future = asyncio.get_running_loop().create_future()
+        loop = asyncio.get_running_loop()
+        future = loop.create_future()
         waiting = self._waiting.setdefault(of, set())
         waiting.add(future)
         self.count += 1
+        timer = loop.call_later(seconds, _end, future)
         try:
-            await asyncio.wait_for(future, seconds)
-        except TimeoutError:
-            pass
+            await future
         finally:
+            timer.cancel()
             self.count -= 1
             waiting.discard(future)
 
@@ -131,11 +133,15 @@
         for of, waiting in self._waiting.items():
             if lists is None or of is None or of in lists:
                 for future in waiting:
-                    if not future.done():
-                        future.set_result(None)
+                    _end(future)
                 waiting.clear()
 
 
+def _end(future: asyncio.Future[None]) -> None:
+    if not future.done():
+        future.set_result(None)
+
+
 class Place:
     """An address that is listened on."""
 
@@ -183,6 +189,10 @@
     """Answer with JSON; a reader that does not take it in time is dropped, and costs the others nothing."""
     response = web.Response(body=body, content_type="application/json", headers=headers)
     try:
+        if len(body) <= SMALL_BODY:  # fits into what the system holds for a connection: nobody waits for it
+            await response.prepare(request)
+            await response.write_eof()
+            return response
         async with asyncio.timeout(WRITE_S):
             await response.prepare(request)
             await response.write_eof()
