Add the core of membership: checks, suspicion, views by watches, and the number that counts

Need: each balancer's part of the room, of tenants' quota and of counts goes by a number fixed at start.

fleet/membership hosts no socket and no clock: members and accusations are entries of the list's form, so that views merge by the list's own order and pass by its watch. A process is failed only by one that can't reach it itself, on two witnesses; a third or more silent at once is taken for a cut of our own, machines that refuse are not.

Not hosted on sockets yet.

--- /dev/null
+++ b/fleet/membership/states.py
@@ -0,0 +1,55 @@
+"""The states of a member as one process sees it, and what moves it from one to another.
+
+| from      | joining | present | suspected | failed | left |
+|-----------|---------|---------|-----------|--------|------|
+| joining   | -       | vouched | accused   | judged | goes |
+| present   | newer   | -       | accused   | judged | goes |
+| suspected | newer   | refutes | -         | judged | goes |
+| failed    | newer   | refutes | -         | -      | goes |
+| left      | newer   | -       | -         | -      | -    |
+
+vouched: we have reached it, or two others tell of it. accused: an accusation of its present incarnation and
+turn stands. refutes: it is a turn further, or all accusers have withdrawn. judged: `WITNESSES` accusers and
+the time to answer, while the observer does not doubt itself; or another observer has judged so. goes: it said
+so itself (quiesce, SIGTERM, upgrade). newer: another process under the name, by a higher incarnation.
+"""
+
+from __future__ import annotations
+
+import enum
+
+
+class State(enum.Enum):
+    """What one process thinks of another."""
+
+    JOINING = "joining"
+    PRESENT = "present"
+    SUSPECTED = "suspected"
+    FAILED = "failed"
+    LEFT = "left"
+
+
+class Word(enum.Enum):
+    """What moves a member, as in the table above."""
+
+    VOUCHED = "vouched"
+    ACCUSED = "accused"
+    REFUTES = "refutes"
+    JUDGED = "judged"
+    GOES = "goes"
+    NEWER = "newer"
+
+
+MOVES: dict[tuple[State, Word], State] = {
+    (State.JOINING, Word.VOUCHED): State.PRESENT,
+    (State.JOINING, Word.ACCUSED): State.SUSPECTED,
+    (State.PRESENT, Word.ACCUSED): State.SUSPECTED,
+    (State.SUSPECTED, Word.REFUTES): State.PRESENT,
+    **{(state, Word.JUDGED): State.FAILED for state in (State.JOINING, State.PRESENT, State.SUSPECTED)},
+    (State.FAILED, Word.REFUTES): State.PRESENT,
+    **{(state, Word.GOES): State.LEFT for state in State if state is not State.LEFT},
+    **{(state, Word.NEWER): State.JOINING for state in State if state is not State.JOINING},
+}
+
+COUNTED = frozenset({State.PRESENT, State.SUSPECTED})
+"""Who has a part of what the fleet shares: one that is only suspected may be serving."""
--- a/mastturn/cli.py
+++ b/mastturn/cli.py
@@ -375,6 +375,46 @@
                 raise LabError(f"{out}: {error.strerror}") from None
 
 
+@lab.command()
+@click.option(
+    "--processes",
+    "sizes",
+    type=click.IntRange(2, 2_000),
+    multiple=True,
+    default=(10, 40, 200),
+    show_default=True,
+    help="Sizes of the fleet.",
+)
+@click.option("--seed", type=click.IntRange(0), default=1, show_default=True)
+@click.option(
+    "--out", type=click.Path(file_okay=False, path_type=Path), help="Write the pictures into this folder."
+)
+def members(sizes: tuple[int, ...], seed: int, out: Path | None) -> None:
+    """How fast and how surely a fleet's processes see who has failed, and what that costs each.
+
+    Plain heartbeats to all, which take as long to give a process up, stand beside it.
+
+    \b
+    Example:
+      mastturn lab members --processes 40
+    """
+    from mastturn.lab.members import FIGURES, measure
+    from mastturn.report.pictures import sizes_of_fleet
+
+    found = []
+    for size in sizes:
+        for row in measure(size, seed):
+            click.echo(row.words())
+            found.append(row)
+    if out is not None:
+        try:
+            out.mkdir(parents=True, exist_ok=True)
+            for name, words in FIGURES.items():
+                sizes_of_fleet(words, found, name).savefig(out / f"members-{name}.png", dpi=110)
+        except OSError as error:
+            raise LabError(f"{out}: {error.strerror}") from None
+
+
 @lab.command()
 @click.option("--bins", type=click.IntRange(3), default=10_000, show_default=True, help="How many bins.")
 @click.option("--seed", type=click.IntRange(0), default=1, show_default=True)
--- /dev/null
+++ b/mastturn/lab/members.py
@@ -0,0 +1,85 @@
+"""Membership over sizes of the fleet and kinds of trouble, beside plain heartbeats to all."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+import numpy as np
+
+from mastturn.emulator.presence import Setup, play
+
+TROUBLES: dict[str, dict[str, Any]] = {
+    "dies": {"kills": 5},
+    "vanishes": {"kills": 5, "silent": True},
+    "loss 1%": {"kills": 0, "loss": 0.01},
+    "loss 5%": {"kills": 0, "loss": 0.05},
+    "loss 20%": {"kills": 0, "loss": 0.2},
+    "a tenth slow": {"kills": 0, "slow": 0.1},
+    "halves for 30 s": {"kills": 0, "split_s": 30.0, "seconds": 50.0},
+}
+FIGURES = {
+    "last_ms": "from a failure to the last process that knows, ms (99%)",
+    "messages_s": "messages of a process a second",
+    "bytes_s": "bytes of a process a second",
+    "false_h": "live processes failed in an hour of one process",
+}
+HEARTBEATS_TO = 40  # processes: beyond that their messages, the square of the size, take too long to play
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    """One run; spans in ms, medians and 99% over failures."""
+
+    kind: str
+    size: int
+    trouble: str
+    first_ms: tuple[float, float] | None
+    last_ms: float | None
+    undetected: int
+    false_h: float
+    messages_s: float
+    bytes_s: float
+    healed_ms: float | None
+
+    def words(self) -> str:
+        """One line."""
+        parts = [f"{self.kind:10} {self.size:5} {self.trouble:16}"]
+        if self.first_ms is not None and self.last_ms is not None:
+            parts.append(f"first {self.first_ms[0]:.0f} ms, last {self.last_ms:.0f} ms (99%)")
+        if self.undetected:
+            parts.append(f"{self.undetected} not known to all")
+        if self.healed_ms is not None:
+            parts.append(f"equal views {self.healed_ms:.0f} ms after healing")
+        parts.append(f"false {self.false_h:.2f}/h")
+        parts.append(f"{self.messages_s:.1f} messages/s, {self.bytes_s:.0f} B/s")
+        return "  ".join(parts)
+
+
+def measure(size: int, seed: int) -> list[Row]:
+    """Every trouble at one size; heartbeats where that can be played."""
+    seconds = 60.0 if size <= 200 else 10.0
+    rows = []
+    for trouble, words in TROUBLES.items():
+        if size > 200 and trouble not in ("dies", "vanishes"):
+            continue
+        for kind in ("views", "heartbeats") if size <= HEARTBEATS_TO else ("views",):
+            rows.append(
+                _row(
+                    trouble,
+                    Setup(**{"processes": size, "seconds": seconds, "kind": kind, "seed": seed} | words),
+                )
+            )
+    return rows
+
+
+def _row(trouble: str, setup: Setup) -> Row:
+    found = play(setup)
+    first = last = None
+    if found.first_ms:
+        first = (float(np.median(found.first_ms)), float(np.quantile(found.first_ms, 0.99)))
+        last = float(np.quantile(found.last_ms, 0.99))
+    return Row(
+        setup.kind, setup.processes, trouble, first, last, found.undetected, found.false / found.hours,
+        found.messages_s, found.bytes_s, found.healed_ms,
+    )  # fmt: skip
--- a/mastturn/report/pictures.py
+++ b/mastturn/report/pictures.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
+from collections.abc import Sequence
 from typing import Any
 
 import numpy as np
@@ -158,3 +159,26 @@
     axes.set(xlabel=what, ylabel="from the write to an agent, ms", title=title, ylim=(0, None))
     axes.legend(frameon=False)
     return figure
+
+
+def sizes_of_fleet(title: str, rows: Sequence[Any], figure_name: str) -> Figure:
+    """One figure of each run against the size of the fleet, a line for each kind and trouble.
+
+    `rows`: `kind`, `size`, `trouble` and the figure under its name, None where there is none.
+    """
+    figure = Figure(figsize=(7.0, 4.2), layout="constrained")
+    axes = figure.add_subplot()
+    for kind, trouble in dict.fromkeys((row.kind, row.trouble) for row in rows):
+        points = [
+            (row.size, getattr(row, figure_name))
+            for row in rows
+            if (row.kind, row.trouble) == (kind, trouble) and getattr(row, figure_name) is not None
+        ]
+        if points:
+            style = "-" if kind == "views" else "--"
+            axes.plot(*zip(*points, strict=True), style, marker="o", label=f"{kind}, {trouble}")
+    axes.set(xlabel="processes", ylabel=title, xscale="log")
+    axes.set_ylim(bottom=0)
+    axes.legend(fontsize=7)
+    axes.grid(alpha=0.3)
+    return figure
--- /dev/null
+++ b/tests/test_membership_core.py
@@ -0,0 +1,361 @@
+"""Who is present: states, accusations and their refutation, judgement, views, the number that counts."""
+
+from __future__ import annotations
+
+import itertools
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from fleet.membership import detector as core
+from fleet.membership.count import FADE_MS, Counted
+from fleet.membership.settings import PERIOD_MS, STANDSTILL_MS, Settings, suspicion_ms
+from fleet.membership.states import MOVES, State, Word
+from fleet.membership.view import FORGET_MS, REFUSED, SILENT, View
+from fleet.registry.entries import BadEntryError, Entry
+
+START_S = 1_700_000_000.0
+FLEET = "shop"
+
+
+def settings(name: str, fleet: str = FLEET) -> Settings:
+    return Settings(name, fleet, f"127.0.0.1:{1 + sum(name.encode())}")
+
+
+def view(name: str, incarnation: int = 1, fleet: str = FLEET) -> View:
+    return View(settings(name, fleet), incarnation, START_S)
+
+
+def tell(reader: View, *sources: View, now: float = 0.0) -> None:
+    for source in sources:
+        reader.merge(source.history.after(None).entries, source.own.id, now)
+
+
+def met(*names: str) -> dict[str, View]:
+    """Views that know and have reached each other."""
+    views = {name: view(name) for name in names}
+    for _ in range(2):
+        for one, other in itertools.permutations(views.values(), 2):
+            tell(one, other)
+    return views
+
+
+def state(of: View, name: str) -> State:
+    return of.members[name].state
+
+
+def test_the_table_moves_nobody_back_from_leaving_but_by_a_newer_process() -> None:
+    assert {word for (before, word) in MOVES if before is State.LEFT} == {Word.NEWER}
+    assert {before for (before, word) in MOVES if word is Word.GOES} == set(State) - {State.LEFT}
+    assert MOVES[State.SUSPECTED, Word.REFUTES] is State.PRESENT is MOVES[State.FAILED, Word.REFUTES]
+    assert all(MOVES[key] is not key[0] for key in MOVES)
+
+
+def test_a_stranger_that_one_peer_alone_tells_of_counts_for_nothing() -> None:
+    views = met("a", "b", "c")
+    strangers = [Entry(f"x{i}", "10.0.0.9:1", f"members.{FLEET}") for i in range(50)]
+    views["a"].merge(strangers, "b", 1.0)
+    assert {state(views["a"], entry.id) for entry in strangers} == {State.JOINING}
+    assert views["a"].count(State.PRESENT, State.SUSPECTED) == 3
+    views["a"].merge(strangers[:1], "c", 2.0)
+    views["a"].reached("x1", 3.0)
+    assert state(views["a"], "x0") is State.PRESENT is state(views["a"], "x1")
+
+
+def test_two_fleets_that_share_an_address_do_not_merge() -> None:
+    ours, theirs = view("a"), view("b", fleet="bank")
+    tell(ours, theirs)
+    assert set(ours.members) == {"a"}
+
+
+def test_an_accused_process_refutes_and_the_accusation_does_nothing_any_more() -> None:
+    views = met("a", "b", "c")
+    views["a"].accuse("b", SILENT, 10.0)
+    tell(views["c"], views["a"])
+    assert state(views["c"], "b") is State.SUSPECTED
+    tell(views["b"], views["c"], now=20.0)
+    tell(views["c"], views["b"], now=30.0)
+    assert state(views["c"], "b") is State.PRESENT and not views["c"].accusers("b")
+    tell(views["c"], views["a"], now=40.0)  # the old word again
+    assert state(views["c"], "b") is State.PRESENT
+
+
+def test_an_accuser_that_withdraws_can_accuse_again_and_views_become_equal() -> None:
+    views = met("a", "b", "c")
+    for _ in range(3):
+        views["a"].accuse("b", SILENT, 1.0)
+        tell(views["c"], views["a"])
+        assert views["c"].accusers("b") == {"a": SILENT}
+        views["a"].withdraw("b", 2.0)
+        tell(views["c"], views["a"])
+        assert state(views["c"], "b") is State.PRESENT
+
+
+def test_one_that_was_failed_and_lives_is_present_again_whatever_comes_first() -> None:
+    for order in itertools.permutations(range(3)):
+        views = met("a", "b", "c", "d")
+        views["a"].accuse("b", SILENT, 1.0)
+        accused = views["a"].history.after(None).entries
+        views["a"].judge("b", 2.0)
+        judged = views["a"].history.after(None).entries
+        tell(views["b"], views["a"], now=3.0)
+        refuted = views["b"].history.after(None).entries
+        for place in order:
+            views["d"].merge((accused, judged, refuted)[place], "a", 4.0)
+        assert state(views["d"], "b") is State.PRESENT
+
+
+def test_what_two_say_of_the_same_turn_ends_alive_when_the_accused_says_so() -> None:
+    # It refutes an accusation in the moment in which another judges it: both are of the same turn.
+    views = met("a", "b", "c")
+    views["a"].accuse("b", SILENT, 1.0)
+    tell(views["b"], views["a"], now=2.0)
+    views["a"].judge("b", 2.0)
+    assert state(views["a"], "b") is State.FAILED
+    tell(views["a"], views["b"], now=3.0)
+    assert state(views["a"], "b") is State.PRESENT
+
+
+def test_leaving_is_told_and_never_read_as_a_failure() -> None:
+    views = met("a", "b")
+    views["b"].leave(1.0)
+    tell(views["a"], views["b"])
+    assert state(views["a"], "b") is State.LEFT
+    views["a"].accuse("b", REFUSED, 2.0)
+    assert state(views["a"], "b") is State.LEFT
+    later = view("b", incarnation=2)
+    tell(views["a"], later, now=3.0)
+    assert state(views["a"], "b") is State.PRESENT  # by its own word, as a newer process
+
+
+def test_a_later_process_of_our_name_takes_our_place() -> None:
+    old, new = view("a", incarnation=1), view("a", incarnation=2)
+    tell(old, new)
+    assert old.superseded and not new.superseded
+    tell(new, old)
+    assert not new.superseded and new.members["a"].entry.incarnation == 2
+
+
+def test_what_is_long_gone_is_forgotten() -> None:
+    views = met("a", "b")
+    views["a"].accuse("b", SILENT, 0.0)
+    views["a"].withdraw("b", 0.0)
+    views["b"].leave(0.0)
+    views["b"].write(replace(views["b"].own, lapsed=True, turn=views["b"].own.turn + 1), 0.0)
+    tell(views["a"], views["b"])
+    views["a"].forget(FORGET_MS)
+    assert set(views["a"].members) == {"a"} and len(views["a"].history) == 1
+
+
+@pytest.mark.parametrize(
+    ("more", "field"),
+    [
+        ({"name": "a>b"}, "name"),
+        ({"name": "x" * 91}, "name"),
+        ({"fleet": ""}, "fleet"),
+        ({"period_ms": 0}, "period_ms"),
+    ],
+)
+def test_settings_that_no_process_can_have_are_refused(more: dict[str, Any], field: str) -> None:
+    with pytest.raises(BadEntryError, match=field):
+        replace(settings("a"), **more)
+
+
+def test_suspicion_grows_with_the_fleet_and_with_loss() -> None:
+    assert suspicion_ms(10) == suspicion_ms(200) == STANDSTILL_MS
+    assert suspicion_ms(2_000, loss=0.2) > suspicion_ms(200, loss=0.2) > STANDSTILL_MS
+    with pytest.raises(ValueError, match="loss"):
+        suspicion_ms(10, loss=0.9)
+
+
+# ---- the number -----------------------------------------------------------------------------------
+
+
+def test_the_number_rises_at_once_falls_slowly_and_at_once_for_those_who_said_so() -> None:
+    counted = Counted(1)
+    counted.see(10, 0, 0.0)
+    assert counted.number(0.0) == 10
+    counted.see(3, 0, 1.0)
+    assert counted.number(1.0) == 10 and 5 <= counted.number(FADE_MS) <= 6
+    assert counted.number(10 * FADE_MS) == 3
+    counted.see(2, 1, 10 * FADE_MS)
+    assert counted.number(10 * FADE_MS) == 2
+    counted.see(20, 0, 10 * FADE_MS)
+    assert counted.number(10 * FADE_MS) == 20
+
+
+# ---- the detector ---------------------------------------------------------------------------------
+
+
+class Table:
+    """Detectors of a few processes: what they ask is answered by hand."""
+
+    def __init__(self, *names: str) -> None:
+        self.now = 1_000.0
+        self.parts = {name: core.Detector(settings(name), 1, 1, START_S) for name in names}
+        self.named = {part.view.own.host_port: name for name, part in self.parts.items()}
+        self.log: list[str] = []
+        self.numbers: dict[str, int] = {}
+        self.unreached: dict[tuple[str, str], str] = {}  # (from, to): what a check finds
+        for name in names:
+            seeds = tuple(settings(other).host_port for other in names if other != name)
+            self.do(name, core.Begin(seeds))
+
+    def do(self, name: str, event: core.Event) -> None:
+        for action in self.parts[name].handle(event, self.now):
+            match action:
+                case core.Check(other, _, _):
+                    self.do(name, core.Checked(other, self.unreached.get((name, other), "")))
+                case core.Ask(address, after, _):
+                    other = self.named[address]
+                    if self.unreached.get((name, other)):
+                        self.do(name, core.Lost(address))
+                        continue
+                    source = self.parts[other]
+                    changes = source.view.history.after(after)
+                    if changes.whole or changes.entries:
+                        self.do(name, core.Told(address, other, changes))
+                    else:
+                        self.do(name, core.Lost(address))  # in place of a watch that waits
+                case core.Write(address, entry):
+                    target = self.named[address]
+                    if not self.unreached.get((name, target)):
+                        self.do(target, core.Written(entry))
+                case core.Log(text):
+                    self.log.append(f"{name}: {text}")
+                case core.Balancers(count):
+                    self.numbers[name] = count
+
+    def wait(self, ms: float) -> None:
+        until = self.now + ms
+        while self.now < until:
+            self.now += PERIOD_MS
+            for name in self.parts:
+                self.do(name, core.TimeDue())
+
+    def cut(self, *names: str, found: str = SILENT) -> None:
+        """These reach each other alone."""
+        for one, other in itertools.permutations(self.parts, 2):
+            if (one in names) != (other in names):
+                self.unreached[one, other] = found
+
+    def state(self, at: str, name: str) -> State:
+        return self.parts[at].view.members[name].state
+
+
+def test_all_find_each_other_from_seeds_and_count_each_other() -> None:
+    table = Table("a", "b", "c", "d")
+    table.wait(3_000.0)
+    assert table.numbers == dict.fromkeys("abcd", 4)
+
+
+def test_one_that_all_find_silent_is_failed_after_its_time_with_witnesses_named() -> None:
+    table = Table("a", "b", "c", "d", "e")
+    table.wait(4_000.0)
+    table.cut("e")
+    table.wait(STANDSTILL_MS - PERIOD_MS)
+    assert table.state("a", "e") is State.SUSPECTED
+    table.wait(3_000.0)
+    assert [table.state(name, "e") for name in "abcd"] == [State.FAILED] * 4
+    assert any("e is failed by the word of" in line and ", " in line for line in table.log)
+    table.unreached.clear()
+    table.wait(6_000.0)
+    assert {table.state(a, b) for a, b in itertools.permutations("abcde", 2)} == {State.PRESENT}
+
+
+def test_a_one_way_link_makes_one_witness_and_takes_nobody_out() -> None:
+    table = Table("a", "b", "c", "d")
+    table.wait(4_000.0)
+    table.unreached["a", "b"] = SILENT
+    table.wait(30_000.0)
+    assert [table.state(name, "b") for name in "cd"] != [State.FAILED] * 2
+    assert table.state("a", "b") in (State.PRESENT, State.SUSPECTED)
+    assert not any("b is failed" in line for line in table.log)
+
+
+def test_a_minority_doubts_itself_and_the_majority_judges() -> None:
+    table = Table(*"abcdefghi")
+    table.wait(6_000.0)
+    table.cut("a", "b")
+    table.wait(12_000.0)
+    assert table.parts["a"].doubts and not table.parts["c"].doubts
+    assert {table.state("a", name) for name in "cdefghi"} == {State.SUSPECTED}
+    assert {table.state("c", name) for name in "ab"} == {State.FAILED}
+    table.unreached.clear()
+    table.wait(8_000.0)
+    assert {table.state(a, b) for a, b in itertools.permutations("abcdefghi", 2)} == {State.PRESENT}
+
+
+def test_seven_in_ten_whose_machines_refuse_are_failed_for_that_is_no_cut() -> None:
+    table = Table(*"abcdefghij")
+    table.wait(6_000.0)
+    for dead in "defghij":
+        del table.parts[dead]
+    for one, dead in itertools.product("abc", "defghij"):
+        table.unreached[one, dead] = REFUSED
+    table.wait(8_000.0)
+    assert {table.state("a", dead) for dead in "defghij"} == {State.FAILED}
+    table.wait(60_000.0)
+    assert table.numbers["a"] == 3
+
+
+def test_who_stood_still_accuses_nobody_for_what_it_missed() -> None:
+    table = Table("a", "b", "c")
+    table.wait(4_000.0)
+    part, checks = table.parts["a"], []
+    actions = part.handle(core.TimeDue(), table.now + PERIOD_MS)
+    checks = [action for action in actions if isinstance(action, core.Check)]
+    part.handle(core.TimeDue(), table.now + 30_000.0)
+    for check in checks:
+        part.handle(core.Checked(check.name, SILENT), table.now + 30_001.0)
+    assert not part.view.accusers("b") and not part.view.accusers("c")
+
+
+def test_quiescing_takes_effect_at_once_on_the_number() -> None:
+    table = Table("a", "b", "c")
+    table.wait(4_000.0)
+    table.do("c", core.Leave())
+    table.wait(PERIOD_MS)
+    assert table.numbers["a"] == table.numbers["b"] == 2
+    assert not any("failed" in line for line in table.log)
+
+
+def test_every_order_of_what_three_say_of_each_other_ends_in_equal_views() -> None:
+    """All interleavings of two accusations, a judgement, a refutation and a departure, told in any order."""
+    explored = 0
+    steps = (
+        ("a", "accuse", "b"),
+        ("c", "accuse", "b"),
+        ("a", "judge", "b"),
+        ("b", "hear", "a"),
+        ("c", "leave", "c"),
+    )
+    for order in itertools.permutations(steps):
+        for links in itertools.product((False, True), repeat=3):
+            views = met("a", "b", "c")
+            for at, ((who, what, whom), told) in enumerate(zip(order, (*links, True, False), strict=True)):
+                now = float(at)
+                if what == "accuse":
+                    views[who].accuse(whom, SILENT, now)
+                elif what == "judge" and state(views[who], whom) is not State.LEFT:
+                    views[who].judge(whom, now)
+                elif what == "hear":
+                    tell(views[who], views[whom], now=now)
+                elif what == "leave":
+                    views[who].leave(now)
+                if told:  # lost otherwise
+                    tell(views["a" if who != "a" else "c"], views[who], now=now)
+            for _ in range(3):
+                for one, other in itertools.permutations(views.values(), 2):
+                    tell(one, other, now=10.0)
+            seen = [
+                {n: (m.entry.order, m.state) for n, m in v.members.items() if n != v.own.id}
+                for v in views.values()
+            ]
+            for first, second in itertools.combinations(seen, 2):
+                assert all(first[name] == second[name] for name in first.keys() & second.keys())
+            # No refuted accusation stands, and nobody who lives and is reached is failed for good.
+            assert state(views["a"], "b") is State.PRESENT and state(views["a"], "c") is State.LEFT
+            explored += 1
+    assert explored == 120 * 8
