--- a/mastturn/emulator/day.py
+++ b/mastturn/emulator/day.py
@@ -28,6 +28,7 @@
     stretch: float
     length_ms: float
     uneven: float  # spread of the balancers' parts of the traffic, as the deviation of their logarithm
+    seen: float = 1.0  # the number of balancers that each goes by, as a part of the true one
 
 
 @dataclass(frozen=True, slots=True)
--- a/mastturn/emulator/world.py
+++ b/mastturn/emulator/world.py
@@ -103,7 +103,8 @@
         for box in list(self.boxes.values()):
             self._put_balancer_beside(box)
         counts = [len(hosts) for hosts in self.hosts]
-        self._settings = [self.version.settings(day, t, counts[t]) for t in range(len(day.tiers))]
+        seen = [max(round(count * day.fleet.seen), 1) for count in counts]
+        self._settings = [self.version.settings(day, t, seen[t]) for t in range(len(day.tiers))]
 
     def _put_balancer_beside(self, box: Box) -> None:
         tier = box.number + 1
--- a/mastturn/lab/scenario.py
+++ b/mastturn/lab/scenario.py
@@ -42,6 +42,7 @@
     sizes: tuple[int, ...] = ()
     site: str = "midlands-main"
     length_s: float | None = None  # the fleet's own if not given
+    seen: Range = 1.0  # the number of balancers that each goes by, as a part of the true one
     fleet: FleetFile | None = None  # a fleet of one's own, in place of `sizes`
     troubles: tuple[Trouble, ...] = ()
 
@@ -57,6 +58,7 @@
     load_share: tuple[float, float]
     length_ms: float
     troubles: tuple[Trouble, ...]
+    seen: tuple[float, float] = (1.0, 1.0)
 
     def day(self, seed: int) -> Day:
         """The day that a seed stands for."""
@@ -69,6 +71,7 @@
             figures.stretch,
             self.length_ms,
             figures.uneven,
+            Stream(seed, "seen").between(*self.seen),
         )
         return draw(self.site, fleet, seed)
 
@@ -106,7 +109,11 @@
     for field, least in (("balancers_front", 1), ("machines_front", 1), ("stretch", 0.01)):
         if getattr(fleet, field) < least:
             raise LabError(f"{file}: fleet.{field}: {getattr(fleet, field):g}, allowed: {least:g} and more")
-    return Scenario(name, read.title, read_site(read.site), fleet, (low, high), length * 1000, read.troubles)
+    seen = span(read.seen)
+    if not 0 < seen[0] <= seen[1] <= 100:
+        raise LabError(f"{file}: seen: [{seen[0]:g}, {seen[1]:g}], allowed: over 0 and at most 100")
+    site = read_site(read.site)
+    return Scenario(name, read.title, site, fleet, (low, high), length * 1000, read.troubles, seen)
 
 
 def find(name: str) -> Scenario:
--- a/umberworks/rules.py
+++ b/umberworks/rules.py
@@ -88,6 +88,9 @@
                 self._take_ready()
             case face.CallsBeside():
                 self._room.beside = event.out
+            case face.Balancers():
+                self._room.balancers = self._choice.balancers = self._shares.balancers = event.count
+                self._choice.measure_anew()
             case face.Learned():
                 self._room.told(event)
                 self._members.told(event, self._servers.values(), now)
