--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -56,10 +56,11 @@
 
     def __init__(self, folder: Path, addresses: dict[str, str]) -> None:
         self._folder, self.addresses = folder, addresses
+        self.ways: dict[tuple[str, str], str] = {}  # where one replica finds another, if not at its address
         self.running: dict[str, service.Service] = {}
 
     async def start(self, name: str) -> None:
-        peers = {n: a for n, a in self.addresses.items() if n != name}
+        peers = {n: self.ways.get((name, n), a) for n, a in self.addresses.items() if n != name}
         options = service.Options(name, self.addresses[name], self._folder / f"{name}.db", peers)
         self.running[name] = service.Service(options)
         await self.running[name].start()
@@ -355,6 +356,125 @@
             task.cancel()
 
 
+async def cut_off(fleet: Three, name: str) -> list[Door]:
+    """Start all three again with doors between one of them and the others."""
+    doors = []
+    for one in list(fleet.running):
+        await fleet.stop(one)
+    for other in fleet.addresses:
+        for source, target in ((name, other), (other, name)) if other != name else ():
+            doors.append(Door(fleet.addresses[target]))
+            fleet.ways[source, target] = await doors[-1].start()
+    for one in fleet.addresses:
+        await fleet.start(one)
+    return doors
+
+
+def shut(doors: list[Door], cut: bool) -> None:
+    for door in doors:
+        door.out_cut = door.in_cut = cut
+
+
+def test_replicas_that_were_cut_agree_on_who_was_registered_at_one_and_removed_at_the_other(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(service, "PEER_WAIT_MS", 100.0)
+    monkeypatch.setattr(http, "ANSWER_S", 0.2)
+
+    async def test() -> None:
+        async with three(tmp_path) as (fleet, client):
+            doors, places = await cut_off(fleet, "a"), fleet.addresses
+            for id_ in ("renewed", "new"):
+                async with put(client, places["b"], id_, incarnation=1, lease_ms=60_000):
+                    pass
+            for place in places.values():
+                await until_ids(client, place, {"renewed", "new"})
+            shut(doors, True)
+            for id_ in ("renewed", "new"):
+                async with client.delete(f"http://{places['b']}{PATH}/{id_}") as answer:
+                    assert answer.status == 200
+            # A renewal is of the same process, which nobody wants; a new process is not the removed one.
+            async with put(client, places["a"], "renewed", incarnation=1, lease_ms=60_000) as answer:
+                assert answer.status == 200
+            async with put(client, places["a"], "new", incarnation=2, host_port="127.0.0.1:7071") as answer:
+                assert answer.status == 200
+            await until_ids(client, places["c"], set())
+            assert await ids(client, places["a"]) == {"renewed", "new"}
+            shut(doors, False)
+            for place in places.values():
+                await until_ids(client, place, {"new"})
+                (member,) = (await told(client, place))["members"]
+                assert member["host_port"] == "127.0.0.1:7071"
+            for door in doors:
+                door.stop()
+
+    run(test())
+
+
+def test_an_upstream_that_restarts_elsewhere_wins_over_its_old_lease_beyond_a_cut(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(service, "PEER_WAIT_MS", 100.0)
+    monkeypatch.setattr(http, "ANSWER_S", 0.2)
+
+    async def test() -> None:
+        async with three(tmp_path) as (fleet, client):
+            doors, places = await cut_off(fleet, "a"), fleet.addresses
+            async with put(client, places["a"], "s-1", incarnation=1, lease_ms=1_500):
+                pass
+            for place in places.values():
+                await until_ids(client, place, {"s-1"})
+            shut(doors, True)
+            # The old process renews at the one side while the new one registers at the other.
+            async with put(
+                client, places["b"], "s-1", incarnation=2, host_port="127.0.0.1:7071", lease_ms=60_000
+            ):
+                pass
+            async with put(client, places["a"], "s-1", incarnation=1, lease_ms=1_500) as answer:
+                assert answer.status == 200
+            shut(doors, False)
+            for place in places.values():
+                while [m["host_port"] for m in (await told(client, place))["members"]] != ["127.0.0.1:7071"]:
+                    await asyncio.sleep(0.01)
+            async with put(client, places["a"], "s-1", incarnation=1, lease_ms=1_500) as answer:
+                assert answer.status == 409  # the old process learns that it has been overtaken
+            for place in places.values():  # the old lease's end takes nobody off
+                assert await ids(client, place) == {"s-1"}
+            for door in doors:
+                door.stop()
+
+    run(test())
+
+
+def test_a_watch_is_answered_at_once_and_its_connection_takes_the_next_question(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with three(tmp_path) as (fleet, client):
+            agent = agents.Agent(agents.Options(ANY, tuple(fleet.addresses.values()), seed=1))
+            await agent.start()
+            words = {"after": str((await told(client, agent.place.address))["revision"]), "wait_ms": "10000"}
+            heard = []
+            for i in range(5):  # each answered watch is followed by the next on the same connection
+                watch = asyncio.create_task(told(client, agent.place.address, **words))
+                async with (
+                    put(client, fleet.addresses["b"], f"s-{i}"),
+                    put(client, fleet.addresses["b"], f"t-{i}"),
+                ):
+                    pass
+                while not (news := await watch)["members"]:
+                    watch = asyncio.create_task(told(client, agent.place.address, **words))
+                assert not news["complete"]
+                heard += [member["id"] for member in news["members"]]
+                words["after"] = str(news["revision"])
+            while len(heard) < 10:
+                news = await told(client, agent.place.address, **words)
+                heard += [member["id"] for member in news["members"]]
+                words["after"] = str(news["revision"])
+            assert sorted(heard) == sorted(f"{kind}-{i}" for kind in "st" for i in range(5))
+            await agent.stop()
+
+    run(test())
+
+
 def test_an_agent_in_a_one_way_cut_moves_on_and_tells_nothing_older(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
