Host membership beside the balancer: peers in the configuration, members at the door

Need: the number of balancers that the room and the tenants' shares go by follows who is present. With `peers` a balancer shows its view in discovery's form at an address of its own, follows three others, and tells the module the number; quiesce, SIGTERM and resume are told at once, an upgrade's two processes are one member.

Rejected: a second process beside each balancer on the service's libraries (40 MB, and its life is not the balancer's); the callers' address (a watch takes a caller's place).

Found with several copies on sockets: a stranger that anybody wrote in came back as an echo from another's view and counted as vouched for by two. Whoever is written in is now asked at the address that it names, 16 at once, and only what is told there counts.

--- a/fleet/membership/detector.py
+++ b/fleet/membership/detector.py
@@ -35,6 +35,7 @@
 MOST_ACCUSERS = 2 * WITNESSES  # more say nothing new
 DOUBT_SHARE = 1.0 / 3.0
 SILENT_CHECKS, REFUSED_CHECKS = 3, 2  # of our own in a row, before we judge
+MOST_ASKED = 16  # questions for views that are out at once, beyond which invitations are passed over
 STALL_PERIODS = 1.5  # a timer that is so many periods late says that we stood still
 MOST_SLOWNESS = 4  # periods and waits grow by one for each sign that we ourselves are slow, up to this
 SEED_PERIODS = 25  # of a new process, in which it looks for seeds that it does not know at each
@@ -77,7 +78,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Written:
-    """Somebody has told us an entry (`PUT`): a process that nobody follows yet."""
+    """Somebody has told us an entry (`PUT`): perhaps a process that nobody follows yet."""
 
     entry: Entry
 
@@ -92,7 +93,12 @@
     """This process is about to end, or takes no more callers."""
 
 
-Event = Begin | Checked | Told | Lost | Written | TimeDue | Leave
+@dataclass(frozen=True, slots=True)
+class Return:
+    """This process takes callers again after all."""
+
+
+Event = Begin | Checked | Told | Lost | Written | TimeDue | Leave | Return
 
 # ---- actions ------------------------------------------------------------------------------------
 
@@ -194,9 +200,11 @@
             case Lost(asked):
                 self._lost(asked)
             case Written(entry):
-                self.view.merge((entry,), "", now)
+                self._invited(entry, now, actions)
             case Leave():
                 self.view.leave(now)
+            case Return():
+                self.view.rejoin(now)
         self._say(now, actions)
         if self.view.history.revision != before:
             actions.append(Changed())
@@ -387,6 +395,12 @@
         if told.name in self._following and self._address(told.name) == told.asked:
             self._ask(told.asked, actions, now)
 
+    def _invited(self, entry: Entry, now: float, actions: list[Action]) -> None:
+        """Whoever connects can write any name: we believe what is told at the address that it names."""
+        known = self.view.members.get(entry.id)
+        if (known is None or entry.order > known.entry.order) and len(self._asking) < MOST_ASKED:
+            self._ask(entry.host_port, actions, now, wait_ms=0.0)
+
     def _lost(self, asked: str) -> None:
         """It is asked again in the next period, if it is still to be followed then."""
         self._asking.pop(asked, None)
@@ -401,5 +415,5 @@
 
 __all__ = [
     "REFUSED", "SILENT", "Action", "Ask", "Balancers", "Begin", "Changed", "Check", "Checked", "Detector",
-    "Event", "Leave", "Log", "Lost", "SetTimer", "TimeDue", "Told", "Write", "Written",
+    "Event", "Leave", "Log", "Lost", "Return", "SetTimer", "TimeDue", "Told", "Write", "Written",
 ]  # fmt: skip
--- a/fleet/membership/states.py
+++ b/fleet/membership/states.py
@@ -8,10 +8,11 @@
 | failed    | newer   | refutes | -         | -      | goes |
 | left      | newer   | -       | -         | -      | -    |
 
-vouched: we have reached it, or two others tell of it. accused: an accusation of its present incarnation and
-turn stands. refutes: it is a turn further, or all accusers have withdrawn. judged: `WITNESSES` accusers and
-the time to answer, while the observer does not doubt itself; or another observer has judged so. goes: it said
-so itself (quiesce, SIGTERM, upgrade). newer: another process under the name, by a higher incarnation.
+vouched: we have reached it, or one who is present tells of it. accused: an accusation of its present
+incarnation and turn stands. refutes: it is a turn further, or all accusers have withdrawn. judged:
+`WITNESSES` accusers and the time to answer, while the observer does not doubt itself; or another observer has
+judged so. goes: it said so itself (quiesce, SIGTERM, upgrade). newer: another process under the name, by a
+higher incarnation.
 """
 
 from __future__ import annotations
--- a/fleet/membership/view.py
+++ b/fleet/membership/view.py
@@ -11,7 +11,7 @@
 
 from bisect import bisect_right, insort
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 
 from fleet.membership.settings import MOST_MEMBERS, SEPARATOR, Settings
 from fleet.membership.states import MOVES, State, Word
@@ -31,7 +31,6 @@
     entry: Entry
     state: State = State.JOINING
     since: float = 0.0
-    sources: set[str] = field(default_factory=set)  # who told us of it, two at the most
 
     @property
     def name(self) -> str:
@@ -78,8 +77,8 @@
         self._apply(entry, self._settings.name, now)
 
     def merge(self, entries: Iterable[Entry], source: str, now: float) -> None:
-        """Take over from another's view whatever is later."""
-        for entry in entries:
+        """Take over from another's view whatever is later; what it says of itself comes first."""
+        for entry in sorted(entries, key=lambda entry: entry.id != source):
             if entry.list not in (self._settings.members, self._settings.doubts):
                 continue  # another fleet's, or no view at all
             known = self.history.get(entry.key)
@@ -105,7 +104,6 @@
             member = self.members[entry.id] = self._in[State.JOINING][entry.id] = Member(entry, since=now)
             insort(self._ring, entry.id)
         elif entry.incarnation > member.entry.incarnation:
-            member.sources.clear()
             self._move(member, Word.NEWER, now)
         refutes = not entry.lapsed and (entry.turn > member.entry.turn or member.entry.lapsed)
         member.entry = entry
@@ -127,12 +125,11 @@
         self._put(member, State.PRESENT if member.entry.word is Said.ACTIVE else State.LEFT, now)
 
     def _vouch(self, entry: Entry, source: str, now: float) -> None:
-        """Strangers that one peer alone tells of count for nothing."""
-        member = self.members.get(entry.id)
+        """It says so itself, or one who is present does; others' strangers count once we reach them."""
+        member, by = self.members.get(entry.id), self.members.get(source)
         if entry.list != self._settings.members or member is None or member.state is not State.JOINING:
             return
-        member.sources.add(source)
-        if len(member.sources) >= 2 or source == entry.id:
+        if source == entry.id or (by is not None and by.state is State.PRESENT):
             self._move(member, Word.VOUCHED, now)
 
     def reached(self, name: str, now: float) -> None:
@@ -220,6 +217,13 @@
             self.own = replace(heard, word=Said.LEAVING, lapsed=False, turn=heard.turn + 1)
             self.write(self.own, now)
 
+    def rejoin(self, now: float) -> None:
+        """Say that we are back: as another process of our name would be, by the next incarnation."""
+        self.own = replace(
+            self.own, word=Said.ACTIVE, incarnation=self.own.incarnation + 1, lapsed=False, turn=0
+        )
+        self.write(self.own, now)
+
     # ---- what follows ----------------------------------------------------------------------------
 
     def _move(self, member: Member, word: Word, now: float, witnesses: tuple[str, ...] = ()) -> None:
--- a/tests/test_membership_core.py
+++ b/tests/test_membership_core.py
@@ -52,15 +52,26 @@
     assert all(MOVES[key] is not key[0] for key in MOVES)
 
 
-def test_a_stranger_that_one_peer_alone_tells_of_counts_for_nothing() -> None:
+def test_what_one_tells_who_is_not_present_counts_when_we_have_reached_it() -> None:
     views = met("a", "b", "c")
     strangers = [Entry(f"x{i}", "10.0.0.9:1", f"members.{FLEET}") for i in range(50)]
-    views["a"].merge(strangers, "b", 1.0)
+    views["a"].merge(strangers, "nobody", 1.0)
     assert {state(views["a"], entry.id) for entry in strangers} == {State.JOINING}
     assert views["a"].count(State.PRESENT, State.SUSPECTED) == 3
     views["a"].merge(strangers[:1], "c", 2.0)
     views["a"].reached("x1", 3.0)
     assert state(views["a"], "x0") is State.PRESENT is state(views["a"], "x1")
+    assert state(views["a"], "x2") is State.JOINING
+
+
+def test_who_is_written_in_is_asked_at_its_address_and_not_listed_before_it_answers() -> None:
+    part = core.Detector(settings("a"), 1, 1, START_S)
+    part.handle(core.Begin(), 0.0)
+    asked = 0
+    for i in range(50):
+        entry = Entry(f"x{i}", f"10.0.0.9:{1 + i}", f"members.{FLEET}")
+        asked += sum(isinstance(a, core.Ask) for a in part.handle(core.Written(entry), 1.0))
+    assert asked == core.MOST_ASKED and set(part.view.members) == {"a"}
 
 
 def test_two_fleets_that_share_an_address_do_not_merge() -> None:
