--- a/passpost/__main__.py
+++ b/passpost/__main__.py
@@ -10,9 +10,8 @@
 import socket
 import sys
 import time
-from collections.abc import Callable
 from dataclasses import fields, replace
-from typing import TYPE_CHECKING, Any
+from typing import Any
 from urllib.parse import quote
 
 import uvloop
@@ -25,9 +24,6 @@
 from passpost.upstream import Upstreams
 from umberworks import interface as face
 
-if TYPE_CHECKING:
-    from passpost.peers import Peers
-
 log = logging.getLogger("passpost")
 
 # Callers and upstreams get a part of the descriptors each; the rest is for the listening socket, discovery,
@@ -56,15 +52,6 @@
     return Followed(config.discovery, config.known, config.seed)
 
 
-def _peers(config: Config, tell: Callable[[int], None]) -> Peers | None:
-    """The other balancers of our tier; without `peers` nothing of it is imported."""
-    if config.peers is None:
-        return None
-    from passpost.peers import Peers
-
-    return Peers(config.name, config.peers, config.seed, config.settings.balancers, tell)
-
-
 class Node:
     """The parts of one balancer, wired together and started."""
 
@@ -100,7 +87,6 @@
         self._heir_serves = asyncio.Event()
         self._joining: asyncio.Task[None] | None = None
         self.door = control.Door(self, config.control) if config.control else None
-        self.peers = _peers(config, lambda count: self.engine.told(face.Balancers(count)))
         self.upstreams.start()
         self.discovery.start(self.engine.listed)
         if old is not None:
@@ -109,8 +95,6 @@
             self._serve()
         if self.door is not None:
             self.door.start()
-        if self.peers is not None:
-            self.peers.start()
 
     def _serve(self) -> None:
         self.server.start()
@@ -216,8 +200,6 @@
         figures = self.engine.counters.figures(self.discovery.count(), self.engine.excluded())
         if source := self.discovery.figures():
             figures["list"] = source
-        if self.peers is not None:
-            figures["members"] = self.peers.figures()
         return figures
 
     def cordon(self, server: str) -> None:
@@ -234,24 +216,14 @@
         self.engine.cordon(server, out)
         self._tell(cordon=server, out=out)
 
-    def members(self) -> list[dict[str, Any]]:
-        """The balancers of our tier; KeyError without `peers`."""
-        if self.peers is None:
-            raise KeyError("peers")
-        return self.peers.table()
-
     def quiesce(self) -> None:
         """Drain, and run on."""
         self.server.quiesce()
         self._tell(draining=True)
-        if self.peers is not None:
-            self.peers.leave()
 
     def resume(self) -> bool:
         """End the drain; False while the process stops."""
         told = self._tell(draining=False)
-        if self.peers is not None and not self.server.closing:
-            self.peers.come_back()
         return self.server.resume() or told
 
     # ---- its life
@@ -277,11 +249,6 @@
                 async with asyncio.timeout(HEIR_S):
                     await self._heir_serves.wait()
         within -= time.monotonic() - began
-        if self.peers is not None:
-            if self._heir is not None and self._heir_serves.is_set():
-                self.peers.stop()  # the two are one balancer, which does not leave
-            else:
-                self.peers.leave()
         if self._heir is not None and self._heir_serves.is_set():
             await self.server.hand_over(self._heir.give, within)
         else:
@@ -304,8 +271,6 @@
                 line.close()
         if self.door is not None:
             self.door.stop()
-        if self.peers is not None:
-            self.peers.stop()
         self.discovery.stop()
         self.upstreams.stop()
 
--- a/passpost/config.py
+++ b/passpost/config.py
@@ -20,17 +20,6 @@
     """The configuration can't be used, with a plain reason."""
 
 
-@dataclass(frozen=True, slots=True)
-class Peers:
-    """Where balancers of one tier find each other: off without it (docs/membership.md)."""
-
-    fleet: str
-    listen: Address  # where this one shows its view
-    seeds: tuple[Address, ...]  # where others may be
-    zone: str = ""
-    version: str = ""
-
-
 @dataclass(frozen=True, slots=True)
 class Config:
     """What one balancer is told at its start; spans are in seconds."""
@@ -48,7 +37,6 @@
     answer_grace: float
     report_fields: tuple[str, ...] = ()  # what load reports in answers hold
     control: Address | None = None  # where operators call; without it all of their parts are off
-    peers: Peers | None = None  # the other balancers of our tier; without it nothing is asked of them
 
 
 def flatten(value: Any, path: str = "") -> wire.Fields:
@@ -95,19 +83,6 @@
     return places
 
 
-def _peers(value: Any) -> Peers | None:
-    if not value:
-        return None
-    seeds = tuple(parse_address(str(seed)) for seed in value.get("seeds", ()))
-    return Peers(
-        str(value["fleet"]),
-        parse_address(str(value["listen"])),
-        seeds,
-        str(value.get("zone", "")),
-        str(value.get("version", "")),
-    )
-
-
 def read(data: dict[str, Any], control: str = "") -> Config:
     """The file's object as typed values; a `control` of the environment comes before the file's."""
     control = control or data.get("control") or ""
@@ -130,5 +105,4 @@
         answer_grace=wire.number(facts, "contract.graceToAnswer", 0.0) / 1000,
         report_fields=wire.report_fields(facts),
         control=parse_address(control) if control else None,
-        peers=_peers(data.get("peers")),
     )
--- a/passpost/control.py
+++ b/passpost/control.py
@@ -39,9 +39,6 @@
     def uncordon(self, server: str) -> None:
         """Use it again; KeyError if it is unknown."""
 
-    def members(self) -> list[dict[str, Any]]:
-        """The balancers of our tier; KeyError if they are not looked for."""
-
     def quiesce(self) -> None:
         """Drain, and run on."""
 
@@ -157,7 +154,6 @@
             "counters": self._counters,
             "quiesce": self._quiesce,
             "resume": self._resume,
-            "members": self._members,
         }
         naming = {"cordon": self._operated.cordon, "uncordon": self._operated.uncordon}
         if word in naming:
@@ -185,13 +181,6 @@
     def _counters(self) -> bytes:
         return b"%b\nEND\n" % json.dumps(self._operated.figures(), separators=(",", ":")).encode()
 
-    def _members(self) -> bytes:
-        try:
-            rows = self._operated.members()
-        except KeyError:
-            raise _Refused("the configuration has no peers") from None
-        return b"%b\nEND\n" % json.dumps(rows, separators=(",", ":")).encode()
-
     def _quiesce(self) -> bytes:
         self._operated.quiesce()
         return self._done("draining")
--- a/passpost/discovery.py
+++ b/passpost/discovery.py
@@ -77,15 +77,13 @@
         self._address = address
         self._stream: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
 
-    async def get(self, target: str, method: str = "GET", body: bytes = b"") -> Answer:
-        """The answer to one call; a body goes with other methods."""
+    async def get(self, target: str) -> Answer:
+        """The answer to one call."""
         if self._stream is None or self._stream[0].at_eof():
             self.hang_up()
             self._stream = await asyncio.open_connection(*self._address)
         reader, writer = self._stream
-        head = f"{method} {target} HTTP/1.1\r\nHost: {self._address[0]}:{self._address[1]}\r\n"
-        length = f"Content-Length: {len(body)}\r\n" if body else ""
-        writer.write(f"{head}{length}\r\n".encode() + body)
+        writer.write(f"GET {target} HTTP/1.1\r\nHost: {self._address[0]}:{self._address[1]}\r\n\r\n".encode())
         parser = AnswerReader(MAX_LIST)
         while (data := await reader.read(65536)) != b"":
             if (answer := parser.feed(data)) is not None:
--- a/passpost/engine.py
+++ b/passpost/engine.py
@@ -129,8 +129,8 @@
         """Attempts that are out now."""
         return sum(request.out for request in self._requests.values())
 
-    def told(self, event: face.Learned | face.CallsBeside | face.Balancers) -> None:
-        """News of the other process of an upgrade, or of the other balancers."""
+    def told(self, event: face.Learned | face.CallsBeside) -> None:
+        """News of the other process of an upgrade."""
         self._post(event)
 
     def cordon(self, server: str, out: bool) -> None:
--- a/passpost/followed.py
+++ b/passpost/followed.py
@@ -18,12 +18,33 @@
 from fleet.registry.entries import Entry, Word
 from fleet.registry.history import Changes, Saved
 from passpost.discovery import CALL_TIMEOUT, PATH, Line, Listing, parse_address
-from passpost.entries import read_entry
 from passpost.http1 import Address, BadAnswerError
 from umberworks.interface import ListKind, ListUpdate, Member, Readiness
 
 log = logging.getLogger(__name__)
 
+WORDS = {word.name.lower(): word for word in Word}
+
+
+def read_entry(told: dict[str, Any]) -> Entry:
+    """An entry in discovery's form with its detail; raises ValueError, TypeError or LookupError."""
+    if "incarnation" not in told:
+        raise ValueError("entries without their detail: no replica or agent of the list service")
+    return Entry(
+        id=str(told["id"]),
+        host_port=str(told["host_port"]),
+        locality=str(told.get("locality", "")),
+        flavor=str(told.get("flavor", "")),
+        cell=int(told.get("cell", 0)),
+        size=float(told.get("size", 1.0)),
+        up_since_ms=float(told.get("up_since_ms", 0)),
+        incarnation=int(told["incarnation"]),
+        word=WORDS[told["word"]],
+        holder=str(told.get("holder", "")),
+        turn=int(told.get("turn", 0)),
+        lapsed=bool(told.get("lapsed", False)),
+    )
+
 
 def read_answer(data: Any, replica: str, after: int | None) -> core.Told:
     """An answer; raises ValueError, TypeError or LookupError on what a list can't be."""
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -14,7 +14,6 @@
 from umberworks.interface import (
     AnswerStarted,
     AttemptEnded,
-    Balancers,
     CallsBeside,
     ClientLeft,
     Cordon,
@@ -369,17 +368,6 @@
     assert count_one >= 3 * count_four
 
 
-def test_the_room_and_the_shares_follow_the_number_of_balancers_that_is_told() -> None:
-    fixed, told = Desk(24, balancers=4), Desk(24)
-    told.tell(Balancers(4))
-    counts = [sum(bool(sent(desk.ask()[1])) for _ in range(200)) for desk in (fixed, told)]
-    assert counts[0] == counts[1]
-    released = sent(told.tell(Balancers(1)))  # the waiting ones go out at once
-    assert len(released) >= 2 * counts[0]
-    with pytest.raises(ValueError, match="count"):
-        Balancers(0)
-
-
 def test_a_small_room_is_not_divided_as_one_balancer_may_have_all_callers() -> None:
     assert batch(Desk(4, balancers=2), 40, 20.0) == 16, "all that four servers have room for"
     assert batch(Desk(2, balancers=2), 40, 20.0) == 8, "but no more than they have"
--- a/umberworks/choice.py
+++ b/umberworks/choice.py
@@ -26,7 +26,7 @@
     """The servers that may be sent to, and what is known of them together."""
 
     def __init__(self, settings: Settings, chance: random.Random) -> None:
-        self._settings, self._random, self.balancers = settings, chance, settings.balancers
+        self._settings, self._random = settings, chance
         self.ready, self.fit = list[Server](), list[Server]()  # fit: the part of them that we keep to
         # As many servers as balancers, so that a count of calls out is no chance; few calls for each server.
         self.counted, self._sliver = False, False
@@ -49,7 +49,7 @@
         """Keep to as many servers as our calls can tell of, by ranks of our own: more we know by scraps."""
         calls = sum(s.served for s in self.ready)
         self.fit = self.ready[: max(LEAST_KEPT, round(calls / CALLS_EACH))]
-        self.counted = len(self.ready) >= self.balancers
+        self.counted = len(self.ready) >= self._settings.balancers
         self._sliver = self._settings.sizes_exact and calls < CALLS_EACH * len(self.ready)
         warm = [s.served for s in self.fit if self._warmth(s, now) >= 1]
         self._usual_rate = sum(warm) / len(warm) / MEMORY_MS if warm else self._usual_rate
--- a/umberworks/interface.py
+++ b/umberworks/interface.py
@@ -311,16 +311,6 @@
         _require(self.out >= 0, "out", "must not be negative")
 
 
-@dataclass(frozen=True, slots=True)
-class Balancers:
-    """How many balancers are to share what the fleet may do; until the first, `settings.balancers` holds."""
-
-    count: int
-
-    def __post_init__(self) -> None:
-        _require(self.count >= 1, "count", "must be 1 or more")
-
-
 Event = (
     ListUpdate
     | RequestArrived
@@ -333,7 +323,6 @@
     | Cordon
     | Learned
     | CallsBeside
-    | Balancers
 )
 
 
--- a/umberworks/room.py
+++ b/umberworks/room.py
@@ -36,7 +36,7 @@
     """Counts the calls out and measures how long they take, in aims of their classes."""
 
     def __init__(self, balancers: int) -> None:
-        self.balancers = balancers  # that share the room
+        self._balancers = balancers
         self.out, self.beside = 0, 0  # calls out, ours and those of the other process of an upgrade
         # In memory: aims of served calls, time in flight; of the block measured: calls, aims, time, start.
         self._aims, self._spent, self._seen = 0.0, 0.0, 0.0
@@ -90,13 +90,13 @@
 
     def size(self, ready: int) -> float:
         """How many calls may be out: past its capacity a server only queues, a crowded one slows down."""
-        ours = ready / self.balancers
+        ours = ready / self._balancers
         # A factor in place of the sum would let the room shrink away once calls take longer than it allows.
         queued = ours + LOWEST_BY_CHANCE * self.base * self._aims / RATE_MEMORY_MS
         lowest = self.base * self._aims
         slower = self._spent / lowest if lowest else 1.0
         calm = min(max((LEAST_NONE - slower) / (LEAST_NONE - LEAST_FULL), 0.0), 1.0)
-        away = FREE_PER_SERVER * ready / max(self.balancers - 1, 1)
+        away = FREE_PER_SERVER * ready / max(self._balancers - 1, 1)
         least = calm * min(LEAST_ROOM, FREE_PER_SERVER * ready, away + LEAST_DEVIATIONS * math.sqrt(away))
         use = self.reports.use(self._seen) if self._seen < self.spoilt_until else None
         idle = calm * self._earlier * USE_FULL / max(use, LEAST_USE) if use is not None else 0.0
--- a/umberworks/rules.py
+++ b/umberworks/rules.py
@@ -47,12 +47,14 @@
         self._classes = {c.name: c for c in settings.classes}
         self._random = random.Random(seed)
         self._servers: dict[str, Server] = {}
-        self._choice, self._members = Choice(settings, self._random), Members()
+        self._choice = Choice(settings, self._random)
+        self._members = Members()
         self._requests: dict[int, Request] = {}
         self._waiting: list[tuple[bool, float, int]] = []
         self._held = HeldSlots()
         self._retries, self._now = RETRY_BURST, 0.0
-        self._room, self._tries = Room(settings.balancers), Tries(settings.classes)
+        self._room = Room(settings.balancers)
+        self._tries = Tries(settings.classes)
         self._silence, self._looking = Silence(), False
         self._shares = Shares(settings.tenants, settings.balancers)
         self._asked, self._list_failures = False, 0
@@ -86,8 +88,6 @@
                 self._take_ready()
             case face.CallsBeside():
                 self._room.beside = event.out
-            case face.Balancers():
-                self._room.balancers = self._choice.balancers = self._shares.balancers = event.count
             case face.Learned():
                 self._room.told(event)
                 self._members.told(event, self._servers.values(), now)
--- a/umberworks/shares.py
+++ b/umberworks/shares.py
@@ -15,16 +15,14 @@
     """One bucket for each tenant, filled at our part of its rate."""
 
     def __init__(self, tenants: Iterable[Tenant], balancers: int) -> None:
-        self._quotas = {t.name: t.quota_per_s for t in tenants}
-        self.balancers = balancers  # that share them
+        self._rates = {t.name: t.quota_per_s / balancers / 1000 for t in tenants}
         self._levels: dict[str, tuple[float, float]] = {}
 
     def is_over(self, tenant: str | None, now: float) -> bool:
         """Book a request; whether its tenant is past its share: the excess is worth little."""
-        quota = self._quotas.get(tenant or "")
-        if quota is None or tenant is None:
+        rate = self._rates.get(tenant or "")
+        if rate is None or tenant is None:
             return False
-        rate = quota / self.balancers / 1000
         level, seen = self._levels.get(tenant, (math.inf, now))
         level = min(max(BURST_MS * rate, BURST), level + (now - seen) * rate)
         over = level < 1
