End our side of a client's connection first: a byte that crosses a close reset the answer

Seen on sockets: where a byte lies unread when a connection is closed, the kernel resets it. A client that sends half a line behind its request, or its next request in the moment of our close, gets a reset in place of an orderly end, and with it whatever of the last answer it has not read.

Now it ends our side, reads and drops what crosses that for 0.5 s, and goes. At the limit, where the place is needed at once, it closes as before. What lingers with an answer unsent is given UNREAD_S, no longer LINGER_S. Whether a connection is open, ending or gone is one value (`_Phase`) in place of `_lingers` and the transport's absence. Ruled out: writes held back, as TCP_NODELAY is set on both sides (tested).

--- a/passpost/server.py
+++ b/passpost/server.py
@@ -11,6 +11,7 @@
 import time
 from collections import deque
 from dataclasses import dataclass
+from enum import Enum, auto
 from typing import Protocol, cast
 
 import httptools
@@ -49,6 +50,7 @@
 UNREAD_S = 5.0  # the end of an answer may lie unread so long
 STUCK_S = 20.0  # a long one may stand still so long: what a slow caller reads moves on in large steps only
 LINGER_S = 2.0  # an error is left so long to be read before its connection goes
+END_S = 0.5  # a caller has so long to close behind our end between requests; what it sends then is dropped
 LINGER_BODY_S = 8.0  # the same for a caller that is still sending its body: it may read only after that
 SWEEP_S = 0.25  # these bounds are kept to within this
 ACCEPT_AFTER_STOP_S = 0.8  # connections go on coming for up to 0.4 s after SIGTERM, and some are on their way
@@ -93,6 +95,14 @@
     taken: bool = True  # its last byte is there
 
 
+class _Phase(Enum):
+    """How far a connection is in its life; it only moves on."""
+
+    OPEN = auto()
+    ENDING = auto()  # our side is ended or about to be: what still comes is read and dropped
+    GONE = auto()
+
+
 class Give(Protocol):
     """Hands an idle connection to the new process."""
 
@@ -125,7 +135,7 @@
         self._txn: bytes | None = None  # its id
         self._useful = useful  # a good request has come by it
         self._bad = 0  # the status that ends this connection once all before it is answered
-        self._lingers, self._linger_s = False, LINGER_S
+        self._phase, self._linger_s = _Phase.OPEN, LINGER_S
         self._clogged = False  # answers pile up unread
         self.since = time.monotonic()  # of the last change: idle, reading or lingering
 
@@ -137,6 +147,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """The caller has gone, or we have closed."""
+        self._phase = _Phase.GONE
         self._server.forget(self)
         self._transport = None
         self._flow = None
@@ -189,7 +200,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Bytes of a request, split anywhere."""
-        if self._lingers or self._bad:
+        if self._phase is not _Phase.OPEN or self._bad:
             return  # nothing behind a bad request can be trusted
         if self._in_head:
             self._head_size += len(data)
@@ -342,7 +353,7 @@
 
     def _next(self) -> None:
         """Take up the next request if none is open."""
-        while self._current is None and self._transport is not None and not (self._lingers or self._clogged):
+        while self._current is None and self._phase is _Phase.OPEN and not self._clogged:
             if self._waiting:
                 request = self._current = self._waiting.popleft()
                 try:
@@ -437,6 +448,7 @@
         """It never will: a reset tells whoever reads it, whatever its framing."""
         request, self._flow = self._current, None
         self._current, self._number = None, None
+        self._phase = _Phase.GONE if self._phase is _Phase.GONE else _Phase.ENDING
         if request is not None:
             self._count(request, Final.FAILED)
             self._release()
@@ -504,7 +516,9 @@
 
     def _linger(self, at_most: float | None = None) -> None:
         """End our side only: a close with bytes unread would reset the connection and lose the error."""
-        self._lingers, self._linger_s = True, LINGER_S if at_most is None else at_most
+        if self._phase is _Phase.GONE:
+            return
+        self._phase, self._linger_s = _Phase.ENDING, LINGER_S if at_most is None else at_most
         self.since = time.monotonic()
         if self._transport is not None and not self._transport.is_closing():
             self._transport.resume_reading()
@@ -527,7 +541,7 @@
 
     def is_free(self) -> bool:
         """Whether its caller can send a request on it."""
-        return self.is_idle() and not self._lingers
+        return self.is_idle() and self._phase is _Phase.OPEN
 
     def is_spare(self, now: float) -> bool:
         """Whether it can be closed in a drain: idle, and nothing of a request lies unread in the kernel."""
@@ -550,7 +564,7 @@
         descriptor = self._transport.get_extra_info("socket").fileno()
         if not give(descriptor, useful=self._useful, age=time.monotonic() - self.since):
             return False
-        self._lingers = True  # nothing more is read here
+        self._phase = _Phase.ENDING  # nothing more is read here
         self._transport.abort()
         return True
 
@@ -558,18 +572,18 @@
         """How ill it can be spared when there are too many, the least first; None if it can't be."""
         if self.is_busy() or self._transport is None:
             return None
-        if self._lingers:
+        if self._phase is not _Phase.OPEN:
             return 0
         if not self._useful:
             return 1  # silent, or half a request
         return None if self._reading else 2
 
     def close(self) -> None:
-        """Close between requests; a caller that leaves its last answer unread can't hold us up for long."""
-        self._lingers = True
-        self.since = time.monotonic()
-        if self._transport is not None:
-            self._transport.close()
+        """End our side between requests, and drop what crosses that: its caller sends it once more.
+
+        To close outright would reset the connection if a byte came just then, and take the last answer along.
+        """
+        self._linger(END_S)
 
     def abort(self) -> None:
         """Close at once, whatever is unsent."""
@@ -578,10 +592,11 @@
 
     def give_way(self) -> None:
         """Make room for another at once."""
-        if self._lingers:
-            self.abort()
+        if self._phase is _Phase.OPEN and self._transport is not None:
+            self._phase = _Phase.ENDING
+            self._transport.close()  # its place is needed: there is no time to wait for its caller
         else:
-            self.close()
+            self.abort()
 
     def sweep(self, now: float) -> None:
         """Close what has been idle, silent, half a request, unread or lingering for too long.
@@ -598,12 +613,12 @@
         elif self._current is not None:
             if self._flow is not None and self._clogged and now - self._clogged_at > STUCK_S:
                 transport.abort()
-        elif self._lingers:
-            if age > self._linger_s:
-                transport.abort()
         elif transport.get_write_buffer_size() > 0:
             if age > UNREAD_S:
                 transport.abort()
+        elif self._phase is _Phase.ENDING:
+            if age > self._linger_s:
+                transport.abort()
         elif self._reading:
             # A byte more of a head gains no time; of a body its caller has to keep the rate.
             if age > READ_S and (self._in_head or now > self._body_until):
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -185,8 +185,8 @@
 class Balancer:
     """A balancer and whoever talks to it."""
 
-    def __init__(self, node: Node) -> None:
-        self.node = node
+    def __init__(self, node: Node, upstreams: tuple[FakeServer, ...] = ()) -> None:
+        self.node, self.upstreams = node, upstreams
         self._writers: list[Writer] = []
 
     async def connect(self) -> Client:
@@ -225,7 +225,7 @@
         await upstream.start()
     data = config_data([member(f"s{i}", u.host_port) for i, u in enumerate(upstreams)], discovery)
     change(data)
-    started = Balancer(Node(config.read(data)))
+    started = Balancer(Node(config.read(data)), upstreams)
     try:
         yield started
     finally:
--- /dev/null
+++ b/tests/test_orders_clients.py
@@ -0,0 +1,167 @@
+"""Rare orders of events on the clients' side, made to happen: what a client does between two of our lines.
+
+A client here is a plain socket of the test's own thread: what it sends or ends lies in the kernel at once,
+and the balancer's loop has had no turn for it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from passpost import server
+from passpost.__main__ import Node
+from tests.loopback import Balancer, FakeServer, balancer, run, until
+
+ONE = b"GET /read HTTP/1.1\r\nX-Txn: %b\r\nX-Remaining: 9\r\n\r\n"
+RESET = struct.pack("ii", 1, 0)
+
+
+class Raw:
+    """A client whose bytes are in the kernel once `put` is back."""
+
+    def __init__(self, b: Balancer) -> None:
+        self.socket = socket.create_connection(("127.0.0.1", b.node.server.port))
+        self.socket.setblocking(False)
+        self._got = b""
+
+    def put(self, data: bytes) -> None:
+        assert self.socket.send(data) == len(data)
+
+    def go(self, how: str = "end") -> None:
+        if how == "reset":
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        self.socket.close()
+
+    async def rest(self) -> bytes:
+        """All that comes up to an end in order; a reset raises."""
+        got = b""
+        while data := await asyncio.get_running_loop().sock_recv(self.socket, 65536):
+            got += data
+        self.socket.close()
+        return got
+
+
+async def come(b: Balancer, count: int = 1, asks: bool = True) -> list[Raw]:
+    """So many clients, each of which has been of use already."""
+    clients = []
+    for i in range(count):
+        known = set(b.node.server._connections)
+        raw = Raw(b)
+        await until(lambda known=known: len(b.node.server._connections) > len(known))  # type: ignore[misc]
+        (connection,) = set(b.node.server._connections) - known
+        await until(lambda c=connection: c._transport is not None)  # type: ignore[misc]
+        if asks:
+            raw.put(ONE % b"first%d" % i)
+            while not (await asyncio.get_running_loop().sock_recv(raw.socket, 65536)).endswith(b"ok"):
+                pass
+        clients.append(raw)
+    return clients
+
+
+def only(b: Balancer) -> Any:
+    (connection,) = b.node.server._connections
+    return connection
+
+
+def empty(node: Node) -> Callable[[], bool]:
+    """Whether nothing is held of any request."""
+    engine = node.engine
+    return lambda: not (engine._requests or engine._balancer._requests or node.server.open_ids)
+
+
+def before(monkeypatch: pytest.MonkeyPatch, owner: Any, name: str, act: Callable[[], None]) -> None:
+    """Have something happen once, just before the balancer calls this."""
+    original, acts = getattr(owner, name), [act]
+
+    def called(*args: Any, **more: Any) -> Any:
+        if acts:
+            acts.pop()()
+        return original(*args, **more)
+
+    monkeypatch.setattr(owner, name, called)
+
+
+# ---- we close
+
+
+@pytest.mark.parametrize("why", ["crowded", "drain", "asked"])
+def test_bytes_that_come_behind_the_last_answer_do_not_reset_it(
+    monkeypatch: pytest.MonkeyPatch, why: str
+) -> None:
+    async def test() -> None:
+        async with balancer(FakeServer()) as b:
+            (raw,) = await come(b)
+            if why == "crowded":
+                monkeypatch.setattr(server, "KEEP_SHARE", 0.0)
+            b.node.server.closing = why == "drain"
+            before(monkeypatch, server._Connection, "serve", lambda: raw.put(b"GET /re"))
+            asked = b"X-Txn: b\r\nConnection: close" if why == "asked" else b"X-Txn: b"
+            raw.put((ONE % b"b").replace(b"X-Txn: b", asked))
+            answer = await raw.rest()
+            assert answer.startswith(b"HTTP/1.1 200 ") and answer.endswith(b"\r\n\r\nok")
+            await until(lambda: not b.node.server._connections)
+
+    run(test())
+
+
+def _idle_end(b: Balancer) -> None:
+    only(b).sweep(asyncio.get_running_loop().time() + 1e6)
+
+
+def _sent_off(b: Balancer) -> None:
+    b.node.server.draining = True
+    b.node.server._send_off()
+
+
+def _last_round(b: Balancer) -> None:
+    """The end of a drain, up to its first look at the connections and past it."""
+    b.node.server.closing = True
+    drain = b.node.server.drain(100.0)
+    b.tasks = [asyncio.get_running_loop().create_task(drain)]  # type: ignore[attr-defined]
+
+
+PLACES = [_idle_end, _sent_off, _last_round]
+
+
+@pytest.fixture
+def quick_drain(monkeypatch: pytest.MonkeyPatch) -> None:
+    for name in ("ACCEPT_AFTER_STOP_S", "LAST_LOOK_S"):
+        monkeypatch.setattr(server, name, 0.0)
+    monkeypatch.setattr(server, "LAST_CALL_S", 1000.0)
+
+
+@pytest.mark.usefixtures("quick_drain")
+@pytest.mark.parametrize("place", PLACES)
+def test_a_request_that_crosses_our_close_is_not_sent_on_and_ends_in_order(
+    monkeypatch: pytest.MonkeyPatch, place: Callable[[Balancer], None]
+) -> None:
+    # Between the look and the close nothing can be done: its client has to be able to tell, and to ask again.
+    async def test() -> None:
+        async with balancer(FakeServer()) as b:
+            (raw,) = await come(b)
+            before(monkeypatch, server._Connection, "close", lambda: raw.put(ONE % b"late"))
+            place(b)
+            assert await raw.rest() == b""
+            await until(lambda: not b.node.server._connections)
+            assert [u.got for u in b.upstreams] == [[b.upstreams[0].got[0]]]
+
+    run(test())
+
+
+def test_small_writes_are_not_held_back() -> None:
+    async def test() -> None:
+        async with balancer(FakeServer()) as b:
+            await come(b)
+            (pooled,) = next(iter(b.node.upstreams._upstreams.values())).idle
+            for transport in (only(b)._transport, pooled._transport):
+                assert transport is not None
+                peer = transport.get_extra_info("socket")
+                assert peer.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+
+    run(test())
