Send nothing on for a client that has left, also while nothing is read from it

Seen on sockets: with a request sent ahead, reading is paused, and the client's end is noticed only when the first one has ended. Its request went to an upstream when room came, when its connection had come up, for a further attempt, and so did the one sent ahead; with `silent` upstreams all of it was held for 9 s.

Ruled out: the module, which sends nothing for a request that it knows to be left (`ClientLeft`, `owed`). At fault: nobody looked at the socket between the request's arrival and a send. What it held (number, id, memory, attempt) is free with that.

--- a/passpost/engine.py
+++ b/passpost/engine.py
@@ -48,6 +48,9 @@
     def fail(self, status: int) -> None:
         """Say that it has failed."""
 
+    def is_there(self) -> bool:
+        """Whether it still waits: its end may lie unread."""
+
 
 class _Open:
     """A request that the module has not heard the end of."""
@@ -272,7 +275,12 @@
         def done(outcome: Outcome, answer: Answer | None) -> None:
             self._ended(number, request, index, server, outcome, answer)
 
-        if request.finished:  # nothing may be sent after the final answer
+        def wanted() -> bool:
+            if not request.finished and not request.caller.is_there():
+                self.left(number)
+            return not request.finished
+
+        if not wanted():  # nothing may be sent after the final answer
             done(Outcome.NOT_SENT, None)
             return
 
@@ -280,7 +288,7 @@
             self.counters.written(request.class_name)
 
         attempt = self._upstreams.send(
-            server, request.outgoing, action.timeout_ms / 1000, done, written, sink
+            server, request.outgoing, action.timeout_ms / 1000, done, written, sink, wanted
         )
         if not attempt.is_over():
             request.attempts[index] = attempt
--- a/passpost/server.py
+++ b/passpost/server.py
@@ -356,6 +356,8 @@
         """Take up the next request if none is open."""
         while self._current is None and self._phase is _Phase.OPEN and not self._clogged:
             if self._waiting:
+                if not self.is_there():
+                    return  # the end of the connection is told next
                 request = self._current = self._waiting.popleft()
                 try:
                     self._take(request)
@@ -561,6 +563,13 @@
         self._poll.register(self._transport.get_extra_info("socket"), what)
         return next((told for _, told in self._poll.poll(0)), 0)
 
+    def is_there(self) -> bool:
+        """Whether its caller has not left, also while nothing is read; one that has is let go."""
+        if not self._told(select.POLLRDHUP):
+            return True
+        self.abort()
+        return False
+
     def is_whole(self) -> bool:
         """Whether another process could go on with it: between requests, with all answers sent."""
         transport = self._transport
@@ -616,7 +625,7 @@
         `since` moves with whole requests and their answers only: a byte more now and then gains no time.
         """
         age, transport = now - self.since, self._transport
-        if transport is None:
+        if transport is None or (not transport.is_reading() and not self.is_there()):
             return
         if self._sending is not None and now > self._body_until:
             self._bad = self._bad or 408
--- a/passpost/upstream.py
+++ b/passpost/upstream.py
@@ -131,8 +131,9 @@
         done: Done,
         written: Callable[[], None] = lambda: None,
         sink: Sink | None = None,
+        wanted: Callable[[], bool] = lambda: True,
     ) -> None:
-        self.request = request
+        self.request, self.wanted = request, wanted
         self.connection: _Connection | None = None
         self.connecting: asyncio.Task[None] | None = None
         self.started = False  # its answer is being passed on
@@ -472,9 +473,13 @@
         done: Done,
         written: Callable[[], None] = lambda: None,
         sink: Sink | None = None,
+        wanted: Callable[[], bool] = lambda: True,
     ) -> Attempt:
-        """Make one attempt; `done` is told its outcome once, later or at once."""
-        attempt = Attempt(request, timeout, done, written, sink)
+        """Make one attempt; `done` is told its outcome once, later or at once.
+
+        `wanted` is asked again where it has had to wait for its connection.
+        """
+        attempt = Attempt(request, timeout, done, written, sink, wanted)
         upstream = self._upstreams.get(server)
         if upstream is None or not request.is_sendable():
             attempt.end(Outcome.NOT_SENT)
@@ -583,7 +588,8 @@
         if not reached:
             connection.drop()
             attempt.end(Outcome.UNREACHED)
-        elif attempt.is_over():
+        elif attempt.is_over() or not attempt.wanted():
+            attempt.end(Outcome.NOT_SENT)  # where nobody has told it another end
             connection.drop()
         else:
             self._carry(connection, attempt)
--- a/tests/test_orders_clients.py
+++ b/tests/test_orders_clients.py
@@ -14,9 +14,10 @@
 
 import pytest
 
-from passpost import server
+from passpost import server, upstream
 from passpost.__main__ import Node
-from tests.loopback import Balancer, FakeServer, balancer, run, until
+from tests.loopback import AWAY, OK, Balancer, FakeServer, Got, Writer, balancer, run, silent, until
+from umberworks.interface import CallsBeside
 
 ONE = b"GET /read HTTP/1.1\r\nX-Txn: %b\r\nX-Remaining: 9\r\n\r\n"
 RESET = struct.pack("ii", 1, 0)
@@ -213,3 +214,123 @@
                 assert peer.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
 
     run(test())
+
+
+# ---- clients leave
+
+
+HOW = ["end", "reset"]
+
+
+@pytest.mark.parametrize("how", HOW)
+@pytest.mark.parametrize("ahead", [0, 1], ids=["alone", "ahead"])
+@pytest.mark.parametrize("clients", [1, 150])
+def test_a_request_whose_client_left_while_it_waited_for_room_is_not_sent_on(
+    how: str, ahead: int, clients: int
+) -> None:
+    async def test() -> None:
+        upstream = FakeServer(silent)
+        async with balancer(upstream) as b:
+            module, room = b.node.engine._balancer, False
+            module._has_room = lambda: room  # type: ignore[method-assign]
+            b.node.server._max_open = 2 * clients
+            raws = await come(b, clients, asks=False)
+            for i, raw in enumerate(raws):
+                raw.put(b"".join(ONE % b"%d-%d" % (i, j) for j in range(1 + ahead)))
+            await until(lambda: len(module._requests) == clients)
+            for raw in raws:
+                raw.go(how)
+            room = True  # in the very turn in which they go
+            b.node.engine.told(CallsBeside(0))
+            await until(lambda: not b.node.server._connections)
+            await until(empty(b.node))
+            assert upstream.got == [] and upstream.connections == 0
+
+    run(test())
+
+
+@pytest.mark.parametrize("how", HOW)
+def test_a_request_whose_client_left_while_its_connection_came_up_is_not_sent_on(
+    monkeypatch: pytest.MonkeyPatch, how: str
+) -> None:
+    async def test() -> None:
+        up, go = asyncio.Event(), asyncio.Event()
+        reach = upstream.Upstreams._reach
+
+        async def slow(*args: Any) -> bool:
+            reached = await reach(*args)
+            up.set()
+            await go.wait()
+            return reached
+
+        monkeypatch.setattr(upstream.Upstreams, "_reach", slow)
+        server = FakeServer(silent)
+        async with balancer(server) as b:
+            (raw,) = await come(b, asks=False)
+            raw.put(ONE % b"a" + ONE % b"b")  # with one sent ahead nothing is read
+            await up.wait()
+            raw.go(how)
+            go.set()
+            await until(lambda: not b.node.server._connections)
+            await until(empty(b.node))
+            await until(lambda: server.closed == server.connections)
+            assert server.got == [] and b.node.upstreams._open == 0
+
+    run(test())
+
+
+@pytest.mark.parametrize("how", HOW)
+def test_no_further_attempt_is_made_for_a_client_that_has_left(how: str) -> None:
+    async def test() -> None:
+        raws: list[Raw] = []
+
+        async def reply(request: Got, writer: Writer) -> None:
+            raws[0].go(how)
+            writer.write(AWAY)
+
+        upstreams = [FakeServer(reply), FakeServer(reply)]
+        async with balancer(*upstreams) as b:
+            raws.extend(await come(b, asks=False))
+            raws[0].put(ONE % b"a" + ONE % b"b")
+            await until(lambda: not b.node.server._connections)
+            await until(empty(b.node))
+            assert sum(len(u.got) for u in upstreams) == 1
+
+    run(test())
+
+
+@pytest.mark.parametrize("how", HOW)
+def test_what_was_sent_ahead_is_not_sent_on_once_its_client_has_left(how: str) -> None:
+    async def test() -> None:
+        raws: list[Raw] = []
+
+        async def reply(request: Got, writer: Writer) -> None:
+            raws[0].go(how)
+            writer.write(OK)
+
+        upstream = FakeServer(reply)
+        async with balancer(upstream) as b:
+            raws.extend(await come(b, asks=False))
+            raws[0].put(ONE % b"a" + ONE % b"b")
+            await until(lambda: not b.node.server._connections)
+            await until(empty(b.node))
+            assert len(upstream.got) == 1
+
+    run(test())
+
+
+@pytest.mark.parametrize("how", HOW)
+def test_a_client_that_leaves_with_a_request_sent_ahead_frees_what_it_held(how: str) -> None:
+    # Nothing is read from it meanwhile; its attempt is out, and would be for 9 s.
+    async def test() -> None:
+        upstream = FakeServer(silent)
+        async with balancer(upstream) as b:
+            (raw,) = await come(b, asks=False)
+            raw.put(ONE % b"a" + ONE % b"b")
+            await until(lambda: len(upstream.got) == 1)
+            raw.go(how)
+            async with asyncio.timeout(server.SWEEP_S * 8):
+                await until(empty(b.node))
+                await until(lambda: upstream.closed == 1)
+
+    run(test())
