Read on after requests sent ahead, and take many at once a few at a time

Three faults of one place, the reading of a client's bytes, each seen on sockets: - Whoever sent two requests ahead was never read again: reading paused while the second waited, and nothing began it anew when that was taken (`_finish` called `_next` only if another waited). A client that sent a byte now and then kept its connection for good.

Now one function, `_steer`, derives from what waits, lies unparsed or is held back by whoever gets a body whether to read, and is called wherever one of these changes; parsing goes on by 2 kB of heads in a turn of the loop.

test_a_caller_that_does_not_read_does_not_fill_our_memory wrote 30 kB in every turn of the loop, more than is taken in one now, and would have had to read 1.4 million answers; it writes when the last has gone out.

--- a/passpost/server.py
+++ b/passpost/server.py
@@ -38,6 +38,9 @@
 
 BACKLOG = 1024
 ACCEPT_AT_ONCE = 64  # so many new connections, and then the others have their turn
+# So much of what lies there is parsed at once: what many small requests take, in time and memory, is bounded.
+# Of a body more, and all of it where its head tells the length.
+HEAD_AT_ONCE, BODY_AT_ONCE = 2 * 1024, 32 * 1024
 IDLE_S = 75.0  # a connection that has been of use is closed after so long without a request
 CROWDED_IDLE_S = 2.0  # the same while callers are many: callers may count on so long
 KEEP_SHARE = 0.5  # callers are many past this share of the limit; then each answer closes its connection
@@ -129,6 +132,9 @@
         self._flow: Flow | None = None  # of the answer that is being passed on
         self._chunked = False  # how that goes
         self._clogged_at = 0.0
+        self._unparsed = b""  # what came behind requests that wait
+        self._parsing: asyncio.Handle | None = None  # it is looked at again in the loop's next turn
+        self._held_back = False  # whoever gets its body is behind
         self._poll: select.poll | None = None
         self._waiting: deque[_Request] = deque()
         self._current: _Request | None = None
@@ -189,36 +195,60 @@
 
     def pause(self) -> None:
         """Whoever gets the body is behind: read no more for now."""
-        if self._transport is not None and not self._transport.is_closing():
-            self._body_until = math.inf  # not the caller's time
-            self._transport.pause_reading()
+        self._held_back = True
+        self._steer()
 
     def resume(self) -> None:
         """Read on."""
-        if self._transport is not None and not self._transport.is_closing() and not self._waiting:
-            self._body_until = time.monotonic() + BODY_SPAN_S
-            self._transport.resume_reading()
+        self._held_back = False
+        self._steer()
+
+    def _steer(self) -> None:
+        """Read on if there is a use for more; callers send one at a time, others must not fill memory."""
+        transport = self._transport
+        if transport is None or transport.is_closing() or self._phase is not _Phase.OPEN:
+            return
+        if self._unparsed and not (self._waiting or self._held_back or self._parsing):
+            self._parsing = asyncio.get_running_loop().call_soon(self._parse)
+        reads = not (self._waiting or self._unparsed or self._held_back)
+        if reads != transport.is_reading():  # time that is not the caller's does not count against it
+            self._body_until = time.monotonic() + BODY_SPAN_S if reads else math.inf
+            (transport.resume_reading if reads else transport.pause_reading)()
 
     def data_received(self, data: bytes) -> None:
         """Bytes of a request, split anywhere."""
         if self._phase is not _Phase.OPEN or self._bad:
             return  # nothing behind a bad request can be trusted
+        self._unparsed += data
+        self._parse()
+
+    def _parse(self) -> None:
+        """Take what has come up to the next whole request; with one that waits, others have their turn."""
+        self._parsing = None
+        while self._unparsed and not (self._waiting or self._held_back or self._bad):
+            size = HEAD_AT_ONCE if self._in_head else BODY_AT_ONCE
+            if not self._in_head and self._length is not None:
+                size = max(HEAD_AT_ONCE, self._length - self._body_size)
+            piece, self._unparsed = self._unparsed[:size], self._unparsed[size:]
+            self._parse_piece(piece)
+        if self._bad:
+            self._unparsed = b""
+            self._cut_upload()
+        self._next()
+
+    def _parse_piece(self, data: bytes) -> None:
         if self._in_head:
             self._head_size += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:  # not offered: answered as a plain request, and that is all
+            self._unparsed = b""
             if self._waiting:
                 self._waiting[-1].keep_alive = False
         except httptools.HttpParserError:
             self._bad = self._bad or 400
         if self._in_head and self._head_size > MAX_HEAD:
             self._bad = self._bad or 431
-        if self._bad:
-            self._cut_upload()
-        self._next()
-        if self._waiting:
-            self.pause()  # callers send one at a time; others must not fill memory
 
     # ---- httptools' callbacks
 
@@ -271,8 +301,9 @@
             return
         now = time.monotonic()
         self._body_size += len(data)
-        limit = max(self._body_until, now) + len(data) / BODY_RATE
-        self._body_until = min(limit, now + BODY_SPAN_S)
+        if not self._held_back:
+            limit = max(self._body_until, now) + len(data) / BODY_RATE
+            self._body_until = min(limit, now + BODY_SPAN_S)
         if self._body_size > MAX_BODY:
             self._bad = 413
         elif self._upload is not None:
@@ -353,7 +384,7 @@
     # ---- from a request to its answer
 
     def _next(self) -> None:
-        """Take up the next request if none is open."""
+        """Take up the next request if none is open, and see to what is to be read behind it."""
         while self._current is None and self._phase is _Phase.OPEN and not self._clogged:
             if self._waiting:
                 if not self.is_there():
@@ -369,8 +400,8 @@
                 self._linger()
             else:
                 self._let_go_on()
-                self.resume()
-                return
+                break
+        self._steer()
 
     def _take(self, request: _Request) -> None:
         call = request.call
@@ -508,7 +539,7 @@
         elif self._transport is not None:
             if close:
                 self.close()
-            elif self._waiting or self._bad or self._continues:
+            elif self._waiting or self._unparsed or self._bad or self._continues:
                 asyncio.get_running_loop().call_soon(self._next)
             elif self._server.is_handing_over():
                 asyncio.get_running_loop().call_soon(self._server.pass_on, self)
@@ -521,6 +552,7 @@
         """End our side only: a close with bytes unread would reset the connection and lose the error."""
         if self._phase is _Phase.GONE:
             return
+        self._unparsed = b""
         self._phase, self._linger_s = _Phase.ENDING, LINGER_S if at_most is None else at_most
         self.since = time.monotonic()
         if self._transport is not None and not self._transport.is_closing():
@@ -540,7 +572,7 @@
 
     def is_idle(self) -> bool:
         """Whether no request is open or being read."""
-        return not self.is_busy() and not self._reading and self._transport is not None
+        return not (self.is_busy() or self._reading or self._unparsed) and self._transport is not None
 
     def is_free(self) -> bool:
         """Whether its caller can send a request on it."""
--- a/tests/test_orders_clients.py
+++ b/tests/test_orders_clients.py
@@ -334,3 +334,63 @@
                 await until(lambda: upstream.closed == 1)
 
     run(test())
+
+
+# ---- floods and slow ones
+
+
+@pytest.mark.parametrize("goes", [False, True])
+def test_many_requests_sent_at_once_are_taken_a_few_at_a_time(
+    monkeypatch: pytest.MonkeyPatch, goes: bool
+) -> None:
+    async def test() -> None:
+        upstream = FakeServer()
+        async with balancer(upstream) as b:
+            (raw, other) = await come(b, 2)
+            most = 0
+            take = server._Connection._take
+
+            def watched(connection: Any, request: Any) -> None:
+                nonlocal most
+                most = max(most, len(connection._waiting))
+                take(connection, request)
+
+            monkeypatch.setattr(server._Connection, "_take", watched)
+            flood = b"".join(ONE % b"%d" % i for i in range(1_500))
+            raw.put(flood)
+            other.put(ONE % b"other")
+            if goes:
+                await until(lambda: len(upstream.got) > 4)
+                raw.go()
+                await until(lambda: len(b.node.server._connections) == 1)
+                await until(empty(b.node))
+                assert len(upstream.got) < 200
+            else:
+                answered = b""
+                while answered.count(b"\r\n\r\nok") < 1_500:
+                    answered += await asyncio.get_running_loop().sock_recv(raw.socket, 65536)
+                raw.go()
+            assert most * len(ONE) <= server.HEAD_AT_ONCE
+            assert (await asyncio.get_running_loop().sock_recv(other.socket, 65536)).endswith(b"ok")
+            other.go()
+
+    run(test())
+
+
+def test_a_body_that_trickles_in_gains_no_time_by_its_bytes(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        async with balancer(FakeServer()) as b:
+            (raw,) = await come(b)
+            monkeypatch.setattr(server, "READ_S", 0.05)
+            monkeypatch.setattr(server, "BODY_SPAN_S", 0.05)
+            raw.put(b"POST /pay HTTP/1.1\r\nX-Txn: slow\r\nContent-Length: 60000\r\n\r\n")
+            answer = asyncio.get_running_loop().create_task(
+                asyncio.get_running_loop().sock_recv(raw.socket, 65536)
+            )
+            while not answer.done():
+                raw.put(b"x")
+                await asyncio.sleep(0.005)
+            assert answer.result().startswith(b"HTTP/1.1 408 ")
+            raw.go()
+
+    run(test())
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -217,6 +217,19 @@
     run(test())
 
 
+def test_what_comes_after_requests_sent_ahead_is_read_too() -> None:
+    async def test() -> None:
+        async with balancer(FakeServer()) as b:
+            client = await b.connect()
+            for _ in range(2):
+                client.send()
+                client.send()
+                for _ in range(2):
+                    await client.reader.readuntil(b"ok")
+
+    run(test())
+
+
 def test_an_id_that_is_open_is_not_sent_on_again() -> None:
     # An upstream would take the second request for a copy of the first, and drop it or run it twice.
     async def test() -> None:
@@ -540,8 +553,9 @@
             await until(lambda: bool(b.node.server._connections))
             (connection,) = b.node.server._connections
             while not (connection._clogged and connection._waiting):
-                client.writer.write(one * 1_000)
-                sent += 1_000
+                if client.writer.transport.get_write_buffer_size() == 0:
+                    client.writer.write(one * 1_000)
+                    sent += 1_000
                 await asyncio.sleep(0)
             assert connection._transport is not None and not connection._transport.is_reading()
             answered = 0
