--- a/passpost/server.py
+++ b/passpost/server.py
@@ -40,7 +40,8 @@
 ACCEPT_AT_ONCE = 64  # so many new connections, and then the others have their turn
 # So much of what lies there is parsed at once: what many small requests take, in time and memory, is bounded.
 # Of a body more, and all of it where its head tells the length.
-HEAD_AT_ONCE, BODY_AT_ONCE = 2 * 1024, 32 * 1024
+HEAD_AT_ONCE, BODY_AT_ONCE = 1024, 32 * 1024
+READ_HEAD, READ_BODY = 8 * 1024, 64 * 1024  # and so much of it is read: what lies unparsed is ours to hold
 IDLE_S = 75.0  # a connection that has been of use is closed after so long without a request
 CROWDED_IDLE_S = 2.0  # the same while callers are many: callers may count on so long
 KEEP_SHARE = 0.5  # callers are many past this share of the limit; then each answer closes its connection
@@ -113,7 +114,7 @@
         """False if it can't go now."""
 
 
-class _Connection(asyncio.Protocol):
+class _Connection(asyncio.BufferedProtocol):
     """One caller's connection. It is the `Caller` of the request that is open on it."""
 
     def __init__(self, server: Server, useful: bool = False) -> None:
@@ -215,11 +216,15 @@
             self._body_until = time.monotonic() + BODY_SPAN_S if reads else math.inf
             (transport.resume_reading if reads else transport.pause_reading)()
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Where the next bytes go: one place for all connections, as they are copied from there at once."""
+        return self._server.buffer[: READ_HEAD if self._in_head else READ_BODY]
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Bytes of a request, split anywhere."""
         if self._phase is not _Phase.OPEN or self._bad:
             return  # nothing behind a bad request can be trusted
-        self._unparsed += data
+        self._unparsed += self._server.buffer[:nbytes]
         self._parse()
 
     def _parse(self) -> None:
@@ -733,6 +738,7 @@
         self._max_open = max_open
         self._may_hold = held
         self._connections: set[_Connection] = set()
+        self.buffer = memoryview(bytearray(READ_BODY))
         self.open_ids: set[bytes] = set()
         self._accepting = False
         self._socket = listener or socket.create_server(
