Let no signal end the process before it hears signals, nor after it has given that up

Seen by sending the signal in the wrong moment: a SIGHUP while modules are imported (0.2 s of processor time, seconds on a small share of a core) ends a process that is just being restarted, as does one between the two lines at the end of `serve` that gave the handler up and ignored the signal.

A SIGHUP that is ignored so early has nothing to say: the configuration is read after that.

--- a/passpost/__main__.py
+++ b/passpost/__main__.py
@@ -2,11 +2,17 @@
 
 from __future__ import annotations
 
+import signal
+
+if (
+    __name__ == "__main__"
+):  # unhandled it ends us, and to import the rest takes time; the file is read after that
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 import asyncio
 import contextlib
 import logging
 import os
-import signal
 import socket
 import sys
 import time
@@ -42,6 +48,9 @@
 LIST_S, HEIR_S = 1.5, 1.0
 BESIDE_S = 0.05  # how often the new process hears of the calls that the old one has out
 
+STOPS = (signal.SIGTERM, signal.SIGINT)
+SIGNALS = {signal.SIGHUP, *STOPS}
+
 
 def _source(config: Config) -> Source:
     """What keeps the list; for one address nothing of the other kind is imported."""
@@ -299,8 +308,8 @@
             node.reload(config)
 
     loop, stop = asyncio.get_running_loop(), asyncio.Event()
-    loop.add_signal_handler(signal.SIGHUP, reload)  # first of all: unhandled, it ends the process
-    for number in (signal.SIGTERM, signal.SIGINT):
+    loop.add_signal_handler(signal.SIGHUP, reload)
+    for number in STOPS:
         loop.add_signal_handler(number, stop.set)
     config = load(path)
     meeting = meeting_path(config, os.environ.get("TMPDIR"))
@@ -309,8 +318,8 @@
     await stop.wait()
     log.info("stopping: finishing what was taken")
     await node.stop()
-    loop.remove_signal_handler(signal.SIGHUP)
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # the loop is about to give up its handlers
+    # The loop is about to give up its handlers: a signal that comes after that would end us as a crash does.
+    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
 
 
 def main() -> int:
