Ask for the list again at once when a watch breaks, and every 1.2 s while it is out of reach

At fault: calls that the agent leaves unanswered were waited for 2 s, and then the module's pause of 0.25 to 5 s followed (`LIST_RETRY_MS`, doubled at each failure), which is meant for a list service that has its price; the agent is on our own machine and costs nothing. Also a watch that was merely reset paused for 0.25 to 0.75 s. Now the network code goes on asking by itself: at once after a watch that worked (unless that lived under 0.2 s), else after 0.2 s, with 1 s for the answer. The module hears of an outage once, as before of its first failure; it is unchanged.

--- a/passpost/discovery.py
+++ b/passpost/discovery.py
@@ -9,7 +9,7 @@
 import math
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any, Protocol
+from typing import Any, NoReturn, Protocol
 
 from passpost.http1 import Address, Answer, AnswerReader, BadAnswerError
 from umberworks.interface import ListKind, ListUpdate, Member, Readiness
@@ -20,7 +20,8 @@
 # and what there is to tell counts as told all the same: this and the time-out are how late we notice. The
 # agent is on our own machine: asking it often costs nobody anything.
 WATCH_MS = 2_000
-CALL_TIMEOUT = 2.0  # for the answer, beyond the wait that was asked for
+CALL_TIMEOUT = 1.0  # for the answer, beyond the wait that was asked for: the agent answers at once
+AGAIN_S = 0.2  # between two calls that have failed: what the agent gets when it is back is told at once
 MAX_LIST = 4 * 1024 * 1024
 
 PATH = "/registry/instances"
@@ -126,8 +127,16 @@
         """Ask no more."""
 
 
+class _LostError(Exception):
+    """A watch has ended; `worked` says that it had an answer before."""
+
+    def __init__(self, reason: str, worked: bool) -> None:
+        super().__init__(reason)
+        self.worked = worked
+
+
 class Discovery:
-    """Keeps the list as discovery tells it; `subscribe` asks for it, once for each time the module does."""
+    """Keeps the list as discovery tells it, from the first `subscribe` on."""
 
     def __init__(self, address: Address, known: Listing) -> None:
         self._address = address
@@ -152,7 +161,7 @@
         return len(self._addresses)
 
     def subscribe(self) -> None:
-        """Follow the list from now on, until a call fails; the failure is told."""
+        """Follow the list from now on; that it is out of reach is told, and it is asked for all the same."""
         if self._task is None or self._task.done():
             self._task = asyncio.get_running_loop().create_task(self._follow())
 
@@ -176,6 +185,25 @@
             self._task.cancel()
 
     async def _follow(self) -> None:
+        """Watch for good; one that has worked and breaks is begun anew at once: it may have missed much."""
+        lost, clock = False, asyncio.get_running_loop().time
+        while True:
+            began = clock()
+            try:
+                await self._watch()
+            except _LostError as error:
+                if error.worked:
+                    lost = False
+                    log.warning("discovery: watched anew: %s", error)
+                elif not lost:
+                    lost = True
+                    log.warning("discovery: out of reach: %s", error)
+                    self._tell(ListUpdate(ListKind.FAILED), self._addresses)
+                if not error.worked or clock() - began < AGAIN_S:
+                    await asyncio.sleep(AGAIN_S)
+
+    async def _watch(self) -> NoReturn:
+        """Follow the list by one connection until that fails, with _LostError."""
         line = Line(self._address)
         wait = 0  # the first answer comes at once, so that the module hears whether the list is back
         try:
@@ -188,15 +216,13 @@
                 self.heard.set()
                 wait = WATCH_MS
         except (OSError, TimeoutError, EOFError, BadAnswerError) as error:
-            log.warning("discovery: %s: %s", type(error).__name__, error)
+            raise _LostError(f"{type(error).__name__}: {error}", wait > 0) from None
         except Exception as error:
             # A bad answer must not empty or half change the list: the old one stands, asked for whole next.
-            log.warning("discovery: bad answer: %s: %s", type(error).__name__, error)
             self._revision = None
+            raise _LostError(f"bad answer: {type(error).__name__}: {error}", False) from None
         finally:
             line.hang_up()
-        self._task = None
-        self._tell(ListUpdate(ListKind.FAILED), self._addresses)
 
     def _apply(self, listing: Listing, kind: ListKind) -> None:
         kept = {} if listing.complete else self._addresses
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -150,6 +150,10 @@
             await until(lambda: len(server.got) == 2)
             wait_ms = int(server.got[1].line.split("wait_ms=")[1].split()[0])
             assert 0 < wait_ms / 1000 + module.CALL_TIMEOUT <= 6
+            # Also if the next one falls silent as well, with all pauses in between.
+            assert wait_ms / 1000 + 2 * module.CALL_TIMEOUT + module.AGAIN_S <= 6
+            # What the agent gets when it is back is told at once: asked for within the shortest grace, 2 s.
+            assert module.CALL_TIMEOUT + module.AGAIN_S < 2
 
     run(test())
 
