--- a/passpost/server.py
+++ b/passpost/server.py
@@ -11,6 +11,7 @@
 import time
 from collections import deque
 from dataclasses import dataclass
+from enum import Enum, auto
 from typing import Protocol, cast
 
 import httptools
@@ -37,6 +38,10 @@
 
 BACKLOG = 1024
 ACCEPT_AT_ONCE = 64  # so many new connections, and then the others have their turn
+# So much of what lies there is parsed at once: what many small requests take, in time and memory, is bounded.
+# Of a body more, and all of it where its head tells the length.
+HEAD_AT_ONCE, BODY_AT_ONCE = 1024, 32 * 1024
+READ_HEAD, READ_BODY = 8 * 1024, 64 * 1024  # and so much of it is read: what lies unparsed is ours to hold
 IDLE_S = 75.0  # a connection that has been of use is closed after so long without a request
 CROWDED_IDLE_S = 2.0  # the same while callers are many: callers may count on so long
 KEEP_SHARE = 0.5  # callers are many past this share of the limit; then each answer closes its connection
@@ -49,6 +54,7 @@
 UNREAD_S = 5.0  # the end of an answer may lie unread so long
 STUCK_S = 20.0  # a long one may stand still so long: what a slow caller reads moves on in large steps only
 LINGER_S = 2.0  # an error is left so long to be read before its connection goes
+END_S = 0.5  # a caller has so long to close behind our end between requests; what it sends then is dropped
 LINGER_BODY_S = 8.0  # the same for a caller that is still sending its body: it may read only after that
 SWEEP_S = 0.25  # these bounds are kept to within this
 ACCEPT_AFTER_STOP_S = 0.8  # connections go on coming for up to 0.4 s after SIGTERM, and some are on their way
@@ -93,6 +99,14 @@
     taken: bool = True  # its last byte is there
 
 
+class _Phase(Enum):
+    """How far a connection is in its life; it only moves on."""
+
+    OPEN = auto()
+    ENDING = auto()  # our side is ended or about to be: what still comes is read and dropped
+    GONE = auto()
+
+
 class Give(Protocol):
     """Hands an idle connection to the new process."""
 
@@ -100,7 +114,7 @@
         """False if it can't go now."""
 
 
-class _Connection(asyncio.Protocol):
+class _Connection(asyncio.BufferedProtocol):
     """One caller's connection. It is the `Caller` of the request that is open on it."""
 
     def __init__(self, server: Server, useful: bool = False) -> None:
@@ -119,13 +133,17 @@
         self._flow: Flow | None = None  # of the answer that is being passed on
         self._chunked = False  # how that goes
         self._clogged_at = 0.0
+        self._unparsed = b""  # what came behind requests that wait
+        self._parsing: asyncio.Handle | None = None  # it is looked at again in the loop's next turn
+        self._held_back = False  # whoever gets its body is behind
+        self._poll: select.poll | None = None
         self._waiting: deque[_Request] = deque()
         self._current: _Request | None = None
         self._number: int | None = None  # of the request that the engine has
         self._txn: bytes | None = None  # its id
         self._useful = useful  # a good request has come by it
         self._bad = 0  # the status that ends this connection once all before it is answered
-        self._lingers, self._linger_s = False, LINGER_S
+        self._phase, self._linger_s = _Phase.OPEN, LINGER_S
         self._clogged = False  # answers pile up unread
         self.since = time.monotonic()  # of the last change: idle, reading or lingering
 
@@ -137,6 +155,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """The caller has gone, or we have closed."""
+        self._phase = _Phase.GONE
         self._server.forget(self)
         self._transport = None
         self._flow = None
@@ -177,36 +196,64 @@
 
     def pause(self) -> None:
         """Whoever gets the body is behind: read no more for now."""
-        if self._transport is not None and not self._transport.is_closing():
-            self._body_until = math.inf  # not the caller's time
-            self._transport.pause_reading()
+        self._held_back = True
+        self._steer()
 
     def resume(self) -> None:
         """Read on."""
-        if self._transport is not None and not self._transport.is_closing() and not self._waiting:
-            self._body_until = time.monotonic() + BODY_SPAN_S
-            self._transport.resume_reading()
+        self._held_back = False
+        self._steer()
 
-    def data_received(self, data: bytes) -> None:
+    def _steer(self) -> None:
+        """Read on if there is a use for more; callers send one at a time, others must not fill memory."""
+        transport = self._transport
+        if transport is None or transport.is_closing() or self._phase is not _Phase.OPEN:
+            return
+        if self._unparsed and not (self._waiting or self._held_back or self._parsing):
+            self._parsing = asyncio.get_running_loop().call_soon(self._parse)
+        reads = not (self._waiting or self._unparsed or self._held_back)
+        if reads != transport.is_reading():  # time that is not the caller's does not count against it
+            self._body_until = time.monotonic() + BODY_SPAN_S if reads else math.inf
+            (transport.resume_reading if reads else transport.pause_reading)()
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Where the next bytes go: one place for all connections, as they are copied from there at once."""
+        return self._server.buffer[: READ_HEAD if self._in_head else READ_BODY]
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Bytes of a request, split anywhere."""
-        if self._lingers or self._bad:
+        if self._phase is not _Phase.OPEN or self._bad:
             return  # nothing behind a bad request can be trusted
+        self._unparsed += self._server.buffer[:nbytes]
+        self._parse()
+
+    def _parse(self) -> None:
+        """Take what has come up to the next whole request; with one that waits, others have their turn."""
+        self._parsing = None
+        while self._unparsed and not (self._waiting or self._held_back or self._bad):
+            size = HEAD_AT_ONCE if self._in_head else BODY_AT_ONCE
+            if not self._in_head and self._length is not None:
+                size = max(HEAD_AT_ONCE, self._length - self._body_size)
+            piece, self._unparsed = self._unparsed[:size], self._unparsed[size:]
+            self._parse_piece(piece)
+        if self._bad:
+            self._unparsed = b""
+            self._cut_upload()
+        self._next()
+
+    def _parse_piece(self, data: bytes) -> None:
         if self._in_head:
             self._head_size += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:  # not offered: answered as a plain request, and that is all
+            self._unparsed = b""
             if self._waiting:
                 self._waiting[-1].keep_alive = False
         except httptools.HttpParserError:
             self._bad = self._bad or 400
         if self._in_head and self._head_size > MAX_HEAD:
             self._bad = self._bad or 431
-        if self._bad:
-            self._cut_upload()
-        self._next()
-        if self._waiting:
-            self.pause()  # callers send one at a time; others must not fill memory
 
     # ---- httptools' callbacks
 
@@ -259,8 +306,9 @@
             return
         now = time.monotonic()
         self._body_size += len(data)
-        limit = max(self._body_until, now) + len(data) / BODY_RATE
-        self._body_until = min(limit, now + BODY_SPAN_S)
+        if not self._held_back:
+            limit = max(self._body_until, now) + len(data) / BODY_RATE
+            self._body_until = min(limit, now + BODY_SPAN_S)
         if self._body_size > MAX_BODY:
             self._bad = 413
         elif self._upload is not None:
@@ -341,9 +389,11 @@
     # ---- from a request to its answer
 
     def _next(self) -> None:
-        """Take up the next request if none is open."""
-        while self._current is None and self._transport is not None and not (self._lingers or self._clogged):
+        """Take up the next request if none is open, and see to what is to be read behind it."""
+        while self._current is None and self._phase is _Phase.OPEN and not self._clogged:
             if self._waiting:
+                if not self.is_there():
+                    return  # the end of the connection is told next
                 request = self._current = self._waiting.popleft()
                 try:
                     self._take(request)
@@ -355,8 +405,8 @@
                 self._linger()
             else:
                 self._let_go_on()
-                self.resume()
-                return
+                break
+        self._steer()
 
     def _take(self, request: _Request) -> None:
         call = request.call
@@ -437,6 +487,7 @@
         """It never will: a reset tells whoever reads it, whatever its framing."""
         request, self._flow = self._current, None
         self._current, self._number = None, None
+        self._phase = _Phase.GONE if self._phase is _Phase.GONE else _Phase.ENDING
         if request is not None:
             self._count(request, Final.FAILED)
             self._release()
@@ -493,7 +544,7 @@
         elif self._transport is not None:
             if close:
                 self.close()
-            elif self._waiting or self._bad or self._continues:
+            elif self._waiting or self._unparsed or self._bad or self._continues:
                 asyncio.get_running_loop().call_soon(self._next)
             elif self._server.is_handing_over():
                 asyncio.get_running_loop().call_soon(self._server.pass_on, self)
@@ -504,7 +555,10 @@
 
     def _linger(self, at_most: float | None = None) -> None:
         """End our side only: a close with bytes unread would reset the connection and lose the error."""
-        self._lingers, self._linger_s = True, LINGER_S if at_most is None else at_most
+        if self._phase is _Phase.GONE:
+            return
+        self._unparsed = b""
+        self._phase, self._linger_s = _Phase.ENDING, LINGER_S if at_most is None else at_most
         self.since = time.monotonic()
         if self._transport is not None and not self._transport.is_closing():
             self._transport.resume_reading()
@@ -523,11 +577,11 @@
 
     def is_idle(self) -> bool:
         """Whether no request is open or being read."""
-        return not self.is_busy() and not self._reading and self._transport is not None
+        return not (self.is_busy() or self._reading or self._unparsed) and self._transport is not None
 
     def is_free(self) -> bool:
         """Whether its caller can send a request on it."""
-        return self.is_idle() and not self._lingers
+        return self.is_idle() and self._phase is _Phase.OPEN
 
     def is_spare(self, now: float) -> bool:
         """Whether it can be closed in a drain: idle, and nothing of a request lies unread in the kernel."""
@@ -535,9 +589,23 @@
             return False
         if not self._useful and now - self.since < FRESH_S:
             return False
-        poll = select.poll()
-        poll.register(self._transport.get_extra_info("socket"), select.POLLIN)
-        return not poll.poll(0)
+        return not self._told(select.POLLIN)
+
+    def _told(self, what: int) -> int:
+        """What the kernel knows of the connection and the loop has not had a turn for."""
+        if self._transport is None or self._transport.is_closing():
+            return select.POLLHUP
+        if self._poll is None:
+            self._poll = select.poll()
+        self._poll.register(self._transport.get_extra_info("socket"), what)
+        return next((told for _, told in self._poll.poll(0)), 0)
+
+    def is_there(self) -> bool:
+        """Whether its caller has not left, also while nothing is read; one that has is let go."""
+        if not self._told(select.POLLRDHUP):
+            return True
+        self.abort()
+        return False
 
     def is_whole(self) -> bool:
         """Whether another process could go on with it: between requests, with all answers sent."""
@@ -550,7 +618,7 @@
         descriptor = self._transport.get_extra_info("socket").fileno()
         if not give(descriptor, useful=self._useful, age=time.monotonic() - self.since):
             return False
-        self._lingers = True  # nothing more is read here
+        self._phase = _Phase.ENDING  # nothing more is read here
         self._transport.abort()
         return True
 
@@ -558,30 +626,35 @@
         """How ill it can be spared when there are too many, the least first; None if it can't be."""
         if self.is_busy() or self._transport is None:
             return None
-        if self._lingers:
+        if self._phase is not _Phase.OPEN:
             return 0
         if not self._useful:
             return 1  # silent, or half a request
         return None if self._reading else 2
 
     def close(self) -> None:
-        """Close between requests; a caller that leaves its last answer unread can't hold us up for long."""
-        self._lingers = True
-        self.since = time.monotonic()
-        if self._transport is not None:
-            self._transport.close()
+        """End our side between requests, and drop what crosses that: its caller sends it once more.
+
+        To close outright would reset the connection if a byte came just then, and take the last answer along.
+        """
+        self._linger(END_S)
 
     def abort(self) -> None:
         """Close at once, whatever is unsent."""
         if self._transport is not None:
             self._transport.abort()
 
+    def has_unread(self) -> bool:
+        """Whether something of use lies in the kernel."""
+        return self._phase is _Phase.OPEN and bool(self._told(select.POLLIN))
+
     def give_way(self) -> None:
         """Make room for another at once."""
-        if self._lingers:
-            self.abort()
+        if self._phase is _Phase.OPEN and self._transport is not None:
+            self._phase = _Phase.ENDING
+            self._transport.close()  # its place is needed: there is no time to wait for its caller
         else:
-            self.close()
+            self.abort()
 
     def sweep(self, now: float) -> None:
         """Close what has been idle, silent, half a request, unread or lingering for too long.
@@ -589,7 +662,7 @@
         `since` moves with whole requests and their answers only: a byte more now and then gains no time.
         """
         age, transport = now - self.since, self._transport
-        if transport is None:
+        if transport is None or (not transport.is_reading() and not self.is_there()):
             return
         if self._sending is not None and now > self._body_until:
             self._bad = self._bad or 408
@@ -598,23 +671,25 @@
         elif self._current is not None:
             if self._flow is not None and self._clogged and now - self._clogged_at > STUCK_S:
                 transport.abort()
-        elif self._lingers:
-            if age > self._linger_s:
-                transport.abort()
         elif transport.get_write_buffer_size() > 0:
             if age > UNREAD_S:
                 transport.abort()
+        elif self._phase is _Phase.ENDING:
+            if age > self._linger_s:
+                transport.abort()
         elif self._reading:
             # A byte more of a head gains no time; of a body its caller has to keep the rate.
             if age > READ_S and (self._in_head or now > self._body_until):
                 self._bad = self._bad or 408
                 self._next()
-        elif not self._useful:
-            if age > READ_S:
-                self.close()
-        elif age > (CROWDED_IDLE_S if self._server.is_crowded() else IDLE_S):
+        elif age > self._idle_limit() and self.is_spare(now):
             self.close()
 
+    def _idle_limit(self) -> float:
+        if not self._useful:
+            return READ_S
+        return CROWDED_IDLE_S if self._server.is_crowded() else IDLE_S
+
 
 def _framing(request: _Request) -> bytes:
     """How long the body is that goes on to an upstream."""
@@ -663,6 +738,7 @@
         self._max_open = max_open
         self._may_hold = held
         self._connections: set[_Connection] = set()
+        self.buffer = memoryview(bytearray(READ_BODY))
         self.open_ids: set[bytes] = set()
         self._accepting = False
         self._socket = listener or socket.create_server(
@@ -809,8 +885,9 @@
         self._socket.close()
         await asyncio.sleep(LAST_LOOK_S)
         while self._connections and (self.time_left() > 0 or self._is_due()):
+            now = time.monotonic()
             for connection in list(self._connections):
-                if connection.is_idle():
+                if connection.is_spare(now):
                     connection.close()
             await asyncio.sleep(DRAIN_STEP_S)
         self._end()
@@ -899,9 +976,10 @@
             self.forget(connection)
 
     def _spare(self) -> _Connection | None:
-        """The connection that is worth least, and of those the oldest."""
+        """The connection that is worth least, and of those the oldest; none on which a request has come."""
         ranked = [(worth, c.since, c) for c in self._connections if (worth := c.worth()) is not None]
-        return min(ranked, key=lambda entry: entry[:2], default=(0, 0.0, None))[2]
+        ranked.sort(key=lambda entry: entry[:2])
+        return next((c for _, _, c in ranked if not c.has_unread()), None)
 
     def _sweep(self) -> None:
         self._sweeper = asyncio.get_running_loop().call_later(SWEEP_S, self._sweep)
