Look for silent upstreams wherever they are, and keep hung calls out of the room for good

Trials with the state at each refusal logged: a zone was cut off for 6 s; 9 to 14 calls hung at it, with ages up to 20 s, against a room that had shrunk to 7.6, so that next to nothing was let out until they ended. `load` was not it: the fleet is counted, so `_crowded` does not ask for it.

`may_probe` was taken from the settings, which speak of requests; what we call a probe is a connection that comes up or does not (upstream.py). And a server that answers again took its hung calls back into the room (`_heard`), though what has come up is another connection.

--- a/passpost/config.py
+++ b/passpost/config.py
@@ -99,7 +99,8 @@
         memory=int(float(data["limits"].get("memory_mb", 64)) * 1_000_000),
         known=parse_listing(data.get("known") or {"revision": 0, "complete": True, "members": []}),
         # Discovery tells nothing unasked, also where the settings say that the list is pushed.
-        settings=replace(wire.read_settings(facts, log.warning), list_is_asked=True),
+        # Our probe is a connection that comes up or not, and no request: settings that forbid those allow it.
+        settings=replace(wire.read_settings(facts, log.warning), list_is_asked=True, may_probe=True),
         connect_timeout=wire.number(facts, "limits.connectTimeout", 250.0) / 1000,
         idle_timeout=wire.number(facts, "limits.connIdle", 15_000.0) / 1000,
         answer_grace=wire.number(facts, "contract.graceToAnswer", 0.0) / 1000,
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -48,6 +48,8 @@
     assert [c.name for c in read.settings.classes] == ["read", "order", "pay"]
     assert (read.settings.may_cancel, read.settings.may_duplicate) == (True, False)
     assert read.settings.max_retry_after_ms == 1_500.0
+    # They allow no probes, which are requests; a connection that comes up or not is none.
+    assert read.settings.may_probe
     assert (read.connect_timeout, read.idle_timeout, read.answer_grace) == (5.0, 30.0, 0.016)
     assert read.seed == 0x8C1F30D2
 
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -132,6 +132,23 @@
     assert server not in made.balancer.avoided()
 
 
+def test_calls_that_hung_take_up_no_room_when_their_server_answers_others_again() -> None:
+    # What comes up is a new connection; the old ones may stay silent for as long as their deadlines last.
+    made = desk()
+    hung = [hang(made, PAY) for _ in range(6)]
+    server = hung[0][1]
+    pass_time(made, 250.0)
+    before = made.balancer._room.out
+    silence(made, server)
+    left = sum(at != server for _, at in hung)
+    assert made.balancer._room.out == left < before
+    made.tell(Probed(server, True))
+    assert made.balancer._room.out == left
+    for request, at in hung:
+        made.end(request, 0, at, Outcome.TIMED_OUT)
+    assert made.balancer._room.out == 0
+
+
 def test_a_late_answer_brings_a_server_back() -> None:
     made = desk()
     request, server = hang(made, PAY)
--- a/umberworks/rules.py
+++ b/umberworks/rules.py
@@ -360,15 +360,9 @@
         self._actions.append(face.Cancel(request.id, number))
 
     def _heard(self, server: Server, now: float) -> None:
-        """It answers: if it was suspected, the calls that are still out there take up room again."""
-        if not self._silence.heard(server, now):
-            return
-        self._actions.append(face.Log(f"{server.member.server} answers again"))
-        for request in self._requests.values():
-            for attempt in request.attempts:
-                if attempt.out and attempt.apart and attempt.server is server:
-                    attempt.apart = False
-                    self._room.out += 1
+        """It answers. Calls that hung there stay apart: a new connection says nothing of the old ones."""
+        if self._silence.heard(server, now):
+            self._actions.append(face.Log(f"{server.member.server} answers again"))
 
     def _give_up(self, request: Request) -> None:
         request.owed = False
