Write no repeat after its window: a connection that comes up late runs the request twice

Held: what may not be repeated never runs twice; a keyed class may be repeated within its window only. A first attempt that broke just before the end of a short window was repeated after it, and ran a second time.

Now `Send` says by when it has to be written whole (`write_by_ms`, without bound but for repeats of keyed classes), and the attempt that is not written by then ends as one that never ran. The new test fails without that.

--- a/passpost/engine.py
+++ b/passpost/engine.py
@@ -288,7 +288,14 @@
             self.counters.written(request.class_name)
 
         attempt = self._upstreams.send(
-            server, request.outgoing, action.timeout_ms / 1000, done, written, sink, wanted
+            server,
+            request.outgoing,
+            action.timeout_ms / 1000,
+            done,
+            written,
+            sink,
+            wanted,
+            max(action.write_by_ms - self.now(), 0.0) / 1000,
         )
         if not attempt.is_over():
             request.attempts[index] = attempt
--- a/passpost/upstream.py
+++ b/passpost/upstream.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import logging
+import math
 import select
 import time
 from collections.abc import Callable
@@ -132,6 +133,7 @@
         written: Callable[[], None] = lambda: None,
         sink: Sink | None = None,
         wanted: Callable[[], bool] = lambda: True,
+        write_within: float = math.inf,
     ) -> None:
         self.request, self.wanted = request, wanted
         self.connection: _Connection | None = None
@@ -141,6 +143,9 @@
         self._timeout = timeout
         self._ends = time.monotonic() + timeout
         self._timer: asyncio.TimerHandle | None = None
+        self._write_timer: asyncio.TimerHandle | None = None
+        if write_within < timeout:
+            self._write_timer = asyncio.get_running_loop().call_later(write_within, self._not_written)
         if request.upload is None or request.upload.whole:
             self._run_timer()
         self._done: Done | None = done
@@ -191,8 +196,9 @@
         if self._done is None:
             return
         done, self._done = self._done, None
-        if self._timer is not None:
-            self._timer.cancel()
+        for timer in (self._timer, self._write_timer):
+            if timer is not None:
+                timer.cancel()
         if self.connecting is not None:
             self.connecting.cancel()  # one that has not begun hears nothing of it
         for connection in (self.opening, self.connection):
@@ -206,6 +212,11 @@
         """Stop waiting for it."""
         self.end(Outcome.CANCELLED)
 
+    def _not_written(self) -> None:
+        """Written from now on it might run a second time."""
+        if not self.is_written():
+            self.end(Outcome.UNREACHED)
+
     def _timed_out(self) -> None:
         self.end(Outcome.TIMED_OUT if self.is_written() else Outcome.UNREACHED)
 
@@ -479,12 +490,14 @@
         written: Callable[[], None] = lambda: None,
         sink: Sink | None = None,
         wanted: Callable[[], bool] = lambda: True,
+        write_within: float = math.inf,
     ) -> Attempt:
         """Make one attempt; `done` is told its outcome once, later or at once.
 
-        `wanted` is asked again where it has had to wait for its connection.
+        `wanted` is asked again where it has had to wait for its connection. What has not been written within
+        so many seconds is not any more.
         """
-        attempt = Attempt(request, timeout, done, written, sink, wanted)
+        attempt = Attempt(request, timeout, done, written, sink, wanted, write_within)
         upstream = self._upstreams.get(server)
         if upstream is None or not request.is_sendable():
             attempt.end(Outcome.NOT_SENT)
--- a/tests/test_orders_upstreams.py
+++ b/tests/test_orders_upstreams.py
@@ -134,3 +134,41 @@
             assert runs == (answer.status == 200)
 
     run(test())
+
+
+@pytest.mark.parametrize("late", [False, True])
+def test_a_repeat_whose_connection_comes_up_after_the_window_is_not_written(
+    monkeypatch: pytest.MonkeyPatch, late: bool
+) -> None:
+    # Within the window an upstream drops the copy; after that it runs a second time.
+    window = 0.3
+
+    def short(data: dict[str, Any]) -> None:
+        data["settings"]["classes"][1]["repeatWindow"] = window * 1000
+
+    async def test() -> None:
+        reach, began, over = module.Upstreams._reach, 0, asyncio.Event()
+
+        async def reaches(*args: Any) -> bool:
+            nonlocal began
+            began += 1
+            if began == 2 and late:
+                await over.wait()
+            return await reach(*args)
+
+        async def breaks(request: Got, writer: Writer) -> None:
+            writer.transport.abort()  # it may have run
+            for server in servers:
+                server.reply = OK
+            asyncio.get_running_loop().call_later(window + 0.05, over.set)
+
+        monkeypatch.setattr(module.Upstreams, "_reach", reaches)
+        servers = [FakeServer(breaks), FakeServer(breaks)]
+        async with balancer(*servers, change=short) as b:
+            client = await b.connect()
+            answer = await client.ask("/order", method="POST", Idempotency_Key="k")
+            assert answer is not None and answer.status == (502 if late else 200)
+            await over.wait()
+            assert sum(len(server.got) for server in servers) == (1 if late else 2)
+
+    run(test())
--- a/umberworks/interface.py
+++ b/umberworks/interface.py
@@ -331,11 +331,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Send:
-    """Make the next attempt of a request; attempts count from 0."""
+    """Make the next attempt of a request; attempts count from 0.
+
+    `write_by_ms`, a time of the module's clock: what is not wholly written by then may not be any more.
+    """
 
     request: int
     server: str
     timeout_ms: float
+    write_by_ms: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
--- a/umberworks/requests.py
+++ b/umberworks/requests.py
@@ -35,6 +35,10 @@
         for attempt in self.attempts:
             attempt.ends += now - attempt.sent
 
+    def ran(self) -> Attempt | None:
+        """The first attempt that may have run."""
+        return next((a for a in self.attempts if a.ran), None)
+
     def is_out(self) -> bool:
         """Whether an attempt has no outcome yet."""
         return any(a.out for a in self.attempts)
--- a/umberworks/rules.py
+++ b/umberworks/rules.py
@@ -242,6 +242,8 @@
         server = self._pick(request, now)
         if server is None:
             return False
+        ran = request.ran()
+        repeat_ends = math.inf if ran is None else self._repeat_ends(request, ran)
         server.catch_up(now)
         server.in_flight, server.last_sent, server.back = server.in_flight + 1, now, False
         attempt = Attempt(server, now, timeout)
@@ -250,7 +252,7 @@
         request.attempts.append(attempt)
         if request.whole:
             self._owe(attempt, now)
-        self._actions.append(face.Send(request.id, server.member.server, timeout))
+        self._actions.append(face.Send(request.id, server.member.server, timeout, repeat_ends))
         if self._room.mean and self._settings.may_duplicate and request.cls.effect is not Effect.ONCE:
             patience = PATIENCE * self._room.mean * request.cls.aim_ms
             self._actions.append(face.SetTimer(now + patience, f"copy:{request.id}"))
@@ -390,13 +392,12 @@
 
     def _harmless(self, request: Request, now: float) -> list[Server]:
         """The fit servers to which the next attempt can do no harm; all of them if none may have run."""
-        cls = request.cls
-        ran = next((a for a in request.attempts if a.ran), None)
+        cls, ran = request.cls, request.ran()
         if request.is_out() and not self._settings.may_duplicate:
             return []
         if ran is None or cls.effect is Effect.REPEATABLE:
             return self._choice.fit
-        if cls.effect is Effect.ONCE or now >= ran.sent + cls.repeat_window_ms - self._settings.tick_ms:
+        if cls.effect is Effect.ONCE or now >= self._repeat_ends(request, ran):
             return []
         # A server that restarted since may have forgotten what it saw: not asked again.
         able = [s for s in self._choice.ready if s.member.up_since_ms <= ran.sent]
@@ -405,6 +406,12 @@
         place = "zone" if cls.repeat_group is RepeatGroup.ZONE else "cell"
         return [s for s in able if getattr(s.member, place) == getattr(ran.server.member, place)]
 
+    def _repeat_ends(self, request: Request, ran: Attempt) -> float:
+        """Until when a copy is dropped by whoever has seen the first: later it would run a second time."""
+        if request.cls.effect is Effect.REPEATABLE:
+            return math.inf
+        return ran.sent + request.cls.repeat_window_ms - self._settings.tick_ms
+
     # ---- the ordinary path ----------------------------------------------------------------------
 
     def _pick(self, request: Request, now: float) -> Server | None:
