Take no place from a connection that ends with bytes unread: its answer is on the way

At the limit, whoever was ending gave way first and was closed outright. With a byte of its client unread, that is a reset, which overtakes the answer. Such a one is passed over now until the byte has been read and dropped, in the next turn of the loop, as is one whose answer has not gone out. The new test fails without the change.

--- a/passpost/server.py
+++ b/passpost/server.py
@@ -627,7 +627,7 @@
         if self.is_busy() or self._transport is None:
             return None
         if self._phase is not _Phase.OPEN:
-            return 0
+            return 0 if self._transport.get_write_buffer_size() == 0 else None  # an answer is on its way out
         if not self._useful:
             return 1  # silent, or half a request
         return None if self._reading else 2
@@ -645,8 +645,8 @@
             self._transport.abort()
 
     def has_unread(self) -> bool:
-        """Whether something of use lies in the kernel."""
-        return self._phase is _Phase.OPEN and bool(self._told(select.POLLIN))
+        """Whether something lies in the kernel: a request, or what would turn a close into a reset."""
+        return bool(self._told(select.POLLIN))
 
     def give_way(self) -> None:
         """Make room for another at once."""
--- a/tests/test_orders_clients.py
+++ b/tests/test_orders_clients.py
@@ -203,6 +203,32 @@
     run(test())
 
 
+def test_at_the_limit_an_answer_that_is_not_out_yet_is_not_thrown_away(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Its connection is ending, and the next client comes in the same turn of the loop as a byte too many.
+    async def test() -> None:
+        async with balancer(FakeServer()) as b:
+            (first,) = await come(b)
+            b.node.server._max_open = 1
+            second = Raw(b)
+            serve, answers = server._Connection.serve, ["second", "first"]
+
+            def served(connection: Any, answer: Any) -> None:
+                serve(connection, answer)
+                if answers.pop() == "first":
+                    first.put(b"GET /re")
+                    b.node.server._accept()
+
+            monkeypatch.setattr(server._Connection, "serve", served)
+            first.put(ONE % b"a")
+            assert (await first.rest()).endswith(b"\r\n\r\nok")
+            second.put(ONE % b"b")
+            assert (await second.rest()).endswith(b"\r\n\r\nok")
+
+    run(test())
+
+
 def test_small_writes_are_not_held_back() -> None:
     async def test() -> None:
         async with balancer(FakeServer()) as b:
