--- a/passpost/upstream.py
+++ b/passpost/upstream.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import logging
+import math
 import select
 import time
 from collections.abc import Callable
@@ -132,14 +133,19 @@
         written: Callable[[], None] = lambda: None,
         sink: Sink | None = None,
         wanted: Callable[[], bool] = lambda: True,
+        write_within: float = math.inf,
     ) -> None:
         self.request, self.wanted = request, wanted
         self.connection: _Connection | None = None
         self.connecting: asyncio.Task[None] | None = None
+        self.opening: _Connection | None = None  # that is coming up for it
         self.started = False  # its answer is being passed on
         self._timeout = timeout
         self._ends = time.monotonic() + timeout
         self._timer: asyncio.TimerHandle | None = None
+        self._write_timer: asyncio.TimerHandle | None = None
+        if write_within < timeout:
+            self._write_timer = asyncio.get_running_loop().call_later(write_within, self._not_written)
         if request.upload is None or request.upload.whole:
             self._run_timer()
         self._done: Done | None = done
@@ -190,12 +196,14 @@
         if self._done is None:
             return
         done, self._done = self._done, None
-        if self._timer is not None:
-            self._timer.cancel()
+        for timer in (self._timer, self._write_timer):
+            if timer is not None:
+                timer.cancel()
         if self.connecting is not None:
-            self.connecting.cancel()
-        if self.connection is not None:
-            self.connection.drop()
+            self.connecting.cancel()  # one that has not begun hears nothing of it
+        for connection in (self.opening, self.connection):
+            if connection is not None:
+                connection.drop()
         if self.request.upload is not None and self.request.upload.carried:
             self.request.upload.detach()
         done(outcome, answer)
@@ -204,6 +212,11 @@
         """Stop waiting for it."""
         self.end(Outcome.CANCELLED)
 
+    def _not_written(self) -> None:
+        """Written from now on it might run a second time."""
+        if not self.is_written():
+            self.end(Outcome.UNREACHED)
+
     def _timed_out(self) -> None:
         self.end(Outcome.TIMED_OUT if self.is_written() else Outcome.UNREACHED)
 
@@ -320,6 +333,9 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """With a high-water mark of 0, pause_writing tells of every byte that has not gone out yet."""
         self._transport = cast(asyncio.Transport, transport)  # uvloop's do not derive from it
+        if self not in self._upstream.open:  # dropped while it came up
+            self._transport.abort()
+            return
         self._transport.set_write_buffer_limits(high=0)
         self._poll.register(transport.get_extra_info("socket"), select.POLLIN | select.POLLRDHUP)
 
@@ -474,12 +490,14 @@
         written: Callable[[], None] = lambda: None,
         sink: Sink | None = None,
         wanted: Callable[[], bool] = lambda: True,
+        write_within: float = math.inf,
     ) -> Attempt:
         """Make one attempt; `done` is told its outcome once, later or at once.
 
-        `wanted` is asked again where it has had to wait for its connection.
+        `wanted` is asked again where it has had to wait for its connection. What has not been written within
+        so many seconds is not any more.
         """
-        attempt = Attempt(request, timeout, done, written, sink, wanted)
+        attempt = Attempt(request, timeout, done, written, sink, wanted, write_within)
         upstream = self._upstreams.get(server)
         if upstream is None or not request.is_sendable():
             attempt.end(Outcome.NOT_SENT)
@@ -487,7 +505,7 @@
         if (connection := self._idle(upstream)) is not None:
             self._carry(connection, attempt)
         elif self._has_room():
-            connection = self._new(upstream)
+            connection = attempt.opening = self._new(upstream)
             attempt.connecting = asyncio.get_running_loop().create_task(
                 self._connect(connection, upstream, attempt)
             )
@@ -581,17 +599,15 @@
     async def _connect(self, connection: _Connection, upstream: _Upstream, attempt: Attempt) -> None:
         try:
             reached = await self._reach(connection, upstream)
-        except asyncio.CancelledError:  # the attempt has ended
-            connection.drop()
-            return
+        except asyncio.CancelledError:
+            return  # the attempt has ended, and its connection with it
         attempt.connecting = None
         if not reached:
-            connection.drop()
             attempt.end(Outcome.UNREACHED)
         elif attempt.is_over() or not attempt.wanted():
             attempt.end(Outcome.NOT_SENT)  # where nobody has told it another end
-            connection.drop()
         else:
+            attempt.opening = None
             self._carry(connection, attempt)
 
     def _carry(self, connection: _Connection, attempt: Attempt) -> None:
