Call whoever sends requests a client, as the field does, on the balancer's side

A rename alone: caller, callers and CALLERS_SHARE in passpost. The key "callers" between the two processes of an upgrade stays, as older processes read it, and so do its field and the emulator's callers, which are tiers.

--- a/passpost/__main__.py
+++ b/passpost/__main__.py
@@ -32,10 +32,10 @@
 
 log = logging.getLogger("passpost")
 
-# Callers and upstreams get a part of the descriptors each; the rest is for the listening socket, discovery,
-# the loop, files, and sockets that are closed but not gone yet. Callers get more: a request that waits in
+# Clients and upstreams get a part of the descriptors each; the rest is for the listening socket, discovery,
+# the loop, files, and sockets that are closed but not gone yet. Clients get more: a request that waits in
 # the listening socket's queue is taken and not seen, while an attempt without a connection ends at once.
-CALLERS_SHARE, UPSTREAMS_SHARE = 0.55, 0.35
+CLIENTS_SHARE, UPSTREAMS_SHARE = 0.55, 0.35
 
 HELD_SHARE = 0.125  # the part of the memory that long bodies held whole may take
 
@@ -81,11 +81,11 @@
             config.answer_grace,
             config.report_fields,
         )
-        callers = int(config.sockets * CALLERS_SHARE) - (control.DESCRIPTORS if config.control else 0)
+        clients = int(config.sockets * CLIENTS_SHARE) - (control.DESCRIPTORS if config.control else 0)
         self.server = Server(
             self.engine,
             config.listen,
-            max_open=callers,
+            max_open=clients,
             listener=old.listener if old else None,
             shared=config.control is not None,
             held=int(config.memory * HELD_SHARE),
--- a/passpost/control.py
+++ b/passpost/control.py
@@ -124,7 +124,7 @@
                     while await loop.sock_recv(client, 4096):
                         pass
             except (OSError, TimeoutError):
-                return  # the caller has gone, or never spoke or read
+                return  # the client has gone, or never spoke or read
 
     async def _read(self, client: socket.socket) -> bytes:
         """The line without its end; an end of sending ends it too, and one too long is cut."""
--- a/passpost/counters.py
+++ b/passpost/counters.py
@@ -8,7 +8,7 @@
 
 
 class Final(enum.Enum):
-    """How a request ended for its caller."""
+    """How a request ended for its client."""
 
     SERVED = "served"
     REFUSED = "refused"
@@ -28,7 +28,7 @@
         self.in_flight += 1
 
     def ended(self, class_name: str, final: Final) -> None:
-        """A taken request has its final answer, or its caller has gone."""
+        """A taken request has its final answer, or its client has gone."""
         self.in_flight -= 1
         self._requests[class_name][final.value] += 1
 
--- a/passpost/engine.py
+++ b/passpost/engine.py
@@ -24,7 +24,7 @@
 log = logging.getLogger(__name__)
 
 
-class Caller(Protocol):
+class Client(Protocol):
     """Whoever waits for a request's one answer."""
 
     def serve(self, answer: Answer) -> None:
@@ -55,14 +55,14 @@
 class _Open:
     """A request that the module has not heard the end of."""
 
-    def __init__(self, class_name: str, caller: Caller, outgoing: Outgoing, remaining: float) -> None:
-        self.class_name, self.caller, self.outgoing = class_name, caller, outgoing
+    def __init__(self, class_name: str, client: Client, outgoing: Outgoing, remaining: float) -> None:
+        self.class_name, self.client, self.outgoing = class_name, client, outgoing
         self.remaining = remaining
         self.guard: asyncio.TimerHandle | None = None  # runs once the request is whole
         self.passing: Attempt | None = None  # whose answer is passed on as it comes
         self.attempts: list[Attempt | None] = []
         self.out = 0
-        self.finished = False  # answered, or the caller has gone
+        self.finished = False  # answered, or the client has gone
         self.status = 502  # for a failure: 504 if the last attempt timed out
 
 
@@ -79,7 +79,7 @@
     def more(self, data: bytes) -> None:
         """A piece of its body."""
         if not self._request.finished:
-            self._request.caller.more(data)
+            self._request.client.more(data)
 
 
 class Engine:
@@ -155,13 +155,13 @@
         tenant: str | None,
         remaining: float,
         outgoing: Outgoing,
-        caller: Caller,
+        client: Client,
         free_connections: float,
     ) -> int:
         """A request is there, with so many seconds to answer it; the result is its number."""
         self._count += 1
         number = self._count
-        request = self._requests[number] = _Open(class_name, caller, outgoing, remaining)
+        request = self._requests[number] = _Open(class_name, client, outgoing, remaining)
         whole = outgoing.upload is None or outgoing.upload.whole
         if whole:
             self._guard(number, request)
@@ -181,7 +181,7 @@
         request.guard = asyncio.get_running_loop().call_later(delay, self._overdue, number)
 
     def left(self, number: int) -> None:
-        """The caller has gone."""
+        """The client has gone."""
         request = self._requests.get(number)
         if request is not None and self._finish(number, request):
             self._post(face.ClientLeft(number))
@@ -189,7 +189,7 @@
                 request.passing.cancel()  # nobody reads on: the upstream is free for others
 
     def _overdue(self, number: int) -> None:
-        """The module owes an answer in time; should it ever miss one, the caller still gets it."""
+        """The module owes an answer in time; should it ever miss one, the client still gets it."""
         log.error("request %d had no answer in time", number)
         self._abandon(number, 504)
 
@@ -197,7 +197,7 @@
         """Fail a request without the module, which is told that nothing more is owed."""
         request = self._requests.get(number)
         if request is not None and self._finish(number, request):
-            request.caller.fail(status)
+            request.client.fail(status)
             self._post(face.ClientLeft(number))
 
     # ---- the module
@@ -248,11 +248,11 @@
             case face.Refuse(number, retry_after):
                 request = self._requests.get(number)
                 if request is not None and self._finish(number, request):
-                    request.caller.refuse(retry_after)
+                    request.client.refuse(retry_after)
             case face.Fail(number):
                 request = self._requests.get(number)
                 if request is not None and self._finish(number, request):
-                    request.caller.fail(request.status)
+                    request.client.fail(request.status)
             case face.Probe(server):
                 self._upstreams.probe(server, lambda reached: self._post(face.Probed(server, reached)))
             case face.Subscribe():
@@ -276,7 +276,7 @@
             self._ended(number, request, index, server, outcome, answer)
 
         def wanted() -> bool:
-            if not request.finished and not request.caller.is_there():
+            if not request.finished and not request.client.is_there():
                 self.left(number)
             return not request.finished
 
@@ -307,7 +307,7 @@
         request.passing = request.attempts[index]
         if request.guard is not None:
             request.guard.cancel()
-        request.caller.begin(start, flow)
+        request.client.begin(start, flow)
         self._post(face.AnswerStarted(number, index))
         return True
 
@@ -323,7 +323,7 @@
             if passed:
                 self._end_passing(number, request, outcome)
             elif outcome is Outcome.SERVED and answer is not None and self._finish(number, request):
-                request.caller.serve(answer)
+                request.client.serve(answer)
         finally:  # the module is owed the outcome, whatever became of the answer
             self._forget_if_over(number, request)
             report = self._reports.read(answer.headers) if answer is not None else None
@@ -335,9 +335,9 @@
         """The answer that was passed on has ended, in order or not; it was the request's one answer."""
         if self._finish(number, request):
             if outcome is Outcome.SERVED:
-                request.caller.complete()
+                request.client.complete()
             else:
-                request.caller.break_off()
+                request.client.break_off()
 
     def _finish(self, number: int, request: _Open) -> bool:
         """Note the end of a request; True the first time, which is when its answer goes out."""
--- a/passpost/server.py
+++ b/passpost/server.py
@@ -1,4 +1,4 @@
-"""The callers' side: their connections, one request at a time on each, and the answers; and health."""
+"""The clients' side: their connections, one request at a time on each, and the answers; and health."""
 
 from __future__ import annotations
 
@@ -43,25 +43,25 @@
 HEAD_AT_ONCE, BODY_AT_ONCE = 1024, 32 * 1024
 READ_HEAD, READ_BODY = 8 * 1024, 64 * 1024  # and so much of it is read: what lies unparsed is ours to hold
 IDLE_S = 75.0  # a connection that has been of use is closed after so long without a request
-CROWDED_IDLE_S = 2.0  # the same while callers are many: callers may count on so long
-KEEP_SHARE = 0.5  # callers are many past this share of the limit; then each answer closes its connection
+CROWDED_IDLE_S = 2.0  # the same while clients are many: clients may count on so long
+KEEP_SHARE = 0.5  # clients are many past this share of the limit; then each answer closes its connection
 READ_S = 2.6  # a head must be whole so long after its first byte, and the first one after connecting
 # A body has to come at this rate, reckoned over so long; one at 64 kB a second, in pieces, is proper.
 BODY_RATE, BODY_SPAN_S = 48_000.0, 1.5
 HELD_EACH = (
     1024 * 1024
-)  # a body up to this is held whole while there is memory: slow callers bind no upstream
+)  # a body up to this is held whole while there is memory: slow clients bind no upstream
 UNREAD_S = 5.0  # the end of an answer may lie unread so long
-STUCK_S = 20.0  # a long one may stand still so long: what a slow caller reads moves on in large steps only
+STUCK_S = 20.0  # a long one may stand still so long: what a slow client reads moves on in large steps only
 LINGER_S = 2.0  # an error is left so long to be read before its connection goes
-END_S = 0.5  # a caller has so long to close behind our end between requests; what it sends then is dropped
-LINGER_BODY_S = 8.0  # the same for a caller that is still sending its body: it may read only after that
+END_S = 0.5  # a client has so long to close behind our end between requests; what it sends then is dropped
+LINGER_BODY_S = 8.0  # the same for a client that is still sending its body: it may read only after that
 SWEEP_S = 0.25  # these bounds are kept to within this
 ACCEPT_AFTER_STOP_S = 0.8  # connections go on coming for up to 0.4 s after SIGTERM, and some are on their way
-DEALT_AFTER_STOP_S = 0.2  # new connections come for so long at the least; later callers have what they hold
-LAST_CALL_S = 1.2  # the end of a drain: until then callers are kept, as they may have nowhere else to go
+DEALT_AFTER_STOP_S = 0.2  # new connections come for so long at the least; later clients have what they hold
+LAST_CALL_S = 1.2  # the end of a drain: until then clients are kept, as they may have nowhere else to go
 DRAIN_STEP_S = 0.02
-# Told to drain by hand: callers come for 0.2 s more and use what they hold. They are to be gone before 2 s,
+# Told to drain by hand: clients come for 0.2 s more and use what they hold. They are to be gone before 2 s,
 # as what is asked then is still open after 4. Kept so long, a short drain disturbs nobody.
 QUIESCE_KEPT_S = 1.2
 FRESH_S = 0.3  # a new connection brings its first request within this
@@ -115,7 +115,7 @@
 
 
 class _Connection(asyncio.BufferedProtocol):
-    """One caller's connection. It is the `Caller` of the request that is open on it."""
+    """One client's connection. It is the `Client` of the request that is open on it."""
 
     def __init__(self, server: Server, useful: bool = False) -> None:
         self._server = server
@@ -129,7 +129,7 @@
         self._body_until = 0.0  # a byte of its body has to come until then
         self._upload: Upload | None = None  # its body, if that is passed on as it comes
         self._sending: _Request | None = None  # the request with that body
-        self._continues = False  # its caller waits for word to go on
+        self._continues = False  # its client waits for word to go on
         self._flow: Flow | None = None  # of the answer that is being passed on
         self._chunked = False  # how that goes
         self._clogged_at = 0.0
@@ -150,11 +150,11 @@
     # ---- asyncio's callbacks
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """A caller has connected."""
+        """A client has connected."""
         self._transport = cast(asyncio.Transport, transport)  # uvloop's do not derive from it
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """The caller has gone, or we have closed."""
+        """The client has gone, or we have closed."""
         self._phase = _Phase.GONE
         self._server.forget(self)
         self._transport = None
@@ -180,13 +180,13 @@
             upload.fail()
 
     def pause_writing(self) -> None:
-        """The caller sends but does not read: its answers must not fill our memory."""
+        """The client sends but does not read: its answers must not fill our memory."""
         self._clogged, self._clogged_at = True, time.monotonic()
         if self._flow is not None:
             self._flow.pause()
 
     def resume_writing(self) -> None:
-        """The caller reads again."""
+        """The client reads again."""
         self._clogged = False
         if self._flow is not None:
             self._flow.resume()
@@ -205,14 +205,14 @@
         self._steer()
 
     def _steer(self) -> None:
-        """Read on if there is a use for more; callers send one at a time, others must not fill memory."""
+        """Read on if there is a use for more; clients send one at a time, others must not fill memory."""
         transport = self._transport
         if transport is None or transport.is_closing() or self._phase is not _Phase.OPEN:
             return
         if self._unparsed and not (self._waiting or self._held_back or self._parsing):
             self._parsing = asyncio.get_running_loop().call_soon(self._parse)
         reads = not (self._waiting or self._unparsed or self._held_back)
-        if reads != transport.is_reading():  # time that is not the caller's does not count against it
+        if reads != transport.is_reading():  # time that is not the client's does not count against it
             self._body_until = time.monotonic() + BODY_SPAN_S if reads else math.inf
             (transport.resume_reading if reads else transport.pause_reading)()
 
@@ -295,7 +295,7 @@
             self._let_go_on()
 
     def _let_go_on(self) -> None:
-        """Tell a caller that asked first to send its body, once it is its turn."""
+        """Tell a client that asked first to send its body, once it is its turn."""
         if self._continues and not self._body_size and not self._bad:
             self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
         self._continues = False
@@ -458,7 +458,7 @@
         if request is None:
             return
         self._flow = flow
-        # An older caller can't read chunks: there the end of the connection ends the answer.
+        # An older client can't read chunks: there the end of the connection ends the answer.
         self._chunked = start.length is None and request.version != "1.0"
         if start.length is None and not self._chunked:
             request.keep_alive = False
@@ -580,7 +580,7 @@
         return not (self.is_busy() or self._reading or self._unparsed) and self._transport is not None
 
     def is_free(self) -> bool:
-        """Whether its caller can send a request on it."""
+        """Whether its client can send a request on it."""
         return self.is_idle() and self._phase is _Phase.OPEN
 
     def is_spare(self, now: float) -> bool:
@@ -601,7 +601,7 @@
         return next((told for _, told in self._poll.poll(0)), 0)
 
     def is_there(self) -> bool:
-        """Whether its caller has not left, also while nothing is read; one that has is let go."""
+        """Whether its client has not left, also while nothing is read; one that has is let go."""
         if not self._told(select.POLLRDHUP):
             return True
         self.abort()
@@ -633,7 +633,7 @@
         return None if self._reading else 2
 
     def close(self) -> None:
-        """End our side between requests, and drop what crosses that: its caller sends it once more.
+        """End our side between requests, and drop what crosses that: its client sends it once more.
 
         To close outright would reset the connection if a byte came just then, and take the last answer along.
         """
@@ -652,7 +652,7 @@
         """Make room for another at once."""
         if self._phase is _Phase.OPEN and self._transport is not None:
             self._phase = _Phase.ENDING
-            self._transport.close()  # its place is needed: there is no time to wait for its caller
+            self._transport.close()  # its place is needed: there is no time to wait for its client
         else:
             self.abort()
 
@@ -678,7 +678,7 @@
             if age > self._linger_s:
                 transport.abort()
         elif self._reading:
-            # A byte more of a head gains no time; of a body its caller has to keep the rate.
+            # A byte more of a head gains no time; of a body its client has to keep the rate.
             if age > READ_S and (self._in_head or now > self._body_until):
                 self._bad = self._bad or 408
                 self._next()
@@ -758,7 +758,7 @@
         return self.engine.has_upstreams and not self.draining
 
     def is_crowded(self) -> bool:
-        """Whether connections run short: kept ones must not keep callers with a request from coming in.
+        """Whether connections run short: kept ones must not keep clients with a request from coming in.
 
         In a drain nobody else comes in, and who has no connection left has nowhere to go.
         """
@@ -808,7 +808,7 @@
         return self._started and self._socket.fileno() >= 0
 
     def quiesce(self) -> None:
-        """Drain by hand: not ready at once, the callers sent off a little later; the process runs on."""
+        """Drain by hand: not ready at once, the clients sent off a little later; the process runs on."""
         if not self.draining:
             self.draining = True
             self._quiesce = asyncio.get_running_loop().call_later(QUIESCE_KEPT_S, self._send_off)
@@ -869,7 +869,7 @@
     async def drain(self, within: float) -> None:
         """Stop without losing a request, with all answered `within` so many seconds.
 
-        At first only readiness ends: a caller keeps its connection until the last call, and then each answer
+        At first only readiness ends: a client keeps its connection until the last call, and then each answer
         closes one. What lies in the listening socket's queue counts as taken, so it is emptied up to the end.
         """
         self._stopping = True
@@ -907,7 +907,7 @@
                 timer.cancel()
 
     def free_connections(self) -> float:
-        """How many more requests callers can send at once; no bound while they can open connections."""
+        """How many more requests clients can send at once; no bound while they can open connections."""
         if self.closing or time.monotonic() < self._dealt_until:
             return math.inf
         return sum(connection.is_free() for connection in self._connections)
@@ -943,7 +943,7 @@
                 client, _ = self._socket.accept()
             except BlockingIOError:
                 return True
-            except OSError as error:  # no descriptor left, or the caller has gone already
+            except OSError as error:  # no descriptor left, or the client has gone already
                 log.warning("accept: %s", error)
                 self._pause()  # the sweep tries again
                 return False
--- a/passpost/upstream.py
+++ b/passpost/upstream.py
@@ -46,7 +46,7 @@
 
     def __init__(self, length: int | None, first: bytes, flow: Flow) -> None:
         self.length, self.whole, self.failed, self.carried = length, False, False, False
-        self.flow = flow  # of the caller's bytes
+        self.flow = flow  # of the client's bytes
         self._held, self._size = [first], len(first)
         self._carrier: Carrier | None = None
 
@@ -55,7 +55,7 @@
         return not self.carried and not self.failed
 
     def feed(self, data: bytes) -> None:
-        """A piece has come; without a carrier some is held, and then the caller has to wait."""
+        """A piece has come; without a carrier some is held, and then the client has to wait."""
         if self._carrier is not None:
             self._carrier.forward(data)
         elif self.is_fresh():
@@ -71,7 +71,7 @@
             self._carrier.forward_end()
 
     def fail(self) -> None:
-        """It will never be whole: the caller has gone, or sends what is no body."""
+        """It will never be whole: the client has gone, or sends what is no body."""
         if not self.whole and not self.failed:
             self.failed = True
             self._held = []
--- a/passpost/validation.py
+++ b/passpost/validation.py
@@ -1,4 +1,4 @@
-"""Which requests are taken: what a caller sends must pass `check` before anything else hears of it."""
+"""Which requests are taken: what a client sends must pass `check` before anything else hears of it."""
 
 from __future__ import annotations
 
