Look for a client's end only where its request has waited

Each send asked the kernel for the client's end, 2 polls a request. One that is sent on in the turn in which it came has not waited, and what was not sent ahead is being read. The tests of clients that leave are unchanged.

--- a/passpost/engine.py
+++ b/passpost/engine.py
@@ -63,6 +63,7 @@
         self.attempts: list[Attempt | None] = []
         self.out = 0
         self.finished = False  # answered, or the client has gone
+        self.arriving = True  # in the turn in which it came
         self.status = 502  # for a failure: 504 if the last attempt timed out
 
 
@@ -166,6 +167,7 @@
         if whole:
             self._guard(number, request)
         self._post(face.RequestArrived(number, class_name, remaining * 1000, tenant, free_connections, whole))
+        request.arriving = False
         return number
 
     def whole(self, number: int) -> None:
@@ -276,7 +278,8 @@
             self._ended(number, request, index, server, outcome, answer)
 
         def wanted() -> bool:
-            if not request.finished and not request.client.is_there():
+            # One that is sent on in the turn in which it came has not waited.
+            if not request.finished and not request.arriving and not request.client.is_there():
                 self.left(number)
             return not request.finished
 
--- a/passpost/server.py
+++ b/passpost/server.py
@@ -392,8 +392,8 @@
         """Take up the next request if none is open, and see to what is to be read behind it."""
         while self._current is None and self._phase is _Phase.OPEN and not self._clogged:
             if self._waiting:
-                if not self.is_there():
-                    return  # the end of the connection is told next
+                if self._transport is not None and not self._transport.is_reading() and not self.is_there():
+                    return  # its end could not be read; it is told next
                 request = self._current = self._waiting.popleft()
                 try:
                     self._take(request)
