--- a/passpost/server.py
+++ b/passpost/server.py
@@ -54,7 +54,7 @@
 UNREAD_S = 5.0  # the end of an answer may lie unread so long
 STUCK_S = 20.0  # a long one may stand still so long: what a slow client reads moves on in large steps only
 LINGER_S = 2.0  # an error is left so long to be read before its connection goes
-END_S = 0.5  # a client has so long to close behind our end between requests; what it sends then is dropped
+END_S = 0.1  # what crosses our end between requests comes within this, and is dropped; then we are gone
 LINGER_BODY_S = 8.0  # the same for a client that is still sending its body: it may read only after that
 SWEEP_S = 0.25  # these bounds are kept to within this
 ACCEPT_AFTER_STOP_S = 0.8  # connections go on coming for up to 0.4 s after SIGTERM, and some are on their way
@@ -889,6 +889,7 @@
             for connection in list(self._connections):
                 if connection.is_spare(now):
                     connection.close()
+                connection.sweep(now)  # at each step: who restarts us waits for our end
             await asyncio.sleep(DRAIN_STEP_S)
         self._end()
 
