--- a/umberworks/rules.py
+++ b/umberworks/rules.py
@@ -287,7 +287,7 @@
         if attempt.out and not attempt.started:
             self._settle(attempt, now)
             request.streaming = attempt.started = True
-            self._answered(attempt, now)
+            self._heard(attempt.server, now)
             self._room.out -= not attempt.apart
             self._room.served(request.cls.aim_ms, now)
 
@@ -366,17 +366,6 @@
         if self._silence.heard(server, now):
             self._actions.append(face.Log(f"{server.member.server} answers again"))
 
-    def _answered(self, attempt: Attempt, now: float) -> None:
-        """An answer to a call. If that was set apart, the others there live as well, and take up room again."""
-        self._heard(attempt.server, now)
-        if not attempt.apart:
-            return
-        for request in self._requests.values():
-            for other in request.attempts:
-                if other.out and other.apart and other.server is attempt.server and other is not attempt:
-                    other.apart = False
-                    self._room.out += 1
-
     def _give_up(self, request: Request) -> None:
         request.owed = False
         self._unserved(request)
@@ -442,7 +431,7 @@
         self._room.out -= not attempt.started and not attempt.apart
         self._settle(attempt, now)
         if outcome in ANSWERS:
-            self._answered(attempt, now)
+            self._heard(server, now)
         elif outcome is Outcome.UNREACHED and self._settings.may_probe:
             self._silence.unreached(server)
             self._look_later(now)
