--- /dev/null
+++ b/barograph/__init__.py
@@ -0,0 +1,1 @@
+"""The control state: a primary that writes to its backups before it answers, and witnesses with epochs."""
--- /dev/null
+++ b/barograph/acceptor.py
@@ -0,0 +1,147 @@
+"""What others count on in every control process: promises, views, writes; synced before they count."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from barograph.codec import PromiseRecord, Record, ViewRecord, WriteRecord
+from barograph.effects import Effect, Persist, Send
+from barograph.messages import (
+    Answer,
+    Ask,
+    Beat,
+    Heard,
+    Install,
+    Installed,
+    Known,
+    Message,
+    Prepare,
+    Promised,
+    Write,
+    Written,
+)
+from barograph.views import Memory, View
+
+LISTENS = 0.7  # of the time without a beat after which others may take over: the part in which we say no
+
+
+class Acceptor:
+    """Keeps the memory of one control process; nothing else changes it."""
+
+    def __init__(self, memory: Memory, lost_ms: float, emit: Callable[[Effect], None]) -> None:
+        self.memory, self._emit = memory, emit
+        self._refuse_ms = lost_ms * LISTENS
+        self.heard_at = -1e12  # the last beat of a primary
+        self.heard_from = ""  # its identity
+        self.latest: View | None = memory.view  # heard of, whether accepted or not
+        self.sick = False  # the disk refuses: we promise nothing
+
+    def take(self, ip: str, message: Message, now: float) -> bool:
+        """Act on a message that asks something of an acceptor; False if it is none."""
+        match message:
+            case Ask():
+                self._asked(ip, message, now)
+            case Prepare():
+                self._prepare(ip, message)
+            case Install():
+                self._install(ip, message, now)
+            case Write():
+                self._write(ip, message)
+            case Beat():
+                self._beat(ip, message, now)
+            case _:
+                return False
+        return True
+
+    def learn(self, view: View | None) -> None:
+        """Hear of a view; a later one than we know of tells where the primary is."""
+        if view is not None and (self.latest is None or view.epoch > self.latest.epoch):
+            self.latest = view
+
+    def votes(self) -> bool:
+        """Whether we have a slot: who has none has no say."""
+        return self.memory.slot() is not None and not self.sick
+
+    def _asked(self, ip: str, message: Ask, now: float) -> None:
+        memory = self.memory
+        led = now - self.heard_at < self._refuse_ms and self.heard_from != message.sender
+        ok = self.votes() and message.epoch > memory.promised and (message.handover or not led)
+        self._send(
+            ip, Answer(memory.identity, message.sender, message.epoch, ok, memory.promised, memory.view)
+        )
+
+    def _prepare(self, ip: str, message: Prepare) -> None:
+        memory = self.memory
+        ok = self.votes() and message.epoch > memory.promised
+        if ok:
+            memory.promised = message.epoch
+        reply = Promised(memory.identity, message.sender, message.epoch, ok, memory.promised, memory.view)
+        if ok:
+            self._persist(PromiseRecord(message.epoch), ip, reply)
+        else:
+            self._send(ip, reply)
+
+    def _install(self, ip: str, message: Install, now: float) -> None:
+        memory, view = self.memory, message.view
+        slot = view.slot_of(memory.identity)
+        known = memory.view
+        # Who has no slot yet takes one only from a view in force, or from the very first.
+        invited = memory.slot() is not None or message.active or view.epoch == 1
+        # A holder begins to hold with the data in hand; a view in force only tells what it accepted.
+        again = known is not None and known.epoch == view.epoch
+        equipped = slot not in view.holders or message.document is not None or again
+        ok = view.epoch >= memory.promised and slot is not None and invited and equipped and not self.sick
+        if not ok:
+            reply = Installed(
+                memory.identity, message.sender, view.epoch, False, memory.promised, memory.view
+            )
+            self._send(ip, reply)
+            return
+        self.learn(view)
+        self.heard_at, self.heard_from = now, view.leader().identity
+        memory.promised = view.epoch
+        document = message.document
+        if again:
+            document = None  # what was written since stays
+        else:
+            memory.view = view
+            memory.document = memory.document if document is None else document
+        reply = Installed(memory.identity, message.sender, view.epoch, True, memory.promised, memory.view)
+        self._persist(ViewRecord(memory.view, document), ip, reply)
+
+    def _write(self, ip: str, message: Write) -> None:
+        memory, document = self.memory, message.document
+        view = memory.view
+        ok = (
+            view is not None
+            and view.epoch == message.epoch
+            and memory.promised <= message.epoch
+            and memory.is_holder()
+            and document.number >= memory.document.number
+            and not self.sick
+        )
+        reply = Written(memory.identity, message.sender, message.epoch, document.number, ok, memory.promised)
+        if ok:
+            memory.document = document
+            self._persist(WriteRecord(document), ip, reply)
+        else:
+            self._send(ip, reply)
+
+    def _beat(self, ip: str, message: Beat, now: float) -> None:
+        memory = self.memory
+        known = memory.view.epoch if memory.view is not None else 0
+        ok = message.epoch >= memory.promised and memory.slot() is not None
+        if ok:
+            self.heard_at, self.heard_from = now, message.sender
+        self._send(
+            ip,
+            Heard(memory.identity, message.sender, message.epoch, message.number, ok, memory.promised, known),
+        )
+        if message.epoch < known:
+            self._send(ip, Known(memory.identity, message.sender, memory.view, memory.promised))
+
+    def _send(self, ip: str, message: Message) -> None:
+        self._emit(Send(ip, message))
+
+    def _persist(self, record: Record, ip: str, reply: Message) -> None:
+        self._emit(Persist(record, (Send(ip, reply),)))
--- /dev/null
+++ b/barograph/campaign.py
@@ -0,0 +1,170 @@
+"""One attempt to begin a new view: ask, prepare, install; a majority decides and every holder has the data.
+
+The safety argument is in docs/control.md. A slot whose occupant is replaced does not count for that view:
+neither the old nor the new process has a say in it. Our own promise is synced before the others are asked for
+theirs, so a disk that hangs disturbs nobody; and the holders accept the view before any witness does, so a view
+that a witness knows of is in the hands of somebody who can go on from it.
+"""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass, field
+
+from barograph.messages import Answer, Ask, Install, Installed, Prepare, Promised
+from barograph.views import Document, Member, View
+
+
+class Stage(enum.Enum):
+    """How far a campaign is."""
+
+    ASK = "ask"
+    PREPARE = "prepare"
+    INSTALL = "install"
+    WON = "won"
+    LOST = "lost"
+
+
+SETTLE_MS = 25.0  # more promises than a majority are waited for so long: they widen the choice of holders
+
+
+@dataclass(slots=True)
+class Campaign:
+    """The state of one attempt; the machine feeds it and sends what it asks for."""
+
+    me: Member
+    base: View
+    epoch: int
+    holders_wanted: int
+    began: float
+    handover: bool = False
+    replaced: int | None = None  # slot
+    newcomer: Member | None = None
+    avoid: frozenset[str] = frozenset()  # identities that are not to hold data
+    stage: Stage = Stage.ASK
+    stage_at: float = 0.0
+    majority_at: float = 0.0
+    yes: set[int] = field(default_factory=set)
+    promised: set[int] = field(default_factory=set)
+    installed: set[int] = field(default_factory=set)
+    against: set[int] = field(default_factory=set)  # slots that won't count for this attempt
+    view: View | None = None
+    later: View | None = None  # one that we did not know of: it ends the campaign
+    above: int = 0  # the highest epoch that somebody has promised
+
+    def begin(self, now: float) -> list[tuple[Member, Ask]]:
+        """Ask everybody who votes."""
+        self.stage_at = now
+        return [(m, Ask(self.me.identity, m.identity, self.epoch, self.handover)) for m in self._voters()]
+
+    def answered(self, message: Answer, now: float) -> list[tuple[Member, Prepare]]:
+        """Somebody would promise, or not."""
+        slot = self._count(message.sender, message.epoch, message.ok, message.promised, message.view)
+        if slot is None or self.stage is not Stage.ASK:
+            return []
+        self.yes.add(slot)
+        if not self._is_majority(self.yes):
+            return []
+        self.stage, self.stage_at = Stage.PREPARE, now
+        return [(self.me, self._prepare(self.me))]
+
+    def told(self, message: Promised, now: float) -> list[tuple[Member, Prepare]]:
+        """Somebody has promised, or refused; once we have ourselves, the others are to."""
+        slot = self._count(message.sender, message.epoch, message.ok, message.promised, message.view)
+        if slot is None or self.stage is not Stage.PREPARE:
+            return []
+        own = message.sender == self.me.identity and slot not in self.promised
+        self.promised.add(slot)
+        if not self.majority_at and self._is_majority(self.promised):
+            self.majority_at = now
+        return [(m, self._prepare(m)) for m in self._voters() if m != self.me] if own else []
+
+    def install(self, document: Document, now: float) -> list[tuple[Member, Install]]:
+        """Once enough have promised: the view, with the data for those who are to hold it."""
+        own = self.base.slot_of(self.me.identity)
+        if self.stage is not Stage.PREPARE or not self.majority_at or own not in self.promised:
+            return []
+        everybody = len(self.promised) == len(self._voters())
+        if not everybody and now < self.majority_at + SETTLE_MS:
+            return []
+        holders = self._choose(own)
+        if len(holders) < self.holders_wanted:
+            return []
+        members = list(self.base.members)
+        if self.replaced is not None:
+            members[self.replaced] = self.newcomer
+        self.view = View(self.epoch, own, tuple(holders), tuple(members))
+        self.stage, self.stage_at = Stage.INSTALL, now
+        return [(m, self._install(m, document)) for m in map(self.base.at, holders)]
+
+    def confirmed(self, message: Installed) -> list[tuple[Member, Install]]:
+        """Somebody has accepted the view, or refused; with all holders, the witnesses that it still takes."""
+        slot = self._count(message.sender, message.epoch, message.ok, message.promised, message.view)
+        if slot is None or self.stage is not Stage.INSTALL or self.view is None or slot in self.installed:
+            return []
+        self.installed.add(slot)
+        if not self.installed.issuperset(self.view.holders):
+            return []
+        if self._is_majority(self.installed):
+            self.stage = Stage.WON
+            return []
+        witnesses = [m for m in self._voters() if self.base.slot_of(m.identity) not in self.view.holders]
+        return [(m, self._install(m, None)) for m in witnesses]
+
+    def _prepare(self, member: Member) -> Prepare:
+        return Prepare(self.me.identity, member.identity, self.epoch)
+
+    def _install(self, member: Member, document: Document | None) -> Install:
+        assert self.view is not None
+        return Install(self.me.identity, member.identity, self.view, document, False)
+
+    def _choose(self, own: int) -> list[int]:
+        """Ourselves, then whoever held the data before, then others; another zone first."""
+
+        def rank(slot: int) -> tuple[bool, bool, bool, int]:
+            member = self.base.at(slot)
+            return (
+                member.identity in self.avoid,
+                slot not in self.base.holders,
+                member.zone == self.me.zone,
+                slot,
+            )
+
+        others = sorted(self.promised - {own}, key=rank)
+        return [own, *others[: self.holders_wanted - 1]]
+
+    def _voters(self) -> list[Member]:
+        return [m for slot, m in enumerate(self.base.members) if m is not None and slot != self.replaced]
+
+    def _is_majority(self, slots: set[int]) -> bool:
+        return len(slots) >= self.base.majority
+
+    def _count(self, sender: str, epoch: int, ok: bool, promised: int, view: View | None) -> int | None:
+        """The slot of a voter that agrees with this attempt; too many who don't end it."""
+        if epoch != self.epoch or self.stage in (Stage.WON, Stage.LOST):
+            return None
+        slot = self.base.slot_of(sender)
+        self.above = max(self.above, promised)
+        beyond = view is not None and view.epoch > self.base.epoch and view.epoch != self.epoch
+        if beyond and (self.later is None or view.epoch > self.later.epoch):
+            self.later = view
+        if slot is None or slot == self.replaced:
+            return None
+        if ok and not beyond:
+            return slot
+        # Whoever knows of a later view is not counted: if that view is in force, a majority is out of reach.
+        self.against.add(slot)
+        retry = self.stage is Stage.ASK and promised >= self.epoch
+        if retry or len(self._voters()) - len(self.against) < self.base.majority:
+            self.stage = Stage.LOST
+        return None
+
+
+def founding(me: Member, others: list[Member], slots: int, holders: int) -> View:
+    """The first view; raises ValueError with too few to hold the data."""
+    members = [me, *others][:slots]
+    if len(members) < holders:
+        raise ValueError("too few to hold the data")
+    empty: list[Member | None] = [None] * (slots - len(members))
+    apart = sorted(range(1, len(members)), key=lambda s: (members[s].zone == me.zone, s))
+    return View(1, 0, (0, *apart[: holders - 1]), (*members, *empty))
--- /dev/null
+++ b/barograph/disk_queue.py
@@ -0,0 +1,222 @@
+"""The event loop's side of the state on disk: a queue of commands that one thread works through.
+
+The thread alone touches the store, so no call of the loop ever waits for the disk. Appends that wait are
+written together and synced once (group commit). Commands run in the order in which they were given.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import queue
+import threading
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from typing import TypeVar
+
+from barograph.slots import MOST_RECORD_BYTES, Loaded, Store
+from screen.errors import DiskError
+
+MOST_GROUP_BYTES = 1 << 20
+_T = TypeVar("_T")
+
+
+@dataclass(frozen=True, slots=True, eq=False)
+class _Load:
+    done: asyncio.Future[Loaded]
+    era: int
+
+
+@dataclass(frozen=True, slots=True, eq=False)
+class _Append:
+    done: asyncio.Future[None]
+    era: int
+    record: bytes
+
+
+@dataclass(frozen=True, slots=True, eq=False)
+class _Checkpoint:
+    done: asyncio.Future[None]
+    era: int
+    state: bytes
+
+
+@dataclass(frozen=True, slots=True, eq=False)
+class _Stop:
+    pass
+
+
+class DiskQueue:
+    """Runs a store in a thread of its own; made and called in the event loop's thread.
+
+    A future is resolved once the disk has synced. After a failure, every append and checkpoint given before
+    the loop was told of it fails as well: whoever gave it took the failed one as kept. Commands given after
+    that are tried anew. Cancelling a future leaves its command in the queue.
+    """
+
+    def __init__(self, store: Store, name: str = "disk") -> None:
+        self._store = store
+        self._loop = asyncio.get_running_loop()
+        self._commands: queue.SimpleQueue[_Load | _Append | _Checkpoint | _Stop] = queue.SimpleQueue()
+        self._next: _Load | _Append | _Checkpoint | _Stop | None = None  # taken while a group was made
+        self._failures = 0  # counted by the thread
+        self._era = 0  # the failures that the loop was told of
+        self._waiting = 0
+        self._log_bytes = 0
+        self._stopped = False
+        self._alone = False
+        self._ended = asyncio.Event()
+        # A hanging disk must not keep the process from ending: nothing waits for the thread at exit.
+        self._thread = threading.Thread(target=self._run, name=name, daemon=True)
+        self._thread.start()
+
+    @property
+    def waiting(self) -> int:
+        """How many commands have no answer yet; many, or one for long, say that the disk hangs."""
+        return self._waiting
+
+    @property
+    def log_bytes(self) -> int:
+        """How long the log was, in bytes, at the newest answer."""
+        return self._log_bytes
+
+    def load(self) -> asyncio.Future[Loaded]:
+        """What is kept, as `Store.load`; fails with DiskError."""
+        done: asyncio.Future[Loaded] = self._loop.create_future()
+        self._give(_Load(done, self._era))
+        return done
+
+    def append(self, record: bytes) -> asyncio.Future[None]:
+        """Resolved once the record is synced; fails with DiskError. Raises ValueError for one too long."""
+        if len(record) > MOST_RECORD_BYTES:
+            raise ValueError(f"a record of {len(record)} bytes; make a checkpoint of what is so long")
+        done: asyncio.Future[None] = self._loop.create_future()
+        self._give(_Append(done, self._era, record))
+        return done
+
+    def checkpoint(self, state: bytes) -> asyncio.Future[None]:
+        """Resolved once the state is what is kept, as `Store.checkpoint`; fails with DiskError."""
+        done: asyncio.Future[None] = self._loop.create_future()
+        self._give(_Checkpoint(done, self._era, state))
+        return done
+
+    async def close(self) -> None:
+        """Returns once all that was given is done and the thread has ended; nothing may be given after.
+
+        On a disk that hangs it hangs too: give it a time limit.
+        """
+        if not self._stopped:
+            self._stopped = True
+            self._commands.put(_Stop())
+        await self._ended.wait()
+        self._thread.join()
+
+    def _give(self, command: _Load | _Append | _Checkpoint) -> None:
+        if self._stopped:
+            raise DiskError("the queue to the disk is closed", "give no command after close")
+        self._waiting += 1
+        self._commands.put(command)
+
+    # --- in the thread
+
+    def _run(self) -> None:
+        while not self._alone:
+            command, self._next = self._next or self._commands.get(), None
+            if isinstance(command, _Stop):
+                self._tell(self._ended.set)
+                return
+            if isinstance(command, _Append):
+                self._append(self._group(command))
+            elif isinstance(command, _Load):
+                self._load(command)
+            else:
+                self._checkpoint(command)
+
+    def _group(self, first: _Append) -> list[_Append]:
+        """An append and those that wait next behind it, up to a bound on their bytes."""
+        group, size = [first], len(first.record)
+        while size < MOST_GROUP_BYTES:
+            try:
+                command = self._commands.get_nowait()
+            except queue.Empty:
+                break
+            if not isinstance(command, _Append):
+                self._next = command
+                break
+            group.append(command)
+            size += len(command.record)
+        return group
+
+    def _append(self, commands: Sequence[_Append]) -> None:
+        late = [command.done for command in commands if command.era != self._failures]
+        group = [command for command in commands if command.era == self._failures]
+        if late:
+            self._fail(late, _overtaken())
+        if not group:
+            return
+        waiting = [command.done for command in group]
+        try:
+            self._store.append_all([command.record for command in group])
+        except Exception as error:
+            self._fail(waiting, error, failed_now=True)
+        else:
+            self._answer(waiting, lambda done: done.set_result(None))
+
+    def _checkpoint(self, command: _Checkpoint) -> None:
+        if command.era != self._failures:
+            self._fail([command.done], _overtaken())
+            return
+        try:
+            self._store.checkpoint(command.state)
+        except Exception as error:
+            self._fail([command.done], error, failed_now=True)
+        else:
+            self._answer([command.done], lambda done: done.set_result(None))
+
+    def _load(self, command: _Load) -> None:
+        try:
+            loaded = self._store.load()
+        except Exception as error:
+            self._fail([command.done], error, failed_now=True)
+        else:
+            self._answer([command.done], lambda done: done.set_result(loaded))
+
+    def _fail(
+        self, waiting: Sequence[asyncio.Future[_T]], error: Exception, failed_now: bool = False
+    ) -> None:
+        self._failures += failed_now
+        failures = self._failures
+
+        def tell() -> None:
+            self._era = failures  # also where nobody waits any more
+
+        self._answer(waiting, lambda done: done.set_exception(error), tell)
+
+    def _answer(
+        self,
+        waiting: Sequence[asyncio.Future[_T]],
+        resolve: Callable[[asyncio.Future[_T]], None],
+        tell: Callable[[], None] | None = None,
+    ) -> None:
+        """Hands an outcome to the loop, that of a whole group in one call."""
+        log_bytes = self._store.log_bytes
+
+        def in_loop() -> None:
+            self._log_bytes = log_bytes
+            self._waiting -= len(waiting)
+            if tell is not None:
+                tell()
+            for done in waiting:
+                if not done.done():  # else whoever waited was cancelled
+                    resolve(done)
+
+        self._tell(in_loop)
+
+    def _tell(self, call: Callable[[], object]) -> None:
+        try:
+            self._loop.call_soon_threadsafe(call)
+        except RuntimeError:  # the loop is closed: nobody waits any more, or gives anything
+            self._alone = True
+
+
+def _overtaken() -> DiskError:
+    return DiskError("a command given before this one failed", "give it again, on top of what is kept")
--- /dev/null
+++ b/barograph/herald.py
@@ -0,0 +1,152 @@
+"""What the primary tells the balancers, and its duties: the platform's list has one caller."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from typing import Any
+
+from loguru import logger
+
+from barograph.platform import PlatformError, PlatformList, pack
+from barograph.views import Document, Member, View
+from screen.links import Links
+from screen.settings import Settings, parse_address
+from screen.wire import Link
+from sonde.bulletin import Bulletin
+from sonde.feed import Feed
+from sonde.follower import PULSE_S
+from sonde.messages import Attach, ConfigurationNews, MemberNews, Moved, Pulse, Roll, UpstreamNews
+
+LIST_S = 1.0  # the platform's list is read so often; a drain is told within this and its lag
+SILENT_S = 2.5  # a balancer that says nothing for so long has gone
+COUNT_S = 20.0  # balancers that were there within this still count: their part of a budget may be spent
+COUNTED_S = 2.0  # a new primary has heard of all balancers after this
+
+
+class Herald:
+    """Owns the bulletin of one control process; only the primary's goes out."""
+
+    def __init__(self, settings: Settings, links: Links) -> None:
+        self._settings, self._links = settings, links
+        self.bulletin = Bulletin()
+        self._feed = Feed(self.bulletin, links.kinds, self._changed)
+        self._platform = PlatformList(parse_address(settings.cloud_api.addr))
+        self._view: View | None = None
+        self._leader_ip = ""  # of the other that leads
+        self._since = 0.0
+        self._number = 0
+        self._counts: deque[tuple[float, int]] = deque()
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def start(self) -> None:
+        """Begin to beat and to read the list, both while we lead."""
+        loop = asyncio.get_running_loop()
+        self._tasks = [loop.create_task(self._pulse()), loop.create_task(self._read())]
+
+    def stop(self) -> None:
+        """End."""
+        for task in self._tasks:
+            task.cancel()
+
+    def reconfigure(self, settings: Settings) -> None:
+        """The settings file has changed."""
+        self._settings = settings
+        self._platform.move(parse_address(settings.cloud_api.addr))
+
+    # ---- the machine's word
+
+    def lead(self, view: View | None) -> None:
+        """We lead this view, or none."""
+        if view is not None and self._view is None:
+            self._since = asyncio.get_running_loop().time()
+        self._view = view
+        logger.info("event=lead epoch={}", view.epoch if view is not None else 0)
+        if view is not None:
+            self._tell(MemberNews(view.epoch, self._next(), self._present(), self._cores(view)))
+
+    def committed(self, document: Document) -> None:
+        """This configuration is in force."""
+        self._tell(ConfigurationNews(document.ver, document.body))
+
+    def led_by(self, leader: Member | None) -> None:
+        """Another leads: whoever hears the news from us is to hear them there."""
+        self._leader_ip = leader.ip if leader is not None else ""
+        if self._view is None and leader is not None and self._feed.present():
+            self._feed.dismiss(Moved([leader.ip]))
+
+    # ---- the balancers
+
+    def heard(self, link: Link, message: Any) -> None:
+        """A balancer's word."""
+        match message:
+            case Attach():
+                if self._view is None:
+                    link.send(Moved(self._elsewhere()))
+                else:
+                    self._feed.attach(link, message)
+            case Roll():
+                self._feed.roll(link, message)
+
+    def ended(self, link: Link) -> None:
+        """A connection is over."""
+        self._feed.ended(link)
+
+    def _elsewhere(self) -> list[str]:
+        return [self._leader_ip] if self._leader_ip else []
+
+    def _next(self) -> int:
+        self._number += 1
+        return self._number
+
+    def _cores(self, view: View) -> list[str]:
+        return [m.ip for m in view.members if m is not None]
+
+    def _present(self) -> tuple[Any, ...]:
+        return tuple(self._feed.present().values())
+
+    def _tell(self, message: Any) -> None:
+        if self.bulletin.take(message):
+            self._feed.tell(message)
+
+    def _changed(self) -> None:
+        view = self._view
+        if view is None:
+            return
+        known = self.bulletin.members
+        present = tuple(sorted(self._present(), key=lambda p: p.node))
+        if known is None or tuple(known.balancers) != present:
+            self._tell(MemberNews(view.epoch, self._next(), present, self._cores(view)))
+
+    def _count(self) -> int:
+        """How many balancers there are, at the most within a while; 0 while that can't be known."""
+        now = asyncio.get_running_loop().time()
+        self._counts.append((now, len(self._feed.present())))
+        while self._counts and now - self._counts[0][0] > COUNT_S:
+            self._counts.popleft()
+        return max(n for _, n in self._counts) if now - self._since > COUNTED_S else 0
+
+    async def _pulse(self) -> None:
+        while True:
+            view = self._view
+            if view is not None:
+                self._feed.sweep(asyncio.get_running_loop().time(), SILENT_S)
+                self._tell(Pulse(view.epoch, self._next(), self._count()))
+            await asyncio.sleep(PULSE_S)
+
+    async def _read(self) -> None:
+        """Read the platform's list while we lead, and tell what is new in it."""
+        while True:
+            view = self._view
+            if view is None:
+                await asyncio.sleep(0.05)
+                continue
+            try:
+                page = pack(await self._platform.read())
+            except PlatformError as error:
+                logger.warning("event=list_unread error={!r}", str(error))
+            else:
+                known = self.bulletin.upstreams
+                if self._view is not None and (known is None or known.page != page):
+                    self._tell(UpstreamNews(self._view.epoch, self._next(), page))
+            await asyncio.sleep(LIST_S)
--- /dev/null
+++ b/barograph/keeper.py
@@ -0,0 +1,115 @@
+"""The memory of a control process on its disk: loaded at the start, then every change synced in order."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+from collections.abc import Callable
+from pathlib import Path
+
+from loguru import logger
+
+from barograph.codec import Record, apply, read_record, whole, write_record
+from barograph.disk_queue import DiskQueue
+from barograph.files import OsFiles
+from barograph.slots import Store
+from barograph.views import Memory
+from screen.errors import DiskError, WireError
+
+LOG_BYTES = 1 << 20  # a longer log is folded into the next slot
+AGAIN_S = 0.25  # after a refusal
+STUCK_S = 0.4  # a sync that takes longer makes the disk one that can't be counted on
+FOUNDER = "f"  # an identity that begins so was drawn by the process that makes the first view
+
+
+class Keeper:
+    """Owns the disk; says when it can be counted on."""
+
+    def __init__(self, folder: str, told: Callable[[bool], None]) -> None:
+        """`told`: whether the disk takes writes, whenever that changes."""
+        self._queue = DiskQueue(Store.open(Path(folder), OsFiles()))
+        self._told, self._well, self._refused = told, True, False
+        self._given: dict[int, float] = {}  # when each sync that is under way was asked for
+        self._count = 0
+        self._mending: asyncio.Task[None] | None = None
+        self.memory = Memory("")
+
+    async def load(self, founder: bool) -> Memory:
+        """What is kept; on an empty disk a new identity, kept before anybody hears of it."""
+        while True:
+            try:
+                loaded = await self._queue.load()
+                break
+            except DiskError as error:
+                logger.error("event=disk_unreadable error={!r}", str(error))
+                await asyncio.sleep(AGAIN_S)
+        parts = ([loaded.state] if loaded.state is not None else []) + list(loaded.records)
+        for part in parts:
+            try:
+                apply(self.memory, read_record(part))
+            except (WireError, IndexError, ValueError) as error:
+                logger.error("event=record_unreadable error={!r}", str(error))
+        if not self.memory.identity:
+            self.memory.identity = (FOUNDER if founder else "m") + secrets.token_hex(8)
+        await self._write_whole()
+        return self.memory
+
+    def keep(self, record: Record, done: Callable[[], None]) -> None:
+        """Sync a record, then call `done`; never if the disk refuses."""
+        self._count += 1
+        number = self._count
+        self._given[number] = asyncio.get_running_loop().time()
+        future = self._queue.append(write_record(record))
+
+        def over(result: asyncio.Future[None]) -> None:
+            self._given.pop(number, None)
+            if result.cancelled() or result.exception() is not None:
+                self._failed(result.exception() if not result.cancelled() else None)
+            else:
+                done()
+                self.look()
+
+        future.add_done_callback(over)
+        if self._queue.log_bytes > LOG_BYTES and self._mending is None:
+            self._mend()
+
+    def look(self) -> None:
+        """See whether a sync has been under way for too long; called now and then."""
+        now = asyncio.get_running_loop().time()
+        stuck = any(now - since > STUCK_S for since in self._given.values())
+        well = not (stuck or self._refused)
+        if well != self._well:
+            self._well = well
+            logger.info("event=disk well={}", well)
+            self._told(well)
+
+    def is_idle(self) -> bool:
+        """Whether all that was given is synced."""
+        return not self._given
+
+    def _failed(self, error: BaseException | None) -> None:
+        self._refused = True
+        self.look()
+        if self._mending is None:
+            logger.warning("event=disk_refused error={!r}", str(error))
+            self._mend()
+
+    def _mend(self) -> None:
+        self._mending = asyncio.get_running_loop().create_task(self._write_whole())
+        self._mending.add_done_callback(self._mended)
+
+    def _mended(self, task: asyncio.Task[None]) -> None:
+        self._mending = None
+        if not task.cancelled() and (error := task.exception()) is not None:
+            logger.error("event=disk_mending_failed error={!r}", str(error))
+
+    async def _write_whole(self) -> None:
+        """Keep all of the memory in the other slot, however long it takes."""
+        while True:
+            try:
+                await self._queue.checkpoint(write_record(whole(self.memory)))
+                break
+            except DiskError:
+                await asyncio.sleep(AGAIN_S)
+        self._refused = False
+        self.look()
--- /dev/null
+++ b/barograph/node.py
@@ -0,0 +1,200 @@
+"""One control process on sockets and a disk: hosts the machine, answers operators, tells the news."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+from collections import deque
+from typing import Any
+
+from loguru import logger
+
+from barograph import messages
+from barograph.codec import revive
+from barograph.effects import Committed, Effect, Lead, Persist, Reply, Send, Spec
+from barograph.herald import Herald
+from barograph.keeper import FOUNDER, Keeper
+from barograph.operators import CALLS
+from barograph.primary import Command
+from barograph.replica import Replica
+from barograph.views import Member
+from screen.calls import CallServer
+from screen.links import Links
+from screen.settings import Settings, parse_address
+from screen.wire import Kinds, Link
+from sonde import messages as news
+
+TICK_S = 0.03
+STOP_S = 1.0  # a successor is waited for so long
+KINDS = Kinds().include(messages.KINDS).include(news.KINDS)
+
+
+def spec_of(settings: Settings) -> Spec:
+    """How many slots and holders there are: what may be lost at once, and one more that has the data."""
+    lost = settings.faults.nodes
+    return Spec(slots=2 * lost + 1, holders=lost + 1)
+
+
+class ControlNode:
+    """Hosts one `Replica`."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self._loop = asyncio.get_running_loop()
+        assert settings.data_dir is not None
+        self._keeper = Keeper(settings.data_dir, self._disk)
+        self._replica: Replica | None = None
+        self._links = Links(KINDS, (settings.ip, settings.station_port), self._heard, self._ended)
+        self._herald = Herald(settings, self._links)
+        self._calls = CallServer(CALLS, self)
+        self._local: deque[messages.Message] = deque()
+        self._tokens, self._owed = 0, dict[int, asyncio.Future[Reply]]()
+        self._running = False
+        self._ticker: asyncio.TimerHandle | None = None
+
+    async def start(self) -> None:
+        """Load what is kept, listen and take part; raises OSError where an address can't be had."""
+        settings = self.settings
+        ctl = settings.listen.ctl or ""
+        is_first = settings.bootstrap and bool(settings.seed_addrs) and min(settings.seed_addrs) == ctl
+        memory = await self._keeper.load(is_first)
+        me = Member(memory.identity, settings.node, settings.ip, settings.station_port, ctl, settings.zone)
+        seeds = tuple(parse_address(a)[0] for a in settings.seed_addrs)
+        founder = memory.identity.startswith(FOUNDER)
+        self._replica = Replica(me, memory, spec_of(settings), seeds, founder, secrets.randbits(32))
+        self._replica.start(self._now())
+        await self._links.start()
+        if ctl:
+            await self._calls.start(parse_address(ctl))
+        self._herald.start()
+        self._tick()
+
+    async def stop(self) -> None:
+        """Name a successor, wait for it a little, and end."""
+        replica = self._replica
+        if replica is not None:
+            replica.stop(self._now())
+            self._carry_out()
+            until = self._loop.time() + STOP_S
+            while self._loop.time() < until and not self._is_followed(replica):
+                await asyncio.sleep(TICK_S)
+        if self._ticker is not None:
+            self._ticker.cancel()
+        self._herald.stop()
+        self._calls.stop()
+        self._links.stop()
+
+    def _is_followed(self, replica: Replica) -> bool:
+        leader = replica.leader()
+        return leader is not None and leader.identity != replica.me.identity and replica.is_led(self._now())
+
+    def reconfigure(self, settings: Settings) -> None:
+        """The settings file has changed."""
+        self.settings = settings
+        self._herald.reconfigure(settings)
+
+    # ---- what operators' calls need
+
+    def leads(self) -> bool:
+        """Whether we are the primary."""
+        return self._replica is not None and self._replica.primary is not None
+
+    def leader(self) -> Member | None:
+        """Another that is the primary, as far as we know, and was heard of a moment ago."""
+        replica = self._replica
+        if replica is None or not replica.is_led(self._now()):
+            return None
+        leader = replica.leader()
+        return None if leader is None or leader.identity == replica.me.identity else leader
+
+    def token(self) -> int:
+        """A number for a command."""
+        self._tokens += 1
+        return self._tokens
+
+    async def submit(self, command: Command) -> Reply:
+        """Carry out a command as the primary."""
+        assert self._replica is not None
+        future: asyncio.Future[Reply] = self._loop.create_future()
+        self._owed[command.token] = future
+        try:
+            self._replica.submit(command, self._now())
+            self._carry_out()
+            return await future
+        finally:
+            self._owed.pop(command.token, None)
+
+    # ---- the machine
+
+    def _now(self) -> float:
+        return self._loop.time() * 1000
+
+    def _tick(self) -> None:
+        self._ticker = self._loop.call_later(TICK_S, self._tick)
+        assert self._replica is not None
+        self._keeper.look()
+        self._replica.tick(self._now())
+        self._carry_out()
+        self._herald.led_by(self.leader())
+
+    def _disk(self, well: bool) -> None:
+        if self._replica is not None:
+            self._replica.disk(well)
+            self._carry_out()
+
+    def _heard(self, link: Link, message: Any) -> None:
+        if self._replica is None:
+            return
+        if not isinstance(message, messages.Message):
+            self._herald.heard(link, message)
+            return
+        try:
+            revived = revive(message)
+        except (ValueError, KeyError, TypeError) as error:
+            logger.warning("event=bad_message peer={} error={!r}", link.peer, str(error))
+            return
+        self._replica.hear(link.peer, revived, self._now())
+        self._carry_out()
+
+    def _ended(self, link: Link) -> None:
+        self._herald.ended(link)
+
+    def _carry_out(self) -> None:
+        """Do what the machine asks for, also what that leads to at once."""
+        replica = self._replica
+        if replica is None or self._running:
+            return
+        self._running = True
+        try:
+            while (effects := replica.take()) or self._local:
+                for effect in effects:
+                    self._do(replica, effect)
+                while self._local:
+                    replica.hear(replica.me.ip, self._local.popleft(), self._now())
+        finally:
+            self._running = False
+
+    def _do(self, replica: Replica, effect: Effect) -> None:
+        match effect:
+            case Send(ip, message):
+                if ip == replica.me.ip:
+                    self._local.append(message)
+                else:
+                    self._links.send(ip, message)
+            case Persist(record, then):
+                self._keeper.keep(record, lambda: self._synced(then))
+            case Reply():
+                future = self._owed.get(effect.token)
+                if future is not None and not future.done():
+                    future.set_result(effect)
+            case Committed(_, document):
+                if document.ver:
+                    self._herald.committed(document)
+            case Lead(view):
+                self._herald.lead(view)
+
+    def _synced(self, then: tuple[Send, ...]) -> None:
+        assert self._replica is not None
+        for effect in then:
+            self._do(self._replica, effect)
+        self._carry_out()
--- /dev/null
+++ b/barograph/operators.py
@@ -0,0 +1,93 @@
+"""The operators' calls: a configuration is put and read back; any process answers or says who can."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Protocol
+
+from barograph.effects import Reply as Outcome
+from barograph.effects import Verdict
+from barograph.primary import Command, Get, Put
+from barograph.views import Member
+from screen.calls import Call, Calls, Reply, say
+from screen.checking import check
+from screen.errors import InvalidConfigurationError
+
+CALLS = Calls()
+HELD_S = 0.75  # callers go elsewhere after a second of silence
+LOOK_S = 0.02
+AGAIN_S = "0.2"
+
+
+class Control(Protocol):
+    """What the calls need of the control process."""
+
+    def leads(self) -> bool:
+        """Whether we are the primary."""
+
+    def leader(self) -> Member | None:
+        """Another that is the primary, as far as we know, and was heard of a moment ago."""
+
+    async def submit(self, command: Command) -> Outcome:
+        """Carry out a command as the primary."""
+
+    def token(self) -> int:
+        """A number for a command."""
+
+
+async def _decide(control: Control, command: Command) -> Outcome | Reply:
+    """The outcome of a command, or where to take it; a primary is waited for a little."""
+    loop = asyncio.get_running_loop()
+    until = loop.time() + HELD_S
+    while (left := until - loop.time()) > 0:
+        if control.leads():
+            try:
+                async with asyncio.timeout(left):
+                    outcome = await control.submit(command)
+            except TimeoutError:
+                break  # it may yet be taken: no clear answer
+            if outcome.verdict is not Verdict.MOVED:
+                return outcome
+        elif (leader := control.leader()) is not None:
+            return say(307, "another leads", Location=f"http://{leader.ctl}/api/config")
+        await asyncio.sleep(LOOK_S)
+    return say(503, "no primary at the moment; ask again", Retry_After=AGAIN_S)
+
+
+@CALLS.on("PUT", "/api/config")
+async def put_configuration(control: Control, call: Call) -> Reply:
+    """Take a whole configuration on top of the version that `If-Match` names."""
+    try:
+        checked = check(call.body)
+    except InvalidConfigurationError as error:
+        return say(400, str(error))
+    base = call.headers.get("if-match", "").strip().strip('"')
+    if not base.isascii() or not base.isdigit():
+        return say(
+            400, "If-Match holds no version; name the version that this one builds on, 0 for the first"
+        )
+    ver = checked.configuration.ver
+    command = Put(control.token(), int(base), ver, checked.digest, call.body)
+    outcome = await _decide(control, command)
+    if isinstance(outcome, Reply):
+        return outcome
+    current = outcome.document.ver if outcome.document is not None else 0
+    match outcome.verdict:
+        case Verdict.DONE:
+            return say(200)
+        case Verdict.STALE:
+            return say(412, f"version {current} is in place; build on that", ETag=str(current))
+        case _:
+            return say(400, f"version {ver} is not above {current}; give it a higher number")
+
+
+@CALLS.on("GET", "/api/config")
+async def get_configuration(control: Control, call: Call) -> Reply:
+    """The newest configuration as it was sent."""
+    outcome = await _decide(control, Get(control.token()))
+    if isinstance(outcome, Reply):
+        return outcome
+    document = outcome.document
+    if document is None or not document.ver:
+        return say(404, "no configuration has been taken yet; put one")
+    return Reply(200, document.body, {"ETag": str(document.ver)})
--- /dev/null
+++ b/barograph/replica.py
@@ -0,0 +1,354 @@
+"""One control process as a pure machine: messages, time and commands in, effects out.
+
+It owns all of its state; whoever hosts it hands over one event at a time and carries out effects in order.
+Times are milliseconds of a steady clock.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+
+from barograph.acceptor import Acceptor
+from barograph.campaign import Campaign, Stage, founding
+from barograph.effects import Effect, Lead, Reply, Send, Spec, Verdict
+from barograph.messages import (
+    Answer,
+    Heard,
+    Install,
+    Installed,
+    Join,
+    Known,
+    Leaving,
+    Message,
+    Prepare,
+    Promised,
+    Succeed,
+    Written,
+)
+from barograph.primary import Command, Primary
+from barograph.views import Member, Memory, View
+
+WAITING_MS = 1_000.0  # a newcomer that has not asked for so long has gone
+
+
+class Replica:
+    """Decides who leads, what is kept where, and what operators are told."""
+
+    def __init__(
+        self, me: Member, memory: Memory, spec: Spec, seeds: tuple[str, ...], founder: bool, seed: int
+    ) -> None:
+        """`seeds`: the IPs of processes that may know the view. `founder`: we make the first one."""
+        self.me, self.memory, self._spec, self._seeds = me, memory, spec, seeds
+        self._founder = founder and memory.view is None
+        self._random = random.Random(seed)
+        self._effects: deque[Effect] = deque()
+        self.acceptor = Acceptor(memory, spec.lost_ms, self._effects.append)
+        self.primary: Primary | None = None
+        self._campaign: Campaign | None = None
+        self._founding: Campaign | None = None
+        self._newcomers: dict[str, tuple[Member, float]] = {}
+        self._leaving: set[str] = set()
+        self._next_try = 0.0
+        self._started, self._joined_at = 0.0, -1e12
+        self._seen = 0  # the highest epoch that anybody has named
+        self._carried: list[Command] = []  # from one of our terms to the next, which our own campaign begins
+        self.stopping = False
+
+    # ---- the host's side
+
+    def take(self) -> list[Effect]:
+        """What is to be done now, in order."""
+        found = list(self._effects)
+        self._effects.clear()
+        return found
+
+    def start(self, now: float) -> None:
+        """The process is up."""
+        self._started = now
+        # With a view in hand the primary may be there; it has half of the usual time to be heard of.
+        self.acceptor.heard_at = now - self._spec.lost_ms / 2
+        self._next_try = now + self._random.uniform(0, self._spec.beat_ms)
+
+    def disk(self, well: bool) -> None:
+        """The disk refuses writes, or takes them again after all of the memory has been written to it."""
+        self.acceptor.sick = not well
+
+    def submit(self, command: Command, now: float) -> None:
+        """An operator's command; answered by one `Reply`."""
+        if self.primary is None:
+            self._effects.append(Reply(command.token, Verdict.MOVED))
+        else:
+            self.primary.submit(command, now)
+
+    def leader(self) -> Member | None:
+        """The primary as far as we know."""
+        view = self.acceptor.latest
+        return None if view is None else view.leader()
+
+    def is_led(self, now: float) -> bool:
+        """Whether a primary is there: ourselves, or one that was heard of a moment ago."""
+        return self.primary is not None or now - self.acceptor.heard_at < self._spec.lost_ms
+
+    def stop(self, now: float) -> None:
+        """We are told to end: name a successor if we lead, and hold nothing any more."""
+        self.stopping = True
+        if self.primary is not None:
+            self._succeed(now)
+        elif (leader := self.leader()) is not None and leader.identity != self.me.identity:
+            self._send(leader, Leaving(self.me.identity, leader.identity))
+
+    # ---- events
+
+    def hear(self, ip: str, message: Message, now: float) -> None:
+        """A message of another process, or our own to ourselves."""
+        if message.to not in (self.me.identity, ""):
+            return  # meant for a process that was here before
+        self._seen = max(self._seen, getattr(message, "epoch", 0), getattr(message, "promised", 0))
+        was = self.memory.promised
+        if self.acceptor.take(ip, message, now):
+            if self.memory.promised > was and self.primary is not None:
+                self._end_term(now)
+            if isinstance(message, Install | Prepare):
+                self._founder = False
+            return
+        match message:
+            case Answer() if self._campaign is not None:
+                for member, prepare in self._campaign.answered(message, now):
+                    self._send(member, prepare)
+            case Promised() if self._campaign is not None:
+                self._campaign.told(message, now)
+            case Installed():
+                for campaign in (self._campaign, self._founding):
+                    if campaign is not None:
+                        campaign.confirmed(message)
+            case Written() if self.primary is not None:
+                self.primary.written(message, now)
+            case Heard() if self.primary is not None:
+                self.primary.heard(message, now)
+            case Known():
+                self.acceptor.learn(message.view)
+            case Join():
+                self._join(ip, message, now)
+            case Leaving():
+                self._leaving.add(message.sender)
+            case Succeed():
+                if self.memory.view is not None and message.epoch >= self.memory.view.epoch:
+                    self._run(now, handover=True)
+        self._advance(now)
+
+    def tick(self, now: float) -> None:
+        """Time has gone by; called every few tens of milliseconds."""
+        self._newcomers = {i: e for i, e in self._newcomers.items() if now - e[1] < WAITING_MS}
+        self._advance(now)
+        if self.primary is not None:
+            self._lead(now)
+        elif self.memory.slot() is not None:
+            if self._campaign is None and not self.stopping and self._is_time(now):
+                self._run(now)
+        elif self._founder:
+            self._found(now)
+        if self.memory.slot() is None and now - self._joined_at >= self._spec.join_ms:
+            self._joined_at = now
+            self._ask_in()
+
+    # ---- campaigns
+
+    def _is_time(self, now: float) -> bool:
+        """Whether the primary has been silent for so long that a holder is to take its place."""
+        view = self.memory.view
+        if view is None or not self.memory.is_holder() or now < self._next_try or self.acceptor.sick:
+            return False
+        slot = self.memory.slot()
+        rank = view.holders.index(slot) if slot is not None else 0
+        patience = self._spec.lost_ms + rank * self._spec.beat_ms / 2
+        return now - self.acceptor.heard_at >= patience
+
+    def _run(self, now: float, handover: bool = False) -> None:
+        """Begin a campaign, as a holder of the latest view that we have accepted."""
+        view = self.memory.view
+        if view is None or not self.memory.is_holder() or self.acceptor.sick or self.stopping:
+            return
+        epoch = max(self.memory.promised, self._seen) + 1
+        replaced, newcomer = self._vacancy(view, now) if self.primary is not None else (None, None)
+        self._campaign = Campaign(
+            self.me,
+            view,
+            epoch,
+            self._spec.holders,
+            now,
+            handover or self.primary is not None,
+            replaced,
+            newcomer,
+            frozenset(self._leaving),
+        )
+        self._seen = epoch
+        for member, ask in self._campaign.begin(now):
+            self._send(member, ask)
+
+    def _advance(self, now: float) -> None:
+        if self._campaign is not None:
+            self._campaign_on(self._campaign, now)
+        if self._founding is not None and self._founding.stage is Stage.WON:
+            campaign, self._founding = self._founding, None
+            if self.memory.promised == campaign.epoch:
+                self._win(campaign, now)
+
+    def _campaign_on(self, campaign: Campaign, now: float) -> None:
+        for member, install in campaign.install(self.memory.document, now):
+            self._send(member, install)
+        late = now - campaign.stage_at > self._spec.stage_ms
+        if campaign.stage is Stage.WON:
+            self._campaign = None
+            if self.memory.promised == campaign.epoch:
+                self._win(campaign, now)
+        elif campaign.stage is Stage.LOST or late:
+            self._campaign = None
+            self._let_go()
+            self._seen = max(self._seen, campaign.above)
+            self.acceptor.learn(campaign.later)
+            self._next_try = now + self._random.uniform(0.3, 1.3) * self._spec.beat_ms
+            if campaign.later is not None:  # somebody else leads: give it time to be heard of
+                self.acceptor.heard_at = max(self.acceptor.heard_at, now - self._spec.lost_ms / 2)
+
+    def _win(self, campaign: Campaign, now: float) -> None:
+        assert campaign.view is not None
+        view = campaign.view
+        carried, self._carried = self._carried, []
+        self.primary = Primary(self.memory, view, self._spec, self._effects.append, now)
+        self._effects.append(Lead(view))
+        for slot, member in enumerate(view.members):
+            if member is not None and slot not in campaign.installed:
+                self._install_at(member, view)
+        self.primary.beat(now)
+        for command in carried:
+            self.primary.submit(command, now)
+
+    def _install_at(self, member: Member, view: View) -> None:
+        """The view is in force: tell a member that holds no data."""
+        if view.slot_of(member.identity) not in view.holders:
+            self._send(member, Install(self.me.identity, member.identity, view, None, True))
+
+    # ---- the primary's upkeep
+
+    def _lead(self, now: float) -> None:
+        primary = self.primary
+        assert primary is not None
+        if primary.is_beat_due(now):
+            primary.beat(now)
+        for slot in primary.behind:
+            self._install_at(primary.view.at(slot), primary.view)
+        primary.behind.clear()
+        if now - primary.quorum_at() > self._spec.quorum_ms:
+            self._end_term(now)
+            return
+        if self.acceptor.sick:
+            self._succeed(now)
+            return
+        if self._campaign is None and now >= self._next_try and self._wants_change(primary, now):
+            self._run(now)
+
+    def _wants_change(self, primary: Primary, now: float) -> bool:
+        """Whether the view has to change: a holder is lost or leaves, a write hangs, somebody waits."""
+        view = primary.view
+        silent = set(primary.silent(now, self._spec.silent_ms))
+        hangs = primary.is_writing() and now - primary.write_at > self._spec.write_ms
+        leaving = {s for i in self._leaving if (s := view.slot_of(i)) is not None}
+        lost = (silent | leaving) & set(view.holders)
+        few = len(view.holders) < self._spec.holders
+        spare = len([m for m in view.members if m is not None]) - len(silent | leaving)
+        if primary.above >= view.epoch or hangs or primary.refused:
+            return True
+        if (lost or few) and spare >= self._spec.holders:
+            return True
+        return self._vacancy(view, now)[0] is not None
+
+    def _vacancy(self, view: View, now: float) -> tuple[int | None, Member | None]:
+        """A slot to give to a newcomer: its own of before, an empty one, or one of a dead member."""
+        assert self.primary is not None
+        dead = set(self.primary.silent(now, self._spec.dead_ms))
+        for newcomer, _ in self._newcomers.values():
+            if view.slot_of(newcomer.identity) is not None:
+                continue
+            for slot, member in enumerate(view.members):
+                same = member is not None and (member.node == newcomer.node or member.ip == newcomer.ip)
+                if same and slot != view.primary:
+                    return slot, newcomer
+            for slot, member in enumerate(view.members):
+                if (member is None or slot in dead) and slot != view.primary:
+                    return slot, newcomer
+        return None, None
+
+    def _succeed(self, now: float) -> None:
+        """Name the successor: a holder that was heard of a moment ago."""
+        primary = self.primary
+        assert primary is not None
+        heirs = [
+            s
+            for s in primary.view.holders
+            if s != primary.view.primary and now - primary.heard_at[s] < self._spec.silent_ms
+        ]
+        for slot in heirs[:1]:
+            heir = primary.view.at(slot)
+            self._send(heir, Succeed(self.me.identity, heir.identity, primary.view.epoch))
+        self._end_term(now)
+
+    def _end_term(self, now: float) -> None:
+        """We lead no longer; what has no answer may have been taken or not."""
+        primary, self.primary = self.primary, None
+        if primary is not None:
+            self._carried += primary.pending()
+            self._effects.append(Lead(None))
+            self.acceptor.heard_at = max(self.acceptor.heard_at, now - self._spec.lost_ms / 2)
+            if self._campaign is None or self._campaign.epoch != self.memory.promised:
+                self._let_go()
+
+    def _let_go(self) -> None:
+        """What has waited for our next term is answered elsewhere."""
+        for command in self._carried:
+            self._effects.append(Reply(command.token, Verdict.MOVED))
+        self._carried.clear()
+
+    # ---- newcomers
+
+    def _join(self, ip: str, message: Join, now: float) -> None:
+        self._newcomers[message.sender] = (message.member, now)
+        self._seen = max(self._seen, message.promised)
+        view, own = self.acceptor.latest, self.memory.view
+        if own is not None and own.epoch == 1 and own.leader() == self.me and own.slot_of(message.sender):
+            self._send(message.member, self._first_install(message.member, own))  # it missed the first view
+        if view is not None:
+            known = Known(self.me.identity, message.sender, view, self.memory.promised)
+            self._effects.append(Send(ip, known))
+
+    def _ask_in(self) -> None:
+        """Ask for a slot, at whoever may lead and at the seeds."""
+        leader = self.leader()
+        ips = ({leader.ip} if leader is not None else set()) | set(self._seeds)
+        for ip in sorted(ips - {self.me.ip}):
+            self._effects.append(Send(ip, Join(self.me.identity, "", self.me, self.memory.promised)))
+
+    def _found(self, now: float) -> None:
+        """Make the first view once all are there, or enough after a while."""
+        others = [m for m, _ in self._newcomers.values()]
+        enough = len(others) + 1 >= self._spec.slots
+        late = now - self._started > self._spec.found_ms and len(others) + 1 >= self._spec.holders
+        if self.acceptor.latest is not None or not (enough or late):
+            return
+        others.sort(key=lambda m: m.ip)
+        view = founding(self.me, others, self._spec.slots, self._spec.holders)
+        if self._founding is None or now - self._founding.stage_at > self._spec.stage_ms:
+            self._founding = Campaign(self.me, view, 1, self._spec.holders, now)
+            self._founding.view, self._founding.stage, self._founding.stage_at = view, Stage.INSTALL, now
+            for member in view.members:
+                if member is not None:
+                    self._send(member, self._first_install(member, view))
+
+    def _first_install(self, member: Member, view: View) -> Install:
+        holds = view.slot_of(member.identity) in view.holders
+        return Install(
+            self.me.identity, member.identity, view, self.memory.document if holds else None, False
+        )
+
+    def _send(self, member: Member, message: Message) -> None:
+        self._effects.append(Send(member.ip, message))
--- a/passpost/engine.py
+++ b/passpost/engine.py
@@ -14,9 +14,10 @@
 from typing import Protocol
 
 from passpost.counters import Counters
-from passpost.http1 import Address, Answer, Flow, Start
+from passpost.http1 import Address, Answer, Flow, Headers, Start
 from passpost.reports import LoadReports
 from passpost.upstream import Attempt, Outgoing, Upstreams
+from passpost.validation import Call, check
 from umberworks import interface as face
 from umberworks.interface import Outcome
 from umberworks.rules import Balancer
@@ -170,6 +171,16 @@
         request.arriving = False
         return number
 
+    def read(self, method: bytes, target: bytes, version: str, headers: Headers) -> Call | None:
+        """The call that a head stands for, None for the question whether we are ready; or BadRequestError."""
+        return check(method, target, version, headers, self.classes)
+
+    def take_up(
+        self, call: Call, remaining: float, outgoing: Outgoing, client: Client, free_connections: float
+    ) -> int:
+        """A request that was read is there; as `arrived`."""
+        return self.arrived(call.class_name, call.tenant, remaining, outgoing, client, free_connections)
+
     def whole(self, number: int) -> None:
         """The last byte of a request that arrived unfinished is there: its time runs."""
         request = self._requests.get(number)
--- a/passpost/http1.py
+++ b/passpost/http1.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 from typing import Protocol
 
@@ -62,6 +63,7 @@
 
     headers: Headers
     length: int | None
+    status: int = 200
 
 
 class Flow(Protocol):
@@ -78,11 +80,18 @@
     """Reads the one answer that is due on a connection.
 
     With `held`, a good answer longer than that is passed on: `start` says so once, then `take` what has come.
+    One that `at_once` names, by its status and headers, is passed on from its head on.
     """
 
-    def __init__(self, max_body: int = MAX_BODY, held: int | None = None) -> None:
+    def __init__(
+        self,
+        max_body: int = MAX_BODY,
+        held: int | None = None,
+        at_once: Callable[[int, Headers], bool] | None = None,
+    ) -> None:
         self._parser = httptools.HttpResponseParser(self)
         self._max_body, self._held = max_body, held
+        self._is_at_once, self._at_once = at_once, False
         self._head_size, self._head_done, self._status = 0, False, 0
         self._headers: Headers = []
         self._body, self._size = bytearray(), 0
@@ -121,7 +130,12 @@
 
     def start(self, waited: bool = False) -> Start | None:
         """The beginning, once, of an answer too long to be held, or too slow if we have `waited` for it."""
-        if self._held is None or self._started or self._status != 200 or not self._head_done:
+        if self._held is None or self._started or not self._head_done:
+            return None
+        if self._at_once:
+            self._started = True
+            return Start(self._headers, self._length, self._status)
+        if self._status != 200:
             return None
         if self._length is None:
             due = waited or self._whole is not None or self._size > min(self._held, HELD_UNKNOWN)
@@ -170,6 +184,8 @@
         length = fields.get(b"content-length")
         self._length = int(length) if length is not None and coding is None else None
         self._to_the_end = length is None and coding is None
+        if self._is_at_once is not None and self._held is not None:
+            self._at_once = self._status >= 200 and self._is_at_once(self._status, self._headers)
         if self._length is not None and self._length > self._max_body:
             self._bad = "the body is too long"
 
--- a/passpost/server.py
+++ b/passpost/server.py
@@ -17,7 +17,7 @@
 import httptools
 
 from passpost.counters import Final
-from passpost.engine import Engine
+from passpost.engine import Client
 from passpost.http1 import (
     HELD_BODY,
     MAX_BODY,
@@ -31,8 +31,8 @@
     end_to_end,
     write_headers,
 )
-from passpost.upstream import Outgoing, Upload
-from passpost.validation import BadRequestError, Call, check
+from passpost.upstream import Outgoing, Upload, notice_darkness
+from passpost.validation import BadRequestError, Call
 
 log = logging.getLogger(__name__)
 
@@ -86,6 +86,86 @@
 _FINALS = {200: Final.SERVED, 503: Final.REFUSED}  # what a status says of a call; all others: failed
 
 
+class Tally(Protocol):
+    """Counts the requests that were taken and how they ended."""
+
+    def taken(self) -> None:
+        """A whole request has come; it ends exactly once."""
+
+    def ended(self, class_name: str, final: Final) -> None:
+        """A taken request has its final answer, or its client has gone."""
+
+
+class Host(Protocol):
+    """Whoever reads the heads of requests, takes them up and answers them."""
+
+    @property
+    def counters(self) -> Tally:
+        """What counts them."""
+
+    @property
+    def has_upstreams(self) -> bool:
+        """Whether there is anything to send to."""
+
+    def read(self, method: bytes, target: bytes, version: str, headers: Headers) -> Call | None:
+        """The call that a head stands for, None for the question whether we are ready; or BadRequestError."""
+
+    def take_up(
+        self, call: Call, remaining: float, outgoing: Outgoing, client: Client, free_connections: float
+    ) -> int:
+        """A request is there, with so many seconds to answer it; the result is its number."""
+
+    def whole(self, number: int) -> None:
+        """The last byte of a request that was taken up unfinished is there."""
+
+    def left(self, number: int) -> None:
+        """Its client has gone."""
+
+
+@dataclass(frozen=True, slots=True)
+class ClientManner:
+    """How clients are treated; spans in seconds. `in_service` makes that of the program in service."""
+
+    max_head: int
+    max_body: int
+    read_s: float
+    first_s: float  # a connection that has brought nothing yet is kept so long
+    idle_s: float
+    body_rate: float
+    held_each: int
+    uploads: bool  # a body too long to be held goes on as it comes; else it is refused
+    told_idle_s: int  # what Keep-Alive tells clients; 0: nothing
+    reads_past_end: bool  # what crosses our end between requests is read and dropped; else left unread
+    sweep_s: float
+    dark_ms: int  # as upstream.Manner's
+    closes_at_stop: bool  # each answer closes its connection from the stop on
+    accept_after_stop_s: float
+    last_call_s: float
+    drain_step_s: float
+
+
+def in_service() -> ClientManner:
+    """How the program in service treats its clients."""
+    return ClientManner(
+        max_head=MAX_HEAD,
+        max_body=MAX_BODY,
+        read_s=READ_S,
+        first_s=READ_S,
+        idle_s=IDLE_S,
+        body_rate=BODY_RATE,
+        held_each=HELD_EACH,
+        uploads=True,
+        told_idle_s=0,
+        reads_past_end=True,
+        sweep_s=SWEEP_S,
+        dark_ms=0,
+        closes_at_stop=False,
+        accept_after_stop_s=ACCEPT_AFTER_STOP_S,
+        last_call_s=LAST_CALL_S,
+        drain_step_s=DRAIN_STEP_S,
+    )
+
+
 @dataclass(slots=True)
 class _Request:
     """One request as it was read; with no call it asks whether we are ready."""
@@ -152,6 +232,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """A client has connected."""
         self._transport = cast(asyncio.Transport, transport)  # uvloop's do not derive from it
+        if self._server.manner.dark_ms:
+            notice_darkness(transport.get_extra_info("socket"), self._server.manner.dark_ms)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """The client has gone, or we have closed."""
@@ -252,7 +334,7 @@
                 self._waiting[-1].keep_alive = False
         except httptools.HttpParserError:
             self._bad = self._bad or 400
-        if self._in_head and self._head_size > MAX_HEAD:
+        if self._in_head and self._head_size > self._server.manner.max_head:
             self._bad = self._bad or 431
 
     # ---- httptools' callbacks
@@ -278,10 +360,10 @@
         self._in_head, self._head_size = False, 0
         if self._bad:
             return
-        parser, classes = self._parser, self._server.engine.classes
+        parser = self._parser
         try:
-            self._call = check(
-                parser.get_method(), self._target, parser.get_http_version(), self._headers, classes
+            self._call = self._server.engine.read(
+                parser.get_method(), self._target, parser.get_http_version(), self._headers
             )
         except BadRequestError as error:
             self._bad = error.status
@@ -307,21 +389,24 @@
         now = time.monotonic()
         self._body_size += len(data)
         if not self._held_back:
-            limit = max(self._body_until, now) + len(data) / BODY_RATE
+            limit = max(self._body_until, now) + len(data) / self._server.manner.body_rate
             self._body_until = min(limit, now + BODY_SPAN_S)
-        if self._body_size > MAX_BODY:
+        if self._body_size > self._server.manner.max_body:
             self._bad = 413
         elif self._upload is not None:
             self._upload.feed(data)
         else:
             self._body += data
             if len(self._body) > HELD_BODY + self._held and not self._hold_more():
-                self._begin_upload()
+                if self._server.manner.uploads:
+                    self._begin_upload()
+                else:
+                    self._bad = 503  # no memory for it now
 
     def _hold_more(self) -> bool:
         """Whether this body may be held whole further on; one that is known to grow too long never is."""
         size = max(len(self._body), self._length or 0)
-        if size > HELD_EACH or not self._server.hold(HELD_BODY):
+        if size > self._server.manner.held_each or not self._server.hold(HELD_BODY):
             return False
         self._held += HELD_BODY
         return len(self._body) <= HELD_BODY + self._held or self._hold_more()
@@ -437,7 +522,7 @@
         if self._upload is not None and self._upload is request.upload:
             self.resume()  # while it waited for its turn nothing was read
         free = self._server.free_connections()
-        number = self._server.engine.arrived(call.class_name, call.tenant, remaining, outgoing, self, free)
+        number = self._server.engine.take_up(call, remaining, outgoing, self, free)
         if self._current is request:  # it may have been answered at once
             self._number = number
 
@@ -465,10 +550,8 @@
         framing = b"" if start.length is None else b"Content-Length: %d\r\n" % start.length
         if self._chunked:
             framing = b"Transfer-Encoding: chunked\r\n"
-        self._write(
-            b"HTTP/1.1 200 OK\r\n%b%b%b\r\n"
-            % (write_headers(end_to_end(start.headers)), framing, self._persistence(request))
-        )
+        headers, persistence = write_headers(end_to_end(start.headers)), self._persistence(request)
+        self._write(b"%b%b%b%b\r\n" % (_status_line(start.status), headers, framing, persistence))
 
     def more(self, data: bytes) -> None:
         """A piece of it."""
@@ -498,7 +581,7 @@
 
     def serve(self, answer: Answer) -> None:
         """Pass on an upstream's answer."""
-        self._finish(200, end_to_end(answer.headers), answer.body)
+        self._finish(answer.status, end_to_end(answer.headers), answer.body)
 
     def refuse(self, retry_after_ms: float) -> None:
         """Say that trying again is harmless, and when it is best done."""
@@ -514,7 +597,9 @@
         if not request.keep_alive or (self._is_last() and not self._waiting):
             request.keep_alive = False
             return b"Connection: close\r\n"
-        return b"Connection: keep-alive\r\n" if request.version == "1.0" else b""
+        told = self._server.manner.told_idle_s
+        kept = b"Keep-Alive: timeout=%d\r\n" % told if told else b""
+        return b"Connection: keep-alive\r\n%b" % kept if request.version == "1.0" else kept
 
     def _is_last(self) -> bool:
         return self._server.closing or self._server.is_crowded()
@@ -553,7 +638,7 @@
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(data)
 
-    def _linger(self, at_most: float | None = None) -> None:
+    def _linger(self, at_most: float | None = None, reads: bool = True) -> None:
         """End our side only: a close with bytes unread would reset the connection and lose the error."""
         if self._phase is _Phase.GONE:
             return
@@ -561,7 +646,10 @@
         self._phase, self._linger_s = _Phase.ENDING, LINGER_S if at_most is None else at_most
         self.since = time.monotonic()
         if self._transport is not None and not self._transport.is_closing():
-            self._transport.resume_reading()
+            if reads:
+                self._transport.resume_reading()
+            else:
+                self._transport.pause_reading()
             if self._transport.can_write_eof():
                 self._transport.write_eof()
 
@@ -637,7 +725,7 @@
 
         To close outright would reset the connection if a byte came just then, and take the last answer along.
         """
-        self._linger(END_S)
+        self._linger(END_S, self._server.manner.reads_past_end)
 
     def abort(self) -> None:
         """Close at once, whatever is unsent."""
@@ -679,16 +767,17 @@
                 transport.abort()
         elif self._reading:
             # A byte more of a head gains no time; of a body its client has to keep the rate.
-            if age > READ_S and (self._in_head or now > self._body_until):
+            if age > self._server.manner.read_s and (self._in_head or now > self._body_until):
                 self._bad = self._bad or 408
                 self._next()
         elif age > self._idle_limit() and self.is_spare(now):
             self.close()
 
     def _idle_limit(self) -> float:
+        manner = self._server.manner
         if not self._useful:
-            return READ_S
-        return CROWDED_IDLE_S if self._server.is_crowded() else IDLE_S
+            return manner.first_s
+        return CROWDED_IDLE_S if self._server.is_crowded() else manner.idle_s
 
 
 def _framing(request: _Request) -> bytes:
@@ -700,11 +789,14 @@
     return b"Content-Length: %d" % request.upload.length
 
 
+def _status_line(status: int) -> bytes:
+    return b"HTTP/1.1 %d %b\r\n" % (status, _REASONS.get(status, "Status").encode())
+
+
 def _whole(status: int, headers: Headers, body: bytes, persistence: bytes) -> bytes:
     """An answer that is there in one piece."""
-    return b"HTTP/1.1 %d %b\r\n%bContent-Length: %d\r\n%b\r\n%b" % (
-        status,
-        _REASONS[status].encode(),
+    return b"%b%bContent-Length: %d\r\n%b\r\n%b" % (
+        _status_line(status),
         write_headers(headers),
         len(body),
         persistence,
@@ -717,18 +809,20 @@
 
     def __init__(
         self,
-        engine: Engine,
+        engine: Host,
         address: Address,
         max_open: int,
         listener: socket.socket | None = None,
         shared: bool = False,
         held: int = 0,
+        manner: ClientManner | None = None,
     ) -> None:
         """With a `listener` of the old process that one is used; `shared`: another process may listen too.
 
         `held`: how many bytes of long bodies may be held whole at once.
         """
         self.engine = engine
+        self._given, self.manner = manner, manner or in_service()
         self.draining, self.closing = False, False  # not ready any more; each answer closes its connection
         self._ends, self._dealt_until = math.inf, math.inf
         self._stopping, self._started, self._yielding = False, False, False
@@ -748,6 +842,10 @@
         self._sweeper: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task[object]] = set()
 
+    def treat(self, manner: ClientManner) -> None:
+        """Treat clients so from now on."""
+        self._given = self.manner = manner
+
     @property
     def port(self) -> int:
         """The port that it listens on."""
@@ -831,11 +929,14 @@
     def _send_off(self) -> None:
         """From now on each answer closes its connection, and idle ones go."""
         self.closing = True
+        self._send_off_idle()
+        self._quiesce = asyncio.get_running_loop().call_later(DRAIN_STEP_S, self._send_off)
+
+    def _send_off_idle(self) -> None:
         now = time.monotonic()
         for connection in list(self._connections):
             if connection.is_spare(now):
                 connection.close()
-        self._quiesce = asyncio.get_running_loop().call_later(DRAIN_STEP_S, self._send_off)
 
     async def hand_over(self, give: Give, within: float) -> None:
         """Stop while a new process serves: idle connections go there, open requests are answered here.
@@ -875,12 +976,16 @@
         self._stopping = True
         self.draining, self._ends = True, time.monotonic() + within
         self._dealt_until = time.monotonic() + DEALT_AFTER_STOP_S
-        await asyncio.sleep(ACCEPT_AFTER_STOP_S)
-        while self._connections and self.time_left() > LAST_CALL_S:
-            await asyncio.sleep(DRAIN_STEP_S)
+        self.manner = self._given or in_service()
+        self.closing, step = self.manner.closes_at_stop, self.manner.drain_step_s
+        await asyncio.sleep(self.manner.accept_after_stop_s)
+        while self._connections and self.time_left() > self.manner.last_call_s:
+            if self.closing:
+                self._send_off_idle()
+            await asyncio.sleep(step)
         self.closing = True
         while not self._accept():
-            await asyncio.sleep(DRAIN_STEP_S)  # all connections are busy: each one that ends lets one in
+            await asyncio.sleep(step)  # all connections are busy: each one that ends lets one in
         self._pause()
         self._socket.close()
         await asyncio.sleep(LAST_LOOK_S)
@@ -890,7 +995,13 @@
                 if connection.is_spare(now):
                     connection.close()
                 connection.sweep(now)  # at each step: who restarts us waits for our end
-            await asyncio.sleep(DRAIN_STEP_S)
+            await asyncio.sleep(step)
+        self._end()
+
+    def stop(self) -> None:
+        """End at once, whatever is open."""
+        self._pause()
+        self._socket.close()
         self._end()
 
     def _is_due(self) -> bool:
@@ -983,7 +1094,8 @@
         return next((c for _, _, c in ranked if not c.has_unread()), None)
 
     def _sweep(self) -> None:
-        self._sweeper = asyncio.get_running_loop().call_later(SWEEP_S, self._sweep)
+        self.manner = self._given or in_service()
+        self._sweeper = asyncio.get_running_loop().call_later(self.manner.sweep_s, self._sweep)
         now = time.monotonic()
         for connection in list(self._connections):
             connection.sweep(now)
--- a/passpost/upstream.py
+++ b/passpost/upstream.py
@@ -8,13 +8,24 @@
 import asyncio
 import logging
 import math
+import re
 import select
+import socket
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol, cast
 
-from passpost.http1 import HELD_BODY, Address, Answer, AnswerReader, BadAnswerError, Flow, Start
+from passpost.http1 import (
+    HELD_BODY,
+    Address,
+    Answer,
+    AnswerReader,
+    BadAnswerError,
+    Flow,
+    Headers,
+    Start,
+)
 from umberworks.interface import Outcome
 
 log = logging.getLogger(__name__)
@@ -23,10 +34,34 @@
 SWEEP_S = 1.0
 STALL_S = 10.0  # an upstream that neither takes nor gives a byte of a long message for so long is given up
 LENGTH_S = 0.1  # an answer of unknown length is held so long from its head on, and then passed on as it comes
+KEEP_MARGIN_S = 0.7  # so long before the upstream would we close an idle connection
 REST_S = 0.005  # an upstream that closes behind an answer, or sends more than it, does so within this
 
 Done = Callable[[Outcome, Answer | None], None]
 
+_KEPT = re.compile(rb"timeout\s*=\s*([0-9]{1,6})")
+
+
+def outcome_of(answer: Answer) -> Outcome:
+    """What an answer means, by the protocol's table."""
+    if answer.status == 200:
+        return Outcome.SERVED
+    if answer.status in (503, 504):
+        away = any(n.lower() == b"x-turned-away" and v.strip() == b"1" for n, v in answer.headers)
+        return Outcome.TURNED_AWAY if away else Outcome.ERROR
+    return Outcome.ERROR
+
+
+@dataclass(frozen=True, slots=True)
+class Manner:
+    """How upstreams are spoken to; spans in seconds. What stands here is the program in service."""
+
+    outcome: Callable[[Answer], Outcome] = outcome_of
+    at_once: Callable[[int, Headers], bool] | None = None  # answers passed on from their heads on
+    stall_s: float | None = None  # STALL_S
+    heeds_keep_alive: bool = False  # idle connections live as long as the upstream's Keep-Alive tells
+    dark_ms: int = 0  # TCP_USER_TIMEOUT and keep-alive probes: a peer that says nothing so long is gone
+
 
 class Carrier(Protocol):
     """The connection by which an upload goes on."""
@@ -111,6 +146,10 @@
         """Whether an attempt can be made: nothing of it is gone."""
         return self.upload is None or self.upload.is_fresh()
 
+    def is_answered_by(self, answer: Answer) -> bool:
+        """Whether an answer is the one to this request, as far as it tells; a surplus one is not."""
+        return True
+
 
 class Sink(Protocol):
     """Who gets a long answer as it comes."""
@@ -237,12 +276,14 @@
         self._length_timer: asyncio.TimerHandle | None = None
         self.unwritten = True
         self.idle_since = 0.0
+        self.kept = math.inf  # so many idle seconds its upstream grants it
 
     def carry(self, attempt: Attempt) -> None:
         """Write the attempt's request."""
         assert self._transport is not None
         self._attempt = attempt
-        self._reader = AnswerReader(held=HELD_BODY if attempt.is_holding() else None)
+        held = HELD_BODY if attempt.is_holding() else None
+        self._reader = AnswerReader(held=held, at_once=self._pool.manner.at_once)
         attempt.connection = self
         self._moved = time.monotonic()
         # The transport says at once if it could not write it all: see pause_writing.
@@ -337,7 +378,10 @@
             self._transport.abort()
             return
         self._transport.set_write_buffer_limits(high=0)
-        self._poll.register(transport.get_extra_info("socket"), select.POLLIN | select.POLLRDHUP)
+        peer = transport.get_extra_info("socket")
+        self._poll.register(peer, select.POLLIN | select.POLLRDHUP)
+        if self._pool.manner.dark_ms:
+            notice_darkness(peer, self._pool.manner.dark_ms)
 
     def pause_writing(self) -> None:
         """Part of the request is still with us: the upstream can't have begun it."""
@@ -399,12 +443,25 @@
         if attempt.is_over():
             return
         self._forget_timer()
+        if not attempt.request.is_answered_by(answer):
+            log.warning("upstream %s: an answer to another request", self._upstream.name)
+            attempt.end(Outcome.BROKEN)
+            return
         if answer.reusable and not self.unwritten:
             if self._waiting:
                 self.resume()
             self._attempt, self._reader, self._upload, attempt.connection = None, None, None, None
+            if self._pool.manner.heeds_keep_alive:
+                self._heed(answer.headers)
             self._pool.rest(self, self._upstream)
-        attempt.end(_outcome(answer), answer)
+        attempt.end(self._pool.manner.outcome(answer), answer)
+
+    def _heed(self, headers: Headers) -> None:
+        """Its upstream closes it after so many idle seconds; we do before, as a request must not cross that."""
+        for name, value in headers:
+            if name.lower() == b"keep-alive" and (told := _KEPT.search(value)) is not None:
+                self.kept = max(int(told[1]) - KEEP_MARGIN_S, int(told[1]) * IDLE_SHARE)
+                return
 
     def eof_received(self) -> None:
         """The upstream has closed: an idle connection must not be used again, an answer may end so."""
@@ -425,14 +482,14 @@
             self.drop()
 
 
-def _outcome(answer: Answer) -> Outcome:
-    """What an answer means, by the protocol's table."""
-    if answer.status == 200:
-        return Outcome.SERVED
-    if answer.status in (503, 504):
-        away = any(n.lower() == b"x-turned-away" and v.strip() == b"1" for n, v in answer.headers)
-        return Outcome.TURNED_AWAY if away else Outcome.ERROR
-    return Outcome.ERROR
+def notice_darkness(peer: socket.socket, after_ms: int) -> None:
+    """Let the kernel end a connection whose other side has said nothing, not even by its kernel, for so long."""
+    seconds = max(after_ms // 2000, 1)
+    peer.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, after_ms)
+    peer.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    peer.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, seconds)
+    peer.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, seconds)
+    peer.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
 
 
 class _Upstream:
@@ -447,10 +504,14 @@
 class Upstreams:
     """All upstreams by name, and the connections to them, of which there are `max_open` at most."""
 
-    def __init__(self, connect_timeout: float, idle_timeout: float, max_open: int) -> None:
+    def __init__(
+        self, connect_timeout: float, idle_timeout: float, max_open: int, manner: Manner | None = None
+    ) -> None:
+        self.manner = manner or Manner()
         self._connect_timeout = connect_timeout
         self._idle_limit = idle_timeout * IDLE_SHARE
         self._max_open = self._allowed = max_open
+        self._most_each = math.inf
         self._upstreams: dict[str, _Upstream] = {}
         self._open = 0
         self._said_full = False
@@ -504,6 +565,8 @@
             return attempt
         if (connection := self._idle(upstream)) is not None:
             self._carry(connection, attempt)
+        elif len(upstream.open) >= self._most_each:
+            attempt.end(Outcome.UNREACHED)
         elif self._has_room():
             connection = attempt.opening = self._new(upstream)
             attempt.connecting = asyncio.get_running_loop().create_task(
@@ -516,6 +579,15 @@
             attempt.end(Outcome.UNREACHED)
         return attempt
 
+    def limit_each(self, most: float) -> None:
+        """From now on at most so many connections are opened to one upstream; those that are open go on."""
+        self._most_each = most
+
+    def has_place(self, server: str) -> bool:
+        """Whether an attempt would find a connection to this upstream, or could open one."""
+        upstream = self._upstreams.get(server)
+        return upstream is not None and (bool(upstream.idle) or len(upstream.open) < self._most_each)
+
     def probe(self, server: str, found: Callable[[bool], None]) -> None:
         """See whether a connection comes up, and keep it; `found` is told once, later.
 
@@ -560,10 +632,11 @@
 
     def _idle(self, upstream: _Upstream) -> _Connection | None:
         """The idle connection to use: the latest that has rested, else the one idle for longest."""
-        limit = time.monotonic() - REST_S
+        now = time.monotonic()
+        limit = now - REST_S
         rested = [c for c in upstream.idle if c.idle_since <= limit]
         for connection in [*reversed(rested), *upstream.idle[len(rested) :]]:
-            if not connection.is_spent():
+            if now - connection.idle_since < connection.kept and not connection.is_spent():
                 upstream.idle.remove(connection)
                 return connection
             connection.drop()
@@ -633,10 +706,14 @@
     def _sweep(self) -> None:
         self._sweeper = asyncio.get_running_loop().call_later(SWEEP_S, self._sweep)
         self._said_full = False
-        limit = time.monotonic() - self._idle_limit
-        stalled = time.monotonic() - STALL_S
+        now = time.monotonic()
+        limit = now - self._idle_limit
+        stalled = now - (self.manner.stall_s or STALL_S)
         for upstream in self._upstreams.values():
             for connection in [c for c in upstream.open if c.stalls(stalled)]:
                 connection.give_up()
             while upstream.idle and upstream.idle[0].idle_since < limit:
                 upstream.idle[0].drop()
+            if self.manner.heeds_keep_alive:
+                for connection in [c for c in upstream.idle if now - c.idle_since >= c.kept]:
+                    connection.drop()
--- /dev/null
+++ b/screen/__init__.py
@@ -0,0 +1,1 @@
+"""What all programs of the system share: settings, configuration, errors, logs, messages."""
--- /dev/null
+++ b/screen/calls.py
@@ -0,0 +1,223 @@
+"""Calls of operators and platforms, HTTP/1.1: each call is declared beside its handler."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Any, cast
+
+import httptools
+from loguru import logger
+
+from passpost.http1 import MAX_HEAD, Address
+
+REASONS = {
+    200: "OK",
+    307: "Temporary Redirect",
+    400: "Bad Request",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    412: "Precondition Failed",
+    413: "Content Too Large",
+    431: "Request Header Fields Too Large",
+    500: "Internal Server Error",
+    503: "Service Unavailable",
+}
+MOST_BODY = 16 * 1024 * 1024
+HEAD_S = 5.0  # a call has to be whole so long after its first byte
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """One whole call."""
+
+    method: str
+    path: str
+    headers: dict[str, str]  # names in lower case
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """Its answer."""
+
+    status: int
+    body: bytes = b""
+    headers: dict[str, str] = field(default_factory=dict)
+    content_type: str = "application/json"
+
+
+def say(status: int, error: str = "", **headers: str) -> Reply:
+    """An answer in a few words."""
+    body = json.dumps({"error": error} if error else {"ok": status < 300}).encode()
+    return Reply(status, body, {k.replace("_", "-"): v for k, v in headers.items()})
+
+
+Handler = Callable[[Any, Call], Awaitable[Reply]]
+
+
+class Calls:
+    """The calls that a program answers, each declared beside its handler."""
+
+    def __init__(self) -> None:
+        self._handlers: dict[tuple[str, str], Handler] = {}
+
+    def on(self, method: str, path: str) -> Callable[[Handler], Handler]:
+        """Declare the handler of a call."""
+
+        def take(handler: Handler) -> Handler:
+            self._handlers[method, path] = handler
+            return handler
+
+        return take
+
+    async def answer(self, owner: object, call: Call) -> Reply:
+        """The answer to a call; a handler's fault costs that call alone."""
+        handler = self._handlers.get((call.method, call.path))
+        if handler is None:
+            known = any(path == call.path for _, path in self._handlers)
+            return say(405 if known else 404, "no such call")
+        try:
+            return await handler(owner, call)
+        except Exception:
+            logger.exception("event=call_failed path={}", call.path)
+            return say(500, "the call failed; see the log")
+
+
+class _Caller(asyncio.Protocol):
+    """One connection: a call, its answer, the next call."""
+
+    def __init__(self, calls: Calls, owner: object, open_now: set[_Caller]) -> None:
+        self._calls, self._owner, self._open = calls, owner, open_now
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._url, self._headers, self._body = b"", dict[str, str](), bytearray()
+        self._head, self._in_head, self._bad = 0, True, 0
+        self._task: asyncio.Task[None] | None = None
+        self._waiting: list[tuple[Call, bool]] = []
+        self._timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Somebody calls."""
+        self._transport = cast(asyncio.Transport, transport)
+        self._open.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """They have gone; what is under way goes on, as it may have been taken."""
+        self._transport = None
+        self._open.discard(self)
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def data_received(self, data: bytes) -> None:
+        """Bytes of calls, cut anywhere."""
+        if self._bad:
+            return
+        if self._timer is None:
+            self._timer = asyncio.get_running_loop().call_later(HEAD_S, self.abort)
+        if self._in_head:
+            self._head += len(data)
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._bad = self._bad or 400
+        if self._in_head and self._head > MAX_HEAD:
+            self._bad = self._bad or 431
+        self._next()
+
+    def abort(self) -> None:
+        """Close at once."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    # ---- httptools' callbacks
+
+    def on_message_begin(self) -> None:
+        """A call begins."""
+        self._url, self._headers, self._body, self._in_head = b"", {}, bytearray(), True
+
+    def on_url(self, url: bytes) -> None:
+        """A piece of the target."""
+        self._url += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """One header."""
+        self._headers[name.decode("latin-1").lower()] = value.decode("latin-1").strip()
+
+    def on_headers_complete(self) -> None:
+        """The head is there."""
+        self._in_head, self._head = False, 0
+        length = self._headers.get("content-length", "0")
+        if length.isdigit() and int(length) > MOST_BODY:
+            self._bad = 413
+
+    def on_body(self, data: bytes) -> None:
+        """A piece of the body."""
+        self._body += data
+        if len(self._body) > MOST_BODY:
+            self._bad = 413
+
+    def on_message_complete(self) -> None:
+        """The call is whole."""
+        self._in_head = True
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        path = self._url.partition(b"?")[0].decode("latin-1")
+        method = self._parser.get_method().decode("latin-1")
+        call = Call(method, path, self._headers, bytes(self._body))
+        self._waiting.append((call, self._parser.should_keep_alive()))
+
+    def _next(self) -> None:
+        if self._task is not None or self._transport is None:
+            return
+        if self._waiting:
+            call, keep = self._waiting.pop(0)
+            self._task = asyncio.get_running_loop().create_task(self._answer(call, keep))
+        elif self._bad:
+            self._write(say(self._bad, "the call can't be read"), False)
+
+    async def _answer(self, call: Call, keep: bool) -> None:
+        reply = await self._calls.answer(self._owner, call)
+        self._task = None
+        self._write(reply, keep)
+        if keep:
+            self._next()
+
+    def _write(self, reply: Reply, keep: bool) -> None:
+        if self._transport is None or self._transport.is_closing():
+            return
+        more = "".join(f"{name}: {value}\r\n" for name, value in reply.headers.items())
+        close = "" if keep else "Connection: close\r\n"
+        head = (
+            f"HTTP/1.1 {reply.status} {REASONS.get(reply.status, 'Status')}\r\n"
+            f"Content-Type: {reply.content_type}\r\nContent-Length: {len(reply.body)}\r\n{more}{close}\r\n"
+        )
+        self._transport.write(head.encode("latin-1") + reply.body)
+        if not keep:
+            self._transport.close()
+
+
+class CallServer:
+    """Listens for calls."""
+
+    def __init__(self, calls: Calls, owner: object) -> None:
+        self._calls, self._owner = calls, owner
+        self._open: set[_Caller] = set()
+        self._server: asyncio.Server | None = None
+
+    async def start(self, address: Address) -> None:
+        """Listen; raises OSError."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: _Caller(self._calls, self._owner, self._open), *address, backlog=256
+        )
+
+    def stop(self) -> None:
+        """Close all."""
+        if self._server is not None:
+            self._server.close()
+        for caller in list(self._open):
+            caller.abort()
--- /dev/null
+++ b/screen/errors.py
@@ -0,0 +1,27 @@
+"""Errors as typed kinds; each message names the remedy."""
+
+from __future__ import annotations
+
+
+class StationError(Exception):
+    """Something that a person can put right: what is wrong, and what to do about it."""
+
+    def __init__(self, wrong: str, remedy: str) -> None:
+        super().__init__(f"{wrong}; {remedy}")
+        self.wrong, self.remedy = wrong, remedy
+
+
+class SettingsError(StationError):
+    """The settings file of this process can't be used."""
+
+
+class InvalidConfigurationError(StationError):
+    """An operator's configuration can't be taken."""
+
+
+class WireError(StationError):
+    """Another process sent what can't be read as one of our messages."""
+
+
+class DiskError(StationError):
+    """The disk refuses a write, or holds what we never wrote."""
--- /dev/null
+++ b/screen/links.py
@@ -0,0 +1,109 @@
+"""Connections between the system's processes: one listener, and a connection to each IP that is spoken to."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+from typing import Any
+
+from screen.settings import Address
+from screen.wire import Kinds, Link
+
+DIAL_S = 0.5  # a connection comes up within this, or the peer is out of reach
+SILENT_S = 0.8  # one on which nothing was heard for so long is not trusted while another can be had
+DROP_S = 4.0  # one on which nothing was heard for so long is closed
+HELD_FRAMES = 64  # wait for a connection that comes up
+USER_TIMEOUT_MS = 1_500  # bytes that the peer's machine does not take for so long end the connection
+
+Heard = Callable[[Link, Any], None]
+
+
+def harden(sock: socket.socket | None) -> None:
+    """A machine that is gone without a word must not hold a connection for ever."""
+    if sock is None:
+        return
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+
+
+class Links:
+    """All connections of this process to others of the system."""
+
+    def __init__(self, kinds: Kinds, own: Address, heard: Heard, ended: Callable[[Link], None]) -> None:
+        self.kinds, self._own, self._heard, self._told_end = kinds, own, heard, ended
+        self._by_ip: dict[str, list[Link]] = {}
+        self._dialing: dict[str, list[bytes]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listen; raises OSError."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(self._new, *self._own, backlog=512)
+
+    def stop(self) -> None:
+        """Close everything."""
+        if self._server is not None:
+            self._server.close()
+        for links in list(self._by_ip.values()):
+            for link in list(links):
+                link.close()
+
+    def _new(self) -> Link:
+        return Link(self.kinds, self._heard, self._ended, self._begun)
+
+    def _begun(self, link: Link) -> None:
+        harden(link.socket())
+        self._by_ip.setdefault(link.peer, []).append(link)
+
+    def _ended(self, link: Link) -> None:
+        links = self._by_ip.get(link.peer, [])
+        if link in links:
+            links.remove(link)
+        if not links:
+            self._by_ip.pop(link.peer, None)
+        self._told_end(link)
+
+    def to(self, ip: str) -> Link | None:
+        """The connection to an IP that was heard of last, if one is up."""
+        links = [k for k in self._by_ip.get(ip, ()) if k.is_up()]
+        return max(links, key=lambda k: k.last_heard, default=None)
+
+    def send(self, ip: str, message: Any) -> None:
+        """Send to the process at an IP, by what connection there is or a new one; it may be lost."""
+        now = asyncio.get_running_loop().time()
+        frame = self.kinds.encode(message)
+        link = self.to(ip)
+        if link is not None:
+            for old in list(self._by_ip.get(ip, ())):
+                if now - old.last_heard > DROP_S and old is not link:
+                    old.close()
+            link.send_bytes(frame)
+            if now - link.last_heard <= SILENT_S:
+                return
+        waiting = self._dialing.get(ip)
+        if waiting is not None:
+            if link is None and len(waiting) < HELD_FRAMES:
+                waiting.append(frame)
+            return
+        self._dialing[ip] = [] if link is not None else [frame]
+        task = asyncio.get_running_loop().create_task(self._dial(ip))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _dial(self, ip: str) -> None:
+        link = await self.dial(ip)
+        waiting = self._dialing.pop(ip, [])
+        if link is not None:
+            for frame in waiting:
+                link.send_bytes(frame)
+
+    async def dial(self, ip: str) -> Link | None:
+        """A new connection to an IP; None if none comes up."""
+        try:
+            async with asyncio.timeout(DIAL_S):
+                _, link = await asyncio.get_running_loop().create_connection(self._new, ip, self._own[1])
+        except (OSError, TimeoutError):
+            return None
+        return link
--- /dev/null
+++ b/screen/settings.py
@@ -0,0 +1,153 @@
+"""The settings file of a process (YAML, `MASTTURN_CONFIG`): fields that nobody knows are skipped."""
+
+from __future__ import annotations
+
+import os
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import dacite
+import yaml
+
+from screen.errors import SettingsError
+
+Address = tuple[str, int]
+VARIABLE = "MASTTURN_CONFIG"
+
+
+@dataclass(frozen=True, slots=True)
+class Listen:
+    """Where this process is called from outside, as `host:port`."""
+
+    http: str | None = None
+    readyz: str | None = None
+    ctl: str | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """What the machine gives this process."""
+
+    cpu_frac: float = 1.0
+    ncpu: int = 1
+    ram_mb: float = 256.0
+    max_fds: int = 1024
+    net_mbps: float = 1000.0
+    disk_mb: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Faults:
+    """What the system may lose at once and still keep all rules."""
+
+    nodes: int = 0
+    zones: int = 0
+    regions: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """The figures of the rules: spans in the unit that their names end with."""
+
+    seed_lag_s: float = 3.0
+    addr_reuse_s: float = 2.0
+    contact_ms: float = 3000.0
+    ack_ms: float = 4000.0
+    sync_s: float = 4.0
+    drain_ms: float = 3000.0
+    grace_s: float = 8.0
+    apply_ms: float = 2000.0
+    retry_ratio: float = 0.2
+    retry_window_s: float = 10.0
+    retry_slack: float = 0.0
+    recovery_s: float = 12.0
+    transit_ms: float = 120.0
+    fenced: bool = False
+    lease_ms: float = 3000.0
+    thaw_ms: float = 300.0
+
+
+@dataclass(frozen=True, slots=True)
+class CloudApi:
+    """Where the platform's list of upstreams is, and how often all of us together may ask for it."""
+
+    addr: str
+    rate_per_s: float = 1.0
+    max_lag_ms: float = 1000.0
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    """What a process is told of itself and its surroundings."""
+
+    node: str
+    ip: str
+    zone: str
+    machine_class: str
+    port_range: tuple[int, int]
+    cloud_api: CloudApi
+    role: str = ""
+    region: str = ""
+    zones: dict[str, str] = field(default_factory=dict)
+    serves: list[str] = field(default_factory=list)
+    listen: Listen = field(default_factory=Listen)
+    seed_addrs: list[str] = field(default_factory=list)
+    bootstrap: bool = False
+    quorum_member: bool = False
+    limits: Limits = field(default_factory=Limits)
+    data_dir: str | None = None
+    faults: Faults = field(default_factory=Faults)
+    bounds: Bounds = field(default_factory=Bounds)
+
+    @property
+    def station_port(self) -> int:
+        """The port on which balancers speak to each other; the same on all machines of a day."""
+        return self.port_range[0]
+
+
+def parse_address(text: str) -> Address:
+    """`host:port` as a pair; raises SettingsError."""
+    host, colon, port = text.rpartition(":")
+    if not colon or not host or not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
+        raise SettingsError(f"{text!r} is no address", "write it as IP:PORT, such as 10.1.0.13:8161")
+    return host, int(port)
+
+
+def parse(text: str) -> Settings:
+    """The settings that a file's text holds; raises SettingsError that names the field and the remedy."""
+    try:
+        raw = yaml.load(text, Loader=getattr(yaml, "CSafeLoader", yaml.SafeLoader))
+    except yaml.YAMLError as error:
+        raise SettingsError(
+            f"the settings are no YAML ({error.__class__.__name__})", "write the file whole"
+        ) from None
+    if not isinstance(raw, dict):
+        raise SettingsError("the settings hold no fields", "write them as `name: value` lines")
+    try:
+        settings = dacite.from_dict(Settings, raw, dacite.Config(cast=[tuple, float]))
+    except (dacite.DaciteError, TypeError, ValueError) as error:
+        raise SettingsError(
+            f"the settings can't be used: {error}", "give the field a value of its type"
+        ) from None
+    for text_ in (settings.listen.http, settings.listen.readyz, settings.listen.ctl, settings.cloud_api.addr):
+        if text_ is not None:
+            parse_address(text_)
+    for seed in settings.seed_addrs:
+        parse_address(seed)
+    if len(settings.port_range) != 2:
+        raise SettingsError("port_range holds no two ports", "give the first and the last port")
+    return settings
+
+
+def read() -> Settings:
+    """The settings of this process; raises SettingsError."""
+    path = os.environ.get(VARIABLE)
+    if not path:
+        raise SettingsError(f"{VARIABLE} is not set", "let it name the settings file")
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError(
+            f"{path} can't be read ({error})", f"let {VARIABLE} name a readable file"
+        ) from None
+    return parse(text)
--- /dev/null
+++ b/screen/wire.py
@@ -0,0 +1,185 @@
+"""Messages between the system's own processes: Avro records in frames, over TCP.
+
+A frame is its length (4 bytes), the number of its kind (2 bytes) and the record without a schema. Each side
+first sends its edition of the schemas, so that a later program can read what an earlier one writes.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import io
+import struct
+from collections.abc import Callable
+from dataclasses import dataclass, fields, is_dataclass
+from typing import Any
+
+import fastavro
+
+from screen.errors import WireError
+
+EDITION = 1  # of all schemas together; one that is changed gets the next number, and the old stays readable
+MOST_FRAME = 16 * 1024 * 1024  # a whole configuration fits four times
+_HEAD = struct.Struct(">IH")
+
+
+class Kinds:
+    """The kinds of message of one conversation, by number, with their Avro schemas."""
+
+    def __init__(self) -> None:
+        self._by_type: dict[type, tuple[int, Any]] = {}
+        self._by_number: dict[int, tuple[type, Any]] = {}
+
+    def declare(self, number: int, schema_fields: list[dict[str, Any]]) -> Callable[[type], type]:
+        """Declare a dataclass as the message of this number, with the schema beside it."""
+
+        def take(cls: type) -> type:
+            schema = {"type": "record", "name": cls.__name__, "fields": schema_fields}
+            parsed = fastavro.parse_schema(schema)
+            self._by_type[cls] = (number, parsed)
+            self._by_number[number] = (cls, parsed)
+            return cls
+
+        return take
+
+    def include(self, other: Kinds) -> Kinds:
+        """Speak the other conversation too."""
+        self._by_type |= other._by_type
+        self._by_number |= other._by_number
+        return self
+
+    def encode(self, message: Any) -> bytes:
+        """One frame."""
+        number, schema = self._by_type[type(message)]
+        out = io.BytesIO()
+        out.write(b"\0" * _HEAD.size)
+        fastavro.schemaless_writer(out, schema, plain(message))
+        size = out.tell() - _HEAD.size
+        out.seek(0)
+        out.write(_HEAD.pack(size, number))
+        return out.getvalue()
+
+    def decode(self, number: int, body: bytes) -> Any:
+        """The message of a frame; raises WireError."""
+        known = self._by_number.get(number)
+        if known is None:
+            raise WireError(
+                f"a message of unknown kind {number}", "let both programs be of editions that meet"
+            )
+        cls, schema = known
+        try:
+            stream = io.BytesIO(body)
+            value: Any = fastavro.schemaless_reader(stream, schema, None)
+            if stream.read(1):
+                raise ValueError("bytes are left over")
+            return cls(**value)
+        except (ValueError, TypeError, EOFError, IndexError, KeyError, struct.error, OverflowError) as error:
+            raise WireError(f"a {cls.__name__} can't be read ({error})", "drop the connection") from None
+
+
+def plain(value: Any) -> Any:
+    """A message as Avro's writer takes it."""
+    if is_dataclass(value) and not isinstance(value, type):
+        return {f.name: plain(getattr(value, f.name)) for f in fields(value)}
+    if isinstance(value, list | tuple):
+        return [plain(item) for item in value]
+    return value
+
+
+@dataclass(frozen=True, slots=True)
+class Frame:
+    """A frame as it came."""
+
+    number: int
+    body: bytes
+
+
+class FrameReader:
+    """Cuts a stream of bytes into frames."""
+
+    def __init__(self, most: int = MOST_FRAME) -> None:
+        self._held = bytearray()
+        self._most = most
+
+    def feed(self, data: bytes) -> list[Frame]:
+        """The frames that are whole now; raises WireError on one that is too long."""
+        self._held += data
+        found = []
+        while len(self._held) >= _HEAD.size:
+            size, number = _HEAD.unpack_from(self._held)
+            if size > self._most:
+                raise WireError(f"a frame of {size} bytes", "drop the connection")
+            end = _HEAD.size + size
+            if len(self._held) < end:
+                break
+            found.append(Frame(number, bytes(self._held[_HEAD.size : end])))
+            del self._held[:end]
+        return found
+
+
+class Link(asyncio.Protocol):
+    """One connection that carries messages both ways; its owner hears of each, and of the end."""
+
+    def __init__(
+        self,
+        kinds: Kinds,
+        heard: Callable[[Link, Any], None],
+        ended: Callable[[Link], None],
+        begun: Callable[[Link], None] | None = None,
+        most_unsent: int = 4 * MOST_FRAME,
+        most_frame: int = MOST_FRAME,
+    ) -> None:
+        self._kinds, self._heard, self._ended, self._begun = kinds, heard, ended, begun
+        self._reader = FrameReader(most_frame)
+        self._transport: asyncio.Transport | None = None
+        self._most_unsent = most_unsent
+        self.peer = ""  # the IP of the other side
+        self.last_heard = 0.0  # on the loop's clock
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """It is up."""
+        assert isinstance(transport, asyncio.Transport) or hasattr(transport, "write")
+        self._transport = transport  # type: ignore[assignment]
+        self.peer = (transport.get_extra_info("peername") or ("",))[0]
+        self.last_heard = asyncio.get_running_loop().time()
+        if self._begun is not None:
+            self._begun(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Bytes of messages, cut anywhere; what is no message ends the connection."""
+        self.last_heard = asyncio.get_running_loop().time()
+        try:
+            for frame in self._reader.feed(data):
+                self._heard(self, self._kinds.decode(frame.number, frame.body))
+        except WireError:
+            self.close()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """The other side has gone."""
+        self._transport = None
+        self._ended(self)
+
+    def send(self, message: Any) -> None:
+        """Send a message, unless the connection has gone; a peer that takes nothing loses it."""
+        self.send_bytes(self._kinds.encode(message))
+
+    def send_bytes(self, frame: bytes) -> None:
+        """Send a frame that is encoded already."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        if self._transport.get_write_buffer_size() > self._most_unsent:
+            self.close()
+            return
+        self._transport.write(frame)
+
+    def socket(self) -> Any:
+        """The socket below, to set options on; None once it is gone."""
+        return None if self._transport is None else self._transport.get_extra_info("socket")
+
+    def is_up(self) -> bool:
+        """Whether messages can go out."""
+        return self._transport is not None and not self._transport.is_closing()
+
+    def close(self) -> None:
+        """End it at once."""
+        if self._transport is not None:
+            self._transport.abort()
--- /dev/null
+++ b/sonde/__init__.py
@@ -0,0 +1,1 @@
+"""How news reach the balancers, and how the system's processes reach each other."""
--- /dev/null
+++ b/sonde/messages.py
@@ -0,0 +1,152 @@
+"""What goes up and down between the control state, the relays and the balancers."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+from screen.wire import Kinds
+
+KINDS = Kinds()
+
+_STAMP = [{"name": "epoch", "type": "long"}, {"name": "number", "type": "long"}]
+
+
+@dataclass(frozen=True, slots=True)
+class Present:
+    """A balancer that is there."""
+
+    node: str
+    ip: str
+    zone: str
+
+
+def _present(raw: Any) -> tuple[Present, ...]:
+    return tuple(p if isinstance(p, Present) else Present(**p) for p in raw)
+
+
+@KINDS.declare(
+    100,
+    [
+        {"name": "node", "type": "string"},
+        {"name": "ip", "type": "string"},
+        {"name": "zone", "type": "string"},
+        {"name": "ver", "type": "long"},
+        {"name": "list_epoch", "type": "long"},
+        {"name": "list_number", "type": "long"},
+    ],
+)
+@dataclass(frozen=True, slots=True)
+class Attach:
+    """A balancer asks to be told everything from now on; what it has already need not come again."""
+
+    node: str
+    ip: str
+    zone: str
+    ver: int
+    list_epoch: int
+    list_number: int
+
+
+@KINDS.declare(101, [*_STAMP, {"name": "balancers", "type": "int"}])
+@dataclass(frozen=True, slots=True)
+class Pulse:
+    """The control state is there and is this recent; so many balancers are present."""
+
+    epoch: int
+    number: int
+    balancers: int
+
+
+@KINDS.declare(102, [{"name": "ver", "type": "long"}, {"name": "body", "type": "bytes"}])
+@dataclass(frozen=True, slots=True)
+class ConfigurationNews:
+    """A configuration that was acknowledged, or stays for good."""
+
+    ver: int
+    body: bytes
+
+
+@KINDS.declare(103, [*_STAMP, {"name": "page", "type": "bytes"}])
+@dataclass(frozen=True, slots=True)
+class UpstreamNews:
+    """The platform's list, whole, as JSON."""
+
+    epoch: int
+    number: int
+    page: bytes
+
+
+@KINDS.declare(104, [{"name": "ips", "type": {"type": "array", "items": "string"}}])
+@dataclass(frozen=True, slots=True)
+class Moved:
+    """Not here: try these, in order."""
+
+    ips: Any
+
+
+@KINDS.declare(
+    105,
+    [
+        *_STAMP,
+        {
+            "name": "balancers",
+            "type": {
+                "type": "array",
+                "items": {
+                    "type": "record",
+                    "name": "Balancer",
+                    "fields": [
+                        {"name": "node", "type": "string"},
+                        {"name": "ip", "type": "string"},
+                        {"name": "zone", "type": "string"},
+                    ],
+                },
+            },
+        },
+        {"name": "cores", "type": {"type": "array", "items": "string"}},
+    ],
+)
+@dataclass(frozen=True, slots=True)
+class MemberNews:
+    """Which balancers are present, and the IPs of the control processes."""
+
+    epoch: int
+    number: int
+    balancers: Any  # Present
+    cores: Any
+
+    def __post_init__(self) -> None:
+        object.__setattr__(self, "balancers", _present(self.balancers))
+
+
+@KINDS.declare(
+    106,
+    [
+        {"name": "node", "type": "string"},
+        {
+            "name": "present",
+            "type": {
+                "type": "array",
+                "items": {
+                    "type": "record",
+                    "name": "Present",
+                    "fields": [
+                        {"name": "node", "type": "string"},
+                        {"name": "ip", "type": "string"},
+                        {"name": "zone", "type": "string"},
+                    ],
+                },
+            },
+        },
+    ],
+)
+@dataclass(frozen=True, slots=True)
+class Roll:
+    """Who is present below a relay, itself included."""
+
+    node: str
+    present: Any  # Present
+
+    def __post_init__(self) -> None:
+        object.__setattr__(self, "present", _present(self.present))
--- /dev/null
+++ b/station/__main__.py
@@ -0,0 +1,122 @@
+"""`python3 -m station ROLE`: one program, and the role is a subcommand.
+
+Settings come from the YAML file that `MASTTURN_CONFIG` names. SIGHUP reads it again, SIGTERM ends the
+process in order.
+"""
+
+from __future__ import annotations
+
+import signal
+
+if (
+    __name__ == "__main__"
+):  # unhandled it ends us, and to import the rest takes time; the file is read after that
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+import asyncio
+import gc
+import sys
+from typing import Protocol
+
+import uvloop
+from absl import flags
+from loguru import logger
+
+from screen import settings as settings_file
+from screen.errors import StationError
+from screen.settings import Settings
+
+FLAGS = flags.FLAGS
+flags.DEFINE_enum(
+    "log_level", "INFO", ["DEBUG", "INFO", "WARNING", "ERROR"], "Lines below this are not written."
+)
+
+ROLES = ("windvane", "barograph")
+USAGE = "usage: python3 -m station [--log_level=LEVEL] ROLE, with ROLE one of: " + ", ".join(ROLES)
+LOOK_S = 2.0  # the settings file may change without a signal
+LINE = "time={time:HH:mm:ss.SSS} level={level} module={name} {message}"
+
+
+class Role(Protocol):
+    """What every role of the program does."""
+
+    async def start(self) -> None:
+        """Take up work."""
+
+    async def stop(self) -> None:
+        """End in order."""
+
+    def reconfigure(self, settings: Settings) -> None:
+        """The settings file has changed."""
+
+
+def _role(name: str, settings: Settings) -> Role:
+    """The role of that name; nothing of another is imported."""
+    if name == "windvane":
+        from station.balancing import BalancerRole
+
+        return BalancerRole(settings)
+    from barograph.node import ControlNode
+
+    return ControlNode(settings)
+
+
+async def serve(name: str, settings: Settings) -> None:
+    """Run a role until the process is told to end."""
+    loop = asyncio.get_running_loop()
+    ended, changed = asyncio.Event(), asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, ended.set)
+    loop.add_signal_handler(signal.SIGHUP, changed.set)
+    role = _role(name, settings)
+    await role.start()
+    gc.collect()
+    gc.freeze()
+    logger.info("event=started role={} node={}", name, settings.node)
+    while not ended.is_set():
+        waits = [loop.create_task(ended.wait()), loop.create_task(changed.wait())]
+        await asyncio.wait(waits, timeout=LOOK_S, return_when=asyncio.FIRST_COMPLETED)
+        for wait in waits:
+            wait.cancel()
+        changed.clear()
+        try:
+            newer = settings_file.read()
+        except StationError as error:
+            logger.warning("event=settings_unread error={!r}", str(error))
+            continue
+        if newer != settings:
+            settings = newer
+            role.reconfigure(settings)
+            logger.info("event=settings_read")
+    logger.info("event=stopping")
+    await role.stop()
+    logger.info("event=stopped")
+
+
+def main(argv: list[str]) -> int:
+    """Run the program; the exit code is 2 for a wrong call and 1 for settings that can't be used."""
+    try:
+        rest = FLAGS(argv)[1:]
+    except flags.Error as error:
+        print(f"{error}; {USAGE}", file=sys.stderr)
+        return 2
+    if len(rest) != 1 or rest[0] not in ROLES:
+        print(USAGE, file=sys.stderr)
+        return 2
+    logger.remove()
+    logger.add(sys.stderr, format=LINE, level=FLAGS.log_level, backtrace=False, diagnose=False)
+    try:
+        settings = settings_file.read()
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(serve(rest[0], settings))
+    except StationError as error:
+        print(str(error), file=sys.stderr)
+        return 1
+    except OSError as error:
+        print(f"{error}; free the address, or name another in the settings", file=sys.stderr)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv))
--- /dev/null
+++ b/station/balancing.py
@@ -0,0 +1,157 @@
+"""The balancer's role: the data plane, and beside it whoever tells it the news."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import secrets
+from typing import Any
+
+from loguru import logger
+
+from barograph.platform import PlatformError, PlatformList, pack
+from screen.checking import parse_configuration, parse_upstreams
+from screen.errors import InvalidConfigurationError, StationError
+from screen.links import Links
+from screen.settings import Settings, parse_address
+from screen.wire import Kinds, Link
+from sonde import messages
+from sonde.bulletin import Bulletin
+from sonde.feed import Feed
+from sonde.follower import STALE_S, Follower
+from sonde.messages import Attach, ConfigurationNews, MemberNews, Moved, Present, Pulse, Roll, UpstreamNews
+from windvane.balancer import Balancer
+
+KINDS = Kinds().include(messages.KINDS)
+SILENT_S = 2.5  # a balancer below us that says nothing for so long has gone
+ALONE_S = 1.8  # without news for so long we read the platform's list ourselves
+SHARE = 0.25  # of the platform's rate that all balancers may use when they are alone
+LEAST_LIST_S = 1.5
+
+
+class BalancerRole:
+    """One balancer of the fleet."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.balancer = Balancer(settings, secrets.randbits(32))
+        self._bulletin = Bulletin()
+        self._links = Links(KINDS, (settings.ip, settings.station_port), self._heard, self._ended)
+        self._feed = Feed(self._bulletin, KINDS, lambda: None)
+        me = Present(settings.node, settings.ip, settings.zone)
+        self._follower = Follower(
+            me, self._links, self._bulletin, self._seeds(), self._told, self._feed.present, os.getpid()
+        )
+        self._platform = PlatformList(parse_address(settings.cloud_api.addr))
+        self._tasks: list[asyncio.Task[None]] = []
+        self._own_lists = 0
+
+    def _seeds(self) -> tuple[str, ...]:
+        return tuple(parse_address(a)[0] for a in self.settings.seed_addrs)
+
+    async def start(self) -> None:
+        """Listen, and hear the news from now on; raises OSError where an address can't be had."""
+        await self._links.start()
+        await self.balancer.start()
+        loop = asyncio.get_running_loop()
+        self._tasks = [loop.create_task(self._follower.run()), loop.create_task(self._watch())]
+
+    async def stop(self) -> None:
+        """Answer what is held, and end."""
+        await self.balancer.drain()
+        for task in self._tasks:
+            task.cancel()
+        self._links.stop()
+
+    def reconfigure(self, settings: Settings) -> None:
+        """The settings file has changed."""
+        self.settings = settings
+        self._follower.seeds(self._seeds())
+        self._platform.move(parse_address(settings.cloud_api.addr))
+
+    # ---- news
+
+    def _heard(self, link: Link, message: Any) -> None:
+        if self._follower.hears(link):
+            self._follower.heard(link, message)
+            return
+        match message:
+            case Attach():
+                if self._follower.is_fresh():
+                    self._feed.attach(link, message)
+                else:
+                    link.send(Moved([]))  # what we know may be old
+            case Roll():
+                self._feed.roll(link, message)
+
+    def _ended(self, link: Link) -> None:
+        self._follower.ended(link)
+        self._feed.ended(link)
+
+    def _told(self, message: Any) -> None:
+        """A newer piece of news: in force here, and on to whoever hears it from us."""
+        match message:
+            case ConfigurationNews(ver, body):
+                self._configure(ver, body)
+            case UpstreamNews():
+                self._list(message)
+            case Pulse(_, _, balancers):
+                if balancers:
+                    self.balancer.count_balancers(balancers)
+            case MemberNews():
+                pass
+        self._feed.tell(message)
+
+    def _configure(self, ver: int, body: bytes) -> None:
+        try:
+            self.balancer.configure(parse_configuration(body))
+        except InvalidConfigurationError as error:
+            logger.error("event=configuration_unusable ver={} error={!r}", ver, str(error))
+            return
+        logger.info("event=configured ver={}", ver)
+        self._allow()
+
+    def _list(self, message: UpstreamNews) -> None:
+        try:
+            entries, _ = parse_upstreams(message.page)
+        except StationError as error:
+            logger.error("event=list_unusable error={!r}", str(error))
+            return
+        self.balancer.list_upstreams(entries)
+        self._allow()
+
+    def _allow(self) -> None:
+        known = self._bulletin
+        self.balancer.allow_ready(known.configuration is not None and known.upstreams is not None)
+
+    # ---- alone
+
+    async def _watch(self) -> None:
+        """Without the control state the list is read here, and goes to whoever hears the news from us."""
+        loop = asyncio.get_running_loop()
+        next_list = 0.0
+        while True:
+            await asyncio.sleep(STALE_S / 2)
+            now = loop.time()
+            self._feed.sweep(now, SILENT_S)
+            if self._follower.is_fresh(ALONE_S) or self._bulletin.configuration is None or now < next_list:
+                continue
+            members = self._bulletin.members
+            count = max(len(members.balancers) if members is not None else 1, 1)
+            next_list = now + max(LEAST_LIST_S, count / (self.settings.cloud_api.rate_per_s * SHARE))
+            await self._read_list()
+
+    async def _read_list(self) -> None:
+        try:
+            page = pack(await self._platform.read())
+        except PlatformError as error:
+            logger.warning("event=list_unread error={!r}", str(error))
+            return
+        known = self._bulletin.upstreams
+        if self._follower.is_fresh() or (known is not None and known.page == page):
+            return
+        epoch, number = (known.epoch, known.number) if known is not None else (0, 0)
+        message = UpstreamNews(epoch, number + 1, page)
+        if self._bulletin.take(message):
+            self._list(message)
+            self._feed.tell(message)
--- /dev/null
+++ b/tests/test_slots.py
@@ -0,0 +1,923 @@
+"""The state on disk: what was acknowledged is there after a loss of power, kill or refusal by the disk.
+
+The disk here keeps the rules of the machines: after a loss of power a file holds what its last sync covered, and
+of the writes since, each is there, torn or missing. Each test says where the run is cut and starts again from
+every disk that may be left.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import itertools
+import os
+import random
+import threading
+from collections.abc import Callable, Iterator, Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import pytest
+
+from barograph.disk_queue import MOST_GROUP_BYTES, DiskQueue
+from barograph.files import Files, OsFiles
+from barograph.slots import MOST_RECORD_BYTES, Loaded, Store
+from screen.errors import DiskError
+
+FOLDER = Path("/data")
+NOTHING, HEAD, TAIL, ALL = "nothing", "head", "tail", "all"
+# A failed sync leaves its writes to the next, or covered them after all, or no later sync covers them either.
+STAYS, LANDS, DROPS = "stays", "lands", "drops"
+
+
+class Stopped(BaseException):
+    """The process ends here, at once."""
+
+
+@dataclass(frozen=True)
+class Write:
+    """A write or a cut (data None) that no sync has covered yet."""
+
+    at: int
+    data: bytes | None
+
+    def cuts(self) -> tuple[str, ...]:
+        """What a loss of power may leave of it."""
+        if self.data is None:
+            return (NOTHING, ALL)
+        return (NOTHING, HEAD, TAIL, ALL) if len(self.data) > 1 else (NOTHING, ALL)
+
+    def onto(self, old: bytes, cut: str) -> bytes:
+        if cut == NOTHING:
+            return old
+        if self.data is None:
+            return old[: self.at].ljust(self.at, b"\0")
+        half = len(self.data) // 2
+        data, at = self.data, self.at
+        if cut == HEAD:
+            data = data[:half]
+        elif cut == TAIL:
+            data, at = data[half:], at + half
+        old = old.ljust(at, b"\0")
+        return old[:at] + data + old[at + len(data) :]
+
+
+Failing = Callable[[int, str], int | None]  # of a call's number and kind: the error's number
+
+
+def never(call: int, what: str) -> int | None:
+    return None
+
+
+def refusing(kinds: Sequence[str], first: int = 0, code: int = errno.ENOSPC) -> Failing:
+    """Refuses all calls of these kinds from the first on."""
+    return lambda call, what: code if call >= first and what in kinds else None
+
+
+def fail_at(first: int, count: int, code: int) -> Failing:
+    """Refuses some calls in a row, of whatever kind."""
+    return lambda call, what: code if first <= call < first + count else None
+
+
+@dataclass
+class Disk(Files):
+    """A disk of the rules. `calls` numbers every call; `stop_at` ends the process before one."""
+
+    seen: dict[str, bytes] = field(default_factory=dict)  # what the process reads
+    lasting: dict[str, bytes] = field(default_factory=dict)  # what the last sync covered
+    pending: dict[str, list[Write]] = field(default_factory=dict)
+    calls: int = 0
+    stop_at: int | None = None
+    failing: Failing = never
+    torn_on_failure: str = NOTHING
+    failed_sync: str = STAYS  # what became of the writes that a failed sync was to cover
+    syncs: int = 0
+
+    def _call(self, what: str) -> None:
+        call, self.calls = self.calls, self.calls + 1
+        if call == self.stop_at:
+            raise Stopped
+        if (code := self.failing(call, what)) is not None:
+            raise OSError(code, "refused")
+
+    def names(self, folder: Path) -> list[str]:
+        assert folder == FOLDER
+        self._call("names")
+        return sorted(self.seen)
+
+    def read(self, path: Path) -> bytes:
+        self._call("read")
+        return self.seen[path.name]
+
+    def _put(self, name: str, write: Write) -> None:
+        self.pending.setdefault(name, []).append(write)
+        self.seen[name] = write.onto(self.seen.get(name, b""), ALL)
+
+    def write(self, path: Path, offset: int, data: bytes) -> None:
+        try:
+            self._call("write")
+        except OSError:
+            part = {NOTHING: 0, HEAD: len(data) // 2, ALL: len(data)}[self.torn_on_failure]
+            if part:
+                self._put(path.name, Write(offset, data[:part]))
+            raise
+        self._put(path.name, Write(offset, data))
+
+    def truncate(self, path: Path, length: int) -> None:
+        self._call("truncate")
+        self._put(path.name, Write(length, None))
+
+    def sync(self, path: Path) -> None:
+        self.syncs += 1
+        try:
+            self._call("sync")
+        except OSError:
+            if self.failed_sync == LANDS:
+                self._cover(path.name)
+            elif self.failed_sync == DROPS:
+                self.pending.pop(path.name, None)
+            raise
+        self._cover(path.name)
+
+    def _cover(self, name: str) -> None:
+        lasting = self.lasting.get(name, b"")
+        for write in self.pending.pop(name, []):
+            lasting = write.onto(lasting, ALL)
+        self.lasting[name] = lasting
+
+    def sync_folder(self, folder: Path) -> None:
+        self._call("sync_folder")
+
+    def after_loss(self, cuts: Sequence[str]) -> Disk:
+        """The disk after a loss of power that left so much of each write."""
+        left = dict(self.lasting)
+        writes = ((name, write) for name, writes in sorted(self.pending.items()) for write in writes)
+        for (name, write), cut in zip(writes, cuts, strict=True):
+            if cut != NOTHING:
+                left[name] = write.onto(left.get(name, b""), cut)
+        return Disk(dict(left), dict(left))
+
+    def writes(self) -> list[Write]:
+        """The writes that no sync has covered, file by file."""
+        return [write for _, writes in sorted(self.pending.items()) for write in writes]
+
+    def all_losses(self) -> Iterator[Disk]:
+        """Every disk that a loss of power may leave now."""
+        for cuts in itertools.product(*(write.cuts() for write in self.writes())):
+            yield self.after_loss(cuts)
+
+    def a_loss(self, chance: random.Random) -> Disk:
+        """One disk that a loss of power may leave now; at times all writes are gone."""
+        writes = self.writes()
+        if chance.random() < 0.2:
+            return self.after_loss([NOTHING] * len(writes))
+        return self.after_loss([chance.choice(write.cuts()) for write in writes])
+
+    def after_kill(self) -> Disk:
+        """The disk as the next process finds it, while the machine keeps its power."""
+        return Disk(dict(self.seen), dict(self.lasting), {name: list(w) for name, w in self.pending.items()})
+
+
+Kept = tuple[bytes | None, tuple[bytes, ...]]
+Step = tuple[bytes, ...] | bytes  # records appended together, or a state for a checkpoint
+EMPTY: Kept = (None, ())
+
+
+def after(kept: Kept, step: Step) -> list[Kept]:
+    """What a step may leave: all of it last."""
+    if isinstance(step, bytes):
+        return [(step, ())]
+    return [(kept[0], kept[1] + step[:count]) for count in range(1, len(step) + 1)]
+
+
+class Run:
+    """A store on a disk, what of it was acknowledged, and what else may be found."""
+
+    def __init__(self, disk: Disk, expected: Sequence[Kept] = (EMPTY,)) -> None:
+        self.disk, self.store = disk, Store.open(FOLDER, disk)
+        self.possible = list(expected)
+        self.kept: Kept = expected[0]
+
+    def load(self) -> Loaded:
+        loaded = self.store.load()
+        found = (loaded.state, loaded.records)
+        assert found in self.possible
+        self.kept = found
+        if loaded.synced:
+            self.possible = [found]
+        return loaded
+
+    def do(self, step: Step) -> None:
+        """Does a step; an error leaves what was kept, and perhaps what failed."""
+        self.possible += after(self.kept, step)
+        if isinstance(step, bytes):
+            self.store.checkpoint(step)
+        else:
+            self.store.append_all(step)
+        self.kept = after(self.kept, step)[-1]
+        self.possible = [self.kept]
+
+
+STEPS: list[Step] = [
+    (b"a1",),
+    (b"a2", b"", b"a3"),
+    b"state one, long enough to be torn",
+    (b"b1",),
+    (b"b2",),
+    b"two",
+    b"",
+    (b"c1", b"c2"),
+    b"state four, which is the longest one of them all" * 3,
+    (b"d1",),
+]
+LATER: list[Step] = [(b"later 1",), b"a later state", (b"later 2",), b"the last", (b"later 3", b"later 4")]
+
+
+def run_until(stop_at: int | None, steps: Sequence[Step] = STEPS, disk: Disk | None = None) -> Run:
+    disk = disk or Disk()
+    disk.stop_at = stop_at
+    run = Run(disk)
+    try:
+        run.load()
+        for step in steps:
+            run.do(step)
+    except Stopped:
+        pass
+    disk.stop_at = None
+    return run
+
+
+CALLS = run_until(None).disk.calls
+
+
+def check_goes_on(disk: Disk, possible: Sequence[Kept], steps: Sequence[Step] = LATER) -> None:
+    """A disk holds one of `possible`, takes all that comes, and keeps it over a loss of power."""
+    run = Run(disk, possible)
+    assert run.load().synced
+    for step in steps:
+        run.do(step)
+        Run(run.disk.after_loss([NOTHING] * len(run.disk.writes())), run.possible).load()
+
+
+def test_what_was_done_is_found_by_the_next_process() -> None:
+    run = run_until(None)
+    assert run.kept == (STEPS[-2], (b"d1",))
+    loaded = Store.open(FOLDER, run.disk.after_kill()).load()
+    assert (loaded.generation, loaded.state, loaded.records) == (4, STEPS[-2], (b"d1",))
+    assert loaded.synced and not loaded.fresh
+    assert run.disk.pending == {}
+
+
+def test_a_fresh_disk_says_so() -> None:
+    loaded = Store.open(FOLDER, Disk()).load()
+    assert loaded == Loaded(0, None, (), True)
+    assert loaded.fresh
+
+
+@pytest.mark.parametrize("steps", [[(b"a",)], [b""], [b"s"], [b"s", (b"a",)]])
+def test_a_disk_with_anything_kept_is_not_fresh(steps: list[Step]) -> None:
+    run = run_until(None, steps)
+    assert not Store.open(FOLDER, run.disk.after_kill()).load().fresh
+
+
+def test_the_rules_of_the_disk_are_played() -> None:
+    disk = Disk()
+    disk.write(FOLDER / "f", 0, b"old.")
+    disk.sync(FOLDER / "f")
+    disk.write(FOLDER / "f", 2, b"news")
+    disk.truncate(FOLDER / "f", 3)
+    disk.write(FOLDER / "new", 0, b"x")
+    left = {tuple(sorted(after.seen.items())) for after in disk.all_losses()}
+    contents = {dict(files)["f"] for files in left}
+    assert contents == {b"old.", b"olnews", b"olne", b"old.ws", b"old", b"oln"}
+    assert {dict(files).get("new") for files in left} == {None, b"x"}
+    assert disk.after_kill().seen == {"f": b"oln", "new": b"x"}
+
+
+@pytest.mark.parametrize("stop_at", range(CALLS + 1))
+def test_a_loss_of_power_anywhere_keeps_what_was_acknowledged(stop_at: int) -> None:
+    run = run_until(stop_at)
+    for disk in run.disk.all_losses():
+        check_goes_on(disk, run.possible)
+
+
+@pytest.mark.parametrize("stop_at", range(CALLS + 1))
+def test_a_kill_anywhere_keeps_what_was_acknowledged(stop_at: int) -> None:
+    run = run_until(stop_at)
+    check_goes_on(run.disk.after_kill(), run.possible)
+
+
+@pytest.mark.parametrize("stop_at", range(CALLS + 1))
+@pytest.mark.parametrize("first", ["kill", "loss"])
+def test_a_loss_of_power_after_a_kill_or_another_loss(stop_at: int, first: str) -> None:
+    run = run_until(stop_at)
+    disks = [run.disk.after_kill()] if first == "kill" else list(run.disk.all_losses())
+    for start in disks:
+        for second in itertools.count():
+            again = Run(start.after_kill(), run.possible)
+            again.disk.stop_at = second
+            try:
+                again.load()
+                for step in LATER[:2]:
+                    again.do(step)
+                ended = True
+            except Stopped:
+                ended = False
+            for disk in again.disk.all_losses():
+                check_goes_on(disk, again.possible, LATER[2:3])
+            if ended:
+                break
+
+
+@pytest.mark.parametrize("first", range(CALLS))
+@pytest.mark.parametrize("count", [1, 2, 3, 7])
+@pytest.mark.parametrize("torn", [NOTHING, HEAD, ALL])
+@pytest.mark.parametrize("failed_sync", [STAYS, LANDS, DROPS])
+def test_a_disk_that_refuses_calls_for_a_while(first: int, count: int, torn: str, failed_sync: str) -> None:
+    disk = Disk(failing=fail_at(first, count, errno.ENOSPC), torn_on_failure=torn, failed_sync=failed_sync)
+    run = Run(disk)
+    refused = 0
+    steps: list[Step] = [*STEPS, *LATER]
+    steps += [(b"at the end %d" % number,) for number in range(count)]
+    for step in steps:
+        try:
+            run.do(step)
+        except DiskError as error:
+            assert "ENOSPC" in str(error) and error.remedy.startswith("free space")
+            refused += 1
+        for left in run.disk.all_losses():
+            assert_holds(left, run.possible)
+        assert_holds(run.disk.after_kill(), run.possible)
+    assert 1 <= refused <= count or first < 3  # the first calls are those of the load
+    assert run.possible == [run.kept]
+    check_goes_on(run.disk.after_kill(), run.possible)
+
+
+def assert_holds(disk: Disk, possible: Sequence[Kept]) -> None:
+    loaded = Store.open(FOLDER, disk).load()
+    assert (loaded.state, loaded.records) in possible
+
+
+def test_a_failed_record_does_not_hide_later_ones_nor_come_back() -> None:
+    disk = Disk()
+    run = Run(disk)
+    run.do((b"one",))
+    disk.failing, disk.torn_on_failure = fail_at(disk.calls, 1, errno.ENOSPC), HEAD
+    with pytest.raises(DiskError):
+        run.do((b"two, which is torn",))
+    run.do((b"3",))
+    loaded = Store.open(FOLDER, disk.after_kill()).load()
+    assert loaded.records == (b"one", b"3")
+
+
+def test_a_failed_sync_of_records_doesn_t_bring_any_of_them_back_behind_the_same_record() -> None:
+    disk = Disk()
+    run = Run(disk)
+    run.do((b"one",))
+    disk.failing = refusing(["sync"], code=errno.EIO)
+    with pytest.raises(DiskError, match="EIO"):
+        run.do((b"two", b"three"))
+    disk.failing = never
+    run.do((b"two",))
+    run.do((b"four",))
+    assert Store.open(FOLDER, disk.after_kill()).load().records == (b"one", b"two", b"four")
+
+
+def test_a_failed_checkpoint_that_reached_the_disk_does_not_hide_later_records() -> None:
+    disk = Disk()
+    run = Run(disk)
+    run.do(b"old")
+    run.do((b"one",))
+    disk.failing, disk.failed_sync = refusing(["sync"], code=errno.EIO), LANDS
+    with pytest.raises(DiskError):
+        run.do(b"new")
+    disk.failing = never
+    # until a call succeeds, it may be found
+    assert Store.open(FOLDER, disk.after_kill()).load().state == b"new"
+    run.do((b"two",))
+    loaded = Store.open(FOLDER, disk.after_kill()).load()
+    assert (loaded.state, loaded.records) == (b"old", (b"one", b"two"))
+
+
+def test_a_full_disk_refuses_until_it_has_room_again() -> None:
+    disk = Disk()
+    run = Run(disk)
+    run.do(b"state")
+    run.do((b"kept",))
+    disk.failing = refusing(["write", "truncate"])
+    for _ in range(3):
+        with pytest.raises(DiskError, match="ENOSPC"):
+            run.do((b"more",))
+        with pytest.raises(DiskError, match="ENOSPC"):
+            run.do(b"another state")
+    loaded = Store.open(FOLDER, disk.after_kill()).load()
+    assert (loaded.state, loaded.records) == (b"state", (b"kept",))
+    disk.failing = never
+    run.do((b"again",))
+    check_goes_on(disk.after_kill(), [(b"state", (b"kept", b"again"))])
+
+
+def test_a_disk_that_refuses_syncs_is_read_and_says_that_it_isn_t_synced() -> None:
+    run = run_until(CALLS - 1)
+    disk = run.disk.after_kill()
+    disk.failing = refusing(["sync"], code=errno.EIO)
+    store = Store.open(FOLDER, disk)
+    loaded = store.load()
+    assert (loaded.state, loaded.records) in run.possible
+    assert not loaded.synced
+    with pytest.raises(DiskError):
+        store.sync()
+    disk.failing = never
+    store.sync()
+    assert_holds(disk.after_loss([]), [(loaded.state, loaded.records)])
+    calls = disk.calls
+    store.sync()
+    assert disk.calls == calls
+
+
+def test_a_folder_that_can_t_be_read_is_an_error() -> None:
+    with pytest.raises(DiskError, match="ENOENT"):
+        Store.open(FOLDER, Disk(failing=fail_at(0, 1, errno.ENOENT))).load()
+
+
+KINDS = [("write",), ("sync",), ("truncate",), ("write", "sync", "truncate", "sync_folder")]
+
+
+@pytest.mark.parametrize("seed", range(400))
+def test_luck(seed: int) -> None:
+    """Long runs of everything together: kills, losses of power, failures and full disks."""
+    chance = random.Random(seed)
+    run = Run(Disk())
+    loaded = False
+    for number in range(60):
+        disk = run.disk
+        luck = chance.random()
+        failing = chance.random() < 0.3
+        kinds = chance.choice(KINDS)
+        disk.failing = refusing(kinds, disk.calls + chance.randrange(6)) if failing else never
+        disk.torn_on_failure = chance.choice([NOTHING, HEAD, ALL])
+        disk.failed_sync = chance.choice([STAYS, LANDS])
+        disk.stop_at = disk.calls + chance.randrange(8) if luck < 0.4 else None
+        records = tuple(b"%d.%d" % (number, i) * chance.randrange(3) for i in range(chance.randint(1, 3)))
+        step: Step = records if chance.random() < 0.7 else b"state %d " % number * chance.randrange(9)
+        try:
+            if not loaded:
+                loaded = run.load() is not None
+            run.do(step)
+        except DiskError:
+            continue
+        except Stopped:
+            left = disk.after_kill() if chance.random() < 0.4 else disk.a_loss(chance)
+            run, loaded = Run(left, [run.kept, *run.possible]), False
+    check_goes_on(run.disk.after_kill(), run.possible)
+
+
+# --- damage
+
+
+def damaged(disk: Disk, **files: bytes | None) -> Disk:
+    seen = dict(disk.seen)
+    for name, data in files.items():
+        if data is None:
+            seen.pop(name.replace("_", "."))
+        else:
+            seen[name.replace("_", ".")] = data
+    return Disk(dict(seen), dict(seen))
+
+
+def flipped(data: bytes, at: int) -> bytes:
+    return data[:at] + bytes([data[at] ^ 1]) + data[at + 1 :]
+
+
+def refuse(disk: Disk) -> str:
+    with pytest.raises(DiskError) as refused:
+        Store.open(FOLDER, disk).load()
+    assert refused.value.remedy.startswith("empty the folder and start again")
+    return refused.value.wrong
+
+
+@pytest.mark.parametrize("steps", [[b"one"], [b"one", (b"a",)], [(b"a",), b"one"]])
+def test_a_first_slot_that_was_acknowledged_and_is_damaged_is_never_an_empty_disk(steps: list[Step]) -> None:
+    disk = run_until(None, steps).disk
+    slot = disk.seen["slot.1"]
+    for at in range(len(slot)):
+        refuse(damaged(disk, slot_1=flipped(slot, at)))
+    for length in range(len(slot)):
+        refuse(damaged(disk, slot_1=slot[:length]))
+    refuse(damaged(disk, slot_1=None))
+
+
+def test_a_first_slot_torn_before_its_checkpoint_returned_is_an_empty_disk() -> None:
+    whole = run_until(None, [b"one"]).disk.seen["slot.1"]
+    for length in range(len(whole)):
+        loaded = Store.open(FOLDER, Disk({"slot.1": whole[:length]}, {"slot.1": whole[:length]})).load()
+        assert loaded.fresh
+        check_goes_on(Disk({"slot.1": whole[:length]}, {"slot.1": whole[:length]}), [EMPTY])
+
+
+def test_records_before_a_first_slot_that_is_torn_are_kept() -> None:
+    disk = run_until(None, [(b"a", b"b")]).disk
+    check_goes_on(damaged(disk, slot_1=b"torn"), [(None, (b"a", b"b"))])
+
+
+def test_damage_in_the_newest_slot_never_gives_the_one_before() -> None:
+    disk = run_until(None, [b"one", (b"a",), b"two"]).disk
+    slot = disk.seen["slot.0"]
+    for at in range(len(slot)):
+        assert "generation 2 was completed, and the newest whole slot is 1" in refuse(
+            damaged(disk, slot_0=flipped(slot, at))
+        )
+    refuse(damaged(disk, slot_0=None))
+
+
+def test_damage_in_both_slots_is_never_an_empty_disk() -> None:
+    disk = run_until(None, [b"one", b"two", b"three"]).disk
+    refuse(damaged(disk, slot_0=b"x", slot_1=b"x"))
+    refuse(damaged(disk, slot_0=b"x", slot_1=b"x", log_0=None, log_1=None))
+    refuse(damaged(disk, slot_0=None, slot_1=None))
+    refuse(damaged(disk, slot_0=b"x", slot_1=None, log_0=b"", log_1=b""))
+
+
+def test_damage_in_the_older_slot_costs_nothing() -> None:
+    disk = run_until(None, [b"one", b"two", (b"a",)]).disk
+    check_goes_on(damaged(disk, slot_1=b"x"), [(b"two", (b"a",))])
+
+
+def test_a_log_ends_at_the_first_damaged_byte() -> None:
+    disk = run_until(None, [b"one", (b"a",), (b"b",), (b"c",)]).disk
+    log = disk.seen["log.1"]
+    found = []
+    for at in range(len(log)):
+        loaded = Store.open(FOLDER, damaged(disk, log_1=flipped(log, at))).load()
+        found.append(len(loaded.records))
+    frame = len(log) // 4 + 1
+    assert found == [0] * (len(log) - 2 * frame) + [1] * frame + [2] * frame
+
+
+def test_slots_and_logs_of_the_other_place_don_t_count() -> None:
+    disk = run_until(None, [b"one", (b"a",)]).disk
+    refuse(damaged(disk, slot_0=disk.seen["slot.1"], slot_1=None))
+    moved = damaged(disk, log_0=disk.seen["log.1"], log_1=None)
+    assert Store.open(FOLDER, moved).load().records == ()
+
+
+def test_other_files_of_the_folder_are_left_alone() -> None:
+    disk = Disk({"lost+found": b"?"}, {"lost+found": b"?"})
+    check_goes_on(disk, [EMPTY])
+    assert disk.seen["lost+found"] == b"?"
+
+
+def test_the_bytes_on_disk() -> None:
+    """The form of the files; another form needs another mark."""
+    disk = run_until(None, [b"old", b"state", (b"r1", b"")]).disk
+    assert {name: data.hex() for name, data in sorted(disk.seen.items())} == {
+        "slot.1": "6267733101000000000000000300000000000000a1be83fd" + b"old".hex(),
+        "log.1": "0000000001000000000000000000000000000000d8fca6ec",
+        "slot.0": "62677331020000000000000005000000000000005c4f1a41" + b"state".hex(),
+        "log.0": "00000000"
+        "0200000000000000"
+        "0000000000000000"
+        "2a486ec5"
+        "02000000"
+        "0200000000000000"
+        "0100000000000000"
+        "ef584831" + b"r1".hex() + "00000000"
+        "0200000000000000"
+        "0200000000000000"
+        "8c0d59b6",
+    }
+
+
+# --- size and cost
+
+
+def test_the_files_stay_as_small_as_the_state_and_the_log() -> None:
+    disk = Disk()
+    run = Run(disk)
+    for number in range(200):
+        run.do((b"r" * 100,))
+        if run.store.log_bytes > 1000:
+            run.do(b"s" * (number + 1))
+    assert run.store.generation >= 20
+    assert run.store.log_bytes <= 1200
+    assert sum(map(len, disk.seen.values())) < 3000
+
+
+def test_log_bytes_is_the_length_of_the_log() -> None:
+    disk = Disk()
+    store = Store.open(FOLDER, disk)
+    assert store.log_bytes == 0
+    store.append(b"one")
+    assert store.log_bytes == len(disk.seen["log.0"])
+    store.checkpoint(b"state")
+    store.append(b"two")
+    assert store.log_bytes == len(disk.seen["log.1"])
+    again = Store.open(FOLDER, disk.after_kill())
+    again.load()
+    assert again.log_bytes == store.log_bytes
+
+
+def test_an_append_costs_one_write_and_one_sync() -> None:
+    run = run_until(None, [b"state", (b"a",)])
+    before = run.disk.calls
+    run.do((b"b", b"c", b"d"))
+    assert run.disk.calls == before + 2
+
+
+def test_a_checkpoint_costs_two_syncs() -> None:
+    run = run_until(None, [b"one", b"two"])
+    syncs = run.disk.syncs
+    run.do(b"three")
+    assert run.disk.syncs == syncs + 2
+
+
+def test_a_record_that_is_too_long_is_refused_before_anything_is_written() -> None:
+    disk = Disk()
+    store = Store.open(FOLDER, disk)
+    with pytest.raises(ValueError, match="make a checkpoint"):
+        store.append(bytes(MOST_RECORD_BYTES + 1))
+    assert disk.seen == {}
+    store.append(b"a")
+    assert Store.open(FOLDER, disk.after_kill()).load().records == (b"a",)
+
+
+# --- the operating system's files
+
+
+def test_files_of_the_operating_system(tmp_path: Path) -> None:
+    files = OsFiles()
+    store = Store.open(tmp_path, files)
+    assert store.load().fresh
+    store.append(b"zero")
+    store.checkpoint(b"s" * 100_000)
+    store.append_all([b"one", b"two"])
+    again = Store.open(tmp_path, OsFiles()).load()
+    assert (again.state, again.records, again.synced) == (b"s" * 100_000, (b"one", b"two"), True)
+    store.checkpoint(b"")
+    files.close()
+    assert sorted(path.name for path in tmp_path.iterdir()) == ["log.0", "log.1", "slot.0", "slot.1"]
+    with pytest.raises(DiskError, match="let data_dir name a folder that is there"):
+        Store.open(tmp_path / "none", files).load()
+
+
+def test_a_short_write_is_gone_on_with(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    real = os.pwrite
+    monkeypatch.setattr(os, "pwrite", lambda fd, data, offset: real(fd, bytes(data[:7]), offset))
+    Store.open(tmp_path, OsFiles()).checkpoint(b"state" * 100)
+    assert Store.open(tmp_path, OsFiles()).load().state == b"state" * 100
+
+
+# --- the queue
+
+
+@dataclass
+class Gate(Files):
+    """A disk that hangs before each sync of a file until it is let go on, so that tests see what waits."""
+
+    disk: Disk
+    arrived: threading.Semaphore = field(default_factory=lambda: threading.Semaphore(0))
+    let: threading.Semaphore = field(default_factory=lambda: threading.Semaphore(0))
+    threads: set[str] = field(default_factory=set)
+
+    def __post_init__(self) -> None:
+        self.is_shut = False
+
+    def names(self, folder: Path) -> list[str]:
+        self.threads.add(threading.current_thread().name)
+        return self.disk.names(folder)
+
+    def read(self, path: Path) -> bytes:
+        return self.disk.read(path)
+
+    def write(self, path: Path, offset: int, data: bytes) -> None:
+        self.threads.add(threading.current_thread().name)
+        self.disk.write(path, offset, data)
+
+    def truncate(self, path: Path, length: int) -> None:
+        self.disk.truncate(path, length)
+
+    def sync(self, path: Path) -> None:
+        self.threads.add(threading.current_thread().name)
+        if self.is_shut:
+            self.arrived.release()
+            self.let.acquire()
+        self.disk.sync(path)
+
+    def sync_folder(self, folder: Path) -> None:
+        self.disk.sync_folder(folder)
+
+
+def kept_on(disk: Disk) -> Kept:
+    loaded = Store.open(FOLDER, disk.after_kill()).load()
+    return loaded.state, loaded.records
+
+
+async def outcomes(*waiting: asyncio.Future[None]) -> list[str]:
+    found = await asyncio.gather(*waiting, return_exceptions=True)
+    return ["kept" if error is None else str(error) for error in found]
+
+
+OVERTAKEN = "a command given before this one failed; give it again, on top of what is kept"
+FULL_LOG = "the disk refuses to write /data/log.0 (ENOSPC); free space on the disk; the next call tries again"
+
+
+def test_commands_run_in_their_order() -> None:
+    async def main() -> None:
+        disk = Disk()
+        queue = DiskQueue(Store.open(FOLDER, disk))
+        loaded = queue.load()
+        given = [queue.append(b"a"), queue.append(b"b"), queue.checkpoint(b"s"), queue.append(b"c")]
+        assert queue.waiting == 5
+        assert (await loaded).fresh
+        assert await outcomes(*given) == ["kept"] * 4
+        assert queue.waiting == 0
+        assert queue.log_bytes == len(disk.seen["log.1"])
+        assert kept_on(disk) == (b"s", (b"c",))
+        await queue.close()
+
+    asyncio.run(main())
+
+
+def test_appends_that_wait_share_one_sync_and_the_loop_never_waits_for_the_disk() -> None:
+    async def main() -> None:
+        gate = Gate(Disk())
+        queue = DiskQueue(Store.open(FOLDER, gate), name="of the disk")
+        await queue.load()
+        await queue.append(b"0")
+        syncs = gate.disk.syncs
+        gate.is_shut = True
+        first = queue.append(b"1")
+        await asyncio.to_thread(gate.arrived.acquire)  # the disk hangs with the first one
+        rest = [queue.append(b"%d" % number) for number in range(2, 50)]
+        assert queue.waiting == 49
+        assert not first.done()
+        gate.let.release()
+        await first
+        await asyncio.to_thread(gate.arrived.acquire)
+        assert not any(done.done() for done in rest)
+        gate.let.release()
+        assert await outcomes(*rest) == ["kept"] * 48
+        assert gate.disk.syncs == syncs + 2
+        assert kept_on(gate.disk) == (None, tuple(b"%d" % number for number in range(50)))
+        await queue.close()
+        assert gate.threads == {"of the disk"}
+
+    asyncio.run(main())
+
+
+def test_a_checkpoint_parts_the_groups() -> None:
+    async def main() -> None:
+        gate = Gate(Disk())
+        queue = DiskQueue(Store.open(FOLDER, gate))
+        await queue.append(b"0")
+        gate.is_shut = True
+        first = queue.append(b"1")
+        await asyncio.to_thread(gate.arrived.acquire)
+        rest = [queue.append(b"2"), queue.append(b"3"), queue.checkpoint(b"s"), queue.append(b"4")]
+        rest += [queue.append(b"5"), queue.checkpoint(b"t"), queue.checkpoint(b"u"), queue.append(b"6")]
+        gate.is_shut = False
+        gate.let.release()
+        assert await outcomes(first, *rest) == ["kept"] * 9
+        assert kept_on(gate.disk) == (b"u", (b"6",))
+        await queue.close()
+
+    asyncio.run(main())
+
+
+def test_a_group_is_bounded() -> None:
+    async def main() -> None:
+        gate = Gate(Disk())
+        queue = DiskQueue(Store.open(FOLDER, gate))
+        await queue.append(b"0")
+        gate.is_shut = True
+        first = queue.append(b"1")
+        await asyncio.to_thread(gate.arrived.acquire)
+        syncs = gate.disk.syncs
+        rest = [queue.append(bytes(MOST_GROUP_BYTES // 2)) for _ in range(6)]
+        gate.is_shut = False
+        gate.let.release()
+        assert await outcomes(first, *rest) == ["kept"] * 7
+        assert gate.disk.syncs == syncs + 4  # the first one's, and two records in each group
+        await queue.close()
+
+    asyncio.run(main())
+
+
+def test_what_was_given_before_a_failure_was_known_fails_too() -> None:
+    async def main() -> None:
+        gate = Gate(Disk())
+        queue = DiskQueue(Store.open(FOLDER, gate))
+        await queue.append(b"0")
+        gate.is_shut = True
+        gate.disk.failing = fail_at(gate.disk.calls + 1, 1, errno.ENOSPC)  # the sync of the next append
+        first = queue.append(b"1")
+        await asyncio.to_thread(gate.arrived.acquire)
+        rest = [queue.append(b"2"), queue.checkpoint(b"s"), queue.append(b"3")]
+        gate.is_shut = False
+        gate.let.release()
+        assert await outcomes(first, *rest) == [FULL_LOG, OVERTAKEN, OVERTAKEN, OVERTAKEN]
+        assert await outcomes(queue.append(b"4")) == ["kept"]
+        assert kept_on(gate.disk) == (None, (b"0", b"4"))
+        await queue.close()
+
+    asyncio.run(main())
+
+
+def test_a_failed_group_fails_whole_and_the_next_append_works() -> None:
+    async def main() -> None:
+        disk = Disk()
+        queue = DiskQueue(Store.open(FOLDER, disk))
+        await queue.append(b"0")
+        disk.failing = refusing(["write"])
+        for _ in range(3):
+            assert set(await outcomes(queue.append(b"1"), queue.append(b"2"))) <= {FULL_LOG, OVERTAKEN}
+            assert "ENOSPC" in (await outcomes(queue.checkpoint(b"s")))[0]
+        disk.failing = never
+        assert await outcomes(queue.append(b"3"), queue.append(b"4")) == ["kept", "kept"]
+        assert kept_on(disk) == (None, (b"0", b"3", b"4"))
+        await queue.close()
+
+    asyncio.run(main())
+
+
+def test_a_load_that_fails_says_why_and_may_be_tried_again() -> None:
+    async def main() -> None:
+        disk = Disk(failing=fail_at(0, 1, errno.EACCES))
+        queue = DiskQueue(Store.open(FOLDER, disk))
+        with pytest.raises(DiskError, match="EACCES"):
+            await queue.load()
+        assert (await queue.load()).fresh
+        await queue.close()
+
+    asyncio.run(main())
+
+
+def test_whoever_waits_may_be_cancelled() -> None:
+    async def main() -> None:
+        gate = Gate(Disk())
+        queue = DiskQueue(Store.open(FOLDER, gate))
+        await queue.append(b"0")
+        gate.is_shut = True
+        first = queue.append(b"1")
+        await asyncio.to_thread(gate.arrived.acquire)
+        second, third = queue.append(b"2"), queue.append(b"3")
+        first.cancel()
+        second.cancel()
+        gate.is_shut = False
+        gate.let.release()
+        await third
+        assert kept_on(gate.disk) == (None, (b"0", b"1", b"2", b"3"))
+        assert queue.waiting == 0
+        await queue.close()
+
+    asyncio.run(main())
+
+
+def test_a_closed_queue_has_done_all_and_takes_no_more() -> None:
+    async def main() -> None:
+        disk = Disk()
+        queue = DiskQueue(Store.open(FOLDER, disk))
+        given = [queue.append(b"a"), queue.append(b"b")]
+        await queue.close()
+        assert all(done.done() for done in given)
+        assert kept_on(disk) == (None, (b"a", b"b"))
+        with pytest.raises(DiskError, match="give no command after close"):
+            queue.append(b"c")
+        await queue.close()
+
+    asyncio.run(main())
+
+
+def test_a_record_that_is_too_long_fails_alone() -> None:
+    async def main() -> None:
+        disk = Disk()
+        queue = DiskQueue(Store.open(FOLDER, disk))
+        given = queue.append(b"a")
+        with pytest.raises(ValueError, match="make a checkpoint"):
+            queue.append(bytes(MOST_RECORD_BYTES + 1))
+        await given
+        await queue.append(b"b")
+        assert kept_on(disk) == (None, (b"a", b"b"))
+        await queue.close()
+
+    asyncio.run(main())
+
+
+def test_the_thread_ends_where_its_loop_is_gone() -> None:
+    gate = Gate(Disk())
+
+    async def main() -> DiskQueue:
+        queue = DiskQueue(Store.open(FOLDER, gate), name="left alone")
+        await queue.append(b"0")
+        gate.is_shut = True
+        queue.append(b"1")
+        return queue
+
+    asyncio.run(main())
+    gate.arrived.acquire()
+    thread = next(thread for thread in threading.enumerate() if thread.name == "left alone")
+    assert thread.daemon
+    gate.is_shut = False
+    gate.let.release()
+    thread.join()  # nobody waits for it any more
+    assert kept_on(gate.disk) == (None, (b"0", b"1"))
--- /dev/null
+++ b/tests/windvane_stage.py
@@ -0,0 +1,190 @@
+"""What the data plane's tests share: a balancer on loopback ports, and upstreams that act by a script."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+from screen.configuration import Backend, ClientLimits, Configuration, Route, Service, Upstream
+from screen.settings import Bounds, CloudApi, Limits, Listen, Settings
+from tests.loopback import Got, Reader, Writer, read_request
+from windvane.balancer import Balancer
+
+HOST, PATH = "shop.example", "/run/1"
+Act = Callable[["Stage", Got, Writer], Awaitable[None]]
+
+
+def free_port() -> int:
+    import socket
+
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+def head(got: Got, extra: str = "", status: str = "200 OK", sealed: bool = True) -> str:
+    seal = "Mastturn-Server-Seal: s.1\r\n" if sealed else ""
+    return f"HTTP/1.1 {status}\r\nMastturn-Request-Id: {got.headers['mastturn-request-id']}\r\n{seal}{extra}"
+
+
+def chunk(text: str) -> bytes:
+    return f"{len(text.encode()):x}\r\n{text}\r\n".encode()
+
+
+def event(number: int, text: str = "x") -> str:
+    return f"id: {number}\ndata: {text}\n\n"
+
+
+def stream_head(got: Got) -> bytes:
+    kind = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+    return head(got, kind).encode()
+
+
+async def prefill(stage: Stage, got: Got, writer: Writer) -> None:
+    body = json.dumps({"kv_ref": f"h{len(stage.got)}", "ntokens": 10, "ver": 1})
+    extra = f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
+    writer.write((head(got, extra, sealed=False) + body).encode())
+
+
+async def decode(stage: Stage, got: Got, writer: Writer, events: int = 3) -> None:
+    after = int(got.headers.get("last-event-id", 0))
+    writer.write(stream_head(got))
+    for number in range(after + 1, events + 1):
+        writer.write(chunk(event(number, stage.name)))
+    writer.write(b"0\r\n\r\n")
+
+
+async def reject(stage: Stage, got: Got, writer: Writer) -> None:
+    writer.write((head(got, status="503 Full", sealed=False) + "Mastturn-Not-Run: 1\r\nContent-Length: 0\r\n\r\n").encode())
+
+
+async def whole(stage: Stage, got: Got, writer: Writer) -> None:
+    writer.write((head(got, f"Content-Length: {len(stage.name)}\r\n\r\n") + stage.name).encode())
+
+
+async def reset(stage: Stage, got: Got, writer: Writer) -> None:
+    writer.transport.abort()
+
+
+class Stage:
+    """An upstream: each request is answered by the next act of its script, the last one again and again."""
+
+    def __init__(self, name: str, phase: str = "", *acts: Act, zone: str = "a") -> None:
+        self.name, self.phase, self.zone = name, phase, zone
+        self.acts = list(acts) or [prefill if phase == "prefill" else decode if phase else whole]
+        self.got: list[Got] = []
+        self.freed: list[str] = []
+        self.connections = 0
+        self.entry = Upstream(name, "pool", "", zone, phase=phase)
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        addr = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+        self.entry = replace(self.entry, addr=addr)
+
+    def stop(self) -> None:
+        self._server.close()
+
+    async def _serve(self, reader: Reader, writer: Writer) -> None:
+        self.connections += 1
+        while (got := await read_request(reader)) is not None:
+            if got.line.startswith("DELETE /api/kv-handle/"):
+                self.freed.append(got.line.split(" ")[1].rsplit("/", 1)[1])
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+                continue
+            act = self.acts.pop(0) if len(self.acts) > 1 else self.acts[0]
+            self.got.append(got)
+            await act(self, got, writer)
+        writer.close()
+
+
+@dataclass
+class Reply:
+    """An answer as its client sees it; `whole`: whether it ended in order."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    whole: bool
+
+
+@dataclass
+class Play:
+    """A balancer under test."""
+
+    balancer: Balancer
+    port: int
+    readyz: int
+    stages: list[Stage] = field(default_factory=list)
+
+    def list(self, *stages: Stage) -> None:
+        self.balancer.list_upstreams(tuple(s.entry for s in stages))
+
+    async def ask(self, request_id: str = "r1", method: str = "POST", path: str = PATH, host: str = HOST,
+                  headers: str = "", body: bytes = b"b") -> Reply:  # fmt: skip
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        writer.write(
+            f"{method} {path} HTTP/1.1\r\nHost: {host}\r\nMastturn-Request-Id: {request_id}\r\n{headers}"
+            f"Content-Length: {len(body)}\r\n\r\n".encode()
+            + body
+        )
+        reply = await read_reply(reader)
+        writer.close()
+        return reply
+
+
+async def read_reply(reader: Reader) -> Reply:
+    try:
+        lines = (await reader.readuntil(b"\r\n\r\n")).decode().strip().split("\r\n")
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return Reply(0, {}, b"", False)
+    headers = {k.lower(): v for k, v in (line.split(": ", 1) for line in lines[1:])}
+    status, body = int(lines[0].split()[1]), b""
+    try:
+        if "content-length" in headers:
+            body = await reader.readexactly(int(headers["content-length"]))
+        else:
+            while (size := int(await reader.readline(), 16)) > 0:
+                body += (await reader.readexactly(size + 2))[:-2]
+            await reader.readline()
+    except (asyncio.IncompleteReadError, ConnectionError, ValueError):
+        return Reply(status, headers, body, False)
+    return Reply(status, headers, body, True)
+
+
+def route(**changes: Any) -> Route:
+    return replace(Route("r", HOST, "/run/", 8000.0, "stream", 800.0, 1, "pool", tries=2), **changes)
+
+
+def configuration(ver: int = 1, *routes: Route, limits: ClientLimits | None = None) -> Configuration:
+    service = Service("pool", max_conns=360, backend=Backend(capacity=64))
+    return Configuration(ver, routes or (route(),), (service,), limits or ClientLimits())
+
+
+@asynccontextmanager
+async def playing(*stages: Stage, config: Configuration | None = None, slack: float = 100.0) -> AsyncIterator[Play]:
+    http, readyz = free_port(), free_port()
+    settings = Settings(
+        "edge-1", "127.0.0.1", "a", "edge", (7000, 7001), CloudApi("127.0.0.1:1"),
+        listen=Listen(f"127.0.0.1:{http}", f"127.0.0.1:{readyz}"), limits=Limits(max_fds=1000),
+        bounds=Bounds(retry_slack=slack),
+    )  # fmt: skip
+    balancer = Balancer(settings, 1)
+    await balancer.start()
+    for stage in stages:
+        await stage.start()
+    play = Play(balancer, http, readyz, list(stages))
+    balancer.configure(config or configuration())
+    balancer.count_balancers(1)
+    play.list(*stages)
+    balancer.allow_ready(True)
+    try:
+        yield play
+    finally:
+        await balancer.stop()
+        for stage in stages:
+            stage.stop()
--- /dev/null
+++ b/windvane/balancer.py
@@ -0,0 +1,265 @@
+"""The data plane of one balancer: clients, upstreams and readiness, as the control side steers it."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import random
+import time
+from typing import Any
+
+from passpost.counters import Final
+from passpost.engine import Client
+from passpost.http1 import Headers
+from passpost.server import ClientManner, Server
+from passpost.upstream import Manner, Outgoing, Upstreams
+from passpost.validation import BadRequestError, Call
+from screen.configuration import Configuration, Upstream
+from screen.settings import Settings, parse_address
+from windvane import readiness
+from windvane.budget import RetryBudget
+from windvane.ingress import RoutedCall, read_head
+from windvane.pair import Handle
+from windvane.passage import Passage
+from windvane.routes import RouteTable, draw_service
+from windvane.tiers import Tiers
+from windvane.wire import free_handle, is_event_stream, outcome
+
+CONNECT_S = 1.0
+IDLE_S = 120.0  # an upstream that tells no time keeps idle connections at least so long
+DARK_MS = 4000
+STALL_S = 30.0
+UPSTREAM_SHARE = 0.4  # of the descriptors
+RESERVED_FILES = 300
+HELD_BODIES = 48 * 1024 * 1024  # bytes of long bodies held at once
+CONNS_SHARE, CONNS_LEAST = (
+    0.9,
+    4.0,
+)  # of a service's max_conns that all balancers together use; the least of each
+UNKNOWN_BALANCERS = 24  # until their number is known
+SWEEP_S = 1.0
+ACCEPT_AFTER_STOP_S, LAST_CALL_S, DRAIN_STEP_S = 3.2, 2.2, 0.1
+END_MARGIN_S = 0.5  # before the platform kills us
+FREE_S = 2.0  # a call that frees a handle is given up after this
+
+
+class Tally:
+    """How many requests were taken, and how they ended."""
+
+    def __init__(self) -> None:
+        self.in_flight = 0
+        self.ends = dict.fromkeys(Final, 0)
+
+    def taken(self) -> None:
+        """A whole request has come; it ends exactly once."""
+        self.in_flight += 1
+
+    def ended(self, class_name: str, final: Final) -> None:
+        """A taken request has its final answer, or its client has gone."""
+        self.in_flight -= 1
+        self.ends[final] += 1
+
+
+class Purse:
+    """The budget of one service on the steady clock, as a request's decision sees it."""
+
+    def __init__(self, budget: RetryBudget) -> None:
+        self.budget = budget
+
+    def allows(self, extra: int) -> bool:
+        """Whether so many extra arrivals may be caused now."""
+        return self.budget.allows(extra, time.monotonic())
+
+    def spend(self) -> None:
+        """One is caused."""
+        self.budget.spend(time.monotonic())
+
+    def refund(self) -> None:
+        """It did not arrive after all."""
+        self.budget.refund()
+
+
+class Balancer:
+    """One balancer's data plane, steered by the control side; all on one asyncio loop."""
+
+    def __init__(self, settings: Settings, seed: int) -> None:
+        self.settings = settings
+        self.counters = Tally()
+        files = max(settings.limits.max_fds - RESERVED_FILES, 64)
+        to_upstreams = max(int(files * UPSTREAM_SHARE), 16)
+        manner = Manner(outcome, is_event_stream, STALL_S, True, DARK_MS)
+        self.upstreams = Upstreams(CONNECT_S, IDLE_S * 2, to_upstreams, manner)
+        self._chance = random.Random(seed)
+        self.tiers = Tiers(self._chance, self.upstreams.has_place)
+        self._max_open = files - to_upstreams
+        self._server: Server | None = None
+        self._readyz: asyncio.Server | None = None
+        self._configuration: Configuration | None = None
+        self._table = RouteTable(Configuration(0))
+        self._purses: dict[str, Purse] = {}
+        self._passages: dict[int, Passage] = {}
+        self._count, self._balancers = 0, 0
+        self._allowed, self._draining = False, False
+
+    # ---- what the control side calls
+
+    async def start(self) -> None:
+        """Bind `listen.http` and `listen.readyz`; raises OSError where one can't be bound."""
+        listen = self.settings.listen
+        if listen.readyz is not None:
+            self._readyz = await readiness.listen(parse_address(listen.readyz), self.is_ready)
+        if listen.http is not None:
+            address = parse_address(listen.http)
+            self._server = Server(
+                self, address, self._max_open, held=HELD_BODIES, manner=self._client_manner()
+            )
+            self._server.start()
+        self.upstreams.start()
+
+    def configure(self, configuration: Configuration) -> None:
+        """A newer configuration is in force from now on; an older one or the same changes nothing."""
+        if self._configuration is not None and configuration.ver <= self._configuration.ver:
+            return
+        self._configuration = configuration
+        self._table = RouteTable(configuration)
+        if self._server is not None:
+            self._server.treat(self._client_manner())
+        self._limit_connections()
+
+    def list_upstreams(self, entries: tuple[Upstream, ...]) -> None:
+        """The whole list as it is now; the same as before costs little."""
+        if self.tiers.take(entries, time.monotonic()):
+            self.upstreams.route({name: parse_address(address) for name, address in self.tiers.addresses()})
+
+    def count_balancers(self, n: int) -> None:
+        """So many balancers live: our parts of what all of them share follow."""
+        if n != self._balancers:
+            self._balancers = n
+            for purse in self._purses.values():
+                purse.budget.count_balancers(n)
+            self._limit_connections()
+
+    def allow_ready(self, allowed: bool) -> None:
+        """Whether the control side lets us call ourselves ready."""
+        self._allowed = allowed
+
+    @property
+    def ready(self) -> bool:
+        """Whether readyz answers 200."""
+        return self.is_ready()
+
+    async def drain(self) -> None:
+        """Not ready from now on; returns when all is answered, or shortly before `bounds.grace_s` ends."""
+        self._draining = True
+        if self._server is not None:
+            await self._server.drain(max(self.settings.bounds.grace_s - END_MARGIN_S, 0.5))
+        await self.stop()
+
+    async def stop(self) -> None:
+        """End at once, whatever is open."""
+        if self._readyz is not None:
+            self._readyz.close()
+        if self._server is not None:
+            self._server.stop()
+        self.upstreams.stop()
+
+    def figures(self) -> dict[str, Any]:
+        """What has been served and what is in flight, for a status call."""
+        ends = {final.value: count for final, count in self.counters.ends.items()}
+        out, version = self.tiers.in_flight(), self._table.version
+        return {**ends, "in_flight": self.counters.in_flight, "calls_out": out, "config_ver": version}
+
+    # ---- what follows from it
+
+    def is_ready(self) -> bool:
+        """Allowed, configured and not draining."""
+        return self._allowed and self._configuration is not None and not self._draining
+
+    def _client_manner(self) -> ClientManner:
+        limits = (self._configuration or Configuration(0)).limits
+        idle = limits.idle_timeout_ms / 1000
+        return ClientManner(
+            max_head=limits.max_header_bytes,
+            max_body=limits.max_body_bytes,
+            read_s=limits.header_timeout_ms / 1000,
+            first_s=idle,
+            idle_s=idle + 1.0,
+            body_rate=1000.0,
+            held_each=limits.max_body_bytes,
+            uploads=False,
+            told_idle_s=max(int(idle) - 1, 1),
+            reads_past_end=False,
+            sweep_s=SWEEP_S,
+            dark_ms=DARK_MS,
+            closes_at_stop=True,
+            accept_after_stop_s=ACCEPT_AFTER_STOP_S,
+            last_call_s=LAST_CALL_S,
+            drain_step_s=DRAIN_STEP_S,
+        )
+
+    def _limit_connections(self) -> None:
+        services = self._configuration.svcs if self._configuration is not None else ()
+        most = min((s.max_conns for s in services), default=math.inf)
+        if math.isfinite(most):
+            part = CONNS_SHARE * most / (self._balancers or UNKNOWN_BALANCERS)
+            self.upstreams.limit_each(max(CONNS_LEAST, part))
+
+    def purse(self, service: str) -> Purse:
+        """What pays for extra arrivals at a service."""
+        purse = self._purses.get(service)
+        if purse is None:
+            bounds = self.settings.bounds
+            budget = RetryBudget(
+                bounds.retry_ratio, bounds.retry_window_s, bounds.retry_slack, time.monotonic()
+            )
+            if self._balancers:
+                budget.count_balancers(self._balancers)
+            purse = self._purses[service] = Purse(budget)
+        return purse
+
+    def free(self, handle: Handle) -> None:
+        """Free memory that nobody will fetch."""
+        request = free_handle(handle.address, handle.holder, handle.ref)
+        self.upstreams.send(handle.holder, request, FREE_S, lambda outcome, answer: None)
+
+    # ---- the host of passpost.server
+
+    @property
+    def has_upstreams(self) -> bool:
+        """Whether any upstream is ready."""
+        return self.tiers.has_any()
+
+    def read(self, method: bytes, target: bytes, version: str, headers: Headers) -> Call:
+        """The call that a head stands for; raises BadRequestError."""
+        if self._configuration is None:
+            raise BadRequestError(503)
+        return read_head(method, target, version, headers, self._table, self._configuration.limits)
+
+    def take_up(
+        self, call: Call, remaining: float, outgoing: Outgoing, client: Client, free_connections: float
+    ) -> int:
+        """A request is there, with so many seconds to answer it; the result is its number."""
+        assert isinstance(call, RoutedCall)
+        now = time.monotonic()
+        self._count += 1
+        number = self._count
+        service = draw_service(call.route, self._chance)
+        self.purse(service).budget.arrived(now)
+        passage = self._passages[number] = Passage(
+            self, number, call, service, now + remaining, outgoing, client
+        )
+        passage.begin()
+        return number
+
+    def whole(self, number: int) -> None:
+        """Bodies are held whole before their requests are taken up: there is nothing to do."""
+
+    def left(self, number: int) -> None:
+        """The client has gone."""
+        passage = self._passages.get(number)
+        if passage is not None:
+            passage.left()
+
+    def ended(self, number: int) -> None:
+        """A request has its answer."""
+        self._passages.pop(number, None)
--- /dev/null
+++ b/windvane/ingress.py
@@ -0,0 +1,81 @@
+"""Which requests are taken from clients, and what their heads say."""
+
+from __future__ import annotations
+
+import math
+import re
+from collections import Counter
+from dataclasses import dataclass
+
+from passpost.http1 import Headers, end_to_end
+from passpost.validation import BadRequestError, Call
+from screen.configuration import ClientLimits, Route
+from windvane.prompt import Prompt, read_prompt
+from windvane.routes import RouteTable
+
+REQUEST_ID, DEADLINE = b"mastturn-request-id", b"mastturn-deadline-ms"
+
+_SINGLE = (b"host", b"content-length", b"transfer-encoding", REQUEST_ID, DEADLINE, b"last-event-id")
+_OURS = frozenset(  # written anew for each upstream, or not for clients to say
+    (DEADLINE, b"mastturn-target-upstream", b"mastturn-stage", b"kv-from", b"priority", b"last-event-id")
+)
+_METHODS = frozenset((b"GET", b"POST", b"PUT", b"PATCH", b"DELETE", b"OPTIONS"))
+_VALUE = re.compile(rb"[^\x00-\x08\x0a-\x1f\x7f]*")
+_TOKEN = re.compile(rb"[\x21-\x7e]+")
+_TARGET = re.compile(rb"/[\x21-\x7e]*")
+_LENGTH = re.compile(rb"[0-9]{1,18}")
+_MS = re.compile(rb"[0-9]{1,9}(\.[0-9]*)?")
+
+
+@dataclass(frozen=True, slots=True)
+class RoutedCall(Call):
+    """A good request's head, with the route that it is on; `after`: the last event that its client has."""
+
+    route: Route
+    prompt: Prompt
+    after: bytes | None
+
+
+def read_head(
+    method: bytes, target: bytes, version: str, headers: Headers, table: RouteTable, limits: ClientLimits
+) -> RoutedCall:
+    """The call that a head stands for; raises BadRequestError (400, 404, 405, 413, 431).
+
+    Whatever could be read in two ways is refused, so that no upstream can read it in the other.
+    """
+    if sum(len(n) + len(v) + 4 for n, v in headers) + len(target) > limits.max_header_bytes:
+        raise BadRequestError(431)
+    fields = {name.lower(): value for name, value in headers}
+    if len(fields) < len(headers):
+        seen = Counter(name.lower() for name, _ in headers)
+        if any(seen[name] > 1 for name in _SINGLE):
+            raise BadRequestError(400)
+    if not _TARGET.fullmatch(target) or not all(_VALUE.fullmatch(value) for _, value in headers):
+        raise BadRequestError(400)
+
+    length, coding = fields.get(b"content-length"), fields.get(b"transfer-encoding")
+    if length is not None and (coding is not None or not _LENGTH.fullmatch(length)):
+        raise BadRequestError(400)  # with both, one of them hides a second request from somebody
+    if coding is not None and (coding.lower() != b"chunked" or version != "1.1"):
+        raise BadRequestError(400)
+    if length is not None and int(length) > limits.max_body_bytes:
+        raise BadRequestError(413)
+    if method not in _METHODS:
+        raise BadRequestError(405)
+    txn = fields.get(REQUEST_ID, b"")
+    if not _TOKEN.fullmatch(txn):
+        raise BadRequestError(400)
+
+    path = target.partition(b"?")[0].decode("latin-1")
+    route = table.find(fields.get(b"host", b"").decode("latin-1"), path)
+    if route is None:
+        raise BadRequestError(404)
+    remaining = route.deadline_ms / 1000
+    if (told := fields.get(DEADLINE)) is not None and _MS.fullmatch(told):
+        remaining = min(remaining, float(told) / 1000)
+    passed_on = [(n, v) for n, v in end_to_end(headers) if n.lower() not in _OURS]
+    prompt = read_prompt(fields.get(b"mastturn-prompt-prefix"), fields.get(b"mastturn-token-count"))
+    after = fields.get(b"last-event-id")
+    if not math.isfinite(remaining):
+        raise BadRequestError(400)
+    return RoutedCall(route.name, txn, None, remaining, method, target, passed_on, route, prompt, after)
--- /dev/null
+++ b/windvane/readiness.py
@@ -0,0 +1,50 @@
+"""The address at which the platform asks whether this balancer takes clients."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import cast
+
+from screen.settings import Address
+
+MOST = 4096  # bytes of one question
+
+
+class _Asked(asyncio.Protocol):
+    """One connection of the platform."""
+
+    def __init__(self, is_ready: Callable[[], bool]) -> None:
+        self._is_ready, self._held = is_ready, b""
+        self._transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """The platform has connected."""
+        self._transport = cast(asyncio.Transport, transport)  # uvloop's do not derive from it
+
+    def data_received(self, data: bytes) -> None:
+        """Answer each whole question; its body, if it has one, is not waited for."""
+        self._held += data
+        transport = self._transport
+        if transport is None:
+            return
+        while b"\r\n\r\n" in self._held:
+            head, self._held = self._held.split(b"\r\n\r\n", 1)
+            target = head.split(b" ", 2)[1:2]
+            if target != [b"/api/readyz"]:
+                status = b"404 Not Found"
+            else:
+                status = b"200 OK" if self._is_ready() else b"503 Service Unavailable"
+            last = b"connection: close" in head.lower() or b" HTTP/1.0" in head
+            end = b"Connection: close\r\n" if last else b""
+            transport.write(b"HTTP/1.1 %b\r\nContent-Length: 0\r\n%b\r\n" % (status, end))
+            if last:
+                transport.close()
+                return
+        if len(self._held) > MOST:
+            transport.abort()
+
+
+async def listen(address: Address, is_ready: Callable[[], bool]) -> asyncio.Server:
+    """Answer `GET /api/readyz` at this address; raises OSError where it can't be bound."""
+    return await asyncio.get_running_loop().create_server(lambda: _Asked(is_ready), *address)
