--- a/barograph/acceptor.py
+++ b/barograph/acceptor.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from barograph.codec import PromiseRecord, Record, ViewRecord, WriteRecord
+from barograph.codec import PromiseRecord, Record, ViewRecord, WriteRecord, whole
 from barograph.effects import Effect, Persist, Send
 from barograph.messages import (
     Answer,
@@ -33,6 +33,8 @@
         self._refuse_ms = lost_ms * LISTENS
         self.heard_at = -1e12  # the last beat of a primary
         self.heard_from = ""  # its identity
+        self._promised_to = ""  # a repeat of its question gets the same answer
+        self.leading_at = -1e12  # as primary: when we last knew of a majority behind us
         self.latest: View | None = memory.view  # heard of, whether accepted or not
         self.sick = False  # the disk refuses: we promise nothing
 
@@ -58,6 +60,31 @@
         if view is not None and (self.latest is None or view.epoch > self.latest.epoch):
             self.latest = view
 
+    def is_displaced(self) -> bool:
+        """Whether a later view than ours has given our slot away."""
+        view, latest = self.memory.view, self.latest
+        return (
+            view is not None
+            and latest is not None
+            and latest.epoch > view.epoch
+            and self.memory.slot() is not None
+            and latest.slot_of(self.memory.identity) is None
+        )
+
+    def forget(self) -> None:
+        """Give our slot up: from here on we have no say until a view in force names us anew."""
+        assert self.latest is not None
+        self.memory.view = None
+        self.memory.promised = max(self.memory.promised, self.latest.epoch)
+        self._emit(Persist(whole(self.memory), ()))
+
+    def await_slot(self) -> bool:
+        """Without a slot: accept nothing older than the latest view; only then may a later one name us."""
+        if self.latest is None or self.memory.slot() is not None or self.latest.epoch <= self.memory.promised:
+            return False
+        self.memory.promised = self.latest.epoch
+        return True
+
     def votes(self) -> bool:
         """Whether we have a slot: who has none has no say."""
         return self.memory.slot() is not None and not self.sick
@@ -65,6 +92,7 @@
     def _asked(self, ip: str, message: Ask, now: float) -> None:
         memory = self.memory
         led = now - self.heard_at < self._refuse_ms and self.heard_from != message.sender
+        led = led or now - self.leading_at < self._refuse_ms
         ok = self.votes() and message.epoch > memory.promised and (message.handover or not led)
         self._send(
             ip, Answer(memory.identity, message.sender, message.epoch, ok, memory.promised, memory.view)
@@ -72,9 +100,10 @@
 
     def _prepare(self, ip: str, message: Prepare) -> None:
         memory = self.memory
-        ok = self.votes() and message.epoch > memory.promised
+        again = message.epoch == memory.promised and message.sender == self._promised_to
+        ok = self.votes() and (message.epoch > memory.promised or again)
         if ok:
-            memory.promised = message.epoch
+            memory.promised, self._promised_to = message.epoch, message.sender
         reply = Promised(memory.identity, message.sender, message.epoch, ok, memory.promised, memory.view)
         if ok:
             self._persist(PromiseRecord(message.epoch), ip, reply)
--- a/barograph/campaign.py
+++ b/barograph/campaign.py
@@ -2,8 +2,8 @@
 
 The safety argument is in docs/control.md. A slot whose occupant is replaced does not count for that view:
 neither the old nor the new process has a say in it. Our own promise is synced before the others are asked for
-theirs, so a disk that hangs disturbs nobody; and the holders accept the view before any witness does, so a view
-that a witness knows of is in the hands of somebody who can go on from it.
+theirs, so a disk that hangs disturbs nobody; and the holders accept the view before any witness does, so a
+view that a witness knows of is in the hands of somebody who can go on from it.
 """
 
 from __future__ import annotations
@@ -25,6 +25,7 @@
     LOST = "lost"
 
 
+RESEND_MS = 100.0  # what has no answer by then is sent again
 SETTLE_MS = 25.0  # more promises than a majority are waited for so long: they widen the choice of holders
 
 
@@ -43,6 +44,7 @@
     avoid: frozenset[str] = frozenset()  # identities that are not to hold data
     stage: Stage = Stage.ASK
     stage_at: float = 0.0
+    sent_at: float = 0.0
     majority_at: float = 0.0
     yes: set[int] = field(default_factory=set)
     promised: set[int] = field(default_factory=set)
@@ -111,6 +113,30 @@
         witnesses = [m for m in self._voters() if self.base.slot_of(m.identity) not in self.view.holders]
         return [(m, self._install(m, None)) for m in witnesses]
 
+    def resend(self, document: Document, now: float) -> list[tuple[Member, Ask | Prepare | Install]]:
+        """What has had no answer for a while, once more; nothing while the sync of our own promise lasts."""
+        if now - max(self.sent_at, self.stage_at) < RESEND_MS:
+            return []
+        self.sent_at = now
+        match self.stage:
+            case Stage.ASK:
+                done = self.yes | self.against
+            case Stage.PREPARE if self.base.slot_of(self.me.identity) in self.promised:
+                done = self.promised | self.against
+            case Stage.INSTALL if self.view is not None:
+                done = self.installed | self.against
+                return [
+                    (self.base.at(slot), self._install(self.base.at(slot), document))
+                    for slot in self.view.holders
+                    if slot not in done
+                ]
+            case _:
+                return []
+        waiting = [m for m in self._voters() if m != self.me and self.base.slot_of(m.identity) not in done]
+        if self.stage is Stage.PREPARE:
+            return [(m, self._prepare(m)) for m in waiting]
+        return [(m, Ask(self.me.identity, m.identity, self.epoch, self.handover)) for m in waiting]
+
     def _prepare(self, member: Member) -> Prepare:
         return Prepare(self.me.identity, member.identity, self.epoch)
 
@@ -145,12 +171,15 @@
             return None
         slot = self.base.slot_of(sender)
         self.above = max(self.above, promised)
-        beyond = view is not None and view.epoch > self.base.epoch and view.epoch != self.epoch
-        if beyond and (self.later is None or view.epoch > self.later.epoch):
-            self.later = view
+        later = view if view is not None and view.epoch > self.base.epoch else None
+        if later is not None and later.epoch == self.epoch:
+            later = None  # ours
+        if later is not None and (self.later is None or later.epoch > self.later.epoch):
+            self.later = later
         if slot is None or slot == self.replaced:
             return None
-        if ok and not beyond:
+        if ok and later is None:
+            self.against.discard(slot)
             return slot
         # Whoever knows of a later view is not counted: if that view is in force, a majority is out of reach.
         self.against.add(slot)
--- a/barograph/herald.py
+++ b/barograph/herald.py
@@ -8,41 +8,63 @@
 
 from loguru import logger
 
+from barograph.mover import LOOK_S, Mover, Prove
 from barograph.platform import PlatformError, PlatformList, pack
 from barograph.views import Document, Member, View
 from screen.links import Links
 from screen.settings import Settings, parse_address
 from screen.wire import Link
 from sonde.bulletin import Bulletin
+from sonde.counting import COUNT_S
 from sonde.feed import Feed
 from sonde.follower import PULSE_S
-from sonde.messages import Attach, ConfigurationNews, MemberNews, Moved, Pulse, Roll, UpstreamNews
+from sonde.loads import LoadSum, unpack
+from sonde.messages import (
+    Attach,
+    ConfigurationNews,
+    LoadNews,
+    LoadReport,
+    MemberNews,
+    Moved,
+    Present,
+    Pulse,
+    Roll,
+    UpstreamLoad,
+    UpstreamNews,
+)
 
 LIST_S = 1.0  # the platform's list is read so often; a drain is told within this and its lag
 SILENT_S = 2.5  # a balancer that says nothing for so long has gone
-COUNT_S = 20.0  # balancers that were there within this still count: their part of a budget may be spent
 COUNTED_S = 2.0  # a new primary has heard of all balancers after this
+LINGER_S = 1.5  # one that has gone stays a member for so long: most only hear the news from elsewhere now
 
 
 class Herald:
     """Owns the bulletin of one control process; only the primary's goes out."""
 
-    def __init__(self, settings: Settings, links: Links) -> None:
+    def __init__(self, settings: Settings, links: Links, prove: Prove) -> None:
+        """`prove`: our epoch once it is sure that nobody has taken our place, else 0."""
         self._settings, self._links = settings, links
         self.bulletin = Bulletin()
-        self._feed = Feed(self.bulletin, links.kinds, self._changed)
+        self._feed = Feed(self.bulletin, links.kinds, lambda: None)
+        self._loads = LoadSum(dict, self._loaded)
+        self._loaded_by: dict[str, tuple[int, int]] = {}
+        self._entries: list[dict[str, Any]] = []  # of the platform's list
+        lease_s = settings.bounds.lease_ms / 1000
+        self._mover = Mover(settings.node, lease_s, prove, lambda: self._loaded_by, self._list)
         self._platform = PlatformList(parse_address(settings.cloud_api.addr))
         self._view: View | None = None
         self._leader_ip = ""  # of the other that leads
         self._since = 0.0
         self._number = 0
         self._counts: deque[tuple[float, int]] = deque()
+        self._seen: dict[str, tuple[Present, float]] = {}  # by node: when it was last present
         self._tasks: list[asyncio.Task[None]] = []
 
     def start(self) -> None:
         """Begin to beat and to read the list, both while we lead."""
         loop = asyncio.get_running_loop()
-        self._tasks = [loop.create_task(self._pulse()), loop.create_task(self._read())]
+        self._tasks = [loop.create_task(work()) for work in (self._pulse, self._read, self._move)]
 
     def stop(self) -> None:
         """End."""
@@ -60,10 +82,12 @@
         """We lead this view, or none."""
         if view is not None and self._view is None:
             self._since = asyncio.get_running_loop().time()
+            self.bulletin.forget_loads()
         self._view = view
+        self._mover.lead(view is not None, asyncio.get_running_loop().time())
         logger.info("event=lead epoch={}", view.epoch if view is not None else 0)
         if view is not None:
-            self._tell(MemberNews(view.epoch, self._next(), self._present(), self._cores(view)))
+            self._tell(MemberNews(view.epoch, self._next(), self._members(), self._cores(view)))
 
     def committed(self, document: Document) -> None:
         """This configuration is in force."""
@@ -87,10 +111,19 @@
                     self._feed.attach(link, message)
             case Roll():
                 self._feed.roll(link, message)
+            case LoadReport():
+                self._loads.report(link, message)
 
     def ended(self, link: Link) -> None:
         """A connection is over."""
         self._feed.ended(link)
+        self._loads.forget(link)
+
+    def _loaded(self, loads: tuple[UpstreamLoad, ...]) -> None:
+        """The sum of all loads has changed."""
+        self._loaded_by = unpack(loads)
+        if self._view is not None:
+            self._tell(LoadNews(self._view.epoch, self._next(), loads))
 
     def _elsewhere(self) -> list[str]:
         return [self._leader_ip] if self._leader_ip else []
@@ -102,19 +135,20 @@
     def _cores(self, view: View) -> list[str]:
         return [m.ip for m in view.members if m is not None]
 
-    def _present(self) -> tuple[Any, ...]:
-        return tuple(self._feed.present().values())
+    def _members(self) -> tuple[Present, ...]:
+        """Who is present or was a moment ago, by node."""
+        now = asyncio.get_running_loop().time()
+        self._seen.update({node: (p, now) for node, p in self._feed.present().items()})
+        self._seen = {node: seen for node, seen in self._seen.items() if now - seen[1] <= LINGER_S}
+        return tuple(self._seen[node][0] for node in sorted(self._seen))
 
     def _tell(self, message: Any) -> None:
         if self.bulletin.take(message):
             self._feed.tell(message)
 
-    def _changed(self) -> None:
-        view = self._view
-        if view is None:
-            return
-        known = self.bulletin.members
-        present = tuple(sorted(self._present(), key=lambda p: p.node))
+    def _tell_members(self, view: View) -> None:
+        """Tell who is there if that has changed; all changes since the last time together."""
+        known, present = self.bulletin.members, self._members()
         if known is None or tuple(known.balancers) != present:
             self._tell(MemberNews(view.epoch, self._next(), present, self._cores(view)))
 
@@ -131,6 +165,7 @@
             view = self._view
             if view is not None:
                 self._feed.sweep(asyncio.get_running_loop().time(), SILENT_S)
+                self._tell_members(view)
                 self._tell(Pulse(view.epoch, self._next(), self._count()))
             await asyncio.sleep(PULSE_S)
 
@@ -142,11 +177,23 @@
                 await asyncio.sleep(0.05)
                 continue
             try:
-                page = pack(await self._platform.read())
+                self._entries = await self._platform.read()
             except PlatformError as error:
                 logger.warning("event=list_unread error={!r}", str(error))
             else:
-                known = self.bulletin.upstreams
-                if self._view is not None and (known is None or known.page != page):
-                    self._tell(UpstreamNews(self._view.epoch, self._next(), page))
+                self._list()
             await asyncio.sleep(LIST_S)
+
+    def _list(self) -> None:
+        """Tell the list if it is not the one that was told last."""
+        page = pack(self._mover.dress(self._entries, asyncio.get_running_loop().time()))
+        known = self.bulletin.upstreams
+        if self._view is not None and (known is None or known.page != page):
+            self._mover.listed(page)
+            self._tell(UpstreamNews(self._view.epoch, self._next(), page))
+
+    async def _move(self) -> None:
+        """See now and then whether an upstream should play another part."""
+        while True:
+            await asyncio.sleep(LOOK_S)
+            self._mover.look(asyncio.get_running_loop().time())
--- a/barograph/keeper.py
+++ b/barograph/keeper.py
@@ -55,8 +55,14 @@
         return self.memory
 
     def keep(self, record: Record, done: Callable[[], None]) -> None:
-        """Sync a record, then call `done`; never if the disk refuses."""
+        """Sync a record, then call `done`; never if the disk refuses.
+
+        After a refusal nothing counts until all of the memory has been synced: what a later record builds on
+        might not be there.
+        """
         self._count += 1
+        if self._refused:
+            return
         number = self._count
         self._given[number] = asyncio.get_running_loop().time()
         future = self._queue.append(write_record(record))
@@ -106,9 +112,11 @@
     async def _write_whole(self) -> None:
         """Keep all of the memory in the other slot, however long it takes."""
         while True:
+            known = self._count
             try:
                 await self._queue.checkpoint(write_record(whole(self.memory)))
-                break
+                if known == self._count or not self._refused:
+                    break
             except DiskError:
                 await asyncio.sleep(AGAIN_S)
         self._refused = False
--- /dev/null
+++ b/barograph/mover.py
@@ -0,0 +1,101 @@
+"""The duty of moving upstreams between reading and answering: the primary's, with its epoch as fence."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Any
+
+from loguru import logger
+
+from barograph.orders import Rejected, Taken, change_phase
+from barograph.phases import Order, PhasePlan
+from screen.checking import parse_upstreams
+from screen.configuration import Upstream
+
+LOOK_S = 0.1
+LEASE_SPARE = 1.2  # the holder before us may have ordered something just now: so many leases are waited
+TOLD_S = 0.15  # balancers have heard by then that an upstream moves
+MOVING_S = 8.0  # after so long a move that does not show in the list is given up
+MOVING = "moving"  # the part that an upstream plays meanwhile, so that nobody sends to it
+
+Prove = Callable[[], Awaitable[int]]
+
+
+class Mover:
+    """Decides and gives the orders of one primary."""
+
+    def __init__(
+        self,
+        owner: str,
+        lease_s: float,
+        prove: Prove,
+        loads: Callable[[], Mapping[str, tuple[int, int]]],
+        changed: Callable[[], None],
+    ) -> None:
+        """`prove`: our epoch, once it is sure that nobody has taken our place; else 0."""
+        self._owner, self._lease_s, self._prove = owner, lease_s, prove
+        self._loads, self._changed = loads, changed
+        self._plan = PhasePlan()
+        self._entries: tuple[Upstream, ...] = ()
+        self._moving: dict[str, tuple[str, float]] = {}  # id: the part to come, given up at
+        self._leads_since: float | None = None
+        self._busy: asyncio.Task[None] | None = None
+
+    def lead(self, leads: bool, now: float) -> None:
+        """We lead, or no longer."""
+        if not leads:
+            self._leads_since = None
+            self._moving.clear()
+        elif self._leads_since is None:
+            self._leads_since = now
+            self._plan.reset()
+
+    def dress(self, entries: list[dict[str, Any]], now: float) -> list[dict[str, Any]]:
+        """The platform's list as balancers are to see it: what moves plays no part."""
+        for entry in entries:
+            move = self._moving.get(str(entry.get("id")))
+            if move is not None and entry.get("phase") == move[0]:
+                del self._moving[str(entry["id"])]
+                logger.info("event=moved upstream={} phase={}", entry["id"], move[0])
+        self._moving = {i: m for i, m in self._moving.items() if now < m[1]}
+        return [{**e, "phase": MOVING} if str(e.get("id")) in self._moving else e for e in entries]
+
+    def listed(self, page: bytes) -> None:
+        """The list as it stands."""
+        self._entries = parse_upstreams(page)[0]
+
+    def look(self, now: float) -> None:
+        """See whether an order is due; called every tenth of a second while we lead."""
+        if self._leads_since is None or not self._entries:
+            return
+        order = self._plan.look(self._entries, self._loads(), now)
+        waited = now - self._leads_since >= LEASE_SPARE * self._lease_s
+        if order is not None and waited and self._busy is None and not self._moving:
+            self._busy = asyncio.get_running_loop().create_task(self._carry_out(order))
+            self._busy.add_done_callback(self._over)
+
+    def _over(self, task: asyncio.Task[None]) -> None:
+        self._busy = None
+        if not task.cancelled() and (error := task.exception()) is not None:
+            logger.error("event=order_failed error={!r}", str(error))
+
+    async def _carry_out(self, order: Order) -> None:
+        loop = asyncio.get_running_loop()
+        name = order.upstream.id
+        self._moving[name] = (order.phase, loop.time() + MOVING_S)
+        self._changed()
+        await asyncio.sleep(TOLD_S)
+        epoch = await self._prove()
+        if not epoch:
+            self._moving.pop(name, None)
+            return
+        outcome = await change_phase(order.upstream, order.phase, self._owner, epoch)
+        logger.info(
+            "event=ordered upstream={} phase={} fence={} outcome={}", name, order.phase, epoch, outcome
+        )
+        if isinstance(outcome, Rejected):
+            self._moving.pop(name, None)
+            self._changed()
+        elif not isinstance(outcome, Taken):
+            logger.warning("event=order_unclear upstream={}", name)
--- a/barograph/node.py
+++ b/barograph/node.py
@@ -11,11 +11,11 @@
 
 from barograph import messages
 from barograph.codec import revive
-from barograph.effects import Committed, Effect, Lead, Persist, Reply, Send, Spec
+from barograph.effects import Committed, Effect, Lead, Persist, Reply, Send, Spec, Verdict
 from barograph.herald import Herald
 from barograph.keeper import FOUNDER, Keeper
 from barograph.operators import CALLS
-from barograph.primary import Command
+from barograph.primary import Command, Get
 from barograph.replica import Replica
 from barograph.views import Member
 from screen.calls import CallServer
@@ -25,6 +25,7 @@
 from sonde import messages as news
 
 TICK_S = 0.03
+PROOF_S = 0.5
 STOP_S = 1.0  # a successor is waited for so long
 KINDS = Kinds().include(messages.KINDS).include(news.KINDS)
 
@@ -45,7 +46,7 @@
         self._keeper = Keeper(settings.data_dir, self._disk)
         self._replica: Replica | None = None
         self._links = Links(KINDS, (settings.ip, settings.station_port), self._heard, self._ended)
-        self._herald = Herald(settings, self._links)
+        self._herald = Herald(settings, self._links, self._prove)
         self._calls = CallServer(CALLS, self)
         self._local: deque[messages.Message] = deque()
         self._tokens, self._owed = 0, dict[int, asyncio.Future[Reply]]()
@@ -124,6 +125,20 @@
         finally:
             self._owed.pop(command.token, None)
 
+    async def _prove(self) -> int:
+        """Our epoch once it is sure that nobody had taken our place when we asked, else 0."""
+        replica = self._replica
+        if replica is None or replica.primary is None:
+            return 0
+        epoch = replica.primary.view.epoch
+        try:
+            async with asyncio.timeout(PROOF_S):
+                reply = await self.submit(Get(self.token()))
+        except TimeoutError:
+            return 0
+        still = replica.primary is not None and replica.primary.view.epoch == epoch
+        return epoch if reply.verdict is Verdict.DONE and still else 0
+
     # ---- the machine
 
     def _now(self) -> float:
--- /dev/null
+++ b/barograph/phases.py
@@ -0,0 +1,114 @@
+"""Which upstream is to change its part: prompts are read by some and answers made by others, as traffic asks.
+
+Pure: the list and the loads of all balancers in, at most one order out. Times in seconds on a steady clock.
+How busy the reading tier is, is told by the share of its upstreams that have prompt tokens outstanding: over
+time that is its utilisation, whatever an upstream's pace. The other tier's is the share of its places in use.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+
+from screen.configuration import Upstream
+
+PREFILL, DECODE = "prefill", "decode"
+MEMORY_S = 2.0  # measures are smoothed over this
+SETTLED_S = 1.0  # measures count after so long
+READING_HIGH = 0.55  # use of the reading tier beyond which waits grow fast
+READING_LOW = 0.15
+PLACES_HIGH = 0.75  # share of the places of the other tier beyond which it is crowded
+PLACES_AFTER = 0.5  # share of them in use with one upstream less, at the most
+PAUSE_S = 4.0  # between two orders for one service: the one before has to show in the measures
+LEAST_RUNNERS = 2  # upstreams that make answers, where there are more than two in all
+
+
+@dataclass(frozen=True, slots=True)
+class Order:
+    """An upstream is to play another part."""
+
+    upstream: Upstream
+    phase: str
+
+
+@dataclass(slots=True)
+class _Measure:
+    """What is known of one service's tiers, smoothed."""
+
+    since: float
+    at: float
+    reading: float = 0.0  # upstreams' worth of reading
+    places: float = 0.0  # places in use where answers are made
+    ordered: float = -math.inf
+
+
+class PhasePlan:
+    """Watches the tiers of all services and says when an upstream should move."""
+
+    def __init__(self) -> None:
+        self._measures: dict[str, _Measure] = {}
+
+    def reset(self) -> None:
+        """Another has led meanwhile: what was measured is old."""
+        self._measures.clear()
+
+    def look(
+        self, entries: Sequence[Upstream], loads: Mapping[str, tuple[int, int]], now: float
+    ) -> Order | None:
+        """The order that is due, if any; `loads`: calls and prompt tokens outstanding by upstream."""
+        services: dict[str, list[Upstream]] = {}
+        for entry in entries:
+            if entry.state == "up" and entry.phase in (PREFILL, DECODE):
+                services.setdefault(entry.svc, []).append(entry)
+        found = None
+        for service, ups in services.items():
+            measure = self._measure(service, ups, loads, now)
+            if found is None and now - measure.since >= SETTLED_S and now - measure.ordered >= PAUSE_S:
+                found = _due(measure, ups, loads)
+                if found is not None:
+                    measure.ordered = now
+        return found
+
+    def _measure(
+        self, service: str, ups: list[Upstream], loads: Mapping[str, tuple[int, int]], now: float
+    ) -> _Measure:
+        measure = self._measures.get(service)
+        if measure is None:
+            measure = self._measures[service] = _Measure(now, now)
+        reading = places = 0.0
+        for up in ups:
+            calls, tokens = loads.get(up.id, (0, 0))
+            if up.phase == PREFILL:
+                reading += tokens > 0
+            else:
+                reading += 0.5 * (tokens > 0)  # it reads at half the pace
+                places += calls
+        keep = math.exp(-max(now - measure.at, 0.0) / MEMORY_S)
+        measure.reading = measure.reading * keep + reading * (1 - keep)
+        measure.places = measure.places * keep + places * (1 - keep)
+        measure.at = now
+        return measure
+
+
+def _due(measure: _Measure, ups: list[Upstream], loads: Mapping[str, tuple[int, int]]) -> Order | None:
+    readers = [u for u in ups if u.phase == PREFILL]
+    runners = [u for u in ups if u.phase == DECODE]
+    if not readers or not runners:
+        return None
+    places = sum(u.capacity for u in runners)
+    rest = places - max(u.capacity for u in runners)
+    least = LEAST_RUNNERS if len(ups) > LEAST_RUNNERS else 1
+    reading = measure.reading / len(readers)
+    used = measure.places / max(places, 1.0)
+
+    def by_calls(up: Upstream) -> tuple[int, str]:
+        return loads.get(up.id, (0, 0))[0], up.id
+
+    if reading > READING_HIGH and len(runners) > least and measure.places <= PLACES_AFTER * rest:
+        return Order(min(runners, key=by_calls), PREFILL)
+    crowded = used > PLACES_HIGH and reading < READING_HIGH
+    idle = reading < READING_LOW and used > PLACES_AFTER
+    if (crowded or idle) and len(readers) > 1:
+        return Order(min(readers, key=by_calls), DECODE)
+    return None
--- a/barograph/platform.py
+++ b/barograph/platform.py
@@ -24,6 +24,7 @@
     def __init__(self, address: Address) -> None:
         self._address = address
         self._line = Line(address)
+        self.pages = 1  # that the last whole list took: each is a call
 
     def move(self, address: Address) -> None:
         """The settings name another address."""
@@ -35,11 +36,12 @@
         """All entries as the platform tells them, `cold_left_ms` left out; raises PlatformError."""
         entries: list[dict[str, Any]] = []
         target = "/upstreams"
-        for _ in range(MOST_PAGES):
+        for number in range(1, MOST_PAGES + 1):
             page = await self._page(target)
             entries += [e for e in page.get("upstreams") or [] if isinstance(e, dict)]
             cursor = page.get("next_cursor")
             if cursor is None:
+                self.pages = number
                 return entries
             target = f"/upstreams?page_token={quote(str(cursor), safe='')}"
         raise PlatformError("the list has no end")
--- a/barograph/primary.py
+++ b/barograph/primary.py
@@ -103,6 +103,10 @@
         times = sorted(self.heard_at.values(), reverse=True)
         return times[self.view.majority - 1]
 
+    def present(self) -> set[int]:
+        """The slots that have answered a beat of this view."""
+        return {slot for slot, number in self.acked.items() if number > 0}
+
     def silent(self, now: float, after_ms: float) -> list[int]:
         """The slots that have answered nothing for so long."""
         return [
@@ -123,20 +127,25 @@
         writing = [self._writing] if self._writing is not None else []
         return [*(p.command for p in self._proofs), *writing, *self._queue]
 
-    def is_writing(self) -> bool:
-        """Whether a write is under way."""
-        return self._writing is not None
+    def is_hanging(self, now: float) -> bool:
+        """Whether a write has been under way for too long."""
+        return self._writing is not None and now - self.write_at > self._spec.write_ms
+
+    def has_kept(self, slot: int) -> bool:
+        """Whether a slot has synced the write that is under way."""
+        return slot in self._kept
 
     def written(self, message: Written, now: float) -> None:
         """A holder has kept the write, or could not."""
         slot = self.view.slot_of(message.sender)
         if slot is None or message.epoch != self.view.epoch or self._writing is None:
             return
+        if message.promised > self.view.epoch:
+            self.above = max(self.above, message.promised)
+        if message.number != self.committed.number + 1:
+            return  # a repeat of an earlier one
         if not message.ok:
             self.refused = True
-            self.above = max(self.above, message.promised if message.promised > self.view.epoch else 0)
-            return
-        if message.number != self.memory.document.number:
             return
         self._kept.add(slot)
         if self._kept.issuperset(self.view.holders):
--- a/barograph/replica.py
+++ b/barograph/replica.py
@@ -11,9 +11,11 @@
 
 from barograph.acceptor import Acceptor
 from barograph.campaign import Campaign, Stage, founding
-from barograph.effects import Effect, Lead, Reply, Send, Spec, Verdict
+from barograph.codec import PromiseRecord
+from barograph.effects import Effect, Lead, Persist, Reply, Send, Spec, Verdict
 from barograph.messages import (
     Answer,
+    Ask,
     Heard,
     Install,
     Installed,
@@ -30,6 +32,7 @@
 from barograph.views import Member, Memory, View
 
 WAITING_MS = 1_000.0  # a newcomer that has not asked for so long has gone
+LEAVING_MS = 10_000.0  # one that is told to end has ended by then
 
 
 class Replica:
@@ -40,18 +43,20 @@
     ) -> None:
         """`seeds`: the IPs of processes that may know the view. `founder`: we make the first one."""
         self.me, self.memory, self._spec, self._seeds = me, memory, spec, seeds
-        self._founder = founder and memory.view is None
+        self._founder = founder and memory.view is None and memory.promised == 0
         self._random = random.Random(seed)
         self._effects: deque[Effect] = deque()
         self.acceptor = Acceptor(memory, spec.lost_ms, self._effects.append)
         self.primary: Primary | None = None
         self._campaign: Campaign | None = None
         self._founding: Campaign | None = None
-        self._newcomers: dict[str, tuple[Member, float]] = {}
-        self._leaving: set[str] = set()
+        self._newcomers: dict[str, Join] = {}
+        self._came: dict[str, float] = {}  # identity of a newcomer: when it last asked
+        self._leaving: dict[str, float] = {}  # identity: since when
         self._next_try = 0.0
-        self._started, self._joined_at = 0.0, -1e12
+        self._started, self._joined_at, self._ticked_at = 0.0, -1e12, 0.0
         self._seen = 0  # the highest epoch that anybody has named
+        self._silent_since: dict[int, float] = {}  # by slot, from our last term
         self._carried: list[Command] = []  # from one of our terms to the next, which our own campaign begins
         self.stopping = False
 
@@ -65,7 +70,7 @@
 
     def start(self, now: float) -> None:
         """The process is up."""
-        self._started = now
+        self._started = self._ticked_at = now
         # With a view in hand the primary may be there; it has half of the usual time to be heard of.
         self.acceptor.heard_at = now - self._spec.lost_ms / 2
         self._next_try = now + self._random.uniform(0, self._spec.beat_ms)
@@ -113,33 +118,45 @@
                 self._founder = False
             return
         match message:
-            case Answer() if self._campaign is not None:
-                for member, prepare in self._campaign.answered(message, now):
+            case Answer():
+                self.acceptor.learn(message.view)
+                for member, prepare in self._campaign.answered(message, now) if self._campaign else ():
                     self._send(member, prepare)
             case Promised() if self._campaign is not None:
-                self._campaign.told(message, now)
+                for member, prepare in self._campaign.told(message, now):
+                    self._send(member, prepare)
             case Installed():
                 for campaign in (self._campaign, self._founding):
                     if campaign is not None:
-                        campaign.confirmed(message)
+                        for member, install in campaign.confirmed(message):
+                            self._send(member, install)
             case Written() if self.primary is not None:
                 self.primary.written(message, now)
             case Heard() if self.primary is not None:
                 self.primary.heard(message, now)
             case Known():
                 self.acceptor.learn(message.view)
+                if self.acceptor.await_slot():
+                    self._joined_at = -1e12  # ask again at once: we can be named now
             case Join():
                 self._join(ip, message, now)
             case Leaving():
-                self._leaving.add(message.sender)
+                self._leaving[message.sender] = now
             case Succeed():
-                if self.memory.view is not None and message.epoch >= self.memory.view.epoch:
+                view = self.memory.view
+                if view is not None and message.epoch == view.epoch and self.primary is None:
+                    self._leaving[message.sender] = now
                     self._run(now, handover=True)
         self._advance(now)
 
     def tick(self, now: float) -> None:
         """Time has gone by; called every few tens of milliseconds."""
-        self._newcomers = {i: e for i, e in self._newcomers.items() if now - e[1] < WAITING_MS}
+        if now - self._ticked_at > self._spec.beat_ms:  # we were frozen: beats may be waiting
+            self.acceptor.heard_at = max(self.acceptor.heard_at, now - self._spec.lost_ms / 2)
+        self._ticked_at = now
+        self._came = {i: at for i, at in self._came.items() if now - at < WAITING_MS}
+        self._newcomers = {i: j for i, j in self._newcomers.items() if i in self._came}
+        self._leaving = {i: at for i, at in self._leaving.items() if now - at < LEAVING_MS}
         self._advance(now)
         if self.primary is not None:
             self._lead(now)
@@ -148,9 +165,15 @@
                 self._run(now)
         elif self._founder:
             self._found(now)
-        if self.memory.slot() is None and now - self._joined_at >= self._spec.join_ms:
+        if self.primary is None and self.acceptor.is_displaced() and not self.acceptor.sick:
+            self._campaign = None
+            self.acceptor.forget()
+        if self.primary is None and now - self._joined_at >= self._spec.join_ms:
             self._joined_at = now
-            self._ask_in()
+            if self.memory.slot() is None:
+                self._ask_in()
+            elif now - self.acceptor.heard_at > self._spec.dead_ms:
+                self._inquire()
 
     # ---- campaigns
 
@@ -180,7 +203,7 @@
             handover or self.primary is not None,
             replaced,
             newcomer,
-            frozenset(self._leaving),
+            frozenset(self._leaving),  # identities
         )
         self._seen = epoch
         for member, ask in self._campaign.begin(now):
@@ -197,6 +220,8 @@
     def _campaign_on(self, campaign: Campaign, now: float) -> None:
         for member, install in campaign.install(self.memory.document, now):
             self._send(member, install)
+        for member, message in campaign.resend(self.memory.document, now):
+            self._send(member, message)
         late = now - campaign.stage_at > self._spec.stage_ms
         if campaign.stage is Stage.WON:
             self._campaign = None
@@ -216,6 +241,11 @@
         view = campaign.view
         carried, self._carried = self._carried, []
         self.primary = Primary(self.memory, view, self._spec, self._effects.append, now)
+        for slot in range(len(view.members)):  # who has not spoken in the campaign is silent since before
+            if slot not in campaign.promised | campaign.installed and slot != campaign.replaced:
+                self.primary.heard_at[slot] = min(self._silent_since.get(slot, campaign.began), campaign.began)
+        self._silent_since.clear()
+        self._next_try = now + self._spec.beat_ms  # a view is given the time of a beat
         self._effects.append(Lead(view))
         for slot, member in enumerate(view.members):
             if member is not None and slot not in campaign.installed:
@@ -234,15 +264,14 @@
     def _lead(self, now: float) -> None:
         primary = self.primary
         assert primary is not None
+        self.acceptor.leading_at = primary.quorum_at()
         if primary.is_beat_due(now):
             primary.beat(now)
         for slot in primary.behind:
             self._install_at(primary.view.at(slot), primary.view)
         primary.behind.clear()
-        if now - primary.quorum_at() > self._spec.quorum_ms:
-            self._end_term(now)
-            return
-        if self.acceptor.sick:
+        own_hangs = primary.is_hanging(now) and not primary.has_kept(primary.view.primary)
+        if self.acceptor.sick or own_hangs or now - primary.quorum_at() > self._spec.quorum_ms:
             self._succeed(now)
             return
         if self._campaign is None and now >= self._next_try and self._wants_change(primary, now):
@@ -252,12 +281,11 @@
         """Whether the view has to change: a holder is lost or leaves, a write hangs, somebody waits."""
         view = primary.view
         silent = set(primary.silent(now, self._spec.silent_ms))
-        hangs = primary.is_writing() and now - primary.write_at > self._spec.write_ms
         leaving = {s for i in self._leaving if (s := view.slot_of(i)) is not None}
         lost = (silent | leaving) & set(view.holders)
         few = len(view.holders) < self._spec.holders
-        spare = len([m for m in view.members if m is not None]) - len(silent | leaving)
-        if primary.above >= view.epoch or hangs or primary.refused:
+        spare = len(primary.present() - silent - leaving)
+        if primary.above >= view.epoch or primary.is_hanging(now) or primary.refused:
             return True
         if (lost or few) and spare >= self._spec.holders:
             return True
@@ -267,8 +295,9 @@
         """A slot to give to a newcomer: its own of before, an empty one, or one of a dead member."""
         assert self.primary is not None
         dead = set(self.primary.silent(now, self._spec.dead_ms))
-        for newcomer, _ in self._newcomers.values():
-            if view.slot_of(newcomer.identity) is not None:
+        for join in self._newcomers.values():
+            newcomer = join.member
+            if view.slot_of(newcomer.identity) is not None or join.promised < view.epoch:
                 continue
             for slot, member in enumerate(view.members):
                 same = member is not None and (member.node == newcomer.node or member.ip == newcomer.ip)
@@ -280,14 +309,11 @@
         return None, None
 
     def _succeed(self, now: float) -> None:
-        """Name the successor: a holder that was heard of a moment ago."""
+        """Name the successor: a holder, one that has the latest write and was heard of a moment ago first."""
         primary = self.primary
         assert primary is not None
-        heirs = [
-            s
-            for s in primary.view.holders
-            if s != primary.view.primary and now - primary.heard_at[s] < self._spec.silent_ms
-        ]
+        heirs = [s for s in primary.view.holders if s != primary.view.primary]
+        heirs.sort(key=lambda s: (now - primary.heard_at[s] > self._spec.silent_ms, not primary.has_kept(s)))
         for slot in heirs[:1]:
             heir = primary.view.at(slot)
             self._send(heir, Succeed(self.me.identity, heir.identity, primary.view.epoch))
@@ -298,7 +324,9 @@
         primary, self.primary = self.primary, None
         if primary is not None:
             self._carried += primary.pending()
+            self._silent_since = dict(primary.heard_at)
             self._effects.append(Lead(None))
+            self.acceptor.leading_at = -1e12
             self.acceptor.heard_at = max(self.acceptor.heard_at, now - self._spec.lost_ms / 2)
             if self._campaign is None or self._campaign.epoch != self.memory.promised:
                 self._let_go()
@@ -312,7 +340,11 @@
     # ---- newcomers
 
     def _join(self, ip: str, message: Join, now: float) -> None:
-        self._newcomers[message.sender] = (message.member, now)
+        member = message.member
+        for identity, other in list(self._newcomers.items()):  # a process of before on the same machine
+            if other.member.node == member.node or other.member.ip == member.ip:
+                del self._newcomers[identity]
+        self._newcomers[message.sender], self._came[message.sender] = message, now
         self._seen = max(self._seen, message.promised)
         view, own = self.acceptor.latest, self.memory.view
         if own is not None and own.epoch == 1 and own.leader() == self.me and own.slot_of(message.sender):
@@ -322,15 +354,27 @@
             self._effects.append(Send(ip, known))
 
     def _ask_in(self) -> None:
-        """Ask for a slot, at whoever may lead and at the seeds."""
-        leader = self.leader()
-        ips = ({leader.ip} if leader is not None else set()) | set(self._seeds)
-        for ip in sorted(ips - {self.me.ip}):
-            self._effects.append(Send(ip, Join(self.me.identity, "", self.me, self.memory.promised)))
+        """Ask for a slot, wherever we know somebody; our promise is synced before it is heard of."""
+        join = Join(self.me.identity, "", self.me, self.memory.promised)
+        sends = tuple(Send(ip, join) for ip in self._others())
+        if self.memory.promised:
+            self._effects.append(Persist(PromiseRecord(self.memory.promised), sends))
+        else:
+            self._effects.extend(sends)
+
+    def _inquire(self) -> None:
+        """We have a slot and hear of no primary: the view may have gone on without us."""
+        for ip in self._others():
+            self._effects.append(Send(ip, Ask(self.me.identity, "", 0, False)))
+
+    def _others(self) -> list[str]:
+        latest = self.acceptor.latest
+        known = {m.ip for m in latest.members if m is not None} if latest is not None else set()
+        return sorted((known | set(self._seeds)) - {self.me.ip})
 
     def _found(self, now: float) -> None:
         """Make the first view once all are there, or enough after a while."""
-        others = [m for m, _ in self._newcomers.values()]
+        others = [join.member for join in self._newcomers.values()]
         enough = len(others) + 1 >= self._spec.slots
         late = now - self._started > self._spec.found_ms and len(others) + 1 >= self._spec.holders
         if self.acceptor.latest is not None or not (enough or late):
--- /dev/null
+++ b/mastturn/control_check/history.py
@@ -0,0 +1,71 @@
+"""Plays seeded histories, over several processes, and sums up what was seen."""
+
+from __future__ import annotations
+
+import multiprocessing
+import os
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from barograph.replica import Replica
+from mastturn.control_check.rules import BrokenRuleError
+from mastturn.control_check.troubles import Troubles
+from mastturn.control_check.world import Make, Shape, Takeover, World
+
+
+@dataclass(frozen=True, slots=True)
+class History:
+    """What one seed has given."""
+
+    seed: int
+    broken: str  # "" where every rule has held
+    rule: str
+    at_ms: float
+    acknowledged: int
+    reads: int
+    views: int
+    gaps: tuple[Takeover, ...]
+    slots_taken: tuple[float, ...]
+    slowest_ms: float
+    story: tuple[str, ...] = field(default=(), repr=False)
+
+
+def play(shape: Shape, seed: int, make: Make = Replica, told: bool = False) -> History:
+    """One history; `told`: with its story."""
+    world = World(shape, seed, make)
+    if told:
+        world.story = []
+    troubles = Troubles(world)
+    world.begin()
+    troubles.begin()
+    broken = rule = ""
+    try:
+        world.run(shape.length_ms)
+    except BrokenRuleError as error:
+        broken, rule = str(error), error.rule
+    return History(
+        seed,
+        broken,
+        rule,
+        world.now,
+        world.rules.acknowledged,
+        world.rules.reads,
+        world.views,
+        tuple(world.gaps),
+        tuple(world.slots_taken),
+        max(o.slowest for o in world.operators),
+        tuple(world.story or ()),
+    )
+
+
+def _play(job: tuple[Shape, int]) -> History:
+    return play(*job)
+
+
+def play_all(shape: Shape, seeds: Iterable[int], workers: int = 1) -> list[History]:
+    """Many histories, over at most so many processes."""
+    jobs = [(shape, seed) for seed in seeds]
+    if workers <= 1:
+        return [_play(job) for job in jobs]
+    with multiprocessing.Pool(min(workers, os.cpu_count() or 1)) as pool:
+        return list(pool.imap_unordered(_play, jobs, chunksize=4))
--- /dev/null
+++ b/mastturn/control_check/operators.py
@@ -0,0 +1,106 @@
+"""Operators of simulated time: chains of changes with If-Match, resends, races, reads."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Protocol
+
+from barograph.effects import Reply, Verdict
+from barograph.primary import Command, Get, Put
+from mastturn.control_check.rules import Asked, Rules
+
+PATIENCE_MS = 1_000.0  # without an answer for so long the call is sent again
+
+
+class Line(Protocol):
+    """How an operator reaches the machines."""
+
+    now: float
+    chance: random.Random
+    rules: Rules
+
+    def later(self, delay: float, call: Callable[[], None]) -> None:
+        """Call once the time has gone by."""
+
+    def call(self, operator: Operator, command: Command) -> None:
+        """Bring a command to some machine; its answer, if any, comes by `told`."""
+
+
+class Operator:
+    """One operator: one call at a time, sent again unchanged until it has an answer."""
+
+    def __init__(self, line: Line, name: str, pause_ms: float) -> None:
+        self._line, self.name, self._pause = line, name, pause_ms
+        self._asked: Asked | None = None
+        self._version = 0  # the newest that we know of
+        self._reads_next = True
+        self._turn = 0
+        self._followed = 0
+        self._count = 0
+        self.since = 0.0  # when the call under way began
+        self.hint = ""  # where the last answer pointed
+        self.tried = line.chance.randrange(100)
+        self.stopped = False
+        self.slowest = 0.0
+
+    def begin(self) -> None:
+        """Make the next call."""
+        if self.stopped:
+            return
+        chance = self._line.chance
+        command: Command
+        if self._reads_next or chance.random() < 0.25:
+            command = Get(0)
+        else:
+            self._count += 1
+            digest = f"{self.name}-{self._count}"
+            command = Put(0, self._version, self._version + chance.randint(1, 4), digest, digest.encode())
+        self._reads_next = False
+        self._asked = self._line.rules.ask(command)
+        self.since = self._line.now
+        self._send()
+
+    def is_waiting(self) -> bool:
+        """Whether a call is under way."""
+        return self._asked is not None
+
+    def _send(self) -> None:
+        if self._asked is None:
+            return
+        self._turn += 1
+        turn = self._turn
+        self._line.call(self, self._asked.command)
+
+        def again() -> None:
+            if turn == self._turn:
+                self.hint = ""
+                self._send()
+
+        self._line.later(PATIENCE_MS, again)
+
+    def told(self, reply: Reply, of: Command, hint: str) -> None:
+        """An answer to a call, perhaps to one of before."""
+        if self._asked is None or of is not self._asked.command:
+            return
+        if reply.verdict is Verdict.MOVED:
+            self._followed = self._followed + 1 if hint else 0
+            self.hint = hint if self._followed <= 2 else ""  # then to any, as a client would
+            self._followed %= 3
+            self._line.later(self._line.chance.uniform(20, 120), self._again_for(of))
+            return
+        asked, self._asked = self._asked, None
+        self._turn += 1
+        self._line.rules.replied(asked, reply)
+        self.slowest = max(self.slowest, self._line.now - self.since)
+        assert reply.document is not None
+        self._version = reply.document.ver
+        self._reads_next = reply.verdict is not Verdict.DONE and self._line.chance.random() < 0.5
+        self._line.later(self._line.chance.uniform(0.2, 1.8) * self._pause, self.begin)
+
+    def _again_for(self, command: Command) -> Callable[[], None]:
+        def again() -> None:
+            if self._asked is not None and self._asked.command is command:
+                self._send()
+
+        return again
--- /dev/null
+++ b/mastturn/control_check/rules.py
@@ -0,0 +1,107 @@
+"""What must hold in every history of the control state; judged by what processes and operators have said."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from barograph.effects import Committed, Reply, Verdict
+from barograph.primary import Get, Put
+from barograph.views import Document, Taken
+
+
+class BrokenRuleError(Exception):
+    """A history in which a rule does not hold; `rule` is its short name."""
+
+    def __init__(self, rule: str, what: str) -> None:
+        super().__init__(f"{rule}: {what}")
+        self.rule = rule
+
+
+@dataclass(frozen=True, slots=True)
+class Asked:
+    """An operator's call: what was known when it was first sent."""
+
+    command: Put | Get
+    floor: int  # the number of the newest document that anybody had been told of
+
+
+@dataclass(slots=True)
+class Rules:
+    """Takes every outcome as it happens; raises BrokenRuleError on the first that may not be."""
+
+    chain: dict[int, Document] = field(default_factory=dict)
+    epochs: dict[int, int] = field(default_factory=dict)  # epoch: the newest number committed in it
+    told: int = 0  # the newest number that an operator was told of
+    winners: dict[int, Taken] = field(default_factory=dict)  # base version: which write on it was acknowledged
+    refused: dict[Taken, int] = field(default_factory=dict)
+    leaders: dict[int, str] = field(default_factory=dict)  # epoch: who led it
+    acknowledged: int = 0
+    reads: int = 0
+
+    def committed(self, effect: Committed) -> None:
+        """A process says that a document stays; the first in an epoch is what it begins with."""
+        document, first = effect.document, effect.epoch not in self.epochs
+        known = self.chain.setdefault(document.number, document)
+        if known != document:
+            raise BrokenRuleError("one chain", f"number {document.number} is {_brief(known)} and {_brief(document)}")
+        before = self.chain.get(document.number - 1)
+        if before is not None and document.taken[-len(before.taken) - 1 : -1] != before.taken[-511:]:
+            raise BrokenRuleError("one chain", f"{_brief(document)} does not follow {_brief(before)}")
+        after = self.chain.get(document.number + 1)
+        if after is not None and after.taken[-len(document.taken) - 1 : -1] != document.taken[-511:]:
+            raise BrokenRuleError("one chain", f"{_brief(after)} does not follow {_brief(document)}")
+        least = max((n for e, n in self.epochs.items() if e < effect.epoch), default=0)
+        if document.number < least:
+            raise BrokenRuleError("no loss", f"epoch {effect.epoch} has {document.number}, an earlier one {least}")
+        if first and document.number < self.told:
+            raise BrokenRuleError("no loss", f"epoch {effect.epoch} begins with {document.number} of {self.told}")
+        self.epochs[effect.epoch] = max(self.epochs.get(effect.epoch, 0), document.number)
+        for epoch, number in self.epochs.items():
+            if epoch > effect.epoch and number < document.number:
+                raise BrokenRuleError(
+                    "one primary", f"epoch {effect.epoch} commits {document.number}, epoch {epoch} has {number}"
+                )
+        if document.taken and document.taken[-1] in self.refused:
+            raise BrokenRuleError("refused", f"{document.taken[-1]} was refused and is in force")
+
+    def leads(self, epoch: int, identity: str) -> None:
+        """A process says that it leads an epoch."""
+        if self.leaders.setdefault(epoch, identity) != identity:
+            raise BrokenRuleError("one primary", f"epoch {epoch} has {self.leaders[epoch]} and {identity}")
+
+    def ask(self, command: Put | Get) -> Asked:
+        """An operator makes a call."""
+        return Asked(command, self.told)
+
+    def replied(self, asked: Asked, reply: Reply) -> None:
+        """An operator is told the outcome; MOVED tells nothing."""
+        command, document = asked.command, reply.document
+        if reply.verdict is Verdict.MOVED:
+            return
+        assert document is not None
+        if self.chain.get(document.number) != document:
+            raise BrokenRuleError("one chain", f"an operator is told {_brief(document)}, which nobody committed")
+        if document.number < asked.floor:
+            raise BrokenRuleError("old answer", f"{_brief(document)} after {asked.floor} was known")
+        if isinstance(command, Put):
+            self._put(command, reply.verdict, document)
+        else:
+            self.reads += 1
+        self.told = max(self.told, document.number)
+
+    def _put(self, put: Put, verdict: Verdict, document: Document) -> None:
+        taken = Taken(put.ver, put.digest)
+        if verdict is not Verdict.DONE:
+            if taken in document.taken:
+                raise BrokenRuleError("refused", f"{taken} is refused and in force")
+            self.refused[taken] = document.number
+            return
+        if taken not in document.taken:
+            raise BrokenRuleError("no loss", f"{taken} is acknowledged and not in {_brief(document)}")
+        if self.winners.setdefault(put.base, taken) != taken:
+            raise BrokenRuleError("race", f"{taken} and {self.winners[put.base]} on version {put.base}")
+        self.acknowledged += 1
+
+
+def _brief(document: Document) -> str:
+    return f"number {document.number} (version {document.ver}, {document.taken[-1:]})"
--- /dev/null
+++ b/mastturn/control_check/troubles.py
@@ -0,0 +1,254 @@
+"""Troubles as they may come: no more machines lost at once than are to be borne, with what may befall them all."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from mastturn.control_check.machine import Machine
+from mastturn.control_check.world import World
+
+SYNC_MS = 4_000.0  # a machine counts as lost for so long after its return
+BEGIN_MS = 5_000.0
+END_MS = 8_000.0  # the last of a history: no new troubles, so that what was acknowledged is read back
+
+
+class Troubles:
+    """As many lanes as machines may be lost; each lane troubles one machine at a time."""
+
+    def __init__(self, world: World) -> None:
+        self._world = world
+        self._lost: set[str] = set()  # IPs
+        self._machines_made = world.shape.machines
+        self._kinds: list[Callable[[Machine, Callable[[], None]], None]] = [
+            self._kill,
+            self._power,
+            self._wipe,
+            self._wipe,
+            self._replace,
+            self._freeze,
+            self._freeze,
+            self._isolate,
+            self._isolate,
+            self._deaf,
+            self._mute,
+            self._pair,
+            self._full,
+            self._hang,
+            self._slow,
+            self._term,
+            self._flap,
+        ]
+
+    def begin(self) -> None:
+        """Let the lanes run, and something befall everybody now and then."""
+        world = self._world
+        for _ in range(world.shape.losses):
+            world.later(BEGIN_MS + world.chance.uniform(0, 3_000), self._next)
+        if world.chance.random() < 0.6:
+            at = world.chance.uniform(BEGIN_MS, world.shape.length_ms - END_MS)
+            world.later(at, self._herd)
+
+    def _next(self) -> None:
+        world, chance = self._world, self._world.chance
+        if world.now > world.shape.length_ms - END_MS - SYNC_MS:
+            return
+        primary = world.primary()
+        free = [m for ip, m in world.machines.items() if ip not in self._lost and m.replica is not None]
+        if not free:
+            world.later(500.0, self._next)
+            return
+        machine = chance.choice(free)
+        if primary in free and chance.random() < 0.5:
+            assert primary is not None
+            machine = primary
+        self._lost.add(machine.ip)
+        kind = chance.choice(self._kinds)
+        ip = machine.ip
+
+        def returned() -> None:
+            world.calm_since = world.now
+            world.tell(f"over {ip}")
+            world.later(SYNC_MS, over)
+
+        def over() -> None:
+            self._lost.discard(ip)
+            pause = 0.0 if chance.random() < 0.4 else chance.uniform(0, 2_500)
+            world.later(pause, self._next)
+
+        kind(machine, returned)
+
+    def _ago(self, least: float, most: float) -> float:
+        return self._world.chance.uniform(least, most)
+
+    def _kill(self, machine: Machine, returned: Callable[[], None]) -> None:
+        self._down("kill", machine, returned, wipe=False, power=False)
+
+    def _power(self, machine: Machine, returned: Callable[[], None]) -> None:
+        self._down("power", machine, returned, wipe=False, power=True)
+
+    def _wipe(self, machine: Machine, returned: Callable[[], None]) -> None:
+        self._down("wipe", machine, returned, wipe=True, power=True)
+
+    def _down(
+        self, what: str, machine: Machine, returned: Callable[[], None], wipe: bool, power: bool
+    ) -> None:
+        world = self._world
+        world.trouble(f"{what} {machine.ip}", machine)
+        machine.end(power)
+        if wipe:
+            machine.disk.wipe(world.identity())
+
+        def back() -> None:
+            world.restart(machine)
+            returned()
+
+        world.later(self._ago(100, 900) if world.chance.random() < 0.7 else self._ago(900, 5_000), back)
+
+    def _replace(self, machine: Machine, returned: Callable[[], None]) -> None:
+        world = self._world
+        world.trouble(f"replace {machine.ip}", machine)
+        if world.chance.random() < 0.5 and machine.replica is not None:
+            replica = machine.replica
+            machine.run(lambda: replica.stop(world.now))
+        index = self._machines_made
+        self._machines_made += 1
+
+        def back() -> None:
+            other = world.add(f"core-{index}", f"10.0.{index}.1", machine.zone)
+            self._lost.add(other.ip)
+            world.restart(other)
+            world.calm_since = world.now
+            world.later(SYNC_MS, lambda: self._lost.discard(other.ip))
+            returned()
+
+        world.later(self._ago(0, 300), lambda: world.remove(machine.ip))
+        world.later(self._ago(300, 3_000), back)
+
+    def _freeze(self, machine: Machine, returned: Callable[[], None]) -> None:
+        world = self._world
+        world.trouble(f"freeze {machine.ip}", machine)
+        machine.freeze()
+
+        def thaw() -> None:
+            world.calm_since = world.now
+            if machine.frozen:
+                machine.thaw()
+            returned()
+
+        world.later(self._ago(100, 7_000), thaw)
+
+    def _cut(
+        self, what: str, machine: Machine, pairs: set[tuple[str, str]], returned: Callable[[], None]
+    ) -> None:
+        world = self._world
+        world.trouble(f"{what} {machine.ip}", machine)
+        world.network.cut(pairs)
+
+        def heal() -> None:
+            world.calm_since = world.now
+            world.network.join(pairs)
+            returned()
+
+        world.later(self._ago(200, 8_000), heal)
+
+    def _others(self, machine: Machine) -> list[str]:
+        made = [f"10.0.{i}.1" for i in range(self._machines_made + 4)]
+        return [ip for ip in made if ip != machine.ip]
+
+    def _isolate(self, machine: Machine, returned: Callable[[], None]) -> None:
+        others = self._others(machine)
+        pairs = {(machine.ip, o) for o in others} | {(o, machine.ip) for o in others}
+        self._cut("isolate", machine, pairs, returned)
+
+    def _deaf(self, machine: Machine, returned: Callable[[], None]) -> None:
+        self._cut("deaf", machine, {(o, machine.ip) for o in self._others(machine)}, returned)
+
+    def _mute(self, machine: Machine, returned: Callable[[], None]) -> None:
+        self._cut("mute", machine, {(machine.ip, o) for o in self._others(machine)}, returned)
+
+    def _pair(self, machine: Machine, returned: Callable[[], None]) -> None:
+        other = self._world.chance.choice([ip for ip in self._world.machines if ip != machine.ip])
+        pairs = {(machine.ip, other), (other, machine.ip)}
+        if self._world.chance.random() < 0.3:
+            pairs = {(machine.ip, other)}
+        self._cut("pair", machine, pairs, returned)
+
+    def _flap(self, machine: Machine, returned: Callable[[], None]) -> None:
+        """Cut and healed again and again."""
+        world = self._world
+        others = self._others(machine)
+        pairs = {(machine.ip, o) for o in others} | {(o, machine.ip) for o in others}
+        world.trouble(f"flap {machine.ip}", machine)
+        at = 0.0
+        for _ in range(world.chance.randint(2, 6)):
+            world.later(at, lambda: self._change(pairs, True))
+            at += self._ago(50, 900)
+            world.later(at, lambda: self._change(pairs, False))
+            at += self._ago(50, 900)
+        world.later(at, returned)
+
+    def _change(self, pairs: set[tuple[str, str]], cut: bool) -> None:
+        self._world.calm_since = self._world.now
+        if cut:
+            self._world.network.cut(pairs)
+        else:
+            self._world.network.join(pairs)
+
+    def _disk(self, what: str, machine: Machine, returned: Callable[[], None]) -> None:
+        world = self._world
+        world.trouble(f"{what} {machine.ip}", machine)
+
+        def well() -> None:
+            world.calm_since = world.now
+            machine.disk.well()
+            returned()
+
+        world.later(self._ago(300, 7_000), well)
+
+    def _full(self, machine: Machine, returned: Callable[[], None]) -> None:
+        machine.disk.refuses = True
+        self._disk("full", machine, returned)
+
+    def _hang(self, machine: Machine, returned: Callable[[], None]) -> None:
+        machine.disk.hangs = True
+        self._disk("hang", machine, returned)
+
+    def _slow(self, machine: Machine, returned: Callable[[], None]) -> None:
+        machine.disk.slow = self._world.chance.choice((10.0, 60.0, 300.0))
+        self._disk("slow", machine, returned)
+
+    def _term(self, machine: Machine, returned: Callable[[], None]) -> None:
+        world = self._world
+        world.trouble(f"term {machine.ip}", machine)
+        replica = machine.replica
+        assert replica is not None
+        machine.run(lambda: replica.stop(world.now))
+
+        def end() -> None:
+            if machine.replica is replica:
+                machine.end(False)
+            world.later(self._ago(50, 2_000), back)
+
+        def back() -> None:
+            world.restart(machine)
+            returned()
+
+        world.later(self._ago(10, 1_500), end)
+
+    def _herd(self) -> None:
+        """All processes are killed, or lose power, at once; those that were down stay so."""
+        world = self._world
+        power = world.chance.random() < 0.5
+        world.trouble(f"herd power={power}", None)
+        for machine in list(world.machines.values()):
+            if machine.replica is None:
+                continue
+            machine.end(power)
+            world.later(self._ago(100, 1_000), self._back(machine))
+
+    def _back(self, machine: Machine) -> Callable[[], None]:
+        def back() -> None:
+            self._world.calm_since = self._world.now
+            self._world.restart(machine)
+
+        return back
--- a/passpost/upstream.py
+++ b/passpost/upstream.py
@@ -624,6 +624,12 @@
             for connection in list(self._upstreams[name].idle):
                 connection.drop()
 
+    def drop_idle(self, server: str) -> None:
+        """Close the idle connections to one upstream."""
+        upstream = self._upstreams.get(server)
+        for connection in list(upstream.idle) if upstream is not None else ():
+            connection.drop()
+
     def share(self, shared: bool) -> None:
         """While two processes are one balancer each has half of the connections; idle ones go for that."""
         self._allowed = self._max_open // 2 if shared else self._max_open
--- a/sonde/bulletin.py
+++ b/sonde/bulletin.py
@@ -4,9 +4,9 @@
 
 from typing import Any
 
-from sonde.messages import ConfigurationNews, MemberNews, Pulse, UpstreamNews
+from sonde.messages import ConfigurationNews, LoadNews, MemberNews, Pulse, UpstreamNews
 
-News = ConfigurationNews | UpstreamNews | MemberNews | Pulse
+News = ConfigurationNews | UpstreamNews | MemberNews | Pulse | LoadNews
 
 
 class Bulletin:
@@ -17,6 +17,7 @@
         self.upstreams: UpstreamNews | None = None
         self.members: MemberNews | None = None
         self.pulse: Pulse | None = None
+        self.loads: LoadNews | None = None
 
     def take(self, message: Any) -> bool:
         """Keep a message if it is newer than what we have; whether it was."""
@@ -37,6 +38,10 @@
                 if not _is_newer(message, self.pulse):
                     return False
                 self.pulse = message
+            case LoadNews():
+                if not _is_newer(message, self.loads):
+                    return False
+                self.loads = message
             case _:
                 return False
         return True
@@ -48,9 +53,13 @@
             found.append(self.configuration)
         if self.upstreams is not None and (self.upstreams.epoch, self.upstreams.number) > list_stamp:
             found.append(self.upstreams)
-        found += [news for news in (self.members, self.pulse) if news is not None]
+        found += [news for news in (self.members, self.pulse, self.loads) if news is not None]
         return found
 
+    def forget_loads(self) -> None:
+        """What was told of others' work is no use any more; the same sums are news when they come again."""
+        self.loads = None
+
 
 def _is_newer(message: Any, known: Any) -> bool:
     return known is None or (message.epoch, message.number) > (known.epoch, known.number)
--- a/sonde/follower.py
+++ b/sonde/follower.py
@@ -10,14 +10,25 @@
 from screen.links import Links
 from screen.wire import Link
 from sonde.bulletin import Bulletin
-from sonde.messages import Attach, ConfigurationNews, MemberNews, Moved, Present, Pulse, Roll, UpstreamNews
+from sonde.messages import (
+    Attach,
+    ConfigurationNews,
+    LoadNews,
+    MemberNews,
+    Moved,
+    Present,
+    Pulse,
+    Roll,
+    UpstreamNews,
+)
 from sonde.relays import parent_of
 
 PULSE_S = 0.3  # the control state is heard of so often
 STALE_S = 0.9  # without a newer pulse for so long whoever tells us is behind itself
 PAUSE_S = 0.1  # between two attempts, more or less
 ROLL_S = 1.0  # we are heard of so often by whoever tells us
-SETTLE_S = 1.0  # news of members are let settle before we move to another relay
+SETTLE_S = 1.0  # the tree has given us another place for so long before we move there
+SHUN_S = 4.0  # a process that was silent or out of reach is not asked for so long while there are others
 
 
 class Follower:
@@ -31,10 +42,15 @@
         seeds: tuple[str, ...],
         told: Callable[[Any], None],
         below: Callable[[], dict[str, Present]],
+        attached: Callable[[], None],
         seed: int,
     ) -> None:
-        """`seeds`: IPs of control processes. `told`: each newer piece of news. `below`: who hears us."""
+        """`seeds`: IPs of control processes. `told`: each newer piece of news. `below`: who hears us.
+
+        `attached`: whoever tells us the news from now on knows nothing of us yet.
+        """
         self._me, self._links, self._bulletin, self._told, self._below = me, links, bulletin, told, below
+        self._attached = attached
         self._seeds = list(seeds)
         self._hints: list[str] = []
         self._random = random.Random(seed)
@@ -43,8 +59,8 @@
         self._pulsed_at = -1e9
         self._ended = asyncio.Event()
         self._rolled: tuple[Any, float] = (None, -1e9)
-        self._members_at = 0.0
-        self._avoid = ""  # a relay that was stale, until the members change
+        self._wanted: tuple[str, float] = ("", 0.0)  # the relay that the tree gives us, and since when
+        self._shunned: dict[str, float] = {}  # by IP: when it was silent or out of reach
 
     def is_fresh(self, within_s: float = STALE_S) -> bool:
         """Whether the control state was heard of a moment ago."""
@@ -68,15 +84,15 @@
         match message:
             case Moved(ips):
                 self._hints = [ip for ip in ips if ip != self._me.ip]
+                if self._is_relay(self._parent):
+                    self._shun(self._parent)  # it is behind itself
                 self._leave()
             case Pulse() if self._bulletin.take(message):
                 self._pulsed_at = now
                 self._told(message)
-            case MemberNews() if self._bulletin.take(message):
-                self._members_at, self._avoid = now, ""
-                self._told(message)
-            case ConfigurationNews() | UpstreamNews() if self._bulletin.take(message):
-                self._told(message)
+            case ConfigurationNews() | UpstreamNews() | MemberNews() | LoadNews():
+                if self._bulletin.take(message):
+                    self._told(message)
 
     def ended(self, link: Link) -> None:
         """A connection is over."""
@@ -87,70 +103,82 @@
     async def run(self) -> None:
         """Stay attached for ever."""
         while True:
-            ip = self._choose()
-            if ip is not None and (link := await self._links.dial(ip)) is not None:
+            ip, moves = self._choose(), False
+            link = await self._links.dial(ip) if ip is not None else None
+            if ip is not None and link is not None and link.is_up():
                 self._ended.clear()
                 self._link, self._parent = link, ip
                 self._attach(link)
-                await self._stay(ip)
-            else:
-                self._failed(ip)
-            await asyncio.sleep(PAUSE_S * self._random.uniform(0.5, 1.5))
+                moves = await self._stay(ip)
+            elif ip is not None:
+                self._shun(ip)
+            if not moves:
+                await asyncio.sleep(PAUSE_S * self._random.uniform(0.5, 1.5))
 
     # ---- where to
 
-    def _relay(self) -> Present | None:
+    def _relay(self) -> str:
+        """The IP of the balancer that the tree gives us; empty: the control state itself tells us."""
         members = self._bulletin.members
         if members is None:
-            return None
+            return ""
         parent = parent_of(self._me.node, self._me.zone, members.balancers)
-        return None if parent is None or parent.ip == self._avoid else parent
+        return "" if parent is None or self._is_shunned(parent.ip) else parent.ip
+
+    def _is_relay(self, ip: str) -> bool:
+        members = self._bulletin.members
+        return members is not None and any(m.ip == ip for m in members.balancers)
 
     def _choose(self) -> str | None:
         """The relay that the tree gives us, or one of the control state: the leader if we know it."""
         relay = self._relay()
-        if relay is not None and self.is_fresh(2 * STALE_S):
-            return relay.ip
+        if relay and self.is_fresh(2 * STALE_S):
+            return relay
         if self._hints:
             return self._hints.pop(0)
         members = self._bulletin.members
-        known = list(dict.fromkeys([*self._seeds, *(members.cores if members is not None else ())]))
-        known = [ip for ip in known if ip != self._me.ip]
-        return self._random.choice(known) if known else None
+        known = dict.fromkeys([*self._seeds, *(members.cores if members is not None else ())])
+        known.pop(self._me.ip, None)
+        likely = [ip for ip in known if not self._is_shunned(ip)]
+        return self._random.choice(likely or list(known)) if known else None
 
-    def _failed(self, ip: str | None) -> None:
-        relay = self._relay()
-        if relay is not None and relay.ip == ip:
-            self._avoid = relay.ip
+    def _shun(self, ip: str) -> None:
+        self._shunned[ip] = asyncio.get_running_loop().time()
+
+    def _is_shunned(self, ip: str) -> bool:
+        return asyncio.get_running_loop().time() - self._shunned.get(ip, -1e9) < SHUN_S
 
-    async def _stay(self, ip: str) -> None:
-        """Until the connection ends, is silent, or the tree has another place for us."""
+    async def _stay(self, ip: str) -> bool:
+        """Until the connection ends, is silent, or the tree has another place for us: True for that."""
         loop = asyncio.get_running_loop()
         since = loop.time()
         while self._link is not None:
+            stale_at = max(self._pulsed_at, since) + STALE_S
             try:
-                async with asyncio.timeout(PULSE_S):
+                async with asyncio.timeout(max(min(PULSE_S, stale_at - loop.time()), 0.01)):
                     await self._ended.wait()
-                return
+                return False
             except TimeoutError:
                 pass
             now = loop.time()
             self._call_roll(now)
-            if now - max(self._pulsed_at, since) > STALE_S:
-                self._failed(ip)
+            if now - max(self._pulsed_at, since) >= STALE_S:
+                self._shun(ip)
                 self._leave()
-                return
-            relay = self._relay()
-            wanted = relay.ip if relay is not None else None
-            is_relay = any(m.ip == ip for m in self._balancers())
-            settled = now - self._members_at > SETTLE_S and self.is_fresh()
-            if settled and ((wanted is not None and wanted != ip) or (wanted is None and is_relay)):
+                return False
+            if self._is_misplaced(ip, now):
                 self._leave()
-                return
-
-    def _balancers(self) -> list[Present]:
-        members = self._bulletin.members
-        return list(members.balancers) if members is not None else []
+                return True
+        return False
+
+    def _is_misplaced(self, ip: str, now: float) -> bool:
+        """Whether the tree has had another place for us for a while."""
+        wanted = self._relay()
+        if wanted != self._wanted[0]:
+            self._wanted = wanted, now
+        if now - self._wanted[1] <= SETTLE_S or not self.is_fresh():
+            return False
+        return wanted != ip if wanted else self._is_relay(ip)
 
     def _leave(self) -> None:
         link, self._link = self._link, None
@@ -160,6 +188,11 @@
 
     # ---- what we say
 
+    def say(self, message: Any) -> None:
+        """Tell whoever tells us the news, if anybody does."""
+        if self._link is not None:
+            self._link.send(message)
+
     def _attach(self, link: Link) -> None:
         known, listed = self._bulletin.configuration, self._bulletin.upstreams
         link.send(
@@ -174,6 +207,7 @@
         )
         self._rolled = (None, -1e9)
         self._call_roll(asyncio.get_running_loop().time())
+        self._attached()
 
     def _call_roll(self, now: float) -> None:
         """Say who is below us when that changes, and now and then that we are there."""
--- a/sonde/messages.py
+++ b/sonde/messages.py
@@ -150,3 +150,57 @@
 
     def __post_init__(self) -> None:
         object.__setattr__(self, "present", _present(self.present))
+
+
+_LOADS = {
+    "name": "loads",
+    "type": {
+        "type": "array",
+        "items": {
+            "type": "record",
+            "name": "UpstreamLoad",
+            "fields": [
+                {"name": "upstream", "type": "string"},
+                {"name": "calls", "type": "int"},
+                {"name": "tokens", "type": "int"},
+            ],
+        },
+    },
+}
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamLoad:
+    """Calls that are out to an upstream, and prompt tokens that are to be read for them."""
+
+    upstream: str
+    calls: int
+    tokens: int
+
+
+def _loads(raw: Any) -> tuple[UpstreamLoad, ...]:
+    return tuple(p if isinstance(p, UpstreamLoad) else UpstreamLoad(**p) for p in raw)
+
+
+@KINDS.declare(107, [_LOADS])
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """The load that a balancer and all below it put on upstreams; what is not named has none from them."""
+
+    loads: Any  # UpstreamLoad
+
+    def __post_init__(self) -> None:
+        object.__setattr__(self, "loads", _loads(self.loads))
+
+
+@KINDS.declare(108, [*_STAMP, _LOADS])
+@dataclass(frozen=True, slots=True)
+class LoadNews:
+    """The load that all balancers together put on upstreams."""
+
+    epoch: int
+    number: int
+    loads: Any  # UpstreamLoad
+
+    def __post_init__(self) -> None:
+        object.__setattr__(self, "loads", _loads(self.loads))
--- a/station/balancing.py
+++ b/station/balancing.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-import os
+import math
 import secrets
 from typing import Any
 
@@ -17,9 +17,22 @@
 from screen.wire import Kinds, Link
 from sonde import messages
 from sonde.bulletin import Bulletin
+from sonde.counting import Headcount
 from sonde.feed import Feed
 from sonde.follower import STALE_S, Follower
-from sonde.messages import Attach, ConfigurationNews, MemberNews, Moved, Present, Pulse, Roll, UpstreamNews
+from sonde.loads import Loads, LoadSum, OthersLoad
+from sonde.messages import (
+    Attach,
+    ConfigurationNews,
+    LoadNews,
+    LoadReport,
+    Moved,
+    Present,
+    Pulse,
+    Roll,
+    UpstreamLoad,
+    UpstreamNews,
+)
 from windvane.balancer import Balancer
 
 KINDS = Kinds().include(messages.KINDS)
@@ -27,6 +40,7 @@
 ALONE_S = 1.8  # without news for so long we read the platform's list ourselves
 SHARE = 0.25  # of the platform's rate that all balancers may use when they are alone
 LEAST_LIST_S = 1.5
+PAGE = 50  # upstreams on a page of the platform's list, until we have read it ourselves
 
 
 class BalancerRole:
@@ -38,13 +52,26 @@
         self._bulletin = Bulletin()
         self._links = Links(KINDS, (settings.ip, settings.station_port), self._heard, self._ended)
         self._feed = Feed(self._bulletin, KINDS, lambda: None)
+        self._others = OthersLoad()
+        self._loads = LoadSum(self._own_load, self._loaded)
+        self._reported: Loads = {}
+        self.balancer.heed_others(self._others.of)
+        self.balancer.tell_load(self._loads.touch)
         me = Present(settings.node, settings.ip, settings.zone)
         self._follower = Follower(
-            me, self._links, self._bulletin, self._seeds(), self._told, self._feed.present, os.getpid()
+            me,
+            self._links,
+            self._bulletin,
+            self._seeds(),
+            self._told,
+            self._feed.present,
+            self._loads.again,
+            secrets.randbits(32),
         )
         self._platform = PlatformList(parse_address(settings.cloud_api.addr))
         self._tasks: list[asyncio.Task[None]] = []
-        self._own_lists = 0
+        self._headcount = Headcount()
+        self._listed = 0  # upstreams
 
     def _seeds(self) -> tuple[str, ...]:
         return tuple(parse_address(a)[0] for a in self.settings.seed_addrs)
@@ -83,10 +110,20 @@
                     link.send(Moved([]))  # what we know may be old
             case Roll():
                 self._feed.roll(link, message)
+            case LoadReport():
+                self._loads.report(link, message)
 
     def _ended(self, link: Link) -> None:
         self._follower.ended(link)
         self._feed.ended(link)
+        self._loads.forget(link)
+
+    def _own_load(self) -> Loads:
+        self._reported = self.balancer.loads()
+        return self._reported
+
+    def _loaded(self, loads: tuple[UpstreamLoad, ...]) -> None:
+        self._follower.say(LoadReport(loads))
 
     def _told(self, message: Any) -> None:
         """A newer piece of news: in force here, and on to whoever hears it from us."""
@@ -95,11 +132,11 @@
                 self._configure(ver, body)
             case UpstreamNews():
                 self._list(message)
-            case Pulse(_, _, balancers):
-                if balancers:
-                    self.balancer.count_balancers(balancers)
-            case MemberNews():
-                pass
+            case Pulse():
+                if number := self._headcount.take(message, asyncio.get_running_loop().time()):
+                    self.balancer.count_balancers(number)
+            case LoadNews():
+                self._others.take(message, self._reported)
         self._feed.tell(message)
 
     def _configure(self, ver: int, body: bytes) -> None:
@@ -117,6 +154,7 @@
         except StationError as error:
             logger.error("event=list_unusable error={!r}", str(error))
             return
+        self._listed = len(entries)
         self.balancer.list_upstreams(entries)
         self._allow()
 
@@ -129,17 +167,35 @@
     async def _watch(self) -> None:
         """Without the control state the list is read here, and goes to whoever hears the news from us."""
         loop = asyncio.get_running_loop()
-        next_list = 0.0
+        next_list: float | None = None
         while True:
-            await asyncio.sleep(STALE_S / 2)
+            left = STALE_S if next_list is None else max(next_list - loop.time(), 0.0)
+            await asyncio.sleep(min(STALE_S / 2, left))
             now = loop.time()
             self._feed.sweep(now, SILENT_S)
-            if self._follower.is_fresh(ALONE_S) or self._bulletin.configuration is None or now < next_list:
+            if not self._follower.is_fresh():
+                self._others.clear()
+                self._bulletin.forget_loads()
+            if self._follower.is_fresh(ALONE_S) or self._bulletin.configuration is None:
+                next_list = None
                 continue
-            members = self._bulletin.members
-            count = max(len(members.balancers) if members is not None else 1, 1)
-            next_list = now + max(LEAST_LIST_S, count / (self.settings.cloud_api.rate_per_s * SHARE))
-            await self._read_list()
+            period, offset = self._turn()
+            if next_list is None:
+                next_list = now + offset
+            if now >= next_list:
+                next_list += period
+                await self._read_list()
+
+    def _turn(self) -> tuple[float, float]:
+        """How often we read the list while all balancers are alone, and our own place in that time, in s."""
+        members = self._bulletin.members
+        nodes = [m.node for m in members.balancers] if members is not None else []
+        count = max(len(nodes), 1)
+        rate = self.settings.cloud_api.rate_per_s * SHARE
+        pages = max(self._platform.pages, math.ceil(self._listed / PAGE))
+        period = max(LEAST_LIST_S, count * pages / rate)
+        place = nodes.index(self.settings.node) if self.settings.node in nodes else 0
+        return period, period * place / count
 
     async def _read_list(self) -> None:
         try:
--- /dev/null
+++ b/tests/fabric_disk.py
@@ -0,0 +1,175 @@
+"""The rig's disks: files in memory that refuse, hang or lose what was not synced, and a queue without a thread."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+from collections import deque
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from barograph.slots import Loaded, Store
+from screen.errors import DiskError
+from tests.fabric import PROCESS
+
+
+class Disk:
+    """The files of one machine, as `barograph.files.Files`; they outlive its processes."""
+
+    def __init__(self) -> None:
+        self.files: dict[str, bytearray] = {}
+        self.durable: dict[str, bytes] = {}
+        self.is_full = False
+        self.hangs = False
+        self.sync_s = 0.001
+        self.queues: list[InlineQueue] = []
+
+    # ---- troubles
+
+    def wipe(self) -> None:
+        """All is gone."""
+        self.files.clear()
+        self.durable.clear()
+
+    def lose_power(self) -> None:
+        """What was not synced is gone."""
+        self.files = {name: bytearray(data) for name, data in self.durable.items()}
+
+    def hang(self, hangs: bool) -> None:
+        """No call returns any more, or all go on."""
+        self.hangs = hangs
+        if not hangs:
+            for queue in self.queues:
+                queue.go_on()
+
+    # ---- Files
+
+    def names(self, folder: Path) -> list[str]:
+        return list(self.files)
+
+    def read(self, path: Path) -> bytes:
+        return bytes(self.files[path.name])
+
+    def write(self, path: Path, offset: int, data: bytes) -> None:
+        self._refuse()
+        file = self.files.setdefault(path.name, bytearray())
+        file.extend(b"\0" * (offset - len(file)))
+        file[offset : offset + len(data)] = data
+
+    def truncate(self, path: Path, length: int) -> None:
+        self._refuse()
+        file = self.files.setdefault(path.name, bytearray())
+        del file[length:]
+        file.extend(b"\0" * (length - len(file)))
+
+    def sync(self, path: Path) -> None:
+        self._refuse()
+        self.durable[path.name] = bytes(self.files[path.name])
+
+    def sync_folder(self, folder: Path) -> None:
+        return None
+
+    def _refuse(self) -> None:
+        if self.is_full:
+            raise OSError(errno.ENOSPC, "no space left")
+
+
+@dataclass(slots=True)
+class _Command:
+    kind: str
+    data: bytes
+    done: asyncio.Future[Any]
+
+
+class InlineQueue:
+    """Stands in for `DiskQueue`: the same answers, in the loop itself, each after the time of a sync."""
+
+    def __init__(self, store: Store) -> None:
+        process = PROCESS.get()
+        assert process is not None
+        self._process = process
+        self._store, self.disk = store, process.machine.disk
+        self._loop = asyncio.get_running_loop()
+        self._commands: deque[_Command] = deque()
+        self._is_busy = self._is_held = False
+        self.disk.queues.append(self)
+
+    @property
+    def waiting(self) -> int:
+        return len(self._commands)
+
+    @property
+    def log_bytes(self) -> int:
+        return self._store.log_bytes
+
+    def load(self) -> asyncio.Future[Loaded]:
+        return self._give("load", b"")
+
+    def append(self, record: bytes) -> asyncio.Future[None]:
+        return self._give("append", record)
+
+    def checkpoint(self, state: bytes) -> asyncio.Future[None]:
+        return self._give("checkpoint", state)
+
+    def go_on(self) -> None:
+        """The disk hangs no longer."""
+        if self._is_held and not self._process.is_dead:
+            self._is_held = False
+            self._loop.call_soon(self._work, context=self._process.context)
+
+    def _give(self, kind: str, data: bytes) -> asyncio.Future[Any]:
+        done: asyncio.Future[Any] = self._loop.create_future()
+        self._commands.append(_Command(kind, data, done))
+        if not self._is_busy:
+            self._begin()
+        return done
+
+    def _begin(self) -> None:
+        self._is_busy = True
+        self._loop.call_later(self.disk.sync_s, self._work)
+
+    def _work(self) -> None:
+        if self.disk.hangs:
+            self._is_held = True
+            return
+        group = [self._commands.popleft()]
+        while group[0].kind == "append" and self._commands and self._commands[0].kind == "append":
+            group.append(self._commands.popleft())
+        try:
+            found = self._carry_out(group)
+        except Exception as error:
+            late = list(self._commands)  # whoever gave them took the failed one as kept
+            self._commands.clear()
+            for command in group:
+                self._settle(command.done, error)
+            for command in late:
+                self._settle(command.done, DiskError("a command given before this one failed", "give it again"))
+        else:
+            for command in group:
+                if not command.done.done():
+                    command.done.set_result(found)
+        self._is_busy = False
+        if self._commands:
+            self._begin()
+
+    def _settle(self, done: asyncio.Future[Any], error: Exception) -> None:
+        if not done.done():
+            done.set_exception(error)
+
+    def _carry_out(self, group: list[_Command]) -> Any:
+        match group[0].kind:
+            case "load":
+                return self._store.load()
+            case "checkpoint":
+                return self._store.checkpoint(group[0].data)
+            case _:
+                return self._store.append_all([command.data for command in group])
+
+
+def own_disk() -> Disk:
+    """The disk of the machine that the caller runs on."""
+    process = PROCESS.get()
+    assert process is not None
+    disk: Disk = process.machine.disk
+    return disk
--- /dev/null
+++ b/tests/fabric_world.py
@@ -0,0 +1,465 @@
+"""The rig's fleet: machines with real control processes and balancers, and the transcript of what they say."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import difflib
+import json
+import os
+import random
+from collections.abc import Awaitable, Callable, Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any, Protocol
+from unittest import mock
+
+import yaml
+from loguru import logger
+
+from barograph import messages as control
+from barograph.codec import revive
+from barograph.node import KINDS, ControlNode
+from barograph.views import View
+from screen import settings as settings_file
+from screen.errors import WireError
+from screen.settings import Settings
+from screen.wire import FrameReader
+from sonde import messages as news
+from station.balancing import BalancerRole
+from tests.fabric import OUTSIDE, PROCESS, End, Loop, Process
+from tests.fabric_callers import PLATFORM, DataPlane, Operator, Platform
+from tests.fabric_disk import Disk, InlineQueue, own_disk
+
+STATION_PORT, CTL_PORT = 7720, 8166
+APPROVED = Path(__file__).parent / "approved"
+
+
+class Role(Protocol):
+    """What every role of the program does."""
+
+    async def start(self) -> None: ...
+
+    async def stop(self) -> None: ...
+
+    def reconfigure(self, settings: Settings) -> None: ...
+
+
+class Dice:
+    """Stands in for `secrets`: the same numbers in every run."""
+
+    def __init__(self, seed: int) -> None:
+        self._random = random.Random(seed)
+
+    def token_hex(self, size: int) -> str:
+        return self._random.randbytes(size).hex()
+
+    def randbits(self, count: int) -> int:
+        return self._random.getrandbits(count)
+
+
+@dataclass
+class Machine:
+    """A machine, its disk, and what runs on it."""
+
+    name: str
+    ip: str
+    zone: str
+    is_core: bool
+    settings: Settings
+    disk: Disk = field(default_factory=Disk)
+    process: Process | None = None
+    role: Any = None
+    starting: asyncio.Task[None] | None = None
+
+    @property
+    def ctl(self) -> str:
+        return f"{self.ip}:{CTL_PORT}"
+
+    @property
+    def plane(self) -> DataPlane:
+        """What the control side has told the balancer."""
+        assert isinstance(self.role, BalancerRole)
+        plane: Any = self.role.balancer
+        return plane  # type: ignore[no-any-return]
+
+
+class World:
+    """A fleet on the fabric."""
+
+    def __init__(self, loop: Loop, faults: int = 1, seed: int = 1) -> None:
+        self.loop, self.network, self.faults = loop, loop.network, faults
+        self.began = loop.time()
+        self.machines: dict[str, Machine] = {}
+        self.seeds: list[str] = []
+        self.platform = Platform(loop)
+        self.platform.start()
+        self.transcript = Transcript(self)
+        self.network.tap = self.transcript.tap
+        self.rate_per_s = 42.0
+        self.is_first = True
+
+    def now(self) -> float:
+        """Milliseconds since the beginning."""
+        return (self.loop.time() - self.began) * 1000
+
+    # ---- machines
+
+    def core(self, name: str, ip: str, zone: str) -> Machine:
+        """A machine of the core, not started yet."""
+        return self._machine(name, ip, zone, True)
+
+    def edge(self, name: str, ip: str, zone: str) -> Machine:
+        """A machine for a balancer, not started yet."""
+        return self._machine(name, ip, zone, False)
+
+    def _machine(self, name: str, ip: str, zone: str, is_core: bool) -> Machine:
+        machine = Machine(name, ip, zone, is_core, self.settings(name, ip, zone, is_core))
+        self.machines[name] = machine
+        return machine
+
+    def settings(self, name: str, ip: str, zone: str, is_core: bool) -> Settings:
+        """The settings of a machine as they are at the moment."""
+        listen = {"ctl": f"{ip}:{CTL_PORT}"} if is_core else {"http": f"{ip}:8161", "readyz": f"{ip}:8167"}
+        raw = {
+            "node": name,
+            "ip": ip,
+            "zone": zone,
+            "machine_class": "core" if is_core else "edge",
+            "listen": listen,
+            "port_range": [STATION_PORT, STATION_PORT + 15],
+            "seed_addrs": self.seeds,
+            "bootstrap": self.is_first,
+            "quorum_member": is_core,
+            "data_dir": f"/disk/{name}" if is_core else None,
+            "faults": {"nodes": self.faults},
+            "cloud_api": {"addr": f"{PLATFORM[0]}:{PLATFORM[1]}", "rate_per_s": self.rate_per_s},
+        }
+        return settings_file.parse(yaml.safe_dump(raw))
+
+    def boot(self, *names: str) -> None:
+        """Start the processes of machines, with the settings of this moment."""
+        for name in names:
+            machine = self.machines[name]
+            machine.settings = self.settings(name, machine.ip, machine.zone, machine.is_core)
+            process = machine.process = Process(self.network, name, machine.ip)
+            process.machine = machine
+            if machine.ip in self.network.off:
+                self.network.off.discard(machine.ip)
+                self.network.flush()
+            machine.starting = self.loop.create_task(self._start(machine), context=process.context)
+
+    async def _start(self, machine: Machine) -> None:
+        role: Role = (ControlNode if machine.is_core else BalancerRole)(machine.settings)
+        machine.role = role
+        await role.start()
+
+    def kill(self, *names: str) -> None:
+        """End processes at once."""
+        for name in names:
+            self.say(f"{name} is killed")
+            process = self.machines[name].process
+            assert process is not None
+            process.kill()
+
+    def power_off(self, *names: str) -> None:
+        """Machines lose power: nobody hears of it, and what was not synced is lost."""
+        for name in names:
+            self.say(f"{name} loses power")
+            machine = self.machines[name]
+            assert machine.process is not None
+            self.network.off.add(machine.ip)
+            machine.process.kill(silently=True)
+            machine.disk.lose_power()
+
+    def freeze(self, name: str) -> None:
+        """A machine stands still."""
+        self.say(f"{name} freezes")
+        process = self.machines[name].process
+        assert process is not None
+        process.freeze()
+
+    def thaw(self, name: str) -> None:
+        """It goes on."""
+        self.say(f"{name} wakes")
+        process = self.machines[name].process
+        assert process is not None
+        process.thaw()
+
+    async def terminate(self, name: str) -> None:
+        """SIGTERM: the process ends in order."""
+        self.say(f"{name} is told to stop")
+        machine = self.machines[name]
+        process = machine.process
+        assert process is not None
+        await self.loop.create_task(machine.role.stop(), context=process.context)
+        self.say(f"{name} has ended")
+        process.exit()
+
+    def cut(self, here: list[str], there: list[str], both_ways: bool = True) -> None:
+        """Nothing gets through between machines any more."""
+        way = "between" if both_ways else "from"
+        self.say(f"nothing gets {way} {','.join(here)} {'and' if both_ways else 'to'} {','.join(there)}")
+        self.network.cut([self.machines[n].ip for n in here], [self.machines[n].ip for n in there], both_ways)
+
+    def heal(self) -> None:
+        """All paths are there again."""
+        self.say("all links are back")
+        self.network.heal()
+
+    # ---- what they know
+
+    def node(self, name: str) -> ControlNode:
+        """The control process of a machine."""
+        role = self.machines[name].role
+        assert isinstance(role, ControlNode)
+        return role
+
+    def cores(self) -> list[Machine]:
+        """The machines of the core."""
+        return [m for m in self.machines.values() if m.is_core]
+
+    def edges(self) -> list[Machine]:
+        """The machines with balancers."""
+        return [m for m in self.machines.values() if not m.is_core]
+
+    def running(self, machine: Machine) -> bool:
+        """Whether its process runs."""
+        return machine.process is not None and machine.process.runs and machine.role is not None
+
+    def primary(self) -> str:
+        """Who leads; empty if nobody does."""
+        leading = [m.name for m in self.cores() if self.running(m) and m.role.leads()]
+        return leading[-1] if leading else ""
+
+    def backup(self) -> str:
+        """The other that holds the data."""
+        replica = self.node(self.primary())._replica
+        assert replica is not None and replica.primary is not None
+        view = replica.primary.view
+        return next(view.at(s).node for s in view.holders if s != view.primary)
+
+    def witness(self) -> str:
+        """A member that holds no data."""
+        return next(m.name for m in self.cores() if m.name not in (self.primary(), self.backup()))
+
+    # ---- time
+
+    async def wait(self, seconds: float) -> None:
+        """Let time go by."""
+        await asyncio.sleep(seconds)
+
+    async def until(self, is_so: Callable[[], object], within_s: float, what: str = "") -> float:
+        """Let time go by until something is so; how long it took, in seconds."""
+        since = self.loop.time()
+        while not is_so():
+            if self.loop.time() - since > within_s:
+                raise AssertionError(f"not within {within_s} s: {what}\n{self.transcript.text()}")
+            await asyncio.sleep(0.005)
+        return self.loop.time() - since
+
+    async def served(self, within_s: float = 5.0) -> None:
+        """Until there is a primary and all balancers hear the news."""
+        fresh = lambda: all(m.role and m.role._follower.is_fresh() for m in self.edges())  # noqa: E731
+        await self.until(lambda: self.primary() and fresh(), within_s, "a primary that all balancers hear")
+
+    def operator(self, name: str = "operator", *order: str) -> Operator:
+        """An operator who knows these machines, in this order; all of the core if none is named."""
+        ctl = [self.machines[n].ctl for n in order] or [m.ctl for m in self.cores()]
+        return Operator(name, ctl, self.name_of, self.say)
+
+    def name_of(self, ip: str) -> str:
+        """The machine at an IP."""
+        known = {m.ip: m.name for m in self.machines.values()}
+        return known.get(ip, {PLATFORM[0]: "platform", OUTSIDE: "stranger"}.get(ip, ip))
+
+    def say(self, text: str) -> None:
+        """A line of the transcript."""
+        self.transcript.say(text)
+
+
+class Transcript:
+    """Who said what to whom, at which millisecond; beats, pulses and rolls are left out."""
+
+    def __init__(self, world: World) -> None:
+        self._world = world
+        self._readers: dict[End, FrameReader] = {}
+        self.lines: list[str] = []
+        self.heard: list[tuple[float, str, str, Any]] = []  # ms, from, to, message: all of them
+        self.logs: list[str] = []
+        self.is_quiet = False
+
+    def say(self, text: str) -> None:
+        """One line, now."""
+        if not self.is_quiet:
+            self.lines.append(f"{self._world.now():8.0f}  {text}")
+
+    def text(self) -> str:
+        """The whole transcript."""
+        return "\n".join(self.lines) + "\n"
+
+    def log(self, line: Any) -> None:
+        """A log line of one of our processes."""
+        process = PROCESS.get()
+        self.logs.append(f"{process.name if process is not None else '-'}: {str(line).rstrip()}")
+
+    def tap(self, end: End, data: bytes) -> None:
+        """Bytes that one end sends."""
+        if STATION_PORT not in (end.local[1], end.remote[1]):
+            return
+        here, there = self._world.name_of(end.local[0]), self._world.name_of(end.remote[0])
+        reader = self._readers.setdefault(end, FrameReader())
+        try:
+            for frame in reader.feed(data):
+                message = KINDS.decode(frame.number, frame.body)
+                if isinstance(message, control.Message):
+                    message = revive(message)
+                self.heard.append((self._world.now(), here, there, message))
+                if (text := describe(message)) is not None:
+                    self.say(f"{here} -> {there}: {text}")
+        except WireError:
+            self.say(f"{here} -> {there}: bytes that are no message")
+
+    def said(self, kind: type) -> list[tuple[float, str, str, Any]]:
+        """All messages of a kind: when (ms), from whom, to whom, what."""
+        return [entry for entry in self.heard if isinstance(entry[3], kind)]
+
+
+def describe(message: Any) -> str | None:
+    """A message in standard words; None for what is said again and again."""
+    yes = "yes" if getattr(message, "ok", True) else "no"
+    match message:
+        case control.Ask(_, _, epoch, handover):
+            return f"pre-vote for epoch {epoch}?{' (handover)' if handover else ''}" if epoch else "who leads?"
+        case control.Answer(_, _, epoch):
+            return f"pre-vote {yes}" if epoch else None
+        case control.Prepare(_, _, epoch):
+            return f"prepare epoch {epoch}"
+        case control.Promised(_, _, epoch):
+            return f"promise {yes}, epoch {epoch}"
+        case control.Install(_, _, view, document, active):
+            data = "" if document is None else f", with version {document.ver}"
+            return f"install {_view(view)}{data}{' (in force)' if active else ''}"
+        case control.Installed(_, _, epoch):
+            return f"installed {yes}, epoch {epoch}"
+        case control.Write(_, _, epoch, document):
+            return f"write {document.number}: version {document.ver}, epoch {epoch}"
+        case control.Written(_, _, _, number):
+            return f"synced {yes}, write {number}"
+        case control.Join():
+            return "join"
+        case control.Known(_, _, view):
+            return f"the latest is {_view(view)}"
+        case control.Succeed(_, _, epoch):
+            return f"take over after epoch {epoch}"
+        case control.Leaving():
+            return "I leave"
+        case news.Attach(_, _, _, ver):
+            return f"subscribe, have version {ver}"
+        case news.ConfigurationNews(ver):
+            return f"configuration {ver}"
+        case news.UpstreamNews(_, _, page):
+            return f"list of {len(json.loads(page)['upstreams'])} upstreams"
+        case news.MemberNews(_, _, balancers):
+            return f"members {','.join(p.node for p in balancers)}"
+        case news.Moved(ips):
+            return f"moved, try {len(ips)} other"
+    return None
+
+
+def _view(view: View) -> str:
+    backups = ",".join(view.at(s).node for s in view.holders if s != view.primary)
+    members = ",".join(m.node if m is not None else "-" for m in view.members)
+    return f"epoch {view.epoch}: primary {view.leader().node}, backup {backups}, members {members}"
+
+
+@contextlib.contextmanager
+def stand_ins(seed: int, say: Callable[[Any], None]) -> Iterator[None]:
+    """Everything that touches the machine underneath is replaced."""
+    dice = Dice(seed)
+    logger.remove()
+    sink = logger.add(say, format="{level} {message}", level="DEBUG")
+    with (
+        mock.patch("barograph.keeper.secrets", dice),
+        mock.patch("barograph.node.secrets", dice),
+        mock.patch("station.balancing.secrets", dice),
+        mock.patch("barograph.keeper.DiskQueue", InlineQueue),
+        mock.patch("barograph.keeper.OsFiles", own_disk),
+        mock.patch("station.balancing.Balancer", DataPlane),
+    ):
+        try:
+            yield
+        finally:
+            logger.remove(sink)
+
+
+Scenario = Callable[[World], Awaitable[None]]
+
+
+def play(scenario: Scenario, cores: int = 3, edges: int = 0, faults: int = 1, seed: int = 1, **more: Any) -> World:
+    """Play a scenario on a fleet whose processes start together; the world as it was at the end.
+
+    Core i is at 10.(i).0.1 in zone i of `zones` (3 by default), balancers are dealt out to the zones in turn.
+    A fault that no program caught fails the play, unless `faulty=True`.
+    """
+    zones, is_faulty, starts = more.get("zones", 3), more.get("faulty", False), more.get("starts", True)
+    loop = Loop()
+    logs: list[Callable[[Any], None]] = []
+    with stand_ins(seed, lambda line: logs[0](line) if logs else None):
+        world = World(loop, faults, seed)
+        logs.append(world.transcript.log)
+        more.get("before", lambda world: None)(world)
+        halls = [f"hall-{'abcdefgh'[i % zones]}" for i in range(max(cores, edges, 1))]
+        world.seeds = [f"10.{i + 1}.0.1:{CTL_PORT}" for i in range(min(cores, 3))]
+        for i in range(cores):
+            world.core(f"core-{i + 1}", f"10.{i + 1}.0.1", halls[i])
+        for i in range(edges):
+            world.edge(f"edge-{i + 1}", f"10.{i % zones + 1}.1.{i + 1}", halls[i])
+        try:
+            loop.run_until_complete(_play(world, scenario, starts))
+        finally:
+            _clean_up(world)
+    if loop.faults and not is_faulty:
+        raise AssertionError("not caught: " + "; ".join(loop.faults))
+    return world
+
+
+async def _play(world: World, scenario: Scenario, starts: bool) -> None:
+    if starts:
+        world.boot(*world.machines)
+        world.is_first = False
+    await scenario(world)
+
+
+def _clean_up(world: World) -> None:
+    """End what still runs, and what was left behind by a kill."""
+    loop, faults = world.loop, list(world.loop.faults)
+    world.transcript.is_quiet = True
+    world.network.tap = None
+    for machine in world.machines.values():
+        if machine.starting is not None and machine.starting.done() and not machine.starting.cancelled():
+            error = machine.starting.exception()
+            if error is not None:
+                faults.append(f"{machine.name} did not start: {error!r}")
+    tasks = list(asyncio.all_tasks(loop))
+    for process in world.network.processes:
+        process.resume()
+    for task in tasks:
+        task.cancel()
+    if tasks:
+        loop.run_until_complete(asyncio.wait(tasks))
+    loop.close()
+    loop.faults[:] = faults
+
+
+def approve(name: str, text: str) -> None:
+    """Compare a transcript with the approved one; a run with APPROVE=1 writes it anew."""
+    path = APPROVED / f"{name}.txt"
+    if os.environ.get("APPROVE") == "1":
+        APPROVED.mkdir(exist_ok=True)
+        path.write_text(text, encoding="utf-8")
+    known = path.read_text(encoding="utf-8") if path.exists() else ""
+    difference = "\n".join(
+        difflib.unified_diff(known.splitlines(), text.splitlines(), "approved", "played", lineterm="")
+    )
+    assert not difference, f"{name}: read it, then APPROVE=1 if it is right\n{difference}"
--- /dev/null
+++ b/tests/test_barograph_host_losses.py
@@ -0,0 +1,131 @@
+"""Machines of the core come, go and are replaced: nothing that was acknowledged is lost, and orders go on."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.fabric_callers import configuration
+from tests.fabric_scenes import ACK_S, begun, in_force
+from tests.fabric_world import Scenario, World, approve, play
+
+
+async def order(world: World, ver: int, base: int, *at: str) -> None:
+    """An order is acknowledged in time, and in force everywhere."""
+    since = world.loop.time()
+    ended = await world.operator("operator", *at).put(configuration(ver), base)
+    assert ended.status == 200
+    assert ended.at - since < ACK_S
+    await in_force(world, ver)
+
+
+async def wiped(world: World, which: str) -> None:
+    """A machine loses its disk right after it has acknowledged something, and comes back without."""
+    await begun(world)
+    name = {"primary": world.primary, "backup": world.backup, "witness": world.witness}[which]()
+    await order(world, 6, 5)
+    world.power_off(name)
+    world.machines[name].disk.wipe()
+    world.say(f"{name} has lost its disk")
+    await world.wait(1.0)
+    world.boot(name)
+    await world.wait(4.0)
+    members = [m for m in world.node(world.primary())._replica.primary.view.members]  # type: ignore[union-attr]
+    assert sorted(m.node for m in members if m is not None) == ["core-1", "core-2", "core-3"]
+    await order(world, 7, 6, name)
+    # With the wiped one back, either of the others may go.
+    other = next(m.name for m in world.cores() if m.name != name)
+    world.power_off(other)
+    await world.wait(2.0)
+    read = await world.operator("reader", *(m.name for m in world.cores() if m.name != other)).get()
+    assert read.status == 200 and read.body == configuration(7)
+
+
+async def replaced(world: World, planned: bool) -> None:
+    """A machine of the core goes for good; another with an empty disk joins at another address."""
+    await begun(world)
+    gone = world.primary()
+    if planned:
+        await world.terminate(gone)
+        world.network.off.add(world.machines[gone].ip)
+    else:
+        world.power_off(gone)
+    await world.wait(1.0)
+    del world.machines[gone]
+    world.core("core-4", "10.1.0.4", "hall-a")
+    world.boot("core-4")
+    await order(world, 6, 5)
+    await world.wait(4.0)
+    members = [m for m in world.node(world.primary())._replica.primary.view.members]  # type: ignore[union-attr]
+    assert sorted(m.node for m in members if m is not None) == ["core-2", "core-3", "core-4"]
+    # The new one counts: another may go now.
+    other = world.primary()
+    world.power_off(other)
+    await order(world, 7, 6, *(m.name for m in world.cores() if m.name != other))
+
+
+async def all_killed(world: World) -> None:
+    """Everything is killed at once right after an acknowledgement, and starts again."""
+    await begun(world)
+    ended = await world.operator().put(configuration(6), 5)
+    assert ended.status == 200
+    everybody = list(world.machines)
+    world.kill(*everybody)
+    await world.wait(0.7)
+    world.boot(*everybody)
+    started = world.loop.time()
+    read = await world.operator("reader").get()
+    assert read.status == 200 and read.body == configuration(6)
+    assert world.loop.time() - started < ACK_S
+    await in_force(world, 6)
+    assert all(m.plane.is_allowed for m in world.edges())
+    await order(world, 9, 6)
+
+
+async def all_lose_power(world: World) -> None:
+    """All machines lose power at once right after an acknowledgement."""
+    await begun(world)
+    ended = await world.operator().put(configuration(6), 5)
+    assert ended.status == 200
+    everybody = list(world.machines)
+    world.power_off(*everybody)
+    await world.wait(1.0)
+    world.boot(*everybody)
+    read = await world.operator("reader").get()
+    assert read.status == 200 and read.body == configuration(6)
+    await in_force(world, 6)
+
+
+async def seeds_turned_over(world: World) -> None:
+    """Two machines of the core are replaced one after the other; the seeds in the file follow."""
+    await begun(world)
+    for number, (gone, ip, hall) in enumerate([("core-1", "10.1.0.4", "hall-a"), ("core-2", "10.2.0.5", "hall-b")]):
+        world.power_off(gone)
+        del world.machines[gone]
+        new = world.core(f"core-{number + 4}", ip, hall)
+        world.boot(new.name)
+        await world.wait(4.0)
+        world.seeds = [m.ctl for m in world.cores()]
+        for machine in world.machines.values():
+            machine.role.reconfigure(world.settings(machine.name, machine.ip, machine.zone, machine.is_core))
+        world.say(f"the seeds are {','.join(m.name for m in world.cores())}")
+    await order(world, 6, 5)
+    world.kill(*(m.name for m in world.machines.values()))
+    await world.wait(0.5)
+    world.boot(*world.machines)
+    await order(world, 7, 6)
+
+
+SCENES: dict[str, Scenario] = {
+    **{f"wiped-{w}": (lambda world, w=w: wiped(world, w)) for w in ("primary", "backup", "witness")},
+    "replaced-planned": lambda world: replaced(world, True),
+    "replaced-unplanned": lambda world: replaced(world, False),
+    "all-killed": all_killed,
+    "all-lose-power": all_lose_power,
+    "seeds-turned-over": seeds_turned_over,
+}
+
+
+@pytest.mark.parametrize("name", SCENES)
+def test_exchange(name: str) -> None:
+    world = play(SCENES[name], edges=2)
+    approve(f"losses-{name}", world.transcript.text())
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -1,8 +1,8 @@
 """The state on disk: what was acknowledged is there after a loss of power, kill or refusal by the disk.
 
-The disk here keeps the rules of the machines: after a loss of power a file holds what its last sync covered, and
-of the writes since, each is there, torn or missing. Each test says where the run is cut and starts again from
-every disk that may be left.
+The disk here keeps the rules of the machines: after a loss of power a file holds what its last sync covered,
+and of the writes since, each is there, torn or missing. Each test says where the run is cut and starts again
+from every disk that may be left.
 """
 
 from __future__ import annotations
@@ -13,7 +13,7 @@
 import os
 import random
 import threading
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Coroutine, Iterator, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -21,10 +21,13 @@
 
 from barograph.disk_queue import MOST_GROUP_BYTES, DiskQueue
 from barograph.files import Files, OsFiles
+from barograph.slots import _CHAIN as CHAIN
 from barograph.slots import MOST_RECORD_BYTES, Loaded, Store
+from barograph.slots import _frame as frame_of
 from screen.errors import DiskError
 
 FOLDER = Path("/data")
+MOST_S = 10.0  # a wait as long as this is a failure
 NOTHING, HEAD, TAIL, ALL = "nothing", "head", "tail", "all"
 # A failed sync leaves its writes to the next, or covered them after all, or no later sync covers them either.
 STAYS, LANDS, DROPS = "stays", "lands", "drops"
@@ -92,6 +95,8 @@
     torn_on_failure: str = NOTHING
     failed_sync: str = STAYS  # what became of the writes that a failed sync was to cover
     syncs: int = 0
+    strict: bool = False  # a new name lasts with its folder's sync only, not with the file's own
+    linked: set[str] = field(default_factory=set)
 
     def _call(self, what: str) -> None:
         call, self.calls = self.calls, self.calls + 1
@@ -147,6 +152,7 @@
 
     def sync_folder(self, folder: Path) -> None:
         self._call("sync_folder")
+        self.linked |= self.seen.keys()
 
     def after_loss(self, cuts: Sequence[str]) -> Disk:
         """The disk after a loss of power that left so much of each write."""
@@ -155,7 +161,9 @@
         for (name, write), cut in zip(writes, cuts, strict=True):
             if cut != NOTHING:
                 left[name] = write.onto(left.get(name, b""), cut)
-        return Disk(dict(left), dict(left))
+        if self.strict:
+            left = {name: data for name, data in left.items() if name in self.linked}
+        return Disk(dict(left), dict(left), strict=self.strict, linked=set(left))
 
     def writes(self) -> list[Write]:
         """The writes that no sync has covered, file by file."""
@@ -175,7 +183,8 @@
 
     def after_kill(self) -> Disk:
         """The disk as the next process finds it, while the machine keeps its power."""
-        return Disk(dict(self.seen), dict(self.lasting), {name: list(w) for name, w in self.pending.items()})
+        pending = {name: list(writes) for name, writes in self.pending.items()}
+        return Disk(dict(self.seen), dict(self.lasting), pending, strict=self.strict, linked=set(self.linked))
 
 
 Kept = tuple[bytes | None, tuple[bytes, ...]]
@@ -295,8 +304,9 @@
 
 
 @pytest.mark.parametrize("stop_at", range(CALLS + 1))
-def test_a_loss_of_power_anywhere_keeps_what_was_acknowledged(stop_at: int) -> None:
-    run = run_until(stop_at)
+@pytest.mark.parametrize("strict", [False, True])
+def test_a_loss_of_power_anywhere_keeps_what_was_acknowledged(stop_at: int, strict: bool) -> None:
+    run = run_until(stop_at, disk=Disk(strict=strict))
     for disk in run.disk.all_losses():
         check_goes_on(disk, run.possible)
 
@@ -379,10 +389,46 @@
         run.do((b"two", b"three"))
     disk.failing = never
     run.do((b"two",))
+    assert Store.open(FOLDER, disk.after_kill()).load().records == (b"one", b"two")
     run.do((b"four",))
     assert Store.open(FOLDER, disk.after_kill()).load().records == (b"one", b"two", b"four")
 
 
+def test_a_record_behind_a_torn_one_doesn_t_come_back_behind_the_same_record() -> None:
+    whole = run_until(None, [(b"one", b"two", b"three")]).disk.seen["log.0"]
+    at = whole.index(b"two")
+    torn = whole[:at] + b"???" + whole[at + 3 :]
+    run = Run(Disk({"log.0": torn}, {"log.0": torn}), [(None, (b"one",))])
+    run.load()
+    run.do((b"two",))
+    assert Store.open(FOLDER, run.disk.after_kill()).load().records == (b"one", b"two")
+
+
+def test_a_checkpoint_found_before_its_log_was_begun_is_never_lost_again() -> None:
+    slot = run_until(None, [b"one"]).disk.seen["slot.1"]
+    disk = Disk({"slot.1": slot}, {"slot.1": slot})
+    assert Store.open(FOLDER, disk).load() == Loaded(1, b"one", (), True)
+    refuse(damaged(disk, slot_1=slot[:-1]))
+
+
+@pytest.mark.parametrize(("generation", "number"), [(4, 1), (3, 1), (1, 1), (2, 2), (2, 0)])
+def test_a_frame_of_another_generation_or_place_ends_the_log(generation: int, number: int) -> None:
+    disk = run_until(None, [b"one", b"two"]).disk
+    begun, chain = frame_of(b"", 2, 0, CHAIN)
+    assert disk.seen["log.0"] == begun
+    for at, records in ((2, (b"fits",)), (generation, ())):
+        frame, _ = frame_of(b"fits", at, 1 if records else number, chain)
+        loaded = Store.open(FOLDER, damaged(disk, log_0=begun + frame)).load()
+        assert (loaded.state, loaded.records) == (b"two", records)
+
+
+def test_a_log_in_the_other_place_doesn_t_count() -> None:
+    disk = run_until(None, [b"one"]).disk
+    frame, _ = frame_of(b"", 2, 0, CHAIN)
+    assert Store.open(FOLDER, damaged(disk, log_1=frame)).load().state == b"one"
+    refuse(damaged(disk, log_0=frame))
+
+
 def test_a_failed_checkpoint_that_reached_the_disk_does_not_hide_later_records() -> None:
     disk = Disk()
     run = Run(disk)
@@ -458,7 +504,8 @@
         disk.torn_on_failure = chance.choice([NOTHING, HEAD, ALL])
         disk.failed_sync = chance.choice([STAYS, LANDS])
         disk.stop_at = disk.calls + chance.randrange(8) if luck < 0.4 else None
-        records = tuple(b"%d.%d" % (number, i) * chance.randrange(3) for i in range(chance.randint(1, 3)))
+        word = b"same" if seed % 2 else b"%d" % number
+        records = tuple(word * chance.randrange(3) for _ in range(chance.randint(1, 3)))
         step: Step = records if chance.random() < 0.7 else b"state %d " % number * chance.randrange(9)
         try:
             if not loaded:
@@ -612,13 +659,17 @@
     store.checkpoint(b"state")
     store.append(b"two")
     assert store.log_bytes == len(disk.seen["log.1"])
+    store.checkpoint(b"state")
+    store.checkpoint(b"state")
+    assert store.log_bytes == len(disk.seen["log.1"])
+    store.append(b"three")
     again = Store.open(FOLDER, disk.after_kill())
     again.load()
     assert again.log_bytes == store.log_bytes
 
 
 def test_an_append_costs_one_write_and_one_sync() -> None:
-    run = run_until(None, [b"state", (b"a",)])
+    run = run_until(None, [b"one", (b"a",), b"two", (b"a",), b"three"])
     before = run.disk.calls
     run.do((b"b", b"c", b"d"))
     assert run.disk.calls == before + 2
@@ -700,12 +751,21 @@
         self.threads.add(threading.current_thread().name)
         if self.is_shut:
             self.arrived.release()
-            self.let.acquire()
+            assert self.let.acquire(timeout=MOST_S)
         self.disk.sync(path)
 
     def sync_folder(self, folder: Path) -> None:
         self.disk.sync_folder(folder)
 
+    async def hang(self) -> None:
+        """Returns once a sync hangs."""
+        assert await asyncio.to_thread(self.arrived.acquire, timeout=MOST_S)
+
+
+def play(main: Callable[[], Coroutine[None, None, None]]) -> None:
+    """Runs a test in an event loop; one that would hang fails."""
+    asyncio.run(asyncio.wait_for(main(), 2 * MOST_S))
+
 
 def kept_on(disk: Disk) -> Kept:
     loaded = Store.open(FOLDER, disk.after_kill()).load()
@@ -735,7 +795,7 @@
         assert kept_on(disk) == (b"s", (b"c",))
         await queue.close()
 
-    asyncio.run(main())
+    play(main)
 
 
 def test_appends_that_wait_share_one_sync_and_the_loop_never_waits_for_the_disk() -> None:
@@ -747,13 +807,13 @@
         syncs = gate.disk.syncs
         gate.is_shut = True
         first = queue.append(b"1")
-        await asyncio.to_thread(gate.arrived.acquire)  # the disk hangs with the first one
+        await gate.hang()  # the disk hangs with the first one
         rest = [queue.append(b"%d" % number) for number in range(2, 50)]
         assert queue.waiting == 49
         assert not first.done()
         gate.let.release()
         await first
-        await asyncio.to_thread(gate.arrived.acquire)
+        await gate.hang()
         assert not any(done.done() for done in rest)
         gate.let.release()
         assert await outcomes(*rest) == ["kept"] * 48
@@ -762,7 +822,7 @@
         await queue.close()
         assert gate.threads == {"of the disk"}
 
-    asyncio.run(main())
+    play(main)
 
 
 def test_a_checkpoint_parts_the_groups() -> None:
@@ -772,7 +832,7 @@
         await queue.append(b"0")
         gate.is_shut = True
         first = queue.append(b"1")
-        await asyncio.to_thread(gate.arrived.acquire)
+        await gate.hang()
         rest = [queue.append(b"2"), queue.append(b"3"), queue.checkpoint(b"s"), queue.append(b"4")]
         rest += [queue.append(b"5"), queue.checkpoint(b"t"), queue.checkpoint(b"u"), queue.append(b"6")]
         gate.is_shut = False
@@ -781,7 +841,7 @@
         assert kept_on(gate.disk) == (b"u", (b"6",))
         await queue.close()
 
-    asyncio.run(main())
+    play(main)
 
 
 def test_a_group_is_bounded() -> None:
@@ -791,7 +851,7 @@
         await queue.append(b"0")
         gate.is_shut = True
         first = queue.append(b"1")
-        await asyncio.to_thread(gate.arrived.acquire)
+        await gate.hang()
         syncs = gate.disk.syncs
         rest = [queue.append(bytes(MOST_GROUP_BYTES // 2)) for _ in range(6)]
         gate.is_shut = False
@@ -800,7 +860,7 @@
         assert gate.disk.syncs == syncs + 4  # the first one's, and two records in each group
         await queue.close()
 
-    asyncio.run(main())
+    play(main)
 
 
 def test_what_was_given_before_a_failure_was_known_fails_too() -> None:
@@ -811,7 +871,7 @@
         gate.is_shut = True
         gate.disk.failing = fail_at(gate.disk.calls + 1, 1, errno.ENOSPC)  # the sync of the next append
         first = queue.append(b"1")
-        await asyncio.to_thread(gate.arrived.acquire)
+        await gate.hang()
         rest = [queue.append(b"2"), queue.checkpoint(b"s"), queue.append(b"3")]
         gate.is_shut = False
         gate.let.release()
@@ -820,7 +880,7 @@
         assert kept_on(gate.disk) == (None, (b"0", b"4"))
         await queue.close()
 
-    asyncio.run(main())
+    play(main)
 
 
 def test_a_failed_group_fails_whole_and_the_next_append_works() -> None:
@@ -837,7 +897,7 @@
         assert kept_on(disk) == (None, (b"0", b"3", b"4"))
         await queue.close()
 
-    asyncio.run(main())
+    play(main)
 
 
 def test_a_load_that_fails_says_why_and_may_be_tried_again() -> None:
@@ -849,7 +909,7 @@
         assert (await queue.load()).fresh
         await queue.close()
 
-    asyncio.run(main())
+    play(main)
 
 
 def test_whoever_waits_may_be_cancelled() -> None:
@@ -859,7 +919,7 @@
         await queue.append(b"0")
         gate.is_shut = True
         first = queue.append(b"1")
-        await asyncio.to_thread(gate.arrived.acquire)
+        await gate.hang()
         second, third = queue.append(b"2"), queue.append(b"3")
         first.cancel()
         second.cancel()
@@ -870,7 +930,7 @@
         assert queue.waiting == 0
         await queue.close()
 
-    asyncio.run(main())
+    play(main)
 
 
 def test_a_closed_queue_has_done_all_and_takes_no_more() -> None:
@@ -885,7 +945,7 @@
             queue.append(b"c")
         await queue.close()
 
-    asyncio.run(main())
+    play(main)
 
 
 def test_a_record_that_is_too_long_fails_alone() -> None:
@@ -900,7 +960,7 @@
         assert kept_on(disk) == (None, (b"a", b"b"))
         await queue.close()
 
-    asyncio.run(main())
+    play(main)
 
 
 def test_the_thread_ends_where_its_loop_is_gone() -> None:
@@ -914,10 +974,11 @@
         return queue
 
     asyncio.run(main())
-    gate.arrived.acquire()
+    assert gate.arrived.acquire(timeout=MOST_S)
     thread = next(thread for thread in threading.enumerate() if thread.name == "left alone")
     assert thread.daemon
     gate.is_shut = False
     gate.let.release()
-    thread.join()  # nobody waits for it any more
+    thread.join(MOST_S)  # nobody waits for it any more
+    assert not thread.is_alive()
     assert kept_on(gate.disk) == (None, (b"0", b"1"))
--- /dev/null
+++ b/tests/test_sonde_news.py
@@ -0,0 +1,254 @@
+"""News reach every balancer in time, whatever happens to whoever passes them on."""
+
+from __future__ import annotations
+
+import pytest
+
+from sonde.messages import Attach, Pulse
+from sonde.relays import parent_of
+from tests.fabric_callers import configuration, upstream
+from tests.fabric_scenes import APPLY_S, begun, in_force
+from tests.fabric_world import World, approve, play
+
+
+def relays(world: World) -> dict[str, str]:
+    """Who hears the news from which balancer, as it stands."""
+    names = {m.ip: m.name for m in world.edges()}
+    parents = {m.name: m.role._follower.parent() for m in world.edges() if world.running(m)}
+    return {name: names[ip] for name, ip in parents.items() if ip in names}
+
+
+async def settled(world: World) -> str:
+    """The tree stands: each balancer hears from whom it is to; the relay that most hear from."""
+
+    def stands() -> bool:
+        known = relays(world)
+        members = [m.role._follower._me for m in world.edges()]
+        wanted = {m.node: parent_of(m.node, m.zone, members) for m in members}
+        return known == {node: parent.node for node, parent in wanted.items() if parent is not None}
+
+    await world.until(stands, 10.0, "the tree stands")
+    known = list(relays(world).values())
+    return max(known, key=known.count) if known else ""
+
+
+def test_the_tree_of_relays_forms_and_news_go_down_it() -> None:
+    async def scene(world: World) -> None:
+        await begun(world)
+        await settled(world)
+        direct = [m for m in world.edges() if m.name not in relays(world)]
+        assert len(direct) == 1
+        await world.operator().put(configuration(6), 5)
+        await in_force(world, 6, 0.1)
+
+    play(scene, edges=12, zones=1)
+
+
+@pytest.mark.parametrize("trouble", ["freeze", "kill", "power", "cut"])
+@pytest.mark.parametrize("phase", [0.0, 0.1, 0.2])
+def test_a_relay_in_trouble_holds_no_news_up(trouble: str, phase: float) -> None:
+    async def scene(world: World) -> None:
+        await begun(world)
+        relay = await settled(world)
+        await world.wait(phase)
+        match trouble:
+            case "freeze":
+                world.freeze(relay)
+            case "kill":
+                world.kill(relay)
+            case "power":
+                world.power_off(relay)
+            case _:
+                world.cut([relay], [name for name in world.machines if name != relay])
+        ended = await world.operator().put(configuration(6), 5)
+        assert ended.status == 200
+        planes = [m.plane for m in world.edges() if m.name != relay]
+        await world.until(lambda: all(p.ver == 6 for p in planes), APPLY_S, "all but the relay")
+
+    play(scene, edges=12, zones=1)
+
+
+def test_a_relay_that_freezes() -> None:
+    async def scene(world: World) -> None:
+        await begun(world)
+        relay = await settled(world)
+        world.transcript.lines.clear()
+        world.freeze(relay)
+        await world.operator().put(configuration(6), 5)
+        planes = [m.plane for m in world.edges() if m.name != relay]
+        await world.until(lambda: all(p.ver == 6 for p in planes), APPLY_S, "all but the relay")
+        await world.wait(3.0)
+        world.thaw(relay)
+        await in_force(world, 6)
+        await world.wait(3.0)
+        await settled(world)
+
+    world = play(scene, edges=4, zones=1)
+    approve("news-relay-freezes", world.transcript.text())
+
+
+@pytest.mark.parametrize("edges", [3, 12])
+def test_the_gap_when_the_primary_is_told_to_stop(edges: int) -> None:
+    """A successor is named: orders and news go on well within the time after which they are taken for lost."""
+
+    async def scene(world: World) -> None:
+        await begun(world)
+        await settled(world)
+        primary = world.primary()
+        since = world.now()
+        await world.terminate(primary)
+        assert world.now() - since < 200
+        others = [m.name for m in world.cores() if m.name != primary]
+        assert (await world.operator("operator", *others).put(configuration(6), 5)).status == 200
+        assert world.now() - since < 300
+        await world.until(lambda: all(m.role._follower.is_fresh(0.35) for m in world.edges()), 1.0)
+        await in_force(world, 6, 0.5)
+        gaps = [world.loop.time() - m.role._follower._pulsed_at for m in world.edges()]
+        assert max(gaps) < 0.9
+        told = [at for at, _, to, _ in world.transcript.said(Pulse) if to.startswith("edge")]
+        assert max(b - a for a, b in zip(told, told[1:], strict=False)) < 600
+
+    play(scene, edges=edges, zones=1)
+
+
+def test_a_balancer_that_starts_while_the_control_state_is_away() -> None:
+    async def scene(world: World) -> None:
+        await begun(world)
+        world.core("none", "10.9.0.1", "hall-a")
+        del world.machines["none"]
+        world.power_off("core-1", "core-2", "core-3")
+        late = world.edge("edge-late", "10.1.1.99", "hall-a")
+        world.boot("edge-late")
+        await world.wait(5.0)
+        assert not late.plane.is_allowed and not late.plane.configured
+        assert all(ip != late.ip for _, ip in world.platform.calls)
+        world.boot("core-1", "core-2", "core-3")
+        await world.until(lambda: late.plane.is_allowed, 3.0, "the late one is ready")
+        assert late.plane.ver == 5 and late.plane.ids == ["i-1", "i-2"]
+
+    play(scene, edges=2)
+
+
+@pytest.mark.parametrize(("edges", "rate", "upstreams"), [(7, 42.0, 5), (9, 4.0, 9), (30, 10.0, 120)])
+def test_balancers_alone_read_the_list_themselves_and_stay_within_the_rate(
+    edges: int, rate: float, upstreams: int
+) -> None:
+    async def scene(world: World) -> None:
+        await begun(world)
+        world.platform.entries = [upstream(f"i-{n}") for n in range(upstreams)]
+        await world.wait(2.5)
+        assert all(len(m.plane.ids) == upstreams for m in world.edges())
+        world.platform.calls.clear()
+        since = world.loop.time()
+        world.power_off("core-1", "core-2", "core-3")
+        world.platform.entries[0]["state"] = "draining"
+        await world.wait(40.0)
+        assert world.platform.calls[0][0] - since < 4.0
+        assert all(m.plane.listed[-1][1][0].state == "draining" for m in world.edges())
+        assert len(world.platform.calls) / 40.0 <= rate / 4 * 1.1
+        assert world.platform.busiest_second() <= rate / 2
+        # Once the control state is there, nobody else asks.
+        world.boot("core-1", "core-2", "core-3")
+        await world.served()
+        await world.wait(1.0)
+        world.platform.calls.clear()
+        await world.wait(5.0)
+        assert {world.name_of(ip) for _, ip in world.platform.calls} == {world.primary()}
+
+    def starts(world: World) -> None:
+        world.rate_per_s = rate
+
+    play(scene, edges=edges, before=starts)
+
+
+def test_a_lone_balancers_list_gives_way_to_the_control_states() -> None:
+    async def scene(world: World) -> None:
+        await begun(world)
+        world.cut(["edge-1"], ["core-1", "core-2", "core-3"])
+        world.platform.entries = [upstream("i-3")]
+        await world.until(lambda: world.machines["edge-1"].plane.ids == ["i-3"], 6.0, "it has read the list")
+        world.platform.entries = [upstream("i-4")]
+        world.heal()
+        await world.until(lambda: world.machines["edge-1"].plane.ids == ["i-4"], 2.5, "it hears the list")
+        world.platform.entries = [upstream("i-5")]
+        await world.until(lambda: all(m.plane.ids == ["i-5"] for m in world.edges()), 1.5, "all hear the list")
+
+    play(scene, edges=2)
+
+
+def test_a_list_that_is_as_it_was_in_an_earlier_term_is_told_again() -> None:
+    async def scene(world: World) -> None:
+        await begun(world)
+        first = world.primary()
+        world.freeze(first)
+        world.platform.entries = [upstream("i-3")]
+        await world.until(lambda: all(m.plane.ids == ["i-3"] for m in world.edges()), 5.0, "the new list")
+        world.thaw(first)
+        await world.wait(2.0)
+        world.platform.entries = [upstream("i-1"), upstream("i-2")]
+        second, third = world.primary(), [m.name for m in world.cores()]
+        third = [n for n in third if n not in (first, second)]
+        world.power_off(second)
+        await world.until(lambda: world.primary() not in ("", second), 3.0)
+        if world.primary() != first:
+            world.boot(second)
+            await world.wait(3.0)
+            await world.terminate(world.primary())
+            await world.until(lambda: world.primary() == first, 3.0, "the first one leads again")
+        await world.until(lambda: all(m.plane.ids == ["i-1", "i-2"] for m in world.edges()), 4.0, "the list")
+
+    play(scene, edges=2)
+
+
+def test_number_of_balancers_is_never_below_the_truth() -> None:
+    """Whoever was there within 20 s counts, also when the primary changes meanwhile."""
+
+    async def scene(world: World) -> None:
+        await begun(world)
+        await world.wait(3.0)
+        assert {m.plane.counted[-1][1] for m in world.edges()} == {6}
+        world.kill("edge-1", "edge-2")
+        await world.wait(6.0)
+        assert {m.plane.counted[-1][1] for m in world.edges() if world.running(m)} == {6}
+        world.kill(world.primary())
+        since = world.loop.time()
+        await world.wait(8.0)
+        for machine in world.edges():
+            if world.running(machine):
+                assert min((n for at, n in machine.plane.counted if at > since), default=6) == 6, machine.name
+        await world.wait(25.0)
+        assert {m.plane.counted[-1][1] for m in world.edges() if world.running(m)} == {4}
+
+    play(scene, edges=6)
+
+
+def test_one_balancer_on_a_new_machine_counts_at_once() -> None:
+    async def scene(world: World) -> None:
+        await begun(world)
+        world.edge("edge-new", "10.1.1.77", "hall-a")
+        world.boot("edge-new")
+        await world.until(lambda: all(m.plane.counted[-1:] and m.plane.counted[-1][1] == 4 for m in world.edges()), 2.5)
+
+    play(scene, edges=3)
+
+
+def test_nobody_is_told_a_number_before_all_can_be_there() -> None:
+    async def scene(world: World) -> None:
+        await world.served()
+        await world.wait(5.0)
+        assert {n for m in world.edges() for _, n in m.plane.counted} == {12}
+
+    play(scene, edges=12, zones=1)
+
+
+def test_a_balancer_attaches_again_only_where_it_has_to() -> None:
+    """A calm fleet stays as it is."""
+
+    async def scene(world: World) -> None:
+        await begun(world)
+        await settled(world)
+        before = len(world.transcript.said(Attach))
+        await world.wait(30.0)
+        assert len(world.transcript.said(Attach)) == before
+
+    play(scene, edges=12, zones=1)
--- a/windvane/balancer.py
+++ b/windvane/balancer.py
@@ -6,15 +6,18 @@
 import math
 import random
 import time
+from collections.abc import Callable
 from typing import Any
 
+from loguru import logger
+
 from passpost.counters import Final
 from passpost.engine import Client
 from passpost.http1 import Headers
 from passpost.server import ClientManner, Server
 from passpost.upstream import Manner, Outgoing, Upstreams
 from passpost.validation import BadRequestError, Call
-from screen.configuration import Configuration, Upstream
+from screen.configuration import Configuration, Route, Upstream
 from screen.settings import Settings, parse_address
 from windvane import readiness
 from windvane.budget import RetryBudget
@@ -22,12 +25,14 @@
 from windvane.pair import Handle
 from windvane.passage import Passage
 from windvane.routes import RouteTable, draw_service
-from windvane.tiers import Tiers
+from windvane.tiers import Peer, Tiers
 from windvane.wire import free_handle, is_event_stream, outcome
 
-CONNECT_S = 1.0
+CONNECT_S = 0.5
+PROBE_S = 0.5  # between two looks whether a silent upstream can be reached again
 IDLE_S = 120.0  # an upstream that tells no time keeps idle connections at least so long
-DARK_MS = 4000
+DARK_MS = 1500
+CLIENT_DARK_MS = 8000
 STALL_S = 30.0
 UPSTREAM_SHARE = 0.4  # of the descriptors
 RESERVED_FILES = 300
@@ -40,6 +45,7 @@
 SWEEP_S = 1.0
 ACCEPT_AFTER_STOP_S, LAST_CALL_S, DRAIN_STEP_S = 3.2, 2.2, 0.1
 END_MARGIN_S = 0.5  # before the platform kills us
+USUAL_SHARE = 0.05  # of the smoothed length of prompts that the latest one makes up
 FREE_S = 2.0  # a call that frees a handle is given up after this
 
 
@@ -79,6 +85,10 @@
         self.budget.refund()
 
 
+def _nothing() -> None:
+    """Nobody wants to be told."""
+
+
 class Balancer:
     """One balancer's data plane, steered by the control side; all on one asyncio loop."""
 
@@ -90,6 +100,7 @@
         manner = Manner(outcome, is_event_stream, STALL_S, True, DARK_MS)
         self.upstreams = Upstreams(CONNECT_S, IDLE_S * 2, to_upstreams, manner)
         self._chance = random.Random(seed)
+        self.load_changed: Callable[[], None] = _nothing
         self.tiers = Tiers(self._chance, self.upstreams.has_place)
         self._max_open = files - to_upstreams
         self._server: Server | None = None
@@ -98,6 +109,7 @@
         self._table = RouteTable(Configuration(0))
         self._purses: dict[str, Purse] = {}
         self._passages: dict[int, Passage] = {}
+        self._usual: dict[str, float] = {}  # tokens of a prompt, smoothed, by route
         self._count, self._balancers = 0, 0
         self._allowed, self._draining = False, False
 
@@ -122,6 +134,7 @@
             return
         self._configuration = configuration
         self._table = RouteTable(configuration)
+        self._usual = {r.name: self._usual[r.name] for r in configuration.routes if r.name in self._usual}
         if self._server is not None:
             self._server.treat(self._client_manner())
         self._limit_connections()
@@ -148,6 +161,18 @@
         """Whether readyz answers 200."""
         return self.is_ready()
 
+    def loads(self) -> dict[str, tuple[int, int]]:
+        """Our calls and outstanding prompt tokens, by upstream; those with none are left out."""
+        return self.tiers.loads()
+
+    def heed_others(self, load: Callable[[str], tuple[int, int]]) -> None:
+        """From now on `load` tells the other balancers' calls and prompt tokens at an upstream."""
+        self.tiers.others = load
+
+    def tell_load(self, changed: Callable[[], None]) -> None:
+        """`changed` is called whenever `loads` would tell something new."""
+        self.load_changed = changed
+
     async def drain(self) -> None:
         """Not ready from now on; returns when all is answered, or shortly before `bounds.grace_s` ends."""
         self._draining = True
@@ -190,7 +215,7 @@
             told_idle_s=max(int(idle) - 1, 1),
             reads_past_end=False,
             sweep_s=SWEEP_S,
-            dark_ms=DARK_MS,
+            dark_ms=CLIENT_DARK_MS,
             closes_at_stop=True,
             accept_after_stop_s=ACCEPT_AFTER_STOP_S,
             last_call_s=LAST_CALL_S,
@@ -217,6 +242,35 @@
             purse = self._purses[service] = Purse(budget)
         return purse
 
+    def silent(self, peer: Peer) -> None:
+        """An upstream owes us a word for too long: it gets nothing new until it is heard or reached again."""
+        if not peer.silent:
+            peer.silent = True
+            logger.warning("event=silent upstream={}", peer.entry.id)
+            self.upstreams.drop_idle(peer.entry.id)
+            asyncio.get_running_loop().call_later(PROBE_S, self._probe, peer)
+
+    def _probe(self, peer: Peer) -> None:
+        name = peer.entry.id
+        if not peer.silent or self.tiers.peer(name) is not peer:
+            return
+
+        def found(reached: bool) -> None:
+            if reached:
+                peer.heard(time.monotonic())
+                logger.info("event=reached_again upstream={}", name)
+            else:
+                asyncio.get_running_loop().call_later(PROBE_S, self._probe, peer)
+
+        self.upstreams.probe(name, found)
+
+    def priority(self, route: Route, tokens: int) -> int:
+        """What an upstream is told: by the route's rank, and within it short prompts go before long ones."""
+        usual = self._usual.get(route.name, 0.0) or float(tokens)
+        self._usual[route.name] = usual + (tokens - usual) * USUAL_SHARE
+        size = 0 if tokens < usual / 2 else 1 if tokens <= usual * 2 else 2
+        return min(route.prio * 3 + size, 9)
+
     def free(self, handle: Handle) -> None:
         """Free memory that nobody will fetch."""
         request = free_handle(handle.address, handle.holder, handle.ref)
--- a/windvane/pair.py
+++ b/windvane/pair.py
@@ -165,6 +165,10 @@
             self.handle = None
         return self._run(self.handle)
 
+    def may_repeat(self) -> bool:
+        """Whether the run that is out could be left for another."""
+        return (self._resumable if self.started else self._idempotent) and self._may(1)
+
     def no_runner(self) -> Step:
         """No decode upstream is there to be sent to."""
         self._withdraw()
--- a/windvane/passage.py
+++ b/windvane/passage.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 from typing import TYPE_CHECKING
 
@@ -14,13 +15,20 @@
 from windvane import pair as steps
 from windvane.ingress import RoutedCall
 from windvane.streams import BadStreamError, EventReader
-from windvane.tiers import FULL_S, MISPLACED_S, Peer
+from windvane.tiers import FULL_S, ITSELF, LEAST_TOKENS, MISPLACED_S, PACE_S, Peer
 from windvane.wire import Staged, is_ours, is_sound, read_handle
 
 if TYPE_CHECKING:
     from windvane.balancer import Balancer
 
 GRACE_S = 0.25  # past the deadline: so long the upstream's own word is awaited
+READ_PATIENCE_S, READ_PATIENCE = 0.4, 3.0  # a prefill call may take so long, and so many times what we expect
+RUN_PATIENCE_S = 0.6  # a run may pause so long
+RUN_LEFT = 1.6  # times its patience after which a run that may be repeated is left
+STOPPED_S = 0.2  # a timer that fires so late shows that this process stood still
+QUEUED_S = 0.25  # a prefill upstream's queue that is no shorter may make a decode upstream read by itself
+DIRECT = 1.0  # times as long as that, and it does
+WAIT_MOST, WAIT_RANK, WAIT_LEAST = 1.2, 0.2, 0.5  # of the aim that may pass before a prompt is begun, by rank
 AGAIN_MS = 200.0  # a refused client may come back after this
 EMPTY_AGAIN_MS = 400.0  # the same where no upstream is there
 
@@ -44,26 +52,47 @@
         route = call.route
         purse = balancer.purse(service)
         self._pair = steps.Pair(route.tries, route.is_idempotent(), route.resumable, purse)
+        self._priority = balancer.priority(route, call.prompt.tokens)
         self._avoid: set[str] = set()
         self._attempt: Attempt | None = None
         self._peer: Peer | None = None  # that the attempt is at
         self._tokens = 0  # booked there
+        self._reads = False  # it is a prefill call
+        self._booked = 0  # all that was booked there once it was
         self._zone = balancer.settings.zone  # where the memory of the prompt is
         after = int(call.after) if call.after is not None and call.after.isdigit() else None
         self._events = EventReader(after)
         self._begun = False  # the head has gone to the client
         self._head: Start | None = None  # that waits for the first event
         self._flow: Flow | None = None
+        self._sent = 0.0  # when the attempt was made
+        self._watch: asyncio.TimerHandle | None = None
         self._held_up = False  # its client does not read
+        self._fetching: steps.Handle | None = None  # by the run that is out
         self._bad = False  # the attempt was broken by what it brought
         self._finished = False
 
     def begin(self) -> None:
         """Take the first step."""
         # What tells of no prompt has nothing to be read, and is run by whoever it is sent to, prefill call or not.
-        split = self._call.prompt.tokens > 0 and self._balancer.tiers.is_split(self._service)
+        tokens, tiers = self._call.prompt.tokens, self._balancer.tiers
+        split = tokens > 0 and tiers.is_split(self._service)
+        if split:
+            now = time.monotonic()
+            reading, itself = tiers.reading(self._service, now), tiers.reading_itself(self._service, now)
+            if min(reading, itself) > self._bearable():
+                self._follow(steps.Refuse())
+                return
+            more = tokens * PACE_S
+            split = reading < QUEUED_S or reading + more < (itself + more * ITSELF) * DIRECT
         self._follow(self._pair.first(split))
 
+    def _bearable(self) -> float:
+        """How long it may take until the prompt is begun, in seconds; the urgent wait where others do not."""
+        route = self._call.route
+        aim = route.target_ms or route.deadline_ms / 2
+        return aim / 1000 * max(WAIT_MOST - WAIT_RANK * route.prio, WAIT_LEAST)
+
     def left(self) -> None:
         """The client has gone: nobody needs what is under way."""
         if not self._finished:
@@ -111,11 +140,14 @@
             self._follow(self._pair.no_reader())
             return
         extra = b"Mastturn-Target-Upstream: %b\r\nMastturn-Stage: prefill\r\n%b" % (peer.home, self._common())
-        self._send(peer, extra, self._call.prompt.tokens, None, self._read_done)
+        self._bad = False
+        self._reads = True
+        self._send(peer, extra, peer.missing(self._call.prompt), None, self._read_done)
 
     def _run(self, handle: steps.Handle | None) -> None:
         now = time.monotonic()
-        peer = self._balancer.tiers.pick_runner(self._service, self._zone, self._avoid, now)
+        prompt = self._call.prompt if handle is None else None
+        peer = self._balancer.tiers.pick_runner(self._service, prompt, self._zone, self._avoid, now)
         if peer is None:
             self._follow(self._pair.no_runner())
             return
@@ -127,11 +159,12 @@
         extra = b"Mastturn-Target-Upstream: %b\r\n%b%b" % (peer.home, kv, self._common())
         self._bad, self._head, self._flow = False, None, None
         self._events.begin_anew()
-        self._send(peer, extra, 0, self, self._run_done)
+        self._fetching, self._reads = handle, False
+        self._send(peer, extra, 0 if prompt is None else peer.missing(prompt), self, self._run_done)
 
     def _common(self) -> bytes:
         """Header lines of every stage: the rank, and the last event that the client has."""
-        prio = b"Priority: %d\r\n" % min(self._call.route.prio, 9)
+        prio = b"Priority: %d\r\n" % self._priority
         if self._events.last is None:
             return prio if self._call.after is None else b"%bLast-Event-Id: %b\r\n" % (prio, self._call.after)
         return b"%bLast-Event-Id: %d\r\n" % (prio, self._events.last)
@@ -139,8 +172,10 @@
     def _send(self, peer: Peer, extra: bytes, tokens: int, sink: Passage | None, done: Done) -> None:
         now = time.monotonic()
         request = Staged(self._out.head, self._out.body, None, self._ends, self._call.txn, extra)
-        self._peer, self._tokens = peer, tokens
+        self._peer, self._tokens, self._sent = peer, tokens, now
         peer.sent(now, tokens)
+        self._booked = self._balancer.tiers.outstanding(peer)
+        self._balancer.load_changed()
         timeout = max(self._ends - now, 0.0) + GRACE_S
         attempt = self._balancer.upstreams.send(
             peer.entry.id,
@@ -153,24 +188,69 @@
         )
         if not attempt.is_over():
             self._attempt = attempt
+            self._look_in(self._patience())
 
     def _is_wanted(self) -> bool:
         return not self._finished
 
+    # ---- silence
+
+    def _look_in(self, after: float) -> None:
+        loop = asyncio.get_running_loop()
+        self._watch = loop.call_later(after, self._look, loop.time() + after)
+
+    def _patience(self) -> float:
+        """How long our upstream may say nothing to us, in seconds, before it counts as silent."""
+        assert self._peer is not None
+        pace = self._peer.pace or PACE_S
+        if self._reads:  # nothing comes before all is read
+            return READ_PATIENCE_S + READ_PATIENCE * pace * max(self._booked, LEAST_TOKENS)
+        if not self._tokens:
+            return RUN_PATIENCE_S
+        return RUN_PATIENCE_S + READ_PATIENCE * PACE_S * ITSELF * self._booked
+
+    def _look(self, due: float) -> None:
+        """See whether the upstream of the attempt that is out is silent; what may be sent again moves on then."""
+        self._watch = None
+        peer, attempt = self._peer, self._attempt
+        if self._finished or peer is None or attempt is None:
+            return
+        loop = asyncio.get_running_loop()
+        patience = self._patience()
+        if loop.time() - due > STOPPED_S:  # we stood still: what has come lies unread
+            self._look_in(patience)
+            return
+        now = time.monotonic()
+        quiet = now - max(self._sent, peer.heard_at)
+        if quiet < patience:
+            self._look_in(max(patience - quiet, 0.01))
+            return
+        self._balancer.silent(peer)
+        if self._reads or (quiet >= RUN_LEFT * patience and self._pair.may_repeat()):
+            self._bad = True
+            attempt.cancel()
+        else:
+            self._look_in(patience)
+
     def _ended(self, outcome: Outcome, answer: Answer | None) -> Peer:
         """Book the end of the attempt that was out."""
         peer, now = self._peer, time.monotonic()
         assert peer is not None
         self._attempt, self._peer = None, None
+        if self._watch is not None:
+            self._watch.cancel()
+            self._watch = None
+        if answer is not None:
+            peer.heard(now)
         served = outcome is Outcome.SERVED and not self._bad
         peer.ended(now, self._tokens, served)
+        self._balancer.load_changed()
         if outcome is Outcome.TURNED_AWAY and answer is not None:
-            peer.misses = 0
             peer.avoid(now, MISPLACED_S if answer.status == 421 else FULL_S)
             self._avoid.add(peer.entry.id)
         elif outcome in (Outcome.UNREACHED, Outcome.BROKEN, Outcome.TIMED_OUT):
             if outcome is Outcome.UNREACHED:
-                peer.unreached(now)
+                self._balancer.silent(peer)
             self._avoid.add(peer.entry.id)
         return peer
 
@@ -189,6 +269,8 @@
                 self._balancer.free(handle)
             return
         if handle is not None:
+            peer.read(time.monotonic() - self._sent, self._booked)
+            peer.keeps(self._call.prompt.subject)
             self._zone = peer.entry.zone
             self._avoid.clear()
         self._follow(self._pair.read_ended(steps.End.TAKEN if handle else _end(outcome), handle))
@@ -211,6 +293,8 @@
         """A piece of the stream; only whole events that go on where the last one ended reach the client."""
         if self._finished:
             return
+        if self._peer is not None:
+            self._peer.heard(time.monotonic())
         try:
             events = self._events.feed(data)
         except BadStreamError as error:
@@ -230,10 +314,24 @@
     def _pass_on(self, events: bytes) -> None:
         if not events:
             return
-        self._pair.handle = None  # it was fetched
+        if self._fetching is not None:
+            self._fetched(True)
+        elif self._tokens and self._peer is not None:  # it has read the prompt itself
+            self._peer.tokens -= self._tokens
+            self._tokens = 0
+        if not self._begun and self._peer is not None:
+            self._peer.keeps(self._call.prompt.subject)
         self._show_head()
         self._client.more(events)
 
+    def _fetched(self, well: bool) -> None:
+        handle, self._fetching = self._fetching, None
+        holder = self._balancer.tiers.peer(handle.holder) if handle is not None else None
+        if holder is not None:
+            holder.fetched(time.monotonic(), well)
+        if well:
+            self._pair.handle = None  # there is nothing to be freed
+
     def _show_head(self) -> None:
         if self._begun or self._head is None or self._flow is None:
             return
@@ -280,6 +378,8 @@
             self._client.serve(answer)
         else:
             self._log(peer, "run_ended", outcome, answer)
+            if outcome is Outcome.TURNED_AWAY and self._fetching is not None:
+                self._fetched(False)
             end = steps.End.BROKEN if outcome is Outcome.SERVED else _end(outcome)
             self._follow(self._pair.run_ended(end))
 
--- a/windvane/tiers.py
+++ b/windvane/tiers.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import hashlib
+import math
 import random
 from collections.abc import Callable, Collection, Iterable
 
@@ -17,12 +18,16 @@
 from windvane.prompt import Prompt
 
 PREFILL, DECODE = "prefill", "decode"
-UNREACHED_S = 1.0  # so long nothing is sent to an upstream that could not be reached; doubled each time
-UNREACHED_MOST_S = 4.0
 MISPLACED_S = 0.5  # the same where it says that it plays another part
+SPOILT, SPOILT_S = 2, 1.0  # so many handles in a row that could not be fetched, and it is avoided so long
 FULL_S = 0.1  # the same where it had no place
-HOME_SPARE_TOKENS = 16_000  # of ours at the home above the least of the others, and all may be drawn
-ZONE_SPARE = 2  # our calls at the same zone's above the least of the others, and all may be drawn
+LEAST_TOKENS = 500  # a shorter prompt tells the pace no better
+KEPT_MOST = 256  # subjects that are remembered of one upstream
+PACE_SHARE = 0.2  # of the smoothed pace that the latest call makes up
+PACE_S = 0.000025  # seconds for each token of a prompt, until it is learned
+ITSELF = 4.0  # times as long a decode upstream takes to read a prompt
+SPARE_TOKENS = 2_000  # to be read above the least of the others: with more an upstream is not drawn
+BUSIER, SPARE_CALLS = 1.25, 3  # the same for calls, where they run
 
 # The choice asks its settings for what cold servers can bear; the list's `cold_left_ms` is not held against them.
 _RULE = face.Settings(classes=(face.RequestClass("any", 1.0, 1.0, face.Effect.ONCE),))
@@ -31,13 +36,30 @@
 class Peer:
     """One upstream: its list entry, and what this balancer knows of it. Times in seconds on the steady clock."""
 
-    __slots__ = ("blocked_until", "entry", "home", "misses", "server", "tokens")
+    __slots__ = (
+        "blocked_until",
+        "entry",
+        "heard_at",
+        "home",
+        "kept",
+        "pace",
+        "server",
+        "silent",
+        "spoilt",
+        "tokens",
+    )
 
     def __init__(self, entry: Upstream, now: float, rank: float) -> None:
         self.entry = entry
         self.server = Server(face.Member(entry.id, zone=entry.zone), now * 1000, rank)
         self.tokens = 0  # of prompts that are being read there for us
-        self.blocked_until, self.misses = 0.0, 0
+        self.blocked_until = 0.0
+        self.heard_at, self.silent = now, False  # silent: it owes us a word for too long, or can't be reached
+        self.spoilt = 0  # handles from here that could not be fetched, since the last one that was
+        self.kept: dict[
+            bytes, None
+        ] = {}  # subjects whose shared parts we saw it read or fetch, the latest last
+        self.pace = 0.0  # seconds for each of our outstanding tokens that a prefill call has taken, smoothed
         self.home = entry.id.encode()
 
     def sent(self, now: float, tokens: int) -> None:
@@ -47,6 +69,29 @@
         self.server.last_sent = now * 1000
         self.tokens += tokens
 
+    def missing(self, prompt: Prompt) -> int:
+        """How many tokens of a prompt it would have to read."""
+        return prompt.tokens - prompt.shared if prompt.subject in self.kept else prompt.tokens
+
+    def keeps(self, subject: bytes) -> None:
+        """It has the shared parts of a subject now; those unused longest give way."""
+        if subject:
+            self.kept.pop(subject, None)
+            self.kept[subject] = None
+            if len(self.kept) > KEPT_MOST:
+                del self.kept[next(iter(self.kept))]
+
+    def read(self, seconds: float, tokens: int) -> None:
+        """A prompt was read, with so many tokens outstanding when it was sent."""
+        pace = seconds / max(tokens, LEAST_TOKENS)
+        self.pace += (pace - self.pace) * (PACE_SHARE if self.pace else 1.0)
+
+    def fetched(self, now: float, well: bool) -> None:
+        """Memory from here was fetched, or could not be: where that goes on nothing is read here for a while."""
+        self.spoilt = 0 if well else self.spoilt + 1
+        if self.spoilt >= SPOILT:
+            self.avoid(now, SPOILT_S)
+
     def ended(self, now: float, tokens: int, served: bool) -> None:
         """A call there is over; one that did not run adds nothing to its rate."""
         self.server.catch_up(now * 1000)
@@ -54,16 +99,10 @@
         self.tokens -= tokens
         if served:
             self.server.served += 1
-            self.heard()
-
-    def heard(self) -> None:
-        """It has answered."""
-        self.misses, self.blocked_until = 0, 0.0
 
-    def unreached(self, now: float) -> None:
-        """No connection came up, or it went dark."""
-        self.blocked_until = now + min(UNREACHED_S * 2**self.misses, UNREACHED_MOST_S)
-        self.misses += 1
+    def heard(self, now: float) -> None:
+        """Something has come from it."""
+        self.heard_at, self.silent = now, False
 
     def avoid(self, now: float, span: float) -> None:
         """Send nothing there for so long."""
@@ -89,6 +128,7 @@
 
     def __init__(self, chance: random.Random, has_place: Callable[[str], bool]) -> None:
         self._chance, self._has_place = chance, has_place
+        self.others: Callable[[str], tuple[int, int]] = _unknown  # others' calls and tokens at an upstream
         self._peers: dict[str, Peer] = {}
         self._groups: dict[tuple[str, str], Group] = {}
         self._entries: tuple[Upstream, ...] | None = None
@@ -106,6 +146,7 @@
                 peer = Peer(entry, now, self._chance.random())
             elif peer.entry.phase != entry.phase:
                 peer.server.forget(now * 1000)
+                peer.kept.clear()
                 peer.blocked_until = 0.0
             peer.entry = entry
             self._peers[entry.id] = peer
@@ -138,39 +179,69 @@
         return group is not None and bool(group.peers)
 
     def pick_reader(self, service: str, prompt: Prompt, avoid: Collection[str], now: float) -> Peer | None:
-        """The prefill upstream that reads: the subject's home unless that has clearly more of our work."""
+        """The prefill upstream that reads a prompt: where that takes least, the subject's home first."""
         group = self._groups.get((service, PREFILL))
         able = self._able(group, avoid, now)
-        if group is None or not able:
-            return None
-        if prompt.subject and len(able) > 1:
-            home = max(able, key=lambda p: _weight(prompt.subject, p.home))
-            least = min(p.tokens for p in able)
-            if home.tokens - least <= HOME_SPARE_TOKENS:
-                return home
-        return self._draw(group, able, now)
-
-    def pick_runner(self, service: str, zone: str, avoid: Collection[str], now: float) -> Peer | None:
-        """The upstream that runs: of `zone`, where the memory is, unless those are clearly busier."""
+        return self._draw(group, self._readers(able, prompt), now) if group is not None and able else None
+
+    def pick_runner(
+        self, service: str, prompt: Prompt | None, zone: str, avoid: Collection[str], now: float
+    ) -> Peer | None:
+        """The upstream that runs: of `zone`, where the memory is; or one that reads `prompt` by itself."""
         group = self._groups.get((service, DECODE))
         if group is None or not group.peers:
-            group = self._groups.get((service, ""))
+            group, prompt = self._groups.get((service, "")), None
         able = self._able(group, avoid, now)
         if group is None or not able:
             return None
-        near = [p for p in able if p.entry.zone == zone]
-        if near and len(near) < len(able):
-            least = min(p.server.in_flight for p in able)
-            if min(p.server.in_flight for p in near) - least <= ZONE_SPARE:
-                able = near
-        return self._draw(group, able, now)
+        if prompt is not None and prompt.tokens:
+            return self._draw(group, self._readers(able, prompt), now)
+        tokens = [self.outstanding(p) for p in able]  # what is read there goes between the tokens of runs
+        able = [p for p, held in zip(able, tokens, strict=True) if held <= min(tokens) + SPARE_TOKENS]
+        calls = [p.server.in_flight + self.others(p.entry.id)[0] for p in able]
+        most = min(calls) * BUSIER + SPARE_CALLS
+        able = [p for p, held in zip(able, calls, strict=True) if held <= most]
+        return self._draw(group, [p for p in able if p.entry.zone == zone] or able, now)
+
+    def _readers(self, able: list[Peer], prompt: Prompt) -> list[Peer]:
+        """Those of `able` (not empty) that have read a prompt soonest, its shared parts at home or where kept."""
+        if len(able) == 1:
+            return able
+        home = max(able, key=lambda p: _weight(prompt.subject, p.home)) if prompt.subject else None
+        costs = [
+            self.outstanding(p) + (prompt.tokens - prompt.shared if p is home else p.missing(prompt))
+            for p in able
+        ]
+        most = min(costs) + SPARE_TOKENS
+        free = [p for p, cost in zip(able, costs, strict=True) if cost <= most]
+        return [home] if home in free else free
+
+    # ---- what it would take
+
+    def outstanding(self, peer: Peer) -> int:
+        """Prompt tokens that all balancers together wait for there, as far as we know."""
+        return peer.tokens + self.others(peer.entry.id)[1]
+
+    def reading(self, service: str, now: float) -> float:
+        """Seconds until a prefill upstream begins to read what comes now; infinite where there is none."""
+        able = self._able(self._groups.get((service, PREFILL)), (), now)
+        return min((self.outstanding(p) * (p.pace or PACE_S) for p in able), default=math.inf)
+
+    def reading_itself(self, service: str, now: float) -> float:
+        """Seconds until a decode upstream begins to read what comes now without its memory."""
+        able = self._able(self._groups.get((service, DECODE)), (), now)
+        return min((self.outstanding(p) for p in able), default=math.inf) * PACE_S * ITSELF
 
     def _able(self, group: Group | None, avoid: Collection[str], now: float) -> list[Peer]:
         """Those of its ready ones that are not avoided or blocked; blocked ones rather than none."""
         if group is None:
             return []
         able = [p for p in group.peers if p.entry.id not in avoid and self._has_place(p.entry.id)]
-        return [p for p in able if p.blocked_until <= now] or able
+        return (
+            [p for p in able if p.blocked_until <= now and not p.silent]
+            or [p for p in able if not p.silent]
+            or able
+        )
 
     def _draw(self, group: Group, able: list[Peer], now: float) -> Peer:
         if len(able) == 1:
@@ -179,11 +250,23 @@
         chosen = group.choice.pick([p.server for p in able], median, now * 1000)
         return next(p for p in able if p.server is chosen)
 
+    def loads(self) -> dict[str, tuple[int, int]]:
+        """Our calls and outstanding prompt tokens, by upstream; those with none are left out."""
+        return {
+            p.entry.id: (p.server.in_flight, p.tokens)
+            for p in self._peers.values()
+            if p.server.in_flight > 0 or p.tokens > 0
+        }
+
     def in_flight(self) -> int:
         """Calls that are out to upstreams of the list."""
         return sum(p.server.in_flight for p in self._peers.values())
 
 
+def _unknown(upstream: str) -> tuple[int, int]:
+    return 0, 0
+
+
 def _weight(subject: bytes, upstream: bytes) -> bytes:
     """Rendezvous hashing: a subject's home is the upstream of the highest weight, whoever else is there."""
     return hashlib.blake2b(subject + b"@" + upstream, digest_size=8).digest()
