Take upstreams from answering by the peak of its use only, and leave two in five there

Change: the use of the answering tier counts by its peak, forgotten over 15 s; at least two upstreams in five stay; a tier that is over full gets one back at once.

--- a/barograph/phases.py
+++ b/barograph/phases.py
@@ -16,12 +16,14 @@
 PREFILL, DECODE = "prefill", "decode"
 MEMORY_S = 2.0  # measures are smoothed over this
 SETTLED_S = 1.0  # measures count after so long
+PEAK_S = 15.0  # the most places in use are forgotten over this: a lull is no reason to take one away
 READING_HIGH = 0.55  # use of the reading tier beyond which waits grow fast
 READING_LOW = 0.15
-PLACES_HIGH = 0.75  # share of the places of the other tier beyond which it is crowded
-PLACES_AFTER = 0.5  # share of them in use with one upstream less, at the most
+PLACES_HIGH = 0.7  # share of the places of the other tier beyond which it is crowded
+PLACES_FULL = 1.0  # beyond this requests wait there, whatever else
+PLACES_AFTER = 0.45  # share of them in use with one upstream less, at the most, at the peak
 PAUSE_S = 4.0  # between two orders for one service: the one before has to show in the measures
-LEAST_RUNNERS = 2  # upstreams that make answers, where there are more than two in all
+LEAST_RUNNERS = 0.4  # share of the upstreams that make answers, in any case: one or two may be lost
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,6 +42,7 @@
     at: float
     reading: float = 0.0  # upstreams' worth of reading
     places: float = 0.0  # places in use where answers are made
+    peak: float = 0.0  # the most of them, slowly forgotten
     ordered: float = -math.inf
 
 
@@ -87,6 +90,7 @@
         keep = math.exp(-max(now - measure.at, 0.0) / MEMORY_S)
         measure.reading = measure.reading * keep + reading * (1 - keep)
         measure.places = measure.places * keep + places * (1 - keep)
+        measure.peak = max(measure.places, measure.peak * math.exp(-max(now - measure.at, 0.0) / PEAK_S))
         measure.at = now
         return measure
 
@@ -98,16 +102,16 @@
         return None
     places = sum(u.capacity for u in runners)
     rest = places - max(u.capacity for u in runners)
-    least = LEAST_RUNNERS if len(ups) > LEAST_RUNNERS else 1
+    least = max(math.ceil(LEAST_RUNNERS * len(ups)), 1)
     reading = measure.reading / len(readers)
     used = measure.places / max(places, 1.0)
 
     def by_calls(up: Upstream) -> tuple[int, str]:
         return loads.get(up.id, (0, 0))[0], up.id
 
-    if reading > READING_HIGH and len(runners) > least and measure.places <= PLACES_AFTER * rest:
+    if reading > READING_HIGH and len(runners) > least and measure.peak <= PLACES_AFTER * rest:
         return Order(min(runners, key=by_calls), PREFILL)
-    crowded = used > PLACES_HIGH and reading < READING_HIGH
+    crowded = used > PLACES_FULL or (used > PLACES_HIGH and reading < READING_HIGH)
     idle = reading < READING_LOW and used > PLACES_AFTER
     if (crowded or idle) and len(readers) > 1:
         return Order(min(readers, key=by_calls), DECODE)
