Move a tenth of a service's upstreams at once, and none to reading while answers wait

Change: barograph/phases.py gives a batch of orders, barograph/mover.py carries them out together after one proof of the term; docstring of the measures.

--- a/barograph/herald.py
+++ b/barograph/herald.py
@@ -56,6 +56,7 @@
         self._view: View | None = None
         self._leader_ip = ""  # of the other that leads
         self._since = 0.0
+        self._first_epoch = 0  # of those that we have led since
         self._number = 0
         self._counts: deque[tuple[float, int]] = deque()
         self._seen: dict[str, tuple[Present, float]] = {}  # by node: when it was last present
@@ -82,6 +83,7 @@
         """We lead this view, or none."""
         if view is not None and self._view is None:
             self._since = asyncio.get_running_loop().time()
+            self._first_epoch = view.epoch
             self.bulletin.forget_loads()
         self._view = view
         self._mover.lead(view is not None, asyncio.get_running_loop().time())
@@ -185,10 +187,11 @@
             await asyncio.sleep(LIST_S)
 
     def _list(self) -> None:
-        """Tell the list if it is not the one that was told last."""
+        """Tell the list if it is not what was told last; others may have told another since our last term."""
         page = pack(self._mover.dress(self._entries, asyncio.get_running_loop().time()))
         known = self.bulletin.upstreams
-        if self._view is not None and (known is None or known.page != page):
+        is_told = known is not None and known.epoch >= self._first_epoch and known.page == page
+        if self._view is not None and not is_told:
             self._mover.listed(page)
             self._tell(UpstreamNews(self._view.epoch, self._next(), page))
 
--- a/barograph/keeper.py
+++ b/barograph/keeper.py
@@ -36,21 +36,25 @@
 
     async def load(self, founder: bool) -> Memory:
         """What is kept; on an empty disk a new identity, kept before anybody hears of it."""
+        told = ""
         while True:
             try:
                 loaded = await self._queue.load()
                 break
             except DiskError as error:
-                logger.error("event=disk_unreadable error={!r}", str(error))
+                if str(error) != told:
+                    told = str(error)
+                    logger.error("event=disk_unreadable error={!r}", told)
                 await asyncio.sleep(AGAIN_S)
         parts = ([loaded.state] if loaded.state is not None else []) + list(loaded.records)
-        for part in parts:
-            try:
+        try:
+            for part in parts:
                 apply(self.memory, read_record(part))
-            except (WireError, IndexError, ValueError) as error:
-                logger.error("event=record_unreadable error={!r}", str(error))
+        except (WireError, IndexError, ValueError, KeyError, TypeError) as error:
+            logger.error("event=memory_unreadable error={!r}", str(error))
+            self.memory = Memory("")  # half of what was promised is none: we are a new process
         if not self.memory.identity:
-            self.memory.identity = (FOUNDER if founder else "m") + secrets.token_hex(8)
+            self.memory.identity = (FOUNDER if founder and not parts else "m") + secrets.token_hex(8)
         await self._write_whole()
         return self.memory
 
@@ -108,6 +112,8 @@
         self._mending = None
         if not task.cancelled() and (error := task.exception()) is not None:
             logger.error("event=disk_mending_failed error={!r}", str(error))
+        elif self._refused and not task.cancelled():
+            self._mend()  # something behind the last checkpoint failed as that was done
 
     async def _write_whole(self) -> None:
         """Keep all of the memory in the other slot, however long it takes."""
--- a/barograph/mover.py
+++ b/barograph/mover.py
@@ -69,10 +69,10 @@
         """See whether an order is due; called every tenth of a second while we lead."""
         if self._leads_since is None or not self._entries:
             return
-        order = self._plan.look(self._entries, self._loads(), now)
+        orders = self._plan.look(self._entries, self._loads(), now)
         waited = now - self._leads_since >= LEASE_SPARE * self._lease_s
-        if order is not None and waited and self._busy is None and not self._moving:
-            self._busy = asyncio.get_running_loop().create_task(self._carry_out(order))
+        if orders and waited and self._busy is None and not self._moving:
+            self._busy = asyncio.get_running_loop().create_task(self._carry_out(orders))
             self._busy.add_done_callback(self._over)
 
     def _over(self, task: asyncio.Task[None]) -> None:
@@ -80,22 +80,27 @@
         if not task.cancelled() and (error := task.exception()) is not None:
             logger.error("event=order_failed error={!r}", str(error))
 
-    async def _carry_out(self, order: Order) -> None:
+    async def _carry_out(self, orders: list[Order]) -> None:
         loop = asyncio.get_running_loop()
-        name = order.upstream.id
-        self._moving[name] = (order.phase, loop.time() + MOVING_S)
+        for order in orders:
+            self._moving[order.upstream.id] = (order.phase, loop.time() + MOVING_S)
         self._changed()
         await asyncio.sleep(TOLD_S)
         epoch = await self._prove()
-        if not epoch:
-            self._moving.pop(name, None)
-            return
+        if epoch:
+            await asyncio.gather(*(self._give(order, epoch) for order in orders))
+        else:
+            for order in orders:
+                self._moving.pop(order.upstream.id, None)
+        self._changed()
+
+    async def _give(self, order: Order, epoch: int) -> None:
+        name = order.upstream.id
         outcome = await change_phase(order.upstream, order.phase, self._owner, epoch)
         logger.info(
             "event=ordered upstream={} phase={} fence={} outcome={}", name, order.phase, epoch, outcome
         )
         if isinstance(outcome, Rejected):
             self._moving.pop(name, None)
-            self._changed()
         elif not isinstance(outcome, Taken):
             logger.warning("event=order_unclear upstream={}", name)
--- a/barograph/node.py
+++ b/barograph/node.py
@@ -165,8 +165,11 @@
             return
         try:
             revived = revive(message)
+            if isinstance(revived, messages.Install) and revived.view is None:
+                raise ValueError("there is no view to install")
         except (ValueError, KeyError, TypeError) as error:
             logger.warning("event=bad_message peer={} error={!r}", link.peer, str(error))
+            link.close()
             return
         self._replica.hear(link.peer, revived, self._now())
         self._carry_out()
--- a/barograph/operators.py
+++ b/barograph/operators.py
@@ -17,6 +17,7 @@
 HELD_S = 0.75  # callers go elsewhere after a second of silence
 LOOK_S = 0.02
 AGAIN_S = "0.2"
+MOST_DIGITS = 19  # of a version
 
 
 class Control(Protocol):
@@ -62,7 +63,7 @@
     except InvalidConfigurationError as error:
         return say(400, str(error))
     base = call.headers.get("if-match", "").strip().strip('"')
-    if not base.isascii() or not base.isdigit():
+    if not base.isascii() or not base.isdigit() or len(base) > MOST_DIGITS:
         return say(
             400, "If-Match holds no version; name the version that this one builds on, 0 for the first"
         )
--- a/barograph/phases.py
+++ b/barograph/phases.py
@@ -1,6 +1,6 @@
-"""Which upstream is to change its part: prompts are read by some and answers made by others, as traffic asks.
+"""Which upstreams are to change their part: prompts are read by some and answers made by others.
 
-Pure: the list and the loads of all balancers in, at most one order out. Times in seconds on a steady clock.
+Pure: the list and the loads of all balancers in, the orders that are due out. Times in seconds, steady clock.
 How busy the reading tier is, is told by the share of its upstreams that have prompt tokens outstanding: over
 time that is its utilisation, whatever an upstream's pace. The other tier's is the share of its places in use.
 """
@@ -23,6 +23,7 @@
 PLACES_FULL = 1.0  # beyond this requests wait there, whatever else
 PLACES_AFTER = 0.45  # share of them in use with one upstream less, at the most, at the peak
 PAUSE_S = 4.0  # between two orders for one service: the one before has to show in the measures
+STEP = 0.1  # share of a service's upstreams that move at once: one of few
 LEAST_RUNNERS = 0.4  # share of the upstreams that make answers, in any case: one or two may be lost
 
 
@@ -58,18 +59,18 @@
 
     def look(
         self, entries: Sequence[Upstream], loads: Mapping[str, tuple[int, int]], now: float
-    ) -> Order | None:
-        """The order that is due, if any; `loads`: calls and prompt tokens outstanding by upstream."""
+    ) -> list[Order]:
+        """The orders that are due, of one service; `loads`: calls and prompt tokens by upstream."""
         services: dict[str, list[Upstream]] = {}
         for entry in entries:
             if entry.state == "up" and entry.phase in (PREFILL, DECODE):
                 services.setdefault(entry.svc, []).append(entry)
-        found = None
+        found: list[Order] = []
         for service, ups in services.items():
             measure = self._measure(service, ups, loads, now)
-            if found is None and now - measure.since >= SETTLED_S and now - measure.ordered >= PAUSE_S:
+            if not found and now - measure.since >= SETTLED_S and now - measure.ordered >= PAUSE_S:
                 found = _due(measure, ups, loads)
-                if found is not None:
+                if found:
                     measure.ordered = now
         return found
 
@@ -95,24 +96,26 @@
         return measure
 
 
-def _due(measure: _Measure, ups: list[Upstream], loads: Mapping[str, tuple[int, int]]) -> Order | None:
-    readers = [u for u in ups if u.phase == PREFILL]
-    runners = [u for u in ups if u.phase == DECODE]
+def _due(measure: _Measure, ups: list[Upstream], loads: Mapping[str, tuple[int, int]]) -> list[Order]:
+    def by_calls(up: Upstream) -> tuple[int, str]:
+        return loads.get(up.id, (0, 0))[0], up.id
+
+    readers = sorted((u for u in ups if u.phase == PREFILL), key=by_calls)
+    runners = sorted((u for u in ups if u.phase == DECODE), key=by_calls)
     if not readers or not runners:
-        return None
-    places = sum(u.capacity for u in runners)
-    rest = places - max(u.capacity for u in runners)
+        return []
+    step = max(int(STEP * len(ups)), 1)
     least = max(math.ceil(LEAST_RUNNERS * len(ups)), 1)
+    places = sum(u.capacity for u in runners)
     reading = measure.reading / len(readers)
     used = measure.places / max(places, 1.0)
-
-    def by_calls(up: Upstream) -> tuple[int, str]:
-        return loads.get(up.id, (0, 0))[0], up.id
-
-    if reading > READING_HIGH and len(runners) > least and measure.peak <= PLACES_AFTER * rest:
-        return Order(min(runners, key=by_calls), PREFILL)
+    if reading > READING_HIGH and used <= PLACES_FULL:
+        leaving = runners[: min(step, len(runners) - least)]
+        while leaving and measure.peak > PLACES_AFTER * (places - sum(u.capacity for u in leaving)):
+            leaving.pop()
+        return [Order(u, PREFILL) for u in leaving]
     crowded = used > PLACES_FULL or (used > PLACES_HIGH and reading < READING_HIGH)
     idle = reading < READING_LOW and used > PLACES_AFTER
     if (crowded or idle) and len(readers) > 1:
-        return Order(min(readers, key=by_calls), DECODE)
-    return None
+        return [Order(u, DECODE) for u in readers[: min(step, len(readers) - 1)]]
+    return []
--- a/barograph/replica.py
+++ b/barograph/replica.py
@@ -57,6 +57,7 @@
         self._started, self._joined_at, self._ticked_at = 0.0, -1e12, 0.0
         self._seen = 0  # the highest epoch that anybody has named
         self._silent_since: dict[int, float] = {}  # by slot, from our last term
+        self._silent_in = 0  # its epoch
         self._carried: list[Command] = []  # from one of our terms to the next, which our own campaign begins
         self.stopping = False
 
@@ -241,10 +242,11 @@
         view = campaign.view
         carried, self._carried = self._carried, []
         self.primary = Primary(self.memory, view, self._spec, self._effects.append, now)
+        if campaign.base.epoch != self._silent_in:
+            self._silent_since.clear()  # others have led since
         for slot in range(len(view.members)):  # who has not spoken in the campaign is silent since before
             if slot not in campaign.promised | campaign.installed and slot != campaign.replaced:
-                self.primary.heard_at[slot] = min(self._silent_since.get(slot, campaign.began), campaign.began)
-        self._silent_since.clear()
+                self.primary.heard_at[slot] = min(self._silent_since.get(slot, now), campaign.began)
         self._next_try = now + self._spec.beat_ms  # a view is given the time of a beat
         self._effects.append(Lead(view))
         for slot, member in enumerate(view.members):
@@ -324,7 +326,7 @@
         primary, self.primary = self.primary, None
         if primary is not None:
             self._carried += primary.pending()
-            self._silent_since = dict(primary.heard_at)
+            self._silent_since, self._silent_in = dict(primary.heard_at), primary.view.epoch
             self._effects.append(Lead(None))
             self.acceptor.leading_at = -1e12
             self.acceptor.heard_at = max(self.acceptor.heard_at, now - self._spec.lost_ms / 2)
