--- a/barograph/acceptor.py
+++ b/barograph/acceptor.py
@@ -121,6 +121,8 @@
         equipped = slot not in view.holders or message.document is not None or again
         ok = view.epoch >= memory.promised and slot is not None and invited and equipped and not self.sick
         if not ok:
+            if message.active:
+                self.learn(view)  # a view in force tells where the primary is, whether we can keep it or not
             reply = Installed(
                 memory.identity, message.sender, view.epoch, False, memory.promised, memory.view
             )
--- a/barograph/herald.py
+++ b/barograph/herald.py
@@ -13,6 +13,7 @@
 from barograph.views import Document, Member, View
 from screen.links import Links
 from screen.settings import Settings, parse_address
+from screen.tasks import keep_on
 from screen.wire import Link
 from sonde.bulletin import Bulletin
 from sonde.counting import COUNT_S
@@ -59,6 +60,8 @@
         self._platform = PlatformList(parse_address(settings.cloud_api.addr))
         self._view: View | None = None
         self._leader_ip = ""  # of the other that leads
+        self._waiting: dict[Link, Attach] = {}  # balancers, while nobody leads
+        self._leads = asyncio.Event()
         self._since = 0.0
         self._first_epoch = 0  # of those that we have led since
         self._number = 0
@@ -69,7 +72,7 @@
     def start(self) -> None:
         """Begin to beat and to read the list, both while we lead."""
         loop = asyncio.get_running_loop()
-        self._tasks = [loop.create_task(work()) for work in (self._pulse, self._read, self._move)]
+        self._tasks = [loop.create_task(keep_on(work)) for work in (self._pulse, self._read, self._move)]
 
     def stop(self) -> None:
         """End."""
@@ -82,8 +85,9 @@
         self._platform.move(parse_address(settings.cloud_api.addr))
 
     def told(self) -> tuple[tuple[Present, ...], dict[str, tuple[int, int]]]:
-        """Who is present below us, and the calls and tokens of all by upstream; for a report."""
-        return tuple(self._feed.present().values()), dict(self._loaded_by)
+        """For a report: who is present, as is told, and calls and tokens of all by upstream."""
+        members = self.bulletin.members
+        return tuple(members.balancers) if members is not None else (), dict(self._loaded_by)
 
     # ---- the machine's word
 
@@ -94,10 +98,14 @@
             self._first_epoch = view.epoch
             self.bulletin.forget_loads()
         self._view = view
+        if view is not None:
+            self._leads.set()
         self._mover.lead(view is not None, asyncio.get_running_loop().time())
         logger.info("event=lead epoch={}", view.epoch if view is not None else 0)
         if view is not None:
             self._tell(MemberNews(view.epoch, self._next(), self._members(), self._cores(view)))
+            for link, message in self._take_waiting():
+                self._attach(link, message)
 
     def committed(self, document: Document) -> None:
         """This configuration is in force."""
@@ -106,8 +114,17 @@
     def led_by(self, leader: Member | None) -> None:
         """Another leads: whoever hears the news from us is to hear them there."""
         self._leader_ip = leader.ip if leader is not None else ""
-        if self._view is None and leader is not None and self._feed.present():
+        if self._view is not None or leader is None:
+            return
+        if self._feed.present():
             self._feed.dismiss(Moved([leader.ip]))
+        for link, message in self._take_waiting():
+            self._attach(link, message)
+
+    def _take_waiting(self) -> list[tuple[Link, Attach]]:
+        """The balancers that wait for somebody to lead."""
+        waiting, self._waiting = list(self._waiting.items()), {}
+        return waiting
 
     # ---- the balancers
 
@@ -115,11 +132,7 @@
         """A balancer's word."""
         match message:
             case Attach():
-                if self._view is None:
-                    link.send(Moved(self._elsewhere()))
-                else:
-                    self._feed.attach(link, message)
-                    link.send(HoldingNews(self._holdings.all()))
+                self._attach(link, message)
             case Roll():
                 self._feed.roll(link, message)
             case LoadReport():
@@ -128,8 +141,19 @@
                 if new := self._holdings.add(holdings):
                     self._feed.tell(HoldingNews(new))
 
+    def _attach(self, link: Link, message: Attach) -> None:
+        """A balancer wants the news: from us if we lead, from who does; while nobody does it waits here."""
+        if self._view is not None:
+            self._feed.attach(link, message)
+            link.send(HoldingNews(self._holdings.all()))
+        elif self._leader_ip:
+            link.send(Moved([self._leader_ip]))
+        else:
+            self._waiting[link] = message
+
     def ended(self, link: Link) -> None:
         """A connection is over."""
+        self._waiting.pop(link, None)
         self._feed.ended(link)
         self._loads.forget(link)
 
@@ -139,9 +163,6 @@
         if self._view is not None:
             self._tell(LoadNews(self._view.epoch, self._next(), loads))
 
-    def _elsewhere(self) -> list[str]:
-        return [self._leader_ip] if self._leader_ip else []
-
     def _next(self) -> int:
         self._number += 1
         return self._number
@@ -185,16 +206,21 @@
 
     async def _read(self) -> None:
         """Read the platform's list while we lead, and tell what is new in it."""
+        unread = ""
         while True:
             view = self._view
             if view is None:
-                await asyncio.sleep(0.05)
+                self._leads.clear()
+                await self._leads.wait()
                 continue
             try:
                 self._entries = await self._platform.read()
             except PlatformError as error:
-                logger.warning("event=list_unread error={!r}", str(error))
+                if str(error) != unread:
+                    unread = str(error)
+                    logger.warning("event=list_unread error={!r}", unread)
             else:
+                unread = ""
                 self._list()
             await asyncio.sleep(LIST_S)
 
--- a/barograph/node.py
+++ b/barograph/node.py
@@ -93,6 +93,8 @@
         """The settings file has changed."""
         self.settings = settings
         self._herald.reconfigure(settings)
+        if self._replica is not None:
+            self._replica.follow_seeds(tuple(parse_address(a)[0] for a in settings.seed_addrs))
 
     # ---- what operators' calls need
 
--- a/barograph/replica.py
+++ b/barograph/replica.py
@@ -35,6 +35,9 @@
 LEAVING_MS = 10_000.0  # one that is told to end has ended by then
 
 
+START_HEARD = 0.7  # of the time after which a silent primary is lost has gone by when a process starts
+
+
 class Replica:
     """Decides who leads, what is kept where, and what operators are told."""
 
@@ -72,10 +75,14 @@
     def start(self, now: float) -> None:
         """The process is up."""
         self._started = self._ticked_at = now
-        # With a view in hand the primary may be there; it has half of the usual time to be heard of.
-        self.acceptor.heard_at = now - self._spec.lost_ms / 2
+        # With a view in hand the primary may be there; it has the time of a beat or so to be heard of.
+        self.acceptor.heard_at = now - self._spec.lost_ms * START_HEARD
         self._next_try = now + self._random.uniform(0, self._spec.beat_ms)
 
+    def follow_seeds(self, seeds: tuple[str, ...]) -> None:
+        """The settings name other processes that may know the view, by IP."""
+        self._seeds = seeds
+
     def disk(self, well: bool) -> None:
         """The disk refuses writes, or takes them again after all of the memory has been written to it."""
         self.acceptor.sick = not well
--- a/mastturn/capacity/__init__.py
+++ b/mastturn/capacity/__init__.py
@@ -1,1 +1,1 @@
-"""What the system would cost at another size: hollow fleets, the price of each message, and the page of both."""
+"""What the system would cost at another size: hollow fleets, prices of messages, the page of both."""
--- a/mastturn/capacity/__main__.py
+++ b/mastturn/capacity/__main__.py
@@ -1,4 +1,4 @@
-"""`python -m mastturn.capacity measure ...` and `... page`: the runs behind docs/CAPACITY.md, and its tables."""
+"""`python -m mastturn.capacity measure ...` and `... page`: the runs behind docs/CAPACITY.md, its tables."""
 
 from __future__ import annotations
 
@@ -10,10 +10,11 @@
 
 import click
 
-from mastturn.capacity import links, memory, plane, sources
+from mastturn.capacity import choices, links, memory, plane, sources
 from mastturn.capacity import parts as prices
 from mastturn.capacity.days import run_day
 from mastturn.capacity.shapes import TARGET, Shape
+from mastturn.capacity.troubles import run_troubles
 
 FOLDER = Path("docs/capacity")
 
@@ -70,6 +71,22 @@
     _save(out, name, lambda: run_day(shape, seconds, charge, mbps, seed))
 
 
+@measure.command()
+@click.option("--balancers", default=TARGET.balancers, show_default=True)
+@click.option("--upstreams", default=TARGET.upstreams, show_default=True)
+@click.option("--cores", default=TARGET.cores, show_default=True, help="Control processes.")
+@click.option("--apart", default=60.0, show_default=True, help="Seconds that a region is cut off.")
+@click.option("--charge", default=1.0, show_default=True, help="Seconds that go by for a second of a core.")
+@click.option("--mbps", default=1000.0, show_default=True, help="Of each machine's link; 0: no bound.")
+@click.option("--out", default="")
+def trouble(
+    balancers: int, upstreams: int, cores: int, apart: float, charge: float, mbps: float, out: str
+) -> None:
+    """Losses of a hollow fleet: the primary, a zone, a region for a while."""
+    shape = Shape(balancers=balancers, upstreams=upstreams, cores=cores)
+    _save(out, f"trouble-{balancers}-{upstreams}", lambda: run_troubles(shape, apart, charge, mbps))
+
+
 @measure.command()
 @click.option("--repeats", default=9, show_default=True)
 @click.option("--rounds", default=3, show_default=True)
@@ -100,5 +117,24 @@
     _save(out, "plane", plane.measured)
 
 
+@measure.command("choices")
+@click.option("--out", default="")
+def choices_(out: str) -> None:
+    """What the choice of a pair costs, and how often memory crosses zones."""
+    _save(out, "choices", choices.measured)
+
+
+@main.command("page")
+@click.option("--folder", default=str(FOLDER), show_default=True, help="Saved outputs.")
+@click.option("--page", "name", default="docs/CAPACITY.md", show_default=True)
+@click.option("--pictures", default="docs/pictures", show_default=True)
+def page_(folder: str, name: str, pictures: str) -> None:
+    """Write the tables into the page, and draw its pictures."""
+    from mastturn.capacity import page  # needs matplotlib, which measuring does not
+
+    for path in page.write(Path(name), Path(folder), Path(pictures)):
+        click.echo(path)
+
+
 if __name__ == "__main__":
     main()
--- a/mastturn/capacity/children.py
+++ b/mastturn/capacity/children.py
@@ -19,9 +19,13 @@
 
     def ask(self, question: Any) -> Any:
         """The answer; raises TimeoutError where none comes."""
-        self._pipe.send(question)
+        self.tell(question)
         return self.hear()
 
+    def tell(self, what: Any) -> None:
+        """Say something that may have an answer later."""
+        self._pipe.send(what)
+
     def hear(self) -> Any:
         """What it says next; raises TimeoutError where nothing comes or it has ended."""
         if not self._pipe.poll(WAIT_S):
--- a/mastturn/capacity/clockwork.py
+++ b/mastturn/capacity/clockwork.py
@@ -11,7 +11,7 @@
 import contextvars
 import selectors
 import time
-from collections import Counter, deque
+from collections import Counter, defaultdict, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -36,13 +36,13 @@
 
 @dataclass(slots=True)
 class Tally:
-    """What one program did since the tally was cleared: messages and bytes by kind, seconds of a core by cause."""
+    """What one program did since it was cleared: messages and bytes by kind, seconds of a core by cause."""
 
     sent: Counter[str] = field(default_factory=Counter)
     sent_bytes: Counter[str] = field(default_factory=Counter)
     got: Counter[str] = field(default_factory=Counter)
     got_bytes: Counter[str] = field(default_factory=Counter)
-    cpu: Counter[str] = field(default_factory=Counter)
+    cpu: defaultdict[str, float] = field(default_factory=lambda: defaultdict(float))
 
 
 @dataclass(slots=True)
@@ -92,12 +92,11 @@
 
     def _carry_out(self, callback: Callable[..., object], args: tuple[Any, ...]) -> None:
         self.cause = ""
-        began = time.process_time_ns()
+        began = self._loop.begin_work()
         callback(*args)
-        spent = (time.process_time_ns() - began) / 1e9
+        spent = self._loop.end_work()
         self.tally.cpu[self.cause or "timers and tasks"] += spent
-        if self._loop.charge:
-            self._busy_until = max(self._busy_until, self._loop.time()) + spent * self._loop.charge
+        self._busy_until = began + spent * self._loop.charge
 
     def count_sent(self, kind: str, size: int) -> None:
         """A message goes out."""
@@ -135,15 +134,28 @@
         self.charge = charge
         self.network = Network(self, OWNER.get)
         self.faults: list[str] = []
+        self._began_ns = 0  # of the piece of work that a program does now; 0: none does
         self.set_exception_handler(self._fault)
 
     def _fault(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
         self.faults.append(f"{context.get('message')}: {context.get('exception')!r}")
 
     def time(self) -> float:
-        """Seconds on the fleet's clock."""
+        """Seconds on the fleet's clock; within a piece of work what it has taken so far has gone by."""
+        if self._began_ns and self.charge:
+            return self._jumping.now + (time.process_time_ns() - self._began_ns) / 1e9 * self.charge
         return self._jumping.now
 
+    def begin_work(self) -> float:
+        """A program begins a piece of work; when that is."""
+        self._began_ns = time.process_time_ns()
+        return self._jumping.now
+
+    def end_work(self) -> float:
+        """It is done; seconds of a core that it took."""
+        spent, self._began_ns = time.process_time_ns() - self._began_ns, 0
+        return spent / 1e9
+
     def at(self, when: float, callback: Callable[..., object], *args: Any) -> None:
         """Schedule what belongs to no program."""
         super().call_at(when, callback, *args, context=contextvars.Context())
--- a/mastturn/capacity/days.py
+++ b/mastturn/capacity/days.py
@@ -5,15 +5,17 @@
 import asyncio
 import gc
 import statistics
-from collections import Counter
-from collections.abc import Callable
+from collections import defaultdict
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import asdict
+from functools import partial
 from pathlib import Path
 from typing import Any
 
 from mastturn.capacity.clockwork import Program, Tally
 from mastturn.capacity.fleet import Fleet, Machine, play
-from mastturn.capacity.shapes import Shape, list_entry
+from mastturn.capacity.shapes import BUDGET, Shape, list_entry
+from mastturn.capacity.sources import spin_ns
 from mastturn.capacity.traffic import Traffic
 
 BOOT_GAP_S = 0.3  # all machines start within this
@@ -51,17 +53,19 @@
 
     def __init__(self, fleet: Fleet) -> None:
         self._fleet = fleet
-        self._since, self._cpu = 0.0, 0.0
+        self._since, self._spin_ns = 0.0, 0.0
         self.begin()
 
     def begin(self) -> None:
-        """A phase begins."""
+        """A phase begins; garbage of all programs together is no cost of one of them."""
+        gc.collect()
+        self._spin_ns = spin_ns()
         self._since = self._fleet.loop.time()
         for machine in [*self._fleet.cores.values(), *self._fleet.edges.values()]:
             machine.program.tally = Tally()
 
     def end(self) -> Figures:
-        """What each role did since then: totals of the phase, the mean over the role's programs and the most."""
+        """What each role did since then: totals of the phase, the mean over its programs and the most."""
         seconds = self._fleet.loop.time() - self._since
         groups: dict[str, list[Machine]] = {}
         for machine in [*self._fleet.cores.values(), *self._fleet.edges.values()]:
@@ -70,6 +74,7 @@
         return {
             "seconds": round(seconds, 4),
             "behind_s": round(self._fleet.lag(), 3),
+            "spin_ns": round((self._spin_ns + spin_ns()) / 2, 2),
             "roles": {name: self._sum(machines) for name, machines in sorted(groups.items())},
         }
 
@@ -90,10 +95,11 @@
     return float(sum(getattr(program.tally, what).values()))
 
 
-def _mean(counters: list[Counter[str]]) -> dict[str, float]:
-    total: Counter[str] = Counter()
+def _mean(counters: Sequence[Mapping[str, float]]) -> dict[str, float]:
+    total: defaultdict[str, float] = defaultdict(float)
     for counter in counters:
-        total.update(counter)
+        for key, value in counter.items():
+            total[key] += value
     return {key: round(value / len(counters), 7) for key, value in sorted(total.items())}
 
 
@@ -106,6 +112,14 @@
     return {"n": len(ordered), "p50": at[0], "p95": at[1], "p99": at[2], "most": ordered[-1]}
 
 
+def _is_in_force(fleet: Fleet, ver: int) -> bool:
+    return all(ver in fleet.plane(m).in_force_at for m in fleet.live())
+
+
+def _is_listed(fleet: Fleet, before: dict[str, int]) -> bool:
+    return all(fleet.plane(m).lists > before[m.program.name] for m in fleet.live())
+
+
 class Day:
     """Plays the phases on one fleet."""
 
@@ -117,8 +131,10 @@
     async def __call__(self, fleet: Fleet) -> None:
         """All phases."""
         empty = resident_mb()
-        await self._boot(fleet)
+        await self.boot(fleet)
         gc.collect()
+        gc.freeze()
+        gc.disable()
         self.figures["memory_mb_a_balancer"] = (resident_mb() - empty) / self._shape.balancers
         await self._phase(fleet, "quiet", self._quiet)
         await self._phase(fleet, "configuration", self._configuration)
@@ -129,8 +145,9 @@
         traffic.start(self._shape.requests_s * share)
         await asyncio.sleep(1.0)
         await self._phase(fleet, "busy", self._quiet)
-        await self._phase(fleet, "busy configuration", self._configuration)
+        await self._phase(fleet, "busy configuration", self._busy_configuration)
         traffic.stop()
+        gc.enable()
         self.figures["faults"] = fleet.loop.faults[:5]
 
     async def _phase(self, fleet: Fleet, name: str, work: Callable[[Fleet], Any]) -> None:
@@ -140,17 +157,17 @@
 
     # ---- phases
 
-    async def _boot(self, fleet: Fleet) -> None:
+    async def boot(self, fleet: Fleet) -> None:
+        """Everything starts together; until the tree stands, and a little longer."""
         shape = self._shape
         for i in range(shape.cores):
             fleet.boot_core(i, first=True)
         await fleet.until(fleet.has_primary, 20.0, "a primary")
         await fleet.put(shape.routes)
-        began = fleet.loop.time()
+        meter, began = Meter(fleet), fleet.loop.time()
         for i in range(shape.balancers):
             fleet.boot_edge(i)
             await asyncio.sleep(BOOT_GAP_S / shape.balancers)
-        meter = Meter(fleet)
 
         def are_ready() -> bool:
             machines = fleet.live()
@@ -179,37 +196,47 @@
             began = fleet.loop.time()
             ver, at = await fleet.put(self._shape.routes)
             acknowledged.append(at - began)
-            await fleet.until(
-                lambda ver=ver: all(ver in fleet.plane(m).in_force_at for m in fleet.live()),  # type: ignore[misc]
-                120.0,
-                "in force everywhere",
-            )
+            await fleet.until(partial(_is_in_force, fleet, ver), 120.0, "in force everywhere")
             took = [fleet.plane(m).in_force_at[ver] - at for m in fleet.live()]
             waits += took
             last.append(max(took))
             await asyncio.sleep(0.5)
         return {"changes": 3, "in_force_s": spread(waits), "all_s": last, "acknowledged_s": acknowledged}
 
+    async def _busy_configuration(self, fleet: Fleet) -> Figures:
+        """One change while the traffic is at its peak; what is not in force within the bound is counted."""
+        began = fleet.loop.time()
+        try:
+            async with asyncio.timeout(BUDGET.in_force_s):
+                ver, at = await fleet.put(self._shape.routes)
+        except TimeoutError:
+            return {"acknowledged_s": None, "in_force_s": {"n": 0}, "missing": len(fleet.live())}
+        while fleet.loop.time() - at < BUDGET.in_force_s:
+            if _is_in_force(fleet, ver):
+                break
+            await asyncio.sleep(0.01)
+        took = [t - at for m in fleet.live() if (t := fleet.plane(m).in_force_at.get(ver)) is not None]
+        missing = len(fleet.live()) - len(took)
+        return {"acknowledged_s": at - began, "in_force_s": spread(took), "missing": missing}
+
     async def _list(self, fleet: Fleet) -> Figures:
         """Entries change one at a time; from the platform's change to the last balancer."""
         waits = []
         for number in range(3):
-            before = {name: fleet.plane(m).lists for name, m in fleet.edges.items() if not m.program.is_dead}
+            before = {m.program.name: fleet.plane(m).lists for m in fleet.live()}
             entry = list_entry(number, self._shape)
             entry["state"] = "draining"
             fleet.platform.entries[number] = entry
             began = fleet.loop.time()
-            await fleet.until(
-                lambda before=before: all(fleet.plane(m).lists > before[m.program.name] for m in fleet.live()),  # type: ignore[misc]
-                120.0,
-                "the list is in force everywhere",
-            )
+            await fleet.until(partial(_is_listed, fleet, before), 120.0, "the list is in force everywhere")
             waits.append(fleet.loop.time() - began)
         return {"changes": 3, "all_s": waits}
 
     async def _restart(self, fleet: Fleet) -> Figures:
         """One relay is killed and comes back: what that makes the others do."""
-        victim = next(m for m in fleet.live() if role_of(fleet, m) in ("relay", "head", "leaf") and fleet.children(m))
+        victim = next(
+            m for m in fleet.live() if role_of(fleet, m) in ("relay", "head", "leaf") and fleet.children(m)
+        )
         number = list(fleet.edges).index(victim.program.name)
         victim.program.kill()
         began = fleet.loop.time()
--- a/mastturn/capacity/fleet.py
+++ b/mastturn/capacity/fleet.py
@@ -1,4 +1,4 @@
-"""A hollow fleet: the real control sides of all balancers, real control processes, no clients and no upstreams."""
+"""A hollow fleet: the real control sides of all balancers, real control processes, nobody else."""
 
 from __future__ import annotations
 
@@ -84,7 +84,10 @@
         first = int(target.partition("page_token=p-")[2] or 0)
         rest = len(self.entries) > first + PAGE
         body = json.dumps(
-            {"upstreams": self.entries[first : first + PAGE], "next_cursor": f"p-{first + PAGE}" if rest else None}
+            {
+                "upstreams": self.entries[first : first + PAGE],
+                "next_cursor": f"p-{first + PAGE}" if rest else None,
+            }
         ).encode()
         return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
 
@@ -211,11 +214,15 @@
 
     def primary(self) -> Machine:
         """Who leads."""
-        return next(m for m in self.cores.values() if m.role is not None and not m.program.is_dead and m.role.leads())
+        return next(
+            m for m in self.cores.values() if m.role is not None and not m.program.is_dead and m.role.leads()
+        )
 
     def has_primary(self) -> bool:
         """Whether anybody leads."""
-        return any(m.role is not None and not m.program.is_dead and m.role.leads() for m in self.cores.values())
+        return any(
+            m.role is not None and not m.program.is_dead and m.role.leads() for m in self.cores.values()
+        )
 
     def plane(self, machine: Machine) -> HollowBalancer:
         """The data plane of a balancer."""
@@ -243,11 +250,15 @@
         """Put the next version; the version and when it was acknowledged."""
         ver = self.ver + 1
         body = configuration(ver, routes, self.shape.services)
-        head = f"PUT /api/config HTTP/1.1\r\nHost: ctl\r\nIf-Match: {self.ver}\r\nContent-Length: {len(body)}\r\n\r\n"
-        leader = self.primary().program.ip
-        _, asking = await self.loop.create_connection(
-            lambda: _Asking(head.encode() + body), leader, CTL_PORT
+        lines = (
+            "PUT /api/config HTTP/1.1",
+            "Host: ctl",
+            f"If-Match: {self.ver}",
+            f"Content-Length: {len(body)}",
         )
+        head = "\r\n".join([*lines, "", ""])
+        leader = self.primary().program.ip
+        _, asking = await self.loop.create_connection(lambda: _Asking(head.encode() + body), leader, CTL_PORT)
         async with asyncio.timeout(60.0):
             status = await asking.status
         if status != 200:
@@ -256,7 +267,7 @@
         return ver, self.loop.time()
 
     async def until(self, is_so: Callable[[], bool], within_s: float, what: str) -> float:
-        """Let time go by until something is so; how long that took. Raises RuntimeError if it takes too long."""
+        """Let time go by until something is so; how long that took. Raises RuntimeError."""
         since = self.loop.time()
         while not is_so():
             if self.loop.time() - since > within_s:
@@ -288,7 +299,9 @@
                 logger.enable(name)
 
 
-def play(shape: Shape, day: Callable[[Fleet], Awaitable[None]], charge: float = 0.0, mbps: float = 0.0) -> Fleet:
+def play(
+    shape: Shape, day: Callable[[Fleet], Awaitable[None]], charge: float = 0.0, mbps: float = 0.0
+) -> Fleet:
     """Play a day on a fleet whose machines are not started yet; the fleet as it was at the end."""
     loop = Loop(charge)
     loop.network.mbps = mbps
--- a/mastturn/capacity/links.py
+++ b/mastturn/capacity/links.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import socket
 import time
 from multiprocessing.connection import Connection
@@ -10,7 +11,7 @@
 
 import uvloop
 
-from mastturn.capacity.children import child
+from mastturn.capacity.children import Child, child
 from mastturn.capacity.network import KINDS
 from screen.links import Links
 from screen.wire import Link
@@ -50,8 +51,10 @@
         await asked.wait()
         asked.clear()
         while pipe.poll():
-            frame = pipe.recv()
-            if frame is not None:
+            os.set_blocking(pipe.fileno(), True)  # the loop has changed that
+            size = pipe.recv()
+            if size is not None:
+                frame = _frame(size)
                 began = time.process_time()
                 for _ in range(FRAMES):
                     there[0].send_bytes(frame)
@@ -80,11 +83,11 @@
             for size in SIZES:
                 taken.append({"x": len(_frame(size)), "cpu_s": _taken(there, line, _frame(size))})
             for size in SIZES:
-                sent.append({"x": len(_frame(size)), "cpu_s": _sent(there, line, _frame(size))})
+                sent.append({"x": len(_frame(size)), "cpu_s": _sent(there, line, size)})
     return {"taken": taken, "sent": sent, "idle_s": idle, "frames": FRAMES, "gap_s": GAP_S}
 
 
-def _taken(there: Any, line: socket.socket, frame: bytes) -> float:
+def _taken(there: Child, line: socket.socket, frame: bytes) -> float:
     before, count = there.ask(None)
     for _ in range(FRAMES):
         line.sendall(frame)
@@ -96,9 +99,9 @@
         time.sleep(0.05)
 
 
-def _sent(there: Any, line: socket.socket, frame: bytes) -> float:
-    there._pipe.send(frame)
-    left = len(frame) * FRAMES
+def _sent(there: Child, line: socket.socket, size: int) -> float:
+    there.tell(size)
+    left = len(_frame(size)) * FRAMES
     while left > 0:
         left -= len(line.recv(1 << 20))
     return float(there.hear()) / FRAMES
--- a/mastturn/capacity/memory.py
+++ b/mastturn/capacity/memory.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import gc
+import math
 import time
 from multiprocessing.connection import Connection
 from typing import Any
 
 import uvloop
+from loguru import logger
 
 from barograph.platform import pack
 from mastturn.capacity.children import child
@@ -17,11 +19,21 @@
 from mastturn.capacity.parts import present
 from mastturn.capacity.shapes import TARGET, Shape, configuration, list_entries
 from screen.settings import CloudApi, Limits, Settings
+from sonde.holdings import MOST_HOLDERS, MOST_SUBJECTS
 from sonde.loads import pack as pack_loads
-from sonde.messages import ConfigurationNews, LoadNews, MemberNews, Pulse, UpstreamNews
+from sonde.messages import (
+    ConfigurationNews,
+    Holding,
+    HoldingNews,
+    LoadNews,
+    MemberNews,
+    Pulse,
+    UpstreamNews,
+)
 from station.balancing import BalancerRole
+from windvane.tiers import KEPT_MOST
 
-STEPS = ("program", "configuration", "members", "list", "list again", "loads")
+STEPS = ("program", "configuration", "members", "list", "list again", "loads", "holdings", "kept, full")
 SIZES = (0.125, 0.25, 0.5, 0.75)  # of the target's entries, members and routes
 HELD_OUT = 1.0
 
@@ -32,8 +44,15 @@
 
 
 async def _steps(pipe: Connection, share: float) -> None:
+    logger.remove()
     settings = Settings(
-        "edge-zone-0-1", "127.0.0.1", "zone-0", "edge", (0, 1), CloudApi("127.0.0.1:1"), limits=Limits(max_fds=4100)
+        "edge-zone-0-1",
+        "127.0.0.1",
+        "zone-0",
+        "edge",
+        (0, 1),
+        CloudApi("127.0.0.1:1"),
+        limits=Limits(max_fds=4100),
     )
     role = BalancerRole(settings)
     shape = Shape(
@@ -50,6 +69,7 @@
         ("list again", KINDS.encode(UpstreamNews(1, 2, pack(entries[1:])))),
         ("loads", KINDS.encode(LoadNews(1, 1, loads))),
     ]
+    names = [e["id"] for e in entries]
     del entries, loads
     gc.collect()
     pipe.send(("program", resident_mb(), 0.0))
@@ -63,9 +83,36 @@
         gc.collect()
         pipe.send((name, resident_mb(), spent))
     role._told(Pulse(1, 1, shape.balancers))
+    for name, batches in (("holdings", 1), ("kept, full", _full(shape))):
+        began = time.process_time()
+        for batch in range(batches):
+            role._told(_holdings(names, round(MOST_SUBJECTS * share), f"{name[0]}{batch:x}"))
+        gc.collect()
+        pipe.send((name, resident_mb(), time.process_time() - began))
     pipe.send(None)
 
 
+def _holdings(names: list[str], subjects: int, mark: str) -> HoldingNews:
+    """As many subjects as a process tells of, each read by as many upstreams as it tells of."""
+    frame = KINDS.encode(
+        HoldingNews(
+            tuple(
+                Holding(f"{mark}{i:07x}".encode(), names[(i * MOST_HOLDERS + k) % len(names)])
+                for i in range(subjects)
+                for k in range(MOST_HOLDERS)
+            )
+        )
+    )
+    news: HoldingNews = KINDS.decode(110, frame[6:])
+    return news
+
+
+def _full(shape: Shape) -> int:
+    """After so many of those news every upstream's table of what it has read is as long as it may be."""
+    told = MOST_SUBJECTS * MOST_HOLDERS * shape.upstreams / TARGET.upstreams
+    return math.ceil(KEPT_MOST * shape.upstreams / told)
+
+
 def measured() -> dict[str, Any]:
     """Megabytes after each step, by the size of the fleet."""
     found = []
--- a/mastturn/capacity/network.py
+++ b/mastturn/capacity/network.py
@@ -136,7 +136,9 @@
         if network.is_cut(self, self.peer):
             if not self._doomed:
                 self._doomed = True
-                network.clock.at(network.clock.time() + GIVEN_UP_S, self.lose, TimeoutError(errno.ETIMEDOUT, ""))
+                network.clock.at(
+                    network.clock.time() + GIVEN_UP_S, self.lose, TimeoutError(errno.ETIMEDOUT, "")
+                )
             return
         network.clock.at(network.arrival(self, len(data)), self.peer.arrive, kind, data)
 
@@ -220,6 +222,7 @@
         self.listeners: dict[tuple[str, int], Server] = {}
         self.mbps = 0.0  # of each machine's link; 0: no bound
         self.apart: set[str] = set()  # regions that nothing reaches from another, nor gets out of
+        self.spared: set[str] = set()  # programs that everybody reaches all the same
         self._ports = 40_000
 
     def listen(self, factory: Any, host: str, port: int) -> Server:
@@ -273,4 +276,6 @@
     def _is_apart(self, a: Owner | None, b: Owner | None) -> bool:
         if not self.apart or a is None or b is None or a.place[1] == b.place[1]:
             return False
+        if a.name in self.spared or b.name in self.spared:
+            return False
         return a.place[1] in self.apart or b.place[1] in self.apart
--- a/mastturn/capacity/parts.py
+++ b/mastturn/capacity/parts.py
@@ -1,11 +1,11 @@
-"""The price of each message by its size: bytes on the wire, and seconds of a core to make, read and act on it."""
+"""The price of each message by its size: bytes on the wire, seconds of a core to make and read it."""
 
 from __future__ import annotations
 
 import dataclasses
 import random
-import statistics
 import time
+import zlib
 from collections.abc import Callable
 from typing import Any
 
@@ -13,15 +13,17 @@
 from mastturn.capacity.network import KINDS
 from mastturn.capacity.shapes import TARGET, Shape, configuration, list_entries
 from screen.checking import check, parse_configuration, parse_upstreams
+from sonde.holdings import Holdings
 from sonde.loads import Loads, OthersLoad, add, unpack
 from sonde.loads import pack as pack_loads
 from sonde.messages import (
     ConfigurationNews,
+    Holding,
+    HoldingNews,
     LoadNews,
     MemberNews,
     Present,
     Roll,
-    UpstreamLoad,
     UpstreamNews,
 )
 from sonde.relays import parent_of
@@ -31,19 +33,20 @@
 ENTRIES = (100, 200, 400, 700, 1_000, 1_400, 2_000)
 MEMBERS = (20, 50, 100, 150, 200, 250)
 ROUTES = (30, 100, 200, 400, 600)
-HELD_OUT = {"entries": 2_800, "members": 350, "routes": 840}  # foreseen from the sizes above, then measured
+# Foreseen from the sizes above, then measured.
+HELD_OUT = {"entries": 2_800, "holdings": 2_800, "members": 350, "routes": 840}
 HEAD = 6
 Points = list[dict[str, Any]]
 
 
 def cost_s(work: Callable[[], object], repeats: int) -> float:
-    """Seconds of a core for one call: the median of several."""
+    """Seconds of a core for one call: the least of several, as nobody else uses the core then."""
     spans = []
     for _ in range(repeats):
         began = time.process_time_ns()
         work()
         spans.append((time.process_time_ns() - began) / 1e9)
-    return statistics.median(spans)
+    return min(spans)
 
 
 def _shape(entries: int) -> Shape:
@@ -65,6 +68,8 @@
     takes = iter([other, parsed] * repeats)
     return {
         "bytes": len(frame),
+        "packed_bytes": len(zlib.compress(page, 1)),
+        "zlib_s": cost_s(lambda: zlib.compress(page, 1), repeats),
         "pack_s": cost_s(lambda: pack(raw), repeats),
         "encode_s": cost_s(lambda: KINDS.encode(news), repeats),
         "decode_s": cost_s(lambda: KINDS.decode(103, frame[HEAD:]), repeats),
@@ -98,6 +103,20 @@
     }
 
 
+def of_holdings(holdings: int, repeats: int) -> dict[str, float]:
+    """News of who has read what, all of it new to whoever hears it."""
+    names = [e["id"] for e in list_entries(_shape(2_000))]
+    told = tuple(Holding(f"{i // 4:08x}".encode(), names[i * 7 % len(names)]) for i in range(holdings))
+    news = HoldingNews(told)
+    frame = KINDS.encode(news)
+    return {
+        "bytes": len(frame),
+        "encode_s": cost_s(lambda: KINDS.encode(news), repeats),
+        "decode_s": cost_s(lambda: KINDS.decode(110, frame[HEAD:]), repeats),
+        "add_s": cost_s(lambda: Holdings().add(told), repeats),
+    }
+
+
 def present(members: int) -> tuple[Present, ...]:
     """The balancers of a fleet with the target's zones."""
     return tuple(
@@ -131,20 +150,22 @@
     return {
         "bytes": len(KINDS.encode(news)),
         "encode_s": cost_s(lambda: KINDS.encode(news), repeats),
+        "packed_bytes": len(zlib.compress(body, 1)),
+        "zlib_s": cost_s(lambda: zlib.compress(body, 1), repeats),
         "check_s": cost_s(lambda: check(body), repeats),
         "parse_s": cost_s(lambda: parse_configuration(body), repeats),
         "table_s": cost_s(lambda: RouteTable(parsed), repeats),
-        "raw_one_route_bytes": len(body) / routes,
     }
 
 
 def measured(repeats: int = 9, rounds: int = 3) -> dict[str, Any]:
     """All of it, `rounds` times over, so that a moment in which the machine was busy shows as scatter."""
-    found: dict[str, Any] = {"list": [], "loads": [], "members": [], "configuration": []}
+    found: dict[str, Any] = {"list": [], "loads": [], "holdings": [], "members": [], "configuration": []}
     for _ in range(rounds):
         for n in (*ENTRIES, HELD_OUT["entries"]):
             found["list"].append({"x": n} | of_list(n, repeats))
             found["loads"].append({"x": n} | of_loads(n, repeats))
+            found["holdings"].append({"x": n} | of_holdings(n, repeats))
         for n in (*MEMBERS, HELD_OUT["members"]):
             found["members"].append({"x": n} | of_members(n, repeats))
         for n in (*ROUTES, HELD_OUT["routes"]):
--- a/mastturn/capacity/plane.py
+++ b/mastturn/capacity/plane.py
@@ -1,9 +1,10 @@
-"""What a request and a token cost the data plane: a real balancer on loopback before upstreams that only answer."""
+"""What a request and a token cost the data plane: a real balancer, upstreams that only answer."""
 
 from __future__ import annotations
 
 import asyncio
 import json
+import os
 import socket
 import time
 from dataclasses import replace
@@ -15,7 +16,7 @@
 from mastturn.capacity.children import Child, child
 from mastturn.capacity.shapes import TARGET, configuration, list_entries
 from screen.checking import parse_configuration
-from screen.configuration import Upstream
+from screen.configuration import Configuration, Route, Upstream
 from screen.settings import Bounds, CloudApi, Limits, Listen, Settings
 from windvane.balancer import Balancer
 
@@ -32,6 +33,11 @@
         return int(probe.getsockname()[1])
 
 
+def _configuration() -> Configuration:
+    """The target's configuration; clients ask for its first route."""
+    return parse_configuration(configuration(1, TARGET.routes, TARGET.services))
+
+
 def _main(pipe: Connection, upstreams: list[tuple[str, str]], listed: int) -> None:
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         runner.run(_host(pipe, upstreams, listed))
@@ -53,8 +59,11 @@
     )
     balancer = Balancer(settings, 1)
     await balancer.start()
-    balancer.configure(parse_configuration(configuration(1, TARGET.routes, TARGET.services)))
-    ready = [Upstream(f"i-{phase}", "svc00xw", addr, "zone-0", phase=phase, capacity=64) for addr, phase in upstreams]
+    balancer.configure(_configuration())
+    ready = [
+        Upstream(f"i-{phase}", "svc00xw", addr, "zone-0", phase=phase, capacity=64)
+        for addr, phase in upstreams
+    ]
     others = [
         Upstream(e["id"], e["svc"], e["addr"], e["zone"], phase=e["phase"], capacity=64)
         for e in list_entries(replace(TARGET, upstreams=listed))
@@ -70,6 +79,7 @@
         await asked.wait()
         asked.clear()
         while pipe.poll():
+            os.set_blocking(pipe.fileno(), True)  # the loop has changed that
             pipe.recv()
             pipe.send(time.process_time())
 
@@ -94,9 +104,8 @@
                 own = f"HTTP/1.1 200 OK\r\nMastturn-Request-Id: {fields.get('mastturn-request-id', '')}\r\n"
                 if "mastturn-stage" in fields:
                     body = json.dumps({"kv_ref": f"h{self.sent}", "ntokens": 1460, "ver": 1})
-                    writer.write(
-                        f"{own}Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode()
-                    )
+                    kind = f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
+                    writer.write(f"{own}{kind}{body}".encode())
                 else:
                     await self._stream(writer, own, int(lines[0].split(" ")[1].rsplit("/", 1)[1]))
                 self.sent += 1
@@ -116,17 +125,21 @@
         writer.write(b"0\r\n\r\n")
 
 
-async def _client(port: int, events: int, count: int, kept: list[float], seen: list[int]) -> None:
-    """Asks again and again on one connection; keeps how long the first byte took, and counts whole answers."""
+async def _client(
+    port: int, route: Route, events: int, count: int, kept: list[float], seen: list[int]
+) -> None:
+    """Asks again and again on one connection; keeps how long heads took, counts whole answers."""
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
     body = b"b" * 800
     for number in range(count):
         began = time.perf_counter()
         writer.write(
             (
-                f"POST /lohu00000/{events} HTTP/1.1\r\nHost: tenant0000.example\r\n"
-                f"Mastturn-Request-Id: {id(writer):x}{number:06d}\r\nMastturn-Deadline-Ms: 8000\r\nMastturn-Model: m0\r\n"
-                "Mastturn-Token-Count: 1460,80\r\nMastturn-Prompt-Prefix: 5c1e07a2:800,91bd3f06:410,e4402b7d:250\r\n"
+                f"POST {route.path_prefix}{events} HTTP/1.1\r\nHost: {route.host}\r\n"
+                f"Mastturn-Request-Id: {id(writer):x}{number:06d}\r\nMastturn-Deadline-Ms: 8000\r\n"
+                "Mastturn-Model: m0\r\n"
+                "Mastturn-Token-Count: 1460,80\r\n"
+                "Mastturn-Prompt-Prefix: 5c1e07a2:800,91bd3f06:410,e4402b7d:250\r\n"
                 f"Content-Length: {len(body)}\r\n\r\n"
             ).encode()
             + body
@@ -142,11 +155,13 @@
     writer.close()
 
 
-async def _round(there: Child, port: int, events: int) -> dict[str, Any]:
+async def _round(there: Child, port: int, route: Route, events: int) -> dict[str, Any]:
     kept: list[float] = []
     seen: list[int] = []
     before, began = there.ask(None), time.perf_counter()
-    await asyncio.gather(*(_client(port, events, REQUESTS // AT_ONCE, kept, seen) for _ in range(AT_ONCE)))
+    await asyncio.gather(
+        *(_client(port, route, events, REQUESTS // AT_ONCE, kept, seen) for _ in range(AT_ONCE))
+    )
     spent, took = there.ask(None) - before, time.perf_counter() - began
     kept.sort()
     return {
@@ -163,13 +178,13 @@
 async def _rounds(listed: int) -> list[dict[str, Any]]:
     reading, answering = _Upstream(), _Upstream()
     upstreams = [(await reading.start(), "prefill"), (await answering.start(), "decode")]
-    found = []
+    found, route = [], _configuration().routes[0]
     with child(_main, upstreams, listed) as there:
         port = there.hear()
-        await _round(there, port, 4)  # connections come up, code is warm
+        await _round(there, port, route, 4)  # connections come up, code is warm
         for _ in range(2):
             for events in (*EVENTS, HELD_OUT):
-                found.append(await _round(there, port, events))
+                found.append(await _round(there, port, route, events))
     return found
 
 
--- a/mastturn/capacity/shapes.py
+++ b/mastturn/capacity/shapes.py
@@ -1,11 +1,14 @@
-"""What a fleet looks like at a size: machines, upstreams, what operators and clients do; the target's figures."""
+"""What a fleet looks like at a size: machines, upstreams, what operators and clients do."""
 
 from __future__ import annotations
 
 import json
+import random
 from dataclasses import dataclass
 from typing import Any
 
+_LETTERS = "abcdefghijklmnopqrstuvwxyz0123456789"
+
 
 @dataclass(frozen=True, slots=True)
 class Shape:
@@ -65,6 +68,12 @@
     }
 
 
+def _word(key: int, length: int) -> str:
+    """Letters and digits that say nothing, as operators' names have them; the same for the same key."""
+    chance = random.Random(key)
+    return "".join(chance.choice(_LETTERS) for _ in range(length))
+
+
 def configuration(ver: int, routes: int, services: int) -> bytes:
     """A whole configuration as an operator sends it, each route as the protocol's page shows it."""
     names = [f"svc{i:02d}xw" for i in range(services)]
@@ -72,9 +81,9 @@
         "ver": ver,
         "routes": [
             {
-                "name": f"r-{i:07d}",
-                "host": f"tenant{i // 3:04d}.example",
-                "path_prefix": f"/lohu{i:05d}/",
+                "name": f"r-{_word(i, 7)}",
+                "host": f"{_word(-1 - i // 3, 10)}.example",
+                "path_prefix": f"/{_word(i + 1_000_000, 9)}/",
                 "route_type": "stream",
                 "deadline_ms": 8000,
                 "target_ms": 1200,
--- a/mastturn/capacity/slopes.py
+++ b/mastturn/capacity/slopes.py
@@ -7,8 +7,8 @@
 from dataclasses import dataclass
 
 # Two-sided 95% quantiles of Student's t by degrees of freedom; beyond the last one the normal one.
-_T = (12.706, 4.303, 3.182, 2.776, 2.571, 2.447, 2.365, 2.306, 2.262, 2.228)
-_T += (2.201, 2.179, 2.160, 2.145, 2.131, 2.120, 2.110, 2.101, 2.093, 2.086)
+_T: tuple[float, ...] = (12.706, 4.303, 3.182, 2.776, 2.571, 2.447, 2.365, 2.306, 2.262, 2.228)
+_T = (*_T, 2.201, 2.179, 2.160, 2.145, 2.131, 2.120, 2.110, 2.101, 2.093, 2.086)
 NORMAL = 1.96
 AGREES = 0.25  # foreseen and measured agree within this share
 
--- a/mastturn/capacity/traffic.py
+++ b/mastturn/capacity/traffic.py
@@ -1,4 +1,4 @@
-"""Clients' work without clients: requests begin and end in the balancers' tables, as often as at the target."""
+"""Clients' work without clients: requests begin and end in the balancers' tables, at the target's pace."""
 
 from __future__ import annotations
 
@@ -24,7 +24,7 @@
         self.begun = 0
 
     def start(self, rate: float) -> None:
-        """Requests of all balancers together come so often a second, beginning with the usual number under way."""
+        """Requests come so often a second to all together, beginning with the usual number under way."""
         self._runs = True
         machines = self._fleet.live()
         for _ in range(round(rate * self._shape.read_s)):
--- a/mastturn/control_check/machine.py
+++ b/mastturn/control_check/machine.py
@@ -56,8 +56,13 @@
         self._waiting: list[Callable[[], None]] = []  # for the thaw
         self._local: deque[Message] = deque()
         self._sick = False
+        self.skew_ms = 0.0
         self.heeds_refusals = True  # False: a planted defect of the host
 
+    def clock(self) -> float:
+        """What the process takes for the time."""
+        return self._around.now + self.skew_ms
+
     def start(self, seeds: tuple[str, ...], founder: bool) -> None:
         """A process starts on what the disk holds."""
         kept = self.disk.kept
@@ -68,7 +73,7 @@
         self._sick = False
         seed = self._around.chance.getrandbits(32)
         self.replica = self._around.make(me, memory, seeds, founder, seed)
-        self.replica.start(self._around.now)
+        self.replica.start(self.clock())
         self._tick(self.life)
 
     def end(self, power: bool) -> None:
@@ -109,7 +114,7 @@
 
         def call() -> None:
             if self.replica is not None and life == self.life:
-                self.replica.hear(ip, message, self._around.now)
+                self.replica.hear(ip, message, self.clock())
 
         self.run(call)
 
@@ -119,7 +124,7 @@
 
         def call() -> None:
             if self.replica is not None and life == self.life:
-                self.replica.tick(self._around.now)
+                self.replica.tick(self.clock())
 
         if not self.frozen:
             self.run(call)
@@ -131,7 +136,7 @@
                 self._do(effect)
             if not self._local:
                 return
-            self.replica.hear(self.ip, self._local.popleft(), self._around.now)
+            self.replica.hear(self.ip, self._local.popleft(), self.clock())
 
     def _do(self, effect: Effect) -> None:
         match effect:
--- a/mastturn/control_check/troubles.py
+++ b/mastturn/control_check/troubles.py
@@ -44,6 +44,8 @@
         world = self._world
         for _ in range(world.shape.losses):
             world.later(BEGIN_MS + world.chance.uniform(0, 3_000), self._next)
+        if world.shape.jumps:
+            world.later(BEGIN_MS, self._jump)
         if world.shape.storm:
             world.later(BEGIN_MS, self._storm)
         elif world.chance.random() < 0.6:
@@ -113,7 +115,7 @@
         world.trouble(f"replace {machine.ip}", machine)
         if world.chance.random() < 0.5 and machine.replica is not None:
             replica = machine.replica
-            machine.run(lambda: replica.stop(world.now))
+            machine.run(lambda: replica.stop(machine.clock()))
         index = self._machines_made
         self._machines_made += 1
 
@@ -226,7 +228,7 @@
         world.trouble(f"term {machine.ip}", machine)
         replica = machine.replica
         assert replica is not None
-        machine.run(lambda: replica.stop(world.now))
+        machine.run(lambda: replica.stop(machine.clock()))
 
         def end() -> None:
             if machine.replica is replica:
@@ -261,6 +263,14 @@
             self._herd()
         world.later(self._ago(1_500, 5_000), self._storm)
 
+    def _jump(self) -> None:
+        """The clock of a machine jumps by seconds."""
+        world = self._world
+        machine = world.chance.choice(list(world.machines.values()))
+        machine.skew_ms += world.chance.uniform(-4_000, 4_000)
+        world.trouble(f"jump {machine.ip} {machine.skew_ms:.0f}", None)
+        world.later(self._ago(300, 2_000), self._jump)
+
     def _back(self, machine: Machine) -> Callable[[], None]:
         def back() -> None:
             self._world.calm_since = self._world.now
--- a/mastturn/control_check/world.py
+++ b/mastturn/control_check/world.py
@@ -35,6 +35,7 @@
     sync_ms: float = 1.0
     length_ms: float = 60_000.0
     air: Air = field(default_factory=Air)
+    jumps: bool = False  # the clocks that processes measure by jump, which steady clocks never do
     storm: bool = False  # all are killed every few seconds: only what must never happen is judged
 
 
@@ -252,7 +253,7 @@
 
         def call() -> None:
             if machine.replica is not None and machine.life == life:
-                machine.replica.submit(replace(command, token=token), self.now)
+                machine.replica.submit(replace(command, token=token), machine.clock())
 
         machine.run(call)
 
--- /dev/null
+++ b/mastturn/days/__main__.py
@@ -0,0 +1,46 @@
+"""`python -m mastturn.days draw SITE` writes days as files, `... table` lists what came of playing them."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import click
+
+from mastturn.days.draw import draw_days, read_site
+from mastturn.days.outcomes import read_outcomes, table
+from mastturn.days.written import write_day
+from mastturn.files import LabError
+
+
+@click.group()
+def main() -> None:
+    """Days of operation that nobody chose."""
+
+
+@main.command()
+@click.argument("site", type=click.Path(path_type=Path))
+@click.option("--first", default=0, show_default=True, help="Number of the first day.")
+@click.option("--count", default=150, show_default=True, help="How many days.")
+@click.option("--crowd", default=0, show_default=True, help="So many troubles within a few seconds.")
+@click.option("--out", required=True, type=click.Path(path_type=Path), help="Folder for the files.")
+def draw(site: Path, first: int, count: int, crowd: int, out: Path) -> None:
+    """Write days of a site, one a file: NUMBER.toml."""
+    try:
+        drawn = draw_days(read_site(site), range(first, first + count), crowd)
+    except LabError as error:
+        raise click.ClickException(str(error)) from None
+    out.mkdir(parents=True, exist_ok=True)
+    for number, day in enumerate(drawn, first):
+        (out / f"{number:04d}.toml").write_text(write_day(day), encoding="utf-8")
+    click.echo(f"{out}: {count} days from {first}")
+
+
+@main.command("table")
+@click.option("--journal", default="journal", show_default=True, type=click.Path(path_type=Path))
+def table_(journal: Path) -> None:
+    """List what came of the days that were played, as Markdown."""
+    click.echo("\n".join(table(read_outcomes(journal))))
+
+
+if __name__ == "__main__":
+    main()
--- a/mastturn/smallfleet/layout.py
+++ b/mastturn/smallfleet/layout.py
@@ -78,7 +78,7 @@
             "quorum_member": is_core,
             "data_dir": str(folder / machine.node) if is_core else None,
             "faults": {"nodes": 1, "zones": 0, "regions": 0},
-            "bounds": {"grace_s": 1.5, "retry_slack": 54, "fenced": True},
+            "bounds": {"grace_s": 5, "retry_slack": 54, "fenced": True},
             "cloud_api": {"addr": self.platform, "rate_per_s": 42.0, "max_lag_ms": 800},
         }
 
--- a/sonde/follower.py
+++ b/sonde/follower.py
@@ -27,6 +27,7 @@
 PULSE_S = 0.3  # the control state is heard of so often
 STALE_S = 0.9  # without a newer pulse for so long whoever tells us is behind itself
 PAUSE_S = 0.1  # between two attempts, more or less
+MANY = 100  # so many balancers and more wait longer, so that all together ask 1,000 times a second at most
 ROLL_S = 1.0  # we are heard of so often by whoever tells us
 SETTLE_S = 1.0  # the tree has given us another place for so long before we move there
 SHUN_S = 4.0  # a process that was silent or out of reach is not asked for so long while there are others
@@ -116,7 +117,12 @@
             elif ip is not None:
                 self._shun(ip)
             if not moves:
-                await asyncio.sleep(PAUSE_S * self._random.uniform(0.5, 1.5))
+                await asyncio.sleep(self._pause() * self._random.uniform(0.5, 1.5))
+
+    def _pause(self) -> float:
+        """In seconds; many balancers that look for a primary must not take the time of those who make one."""
+        members = self._bulletin.members
+        return PAUSE_S * max(1.0, len(members.balancers) / MANY if members is not None else 1.0)
 
     # ---- where to
 
--- a/station/balancing.py
+++ b/station/balancing.py
@@ -14,6 +14,7 @@
 from screen.errors import InvalidConfigurationError, StationError
 from screen.links import Links
 from screen.settings import Settings, parse_address
+from screen.tasks import keep_on
 from screen.wire import Kinds, Link
 from sonde import messages
 from sonde.bulletin import Bulletin
@@ -94,7 +95,7 @@
         await self.balancer.start()
         self._log_steps()
         loop = asyncio.get_running_loop()
-        self._tasks = [loop.create_task(self._follower.run()), loop.create_task(self._watch())]
+        self._tasks = [loop.create_task(keep_on(work)) for work in (self._follower.run, self._watch)]
 
     async def stop(self) -> None:
         """Answer what is held, and end."""
--- a/station/commands.py
+++ b/station/commands.py
@@ -105,7 +105,8 @@
         return Report(found, fleet_status.lines_of(found), DIFFERS if found["differs"] else DONE)
 
     def _present(self) -> list[dict[str, Any]]:
-        found: list[dict[str, Any]] = fleet_status.gather(self._ctl(), self._readyz_port())["balancers"]
+        """The balancers that the primary names; they are not asked themselves."""
+        found: list[dict[str, Any]] = fleet_status.gather(self._ctl(), None)["balancers"]
         return found
 
     def explain(self, where: str) -> Report:
@@ -236,13 +237,15 @@
     def _until_told(self, node: str, drains: bool) -> dict[str, Any] | None:
         """The balancer's own word that it has heard of it; None if it doesn't come, or can't be asked."""
         port = self._readyz_port()
-        place = next((f"{b['ip']}:{port}" for b in self._present() if b["node"] == node), None)
-        if port is None or place is None:
+        if port is None:
             return None
+        places: list[str] = []
         told: list[dict[str, Any]] = []
 
         def holds() -> bool:
-            answer = fleet_status.status_of(place)
+            if not places:
+                places.extend(f"{b['ip']}:{port}" for b in self._present() if b["node"] == node)
+            answer = fleet_status.status_of(places[0]) if places else None
             if answer is not None and answer.get("drained") == drains:
                 told.append(answer)
             return bool(told)
--- a/tests/test_barograph_host_cuts.py
+++ b/tests/test_barograph_host_cuts.py
@@ -2,14 +2,15 @@
 
 from __future__ import annotations
 
+import asyncio
 import itertools
 
 import pytest
 
 from sonde.messages import Pulse
-from tests.fabric_callers import configuration
+from tests.fabric_callers import Answer, ask, call, configuration
 from tests.fabric_scenes import ACK_S, APPLY_S, begun, in_force
-from tests.fabric_world import World, play
+from tests.fabric_world import CTL_PORT, World, play
 
 PAIRS = [*itertools.combinations(["primary", "backup", "witness"], 2)]
 
@@ -123,3 +124,44 @@
         await orders_go_on(world, 9)
 
     play(scene, edges=3)
+
+
+@pytest.mark.parametrize("trouble", ["cut", "cut-in", "cut-out", "freeze"])
+def test_whoever_leads_no_longer_answers_no_question_from_what_it_knew(trouble: str) -> None:
+    """A question that comes after a newer version was acknowledged is never answered by the older one."""
+
+    async def scene(world: World) -> None:
+        await begun(world)
+        old = world.primary()
+        others = [m.name for m in world.cores() if m.name != old]
+        asked: list[tuple[float, asyncio.Task[Answer | None]]] = []
+        address = (world.machines[old].ip, CTL_PORT)
+
+        async def keep_asking() -> None:
+            while True:
+                question = asyncio.create_task(ask(address, call("GET", "/api/config"), 5.0))
+                asked.append((world.loop.time(), question))
+                await world.wait(0.01)
+
+        asking = asyncio.create_task(keep_asking())
+        match trouble:
+            case "freeze":
+                world.freeze(old)
+            case "cut-in":
+                world.cut(others, [old], both_ways=False)
+            case _:
+                world.cut([old], others, both_ways=trouble == "cut")
+        await world.until(lambda: any(world.node(n).leads() for n in others), 3.0, "another leads")
+        new = next(n for n in others if world.node(n).leads())
+        assert trouble != "cut" or world.node(old).leads()  # it does not know yet
+        ended = await world.operator("operator", new).put(configuration(6), 5)
+        assert ended.status == 200 and ended.tries == 1
+        await world.wait(1.0)
+        world.thaw(old) if trouble == "freeze" else world.heal()
+        await world.wait(2.0)
+        asking.cancel()
+        answers = [(at, await question) for at, question in asked]
+        late = [a for at, a in answers if at >= ended.at and a is not None and a.status == 200]
+        assert all(a.headers["etag"] == "6" for a in late)
+
+    play(scene)
--- a/tests/test_barograph_host_transcripts.py
+++ b/tests/test_barograph_host_transcripts.py
@@ -7,9 +7,9 @@
 
 import pytest
 
-from tests.fabric_callers import configuration, upstream
+from tests.fabric_callers import ask, call, configuration, upstream
 from tests.fabric_scenes import ACK_S, begun, in_force
-from tests.fabric_world import Scenario, World, approve, play
+from tests.fabric_world import CTL_PORT, Scenario, World, approve, play
 
 
 async def first_start(world: World) -> None:
@@ -130,6 +130,31 @@
     assert read.status == 200 and read.body == configuration(6)
 
 
+@pytest.mark.parametrize("trouble", ["nobody leads", "the write hangs"])
+def test_an_operator_is_told_to_come_back_before_he_takes_us_for_silent(trouble: str) -> None:
+    """Callers go elsewhere after a second without a word."""
+
+    async def scene(world: World) -> None:
+        await begun(world)
+        primary, others = world.primary(), [m for m in world.cores() if m.name != world.primary()]
+        if trouble == "nobody leads":
+            for machine in others:
+                world.power_off(machine.name)
+            await world.wait(2.0)
+        else:
+            for machine in world.cores():
+                machine.disk.hang(True)
+        for method in ("PUT", "GET") if trouble == "nobody leads" else ("PUT",):
+            since = world.loop.time()
+            raw = call(method, "/api/config", configuration(6), If_Match="5")
+            answer = await ask((world.machines[primary].ip, CTL_PORT), raw, 5.0)
+            assert answer is not None and answer.status == 503
+            assert float(answer.headers["retry-after"]) < 1.0
+            assert world.loop.time() - since < 0.9
+
+    play(scene)
+
+
 SCENES: dict[str, Scenario] = {
     "first-start": first_start,
     "two-operators": two_operators,
--- a/tests/test_station_cli_reports.py
+++ b/tests/test_station_cli_reports.py
@@ -70,6 +70,22 @@
     play(scenario, cores=3, edges=3)
 
 
+def test_a_balancer_that_only_hears_the_news_from_elsewhere_now_stays_present() -> None:
+    async def scenario(world: World) -> None:
+        await world.served()
+        await put(world, 5, 0)
+        seen: list[int] = []
+        for _ in range(50):  # all but the first of the zone move below it meanwhile
+            _, told = await get(world, world.primary(), "/api/status")
+            seen.append(len(told["present"]))
+            await world.wait(0.13)
+        assert seen == sorted(seen) and seen[-1] == 6
+        parents = {m.role._follower.parent() for m in world.edges()}
+        assert len(parents) == 2, "the tree has two levels"
+
+    play(scenario, cores=3, edges=6, zones=1)
+
+
 def test_the_figures_are_well_formed() -> None:
     async def scenario(world: World) -> None:
         world.platform.entries = [upstream("u-1", phase="prefill"), upstream("u-2", phase="")]
--- /dev/null
+++ b/tests/test_windvane_draw.py
@@ -0,0 +1,251 @@
+"""Which upstream: the draw's properties on the ordinary path, and what is taken out of the ready set before it."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from dataclasses import replace
+
+import pytest
+
+from screen.configuration import Upstream
+from windvane.prompt import Prompt
+from windvane.tiers import AGAIN, DECODE, PREFILL, SPARE_CALLS, SPARE_TOKENS, SPOILT, SPOILT_S, Peer, Tiers
+
+SVC = "pool"
+
+
+def entry(name: str, phase: str = DECODE, **changes: str) -> Upstream:
+    return replace(Upstream(name, SVC, f"10.0.0.{sum(name.encode()) % 250}:80", "a", phase=phase), **changes)
+
+
+def tiers(*entries: Upstream, seed: int = 1, full: tuple[str, ...] = ()) -> Tiers:
+    made = Tiers(random.Random(seed), lambda name: name not in full)
+    made.take(entries, 0.0)
+    return made
+
+
+def known(peer: Peer | None) -> Peer:
+    assert peer is not None
+    return peer
+
+
+def learn(peer: Peer, rate: float, now: float = 0.0) -> None:
+    """Let it have served at so many calls a second of one in flight."""
+    peer.server.served, peer.server.busy, peer.server.seen = 1000.0, 1e6 / rate, now * 1000
+
+
+def runner(made: Tiers, now: float = 0.0, zone: str = "a", avoid: tuple[str, ...] = ()) -> str:
+    return known(made.pick_runner(SVC, None, zone, avoid, now)).entry.id
+
+
+# ---- the rule
+
+
+def test_draws_follow_the_estimated_capacity() -> None:
+    made = tiers(*(entry(n) for n in "wxyz"))
+    rates = {"w": 1.0, "x": 2.0, "y": 4.0, "z": 8.0}
+    for name, rate in rates.items():
+        learn(known(made.peer(name)), rate)
+    drawn = Counter[str]()
+    # With as many calls out as capacity every load is alike, and who is drawn decides.
+    for name, rate in rates.items():
+        known(made.peer(name)).server.in_flight = 10 * round(rate)
+    for _ in range(8000):
+        drawn[runner_of(made)] += 1
+    assert drawn["w"] < drawn["x"] < drawn["y"] < drawn["z"]
+
+
+def runner_of(made: Tiers) -> str:
+    group = made._groups[SVC, DECODE]
+    return made._draw(group, group.peers, 0.0).entry.id
+
+
+def test_one_draw_alone_takes_each_with_its_share_of_the_capacity(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("umberworks.choice.DRAWS", 1)
+    made = tiers(*(entry(n) for n in "wxyz"))
+    rates = {"w": 1.0, "x": 2.0, "y": 4.0, "z": 8.0}
+    for name, rate in rates.items():
+        learn(known(made.peer(name)), rate)
+    drawn = Counter(runner_of(made) for _ in range(15000))
+    for name, rate in rates.items():
+        assert abs(drawn[name] / 15000 - rate / 15) < 0.02, drawn
+
+
+def test_the_pick_is_the_lowest_of_in_flight_plus_one_over_capacity(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("umberworks.choice.DRAWS", 64)  # so many draws see all of four
+    for seed in range(200):
+        chance = random.Random(seed)
+        made = tiers(*(entry(n) for n in "wxyz"), seed=seed)
+        loads = {}
+        for name in "wxyz":
+            peer, rate = known(made.peer(name)), chance.uniform(0.5, 2.0)
+            learn(peer, rate)
+            peer.server.in_flight = chance.randrange(6)
+            loads[name] = (peer.server.in_flight + 1) / rate
+        best = sorted(loads, key=lambda n: loads[n])
+        if loads[best[1]] - loads[best[0]] > 0.01:  # the prior leans each estimate on the median a little
+            assert runner_of(made) == best[0], (seed, loads)
+
+
+def test_ties_go_to_the_larger_capacity_and_then_to_chance(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("umberworks.choice.DRAWS", 64)
+    monkeypatch.setattr("umberworks.choice.PRIOR_CALLS", 0.0)
+    made = tiers(entry("x"), entry("y"))
+    for name, rate, out in (("x", 1.0, 0), ("y", 2.0, 1)):
+        learn(known(made.peer(name)), rate)
+        known(made.peer(name)).server.in_flight = out
+    assert {runner_of(made) for _ in range(50)} == {"y"}
+    learn(known(made.peer("y")), 1.0)
+    known(made.peer("y")).server.in_flight = 0
+    assert {runner_of(made) for _ in range(50)} == {"x", "y"}
+
+
+def test_a_call_that_did_not_run_adds_nothing_and_one_that_was_served_does() -> None:
+    made = tiers(entry("x"))
+    peer = known(made.peer("x"))
+    peer.sent(1.0, 300)
+    assert (peer.server.in_flight, peer.tokens) == (1, 300)
+    peer.ended(1.5, 300, served=False)
+    assert (peer.server.in_flight, peer.tokens, peer.server.served) == (0, 0, 0.0)
+    peer.sent(2.0, 0)
+    peer.ended(2.5, 0, served=True)
+    assert peer.server.served == 1.0 and peer.server.busy > 0
+
+
+def test_a_newcomer_starts_at_the_median_and_a_fallen_estimate_finds_back() -> None:
+    made = tiers(*(entry(n) for n in "xyz"))
+    for name, rate in (("x", 1.0), ("y", 4.0), ("z", 9.0)):
+        learn(known(made.peer(name)), rate)
+    made.take((*(entry(n) for n in "xyz"), entry("new")), 0.0)
+    choice = made._groups[SVC, DECODE].choice
+    median = choice.bring_up(0.0)
+    assert choice._capacity(known(made.peer("new")).server, median, 0.0) == pytest.approx(median)
+    fallen = known(made.peer("z")).server
+    fallen.served, fallen.busy, fallen.seen = 0.0, 60_000.0, 0.0
+    low = choice._capacity(fallen, median, 0.0)
+    assert low < 0.1 * median
+    assert choice._capacity(fallen, median, 60_000.0) > 0.9 * median
+
+
+# ---- what is out of the ready set
+
+
+def test_draining_gone_and_misplaced_upstreams_get_nothing_new_at_once() -> None:
+    made = tiers(entry("x"), entry("y"))
+    assert made.take((entry("x", state="draining"), entry("y")), 1.0)
+    assert {runner(made) for _ in range(20)} == {"y"}
+    assert dict(made.addresses()).keys() == {"x", "y"}  # what is in flight there goes on
+    made.take((entry("x", phase=PREFILL), entry("y")), 2.0)
+    assert {runner(made) for _ in range(20)} == {"y"}
+    made.take((entry("x", svc="other"),), 3.0)
+    assert made.pick_runner(SVC, None, "a", (), 3.0) is None
+
+
+def test_the_same_list_again_changes_nothing_and_the_same_address_with_another_id_is_another() -> None:
+    made = tiers(entry("x", addr="10.0.0.1:80"))
+    assert not made.take((entry("x", addr="10.0.0.1:80"),), 1.0)
+    peer = known(made.peer("x"))
+    assert made.take((entry("x", addr="10.0.0.1:80"), entry("y", addr="10.0.0.2:80")), 1.0)
+    assert made.peer("x") is peer
+    assert made.take((entry("z", addr="10.0.0.1:80"),), 2.0)
+    assert made.peer("x") is None and made.peer("z") is not peer
+
+
+def test_silent_blocked_and_full_upstreams_are_left_out_unless_there_is_no_other() -> None:
+    made = tiers(entry("x"), entry("y"), entry("z"), full=("z",))
+    known(made.peer("x")).silent = True
+    assert {runner(made) for _ in range(20)} == {"y"}
+    known(made.peer("y")).avoid(0.0, 0.5)
+    assert {runner(made) for _ in range(20)} == {"y"}  # busy, but it speaks
+    known(made.peer("y")).silent = True
+    assert {runner(made) for _ in range(50)} == {"x", "y"}
+    known(made.peer("x")).heard(1.0)
+    assert {runner(made, now=1.0) for _ in range(20)} == {"x"}
+    assert made.pick_runner(SVC, None, "a", ("x", "y"), 1.0) is None
+
+
+def test_a_prefill_upstream_whose_handles_are_lost_again_and_again_is_avoided_for_a_while() -> None:
+    made = tiers(entry("x", PREFILL), entry("y", PREFILL))
+    peer, prompt = known(made.peer("x")), Prompt(100)
+    for _ in range(SPOILT):
+        peer.fetched(0.0, well=False)
+    assert {known(made.pick_reader(SVC, prompt, (), 0.1)).entry.id for _ in range(20)} == {"y"}
+    later = SPOILT_S + 0.1
+    assert {known(made.pick_reader(SVC, prompt, (), later)).entry.id for _ in range(50)} == {"x", "y"}
+
+
+# ---- homes
+
+
+def home(made: Tiers, subject: bytes, shared: int = 4000) -> str:
+    return known(made.pick_reader(SVC, Prompt(shared + 500, shared, subject), (), 0.0)).entry.id
+
+
+def test_a_subject_has_one_home_that_stays_when_others_come_and_go() -> None:
+    names = [f"p{i}" for i in range(6)]
+    made = tiers(*(entry(n, PREFILL) for n in names))
+    subjects = [b"%08x" % i for i in range(300)]
+    homes = {s: home(made, s) for s in subjects}
+    assert set(homes.values()) == set(names)
+    assert all(home(made, s) == homes[s] for s in subjects)
+    made.take(tuple(entry(n, PREFILL) for n in names if n != "p3"), 1.0)
+    moved = {s for s in subjects if home(made, s) != homes[s]}
+    assert moved == {s for s in subjects if homes[s] == "p3"}
+
+
+def test_a_home_with_clearly_more_to_read_is_left_by_what_weighs_less() -> None:
+    made = tiers(entry("x", PREFILL), entry("y", PREFILL))
+    subject = b"5c1e07a2"
+    first = home(made, subject, shared=200)
+    peer = known(made.peer(first))
+    peer.tokens = 200 * AGAIN + SPARE_TOKENS - 200
+    assert home(made, subject, shared=200) == first
+    peer.tokens = 200 * AGAIN + 2 * SPARE_TOKENS
+    assert home(made, subject, shared=200) != first
+    assert home(made, subject, shared=8000) == first  # to read so much again costs more than to wait
+
+
+def test_who_has_read_a_subject_is_preferred_and_the_oldest_are_forgotten() -> None:
+    made = tiers(*(entry(n, PREFILL) for n in "wxyz"))
+    subject = b"91bd3f06"
+    other = next(n for n in "wxyz" if n != home(made, subject))
+    holder = known(made.peer(other))
+    assert holder.keeps(subject) and not holder.keeps(subject)
+    assert {home(made, subject) for _ in range(20)} == {other}
+    for i in range(300):
+        holder.keeps(b"%d" % i)
+    assert subject not in holder.kept
+    assert not holder.keeps(b"")
+
+
+def test_what_others_have_out_counts() -> None:
+    made = tiers(entry("x", PREFILL), entry("y", PREFILL))
+    made.others = lambda name: (0, 50_000 if name == "x" else 0)
+    assert {known(made.pick_reader(SVC, Prompt(900), (), 0.0)).entry.id for _ in range(20)} == {"y"}
+    assert made.outstanding(known(made.peer("x"))) == 50_000
+
+
+# ---- decode
+
+
+def test_a_run_stays_in_the_zone_of_its_memory_unless_that_is_clearly_busier() -> None:
+    made = tiers(entry("x", zone="a"), entry("y", zone="b"), entry("z", zone="b"))
+    assert {runner(made, zone="b") for _ in range(50)} == {"y", "z"}
+    assert {runner(made, zone="a") for _ in range(20)} == {"x"}
+    known(made.peer("x")).server.in_flight = SPARE_CALLS + 1
+    assert {runner(made, zone="a") for _ in range(50)} == {"y", "z"}
+    assert {runner(made, zone="c") for _ in range(50)} == {"y", "z"}
+
+
+def test_runs_with_memory_keep_off_upstreams_that_read_by_themselves() -> None:
+    made = tiers(entry("x", zone="a"), entry("y", zone="b"))
+    known(made.peer("x")).tokens = SPARE_TOKENS + 1
+    assert {runner(made, zone="a") for _ in range(20)} == {"y"}
+
+
+def test_without_phases_any_upstream_runs() -> None:
+    made = tiers(entry("x", phase=""))
+    assert not made.is_split(SVC) and runner(made) == "x"
+    assert tiers(entry("x", PREFILL), entry("y")).is_split(SVC)
+    assert not tiers(entry("y")).is_split(SVC)
--- a/tests/windvane_stage.py
+++ b/tests/windvane_stage.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field, replace
@@ -19,8 +20,6 @@
 
 
 def free_port() -> int:
-    import socket
-
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
         return int(probe.getsockname()[1])
@@ -62,6 +61,50 @@
     writer.write((head(got, status="503 Full", sealed=False) + "Mastturn-Not-Run: 1\r\nContent-Length: 0\r\n\r\n").encode())
 
 
+async def misplaced(stage: Stage, got: Got, writer: Writer) -> None:
+    lines = "HTTP/1.1 421 Misdirected Request\r\nMastturn-Upstream-Id: i-9\r\nContent-Length: 0\r\n\r\n"
+    writer.write(lines.encode())
+
+
+def answer(status: str, extra: str = "", body: str = "", sealed: bool = True) -> Act:
+    """Answers so, with the id of the request."""
+
+    async def act(stage: Stage, got: Got, writer: Writer) -> None:
+        lines = f"{extra}Content-Length: {len(body)}\r\n\r\n{body}"
+        writer.write(head(got, lines, status, sealed).encode())
+
+    return act
+
+
+def cut_after(events: int, then: str = "", ended: bool = False) -> Act:
+    """A stream of so many events and then some bytes, cut off or `ended` in order."""
+
+    async def act(stage: Stage, got: Got, writer: Writer) -> None:
+        after = int(got.headers.get("last-event-id", 0))
+        writer.write(stream_head(got))
+        for number in range(after + 1, after + events + 1):
+            writer.write(chunk(event(number, stage.name)))
+        if then:
+            writer.write(chunk(then))
+        if ended:
+            writer.write(b"0\r\n\r\n")
+        else:
+            await writer.drain()
+            writer.close()
+
+    return act
+
+
+def gated(gate: asyncio.Event, act: Act) -> Act:
+    """Does nothing before the gate opens."""
+
+    async def waits(stage: Stage, got: Got, writer: Writer) -> None:
+        await gate.wait()
+        await act(stage, got, writer)
+
+    return waits
+
+
 async def whole(stage: Stage, got: Got, writer: Writer) -> None:
     writer.write((head(got, f"Content-Length: {len(stage.name)}\r\n\r\n") + stage.name).encode())
 
--- a/windvane/balancer.py
+++ b/windvane/balancer.py
@@ -33,6 +33,7 @@
 CONNECT_S = 0.5
 PROBE_S = 0.5  # between two looks whether a silent upstream can be reached again
 IDLE_S = 120.0  # an upstream that tells no time keeps idle connections at least so long
+DOOR_S = 0.9  # clients wait so long at the most for a process that has just started: then they go elsewhere
 DARK_MS = 700
 CLIENT_DARK_MS = 8000
 STALL_S = 30.0
@@ -131,9 +132,14 @@
             self._server = Server(
                 self, address, self._max_open, held=HELD_BODIES, manner=self._client_manner()
             )
-            self._server.start()
+            asyncio.get_running_loop().call_later(DOOR_S, self._open_door)
         self.upstreams.start()
 
+    def _open_door(self) -> None:
+        """Take in clients; those that came while we knew nothing have waited in the listening socket's queue."""
+        if self._server is not None and not self._server.is_serving() and not self._draining:
+            self._server.start()
+
     def configure(self, configuration: Configuration) -> None:
         """A newer configuration is in force from now on; an older one or the same changes nothing."""
         if self._configuration is not None and configuration.ver <= self._configuration.ver:
@@ -144,11 +150,15 @@
         if self._server is not None:
             self._server.treat(self._client_manner())
         self._limit_connections()
+        if self.tiers.has_any():
+            self._open_door()
 
     def list_upstreams(self, entries: tuple[Upstream, ...]) -> None:
         """The whole list as it is now; the same as before costs little."""
         if self.tiers.take(entries, time.monotonic()):
             self.upstreams.route({name: parse_address(address) for name, address in self.tiers.addresses()})
+        if self._configuration is not None:
+            self._open_door()
 
     def count_balancers(self, n: int) -> None:
         """So many balancers live: our parts of what all of them share follow."""
