Send nothing on once a request's client has stopped waiting

Cause (incident inc-90ad, 41.399 s): an upstream's 503 for a passed deadline led to up to four more sends with no time left; each ended 'unreached' at once (windvane/passage.py _send, write_within 0) and marked an innocent upstream silent for half a second, closing its idle connections. Change: windvane/pair.py Pair.expired, one case in Passage._follow; a prefill upstream that brought no handle is not asked again by the same request.

--- a/barograph/herald.py
+++ b/barograph/herald.py
@@ -60,7 +60,7 @@
         self._platform = PlatformList(parse_address(settings.cloud_api.addr))
         self._view: View | None = None
         self._leader_ip = ""  # of the other that leads
-        self._waiting: dict[Link, Attach] = {}  # balancers, while nobody leads
+        self._waiting: dict[Link, list[Any]] = {}  # what balancers have said while nobody led
         self._leads = asyncio.Event()
         self._since = 0.0
         self._first_epoch = 0  # of those that we have led since
@@ -104,8 +104,7 @@
         logger.info("event=lead epoch={}", view.epoch if view is not None else 0)
         if view is not None:
             self._tell(MemberNews(view.epoch, self._next(), self._members(), self._cores(view)))
-            for link, message in self._take_waiting():
-                self._attach(link, message)
+            self._hear_waiting()
 
     def committed(self, document: Document) -> None:
         """This configuration is in force."""
@@ -118,13 +117,14 @@
             return
         if self._feed.present():
             self._feed.dismiss(Moved([leader.ip]))
-        for link, message in self._take_waiting():
-            self._attach(link, message)
+        self._hear_waiting()
 
-    def _take_waiting(self) -> list[tuple[Link, Attach]]:
-        """The balancers that wait for somebody to lead."""
-        waiting, self._waiting = list(self._waiting.items()), {}
-        return waiting
+    def _hear_waiting(self) -> None:
+        """Answer the balancers that have waited for somebody to lead."""
+        waiting, self._waiting = self._waiting, {}
+        for link, messages in waiting.items():
+            for message in messages:
+                self.heard(link, message)
 
     # ---- the balancers
 
@@ -133,6 +133,8 @@
         match message:
             case Attach():
                 self._attach(link, message)
+            case Roll() if link in self._waiting:
+                self._waiting[link][1:] = [message]  # the latest
             case Roll():
                 self._feed.roll(link, message)
             case LoadReport():
@@ -149,7 +151,7 @@
         elif self._leader_ip:
             link.send(Moved([self._leader_ip]))
         else:
-            self._waiting[link] = message
+            self._waiting[link] = [message]
 
     def ended(self, link: Link) -> None:
         """A connection is over."""
--- a/barograph/mover.py
+++ b/barograph/mover.py
@@ -69,9 +69,10 @@
         """See whether an order is due; called every tenth of a second while we lead."""
         if self._leads_since is None or not self._entries:
             return
-        orders = self._plan.look(self._entries, self._loads(), now)
         waited = now - self._leads_since >= LEASE_SPARE * self._lease_s
-        if orders and waited and self._busy is None and not self._moving:
+        free = waited and self._busy is None and not self._moving
+        orders = self._plan.look(self._entries, self._loads(), now, free)
+        if orders:
             self._busy = asyncio.get_running_loop().create_task(self._carry_out(orders))
             self._busy.add_done_callback(self._over)
 
--- a/barograph/phases.py
+++ b/barograph/phases.py
@@ -59,9 +59,16 @@
         self._measures.clear()
 
     def look(
-        self, entries: Sequence[Upstream], loads: Mapping[str, tuple[int, int]], now: float
+        self,
+        entries: Sequence[Upstream],
+        loads: Mapping[str, tuple[int, int]],
+        now: float,
+        may_order: bool = True,
     ) -> list[Order]:
-        """The orders that are due, of one service; `loads`: calls and prompt tokens by upstream."""
+        """The orders that are due, of one service; `loads`: calls and prompt tokens by upstream.
+
+        While they can't be given, `may_order` is False: all is measured, and nothing counts as ordered.
+        """
         services: dict[str, list[Upstream]] = {}
         for entry in entries:
             if entry.state == "up" and entry.phase in (PREFILL, DECODE):
@@ -69,7 +76,8 @@
         found: list[Order] = []
         for service, ups in services.items():
             measure = self._measure(service, ups, loads, now)
-            if not found and now - measure.since >= SETTLED_S and now - measure.ordered >= PAUSE_S:
+            settled = now - measure.since >= SETTLED_S and now - measure.ordered >= PAUSE_S
+            if may_order and not found and settled:
                 found = _due(measure, ups, loads)
                 if found:
                     measure.ordered = now
@@ -100,12 +108,12 @@
 def _due(measure: _Measure, ups: list[Upstream], loads: Mapping[str, tuple[int, int]]) -> list[Order]:
     readers = _leaving(ups, PREFILL, loads)
     runners = _leaving(ups, DECODE, loads)
-    if not readers or not runners:
-        return []
     step = max(int(STEP * len(ups)), 1)
     least = max(math.ceil(LEAST_RUNNERS * len(ups)), 1)
+    if not runners:  # they are gone for good, and no load will ever show that some are needed
+        return [Order(u, DECODE) for u in readers[: max(min(least, len(readers) - 1), 1)]]
     places = sum(u.capacity for u in runners)
-    reading = measure.reading / len(readers)
+    reading = measure.reading / max(len(readers), 1)  # without readers the others read by themselves
     used = measure.places / max(places, 1.0)
     if reading > READING_HIGH and used <= PLACES_FULL:
         leaving = runners[: min(step, len(runners) - least)]
--- a/mastturn/capacity/budget.py
+++ b/mastturn/capacity/budget.py
@@ -113,7 +113,7 @@
     return f"{ratio:.2g} of it: {'holds' if ratio <= 1 else 'FAILS'}"
 
 
-def within(parts: Parts, frame_s: float, memory_mb: float) -> list[tuple[str, float, float, str]]:
+def within(parts: Parts, frame_s: float, memory_mb: dict[str, float]) -> list[tuple[str, float, float, str]]:
     """Name, foreseen and bound of each part of the budget, with its verdict."""
     found = costs(parts, frame_s)
     rows = [
@@ -125,6 +125,9 @@
         ),
         ("share of a core, a balancer that tells nobody", sum(c.core for c in found), BUDGET.core),
         ("share of a core, a relay", sum(c.relayed_core for c in found), BUDGET.core),
-        ("memory beside the bare program, MB", memory_mb, BUDGET.memory_mb),
+        *(
+            (f"memory beside the bare program, {what}, MB", mb, BUDGET.memory_mb)
+            for what, mb in memory_mb.items()
+        ),
     ]
     return [(name, value, bound, verdict(value, bound)) for name, value, bound in rows]
--- a/mastturn/capacity/tables.py
+++ b/mastturn/capacity/tables.py
@@ -213,22 +213,33 @@
     ]
 
 
-def _memory(folder: Path) -> tuple[list[str], float]:
+def _memory(folder: Path) -> list[str]:
     found = read(folder, "memory")
     held = found["held_out"]
     points = [p for p in found["memory"] if p["x"] != held]
-    body, beside = [], 0.0
+    body = []
     for name in found["steps"]:
-        line = fit([(p["x"], p[name]) for p in points])
-        at = [p[name] for p in found["memory"] if p["x"] == held]
-        measured = sum(at) / len(at)
+        line, measured = fit([(p["x"], p[name]) for p in points]), _at_target(found, name)
         words = f"after {name}" if name != "program" else "the program, nothing told"
         agreement = _agreement(line.at(held), measured)
         body.append([words, _slope(line), figure(line.at(held)), figure(measured), agreement])
-        beside = measured - min(p["program"] for p in found["memory"])
-    return rows(
-        ["MB resident", "slope a whole target", "foreseen at the target", "measured", "within 25%"], body
-    ), beside
+    head = ["MB resident", "slope a whole target", "foreseen at the target", "measured", "within 25%"]
+    return rows(head, body)
+
+
+def _at_target(found: dict[str, Any], name: str) -> float:
+    at = [p[name] for p in found["memory"] if p["x"] == found["held_out"]]
+    return float(sum(at) / len(at))
+
+
+def _beside(folder: Path) -> dict[str, float]:
+    """Memory beside the bare program, by how much of the holdings has been heard."""
+    found = read(folder, "memory")
+    bare = min(p["program"] for p in found["memory"])
+    return {
+        "without holdings": _at_target(found, "loads") - bare,
+        "once all that upstreams kept is known": _at_target(found, "kept, full") - bare,
+    }
 
 
 def _frame_s(folder: Path) -> float:
@@ -264,8 +275,7 @@
 
 
 def _budget(folder: Path) -> list[str]:
-    _, beside = _memory(folder)
-    found = budget.within(read(folder, "parts"), _frame_s(folder), beside)
+    found = budget.within(read(folder, "parts"), _frame_s(folder), _beside(folder))
     return rows(["control at one balancer", "foreseen", "budget", "verdict"],
                 [[n, figure(v), figure(b), t] for n, v, b, t in found])  # fmt: skip
 
@@ -402,7 +412,7 @@
     "prices": _prices,
     "links": _links,
     "foreseen": _foreseen,
-    "memory": lambda folder: _memory(folder)[0],
+    "memory": _memory,
     "times": _times,
     "costs": _costs,
     "budget": _budget,
--- a/mastturn/control_check/defects.py
+++ b/mastturn/control_check/defects.py
@@ -8,7 +8,7 @@
 from barograph.campaign import Campaign
 from barograph.codec import Record
 from barograph.effects import Persist, Reply, Send, Spec, Verdict
-from barograph.messages import Message, Promised, Written
+from barograph.messages import Install, Message, Promised, Written
 from barograph.primary import Command, Primary
 from barograph.replica import Replica
 from barograph.views import Member, Memory
@@ -40,6 +40,9 @@
         """Always."""
         return not self.sick
 
+    def _install(self, ip: str, message: Install, now: float) -> None:
+        super()._install(ip, replace(message, active=True), now)
+
 
 class _Replaced(Replica):
     """A process with one part exchanged."""
--- a/mastturn/control_check/steps.py
+++ b/mastturn/control_check/steps.py
@@ -106,7 +106,7 @@
         assert self.processes.leads(state.processes[0])
         state = replace(state, sent=0, left=left)
         for action in self.bounds.before:
-            state = self.act(state, action)
+            state = self.act(state, self._by_name(action))
         return state
 
     def _found(self, state: State) -> State:
@@ -152,6 +152,19 @@
             number += 1
         return found
 
+    def _by_name(self, action: str) -> str:
+        """`deliver Prepare 1 2`: the latest message of that kind from one to the other; else as it stands."""
+        verb, *rest = action.split()
+        if verb != "deliver":
+            return action
+        kind, sender, receiver = rest
+        for number in reversed(range(len(self._by_number))):
+            index, hear = self._by_number[number]
+            if index == int(receiver) and hear.ip == self.ips[int(sender)]:
+                if type(hear.message).__name__ == kind:
+                    return f"deliver {number}"
+        raise ValueError(f"nothing to {action}")
+
     def _is_remote(self, state: State, index: int) -> bool:
         return all(send.ip != self.ips[index] for send in self._values[state.queues[index][0]][1])
 
@@ -191,7 +204,9 @@
         processes = _put(state.processes, index, outcome.process)
         queues = state.queues
         if outcome.persists:
-            queues = _put(queues, index, (*queues[index], *map(self._place, outcome.persists)))
+            # A record that waits already is not queued a second time: its sync would change nothing.
+            fresh = [p for p in map(self._place, outcome.persists) if p not in queues[index]]
+            queues = _put(queues, index, (*queues[index], *fresh))
         sent = state.sent
         for send in outcome.sends:
             sent |= self._number(index, send)
--- a/passpost/upstream.py
+++ b/passpost/upstream.py
@@ -457,7 +457,7 @@
         attempt.end(self._pool.manner.outcome(answer), answer)
 
     def _heed(self, headers: Headers) -> None:
-        """Its upstream closes it after so many idle seconds; we do before, as a request must not cross that."""
+        """Its upstream closes it after so many idle seconds; we do before: a request must not cross that."""
         for name, value in headers:
             if name.lower() == b"keep-alive" and (told := _KEPT.search(value)) is not None:
                 self.kept = max(int(told[1]) - KEEP_MARGIN_S, int(told[1]) * IDLE_SHARE)
@@ -483,7 +483,7 @@
 
 
 def notice_darkness(peer: socket.socket, after_ms: int) -> None:
-    """Let the kernel end a connection whose other side has said nothing, not even by its kernel, for so long."""
+    """Let the kernel end a connection whose other side has not even acknowledged anything for so long."""
     seconds = max(after_ms // 2000, 1)
     peer.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, after_ms)
     peer.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
--- /dev/null
+++ b/tests/test_days_found_late.py
@@ -0,0 +1,52 @@
+"""A request whose deadline has passed while an upstream held it: nobody else is asked, and nobody is blamed."""
+
+from __future__ import annotations
+
+import time
+
+import pytest
+
+import windvane.passage
+from tests.loopback import run
+from tests.loopback import Got, Writer
+from tests.windvane_stage import Stage, playing, reject, route, configuration
+
+
+class Clock:
+    """The steady clock of the request's way through the balancer; a test puts it forward."""
+
+    def __init__(self) -> None:
+        self.ahead = 0.0
+
+    def monotonic(self) -> float:
+        return time.monotonic() + self.ahead
+
+
+@pytest.mark.parametrize("phase", ["prefill", "decode"])
+def test_after_its_deadline_a_rejected_request_is_told_to_nobody_else(
+    monkeypatch: pytest.MonkeyPatch, phase: str
+) -> None:
+    clock = Clock()
+    monkeypatch.setattr(windvane.passage, "time", clock)
+
+    async def too_late(stage: Stage, got: Got, writer: Writer) -> None:
+        clock.ahead = 10.0
+        await reject(stage, got, writer)
+
+    async def scene() -> None:
+        acts = [too_late] if phase == "prefill" else []
+        readers = [Stage(f"reader-{n}", "prefill", *acts) for n in range(3)]
+        acts = [too_late] if phase == "decode" else []
+        runners = [Stage(f"runner-{n}", "decode", *acts) for n in range(3)]
+        shape = configuration(1, route(tries=3))
+        async with playing(*readers, *runners, config=shape) as play:
+            prompt = "Mastturn-Token-Count: 100,10\r\nMastturn-Prompt-Prefix: aa:60,bb:40\r\n"
+            reply = await play.ask(headers=f"Mastturn-Deadline-Ms: 2000\r\n{prompt}")
+            stages = readers if phase == "prefill" else runners
+            assert reply.status == 503
+            assert sum(len(s.got) for s in stages) == 1
+            assert sum(s.connections for s in stages) == 1
+            peers = [play.balancer.tiers.peer(s.name) for s in stages]
+            assert not any(p.silent for p in peers if p is not None)
+
+    run(scene())
--- /dev/null
+++ b/tests/test_days_found_parts.py
@@ -0,0 +1,48 @@
+"""Upstreams that are gone for good: whoever is left takes over the part that nobody plays any more."""
+
+from __future__ import annotations
+
+import pytest
+
+from barograph.phases import PAUSE_S, SETTLED_S, Order, PhasePlan
+from tests.test_phases import Loads, fleet, reading, watch
+
+
+@pytest.mark.parametrize(("readers", "moved"), [(1, 1), (2, 1), (3, 2), (5, 2), (8, 4)])
+def test_without_any_that_make_answers_readers_take_that_over(readers: int, moved: int) -> None:
+    """Found in a day whose two answering upstreams crashed for good: all was refused from then on."""
+    ups = fleet(readers, 0)
+    orders = watch(PhasePlan(), ups, {}, 0.0, SETTLED_S + 0.5)
+    assert [(o.phase, o.upstream.phase) for o in orders] == [("decode", "prefill")] * moved
+    assert len({o.upstream.id for o in orders}) == moved
+
+
+def test_the_order_is_repeated_after_a_pause_while_still_nobody_makes_answers() -> None:
+    ups, plan = fleet(2, 0), PhasePlan()
+    assert len(watch(plan, ups, {}, 0.0, PAUSE_S)) == 1
+    assert len(watch(plan, ups, {}, PAUSE_S, SETTLED_S + 0.5)) == 1
+
+
+def test_those_that_answer_and_are_lost_later_are_followed_whatever_was_measured_of_them() -> None:
+    ups, plan = fleet(3, 2), PhasePlan()
+    loads = reading(ups) | {"a0": (5, 0), "a1": (5, 0)}
+    assert watch(plan, ups, loads, 0.0, 20.0) == []
+    left = ups[:3]
+    orders = watch(plan, left, reading(left), 20.0, 0.5)
+    assert [o.phase for o in orders] == ["decode", "decode"]
+
+
+def test_without_readers_one_of_many_that_read_by_themselves_becomes_one() -> None:
+    ups = fleet(0, 4)
+    loads: Loads = {u.id: (4, 9_000) for u in ups}
+    assert watch(PhasePlan(), ups, loads, 0.0, 3.0) == [Order(ups[0], "prefill")]
+
+
+def test_without_readers_and_with_little_to_read_all_go_on_making_answers() -> None:
+    ups = fleet(0, 4)
+    assert watch(PhasePlan(), ups, {"a0": (4, 500)}, 0.0, 30.0) == []
+    assert watch(PhasePlan(), fleet(0, 1), {"a0": (4, 9_000)}, 0.0, 30.0) == []
+
+
+def test_a_service_without_any_upstream_gets_no_orders() -> None:
+    assert watch(PhasePlan(), (), {}, 0.0, 3.0) == []
--- a/tests/test_sonde_loads.py
+++ b/tests/test_sonde_loads.py
@@ -148,6 +148,28 @@
     play(scene, edges=4, zones=1)
 
 
+@pytest.mark.parametrize("away_s", [0.1, 0.6, 2.0])
+def test_sums_reported_before_anybody_led_are_told_by_who_leads_then(away_s: float) -> None:
+    """Balancers wait where they are while a core starts anew; nothing of their work changes meanwhile."""
+
+    async def scene(world: World) -> None:
+        await begun(world)
+        await settled(world)
+        work(world)
+        await world.until(lambda: is_right(world), UP_S)
+        world.kill("core-1", "core-2", "core-3")
+        for machine in world.edges():
+            machine.role._others.clear()
+        await world.wait(away_s)
+        world.boot("core-1", "core-2", "core-3")
+        await world.until(lambda: world.primary(), 2.0, "a primary")
+        await world.until(lambda: is_right(world), 2.5, "the sums are right")
+        await calm(world)
+        assert is_right(world), seen(world)
+
+    play(scene, edges=4, zones=1)
+
+
 def test_the_news_are_not_told_more_often_than_they_may() -> None:
     async def scene(world: World) -> None:
         await begun(world)
--- a/tests/test_sonde_news.py
+++ b/tests/test_sonde_news.py
@@ -10,7 +10,7 @@
 
 from barograph.node import KINDS
 from screen.links import Links
-from sonde.messages import Attach, Moved, Pulse
+from sonde.messages import Attach, MemberNews, Moved, Pulse
 from sonde.relays import parent_of
 from tests.fabric import Process
 from tests.fabric_callers import PLATFORM, configuration, upstream
@@ -138,6 +138,28 @@
     play(scene, edges=4, zones=1)
 
 
+def test_who_is_below_a_relay_that_waited_for_a_primary_is_known_at_once() -> None:
+    """It said so while nobody led yet, and does not repeat it for a second."""
+
+    async def scene(world: World) -> None:
+        await begun(world)
+        await settled(world)
+        world.kill("core-1", "core-2", "core-3")
+        await world.wait(0.1)
+        world.boot("core-1", "core-2", "core-3")
+        since = world.now()
+        await world.until(lambda: world.primary(), 2.0, "a primary")
+        await world.wait(0.7)
+        news = [
+            m
+            for at, here, _, m in world.transcript.said(MemberNews)
+            if at > since and here in world.primary()
+        ]
+        assert len(news[-1].balancers) == 12
+
+    play(scene, edges=12, zones=1)
+
+
 def test_a_relay_that_is_behind_itself_takes_nobody_in() -> None:
     async def scene(world: World) -> None:
         await begun(world)
--- a/windvane/balancer.py
+++ b/windvane/balancer.py
@@ -136,7 +136,7 @@
         self.upstreams.start()
 
     def _open_door(self) -> None:
-        """Take in clients; those that came while we knew nothing have waited in the listening socket's queue."""
+        """Take in clients; those that came while we knew nothing have waited in the socket's queue."""
         if self._server is not None and not self._server.is_serving() and not self._draining:
             self._server.start()
 
--- a/windvane/pair.py
+++ b/windvane/pair.py
@@ -1,8 +1,8 @@
 """The decision for one request, sans IO: which step is next, by how the last one ended.
 
-A split request is read by a prefill upstream and run by a decode upstream that fetches the memory. `tries` bounds
-the upstreams that it arrives at; the first prefill call that an upstream takes up counts neither there nor in the
-budget.
+A split request is read by a prefill upstream and run by a decode upstream that fetches the memory. `tries`
+bounds the upstreams that it arrives at; the first prefill call that an upstream takes up counts neither there
+nor in the budget.
 """
 
 from __future__ import annotations
@@ -26,7 +26,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Handle:
-    """The memory of a read prompt, at the upstream that read it; `born` in seconds on the balancer's clock."""
+    """The memory of a read prompt, at the upstream that read it; `born` in seconds on the steady clock."""
 
     holder: str
     address: str
@@ -179,6 +179,12 @@
             return BreakOff()
         return Fail(502) if self.may_have_run else Refuse()
 
+    def expired(self, step: Read | Run) -> Step:
+        """Its client has stopped waiting before this step could be taken."""
+        if self._paid_read or isinstance(step, Run):
+            self._withdraw()
+        return self._give_up()
+
     # ---- what counts
 
     def _may(self, more: int) -> bool:
--- a/windvane/passage.py
+++ b/windvane/passage.py
@@ -1,4 +1,4 @@
-"""The way of one request through the balancer: the steps of its `Pair` become calls, their ends the next steps."""
+"""The way of one request through the balancer: its `Pair`'s steps become calls, their ends the next steps."""
 
 from __future__ import annotations
 
@@ -74,7 +74,7 @@
 
     def begin(self) -> None:
         """Take the first step."""
-        # What tells of no prompt has nothing to be read, and is run by whoever it is sent to, prefill call or not.
+        # What tells of no prompt is run by whoever it is sent to, prefill call or not.
         tokens, tiers = self._call.prompt.tokens, self._balancer.tiers
         split = tokens > 0 and tiers.is_split(self._service)
         if split:
@@ -116,6 +116,8 @@
 
     def _follow(self, step: steps.Step) -> None:
         match step:
+            case steps.Read() | steps.Run() if time.monotonic() >= self._ends:
+                self._follow(self._pair.expired(step))
             case steps.Read():
                 self._read()
             case steps.Run(handle):
@@ -212,7 +214,7 @@
         return READ_PATIENCE_S + min(READ_PATIENCE * pace * tokens, READ_PATIENCE_MOST_S)
 
     def _look(self, due: float) -> None:
-        """See whether the upstream of the attempt that is out is silent; what may be sent again moves on then."""
+        """See whether the upstream of our attempt is silent; what may be sent again moves on then."""
         self._watch = None
         peer, attempt = self._peer, self._attempt
         if self._finished or peer is None or attempt is None:
@@ -270,7 +272,9 @@
             if handle is not None:
                 self._balancer.free(handle)
             return
-        if handle is not None:
+        if handle is None:
+            self._avoid.add(peer.entry.id)
+        else:
             peer.read(time.monotonic() - self._sent, self._booked)
             self._balancer.kept(peer, self._call.prompt)
             self._zone = peer.entry.zone
@@ -393,7 +397,7 @@
         status = answer.status if answer is not None else 0
         name, request = peer.entry.id, self._call.txn.decode("latin-1")
         text = "event={} upstream={} outcome={!r} status={} request={}"
-        logger.warning(text, what, name, outcome.value, status, request)
+        logger.debug(text, what, name, outcome.value, status, request)
 
 
 _ENDS = {
--- a/windvane/prompt.py
+++ b/windvane/prompt.py
@@ -11,7 +11,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Prompt:
-    """`tokens` to be read, of which `shared` are in parts that others have too; `subject`: the last of those."""
+    """`tokens` to be read, `shared` of them in parts that others have too; `subject`: the last of those."""
 
     tokens: int = 0
     shared: int = 0
--- a/windvane/streams.py
+++ b/windvane/streams.py
@@ -35,7 +35,7 @@
         return not self._held.strip(b"\r\n")
 
     def feed(self, data: bytes) -> bytes:
-        """The whole events that are there now; raises BadStreamError, which holds those before the bad one."""
+        """The whole events that are there now; raises BadStreamError with those before the bad one."""
         data = self._held + data if self._held else data
         start = 0
         for end in _END.finditer(data):
--- a/windvane/tiers.py
+++ b/windvane/tiers.py
@@ -30,12 +30,12 @@
 SPARE_TOKENS = 2_000  # to be read above the least of the others: with more an upstream is not drawn
 BUSIER, SPARE_CALLS = 1.25, 3  # the same for calls, where they run
 
-# The choice asks its settings for what cold servers can bear; the list's `cold_left_ms` is not held against them.
+# The choice asks its settings for what cold servers can bear; `cold_left_ms` is not held against them.
 _RULE = face.Settings(classes=(face.RequestClass("any", 1.0, 1.0, face.Effect.ONCE),))
 
 
 class Peer:
-    """One upstream: its list entry, and what this balancer knows of it. Times in seconds on the steady clock."""
+    """One upstream: its list entry, and what we know of it. Times in seconds on the steady clock."""
 
     __slots__ = (
         "blocked_until",
@@ -91,7 +91,7 @@
         self.pace += (pace - self.pace) * (PACE_SHARE if self.pace else 1.0)
 
     def fetched(self, now: float, well: bool) -> None:
-        """Memory from here was fetched, or could not be: where that goes on nothing is read here for a while."""
+        """Memory from here was fetched, or could not be: if that goes on nothing is read here for a while."""
         self.spoilt = 0 if well else self.spoilt + 1
         if self.spoilt >= SPOILT:
             self.avoid(now, SPOILT_S)
@@ -208,7 +208,7 @@
         return self._draw(group, [p for p in able if p.entry.zone == zone] or able, now)
 
     def _readers(self, able: list[Peer], prompt: Prompt) -> list[Peer]:
-        """Those of `able` (not empty) that have read a prompt soonest, its shared parts at home or where kept."""
+        """Those of `able` (not empty) that have read a prompt soonest, shared parts at home or where kept."""
         if len(able) == 1:
             return able
         costs, home = self._costs(able, prompt)
@@ -217,7 +217,7 @@
         return [home] if home in free else free
 
     def _costs(self, able: list[Peer], prompt: Prompt) -> tuple[list[float], Peer | None]:
-        """Tokens to be read at each of `able` before a prompt is, shared ones weighed; the home of its subject.
+        """Tokens to be read at each of `able` until a prompt is, shared ones weighed; its subject's home.
 
         A subject that nobody has read has its home where rendezvous hashing puts it: all read it there.
         """
