--- a/passpost/server.py
+++ b/passpost/server.py
@@ -977,7 +977,7 @@
         self.draining, self._ends = True, time.monotonic() + within
         self._dealt_until = time.monotonic() + DEALT_AFTER_STOP_S
         self.manner = self._given or in_service()
-        self.closing, step = self.manner.closes_at_stop, self.manner.drain_step_s
+        self.closing, step = self.closing or self.manner.closes_at_stop, self.manner.drain_step_s
         await asyncio.sleep(self.manner.accept_after_stop_s)
         while self._connections and self.time_left() > self.manner.last_call_s:
             if self.closing:
--- a/sonde/holdings.py
+++ b/sonde/holdings.py
@@ -1,7 +1,7 @@
 """Which upstreams have read the shared parts of prompts: what one balancer has seen is told to all.
 
-A part that one upstream has read is dear to read again elsewhere. News only add: who hears one twice, or late,
-is none the worse. What has left the list is dropped; what an upstream has let go of is not known.
+A part that one upstream has read is dear to read again elsewhere. News only add: who hears one twice, or
+late, is none the worse. What has left the list is dropped; what an upstream has let go of is not known.
 """
 
 from __future__ import annotations
