Let two releases run side by side, and end in time when little is given

Change: kinds are only added, above all others, and passed over by who doesn't know them; the stages of a stop are shares of grace_s at the most; 64 connections at readyz.

--- a/screen/wire.py
+++ b/screen/wire.py
@@ -1,7 +1,8 @@
 """Messages between the system's own processes: Avro records in frames, over TCP.
 
-A frame is its length (4 bytes), the number of its kind (2 bytes) and the record without a schema. Each side
-first sends its edition of the schemas, so that a later program can read what an earlier one writes.
+A frame is its length (4 bytes), the number of its kind (2 bytes) and the record without a schema. A kind
+never changes: one that has to is declared anew under the next number above all others, beside the old one.
+Programs of two releases work side by side as each passes over the kinds that are above those it knows.
 """
 
 from __future__ import annotations
@@ -18,7 +19,8 @@
 
 from screen.errors import WireError
 
-EDITION = 1  # of all schemas together; one that is changed gets the next number, and the old stays readable
+EDITION = 2  # of all kinds together, as reports show it: the next number with each new kind
+MOST_NUMBER = 255  # of a kind, in this release and later ones
 MOST_FRAME = 16 * 1024 * 1024  # a whole configuration fits four times
 _HEAD = struct.Struct(">IH")
 
@@ -59,6 +61,10 @@
         out.write(_HEAD.pack(size, number))
         return out.getvalue()
 
+    def may_be_later(self, number: int) -> bool:
+        """Whether only a later release may know this number; beyond `MOST_NUMBER` is no message of ours."""
+        return max(self._by_number, default=0) < number <= MOST_NUMBER
+
     def decode(self, number: int, body: bytes) -> Any:
         """The message of a frame; raises WireError."""
         known = self._by_number.get(number)
@@ -150,6 +156,8 @@
         self.last_heard = asyncio.get_running_loop().time()
         try:
             for frame in self._reader.feed(data):
+                if self._kinds.may_be_later(frame.number):
+                    continue
                 self._heard(self, self._kinds.decode(frame.number, frame.body))
         except WireError as error:
             logger.warning("event=bad_bytes peer={} error={!r}", self.peer, str(error))
--- a/tests/test_windvane_parts.py
+++ b/tests/test_windvane_parts.py
@@ -11,6 +11,7 @@
 from passpost.validation import BadRequestError
 from screen.configuration import ClientLimits, Configuration, Route, Service, Split
 from tests.windvane_stage import event, route
+from windvane import manners
 from windvane.budget import LATE_S, SAFETY, RetryBudget
 from windvane.ingress import RoutedCall, read_head
 from windvane.prompt import Prompt, read_prompt
@@ -249,3 +250,13 @@
     assert replace(route(), route_type="safe").is_idempotent()
     assert replace(route(), resumable=True).is_idempotent()
     assert not route().is_idempotent()
+
+
+@pytest.mark.parametrize(("grace_s", "accepts_s", "last_call_s"), [(8.0, 3.2, 2.2), (1.5, 0.6, 0.45)])
+def test_a_stop_with_little_time_is_over_in_time(
+    grace_s: float, accepts_s: float, last_call_s: float
+) -> None:
+    """Found by hand: with 1.5 s to end, a balancer went on accepting for 3.2 s."""
+    manner = manners.of_clients(ClientLimits(), grace_s)
+    assert manner.accept_after_stop_s == pytest.approx(accepts_s)
+    assert manner.last_call_s == pytest.approx(last_call_s)
--- a/windvane/balancer.py
+++ b/windvane/balancer.py
@@ -224,7 +224,8 @@
         return self._allowed and self._configuration is not None and not self._draining
 
     def _client_manner(self) -> ClientManner:
-        return manners.of_clients((self._configuration or Configuration(0)).limits)
+        limits = (self._configuration or Configuration(0)).limits
+        return manners.of_clients(limits, self.settings.bounds.grace_s)
 
     def _limit_connections(self) -> None:
         services = self._configuration.svcs if self._configuration is not None else ()
--- a/windvane/manners.py
+++ b/windvane/manners.py
@@ -13,6 +13,7 @@
 SWEEP_S = 1.0
 BODY_RATE = 1000.0  # bytes a second at which a body has to come at the least
 ACCEPT_AFTER_STOP_S = 3.2  # the platform sends new connections until it has missed us twice, a second apart
+ACCEPT_SHARE, LAST_CALL_SHARE = 0.4, 0.3  # of the time until we are killed, at the most, for these two
 LAST_CALL_S, DRAIN_STEP_S = 2.2, 0.1
 
 
@@ -21,8 +22,8 @@
     return Manner(outcome, is_event_stream, STALL_S, True, DARK_MS)
 
 
-def of_clients(limits: ClientLimits) -> ClientManner:
-    """How clients are treated under these limits."""
+def of_clients(limits: ClientLimits, grace_s: float) -> ClientManner:
+    """How clients are treated under these limits, and at a stop that leaves us so long."""
     idle = limits.idle_timeout_ms / 1000
     return ClientManner(
         max_head=limits.max_header_bytes,
@@ -38,7 +39,7 @@
         sweep_s=SWEEP_S,
         dark_ms=CLIENT_DARK_MS,
         closes_at_stop=True,
-        accept_after_stop_s=ACCEPT_AFTER_STOP_S,
-        last_call_s=LAST_CALL_S,
+        accept_after_stop_s=min(ACCEPT_AFTER_STOP_S, ACCEPT_SHARE * grace_s),
+        last_call_s=min(LAST_CALL_S, LAST_CALL_SHARE * grace_s),
         drain_step_s=DRAIN_STEP_S,
     )
--- a/windvane/readiness.py
+++ b/windvane/readiness.py
@@ -9,19 +9,34 @@
 from screen.settings import Address
 
 MOST = 4096  # bytes of one question
+MOST_OPEN = 64  # connections at once: the platform needs one or two; beyond that the oldest goes
 Other = Callable[[bytes, asyncio.Transport], bool]  # answers a question that is none of readiness
 
 
 class _Asked(asyncio.Protocol):
     """One connection of the platform."""
 
-    def __init__(self, is_ready: Callable[[], bool], other: Other | None) -> None:
+    def __init__(self, is_ready: Callable[[], bool], other: Other | None, opened: dict[_Asked, None]) -> None:
         self._is_ready, self._other, self._held = is_ready, other, b""
+        self._opened = opened  # all connections, the oldest first
         self._transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """The platform has connected."""
         self._transport = cast(asyncio.Transport, transport)  # uvloop's do not derive from it
+        self._opened[self] = None
+        if len(self._opened) > MOST_OPEN:
+            next(iter(self._opened)).give_way()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """It is over."""
+        self._opened.pop(self, None)
+
+    def give_way(self) -> None:
+        """Make room for another."""
+        self._opened.pop(self, None)
+        if self._transport is not None:
+            self._transport.abort()
 
     def data_received(self, data: bytes) -> None:
         """Answer each whole question; its body, if it has one, is not waited for."""
@@ -53,4 +68,6 @@
     address: Address, is_ready: Callable[[], bool], other: Other | None = None
 ) -> asyncio.Server:
     """Answer `GET /api/readyz` at this address; raises OSError where it can't be bound."""
-    return await asyncio.get_running_loop().create_server(lambda: _Asked(is_ready, other), *address)
+    opened: dict[_Asked, None] = {}
+    loop = asyncio.get_running_loop()
+    return await loop.create_server(lambda: _Asked(is_ready, other, opened), *address)
