--- a/barograph/phases.py
+++ b/barograph/phases.py
@@ -116,7 +116,7 @@
     reading = measure.reading / max(len(readers), 1)  # without readers the others read by themselves
     used = measure.places / max(places, 1.0)
     if reading > READING_HIGH and used <= PLACES_FULL:
-        leaving = runners[: min(step, len(runners) - least)]
+        leaving = runners[: max(min(step, len(runners) - least), 0)]
         while leaving and measure.peak > PLACES_AFTER * (places - sum(u.capacity for u in leaving)):
             leaving.pop()
         return [Order(u, PREFILL) for u in leaving]
--- a/mastturn/days/outcomes.py
+++ b/mastturn/days/outcomes.py
@@ -17,7 +17,7 @@
 
     site: str
     day: str
-    commit: str
+    commit: str  # a plus behind it: with changes that were not committed
     entry: str  # of the journal
     rules: tuple[str, ...]  # broken, each with how often
     fault: str
@@ -48,7 +48,7 @@
     return Outcome(
         str(entry.get("site")),
         str(day["name"]),
-        str(entry.get("head") or "")[:7],
+        str(entry.get("head") or "")[:7] + ("+" if entry.get("dirty") else ""),
         str(entry.get("id")),
         tuple(f"{name} {count}" for name, count in rules.items()),
         str(day.get("fault") or ""),
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -166,6 +166,7 @@
         entry("drawn-0001 pair a+b open", rules={"LOST": 2}, gate=False),
         entry("drawn-0002 twice a+a open", prices=[["exits of its own", 3.0, 0.1]]),
         entry("trouble-1", rules={"LOST": 1}),
+        entry("drawn-0003 single a kill_all", fault="slow") | {"dirty": True, "error": "given up"},
     ]
     for number, data in enumerate(entries):
         (tmp_path / f"{number}.json").write_text(json.dumps(data), encoding="utf-8")
@@ -177,4 +178,7 @@
     assert (
         "| mill-road | drawn-0002 twice a+a open | 0123456 | e1 | 3 ended by itself | 0.900 |" in done.output
     )
+    assert (
+        "| mill-road | drawn-0003 single a kill_all | 0123456+ | e1 | slow; given up | 0.900 |" in done.output
+    )
     assert "trouble-1" not in done.output
--- a/tests/test_days_found_parts.py
+++ b/tests/test_days_found_parts.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import math
+import random
+from dataclasses import replace
+
 import pytest
 
-from barograph.phases import PAUSE_S, SETTLED_S, Order, PhasePlan
+from barograph.phases import LEAST_RUNNERS, PAUSE_S, SETTLED_S, Order, PhasePlan
 from tests.test_phases import Loads, fleet, reading, watch
 
 
@@ -44,5 +48,36 @@
     assert watch(PhasePlan(), fleet(0, 1), {"a0": (4, 9_000)}, 0.0, 30.0) == []
 
 
+@pytest.mark.parametrize(("readers", "runners"), [(5, 3), (6, 2), (13, 7), (4, 1)])
+def test_fewer_than_the_least_that_make_answers_stay_where_they_are(readers: int, runners: int) -> None:
+    """Found in a day in which one of four drained: two of the other three were told to read."""
+    ups = fleet(readers, runners)
+    loads = reading(ups) | {f"a{i}": (6, 0) for i in range(runners)}
+    assert watch(PhasePlan(), ups, loads, 0.0, 30.0) == []
+
+
 def test_a_service_without_any_upstream_gets_no_orders() -> None:
     assert watch(PhasePlan(), (), {}, 0.0, 3.0) == []
+
+
+def test_no_order_leaves_a_part_to_fewer_than_it_may_have() -> None:
+    """Fleets and loads drawn by number, with upstreams that come and go between two looks."""
+    for seed in range(300):
+        chance = random.Random(seed)
+        plan = PhasePlan()
+        ups = list(fleet(chance.randint(0, 12), chance.randint(0, 12)))
+        for tick in range(120):
+            if ups and chance.random() < 0.05:
+                ups.pop(chance.randrange(len(ups)))
+            loads = {u.id: (chance.randint(0, 90), chance.choice((0, 0, 9_000))) for u in ups}
+            orders = plan.look(ups, loads, tick / 2)
+            moved = {o.upstream.id: o.phase for o in orders}
+            after = [moved.get(u.id, u.phase) for u in ups]
+            before = [u.phase for u in ups]
+            runners, least = before.count("decode"), math.ceil(LEAST_RUNNERS * len(ups))
+            if runners:
+                assert after.count("decode") >= min(runners, least)
+            if before.count("prefill") > 1 or (runners and before.count("prefill")):
+                assert after.count("prefill") >= 1
+            assert len({o.upstream.svc for o in orders}) <= 1
+            ups = [replace(u, phase=moved.get(u.id, u.phase)) for u in ups]
--- a/tests/test_station_cli_fleet.py
+++ b/tests/test_station_cli_fleet.py
@@ -40,6 +40,10 @@
         calls = (("status",), ("explain", "edge-a"), ("config", "get"))
         try:
             found = await asyncio.gather(*(asyncio.to_thread(operate, *words) for words in calls))
+            for _ in range(20):  # on a busy machine somebody is late at times, and status marks that
+                if found[0].returncode != 3:
+                    break
+                found[0] = await asyncio.to_thread(operate, "status")
             return [*found, await asyncio.to_thread(operate, "drain", "edge-b")]
         finally:
             stop.set()
