--- a/barograph/acceptor.py
+++ b/barograph/acceptor.py
@@ -44,7 +44,7 @@
             case Ask():
                 self._asked(ip, message, now)
             case Prepare():
-                self._prepare(ip, message)
+                self._prepare(ip, message, now)
             case Install():
                 self._install(ip, message, now)
             case Write():
@@ -98,12 +98,13 @@
             ip, Answer(memory.identity, message.sender, message.epoch, ok, memory.promised, memory.view)
         )
 
-    def _prepare(self, ip: str, message: Prepare) -> None:
+    def _prepare(self, ip: str, message: Prepare, now: float) -> None:
         memory = self.memory
         again = message.epoch == memory.promised and message.sender == self._promised_to
         ok = self.votes() and (message.epoch > memory.promised or again)
         if ok:
             memory.promised, self._promised_to = message.epoch, message.sender
+            self.heard_at, self.heard_from = now, message.sender  # give it the time that syncs take
         reply = Promised(memory.identity, message.sender, message.epoch, ok, memory.promised, memory.view)
         if ok:
             self._persist(PromiseRecord(message.epoch), ip, reply)
--- a/barograph/campaign.py
+++ b/barograph/campaign.py
@@ -25,7 +25,7 @@
     LOST = "lost"
 
 
-RESEND_MS = 100.0  # what has no answer by then is sent again
+RESEND_MS = 100.0  # what has no answer by then is sent again, and then after twice as long each time
 SETTLE_MS = 25.0  # more promises than a majority are waited for so long: they widen the choice of holders
 
 
@@ -79,7 +79,10 @@
         self.promised.add(slot)
         if not self.majority_at and self._is_majority(self.promised):
             self.majority_at = now
-        return [(m, self._prepare(m)) for m in self._voters() if m != self.me] if own else []
+        if not own:
+            return []
+        self.stage_at = now  # the others' syncs have their own time
+        return [(m, self._prepare(m)) for m in self._voters() if m != self.me]
 
     def install(self, document: Document, now: float) -> list[tuple[Member, Install]]:
         """Once enough have promised: the view, with the data for those who are to hold it."""
@@ -115,7 +118,8 @@
 
     def resend(self, document: Document, now: float) -> list[tuple[Member, Ask | Prepare | Install]]:
         """What has had no answer for a while, once more; nothing while the sync of our own promise lasts."""
-        if now - max(self.sent_at, self.stage_at) < RESEND_MS:
+        since = max(self.sent_at, self.stage_at)
+        if now - since < max(RESEND_MS, since - self.stage_at):
             return []
         self.sent_at = now
         match self.stage:
--- /dev/null
+++ b/barograph/joining.py
@@ -0,0 +1,150 @@
+"""How processes come in: whom a newcomer asks, who waits for a slot, and the first view of all."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from barograph.acceptor import Acceptor
+from barograph.campaign import Campaign, Stage, founding
+from barograph.codec import PromiseRecord
+from barograph.effects import Effect, Persist, Send, Spec
+from barograph.messages import Ask, Install, Join
+from barograph.views import Member, View
+
+WAITING_MS = 1_000.0  # a newcomer that has not asked for so long has gone
+
+
+class Newcomers:
+    """The processes that have asked for a slot lately."""
+
+    def __init__(self) -> None:
+        self._joins: dict[str, Join] = {}  # by identity
+        self._came: dict[str, float] = {}  # when each last asked
+
+    def take(self, join: Join, now: float) -> None:
+        """A process asks; one of before on the same machine has gone."""
+        member = join.member
+        for identity, other in list(self._joins.items()):
+            if other.member.node == member.node or other.member.ip == member.ip:
+                del self._joins[identity]
+        self._joins[join.sender], self._came[join.sender] = join, now
+
+    def expire(self, now: float) -> None:
+        """Who has stopped asking has gone."""
+        self._came = {i: at for i, at in self._came.items() if now - at < WAITING_MS}
+        self._joins = {i: j for i, j in self._joins.items() if i in self._came}
+
+    def members(self) -> list[Member]:
+        """All that wait."""
+        return [join.member for join in self._joins.values()]
+
+    def vacancy(self, view: View, dead: list[int]) -> tuple[int | None, Member | None]:
+        """A slot to give to a newcomer: its own of before, an empty one, or the first of the dead.
+
+        Only who has synced a promise of this view is named: it accepts no older view that names it as well.
+        """
+        for join in self._joins.values():
+            newcomer = join.member
+            if view.slot_of(newcomer.identity) is not None or join.promised < view.epoch:
+                continue
+            for slot, member in enumerate(view.members):
+                same = member is not None and (member.node == newcomer.node or member.ip == newcomer.ip)
+                if same and slot != view.primary:
+                    return slot, newcomer
+            free = [slot for slot, member in enumerate(view.members) if member is None]
+            for slot in (*free, *dead):
+                if slot != view.primary:
+                    return slot, newcomer
+        return None, None
+
+
+class Inquirer:
+    """Asks around for those who know the view: for a slot without one, for news with one."""
+
+    def __init__(
+        self, me: Member, acceptor: Acceptor, seeds: tuple[str, ...], emit: Callable[[Effect], None]
+    ) -> None:
+        self._me, self._acceptor, self._emit = me, acceptor, emit
+        self.seeds = seeds  # IPs
+        self.caller = ""  # the IP that last spoke to a process that was here before
+
+    def ask_in(self) -> None:
+        """Ask for a slot; our promise is synced before it is heard of."""
+        promised = self._acceptor.memory.promised
+        join = Join(self._me.identity, "", self._me, promised)
+        sends = tuple(Send(ip, join) for ip in self._others())
+        if promised:
+            self._emit(Persist(PromiseRecord(promised), sends))
+        else:
+            for send in sends:
+                self._emit(send)
+
+    def inquire(self) -> None:
+        """We have a slot and hear of no primary: the view may have gone on without us."""
+        for ip in self._others():
+            self._emit(Send(ip, Ask(self._me.identity, "", 0, False)))
+
+    def _others(self) -> list[str]:
+        latest = self._acceptor.latest
+        known = {m.ip for m in latest.members if m is not None} if latest is not None else set()
+        return sorted((known | set(self.seeds) | {self.caller}) - {self._me.ip, ""})
+
+
+class Founding:
+    """The first view; only the founder makes it, and only once."""
+
+    def __init__(
+        self, me: Member, acceptor: Acceptor, spec: Spec, founder: bool, emit: Callable[[Effect], None]
+    ) -> None:
+        memory = acceptor.memory
+        self._me, self._acceptor, self._spec, self._emit = me, acceptor, spec, emit
+        self.is_ours = founder and memory.view is None and memory.promised == 0
+        self.started = 0.0
+        self.campaign: Campaign | None = None
+
+    def is_under_way(self, now: float) -> bool:
+        """Whether the answers to the first view are still waited for; what has none is sent again."""
+        if self.campaign is None:
+            return False
+        memory = self._acceptor.memory
+        if memory.promised > 1 or now - self.campaign.began > self._spec.found_ms:
+            self.campaign = None  # others lead, or it failed
+            return False
+        for member, message in self.campaign.resend(memory.document, now):
+            self._emit(Send(member.ip, message))
+        return True
+
+    def won(self) -> Campaign | None:
+        """The campaign, once it has been won; given once."""
+        if self.campaign is None or self.campaign.stage is not Stage.WON:
+            return None
+        campaign, self.campaign = self.campaign, None
+        return campaign
+
+    def found(self, others: list[Member], now: float) -> None:
+        """Make the first view once all are there, or enough after a while."""
+        enough = len(others) + 1 >= self._spec.slots
+        late = now - self.started > self._spec.found_ms and len(others) + 1 >= self._spec.holders
+        if self._acceptor.latest is not None or self.campaign is not None or not (enough or late):
+            return
+        others.sort(key=lambda m: m.ip)
+        view = founding(self._me, others, self._spec.slots, self._spec.holders)
+        self.campaign = Campaign(self._me, view, 1, self._spec.holders, now)
+        self.campaign.view, self.campaign.stage, self.campaign.stage_at = view, Stage.INSTALL, now
+        for member in view.members:
+            if member is not None:
+                self._install(member, view)
+
+    def invite(self, member: Member) -> None:
+        """Somebody asks for a slot who may have missed the first view."""
+        view = self._acceptor.memory.view
+        if view is None or view.epoch != 1 or view.leader() != self._me:
+            return
+        if view.slot_of(member.identity) is not None and member != self._me:
+            self._install(member, view)
+
+    def _install(self, member: Member, view: View) -> None:
+        holds = view.slot_of(member.identity) in view.holders
+        document = self._acceptor.memory.document if holds else None
+        install = Install(self._me.identity, member.identity, view, document, False)
+        self._emit(Send(member.ip, install))
--- a/barograph/mover.py
+++ b/barograph/mover.py
@@ -39,6 +39,7 @@
         self._plan = PhasePlan()
         self._entries: tuple[Upstream, ...] = ()
         self._moving: dict[str, tuple[str, float]] = {}  # id: the part to come, given up at
+        self._unclear: set[str] = set()  # of those, the ones that may never have heard of it
         self._leads_since: float | None = None
         self._busy: asyncio.Task[None] | None = None
 
@@ -47,6 +48,7 @@
         if not leads:
             self._leads_since = None
             self._moving.clear()
+            self._unclear.clear()
         elif self._leads_since is None:
             self._leads_since = now
             self._plan.reset()
@@ -59,6 +61,7 @@
                 del self._moving[str(entry["id"])]
                 logger.info("event=moved upstream={} phase={}", entry["id"], move[0])
         self._moving = {i: m for i, m in self._moving.items() if now < m[1]}
+        self._unclear &= self._moving.keys()
         return [{**e, "phase": MOVING} if str(e.get("id")) in self._moving else e for e in entries]
 
     def listed(self, page: bytes) -> None:
@@ -70,8 +73,9 @@
         if self._leads_since is None or not self._entries:
             return
         waited = now - self._leads_since >= LEASE_SPARE * self._lease_s
-        free = waited and self._busy is None and not self._moving
-        orders = self._plan.look(self._entries, self._loads(), now, free)
+        free = waited and self._busy is None and self._moving.keys() <= self._unclear
+        staying = [e for e in self._entries if e.id not in self._moving]
+        orders = self._plan.look(staying, self._loads(), now, free)
         if orders:
             self._busy = asyncio.get_running_loop().create_task(self._carry_out(orders))
             self._busy.add_done_callback(self._over)
@@ -103,5 +107,8 @@
         )
         if isinstance(outcome, Rejected):
             self._moving.pop(name, None)
-        elif not isinstance(outcome, Taken):
-            logger.warning("event=order_unclear upstream={}", name)
+        elif not isinstance(
+            outcome, Taken
+        ):  # it may move, or be gone: nobody sends there, and another is asked
+            self._unclear.add(name)
+            self._plan.ask_another(order.upstream.svc)
--- a/barograph/phases.py
+++ b/barograph/phases.py
@@ -58,6 +58,12 @@
         """Another has led meanwhile: what was measured is old."""
         self._measures.clear()
 
+    def ask_another(self, service: str) -> None:
+        """An order for this service had no answer: the next one need not wait."""
+        measure = self._measures.get(service)
+        if measure is not None:
+            measure.ordered = -math.inf
+
     def look(
         self,
         entries: Sequence[Upstream],
--- a/barograph/primary.py
+++ b/barograph/primary.py
@@ -8,7 +8,7 @@
 
 from barograph.effects import Committed, Effect, Reply, Send, Spec, Verdict
 from barograph.messages import Beat, Heard, Write, Written
-from barograph.views import Document, Memory, View
+from barograph.views import Document, Member, Memory, View
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,6 +52,8 @@
         self._writing: Put | None = None
         self._kept: set[int] = set()  # slots that have synced the write
         self.write_at = 0.0
+        self.took_ms = 0.0  # how long the last write took
+        self.write_ms = spec.write_ms  # a write that takes longer hangs
         self._proofs: list[_Proof] = []
         self.number = 0  # of the latest beat
         self._beat_at = -1e12
@@ -108,12 +110,28 @@
         return {slot for slot, number in self.acked.items() if number > 0}
 
     def silent(self, now: float, after_ms: float) -> list[int]:
-        """The slots that have answered nothing for so long."""
-        return [
-            slot
-            for slot, member in enumerate(self.view.members)
-            if member is not None and now - self.heard_at[slot] > after_ms
-        ]
+        """The slots that have answered nothing for so long, the longest silent first."""
+        taken = [slot for slot, member in enumerate(self.view.members) if member is not None]
+        silent = [slot for slot in taken if now - self.heard_at[slot] > after_ms]
+        return sorted(silent, key=self.heard_at.__getitem__)
+
+    def wants_change(self, now: float, leaving: set[str]) -> bool:
+        """Whether the view has to change: a holder is lost or leaves (identities), a write hangs."""
+        view = self.view
+        if self.above >= view.epoch or self.is_hanging(now) or self.refused:
+            return True
+        going = set(self.silent(now, self._spec.silent_ms))
+        going |= {slot for identity in leaving if (slot := view.slot_of(identity)) is not None}
+        lost = going & set(view.holders) or len(view.holders) < self._spec.holders
+        return bool(lost) and len(self.present() - going) >= self._spec.holders
+
+    def heir(self, now: float) -> Member | None:
+        """The best successor: a holder, one heard of a moment ago and with the latest write first."""
+        others = [s for s in self.view.holders if s != self.view.primary]
+        if not others:
+            return None
+        silent = self.silent(now, self._spec.silent_ms)
+        return self.view.at(min(others, key=lambda s: (s in silent, s not in self._kept)))
 
     # ---- commands
 
@@ -129,7 +147,7 @@
 
     def is_hanging(self, now: float) -> bool:
         """Whether a write has been under way for too long."""
-        return self._writing is not None and now - self.write_at > self._spec.write_ms
+        return self._writing is not None and now - self.write_at > self.write_ms
 
     def has_kept(self, slot: int) -> bool:
         """Whether a slot has synced the write that is under way."""
@@ -150,6 +168,7 @@
         self._kept.add(slot)
         if self._kept.issuperset(self.view.holders):
             put, self._writing = self._writing, None
+            self.took_ms = now - self.write_at
             self.committed = self.memory.document
             self._emit(Committed(self.view.epoch, self.committed))
             self._emit(Reply(put.token, Verdict.DONE, self.committed))
--- a/mastturn/capacity/__main__.py
+++ b/mastturn/capacity/__main__.py
@@ -48,10 +48,11 @@
 @click.option("--zones", default=TARGET.zones, show_default=True)
 @click.option("--cores", default=TARGET.cores, show_default=True, help="Control processes.")
 @click.option("--routes", default=TARGET.routes, show_default=True)
-@click.option("--seconds", default=3.0, show_default=True, help="Of the quiet and of the busy phase.")
+@click.option("--seconds", default=3.0, show_default=True, help="Of the busy phase.")
 @click.option("--charge", default=0.0, show_default=True, help="Seconds that go by for a second of a core.")
 @click.option("--mbps", default=0.0, show_default=True, help="Of each machine's link; 0: no bound.")
 @click.option("--seed", default=1, show_default=True)
+@click.option("--calm", is_flag=True, help="Without traffic.")
 @click.option("--out", default="")
 def fleet(
     balancers: int,
@@ -63,12 +64,13 @@
     charge: float,
     mbps: float,
     seed: int,
+    calm: bool,
     out: str,
 ) -> None:
     """A hollow fleet's day."""
     shape = Shape(balancers=balancers, upstreams=upstreams, zones=zones, cores=cores, routes=routes)
     name = f"fleet-{balancers}-{upstreams}{'-charged' if charge else ''}-{seed}"
-    _save(out, name, lambda: run_day(shape, seconds, charge, mbps, seed))
+    _save(out, name, lambda: run_day(shape, seconds, charge, mbps, seed, calm))
 
 
 @measure.command()
--- a/mastturn/capacity/budget.py
+++ b/mastturn/capacity/budget.py
@@ -110,7 +110,8 @@
 def verdict(value: float, bound: float) -> str:
     """Holds or fails, with the ratio."""
     ratio = value / bound
-    return f"{ratio:.2g} of it: {'holds' if ratio <= 1 else 'FAILS'}"
+    times = f"{ratio:,.0f}" if ratio >= 10 else f"{ratio:.2g}"
+    return f"{times} of it: {'holds' if ratio <= 1 else 'FAILS'}"
 
 
 def within(parts: Parts, frame_s: float, memory_mb: dict[str, float]) -> list[tuple[str, float, float, str]]:
@@ -119,7 +120,7 @@
     rows = [
         ("bytes a second, a balancer that tells nobody", sum(c.bytes_s for c in found), BUDGET.bytes_s),
         (
-            "bytes a second, a relay of 8",
+            "bytes a second, a relay",
             sum(c.relayed_bytes_s for c in found if not c.name.startswith("own report")),
             BUDGET.bytes_s,
         ),
--- a/mastturn/capacity/choices.py
+++ b/mastturn/capacity/choices.py
@@ -22,7 +22,7 @@
 
 SIZES = (20, 50, 104, 200, 400)  # upstreams of one service; 104 is the target's mean: 2,800 over 27 services
 HELD_OUT = 800
-WARM, MEASURED = 1_500, 1_500
+WARM, MEASURED = 500, 1_000
 SUBJECTS = 4  # for each upstream of the service
 SERVICE = "svc"
 
@@ -90,7 +90,7 @@
 def one(count: int, seed: int, warm: int = WARM, requests: int = MEASURED) -> dict[str, float]:
     """A service of so many upstreams: core seconds of a request's choices, moves between zones."""
     service = _Service(count, TARGET, seed)
-    service.play(warm + round(service._rate * 2 * TARGET.stream_s))  # until as much is out as ever will be
+    service.play(warm + round(service._rate * TARGET.stream_s))  # until as much is out as ever will be
     service.spent, service.crossed, service.moved = 0.0, 0, 0
     before = spin_ns()
     service.play(requests)
@@ -105,6 +105,6 @@
 
 
 def measured() -> dict[str, Any]:
-    """All sizes, twice each."""
+    """All sizes, twice each; the largest take most of the two minutes of a core."""
     found = [one(size, seed) for seed in (1, 2) for size in (*SIZES, HELD_OUT)]
     return {"choices": found, "held_out": HELD_OUT, "subjects_an_upstream": SUBJECTS}
--- a/mastturn/capacity/clockwork.py
+++ b/mastturn/capacity/clockwork.py
@@ -17,7 +17,10 @@
 from typing import Any
 
 from mastturn.capacity.network import Network, Owner
+from mastturn.capacity.sources import as_quiet, spin_ns
 
+LOOK_NS = 20_000_000  # how fast this core is at the moment is looked at so often
+BESIDE = 20_000  # turns of the plain loop that tell it
 OWNER: contextvars.ContextVar[Program | None] = contextvars.ContextVar("OWNER", default=None)
 
 
@@ -36,7 +39,7 @@
 
 @dataclass(slots=True)
 class Tally:
-    """What one program did since it was cleared: messages and bytes by kind, seconds of a core by cause."""
+    """What one program did since it was cleared: messages, bytes by kind, quiet core's seconds by cause."""
 
     sent: Counter[str] = field(default_factory=Counter)
     sent_bytes: Counter[str] = field(default_factory=Counter)
@@ -128,13 +131,17 @@
     """An event loop on the fleet's clock and network."""
 
     def __init__(self, charge: float = 0.0) -> None:
-        """`charge`: seconds on the clock for each second of processor time; 0: work takes no time."""
+        """`charge`: seconds on the clock for each of a quiet core's time; 0: work takes no time."""
         self._jumping = _Jumping()
         super().__init__(self._jumping)
         self.charge = charge
         self.network = Network(self, OWNER.get)
         self.faults: list[str] = []
         self._began_ns = 0  # of the piece of work that a program does now; 0: none does
+        self._scale, self._scaled_ns = (
+            1.0,
+            0,
+        )  # a quiet core's time for this one's, and when that was looked at
         self.set_exception_handler(self._fault)
 
     def _fault(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
@@ -143,18 +150,24 @@
     def time(self) -> float:
         """Seconds on the fleet's clock; within a piece of work what it has taken so far has gone by."""
         if self._began_ns and self.charge:
-            return self._jumping.now + (time.process_time_ns() - self._began_ns) / 1e9 * self.charge
+            return self._jumping.now + self._spent() * self.charge
         return self._jumping.now
 
     def begin_work(self) -> float:
         """A program begins a piece of work; when that is."""
+        if time.process_time_ns() - self._scaled_ns > LOOK_NS:
+            self._scale = as_quiet(1.0, spin_ns(BESIDE))
+            self._scaled_ns = time.process_time_ns()
         self._began_ns = time.process_time_ns()
         return self._jumping.now
 
     def end_work(self) -> float:
-        """It is done; seconds of a core that it took."""
-        spent, self._began_ns = time.process_time_ns() - self._began_ns, 0
-        return spent / 1e9
+        """It is done; seconds of a quiet core that it took."""
+        spent, self._began_ns = self._spent(), 0
+        return spent
+
+    def _spent(self) -> float:
+        return (time.process_time_ns() - self._began_ns) / 1e9 * self._scale
 
     def at(self, when: float, callback: Callable[..., object], *args: Any) -> None:
         """Schedule what belongs to no program."""
--- a/mastturn/capacity/days.py
+++ b/mastturn/capacity/days.py
@@ -15,10 +15,12 @@
 from mastturn.capacity.clockwork import Program, Tally
 from mastturn.capacity.fleet import Fleet, Machine, play
 from mastturn.capacity.shapes import BUDGET, Shape, list_entry
-from mastturn.capacity.sources import spin_ns
+from mastturn.capacity.sources import REFERENCE_NS
 from mastturn.capacity.traffic import Traffic
 
 BOOT_GAP_S = 0.3  # all machines start within this
+QUIET_S = 2.0  # at least: rolls are called once a second
+WARM_S = 1.0  # of traffic at the most before it is measured
 SETTLED_S = 4.0  # after the last balancer is configured the tree has its shape
 Figures = dict[str, Any]
 
@@ -53,13 +55,12 @@
 
     def __init__(self, fleet: Fleet) -> None:
         self._fleet = fleet
-        self._since, self._spin_ns = 0.0, 0.0
+        self._since = 0.0
         self.begin()
 
     def begin(self) -> None:
         """A phase begins; garbage of all programs together is no cost of one of them."""
         gc.collect()
-        self._spin_ns = spin_ns()
         self._since = self._fleet.loop.time()
         for machine in [*self._fleet.cores.values(), *self._fleet.edges.values()]:
             machine.program.tally = Tally()
@@ -74,7 +75,7 @@
         return {
             "seconds": round(seconds, 4),
             "behind_s": round(self._fleet.lag(), 3),
-            "spin_ns": round((self._spin_ns + spin_ns()) / 2, 2),
+            "spin_ns": REFERENCE_NS,  # processor time is told as on a quiet core
             "roles": {name: self._sum(machines) for name, machines in sorted(groups.items())},
         }
 
@@ -123,9 +124,9 @@
 class Day:
     """Plays the phases on one fleet."""
 
-    def __init__(self, shape: Shape, seconds: float, seed: int) -> None:
-        """`seconds`: of the quiet and of the busy phase."""
-        self._shape, self._seconds, self._seed = shape, seconds, seed
+    def __init__(self, shape: Shape, seconds: float, seed: int, calm: bool = False) -> None:
+        """`seconds`: of the busy phase, and of the quiet one if that is more; `calm`: no traffic comes."""
+        self._shape, self._seconds, self._seed, self._calm = shape, seconds, seed, calm
         self.figures: Figures = {"shape": asdict(shape), "phases": {}}
 
     async def __call__(self, fleet: Fleet) -> None:
@@ -140,15 +141,19 @@
         await self._phase(fleet, "configuration", self._configuration)
         await self._phase(fleet, "list", self._list)
         await self._phase(fleet, "restart", self._restart)
+        if not self._calm:
+            await self._peak(fleet)
+        gc.enable()
+        self.figures["faults"] = fleet.loop.faults[:5]
+
+    async def _peak(self, fleet: Fleet) -> None:
         traffic = Traffic(fleet, self._seed)
         share = self._shape.balancers / 350
         traffic.start(self._shape.requests_s * share)
-        await asyncio.sleep(1.0)
-        await self._phase(fleet, "busy", self._quiet)
+        await asyncio.sleep(min(WARM_S, self._seconds))
+        await self._phase(fleet, "busy", self._busy)
         await self._phase(fleet, "busy configuration", self._busy_configuration)
         traffic.stop()
-        gc.enable()
-        self.figures["faults"] = fleet.loop.faults[:5]
 
     async def _phase(self, fleet: Fleet, name: str, work: Callable[[Fleet], Any]) -> None:
         meter = Meter(fleet)
@@ -187,6 +192,9 @@
         await asyncio.sleep(SETTLED_S)
 
     async def _quiet(self, fleet: Fleet) -> None:
+        await asyncio.sleep(max(self._seconds, QUIET_S))
+
+    async def _busy(self, fleet: Fleet) -> None:
         await asyncio.sleep(self._seconds)
 
     async def _configuration(self, fleet: Fleet) -> Figures:
@@ -250,9 +258,11 @@
         return {"restarts": 1, "ready_s": ready}
 
 
-def run_day(shape: Shape, seconds: float, charge: float, mbps: float, seed: int) -> Figures:
+def run_day(
+    shape: Shape, seconds: float, charge: float, mbps: float, seed: int, calm: bool = False
+) -> Figures:
     """Play a day; its figures."""
-    day = Day(shape, seconds, seed)
+    day = Day(shape, seconds, seed, calm)
     fleet = play(shape, day, charge, mbps)
     calls = [at for at in fleet.platform.calls]
     return day.figures | {
--- a/mastturn/capacity/foreseen.py
+++ b/mastturn/capacity/foreseen.py
@@ -11,9 +11,9 @@
 
 from mastturn.capacity.shapes import FITTED, HELD_OUT, TARGET, Shape
 from mastturn.capacity.slopes import Line, agrees, fit
+from mastturn.capacity.sources import as_quiet
 from sonde.relays import DEGREE
 
-REFERENCE_NS = 18.0  # a turn of the plain loop on a quiet core of the machine of these runs
 Figures = dict[str, Any]
 Regressor = Callable[[Shape], float]
 
@@ -67,7 +67,7 @@
     """Per second, the mean over a role's programs; processor time as on a quiet core."""
     told = figures["phases"][phase]
     found = total(told["roles"][role][what], *kinds) / float(told["seconds"])
-    return found * REFERENCE_NS / float(told["spin_ns"]) if what == "cpu" else found
+    return as_quiet(found, float(told["spin_ns"])) if what == "cpu" else found
 
 
 def per_change(figures: Figures, phase: str, role: str, what: str, *kinds: str) -> float:
@@ -75,7 +75,7 @@
     told = figures["phases"][phase]
     changes = float(told.get("changes") or told.get("restarts") or 1)
     found = total(told["roles"][role][what], *kinds) / changes
-    return found * REFERENCE_NS / float(told["spin_ns"]) if what == "cpu" else found
+    return as_quiet(found, float(told["spin_ns"])) if what == "cpu" else found
 
 
 @dataclass(frozen=True, slots=True)
--- a/mastturn/capacity/parts.py
+++ b/mastturn/capacity/parts.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import random
+import statistics
 import time
 import zlib
 from collections.abc import Callable
@@ -12,6 +13,7 @@
 from barograph.platform import pack
 from mastturn.capacity.network import KINDS
 from mastturn.capacity.shapes import TARGET, Shape, configuration, list_entries
+from mastturn.capacity.sources import as_quiet, spin_ns
 from screen.checking import check, parse_configuration, parse_upstreams
 from sonde.holdings import Holdings
 from sonde.loads import Loads, OthersLoad, add, unpack
@@ -36,17 +38,21 @@
 # Foreseen from the sizes above, then measured.
 HELD_OUT = {"entries": 2_800, "holdings": 2_800, "members": 350, "routes": 840}
 HEAD = 6
+BESIDE = 20_000  # turns of the loop: under half a millisecond
 Points = list[dict[str, Any]]
 
 
 def cost_s(work: Callable[[], object], repeats: int) -> float:
-    """Seconds of a core for one call: the least of several, as nobody else uses the core then."""
-    spans = []
+    """Seconds of a quiet core for one call: the median of several, each against a plain loop beside it."""
+    spans, before = [], spin_ns(BESIDE)
     for _ in range(repeats):
         began = time.process_time_ns()
         work()
-        spans.append((time.process_time_ns() - began) / 1e9)
-    return min(spans)
+        spent = (time.process_time_ns() - began) / 1e9
+        after = spin_ns(BESIDE)
+        spans.append(as_quiet(spent, (before + after) / 2))
+        before = after
+    return statistics.median(spans)
 
 
 def _shape(entries: int) -> Shape:
--- a/mastturn/capacity/plane.py
+++ b/mastturn/capacity/plane.py
@@ -15,6 +15,7 @@
 
 from mastturn.capacity.children import Child, child
 from mastturn.capacity.shapes import TARGET, configuration, list_entries
+from mastturn.capacity.sources import spin_ns
 from screen.checking import parse_configuration
 from screen.configuration import Configuration, Route, Upstream
 from screen.settings import Bounds, CloudApi, Limits, Listen, Settings
@@ -22,8 +23,10 @@
 
 EVENTS = (1, 8, 32, 64, 128)  # events of one answer
 HELD_OUT = 258  # 620,000 tokens a second over 2,400 requests, one token an event
-REQUESTS = 120
+REQUESTS = 40
+ROUNDS = 6
 AT_ONCE = 4
+BESIDE = 200_000  # turns of the plain loop that tell how fast the core is
 GAP_S = 0.002  # between the events of an answer: each is a wake-up of its own
 
 
@@ -81,7 +84,7 @@
         while pipe.poll():
             os.set_blocking(pipe.fileno(), True)  # the loop has changed that
             pipe.recv()
-            pipe.send(time.process_time())
+            pipe.send((time.process_time(), spin_ns(BESIDE)))
 
 
 class _Upstream:
@@ -158,15 +161,17 @@
 async def _round(there: Child, port: int, route: Route, events: int) -> dict[str, Any]:
     kept: list[float] = []
     seen: list[int] = []
-    before, began = there.ask(None), time.perf_counter()
+    (before, spin), began = there.ask(None), time.perf_counter()
     await asyncio.gather(
         *(_client(port, route, events, REQUESTS // AT_ONCE, kept, seen) for _ in range(AT_ONCE))
     )
-    spent, took = there.ask(None) - before, time.perf_counter() - began
+    after, spin_after = there.ask(None)
+    spent, took = after - before, time.perf_counter() - began
     kept.sort()
     return {
         "x": events,
         "cpu_s_a_request": spent / REQUESTS,
+        "spin_ns": round((spin + spin_after) / 2, 2),
         "requests": len(seen),
         "requests_s": len(seen) / took,
         "busy": spent / took,
@@ -182,7 +187,7 @@
     with child(_main, upstreams, listed) as there:
         port = there.hear()
         await _round(there, port, route, 4)  # connections come up, code is warm
-        for _ in range(2):
+        for _ in range(ROUNDS):
             for events in (*EVENTS, HELD_OUT):
                 found.append(await _round(there, port, route, events))
     return found
--- a/mastturn/capacity/sources.py
+++ b/mastturn/capacity/sources.py
@@ -12,6 +12,7 @@
 
 MEASURED = ("sonde", "barograph", "station", "screen", "windvane", "passpost", "umberworks")
 SPINS = 1_000_000
+REFERENCE_NS = 18.0  # a turn of the plain loop on a quiet core of the machine of these runs
 
 
 def _root() -> Path:
@@ -34,13 +35,18 @@
     return found.stdout.strip()
 
 
-def spin_ns() -> float:
+def spin_ns(turns: int = SPINS) -> float:
     """Nanoseconds of this core for one turn of a plain loop: less is faster."""
     began = time.process_time_ns()
     total = 0
-    for i in range(SPINS):
+    for i in range(turns):
         total += i
-    return (time.process_time_ns() - began) / SPINS
+    return (time.process_time_ns() - began) / turns
+
+
+def as_quiet(cpu_s: float, spin: float) -> float:
+    """Processor time as on a quiet core, from what it was while a turn of the loop took so long (ns)."""
+    return cpu_s * REFERENCE_NS / spin
 
 
 def described() -> dict[str, Any]:
--- a/mastturn/capacity/tables.py
+++ b/mastturn/capacity/tables.py
@@ -4,13 +4,13 @@
 
 import json
 import re
+import statistics
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
 from mastturn.capacity import budget, remedies
 from mastturn.capacity.foreseen import (
-    REFERENCE_NS,
     Foreseen,
     foresee,
     rate,
@@ -18,6 +18,7 @@
 )
 from mastturn.capacity.shapes import BUDGET, HELD_OUT, TARGET
 from mastturn.capacity.slopes import Line, agrees, fit
+from mastturn.capacity.sources import as_quiet
 from mastturn.files import LabError
 
 Table = Callable[[Path], list[str]]
@@ -274,10 +275,26 @@
     return rows(head, body)
 
 
+def _measured_peak(folder: Path) -> dict[str, float]:
+    """What a hollow fleet of the target's size spent at its peak, by the part of the budget."""
+    found: dict[str, float] = {}
+    for figures in read_fleets(folder).get(HELD_OUT, []):
+        for role, words in (("leaf", "a balancer that tells nobody"), ("head", "a relay")):
+            both = rate(figures, "busy", role, "got_bytes") + rate(figures, "busy", role, "sent_bytes")
+            found[f"bytes a second, {words}"] = both
+            found[f"share of a core, {words}"] = rate(figures, "busy", role, "cpu")
+    return found
+
+
 def _budget(folder: Path) -> list[str]:
     found = budget.within(read(folder, "parts"), _frame_s(folder), _beside(folder))
-    return rows(["control at one balancer", "foreseen", "budget", "verdict"],
-                [[n, figure(v), figure(b), t] for n, v, b, t in found])  # fmt: skip
+    peak = _measured_peak(folder)
+    body = []
+    for name, value, bound, verdict in found:
+        measured = figure(peak[name]) if name in peak else "-"
+        body.append([name, figure(value), measured, figure(bound), verdict])
+    head = ["control at one balancer", "foreseen by prices", "measured at 350, peak", "budget", "foreseen"]
+    return rows(head, body)
 
 
 def _remedies(folder: Path) -> list[str]:
@@ -295,7 +312,7 @@
     held = found["held_out"]
 
     def cost(point: dict[str, Any]) -> float:
-        return float(point["cpu_s"] * 1e6 * REFERENCE_NS / point["spin_ns"])
+        return as_quiet(point["cpu_s"] * 1e6, point["spin_ns"])
 
     line = fit([(p["x"], cost(p)) for p in found["choices"] if p["x"] != held])
     body = []
@@ -374,12 +391,19 @@
     return "not within 60" if value is None else figure(value)
 
 
+def _a_request_ms(point: dict[str, Any]) -> float:
+    return as_quiet(point["cpu_s_a_request"] * 1000, point["spin_ns"])
+
+
 def _plane(folder: Path) -> list[str]:
     found = read(folder, "plane")
     held = found["held_out"]
-    line = fit([(p["x"], p["cpu_s_a_request"] * 1000) for p in found["plane"] if p["x"] != held])
-    at = [p["cpu_s_a_request"] * 1000 for p in found["plane"] if p["x"] == held]
-    measured = sum(at) / len(at)
+    middle = {
+        x: statistics.median(_a_request_ms(p) for p in found["plane"] if p["x"] == x)
+        for x in sorted({p["x"] for p in found["plane"]})
+    }
+    line = fit([(x, ms) for x, ms in middle.items() if x != held])
+    measured = middle[held]
     requests, tokens = TARGET.requests_s / TARGET.balancers, TOKENS_S / TARGET.balancers
 
     def share(tokens_an_event: int) -> str:
--- a/mastturn/capacity/troubles.py
+++ b/mastturn/capacity/troubles.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import gc
+from collections import Counter
 from dataclasses import asdict
 from typing import Any
 
@@ -97,9 +98,10 @@
         return found
 
     async def _region(self, fleet: Fleet) -> Figures:
-        """Another region than the primary's is cut off from the others for a while."""
+        """A region that has few of the core, and not the primary, is cut off from the others for a while."""
         own = fleet.primary().program.place[1]
-        region = next(m.program.place[1] for m in fleet.live() if m.program.place[1] != own)
+        cores = Counter(m.program.place[1] for m in fleet.cores.values())
+        region = min({m.program.place[1] for m in fleet.live()} - {own}, key=lambda r: (cores[r], r))
         cut = [m for m in fleet.live() if m.program.place[1] == region]
         meter, since, calls = Meter(fleet), fleet.loop.time(), len(fleet.platform.calls)
         listed = {m.program.name: fleet.plane(m).lists for m in cut}
--- a/mastturn/control_check/disk.py
+++ b/mastturn/control_check/disk.py
@@ -19,6 +19,7 @@
         self._sync_ms, self._random, self._later = sync_ms, chance, later
         self.kept: Memory | None = None  # None: empty
         self._queue: deque[tuple[Record, Callable[[bool], None]]] = deque()
+        self._group = 0
         self._turn = 0  # of the sync under way; a later one makes it void
         self.refuses = False
         self.hangs = False
@@ -56,6 +57,7 @@
 
     def _start(self) -> None:
         self._turn += 1
+        self._group = len(self._queue)  # what waits is written together and synced once
         turn = self._turn
         self._later(self._sync_ms * self.slow * self._random.uniform(0.5, 2.0), lambda: self._synced(turn))
 
@@ -68,10 +70,13 @@
             for _, done in waiting:  # what was given behind a refused record fails with it
                 done(False)
             return
-        record, done = self._queue.popleft()
+        group, self._group = self._group, 0
+        synced = [self._queue.popleft() for _ in range(group)]
         assert self.kept is not None
-        apply(self.kept, record)
+        for record, _ in synced:
+            apply(self.kept, record)
         self.syncs += 1
         if self._queue:
             self._start()
-        done(True)
+        for _, done in synced:
+            done(True)
--- a/mastturn/control_check/local.py
+++ b/mastturn/control_check/local.py
@@ -19,7 +19,7 @@
 # campaign begins when the search says so. Two processes that differ in nothing else are one.
 TIMES = frozenset(
     "heard_at heard_from leading_at began stage_at sent_at now write_at refused behind _next_try _beat_at "
-    "_silent_since _silent_in _started _joined_at _ticked_at _came".split()
+    "_silent_since _silent_in started _joined_at _ticked_at _came _patience _hung_at write_ms took_ms".split()
 )
 LAPSE_MS = 700.0
 SETTLE_MS = 30.0
@@ -162,9 +162,9 @@
                 if replica.acceptor.is_displaced():
                     replica.acceptor.forget()
                 if replica.memory.slot() is None:
-                    replica._ask_in()
+                    replica._inquirer.ask_in()
                 else:
-                    replica._inquire()
+                    replica._inquirer.inquire()
             case Submit(command):
                 replica.submit(command, one.now)
 
--- a/mastturn/control_check/troubles.py
+++ b/mastturn/control_check/troubles.py
@@ -18,6 +18,7 @@
     def __init__(self, world: World) -> None:
         self._world = world
         self._lost: set[str] = set()  # IPs
+        self._herd_at = -1e9
         self._machines_made = world.shape.machines
         self._kinds: list[Callable[[Machine, Callable[[], None]], None]] = [
             self._kill,
@@ -75,6 +76,9 @@
             world.later(SYNC_MS, over)
 
         def over() -> None:
+            if world.now - self._herd_at < SYNC_MS:  # killed with all others since its return
+                world.later(SYNC_MS, over)
+                return
             self._lost.discard(ip)
             pause = 0.0 if chance.random() < 0.4 else chance.uniform(0, 2_500)
             world.later(pause, self._next)
@@ -246,6 +250,8 @@
         world = self._world
         power = world.chance.random() < 0.5
         world.trouble(f"herd power={power}", None)
+        if not world.shape.storm:
+            self._herd_at = world.now
         for machine in list(world.machines.values()):
             if machine.replica is None:
                 continue
--- /dev/null
+++ b/tests/replica_exchange.py
@@ -0,0 +1,152 @@
+"""A few control processes without delays, on disks that sync at once; every exchange is written down."""
+
+from __future__ import annotations
+
+from collections import deque
+
+from barograph.codec import apply, whole
+from barograph.effects import Committed, Lead, Persist, Reply, Send, Spec
+from barograph.messages import Beat, Heard, Message
+from barograph.replica import Replica
+from barograph.views import Member, Memory
+
+TICK_MS = 25.0
+
+
+class Exchange:
+    """`cuts`: pairs (from, to) that lose messages; `hangs`: whose disks sync nothing; `frozen`: who rests."""
+
+    def __init__(self, machines: int = 3, losses: int = 1) -> None:
+        self.spec = Spec(machines, losses + 1)
+        self.now = 0.0
+        self.lines: list[str] = []
+        self.cuts: set[tuple[int, int]] = set()
+        self.hangs: set[int] = set()
+        self.frozen: set[int] = set()
+        self.lost: set[str] = set()  # kinds of message that are lost
+        self.replies: list[Reply] = []
+        self._sent: deque[tuple[int, int, Message]] = deque()
+        self._held: dict[int, list[Persist]] = {}
+        self.disks = {i: Memory(f"i{i}") for i in range(machines)}
+        self.replicas: dict[int, Replica] = {}
+        for index in range(machines):
+            self.boot(index, founder=index == 0)
+        self.run(400.0)
+        assert self.primary() == 0
+        self.lines.clear()
+
+    def boot(self, index: int, founder: bool = False) -> None:
+        """A process starts on what its disk holds."""
+        disk = self.disks[index]
+        memory = Memory(disk.identity, disk.promised, disk.view, disk.document)
+        me = Member(memory.identity, f"core-{index}", ip(index), 7700, f"{ip(index)}:8166", f"z{index}")
+        seeds = tuple(ip(i) for i in range(3))
+        self.replicas[index] = Replica(me, memory, self.spec, seeds, founder, index)
+        self.replicas[index].start(self.now)
+
+    def wipe(self, index: int, identity: str) -> None:
+        """The process loses its disk and starts anew."""
+        self.disks[index] = Memory(identity)
+        self.boot(index)
+
+    def cut(self, index: int) -> None:
+        """One process is cut off from all others."""
+        self.cuts |= {p for i in self.replicas if i != index for p in ((i, index), (index, i))}
+
+    def primary(self) -> int | None:
+        """Who leads the latest view."""
+        found = [(r.primary.view.epoch, i) for i, r in self.replicas.items() if r.primary is not None]
+        return max(found)[1] if found else None
+
+    def epoch(self) -> int:
+        """The latest epoch that somebody leads."""
+        return max((r.primary.view.epoch for r in self.replicas.values() if r.primary is not None), default=0)
+
+    def run(self, length_ms: float) -> None:
+        """Let time go by."""
+        until = self.now + length_ms
+        while self.now < until:
+            self.now += TICK_MS
+            for index in list(self.replicas):
+                if index not in self.frozen:
+                    self.replicas[index].tick(self.now)
+                    self.settle()
+
+    def hear(self, sender: int, receiver: int, message: Message) -> None:
+        """A message comes by itself, as from the network."""
+        self._sent.append((sender, receiver, message))
+        self.settle()
+
+    def settle(self) -> None:
+        """Carry out all that follows."""
+        while True:
+            for index, replica in self.replicas.items():
+                if index not in self.frozen:
+                    for effect in replica.take():
+                        self._do(index, effect)
+            if not self._sent:
+                return
+            sender, receiver, message = self._sent.popleft()
+            if receiver in self.replicas and receiver not in self.frozen:
+                self.replicas[receiver].hear(ip(sender), message, self.now)
+
+    def free(self, index: int) -> None:
+        """A disk that hung syncs what has waited."""
+        self.hangs.discard(index)
+        for persist in self._held.pop(index, []):
+            self._do(index, persist)
+        self.settle()
+
+    def _do(self, index: int, effect: object) -> None:
+        match effect:
+            case Send(to, message):
+                self._send(index, int(to.split(".")[2]), message)
+            case Persist() if index in self.hangs:
+                self._held.setdefault(index, []).append(effect)
+            case Persist(record, then):
+                apply(self.disks[index], record)
+                for send in then:
+                    self._do(index, send)
+            case Reply():
+                self.replies.append(effect)
+                self.lines.append(f"{index} answers {effect.verdict.value}")
+            case Lead(view):
+                self.lines.append(f"{index} leads {view.epoch if view is not None else 'no longer'}")
+            case Committed():
+                pass
+
+    def _send(self, sender: int, receiver: int, message: Message) -> None:
+        kind = type(message).__name__
+        if sender == receiver:
+            self._sent.append((sender, receiver, message))
+            return
+        lost = (sender, receiver) in self.cuts or kind in self.lost
+        if not isinstance(message, Beat | Heard):
+            self.lines.append(f"{sender} -> {receiver} {brief(message)}{' (lost)' if lost else ''}")
+        if not lost:
+            self._sent.append((sender, receiver, message))
+
+    def synced(self, index: int) -> bool:
+        """Whether the disk holds all that the process knows."""
+        return whole(self.disks[index]) == whole(self.replicas[index].memory)
+
+
+def ip(index: int) -> str:
+    """The address of a process."""
+    return f"10.0.{index}.1"
+
+
+def brief(message: Message) -> str:
+    """A message in a few words."""
+    parts = [type(message).__name__]
+    view = getattr(message, "view", None)
+    epoch = getattr(message, "epoch", None)
+    if epoch is not None:
+        parts.append(str(epoch))
+    elif view is not None:
+        parts.append(str(view.epoch))
+    if getattr(message, "ok", True) is False:
+        parts.append("no")
+    if getattr(message, "active", False):
+        parts.append("in force")
+    return " ".join(parts)
--- /dev/null
+++ b/tests/test_replica_exchanges.py
@@ -0,0 +1,281 @@
+"""Exchanges of the control state, step by step: one for each fault that was found, and the ordinary ones."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from barograph.effects import Verdict
+from barograph.joining import Newcomers
+from barograph.messages import Ask, Beat, Install, Join, Leaving, Prepare, Promised, Written
+from barograph.patience import Patience
+from barograph.primary import Get, Put
+from barograph.views import Member, View
+from tests.replica_exchange import Exchange, ip
+
+PUT = Put(1, 0, 3, "d", b"{}")
+
+
+def test_a_write_is_synced_by_all_holders_before_its_answer() -> None:
+    world = Exchange()
+    world.replicas[0].submit(PUT, world.now)
+    world.settle()
+    assert world.lines == ["0 -> 1 Write 1", "1 -> 0 Written 1", "0 answers done"]
+    assert world.disks[0].document == world.disks[1].document and world.disks[0].document.ver == 3
+    assert world.disks[2].document.ver == 0  # a witness keeps epochs alone
+
+
+def test_the_primary_is_cut_off_and_a_holder_takes_its_place() -> None:
+    world = Exchange()
+    world.cut(0)
+    world.run(800.0)
+    told = [line for line in world.lines if "(lost)" not in line]
+    assert told == [
+        "1 -> 2 Ask 2",
+        "2 -> 1 Answer 2",
+        "1 -> 2 Prepare 2",
+        "2 -> 1 Promised 2",
+        "1 -> 2 Install 2",
+        "2 -> 1 Installed 2",
+        "1 leads 2",
+    ]
+    world.run(400.0)
+    assert world.lines[-1] != "0 leads 1" and world.replicas[0].primary is None
+
+
+def test_a_primary_that_is_cut_off_answers_no_question() -> None:
+    world = Exchange()
+    world.cut(0)
+    world.replicas[0].submit(Get(1), world.now)
+    world.run(2_000.0)
+    assert [r.verdict for r in world.replies] == [Verdict.MOVED]
+
+
+def test_a_later_view_of_one_that_is_no_help_does_not_bar_the_others() -> None:
+    """1 has accepted a view that came to nothing, and its disk is full."""
+    world = Exchange()
+    world.lost = {"Installed", "Install"}
+    world.cuts = {(0, 1), (0, 2)}
+    world.run(700.0)
+    assert world.replicas[1].memory.view is not None and world.replicas[1].memory.view.epoch == 2
+    world.replicas[1].disk(False)
+    world.run(1_000.0)
+    world.lost, world.cuts = set(), set()
+    world.run(1_500.0)
+    assert world.primary() == 0 and world.epoch() > 2
+
+
+def test_no_witness_accepts_a_view_before_its_holders() -> None:
+    """The campaigner is lost after its Installs: who is left can go on."""
+    world = Exchange()
+    world.frozen = {0}
+    world.lost = {"Installed"}
+    world.run(900.0)
+    assert {line for line in world.lines if "Install " in line} == {"1 -> 2 Install 2"}
+    view = world.replicas[2].memory.view
+    assert view is not None and view.epoch == 2 and view.holders == (1, 2)
+    world.frozen, world.lost = {1}, set()  # 2 holds the data, and so can go on
+    world.run(1_500.0)
+    assert world.primary() == 2
+
+
+def test_who_comes_out_of_a_freeze_does_not_unseat_the_primary() -> None:
+    world = Exchange()
+    world.frozen = {1}
+    world.run(300.0)
+    world.frozen = set()
+    world.hear(1, 0, Ask("i1", "i0", 2, False))
+    assert "0 -> 1 Answer 2 no" in world.lines  # the primary itself says no as long as it hears a majority
+    world.lines.clear()
+    world.frozen = {1}
+    world.run(2_000.0)
+    world.frozen = set()
+    world.run(100.0)  # its first ticks come before any beat
+    assert not [line for line in world.lines if line.startswith("1 -> 0 Prepare")]
+    assert world.primary() == 0
+
+
+def test_a_candidate_whose_disk_hangs_disturbs_nobody() -> None:
+    world = Exchange()
+    world.hangs = {1}
+    world.cut(0)
+    world.run(1_500.0)
+    assert [line for line in world.lines if "Ask" in line and line.startswith("1 -> 2")]
+    assert not [line for line in world.lines if "Prepare" in line]
+    assert world.disks[2].promised == 1
+
+
+def test_a_primary_whose_disk_hangs_names_its_successor() -> None:
+    world = Exchange()
+    world.hangs = {0}
+    world.replicas[0].submit(PUT, world.now)
+    world.settle()
+    world.run(500.0)
+    assert "0 -> 1 Succeed 1" in world.lines and world.primary() == 1
+    assert world.replicas[1].memory.document.ver == 3  # it has the write
+
+
+def test_a_process_that_was_given_up_gives_up_its_slot_and_comes_back() -> None:
+    world = Exchange()
+    world.cut(2)
+    world.replicas[3] = world.replicas[2]  # one of another machine waits for a slot
+    del world.replicas[3]
+    world.disks[3] = world.disks[2].__class__("i3")
+    world.boot(3)
+    world.cuts |= {(2, 3), (3, 2)}
+    world.run(2_500.0)
+    view = world.replicas[0].memory.view
+    assert view is not None and view.slot_of("i3") == 2 and view.slot_of("i2") is None
+    assert world.replicas[2].memory.slot() == 2  # it has not heard of it
+    world.cuts = set()
+    world.run(600.0)
+    assert world.replicas[2].memory.view is None and world.synced(2)
+    assert world.disks[2].promised >= view.epoch
+    assert "2 -> 0 Join" in world.lines
+    world.frozen = {3}
+    world.run(2_500.0)
+    again = world.replicas[0].memory.view
+    assert again is not None and again.slot_of("i2") == 2 and world.replicas[2].memory.slot() == 2
+
+
+def test_nobody_is_named_who_has_not_promised_the_view_in_force() -> None:
+    member = Member("n", "core-9", "10.0.9.1", 7700, "")
+    view = View(5, 0, (0, 1), (Member("a", "a", "1", 1, ""), Member("b", "b", "2", 1, ""), None))
+    newcomers = Newcomers()
+    newcomers.take(Join("n", "", member, 4), 0.0)
+    assert newcomers.vacancy(view, []) == (None, None)
+    newcomers.take(Join("n", "", member, 5), 0.0)
+    assert newcomers.vacancy(view, []) == (2, member)
+
+
+def test_a_slot_goes_to_the_latest_process_of_a_machine_and_from_the_longest_silent() -> None:
+    view = View(5, 0, (0, 1), tuple(Member(f"i{i}", f"core-{i}", ip(i), 1, "") for i in range(3)))
+    newcomers = Newcomers()
+    old, new = (Member(i, "core-2", ip(2), 1, "") for i in ("old", "new"))
+    newcomers.take(Join("old", "", old, 5), 0.0)
+    newcomers.take(Join("new", "", new, 5), 1.0)
+    assert newcomers.members() == [new] and newcomers.vacancy(view, []) == (2, new)
+    other = Member("x", "core-7", ip(7), 1, "")
+    newcomers = Newcomers()
+    newcomers.take(Join("x", "", other, 5), 0.0)
+    assert newcomers.vacancy(view, [2, 1]) == (2, other)
+
+
+def test_an_old_install_names_nobody_again() -> None:
+    """A view in force that comes late: the newcomer has promised a later one."""
+    world = Exchange()
+    newcomer = Member("i3", "core-3", ip(3), 7700, f"{ip(3)}:8166", "z3")
+    first = world.replicas[0].memory.view
+    assert first is not None
+    world.disks[3] = world.disks[2].__class__("i3")
+    world.boot(3)
+    world.run(300.0)
+    promised = world.replicas[3].memory.promised
+    assert promised == 1 and world.disks[3].promised == 1
+    older = replace(first, epoch=0, members=(*first.members[:2], newcomer))
+    world.hear(0, 3, Install("i0", "i3", older, None, True))
+    assert world.replicas[3].memory.view is None
+
+
+def test_a_late_refusal_of_an_earlier_write_changes_no_view() -> None:
+    world = Exchange()
+    world.replicas[0].submit(PUT, world.now)
+    world.settle()
+    world.hear(1, 0, Written("i1", "i0", 1, 1, False, 1))
+    world.replicas[0].submit(Put(2, 3, 4, "e", b""), world.now)
+    world.settle()
+    world.run(300.0)
+    assert world.epoch() == 1 and world.replicas[0].memory.document.ver == 4
+
+
+def test_a_backup_may_be_quicker_than_the_primary_itself() -> None:
+    world = Exchange()
+    world.hangs = {0}
+    world.replicas[0].submit(PUT, world.now)
+    world.settle()
+    world.free(0)
+    assert world.lines[-1] == "0 answers done"
+
+
+def test_one_that_leaves_holds_nothing_and_may_come_back() -> None:
+    world = Exchange()
+    world.hear(1, 0, Leaving("i1", "i0"))
+    world.run(300.0)
+    view = world.replicas[0].memory.view
+    assert view is not None and 1 not in view.holders
+    before = world.epoch()
+    world.hear(2, 0, Leaving("i2", "i0"))
+    world.run(2_000.0)
+    assert world.epoch() <= before + 1  # with nobody left to take its place the view stays
+    world.run(11_000.0)
+    assert not world.replicas[0]._leaving
+
+
+def test_a_primary_that_hears_nothing_still_names_its_successor() -> None:
+    world = Exchange()
+    world.cuts = {(1, 0), (2, 0)}
+    world.run(1_100.0)
+    assert "0 -> 1 Succeed 1" in world.lines and world.primary() == 1
+
+
+def test_a_lost_message_of_a_campaign_is_sent_again_and_a_repeat_gets_the_same_answer() -> None:
+    world = Exchange()
+    world.cut(0)
+    world.lost = {"Promised"}
+    world.run(700.0)
+    world.lost = set()
+    world.run(200.0)
+    assert world.primary() == 1 and world.epoch() == 2
+    world.lines.clear()
+    world.hear(1, 2, Prepare("i1", "i2", 2))
+    assert world.lines == ["2 -> 1 Promised 2"]
+    world.hear(0, 2, Prepare("i0", "i2", 2))
+    assert world.lines[-1].startswith("2 -> 0 Promised 2 no")  # to another it is not promised
+
+
+def test_a_campaign_that_was_won_in_a_freeze_is_over() -> None:
+    world = Exchange()
+    world.cut(0)
+    world.lost = {"Installed"}
+    world.run(725.0)
+    campaign = world.replicas[1]._campaign
+    assert campaign is not None and campaign.view is not None
+    world.frozen = {1}
+    world.now += 5_000.0
+    campaign.installed |= set(campaign.view.holders)
+    campaign.stage = campaign.stage.__class__.WON
+    world.frozen = set()
+    world.hear(2, 1, Promised("i2", "i1", 2, True, 2, None))
+    assert world.replicas[1].primary is None and "1 leads 2" not in world.lines
+
+
+def test_a_wiped_process_has_no_say_until_a_view_in_force_names_it() -> None:
+    world = Exchange()
+    world.cut(2)
+    world.wipe(2, "j2")
+    world.hear(1, 2, Prepare("i1", "i2", 2))  # meant for the one of before
+    world.hear(1, 2, Prepare("i1", "j2", 2))
+    world.hear(1, 2, Install("i1", "j2", View(2, 1, (1,), (None, None, None)), None, False))
+    assert world.replicas[2].memory.promised == 0 and world.replicas[2].memory.view is None
+    world.cuts = set()
+    world.run(800.0)
+    view = world.replicas[0].memory.view
+    assert view is not None and view.slot_of("j2") == 2 and world.replicas[2].memory.view == view
+
+
+def test_a_wiped_process_whose_seeds_are_gone_asks_whoever_speaks_to_its_predecessor() -> None:
+    world = Exchange()
+    world.wipe(2, "j2")
+    world.replicas[2].follow_seeds(("10.0.77.1",))
+    world.hear(0, 2, Beat("i0", "i2", 1, 1))
+    world.run(700.0)
+    assert world.replicas[2].memory.slot() == 2
+
+
+def test_patience_grows_with_each_wait_in_vain_and_eases() -> None:
+    patience = Patience()
+    factors = []
+    for at in (0.0, 1_000.0, 2_000.0, 3_000.0, 4_000.0):
+        factors.append(patience.factor(at))
+        patience.lose(at)
+    assert factors == [1.0, 2.0, 4.0, 8.0, 8.0]
+    assert [patience.factor(4_000.0 + after) for after in (4_900.0, 5_100.0, 30_000.0)] == [8.0, 4.0, 1.0]
--- /dev/null
+++ b/tests/test_replica_histories.py
@@ -0,0 +1,65 @@
+"""Seeded histories of the control state with faults: every rule holds in each; see docs/control.md."""
+
+from __future__ import annotations
+
+import pytest
+
+from mastturn.control_check.history import History, play
+from mastturn.control_check.network import Air
+from mastturn.control_check.world import STORM_AIR, Shape, World
+
+FOUND = ((3, 159), (3, 814), (5, 426), (5, 30531), (3, 40151))  # histories that have shown a fault
+
+
+def held(histories: list[History]) -> None:
+    assert [h.broken for h in histories if h.broken] == []
+    assert all(h.acknowledged > 10 and h.reads > 10 for h in histories)
+
+
+@pytest.mark.parametrize(("machines", "losses"), [(3, 1), (5, 2)])
+def test_no_rule_is_broken_and_somebody_takes_over(machines: int, losses: int) -> None:
+    histories = [play(Shape(machines, losses), seed) for seed in range(25)]
+    held(histories)
+    gaps = [g for h in histories for g in h.gaps if "+" not in g.trouble]
+    assert {"kill", "freeze", "isolate", "wipe"} <= {g.trouble for g in gaps}
+    alone = sorted(g.took_ms for g in gaps if g.trouble in ("kill", "freeze", "isolate", "wipe"))
+    assert alone[len(alone) * 9 // 10] <= 1_500.0
+
+
+@pytest.mark.parametrize(("machines", "seed"), FOUND)
+def test_histories_that_have_shown_a_fault(machines: int, seed: int) -> None:
+    held([play(Shape(machines, (machines - 1) // 2), seed)])
+
+
+@pytest.mark.parametrize(("machines", "losses"), [(3, 1), (5, 2)])
+def test_nothing_is_lost_when_all_are_killed_again_and_again(machines: int, losses: int) -> None:
+    held([play(Shape(machines, losses, 20.0, storm=True, air=STORM_AIR), seed) for seed in range(10)])
+
+
+@pytest.mark.parametrize("machines", [3, 5])
+def test_nothing_rests_on_clocks(machines: int) -> None:
+    shape = Shape(machines, (machines - 1) // 2, storm=True, jumps=True)
+    assert [h.broken for h in (play(shape, seed) for seed in range(8)) if h.broken] == []
+
+
+@pytest.mark.parametrize("machines", [3, 5])
+def test_slow_disks_everywhere_end_no_view_for_long(machines: int) -> None:
+    """Every sync takes 0.2 to 0.8 s: changes are slow, and there is a primary that takes them."""
+    shape = Shape(machines, (machines - 1) // 2, 400.0, storm=True, length_ms=120_000.0)
+    for seed in range(2):
+        world = World(shape, seed)
+        world.begin()
+        world.run(shape.length_ms)
+        assert world.rules.acknowledged >= 30 and world.views <= 15
+
+
+def test_a_network_that_loses_and_repeats_a_tenth_breaks_nothing() -> None:
+    air = Air(slow_share=0.1, slow_ms=400.0, lost_share=0.1, repeated_share=0.1)
+    for machines in (3, 5):
+        shape = Shape(machines, (machines - 1) // 2, storm=True, air=air)
+        assert [h.broken for h in (play(shape, seed) for seed in range(5)) if h.broken] == []
+
+
+def test_a_history_can_be_played_again() -> None:
+    one, two = (play(Shape(3, 1, length_ms=15_000.0), 7, told=True) for _ in range(2))
+    assert one == two and len(one.story) > 300
--- /dev/null
+++ b/tests/test_replica_messages.py
@@ -0,0 +1,103 @@
+"""Messages and records of the control state: what is encoded is read back as it was."""
+
+from __future__ import annotations
+
+import pytest
+
+from barograph.codec import (
+    PromiseRecord,
+    Record,
+    ViewRecord,
+    WholeRecord,
+    WriteRecord,
+    apply,
+    read_record,
+    revive,
+    whole,
+    write_record,
+)
+from barograph.messages import (
+    KINDS,
+    Answer,
+    Ask,
+    Beat,
+    Heard,
+    Install,
+    Installed,
+    Join,
+    Known,
+    Leaving,
+    Message,
+    Prepare,
+    Promised,
+    Succeed,
+    Write,
+    Written,
+)
+from barograph.views import Document, Member, Memory, Taken, View
+from screen.errors import WireError
+from screen.wire import FrameReader
+
+A = Member("a", "core-a", "10.0.0.1", 7700, "10.0.0.1:8166", "hall-a")
+B = Member("b", "core-b", "10.0.1.1", 7700, "10.0.1.1:8166")
+VIEW = View(3, 0, (0, 2), (A, None, B))
+DOCUMENT = Document(2, 9, b"\0{}", (Taken(4, "x"), Taken(9, "y")))
+
+MESSAGES: list[Message] = [
+    Ask("a", "b", 4, True),
+    Answer("a", "b", 4, True, 3, VIEW),
+    Answer("a", "b", 4, False, 3, None),
+    Prepare("a", "b", 4),
+    Promised("a", "b", 4, True, 4, VIEW),
+    Install("a", "b", VIEW, DOCUMENT, False),
+    Install("a", "b", VIEW, None, True),
+    Installed("a", "b", 3, True, 3, VIEW),
+    Write("a", "b", 3, DOCUMENT),
+    Written("a", "b", 3, 2, True, 3),
+    Beat("a", "b", 3, 17),
+    Heard("a", "b", 3, 17, True, 3, 3),
+    Join("c", "", A, 3),
+    Known("a", "c", VIEW, 3),
+    Succeed("a", "b", 3),
+    Leaving("a", "b"),
+]
+RECORDS: list[Record] = [
+    PromiseRecord(7),
+    ViewRecord(VIEW, None),
+    ViewRecord(VIEW, DOCUMENT),
+    WriteRecord(DOCUMENT),
+    WholeRecord("a", 7, VIEW, DOCUMENT),
+    WholeRecord("a", 0, None, Document()),
+]
+
+
+@pytest.mark.parametrize("message", MESSAGES, ids=lambda m: type(m).__name__)
+def test_a_message_is_read_back_as_it_was(message: Message) -> None:
+    frame = FrameReader().feed(KINDS.encode(message))[0]
+    assert revive(KINDS.decode(frame.number, frame.body)) == message
+
+
+@pytest.mark.parametrize("record", RECORDS, ids=lambda r: type(r).__name__)
+def test_a_record_is_read_back_as_it_was(record: Record) -> None:
+    assert read_record(write_record(record)) == record
+
+
+def test_a_view_that_names_a_slot_which_it_does_not_have_is_refused() -> None:
+    for view in (View(3, 1, (0, 2), (A, None, B)), View(3, 0, (0, 3), (A, None, B))):
+        frame = FrameReader().feed(KINDS.encode(Known("a", "c", view, 3)))[0]
+        with pytest.raises((ValueError, WireError)):
+            revive(KINDS.decode(frame.number, frame.body))
+
+
+def test_records_bring_a_memory_to_where_it_stood() -> None:
+    memory = Memory("a")
+    for record in (PromiseRecord(3), ViewRecord(VIEW, DOCUMENT), PromiseRecord(5), PromiseRecord(4)):
+        apply(memory, record)
+    later = Document(3, 11, b"", (*DOCUMENT.taken, Taken(11, "z")))
+    apply(memory, WriteRecord(later))
+    assert whole(memory) == WholeRecord("a", 5, VIEW, later)
+    apply(memory, ViewRecord(View(6, 2, (0, 2), (A, None, B)), None))
+    assert memory.promised == 6 and memory.document == later  # a view in itself changes no data
+    copy = Memory("b")
+    apply(copy, whole(memory))
+    assert copy == memory
--- /dev/null
+++ b/tests/test_replica_search.py
@@ -0,0 +1,34 @@
+"""Every order of messages, losses, repeats, syncs and crashes within bounds that fit a test."""
+
+from __future__ import annotations
+
+import pytest
+
+from mastturn.control_check.explore import explore, walk
+from mastturn.control_check.steps import Bounds
+
+
+def test_one_take_over_beside_a_write_is_whole() -> None:
+    found = explore(Bounds(writes=1, tries=1, campaigns=1, crashes=0))
+    assert found.is_whole and not found.broken
+    assert found.taken_over > 1_000 and found.acknowledged > 1_000
+
+
+def test_two_writes_that_race_are_whole() -> None:
+    found = explore(Bounds(writes=2, tries=1, campaigns=0, crashes=1))
+    assert found.is_whole and not found.broken and found.acknowledged > 50
+
+
+@pytest.mark.parametrize(
+    "bounds",
+    [
+        Bounds(writes=2, campaigns=3, crashes=2),
+        Bounds(writes=1, reads=1, campaigns=3, crashes=1),
+        Bounds(writes=1, campaigns=3, crashes=1, wipes=1, joins=3),
+        Bounds(machines=5, losses=2, writes=1, campaigns=2, crashes=1, wipes=1, joins=2),
+    ],
+    ids=["race", "reads", "wipe", "five"],
+)
+def test_long_histories_by_chance(bounds: Bounds) -> None:
+    found = walk(bounds, 1, 150)
+    assert not found.broken and found.taken_over > 100
