--- a/mastturn/capacity/__main__.py
+++ b/mastturn/capacity/__main__.py
@@ -10,7 +10,7 @@
 
 import click
 
-from mastturn.capacity import choices, links, memory, plane, sources
+from mastturn.capacity import choices, links, lists, memory, plane, sources
 from mastturn.capacity import parts as prices
 from mastturn.capacity.days import run_day
 from mastturn.capacity.shapes import TARGET, Shape
@@ -80,13 +80,27 @@
 @click.option("--apart", default=60.0, show_default=True, help="Seconds that a region is cut off.")
 @click.option("--charge", default=1.0, show_default=True, help="Seconds that go by for a second of a core.")
 @click.option("--mbps", default=1000.0, show_default=True, help="Of each machine's link; 0: no bound.")
+@click.option("--watch", default=6.0, show_default=True, help="Seconds after the primary's loss.")
+@click.option("--brief", is_flag=True, help="Only the primary is lost.")
 @click.option("--out", default="")
 def trouble(
-    balancers: int, upstreams: int, cores: int, apart: float, charge: float, mbps: float, out: str
+    balancers: int,
+    upstreams: int,
+    cores: int,
+    apart: float,
+    charge: float,
+    mbps: float,
+    watch: float,
+    brief: bool,
+    out: str,
 ) -> None:
     """Losses of a hollow fleet: the primary, a zone, a region for a while."""
     shape = Shape(balancers=balancers, upstreams=upstreams, cores=cores)
-    _save(out, f"trouble-{balancers}-{upstreams}", lambda: run_troubles(shape, apart, charge, mbps))
+    _save(
+        out,
+        f"trouble-{balancers}-{upstreams}",
+        lambda: run_troubles(shape, apart, charge, mbps, watch, brief),
+    )
 
 
 @measure.command()
@@ -126,6 +140,13 @@
     _save(out, "choices", choices.measured)
 
 
+@measure.command("lists")
+@click.option("--out", default="")
+def lists_(out: str) -> None:
+    """Whether the platform's list gets through, by its pages."""
+    _save(out, "lists", lists.measured)
+
+
 @main.command("page")
 @click.option("--folder", default=str(FOLDER), show_default=True, help="Saved outputs.")
 @click.option("--page", "name", default="docs/CAPACITY.md", show_default=True)
--- a/mastturn/capacity/pictures.py
+++ b/mastturn/capacity/pictures.py
@@ -12,7 +12,7 @@
 from mastturn.capacity.shapes import BUDGET, FITTED, HELD_OUT
 from mastturn.capacity.slopes import fit
 
-WIDTH_IN = 9.0
+WIDTH_IN = 11.0
 FIRST, SECOND, THIRD, LIMIT = "#2a7f9e", "#d9772b", "#6b8f3a", "#b03030"
 Fleets = dict[int, list[Figures]]
 
@@ -28,7 +28,8 @@
 
 def _limit(axes: Axes, at: float, label: str) -> None:
     axes.axhline(at, color=LIMIT, ls="--", lw=1.2)
-    axes.annotate(label, (8, at), color=LIMIT, fontsize=8, va="bottom")
+    where = axes.get_yaxis_transform()
+    axes.text(0.01, at, label, color=LIMIT, fontsize=8, va="bottom", transform=where)
 
 
 def cost(fleets: Fleets) -> Figure:
@@ -75,7 +76,7 @@
     low.set_yscale("log")
     low.set_xlabel(f"balancers (2,800 upstreams, 10 zones; {HELD_OUT} was left out of the fit)")
     for axes in (top, low):
-        axes.legend(fontsize=8)
+        axes.legend(fontsize=8, loc="center left", bbox_to_anchor=(1.0, 0.5))
         axes.grid(alpha=0.25)
     top.set_title("Cost of control at one balancer")
     return figure
@@ -104,14 +105,14 @@
     if sweep:
         _draw(
             axes,
-            [(n, c / 1000) for n, c, _ in sweep],
+            [(n, c / 1000) for n, c, _ in sweep if c],
             "configuration, bench's sweep, longest",
             "#777777",
             "^",
         )
         _draw(
             axes,
-            [(n, u / 1000) for n, _, u in sweep],
+            [(n, u / 1000) for n, _, u in sweep if u],
             "upstream leaves, bench's sweep, longest",
             "#333333",
             "v",
@@ -120,7 +121,7 @@
     axes.set_yscale("log")
     axes.set_xlabel("balancers")
     axes.set_ylabel("seconds")
-    axes.legend(fontsize=8)
+    axes.legend(fontsize=8, loc="center left", bbox_to_anchor=(1.0, 0.5))
     axes.grid(alpha=0.25)
     axes.set_title("Time until a change is in force everywhere")
     return figure
@@ -144,7 +145,7 @@
     axes.set_yscale("log")
     axes.set_xlabel("balancers")
     axes.set_ylabel("kB into each balancer")
-    axes.legend(fontsize=8)
+    axes.legend(fontsize=8, loc="center left", bbox_to_anchor=(1.0, 0.5))
     axes.grid(alpha=0.25)
     axes.set_title("What one change sends to every balancer")
     return figure
--- a/mastturn/capacity/sources.py
+++ b/mastturn/capacity/sources.py
@@ -54,7 +54,7 @@
     return {
         "revision": revision(),
         "sources": digest(),
-        "command": ["python", "-m", "mastturn.capacity", *sys.argv[1:]],
+        "command": ["python", "-m", "mastturn.capacity", *(Path(a).name for a in sys.argv[1:])],
         "python": platform.python_version(),
         "spin_ns": round(spin_ns(), 2),
     }
--- a/mastturn/capacity/tables.py
+++ b/mastturn/capacity/tables.py
@@ -15,6 +15,7 @@
     foresee,
     rate,
     read_fleets,
+    total,
 )
 from mastturn.capacity.shapes import BUDGET, HELD_OUT, TARGET
 from mastturn.capacity.slopes import Line, agrees, fit
@@ -332,6 +333,13 @@
     return [f"Slope: {_slope(line)} µs an upstream, {_range(line)}.", "", *rows(head, body)]
 
 
+def _core_mb(phase: dict[str, Any]) -> float:
+    """What all control processes together have sent."""
+    roles = phase["roles"]
+    core = [roles[r] for r in ("primary", "backup", "witness", "newcomer") if r in roles]
+    return float(sum(r["programs"] * total(r["sent_bytes"]) for r in core)) / 1e6
+
+
 def _times(folder: Path) -> list[str]:
     body = []
     for size, found in sorted(read_fleets(folder, charged=True).items()):
@@ -343,6 +351,8 @@
                 [
                     f"{size}",
                     figure(phases["boot"]["ready_s"]),
+                    figure(phases["boot"]["tree_s"]),
+                    figure(_core_mb(phases["boot"])),
                     figure(max(phases["configuration"]["acknowledged_s"])),
                     figure(max(phases["configuration"]["all_s"])),
                     figure(max(phases["list"]["all_s"])),
@@ -354,12 +364,14 @@
     head = [
         "balancers",
         "all ready after a start, s",
+        "tree stands, s",
+        "MB out of the core at the start",
         "configuration: acknowledged, s",
         "then everywhere, s",
         "leaving upstream everywhere, s",
         "one restarted ready, s",
         "configuration everywhere at the peak, s",
-        "a core behind after 3 s of peak, s",
+        "a core behind at its end, s",
     ]
     return rows(head, body)
 
@@ -369,8 +381,13 @@
     for path in sorted(folder.glob("trouble-*.json"), key=lambda p: int(p.stem.split("-")[1])):
         found = json.loads(path.read_text(encoding="utf-8"))
         size = found["shape"]["balancers"]
+        away = found["region"]["apart"]
+        is_without = away["heard_nothing"] == away["balancers"]  # else the core's greater part went with it
+        back = (
+            "a region is back after a cut" if is_without else "all but the core's region are back after a cut"
+        )
         for name, told in (("the primary is killed", found["primary"]), ("its zone is lost", found["zone"]),
-                           ("a region is back after a cut", found["region"]["healed"])):  # fmt: skip
+                           (back, found["region"]["healed"])):  # fmt: skip
             roles = told["roles"].get("primary", {"most_sent_bytes": 0.0})
             body.append([f"{size}", name, _seconds(told["led_again_s"]), _seconds(told["all_hear_again_s"]),
                          f"{told['heard_nothing']}", figure(told["heard_nothing_longest_s"]),
@@ -387,6 +404,22 @@
     return rows(head, body)
 
 
+def _lists(folder: Path) -> list[str]:
+    found = read(folder, "lists")
+    body = [
+        [
+            figure(p["upstreams"]),
+            f"{p['pages']}",
+            f"not within {found['within_s']:.0f}" if p["listed_s"] is None else figure(p["listed_s"]),
+            f"{p['turned_away']} of {p['calls']}",
+        ]
+        for p in found["lists"]
+    ]
+    return rows(
+        ["upstreams", "pages", "first list at a balancer, s", "calls turned away (50 a second)"], body
+    )
+
+
 def _seconds(value: float | None) -> str:
     return "not within 60" if value is None else figure(value)
 
@@ -441,6 +474,7 @@
     "costs": _costs,
     "budget": _budget,
     "troubles": _troubles,
+    "lists": _lists,
     "plane": _plane,
     "choices": _choices,
     "remedies": _remedies,
--- a/mastturn/capacity/troubles.py
+++ b/mastturn/capacity/troubles.py
@@ -18,12 +18,21 @@
 WITHIN_S = 60.0
 
 
+def _epoch(fleet: Fleet) -> int:
+    """The newest that any control process has heard of: more with each election and each new member."""
+    views = [m.role._replica.acceptor.latest for m in fleet.cores.values() if m.role is not None]
+    return max(int(view.epoch) for view in views if view is not None)
+
+
 class Troubles:
     """Three losses, one after the other, on a fleet without traffic; a fourth where regions are cut."""
 
-    def __init__(self, shape: Shape, apart_s: float) -> None:
-        """`apart_s`: how long a region is cut off; its balancers go on by themselves meanwhile."""
-        self._shape, self._apart_s = shape, apart_s
+    def __init__(self, shape: Shape, apart_s: float, watch_s: float, brief: bool) -> None:
+        """`apart_s`: how long a region is cut off; its balancers go on by themselves meanwhile.
+
+        `watch_s`: how long newer views are counted after the primary's loss. `brief`: no more is lost.
+        """
+        self._shape, self._apart_s, self._watch_s, self._brief = shape, apart_s, watch_s, brief
         self.figures: Figures = {"shape": asdict(shape), "apart_s": apart_s}
 
     async def __call__(self, fleet: Fleet) -> None:
@@ -34,6 +43,8 @@
         gc.freeze()
         self.figures["boot"] = day.figures["phases"]["boot"]
         self.figures["primary"] = await self._primary(fleet)
+        if self._brief:
+            return
         self.figures["zone"] = await self._zone(fleet)
         self.figures["region"] = await self._region(fleet)
 
@@ -70,7 +81,9 @@
         machine.program.kill()
         fleet.loop.at(since + 2.0, fleet.boot_core, number)
         found = await self._over(fleet, since, meter, fleet.live())
-        await asyncio.sleep(6.0)
+        meter, epoch = Meter(fleet), _epoch(fleet)
+        await asyncio.sleep(self._watch_s)
+        found["after"] = {"newer_views": _epoch(fleet) - epoch} | meter.end()
         return found
 
     async def _zone(self, fleet: Fleet) -> Figures:
@@ -121,9 +134,11 @@
         return {"apart": away, "healed": await self._over(fleet, since, meter, fleet.live())}
 
 
-def run_troubles(shape: Shape, apart_s: float, charge: float, mbps: float) -> Figures:
+def run_troubles(
+    shape: Shape, apart_s: float, charge: float, mbps: float, watch_s: float = 6.0, brief: bool = False
+) -> Figures:
     """Play them; their figures."""
-    troubles = Troubles(shape, apart_s)
+    troubles = Troubles(shape, apart_s, watch_s, brief)
     fleet = play(shape, troubles, charge, mbps)
     return troubles.figures | {
         "charge": charge,
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from mastturn.capacity import budget, choices, remedies, tables
+from mastturn.capacity import budget, choices, lists, remedies, tables
 from mastturn.capacity.clockwork import Loop, Program
 from mastturn.capacity.days import run_day
 from mastturn.capacity.fleet import tree_depth
@@ -292,3 +292,10 @@
     few, many = (choices.one(size, 1, 50, 60) for size in (10, 100))
     assert few["moves"] > 0 and 0.0 <= many["between_zones"] <= 1.0
     assert many["between_zones"] < few["between_zones"]
+
+
+def test_a_list_within_the_platforms_rate_gets_through_and_calls_beyond_it_are_turned_away() -> None:
+    told = lists.one(120, 50.0)
+    assert told["pages"] == 3 and told["turned_away"] == 0
+    assert told["listed_s"] is not None and told["listed_s"] < 3.0
+    assert lists.one(120, 2.0)["turned_away"] > 0
