Look again for a balancer that the primary does not name yet, and wait for one to lead

A primary's word on who is present trails the balancers' own readiness: the sum is told with the pulse, up the tree, and nobody names anybody while one primary follows another.

Ruled out: config get, which asks all control processes again for 8 s already.

At fault: station/commands.py took one look at the primary's word for explain, drain and undrain.

--- a/station/asking.py
+++ b/station/asking.py
@@ -17,6 +17,7 @@
 SILENT_S = 2.0  # of one process; then another is asked
 MOST_BODY = 16 * 1024 * 1024  # bytes of an answer
 REDIRECTS = 2
+AGAIN_S = 0.4  # until one process is asked again
 PAUSE_S, PAUSE_GROWS, PAUSE_MOST_S = 0.1, 1.6, 1.0  # between two rounds
 
 
@@ -80,6 +81,18 @@
     return Answer(answer.status, {k.lower(): v for k, v in answer.getheaders()}, held, by)
 
 
+def patiently(by: str, target: str, within_s: float) -> Answer | None:
+    """One process's answer, asked again where it gives none or is asked too often; None after `within_s`."""
+    until = time.monotonic() + within_s
+    while True:
+        answer = once(by, "GET", target, silent_s=within_s)
+        if answer is not None and answer.status != 429:
+            return answer
+        if time.monotonic() + AGAIN_S >= until:
+            return answer
+        time.sleep(AGAIN_S)
+
+
 def _along(
     by: str, method: str, target: str, body: bytes | None, headers: Mapping[str, str] | None
 ) -> Answer | None:
--- a/station/commands.py
+++ b/station/commands.py
@@ -8,6 +8,7 @@
 import json
 import os
 import sys
+import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -17,10 +18,10 @@
 from screen import settings as settings_file
 from screen.errors import StationError
 from screen.settings import Settings, parse_address
-from station import asking, configuring, fleet_status, salvage, tracing
+from station import asking, configuring, fleet_status, present, salvage, tracing
 from station.draining import names_of
 from station.tables import table
-from station.wrong import DIFFERS, DONE, FAILED, WRONG_CALL, FailedError, WrongCallError
+from station.wrong import DIFFERS, DONE, FAILED, WRONG_CALL, FailedError, UnansweredError, WrongCallError
 
 USAGE = """usage: python3 -m station COMMAND [FLAGS]
   status                     who leads, what each process has, who is present, what differs
@@ -104,11 +105,6 @@
         found = fleet_status.gather(self._ctl(), self._readyz_port())
         return Report(found, fleet_status.lines_of(found), DIFFERS if found["differs"] else DONE)
 
-    def _present(self) -> list[dict[str, Any]]:
-        """The balancers that the primary names; they are not asked themselves."""
-        found: list[dict[str, Any]] = fleet_status.gather(self._ctl(), None)["balancers"]
-        return found
-
     def explain(self, where: str) -> Report:
         """One balancer's ready sets, and its next choices."""
         if ":" in where:
@@ -123,7 +119,7 @@
             place = f"{self._balancer(where)['ip']}:{port}"
         choices = int(self._given.choices)
         target = "/api/explain" + (f"?next={choices}" if choices else "")
-        answer = asking.once(place, "GET", target, silent_s=max(self._within_s, 5.0))
+        answer = asking.patiently(place, target, max(self._within_s, 5.0))
         if answer is None or answer.status == 404:
             raise FailedError(f"{place} gives no answer", "name the address of a balancer's readiness")
         if answer.status != 200:
@@ -131,12 +127,12 @@
         return Report(answer.json(), _explained(answer.json()))
 
     def _balancer(self, node: str) -> dict[str, Any]:
-        present = self._present()
-        found = next((b for b in present if b["node"] == node), None)
-        if found is None:
-            names = ", ".join(b["node"] for b in present) or "none"
+        found = present.balancers(self._ctl(), self._within_s, present.named(node))
+        mine = next((b for b in found if b["node"] == node), None)
+        if mine is None:
+            names = ", ".join(b["node"] for b in found) or "none"
             raise WrongCallError(f"no balancer {node!r} is present", f"name one of: {names}")
-        return found
+        return mine
 
     # ---- the configuration
 
@@ -201,22 +197,37 @@
 
     def drain(self, node: str) -> Report:
         """A balancer takes no new clients from now on."""
-        present = self._present()
-        mine = next((b for b in present if b["node"] == node), None)
-        if mine is None and not self._given.force:
-            names = ", ".join(b["node"] for b in present) or "none"
-            raise WrongCallError(f"no balancer {node!r} is present", f"name one of: {names}; or give --force")
-        zone = mine["zone"] if mine is not None else ""
-        others = [b for b in present if b["zone"] == zone]
+        if not self._given.force:
+            self._see_enough_left(node)
+        return self._change_drain(node, True)
+
+    def _see_enough_left(self, node: str) -> None:
+        """Raise WrongCallError where nobody of that name is present, FailedError where too few are left."""
         gone = names_of(configuring.current(self._ctl(), self._within_s).raw()) or ()
-        left = [b for b in others if b["node"] != node and b["node"] not in gone]
-        if 2 * len(left) < len(others) and not self._given.force:
+
+        def left_of(found: present.Balancers) -> tuple[int, int, str] | None:
+            """How many would take new clients, of how many, in which zone."""
+            zone = next((b["zone"] for b in found if b["node"] == node), None)
+            if zone is None:
+                return None
+            of_zone = [b["node"] for b in found if b["zone"] == zone]
+            return len([n for n in of_zone if n != node and n not in gone]), len(of_zone), zone
+
+        def suit(found: present.Balancers) -> bool:
+            left = left_of(found)
+            return left is not None and 2 * left[0] >= left[1]
+
+        found = present.balancers(self._ctl(), self._within_s, suit)
+        left = left_of(found)
+        if left is None:
+            names = ", ".join(b["node"] for b in found) or "none"
+            raise WrongCallError(f"no balancer {node!r} is present", f"name one of: {names}; or give --force")
+        if 2 * left[0] < left[1]:
             raise FailedError(
-                f"that leaves {len(left)} of {len(others)} balancers of {zone}; with under half left, "
+                f"that leaves {left[0]} of {left[1]} balancers of {left[2]}; with under half left, "
                 "the whole zone gets clients",
                 "undrain another first, or give --force",
             )
-        return self._change_drain(node, True)
 
     def undrain(self, node: str) -> Report:
         """It takes them again."""
@@ -239,18 +250,22 @@
         port = self._readyz_port()
         if port is None:
             return None
-        places: list[str] = []
+        until = time.monotonic() + self._within_s
+        try:
+            found = present.balancers(self._ctl(), self._within_s, present.named(node))
+        except UnansweredError:
+            return None  # the change is taken all the same
+        place = next((f"{b['ip']}:{port}" for b in found if b["node"] == node), None)
         told: list[dict[str, Any]] = []
 
         def holds() -> bool:
-            if not places:
-                places.extend(f"{b['ip']}:{port}" for b in self._present() if b["node"] == node)
-            answer = fleet_status.status_of(places[0]) if places else None
+            answer = fleet_status.status_of(place) if place is not None else None
             if answer is not None and answer.get("drained") == drains:
                 told.append(answer)
             return bool(told)
 
-        configuring.until(holds, self._within_s)
+        if place is not None:
+            configuring.until(holds, max(until - time.monotonic(), 0.0))
         return told[0] if told else None
 
     # ---- logs
--- /dev/null
+++ b/station/present.py
@@ -0,0 +1,50 @@
+"""Who is present, as the primary says it: asked again while what it says may still change by itself.
+
+Its word trails the balancers' own: after a start or a take-over one that serves is named a moment later, and
+while one primary follows another nobody names anybody.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from typing import Any
+
+from station import fleet_status
+from station.wrong import UnansweredError
+
+NAMED_SHARE = 1 / 3  # of the whole time: a primary's word that doesn't suit is asked for again for so long
+AGAIN_S = 0.4  # a process answers eight times a second, to all who ask
+Balancers = list[dict[str, Any]]  # each with `node`, `ip` and `zone`
+
+
+def balancers(ctl: list[str], within_s: float, suit: Callable[[Balancers], bool]) -> Balancers:
+    """Those that the primary names, once they suit; else those of its last word, after a part of `within_s`.
+
+    Raises UnansweredError where nobody leads, or nobody answers, within the whole of it (s).
+    """
+    began = time.monotonic()
+    first_led: float | None = None
+    while True:
+        error = None
+        try:
+            found = fleet_status.gather(ctl, None)
+        except UnansweredError as nobody:
+            error = nobody
+        now = time.monotonic()
+        if error is None and found["leader"]:
+            named: Balancers = found["balancers"]
+            first_led = now if first_led is None else first_led
+            if suit(named) or now - first_led >= within_s * NAMED_SHARE:
+                return named
+        elif now - began >= within_s:
+            raise error or UnansweredError(
+                f"nobody leads within {within_s:g} s, so who is present can't be known",
+                "see that a majority of the control processes runs",
+            )
+        time.sleep(AGAIN_S)
+
+
+def named(node: str) -> Callable[[Balancers], bool]:
+    """Whether a balancer is among them."""
+    return lambda found: any(b["node"] == node for b in found)
--- /dev/null
+++ b/tests/test_station_cli_present.py
@@ -0,0 +1,183 @@
+"""Commands that name a balancer, while the primary doesn't name it yet or nobody leads for a moment."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterator
+from typing import Any
+
+import pytest
+
+from screen import settings as settings_file
+from station import __main__ as station
+from station import asking, fleet_status, present
+from tests.fabric_callers import configuration
+from tests.test_station_cli_commands import Answer, Ctl
+
+NAMES = ("edge-a", "edge-b", "edge-c")
+
+
+class Clock:
+    """Time that goes on only where somebody waits: no test sleeps."""
+
+    def __init__(self) -> None:
+        self.now = 100.0
+
+    def monotonic(self) -> float:
+        return self.now
+
+    def sleep(self, seconds: float) -> None:
+        self.now += seconds
+
+
+class Fleet:
+    """One control process, whose word on who is present is told by a script, and its balancers."""
+
+    def __init__(self, *words: Any) -> None:
+        self.words = list(words)  # a tuple of names, "nobody leads", or a status; the last one stays
+        self.drained: set[str] = set()
+        self.body = configuration(5)
+        self.busy = 0  # so many questions of why are answered with 429 first
+        self.asked = 0  # who is present
+        self.ctl = Ctl(self._control)
+        self.readiness = Ctl(self._balancer)
+        self.ip, port = self.readiness.place.split(":")
+        self.flags = [f"--ctl={self.ctl.place}", f"--readyz_port={port}"]
+
+    def close(self) -> None:
+        self.ctl.close()
+        self.readiness.close()
+
+    def _control(self, method: str, path: str, body: bytes, headers: dict[str, str]) -> Answer:
+        if path == "/api/config" and method == "PUT":
+            self.body = body
+            self.drained = set(json.loads(body).get("drained", []))
+            return 200, {}, b"{}"
+        if path == "/api/config":
+            return 200, {}, self.body
+        self.asked += 1
+        word = self.words.pop(0) if len(self.words) > 1 else self.words[0]
+        if isinstance(word, int):
+            return word, {}, b"{}"
+        leads = word != "nobody leads"
+        zones = {"edge-a": "hall-a", "edge-b": "hall-a", "edge-c": "hall-b"}
+        named = [{"node": n, "ip": self.ip, "zone": zones[n]} for n in (word if leads else ())]
+        told = {
+            "role": "barograph", "node": "core-a", "zone": "a", "ctl": self.ctl.place, "epoch": 3, "ver": 5,
+            "standing": "primary" if leads else "witness", "members": [], "present": named, "upstreams": [],
+            "program": "aa", "disk_well": True, "memory_kb": 1,
+        }  # fmt: skip
+        return 200, {}, json.dumps(told).encode()
+
+    def _balancer(self, method: str, path: str, body: bytes, headers: dict[str, str]) -> Answer:
+        if path == "/api/explain":
+            if self.busy:
+                self.busy -= 1
+                return 429, {}, b'{"error": "asked too often"}'
+            return 200, {}, b'{"node": "edge-a", "draws": 4, "groups": []}'
+        told = {"role": "windvane", "node": "edge-b", "drained": bool(self.drained), "in_flight": 0}
+        return 200, {}, json.dumps(told).encode()
+
+
+@pytest.fixture
+def clock(monkeypatch: pytest.MonkeyPatch) -> Clock:
+    found = Clock()
+    monkeypatch.setattr(present, "time", found)
+    monkeypatch.setattr(asking, "time", found)
+    monkeypatch.setattr(fleet_status, "AGAIN_S", 0.0)
+    monkeypatch.delenv(settings_file.VARIABLE, raising=False)
+    return found
+
+
+@pytest.fixture
+def fleets() -> Iterator[list[Fleet]]:
+    opened: list[Fleet] = []
+    yield opened
+    for fleet in opened:
+        fleet.close()
+
+
+LATE = {
+    "nobody is named yet": ((), (), NAMES),
+    "others are named first": (("edge-c",), NAMES),
+    "nobody leads for a moment": ("nobody leads", "nobody leads", NAMES),
+    "the control process fails": (503, 503, NAMES),
+    "nobody leads, then nobody is named": ("nobody leads", (), ("edge-c",), NAMES),
+}
+
+
+@pytest.mark.parametrize("words", LATE.values(), ids=LATE.keys())
+@pytest.mark.parametrize("command", ["explain edge-a", "drain edge-b", "undrain edge-b"])
+def test_a_balancer_that_is_named_a_moment_later_is_found(
+    words: tuple[Any, ...],
+    command: str,
+    clock: Clock,
+    fleets: list[Fleet],
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    fleets.append(fleet := Fleet(*words))
+    assert station.main(["station", *command.split(), *fleet.flags]) == 0
+    told = capsys.readouterr()
+    assert told.err == "" and fleet.asked >= len(words)
+    if command == "explain edge-a":
+        assert told.out.startswith("edge-a: of 4 draws")
+    else:
+        assert "edge-b says so itself" in told.out
+
+
+def test_a_zone_whose_other_balancers_are_named_later_is_not_too_small(
+    clock: Clock, fleets: list[Fleet], capsys: pytest.CaptureFixture[str]
+) -> None:
+    fleets.append(fleet := Fleet(("edge-b",), ("edge-b", "edge-c"), NAMES))
+    assert station.main(["station", "drain", "edge-b", *fleet.flags]) == 0
+    assert fleet.drained == {"edge-b"} and capsys.readouterr().err == ""
+
+
+@pytest.mark.parametrize("command", ["explain edge-x", "drain edge-x"])
+def test_a_wrong_name_is_told_after_a_part_of_the_time(
+    command: str, clock: Clock, fleets: list[Fleet], capsys: pytest.CaptureFixture[str]
+) -> None:
+    fleets.append(fleet := Fleet(NAMES))
+    assert station.main(["station", *command.split(), *fleet.flags]) == 2
+    assert "no balancer 'edge-x' is present; name one of: edge-a, edge-b, edge-c" in capsys.readouterr().err
+    assert 8 * present.NAMED_SHARE <= clock.now - 100 <= 8 * present.NAMED_SHARE + present.AGAIN_S
+
+
+def test_a_zone_that_is_too_small_is_told_after_a_part_of_the_time(
+    clock: Clock, fleets: list[Fleet], capsys: pytest.CaptureFixture[str]
+) -> None:
+    fleets.append(fleet := Fleet(NAMES))
+    assert station.main(["station", "drain", "edge-c", *fleet.flags]) == 1
+    assert "that leaves 0 of 1 balancers of hall-b" in capsys.readouterr().err
+    assert clock.now - 100 <= 8 * present.NAMED_SHARE + present.AGAIN_S
+    assert station.main(["station", "drain", "edge-c", "--force", *fleet.flags]) == 0
+
+
+@pytest.mark.parametrize("command", ["explain edge-a", "drain edge-b"])
+def test_a_fleet_that_nobody_leads_is_told_so_in_the_end(
+    command: str, clock: Clock, fleets: list[Fleet], capsys: pytest.CaptureFixture[str]
+) -> None:
+    fleets.append(fleet := Fleet("nobody leads"))
+    assert station.main(["station", *command.split(), *fleet.flags]) == 1
+    assert "nobody leads within 8 s" in capsys.readouterr().err
+    assert 8 <= clock.now - 100 <= 8 + present.AGAIN_S
+
+
+def test_a_change_that_is_taken_is_done_though_nobody_names_the_balancer_after(
+    clock: Clock, fleets: list[Fleet], capsys: pytest.CaptureFixture[str]
+) -> None:
+    fleets.append(fleet := Fleet(NAMES, 503))
+    assert station.main(["station", "drain", "edge-b", *fleet.flags]) == 0
+    told = capsys.readouterr()
+    assert "edge-b is drained since version 6" in told.out and "does not say so yet" in told.out
+
+
+def test_a_balancer_that_others_ask_too_often_is_asked_again(
+    clock: Clock, fleets: list[Fleet], capsys: pytest.CaptureFixture[str]
+) -> None:
+    fleets.append(fleet := Fleet(NAMES))
+    fleet.busy = 3
+    assert station.main(["station", "explain", "edge-a", *fleet.flags]) == 0
+    fleet.busy = 10_000
+    assert station.main(["station", "explain", "edge-a", *fleet.flags]) == 1
+    assert "says: asked too often" in capsys.readouterr().err and clock.now <= 120
