Have short prompts read before long ones, whatever their route's rank

At fault: Balancer.priority (windvane/balancer.py), rank * 3 + one of three lengths. Change: windvane/urgency.py; a reading's rank is the logarithm of what has to be read, weighed with the route's rank, against what is usual; runs go by the route as before. Calls that tell of no tokens count for nothing there.

--- a/windvane/balancer.py
+++ b/windvane/balancer.py
@@ -17,7 +17,7 @@
 from passpost.server import ClientManner, Server
 from passpost.upstream import Outgoing, Upstreams
 from passpost.validation import BadRequestError, Call
-from screen.configuration import Configuration, Route, Upstream
+from screen.configuration import Configuration, Upstream
 from screen.settings import Settings, parse_address
 from windvane import manners, readiness
 from windvane.budget import RetryBudget
@@ -27,6 +27,7 @@
 from windvane.prompt import Prompt
 from windvane.routes import RouteTable, draw_service
 from windvane.tiers import Peer, Tiers
+from windvane.urgency import Urgency
 from windvane.wire import free_handle
 
 TOLD_TOKENS = 512  # shared parts that are shorter are not worth a word to others
@@ -41,7 +42,6 @@
 CONNS_LEAST = 4.0  # connections to one upstream that each balancer may have
 UNKNOWN_BALANCERS = 24  # until their number is known
 END_MARGIN_S = 0.5  # before the platform kills us
-USUAL_SHARE = 0.05  # of the smoothed length of prompts that the latest one makes up
 FREE_S = 2.0  # a call that frees a handle is given up after this
 
 
@@ -106,7 +106,7 @@
         self._table = RouteTable(Configuration(0))
         self._purses: dict[str, Purse] = {}
         self._passages: dict[int, Passage] = {}
-        self._usual: dict[str, float] = {}  # tokens of a prompt, smoothed, by route
+        self.urgency = Urgency()
         self._count, self._balancers = 0, 0
         self._allowed, self._draining = False, False
 
@@ -138,7 +138,7 @@
             return
         self._configuration = configuration
         self._table = RouteTable(configuration)
-        self._usual = {r.name: self._usual[r.name] for r in configuration.routes if r.name in self._usual}
+        self.urgency.keep_only({r.name for r in configuration.routes})
         if self._server is not None:
             self._server.treat(self._client_manner())
         self._limit_connections()
@@ -269,13 +269,6 @@
 
         self.upstreams.probe(name, found)
 
-    def priority(self, route: Route, tokens: int) -> int:
-        """What an upstream is told: by the route's rank, and within it short prompts go before long ones."""
-        usual = self._usual.get(route.name, 0.0) or float(tokens)
-        self._usual[route.name] = usual + (tokens - usual) * USUAL_SHARE
-        size = 0 if tokens < usual / 2 else 1 if tokens <= usual * 2 else 2
-        return min(route.prio * 3 + size, 9)
-
     def free(self, handle: Handle) -> None:
         """Free memory that nobody will fetch."""
         request = free_handle(handle.address, handle.holder, handle.ref)
--- a/windvane/passage.py
+++ b/windvane/passage.py
@@ -48,7 +48,7 @@
         route = call.route
         purse = balancer.purse(service)
         self._pair = steps.Pair(route.tries, route.is_idempotent(), route.resumable, purse)
-        self._priority = balancer.priority(route, call.prompt.tokens)
+        self._run_rank = balancer.urgency.of_run(route, call.prompt.tokens)
         self._errand = Errand(balancer, self.wants, self._may_leave)
         self._zone = balancer.settings.zone  # where the memory of the prompt is
         after = int(call.after) if call.after is not None and call.after.isdigit() else None
@@ -125,8 +125,12 @@
         if peer is None:
             self._follow(self._pair.no_reader())
             return
-        extra = b"Mastturn-Target-Upstream: %b\r\nMastturn-Stage: prefill\r\n%b" % (peer.home, self._common())
         missing = peer.missing(self._call.prompt)
+        rank = self._balancer.urgency.of_reading(self._call.route, missing)
+        extra = b"Mastturn-Target-Upstream: %b\r\nMastturn-Stage: prefill\r\n%b" % (
+            peer.home,
+            self._common(rank),
+        )
         self._errand.send(peer, self._request(extra), missing, None, self._read_done)
 
     def _run(self, handle: steps.Handle | None) -> None:
@@ -141,15 +145,17 @@
             if handle is not None
             else b""
         )
-        extra = b"Mastturn-Target-Upstream: %b\r\n%b%b" % (peer.home, kv, self._common())
+        tokens = 0 if prompt is None else peer.missing(prompt)
+        urgency, route = self._balancer.urgency, self._call.route
+        rank = urgency.of_reading(route, tokens) if tokens else self._run_rank
+        extra = b"Mastturn-Target-Upstream: %b\r\n%b%b" % (peer.home, kv, self._common(rank))
         self._relay.begin_anew()
         self._fetching = handle
-        tokens = 0 if prompt is None else peer.missing(prompt)
         self._errand.send(peer, self._request(extra), tokens, self._relay, self._run_done)
 
-    def _common(self) -> bytes:
+    def _common(self, rank: int) -> bytes:
         """Header lines of every stage: the rank, and the last event that the client has."""
-        prio = b"Priority: %d\r\n" % self._priority
+        prio = b"Priority: %d\r\n" % rank
         last = self._relay.last
         if last is None:
             return prio if self._call.after is None else b"%bLast-Event-Id: %b\r\n" % (prio, self._call.after)
