Count refusals by reason, first events, tokens read again, take-overs and syncs

Change: windvane/tally.py counts refusals by reason, the time to the first event (14 bounds) and prompt tokens that are sent to be read, those of a request that was read before apart. Control processes count take-overs, synced changes and calls for the platform's list; balancers tell the epoch, the age of the news and their calls for the list. prometheus-client writes the text form (screen/metrics.py was written by hand, as it takes 1.8 MB and 30 ms when it is loaded): it is loaded by the first question, in a thread, so that streams are passed on meanwhile. An answer that fails gets 500 and ends its connection; before, it would have been left open.

Tests: tests/test_station_figures.py. test_figures_in_the_text_form wrote samples of our own types; it now gives the same names, labels and values to the library, whose numbers have a fraction (1.0 for 1): everything else is held as before.

--- a/barograph/herald.py
+++ b/barograph/herald.py
@@ -65,6 +65,7 @@
         self._since = 0.0
         self._first_epoch = 0  # of those that we have led since
         self._number = 0
+        self.take_overs = 0  # how often this process came to lead, its first time too
         self._counts: deque[tuple[float, int]] = deque()
         self._seen: dict[str, tuple[Present, float]] = {}  # by node: when it was last present
         self._tasks: list[asyncio.Task[None]] = []
@@ -89,6 +90,10 @@
         members = self.bulletin.members
         return tuple(members.balancers) if members is not None else (), dict(self._loaded_by)
 
+    def list_calls(self) -> int:
+        """How often the platform was asked for a page of its list."""
+        return self._platform.calls
+
     # ---- the machine's word
 
     def lead(self, view: View | None) -> None:
@@ -96,6 +101,7 @@
         if view is not None and self._view is None:
             self._since = asyncio.get_running_loop().time()
             self._first_epoch = view.epoch
+            self.take_overs += 1
             self.bulletin.forget_loads()
         self._view = view
         if view is not None:
--- a/barograph/keeper.py
+++ b/barograph/keeper.py
@@ -31,6 +31,7 @@
         self._told, self._well, self._refused = told, True, False
         self._given: dict[int, float] = {}  # when each sync that is under way was asked for
         self._count = 0
+        self.synced = 0  # changes that are on the disk
         self._mending: asyncio.Task[None] | None = None
         self.memory = Memory("")
 
@@ -76,6 +77,7 @@
             if result.cancelled() or result.exception() is not None:
                 self._failed(result.exception() if not result.cancelled() else None)
             else:
+                self.synced += 1
                 done()
                 self.look()
 
--- a/barograph/platform.py
+++ b/barograph/platform.py
@@ -25,6 +25,7 @@
         self._address = address
         self._line = Line(address)
         self.pages = 1  # that the last whole list took: each is a call
+        self.calls = 0  # in all
 
     def move(self, address: Address) -> None:
         """The settings name another address."""
@@ -47,6 +48,7 @@
         raise PlatformError("the list has no end")
 
     async def _page(self, target: str) -> dict[str, Any]:
+        self.calls += 1
         try:
             async with asyncio.timeout(CALL_S):
                 answer = await self._line.get(target)
--- a/screen/metrics.py
+++ b/screen/metrics.py
@@ -1,64 +1,61 @@
 """Figures in the text form that metrics collectors read (exposition format 0.0.4).
 
-Written by hand: measured beside a balancer, `prometheus-client` takes 1.8 MB and 30 ms of processor time when
-it is first asked for, in which no stream is passed on.
+They are written by prometheus-client, which takes 1.8 MB and 30 ms of processor time when it is first loaded:
+nothing loads this module until somebody asks for figures, and then `station.figures` has a thread do it.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 
-CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
-_ESCAPES = str.maketrans({"\\": "\\\\", "\n": "\\n", '"': '\\"'})
+from prometheus_client import exposition
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, HistogramMetricFamily, Metric
 
-
-@dataclass(frozen=True, slots=True)
-class Sample:
-    """One value, with the labels that tell it from others of its name."""
-
-    value: float
-    labels: Mapping[str, str]
-
-
-@dataclass(frozen=True, slots=True)
-class Metric:
-    """A figure: `kind` is `gauge` or `counter`; the name ends with its unit."""
-
-    name: str
-    kind: str
-    help: str
-    samples: tuple[Sample, ...]
+__all__ = ["Metric", "by", "counter", "gauge", "histogram", "render"]
 
 
 def gauge(name: str, text: str, value: float) -> Metric:
-    """A figure that goes up and down."""
-    return Metric(name, "gauge", text, (Sample(float(value), {}),))
+    """A figure that goes up and down; the name ends with its unit."""
+    return GaugeMetricFamily(name, text, value=float(value))
 
 
 def counter(name: str, text: str, value: float) -> Metric:
-    """A figure that only rises, from 0 with the process."""
-    return Metric(name, "counter", text, (Sample(float(value), {}),))
+    """A figure that only rises, from 0 with the process; the name ends with `_total`."""
+    return CounterMetricFamily(name, text, value=float(value))
 
 
 def by(name: str, kind: str, text: str, label: str, values: Mapping[str, float]) -> Metric:
-    """A figure for each value of one label."""
-    return Metric(name, kind, text, tuple(Sample(float(v), {label: k}) for k, v in values.items()))
+    """A figure for each value of one label; `kind` is `gauge` or `counter`."""
+    families: dict[str, type[GaugeMetricFamily] | type[CounterMetricFamily]] = {
+        "gauge": GaugeMetricFamily,
+        "counter": CounterMetricFamily,
+    }
+    family = families[kind](name, text, labels=[label])
+    for key, value in values.items():
+        family.add_metric([key], float(value))
+    return family
+
+
+def histogram(name: str, text: str, bounds: Sequence[float], counts: Sequence[int], total: float) -> Metric:
+    """How many values lay up to each bound and above the one before; one count more for those above all."""
+    buckets, below = [], 0
+    for bound, count in zip((*map(str, bounds), "+Inf"), counts, strict=True):
+        below += count
+        buckets.append((bound, float(below)))
+    return HistogramMetricFamily(name, text, buckets=buckets, sum_value=total)
 
 
 def render(metrics: Iterable[Metric]) -> bytes:
     """The text form; a metric without samples is left out."""
-    lines: list[str] = []
-    for metric in metrics:
-        if not metric.samples:
-            continue
-        lines.append(f"# HELP {metric.name} {metric.help.translate(_ESCAPES)}")
-        lines.append(f"# TYPE {metric.name} {metric.kind}")
-        for sample in metric.samples:
-            labels = ",".join(f'{k}="{v.translate(_ESCAPES)}"' for k, v in sample.labels.items())
-            lines.append(f"{metric.name}{'{' + labels + '}' if labels else ''} {_number(sample.value)}")
-    return ("\n".join(lines) + "\n").encode()
-
-
-def _number(value: float) -> str:
-    return str(int(value)) if value == value // 1 and abs(value) < 2**53 else repr(value)
+    return bytes(exposition.generate_latest(_Some([m for m in metrics if m.samples])))
+
+
+class _Some:
+    """What the library asks for all figures."""
+
+    def __init__(self, metrics: Sequence[Metric]) -> None:
+        self._metrics = metrics
+
+    def collect(self) -> Iterator[Metric]:
+        """All of them."""
+        return iter(self._metrics)
--- a/sonde/follower.py
+++ b/sonde/follower.py
@@ -68,6 +68,10 @@
         """Whether the control state was heard of a moment ago."""
         return asyncio.get_running_loop().time() - self._pulsed_at <= within_s
 
+    def age_s(self) -> float | None:
+        """Seconds since the control state was last heard of; None if it never was."""
+        return asyncio.get_running_loop().time() - self._pulsed_at if self._pulsed_at > 0 else None
+
     def seeds(self, ips: tuple[str, ...]) -> None:
         """The settings name other seeds."""
         self._seeds = list(ips)
--- a/station/balancer_calls.py
+++ b/station/balancer_calls.py
@@ -7,12 +7,14 @@
 
 import asyncio
 import json
-from typing import TYPE_CHECKING
+from collections.abc import Coroutine
+from typing import TYPE_CHECKING, Any
 from urllib.parse import parse_qs
 
+from loguru import logger
+
 from screen.calls import REASONS
-from screen.metrics import CONTENT_TYPE, render
-from station import balancer_report, explaining
+from station import balancer_report, explaining, figures
 from station.pace import Pace
 
 if TYPE_CHECKING:
@@ -34,16 +36,33 @@
     if not _PACES[target].allows(loop.time()):
         _write(transport, 429, _error("asked too often; ask again in a second"))
     elif target == "/metrics":
-        _write(transport, 200, render(balancer_report.metrics(role)), CONTENT_TYPE)
+        _later(_figures(role, transport), transport)
     elif target == "/api/status":
         _write(transport, 200, json.dumps(balancer_report.status(role)).encode())
     else:
-        task = loop.create_task(_explain(role, query, transport))
-        _tasks.add(task)
-        task.add_done_callback(_tasks.discard)
+        _later(_explain(role, query, transport), transport)
     return True
 
 
+def _later(work: Coroutine[Any, Any, None], transport: asyncio.Transport) -> None:
+    """Have an answer written; a fault costs that question alone."""
+
+    async def guarded() -> None:
+        try:
+            await work
+        except Exception:
+            logger.exception("event=call_failed")
+            _write(transport, 500, _error("the call failed; see the log"))
+
+    task = asyncio.get_running_loop().create_task(guarded())
+    _tasks.add(task)
+    task.add_done_callback(_tasks.discard)
+
+
+async def _figures(role: BalancerRole, transport: asyncio.Transport) -> None:
+    _write(transport, 200, await figures.text("station.balancer_figures", role), figures.CONTENT_TYPE)
+
+
 async def _explain(role: BalancerRole, query: str, transport: asyncio.Transport) -> None:
     wanted = (parse_qs(query[:200]).get("next") or ["0"])[0]
     if not wanted.isascii() or not wanted.isdigit() or int(wanted[:6]) > explaining.MOST_CHOICES:
--- /dev/null
+++ b/station/balancer_figures.py
@@ -0,0 +1,72 @@
+"""What one balancer tells a collector of figures."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from screen.metrics import Metric, by, counter, gauge, histogram
+from station.balancer_report import status
+from windvane.tally import FIRST_EVENT_S
+
+if TYPE_CHECKING:
+    from station.balancing import BalancerRole
+
+
+def metrics(role: BalancerRole) -> list[Metric]:
+    """The same as figures."""
+    told = status(role)
+    age = told["news_age_s"]
+    parts: dict[str, dict[str, float]] = {"up": {}, "silent": {}, "calls": {}, "tokens": {}}
+    for entry in told["upstreams"]:
+        part = entry["part"] or "whole"
+        for name, more in (
+            ("up", entry["state"] == "up"),
+            ("silent", entry["silent"]),
+            ("calls", entry["calls"]),
+            ("tokens", entry["tokens"]),
+        ):
+            parts[name][part] = parts[name].get(part, 0) + more
+    counters = role.balancer.counters
+    ended = {name: float(count) for name, count in told["ended"].items()}
+    return [
+        gauge("station_ready", "1 while readiness is answered with 200.", told["ready"]),
+        gauge("station_drained", "1 while the configuration drains this balancer.", told["drained"]),
+        gauge("station_news_fresh", "1 while the control state is heard of.", told["fresh"]),
+        gauge("station_configuration_version", "Version in force here, 0 without one.", told["ver"]),
+        gauge("station_requests_in_flight", "Requests taken and not answered.", told["in_flight"]),
+        by("station_requests_total", "counter", "Requests that have ended, by how.", "end", ended),
+        by(
+            "station_refusals_total",
+            "counter",
+            "Requests that got no run, by why.",
+            "reason",
+            told["refused"],
+        ),
+        histogram(
+            "station_first_event_seconds",
+            "From the whole request to the first event of its stream.",
+            FIRST_EVENT_S,
+            counters.first_events,
+            counters.first_events_s,
+        ),
+        by(
+            "station_prompt_tokens_total",
+            "counter",
+            "Prompt tokens sent to be read; again: of a request that was sent to be read before.",
+            "read",
+            {"first": counters.tokens_read, "again": counters.tokens_read_again},
+        ),
+        gauge("station_epoch", "The epoch of whoever leads, as last heard of.", told["epoch"]),
+        *(
+            [gauge("station_news_age_seconds", "Since the control state was last heard of.", age)]
+            if age is not None
+            else []
+        ),
+        counter("station_list_calls_total", "Pages of the platform's list asked for.", told["list_calls"]),
+        by("station_upstreams_up", "gauge", "Upstreams that are up.", "part", parts["up"]),
+        by("station_upstreams_silent", "gauge", "Upstreams that owe us a word.", "part", parts["silent"]),
+        by("station_upstream_calls", "gauge", "Our calls out.", "part", parts["calls"]),
+        by("station_upstream_tokens", "gauge", "Prompt tokens read for us.", "part", parts["tokens"]),
+        gauge("process_resident_memory_bytes", "Memory in use.", told["memory_kb"] * 1024),
+        counter("process_cpu_seconds_total", "Processor time.", told["processor_s"]),
+    ]
--- a/station/balancing.py
+++ b/station/balancing.py
@@ -141,6 +141,8 @@
             "ver": known.configuration.ver if known.configuration is not None else 0,
             "epoch": known.pulse.epoch if known.pulse is not None else 0,
             "listed": self._listed,
+            "list_calls": self._platform.calls,
+            "news_age_s": self._follower.age_s(),
         }
 
     # ---- news
--- a/station/control_calls.py
+++ b/station/control_calls.py
@@ -43,7 +43,7 @@
     """The same as figures for a collector."""
     if _is_too_often(_METRICS):
         return _wait()
-    from screen.metrics import CONTENT_TYPE, render
-    from station import control_report
+    from station import figures
 
-    return Reply(200, render(control_report.metrics(control)), content_type=CONTENT_TYPE)
+    found = await figures.text("station.control_figures", control)
+    return Reply(200, found, content_type=figures.CONTENT_TYPE)
--- /dev/null
+++ b/station/control_figures.py
@@ -0,0 +1,43 @@
+"""What one control process tells a collector of figures."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from screen.metrics import Metric, by, counter, gauge
+from station.control_report import status
+
+if TYPE_CHECKING:
+    from barograph.node import ControlNode
+
+
+def metrics(node: ControlNode) -> list[Metric]:
+    """The same as figures."""
+    told = status(node)
+    parts: dict[str, int] = {}
+    calls: dict[str, float] = {}
+    tokens: dict[str, float] = {}
+    for entry in told["upstreams"]:
+        part = entry["part"] or "whole"
+        parts[part] = parts.get(part, 0) + (entry["state"] == "up")
+        calls[part] = calls.get(part, 0) + entry["calls"]
+        tokens[part] = tokens.get(part, 0) + entry["tokens"]
+    return [
+        gauge("station_leads", "1 while this process is the primary.", told["standing"] == "primary"),
+        gauge("station_led", "1 while a primary is heard of.", told["led"]),
+        gauge(
+            "station_holds", "1 while this process holds the data.", told["standing"] in ("primary", "holder")
+        ),
+        gauge("station_epoch", "The epoch of the latest view known here.", told["epoch"]),
+        gauge("station_configuration_version", "Version held here, 0 without one.", told["ver"]),
+        gauge("station_disk_well", "1 while the disk takes writes in time.", told["disk_well"]),
+        counter("station_take_overs_total", "How often this process came to lead.", told["take_overs"]),
+        counter("station_synced_writes_total", "Changes that this process has synced.", told["synced"]),
+        counter("station_list_calls_total", "Pages of the platform's list asked for.", told["list_calls"]),
+        gauge("station_balancers_present", "Balancers present; told by the primary.", len(told["present"])),
+        by("station_upstreams_up", "gauge", "Upstreams that are up; told by the primary.", "part", parts),
+        by("station_upstream_calls", "gauge", "Calls out of all balancers.", "part", calls),
+        by("station_upstream_tokens", "gauge", "Prompt tokens to be read, of all balancers.", "part", tokens),
+        gauge("process_resident_memory_bytes", "Memory in use.", told["memory_kb"] * 1024),
+        counter("process_cpu_seconds_total", "Processor time.", told["processor_s"]),
+    ]
--- a/station/control_report.py
+++ b/station/control_report.py
@@ -7,7 +7,6 @@
 
 from screen.checking import parse_upstreams
 from screen.errors import WireError
-from screen.metrics import Metric, by, counter, gauge
 from screen.wire import EDITION
 from station.version import memory_kb, processor_s, program
 
@@ -39,6 +38,9 @@
         "edition": EDITION,
         "standing": _standing(replica),
         "disk_well": keeper.is_well(),
+        "synced": keeper.synced,
+        "take_overs": herald.take_overs,
+        "list_calls": herald.list_calls(),
         "memory_kb": memory_kb(),
         "processor_s": processor_s(),
         "epoch": 0,
@@ -107,32 +109,3 @@
         }
         for entry in entries
     ]
-
-
-def metrics(node: ControlNode) -> list[Metric]:
-    """The same as figures."""
-    told = status(node)
-    parts: dict[str, int] = {}
-    calls: dict[str, float] = {}
-    tokens: dict[str, float] = {}
-    for entry in told["upstreams"]:
-        part = entry["part"] or "whole"
-        parts[part] = parts.get(part, 0) + (entry["state"] == "up")
-        calls[part] = calls.get(part, 0) + entry["calls"]
-        tokens[part] = tokens.get(part, 0) + entry["tokens"]
-    return [
-        gauge("station_leads", "1 while this process is the primary.", told["standing"] == "primary"),
-        gauge("station_led", "1 while a primary is heard of.", told["led"]),
-        gauge(
-            "station_holds", "1 while this process holds the data.", told["standing"] in ("primary", "holder")
-        ),
-        gauge("station_epoch", "The epoch of the latest view known here.", told["epoch"]),
-        gauge("station_configuration_version", "Version held here, 0 without one.", told["ver"]),
-        gauge("station_disk_well", "1 while the disk takes writes in time.", told["disk_well"]),
-        gauge("station_balancers_present", "Balancers present; told by the primary.", len(told["present"])),
-        by("station_upstreams_up", "gauge", "Upstreams that are up; told by the primary.", "part", parts),
-        by("station_upstream_calls", "gauge", "Calls out of all balancers.", "part", calls),
-        by("station_upstream_tokens", "gauge", "Prompt tokens to be read, of all balancers.", "part", tokens),
-        gauge("process_resident_memory_bytes", "Memory in use.", told["memory_kb"] * 1024),
-        counter("process_cpu_seconds_total", "Processor time.", told["processor_s"]),
-    ]
--- /dev/null
+++ b/station/figures.py
@@ -0,0 +1,21 @@
+"""Figures for whoever asks at `/metrics`; what writes them is loaded by the first question, in a thread."""
+
+from __future__ import annotations
+
+import asyncio
+import importlib
+import sys
+from collections.abc import Callable
+from typing import Any
+
+WRITER = "screen.metrics"
+CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+
+
+async def text(report: str, owner: Any) -> bytes:
+    """The figures of `owner` that the module `report` finds, in text form."""
+    if WRITER not in sys.modules:  # 30 ms of processor time, in which the loop goes on with its work
+        await asyncio.to_thread(importlib.import_module, WRITER)
+    metrics: Callable[[Any], Any] = importlib.import_module(report).metrics
+    found: bytes = sys.modules[WRITER].render(metrics(owner))
+    return found
--- a/windvane/balancer.py
+++ b/windvane/balancer.py
@@ -11,7 +11,6 @@
 
 from loguru import logger
 
-from passpost.counters import Final
 from passpost.engine import Client
 from passpost.http1 import Headers
 from passpost.server import ClientManner, Server
@@ -26,6 +25,7 @@
 from windvane.passage import Passage
 from windvane.prompt import Prompt
 from windvane.routes import RouteTable, draw_service
+from windvane.tally import Refusal, Tally
 from windvane.tiers import Peer, Tiers
 from windvane.wire import free_handle
 
@@ -45,23 +45,6 @@
 FREE_S = 2.0  # a call that frees a handle is given up after this
 
 
-class Tally:
-    """How many requests were taken, and how they ended."""
-
-    def __init__(self) -> None:
-        self.in_flight = 0
-        self.ends = dict.fromkeys(Final, 0)
-
-    def taken(self) -> None:
-        """A whole request has come; it ends exactly once."""
-        self.in_flight += 1
-
-    def ended(self, class_name: str, final: Final) -> None:
-        """A taken request has its final answer, or its client has gone."""
-        self.in_flight -= 1
-        self.ends[final] += 1
-
-
 class Purse:
     """The budget of one service on the steady clock, as a request's decision sees it."""
 
@@ -291,6 +274,7 @@
     def read(self, method: bytes, target: bytes, version: str, headers: Headers) -> Call:
         """The call that a head stands for; raises BadRequestError."""
         if self._configuration is None:
+            self.counters.refused(Refusal.UNCONFIGURED)
             raise BadRequestError(503)
         return read_head(method, target, version, headers, self._table, self._configuration.limits)
 
--- a/windvane/passage.py
+++ b/windvane/passage.py
@@ -15,6 +15,7 @@
 from windvane.errand import Errand
 from windvane.ingress import RoutedCall
 from windvane.relay import Relay
+from windvane.tally import Refusal
 from windvane.tiers import DECODE, ITSELF, PREFILL, Peer
 from windvane.wire import Staged, is_sound, read_handle
 
@@ -54,6 +55,8 @@
         after = int(call.after) if call.after is not None and call.after.isdigit() else None
         self._relay = Relay(self, client, call.txn, after)
         self._fetching: steps.Handle | None = None  # by the run that is out
+        self._taken_at = time.monotonic()
+        self._was_read = False  # an upstream was sent the prompt to read
         self._finished = False
 
     def begin(self) -> None:
@@ -65,7 +68,7 @@
             now = time.monotonic()
             reading, itself = tiers.reading(self._service, now), tiers.reading_itself(self._service, now)
             if min(reading, itself) > self._bearable():
-                self._follow(steps.Refuse())
+                self._follow(steps.Refuse(), Refusal.QUEUES)
                 return
             prompt = self._call.prompt
             apart = tiers.cost(self._service, PREFILL, prompt, now)
@@ -97,10 +100,11 @@
 
     # ---- steps
 
-    def _follow(self, step: steps.Step) -> None:
+    def _follow(self, step: steps.Step, why: Refusal = Refusal.TURNED_AWAY) -> None:
+        """Take a step; `why` it is refused, if it is."""
         match step:
             case steps.Read() | steps.Run() if time.monotonic() >= self._ends:
-                self._follow(self._pair.expired(step))
+                self._follow(self._pair.expired(step), Refusal.LATE)
             case steps.Read():
                 self._read()
             case steps.Run(handle):
@@ -108,6 +112,7 @@
             case steps.Refuse():
                 self._finish()
                 self._free()
+                self._balancer.counters.refused(why)
                 wait = AGAIN_MS if self._balancer.tiers.has_any() else EMPTY_AGAIN_MS
                 self._client.refuse(wait)
             case steps.Fail(status):
@@ -123,10 +128,10 @@
         now = time.monotonic()
         peer = self._balancer.tiers.pick_reader(self._service, self._call.prompt, self._errand.avoid, now)
         if peer is None:
-            self._follow(self._pair.no_reader())
+            self._follow(self._pair.no_reader(), self._none_left())
             return
         extra = b"Mastturn-Target-Upstream: %b\r\nMastturn-Stage: prefill\r\n%b" % (peer.home, self._common())
-        missing = peer.missing(self._call.prompt)
+        missing = self._to_read(peer)
         self._errand.send(peer, self._request(extra), missing, None, self._read_done)
 
     def _run(self, handle: steps.Handle | None) -> None:
@@ -134,7 +139,7 @@
         prompt = self._call.prompt if handle is None else None
         peer = self._balancer.tiers.pick_runner(self._service, prompt, self._zone, self._errand.avoid, now)
         if peer is None:
-            self._follow(self._pair.no_runner())
+            self._follow(self._pair.no_runner(), self._none_left())
             return
         kv = (
             b"Kv-From: %b/%b\r\n" % (handle.address.encode(), handle.ref.encode())
@@ -144,9 +149,19 @@
         extra = b"Mastturn-Target-Upstream: %b\r\n%b%b" % (peer.home, kv, self._common())
         self._relay.begin_anew()
         self._fetching = handle
-        tokens = 0 if prompt is None else peer.missing(prompt)
+        tokens = 0 if prompt is None else self._to_read(peer)
         self._errand.send(peer, self._request(extra), tokens, self._relay, self._run_done)
 
+    def _none_left(self) -> Refusal:
+        return Refusal.TURNED_AWAY if self._errand.avoid else Refusal.NO_UPSTREAM
+
+    def _to_read(self, peer: Peer) -> int:
+        """The tokens that an upstream has to read for it, counted."""
+        tokens = peer.missing(self._call.prompt)
+        self._balancer.counters.reads(tokens, self._was_read)
+        self._was_read = True
+        return tokens
+
     def _common(self) -> bytes:
         """Header lines of every stage: the rank, and the last event that the client has."""
         prio = b"Priority: %d\r\n" % self._priority
@@ -182,7 +197,9 @@
             self._balancer.kept(peer, self._call.prompt)
             self._zone = peer.entry.zone
             self._errand.avoid.clear()
-        self._follow(self._pair.read_ended(steps.End.TAKEN if handle else _end(outcome), handle))
+        end = steps.End.TAKEN if handle else _end(outcome)
+        why = Refusal.LATE if end is steps.End.LATE else Refusal.TURNED_AWAY
+        self._follow(self._pair.read_ended(end, handle), why)
 
     # ---- the run, and its answer as it comes
 
@@ -209,6 +226,8 @@
             self._fetched(True)
         else:
             self._errand.prompt_is_read()
+        if not self._relay.begun:
+            self._balancer.counters.first_event(time.monotonic() - self._taken_at)
         if not self._relay.begun and self._errand.peer is not None:
             self._balancer.kept(self._errand.peer, self._call.prompt)
 
