--- a/station/balancer_figures.py
+++ b/station/balancer_figures.py
@@ -56,6 +56,11 @@
             "read",
             {"first": counters.tokens_read, "again": counters.tokens_read_again},
         ),
+        counter(
+            "station_shared_tokens_again_total",
+            "Tokens of shared parts sent to be read while another upstream has them.",
+            counters.shared_again,
+        ),
         gauge("station_epoch", "The epoch of whoever leads, as last heard of.", told["epoch"]),
         *(
             [gauge("station_news_age_seconds", "Since the control state was last heard of.", age)]
--- a/tests/test_station_figures.py
+++ b/tests/test_station_figures.py
@@ -7,6 +7,7 @@
 import subprocess
 import sys
 from collections.abc import Callable
+from dataclasses import replace
 from pathlib import Path
 from types import SimpleNamespace
 from typing import Any
@@ -75,6 +76,27 @@
     run(test())
 
 
+def test_shared_parts_that_another_upstream_has_count_when_they_are_read_again() -> None:
+    async def test() -> None:
+        stages = [Stage("p1", "prefill"), Stage("p2", "prefill", prefill), Stage("d1", "decode")]
+        shared = "Mastturn-Token-Count: 900,3\r\nMastturn-Prompt-Prefix: aa:400,bb:500\r\n"
+        async with playing(*stages) as play:
+            assert (await play.ask("r1", headers=shared)).whole
+            assert told(play.balancer)["station_shared_tokens_again_total"] == 0
+            assert (await play.ask("r2", headers=shared)).whole
+            assert told(play.balancer)["station_shared_tokens_again_total"] == 0
+            assert told(play.balancer)["station_prompt_tokens_total/first"] == 900 + 500
+            has = next(
+                s for s in stages[:2] if s.got
+            )  # it leaves: it gets no more, and its memory is there yet
+            has.entry = replace(has.entry, state="draining")
+            play.list(*stages)
+            assert (await play.ask("r3", headers=shared)).whole
+            assert told(play.balancer)["station_shared_tokens_again_total"] == 400
+
+    run(test())
+
+
 def test_a_stream_that_another_upstream_goes_on_with_has_one_first_event() -> None:
     async def test() -> None:
         async with playing(
--- a/windvane/passage.py
+++ b/windvane/passage.py
@@ -157,8 +157,11 @@
 
     def _to_read(self, peer: Peer) -> int:
         """The tokens that an upstream has to read for it, counted."""
-        tokens = peer.missing(self._call.prompt)
-        self._balancer.counters.reads(tokens, self._was_read)
+        prompt, balancer = self._call.prompt, self._balancer
+        tokens = peer.missing(prompt)
+        balancer.counters.reads(tokens, self._was_read)
+        if prompt.shared and tokens == prompt.tokens and balancer.tiers.is_kept(prompt.subject):
+            balancer.counters.shared_again += prompt.shared
         self._was_read = True
         return tokens
 
--- a/windvane/tally.py
+++ b/windvane/tally.py
@@ -28,6 +28,7 @@
         self.ends = dict.fromkeys(Final, 0)
         self.refusals = dict.fromkeys(Refusal, 0)
         self.tokens_read, self.tokens_read_again = 0, 0
+        self.shared_again = 0  # tokens of shared parts, read by one upstream while another has them
         self.first_events = [0] * (len(FIRST_EVENT_S) + 1)  # by how long they took; the last one: longer
         self.first_events_s = 0.0  # in all
 
--- a/windvane/tiers.py
+++ b/windvane/tiers.py
@@ -168,6 +168,10 @@
         """The upstream of this id, if it is on the list."""
         return self._peers.get(name)
 
+    def is_kept(self, subject: bytes) -> bool:
+        """Whether any upstream of the list has the shared parts of a subject."""
+        return any(subject in peer.kept for peer in self._peers.values())
+
     def has_any(self) -> bool:
         """Whether any upstream is ready."""
         return any(group.peers for group in self._groups.values())
