Serve a dashboard of the whole fleet at /dashboard of each control process

Change: station/dashboard.py makes the page from what status gathers (fleet_status.tables_of, shared by both), in a thread, once in 2 s at the most for all who ask, after the pace of the other reports. An answer to /api/status is read up to 4 MiB. Status 429 at ctl has its reason now ('Status' before).

--- a/mastturn/smallfleet/layout.py
+++ b/mastturn/smallfleet/layout.py
@@ -76,6 +76,7 @@
             "seed_addrs": self.ctl(),
             "bootstrap": bootstrap,
             "quorum_member": is_core,
+            "readyz_port": self.port(READYZ),
             "data_dir": str(folder / machine.node) if is_core else None,
             "faults": {"nodes": 1, "zones": 0, "regions": 0},
             "bounds": {"grace_s": 5, "retry_slack": 54, "fenced": True},
--- a/screen/calls.py
+++ b/screen/calls.py
@@ -21,6 +21,7 @@
     405: "Method Not Allowed",
     412: "Precondition Failed",
     413: "Content Too Large",
+    429: "Too Many Requests",
     431: "Request Header Fields Too Large",
     500: "Internal Server Error",
     503: "Service Unavailable",
--- a/screen/settings.py
+++ b/screen/settings.py
@@ -101,6 +101,7 @@
     faults: Faults = field(default_factory=Faults)
     bounds: Bounds = field(default_factory=Bounds)
     log_levels: dict[str, str] = field(default_factory=dict)  # by role; else the command line's
+    readyz_port: int = 0  # of the balancers' readiness, for the dashboard of a control process; 0: not known
 
     @property
     def station_port(self) -> int:
@@ -193,6 +194,10 @@
         raise SettingsError(f"port_range is {first} to {last}", _PORTS)
     if settings.cloud_api.rate_per_s <= 0:
         raise SettingsError(f"cloud_api.rate_per_s is {settings.cloud_api.rate_per_s:g}", "make it above 0")
+    if not 0 <= settings.readyz_port < 65536:
+        raise SettingsError(
+            f"readyz_port is {settings.readyz_port}", "give the port of the balancers' readiness"
+        )
     if settings.faults.nodes < 0:
         raise SettingsError(f"faults.nodes is {settings.faults.nodes}", "make it 0 or more")
 
--- a/station/asking.py
+++ b/station/asking.py
@@ -64,19 +64,20 @@
     body: bytes | None = None,
     headers: Mapping[str, str] | None = None,
     silent_s: float = SILENT_S,
+    most: int = MOST_BODY,
 ) -> Answer | None:
-    """One call to one process; None without a whole answer within the silence (s)."""
+    """One call to one process; None without a whole answer of `most` bytes within the silence (s)."""
     host, _, port = by.rpartition(":")
     connection = http.client.HTTPConnection(host, int(port), timeout=silent_s)
     try:
         connection.request(method, target, body, dict(headers or {}))
         answer = connection.getresponse()
-        held = answer.read(MOST_BODY + 1)
+        held = answer.read(most + 1)
     except (OSError, http.client.HTTPException):
         return None
     finally:
         connection.close()
-    if len(held) > MOST_BODY:
+    if len(held) > most:
         return None
     return Answer(answer.status, {k.lower(): v for k, v in answer.getheaders()}, held, by)
 
--- a/station/balancer_calls.py
+++ b/station/balancer_calls.py
@@ -86,7 +86,7 @@
 ) -> None:
     if transport.is_closing():
         return
-    reason = REASONS.get(status, "Too Many Requests")
+    reason = REASONS[status]
     transport.write(
         f"HTTP/1.1 {status} {reason}\r\nContent-Type: {content_type}\r\n"
         f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n".encode("latin-1")
--- a/station/commands.py
+++ b/station/commands.py
@@ -95,8 +95,10 @@
     def _readyz_port(self) -> int | None:
         if self._given.readyz_port:
             return int(self._given.readyz_port)
-        readyz = self._settings.listen.readyz if self._settings is not None else None
-        return parse_address(readyz)[1] if readyz else None
+        if self._settings is None:
+            return None
+        readyz = self._settings.listen.readyz
+        return parse_address(readyz)[1] if readyz else self._settings.readyz_port or None
 
     # ---- what is there
 
--- a/station/control_calls.py
+++ b/station/control_calls.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import importlib
 import json
+import sys
 from typing import TYPE_CHECKING
+from weakref import WeakKeyDictionary
 
 from barograph.operators import CALLS
 from screen.calls import Call, Reply, say
@@ -12,8 +15,10 @@
 
 if TYPE_CHECKING:
     from barograph.node import ControlNode
+    from station.dashboard import Dashboard
 
-_STATUS, _METRICS = Pace(), Pace()  # so that a stranger takes nothing from a collector
+_STATUS, _METRICS, _DASHBOARD = Pace(), Pace(), Pace()  # so that a stranger takes nothing from a collector
+_pages: WeakKeyDictionary[ControlNode, Dashboard] = WeakKeyDictionary()  # made once somebody asks
 
 
 def declare() -> None:
@@ -47,3 +52,17 @@
 
     found = await figures.text("station.control_figures", control)
     return Reply(200, found, content_type=figures.CONTENT_TYPE)
+
+
+@CALLS.on("GET", "/dashboard")
+async def get_dashboard(control: ControlNode, call: Call) -> Reply:
+    """A page for a browser on the whole fleet, as this process finds it."""
+    if _is_too_often(_DASHBOARD):
+        return _wait()
+    if "station.dashboard" not in sys.modules:  # what asks others takes time and memory, once
+        await asyncio.to_thread(importlib.import_module, "station.dashboard")
+    from station.dashboard import Dashboard as Page
+
+    if control not in _pages:
+        _pages[control] = Page()
+    return await _pages[control].page(control.settings)
--- a/station/fleet_status.py
+++ b/station/fleet_status.py
@@ -14,13 +14,15 @@
 SILENT_S = 2.0
 AT_ONCE = 16
 TRIES, AGAIN_S = 3, 0.6  # where a process is asked too often
+MOST_STATUS = 4 * 1024 * 1024  # bytes of one answer
 BEHIND_MS = 1_000  # a member that the primary has not heard of for longer is marked
 
 
-def gather(ctl: list[str], readyz_port: int | None) -> dict[str, Any]:
+def gather(ctl: list[str], readyz_port: int | None, most: int | None = None) -> dict[str, Any]:
     """What every process says; raises UnansweredError if no control process answers.
 
-    Without the port of the balancers' readiness, balancers are only those that the primary names.
+    Without the port of the balancers' readiness, or where they are more than `most`, balancers are only those
+    that the primary names.
     """
     with concurrent.futures.ThreadPoolExecutor(AT_ONCE) as pool:
         told = {a["ctl"]: a for a in pool.map(status_of, ctl) if a is not None}
@@ -38,6 +40,8 @@
         primary = leads[0] if leads else None
         present = primary["present"] if primary is not None else []
         asked = [f"{p['ip']}:{readyz_port}" for p in present] if readyz_port else []
+        if most is not None and len(asked) > most:
+            asked = []
         answers = list(pool.map(status_of, asked))
     view = primary or max(told.values(), key=lambda a: int(a["epoch"]))
     names = [m["node"] for m in view["members"]]
@@ -63,12 +67,12 @@
 
 def status_of(place: str) -> dict[str, Any] | None:
     """A process's own word; None if it gives none."""
-    answer = asking.once(place, "GET", "/api/status", silent_s=SILENT_S)
+    answer = asking.once(place, "GET", "/api/status", silent_s=SILENT_S, most=MOST_STATUS)
     for _ in range(TRIES):
         if answer is None or answer.status != 429:
             break
         time.sleep(AGAIN_S)  # others ask too
-        answer = asking.once(place, "GET", "/api/status", silent_s=SILENT_S)
+        answer = asking.once(place, "GET", "/api/status", silent_s=SILENT_S, most=MOST_STATUS)
     if answer is None or answer.status != 200:
         return None
     try:
@@ -125,92 +129,98 @@
     return lines
 
 
-def lines_of(found: dict[str, Any]) -> list[str]:
-    """The same for people."""
-    differing = {line.partition(":")[0] for line in found["differs"]}
+UNASKED = "balancers were not asked: give --readyz_port, or let MASTTURN_CONFIG name settings with it"
+
+
+def summary(found: dict[str, Any]) -> str:
+    """Who leads, what is in force, and how many answer."""
     here = [r for r in found["control"] if r["answer"]], [r for r in found["balancers"] if r["answer"]]
     counts = f"{len(here[0])} of {len(found['control'])} control processes"
     if found["balancers_asked"]:
         counts += f" and {len(here[1])} of {len(found['balancers'])} balancers"
     led = f"led by {found['leader']}" if found["leader"] else "led by nobody"
     version = "unknown" if found["ver"] is None else found["ver"] or "none yet"
-    lines = [f"{led}, epoch {found['epoch']}, configuration {version}; {counts} answer", ""]
-    rows = []
-    for row in found["control"]:
-        a = row["answer"] or {}
-        holds = a.get("standing") in ("primary", "holder")
-        rows.append(
-            [
-                row["node"],
-                row["zone"],
-                a.get("standing"),
-                a.get("epoch"),
-                a.get("ver") if holds else None,
-                a.get("program"),
-                a.get("disk_well"),
-                row["silent_ms"],
-                _mb(a),
-                "!" if row["node"] in differing else "",
-            ]
-        )
-    head = [
-        "CONTROL",
-        "ZONE",
-        "STANDING",
-        "EPOCH",
-        "CONFIG",
-        "PROGRAM",
-        "DISK WELL",
-        "SILENT MS",
-        "MB",
-        "MARK",
-    ]
-    lines += [*table(head, rows), ""]
-    rows = []
-    for row in found["balancers"]:
-        a = row["answer"] or {}
-        rows.append(
-            [
-                row["node"],
-                row["zone"],
-                a.get("ready"),
-                a.get("drained"),
-                a.get("ver"),
-                a.get("program"),
-                a.get("told_by"),
-                a.get("in_flight"),
-                sum(a["ended"].values()) if a else None,
-                _mb(a),
-                "!" if row["node"] in differing else "",
-            ]
-        )
-    head = [
-        "BALANCER",
-        "ZONE",
-        "READY",
-        "DRAINED",
-        "CONFIG",
-        "PROGRAM",
-        "TOLD BY",
-        "OPEN",
-        "ENDED",
-        "MB",
-        "MARK",
-    ]
-    lines += table(head, rows)
-    if not found["balancers_asked"]:
-        lines.append(
-            "balancers were not asked: give --readyz_port, or let MASTTURN_CONFIG name settings with it"
-        )
-    lines += [
-        "",
-        *table(["SERVICE", "PART", "UP", "DRAINING", "CALLS", "TOKENS"], _by_part(found["upstreams"])),
-    ]
+    return f"{led}, epoch {found['epoch']}, configuration {version}; {counts} answer"
+
+
+def lines_of(found: dict[str, Any]) -> list[str]:
+    """The same for people."""
+    control, balancers, parts = (table(head, rows) for head, rows in tables_of(found))
+    note = [] if found["balancers_asked"] else [UNASKED]
+    lines = [summary(found), "", *control, "", *balancers, *note, "", *parts]
     if found["differs"]:
         lines += ["", *(f"! {line}" for line in found["differs"])]
     return lines
 
 
+CONTROL = (
+    "CONTROL",
+    "ZONE",
+    "STANDING",
+    "EPOCH",
+    "CONFIG",
+    "PROGRAM",
+    "DISK WELL",
+    "SILENT MS",
+    "MB",
+    "MARK",
+)
+BALANCERS = (
+    "BALANCER",
+    "ZONE",
+    "READY",
+    "DRAINED",
+    "CONFIG",
+    "PROGRAM",
+    "TOLD BY",
+    "OPEN",
+    "ENDED",
+    "MB",
+    "MARK",
+)
+PARTS = ("SERVICE", "PART", "UP", "DRAINING", "CALLS", "TOKENS")
+Table = tuple[tuple[str, ...], list[list[Any]]]
+
+
+def tables_of(found: dict[str, Any]) -> list[Table]:
+    """Control processes, balancers, and upstreams by part; `!` marks who differs."""
+    differing = {line.partition(":")[0] for line in found["differs"]}
+    control = [
+        [
+            row["node"],
+            row["zone"],
+            a.get("standing"),
+            a.get("epoch"),
+            a.get("ver") if a.get("standing") in ("primary", "holder") else None,
+            a.get("program"),
+            a.get("disk_well"),
+            row["silent_ms"],
+            _mb(a),
+            "!" if row["node"] in differing else "",
+        ]
+        for row in found["control"]
+        for a in (row["answer"] or {},)
+    ]
+    balancers = [
+        [
+            row["node"],
+            row["zone"],
+            a.get("ready"),
+            a.get("drained"),
+            a.get("ver"),
+            a.get("program"),
+            a.get("told_by"),
+            a.get("in_flight"),
+            sum(a["ended"].values()) if a else None,
+            _mb(a),
+            "!" if row["node"] in differing else "",
+        ]
+        for row in found["balancers"]
+        for a in (row["answer"] or {},)
+    ]
+    return [(CONTROL, control), (BALANCERS, balancers), (PARTS, _by_part(found["upstreams"]))]
+
+
 def _mb(answer: dict[str, Any]) -> str | None:
     return f"{answer['memory_kb'] / 1024:.1f}" if answer else None
 
--- a/station/tables.py
+++ b/station/tables.py
@@ -9,9 +9,9 @@
 
 def table(head: Sequence[str], rows: Iterable[Sequence[object]]) -> list[str]:
     """Lines with every column as wide as its widest cell; an empty cell shows as `-`. Numbers stand right."""
-    cells = [[_shown(value) for value in row] for row in rows]
+    cells = [[shown(value) for value in row] for row in rows]
     widths = [max(len(row[i]) for row in [list(head), *cells]) for i in range(len(head))]
-    right = [bool(cells) and all(_is_number(row[i]) for row in cells) for i in range(len(head))]
+    right = [bool(cells) and all(is_number(row[i]) for row in cells) for i in range(len(head))]
     lines = []
     for row in [list(head), *cells]:
         parts = [
@@ -22,11 +22,13 @@
     return lines
 
 
-def _shown(value: object) -> str:
+def shown(value: object) -> str:
+    """One cell."""
     if isinstance(value, bool):
         return "yes" if value else "no"
     return "-" if value is None or value == "" else str(value)
 
 
-def _is_number(cell: str) -> bool:
+def is_number(cell: str) -> bool:
+    """Whether a cell stands right: a number, or empty."""
     return cell == "-" or cell.rstrip("!%").replace(".", "", 1).isdigit()
--- a/tests/test_screen_settings.py
+++ b/tests/test_screen_settings.py
@@ -197,3 +197,11 @@
         settings_file.read()
     path.write_text(yaml.safe_dump(WHOLE))
     assert settings_file.read().node == "edge-hall-a-1"
+
+
+@pytest.mark.parametrize("port", [-1, 65536])
+def test_the_port_of_the_balancers_readiness_is_a_port(port: int) -> None:
+    assert parse(yaml.safe_dump(WHOLE)).readyz_port == 0
+    assert parse(changed("readyz_port", 8167)).readyz_port == 8167
+    with pytest.raises(SettingsError, match="give the port of the balancers' readiness"):
+        parse(changed("readyz_port", port))
--- a/tests/test_station_cli_commands.py
+++ b/tests/test_station_cli_commands.py
@@ -488,6 +488,6 @@
 LAZY = (
     "station.commands", "station.asking", "station.fleet_status", "station.tap", "station.explaining",
     "station.balancer_calls", "station.balancer_report", "station.balancer_figures", "station.figures",
-    "station.control_figures", "station.control_report", "screen.metrics",
+    "station.dashboard", "station.control_figures", "station.control_report", "screen.metrics",
     "station.version", "station.salvage", "prometheus_client",
 )  # fmt: skip
