--- a/barograph/platform.py
+++ b/barograph/platform.py
@@ -59,7 +59,7 @@
             raise PlatformError(f"status {answer.status}")
         try:
             page = json.loads(answer.body)
-        except ValueError:
+        except (ValueError, RecursionError):
             raise PlatformError("no JSON") from None
         if not isinstance(page, dict) or not isinstance(page.get("upstreams"), list):
             raise PlatformError("no list")
--- a/screen/checking.py
+++ b/screen/checking.py
@@ -403,6 +403,7 @@
 
 _ENTRY = _Unreadable("entry")
 _TEXTS = (("id", True), ("svc", True), ("addr", True), ("zone", False), ("ver", False), ("phase", False))
+_IN_LINES = ("id", "addr")  # header lines of ours hold them
 
 
 def _upstream(entry: object) -> Upstream | _Unreadable:
@@ -415,6 +416,8 @@
             text = ""
         if not isinstance(text, str) or (needed and not text):
             return _Unreadable(name)
+        if name in _IN_LINES and not (text.isascii() and text.isprintable() and " " not in text):
+            return _Unreadable(name)
         texts.append(text)
     id_, svc, addr, zone, ver, phase = texts
     state = entry.get("state", "up")
--- a/screen/settings.py
+++ b/screen/settings.py
@@ -15,6 +15,8 @@
 
 Address = tuple[str, int]
 VARIABLE = "MASTTURN_CONFIG"
+MOST_TEXT = 256 * 1024  # characters of the file
+MOST_LEVELS = 5_000  # of signs that may begin a level
 
 
 @dataclass(frozen=True, slots=True)
@@ -202,8 +204,31 @@
         raise SettingsError(f"faults.nodes is {settings.faults.nodes}", "make it 0 or more")
 
 
+def _bound(text: str) -> None:
+    """Raise SettingsError for what the YAML library can't take: 20,000 levels end the process."""
+    if len(text) > MOST_TEXT or sum(map(text.count, "[{-?")) > MOST_LEVELS:
+        raise SettingsError(
+            f"the settings are longer than {MOST_TEXT} characters, or nested without end",
+            "write the settings of one machine",
+        )
+
+
+def _see_no_part_twice(raw: object) -> None:
+    """Raise SettingsError where an alias names a part again: few lines then hold more than can be walked."""
+    seen, left = set[int](), [raw]
+    while left:
+        value = left.pop()
+        if not isinstance(value, dict | list):
+            continue
+        if id(value) in seen:
+            raise SettingsError("the settings name a part again by an alias", "write it out where it belongs")
+        seen.add(id(value))
+        left.extend(value.values() if isinstance(value, dict) else value)
+
+
 def parse(text: str) -> Settings:
     """The settings that a file's text holds; raises SettingsError that names the field and the remedy."""
+    _bound(text)
     try:
         raw = yaml.load(text, Loader=getattr(yaml, "CSafeLoader", yaml.SafeLoader))
     except (yaml.YAMLError, RecursionError, ValueError) as error:
@@ -212,6 +237,7 @@
         ) from None
     if not isinstance(raw, dict):
         raise SettingsError("the settings hold no fields", "write them as `name: value` lines")
+    _see_no_part_twice(raw)
     settings = _typed(raw)
     _check(settings)
     return settings
--- a/station/asking.py
+++ b/station/asking.py
@@ -15,6 +15,7 @@
 from station.wrong import UnansweredError, WrongCallError
 
 SILENT_S = 2.0  # of one process; then another is asked
+MOST_WORDS = 500  # characters of an error
 MOST_BODY = 16 * 1024 * 1024  # bytes of an answer
 REDIRECTS = 2
 AGAIN_S = 0.4  # until one process is asked again
@@ -34,17 +35,17 @@
         """The object that it holds; raises UnansweredError."""
         try:
             found = json.loads(self.body)
-        except ValueError:
+        except (ValueError, RecursionError):
             found = None
         if not isinstance(found, dict):
             raise UnansweredError(f"{self.by} answers with no JSON", "see that it is one of ours")
         return found
 
     def words(self) -> str:
-        """What it says in a few words."""
+        """What it says in a few words, on one line."""
         try:
-            return str(json.loads(self.body)["error"])
-        except (ValueError, KeyError, TypeError):
+            return " ".join(str(json.loads(self.body)["error"]).split())[:MOST_WORDS]
+        except (ValueError, KeyError, TypeError, RecursionError):
             return f"status {self.status}"
 
 
--- a/station/draining.py
+++ b/station/draining.py
@@ -29,6 +29,6 @@
         return False
     try:
         raw = json.loads(body)
-    except ValueError:
+    except (ValueError, RecursionError):
         return False
     return isinstance(raw, dict) and node in (names_of(raw) or ())
--- a/tests/test_screen_settings.py
+++ b/tests/test_screen_settings.py
@@ -199,6 +199,23 @@
     assert settings_file.read().node == "edge-hall-a-1"
 
 
+@pytest.mark.parametrize(
+    ("text", "said"),
+    [
+        ("[" * 100_000, "nested without end"),  # the library's own code ends the process at 20,000 levels
+        ("- " * 100_000, "nested without end"),
+        ("? " * 100_000, "nested without end"),
+        ("a: " + "x" * 300_000, "longer than"),
+        ("zones: &a {x: *a}", "by an alias"),
+        ("a0: &a0 {x: y}\n" + "".join(f"a{i}: &a{i} {{x: *a{i - 1}, y: *a{i - 1}}}\n" for i in range(1, 99)),
+         "by an alias"),
+    ],
+)  # fmt: skip
+def test_a_file_that_would_end_or_hold_up_the_process_is_refused(text: str, said: str) -> None:
+    with pytest.raises(SettingsError, match=said):
+        parse(text)
+
+
 @pytest.mark.parametrize("port", [-1, 65536])
 def test_the_port_of_the_balancers_readiness_is_a_port(port: int) -> None:
     assert parse(yaml.safe_dump(WHOLE)).readyz_port == 0
--- a/windvane/wire.py
+++ b/windvane/wire.py
@@ -94,6 +94,6 @@
     try:
         told = json.loads(body)
         ref, tokens = told["kv_ref"], int(told.get("ntokens", 0))
-    except (ValueError, KeyError, TypeError, AttributeError):
+    except (ValueError, KeyError, TypeError, AttributeError, OverflowError, RecursionError):
         return None
     return (ref, tokens) if isinstance(ref, str) and _REF.fullmatch(ref) else None
