--- a/tests/fuzz_long.py
+++ b/tests/fuzz_long.py
@@ -1,7 +1,7 @@
 """`python -m tests.fuzz_long --seconds 3600`: the properties of bad input with fresh examples, for so long.
 
-Each round is a process of its own, so that what ends a process (a fault in a library) ends one round. Prints a
-line a round, then what was tried of each kind and the most memory of any round. Exit code: 0 if all held.
+Each round is a process of its own, so that what ends a process (a fault in a library) ends one round. Prints
+a line a round, then what was tried of each kind and the most memory of any round. Exit code: 0 if all held.
 """
 
 from __future__ import annotations
--- a/tests/test_station_command.py
+++ b/tests/test_station_command.py
@@ -23,6 +23,7 @@
 from screen import settings as settings_file
 from screen.settings import Settings
 from station import __main__ as station
+from station import logs
 from tests.fabric import Loop
 from tests.fabric_callers import configuration
 
@@ -216,6 +217,45 @@
     assert role.calls == ["start", "reconfigure", "reconfigure", "stop"]
 
 
+def test_the_level_of_the_log_follows_the_settings_by_role_while_it_runs(
+    monkeypatch: pytest.MonkeyPatch, tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """From SIGHUP or the next look at the file on; another role's level or a bad one changes nothing."""
+    said: dict[str, list[str]] = {}
+
+    async def story(loop: Loop, path: Path, role: Recorder) -> None:
+        raw = yaml.safe_load(path.read_text())
+
+        async def after(name: str, levels: dict[str, str] | None, signals: bool, wait_s: float) -> None:
+            write(tmp_path, raw if levels is None else raw | {"log_levels": levels})
+            if signals:
+                loop.signals[signal.SIGHUP]()
+            await asyncio.sleep(wait_s)
+            capsys.readouterr()
+            logger.debug("event=step")
+            logger.info("event=news")
+            logger.error("event=fault")
+            lines = capsys.readouterr().err.splitlines()
+            said[name] = [line.partition("event=")[2] for line in lines]
+
+        await after("of another role", {"barograph": "DEBUG"}, True, 0.1)
+        await after("by a signal", {"windvane": "DEBUG"}, True, 0.1)
+        await after("without a signal", {"windvane": "ERROR"}, False, 2.5)
+        await after("a bad one", {"windvane": "LOUD"}, True, 0.1)
+        await after("none any more", None, True, 0.1)
+
+    monkeypatch.setattr(logs, "_written", ["INFO"])
+    serve(story, monkeypatch, tmp_path)
+    logger.remove()
+    assert said == {
+        "of another role": [],  # the test's own sink is the only one until the level first changes
+        "by a signal": ["step", "news", "fault"],
+        "without a signal": ["fault"],
+        "a bad one": ["fault"],
+        "none any more": ["news", "fault"],
+    }
+
+
 def test_a_file_that_stays_unreadable_is_logged_once(monkeypatch: pytest.MonkeyPatch, tmp_path: Path) -> None:
     async def story(loop: Loop, path: Path, role: Recorder) -> None:
         path.write_text("{ half a file")
