Hold every kind's schema and bytes fixed, and run the small fleet with two programs

Change: tests/approved/kinds.txt holds the schema of each kind between processes and on disk, with one message and its bytes; a release reads those bytes and writes the same.

--- a/mastturn/smallfleet/__main__.py
+++ b/mastturn/smallfleet/__main__.py
@@ -14,7 +14,7 @@
 from mastturn.files import LabError
 from mastturn.smallfleet.play import Play, as_json, left
 
-USAGE = "usage: python3 -m mastturn.smallfleet [--seconds=S] [--calm] [--folder=DIR] [--json]"
+USAGE = "usage: python3 -m mastturn.smallfleet [--seconds=S] [--calm] [--folder=DIR] [--other=DIR] [--json]"
 
 
 def _flags() -> flags.FlagValues:
@@ -22,6 +22,7 @@
     flags.DEFINE_float("seconds", 8.0, "How long clients ask.", 1.0, 86_400.0, flag_values=found)
     flags.DEFINE_bool("calm", False, "Kill nobody.", flag_values=found)
     flags.DEFINE_string("folder", "", "Keep settings, disks and logs there.", flag_values=found)
+    flags.DEFINE_string("other", "", "Another checkout, whose program core-b and edge-b run.", found)
     flags.DEFINE_bool("json", False, "Print the result as one JSON object at the end.", flag_values=found)
     return found
 
@@ -30,10 +31,20 @@
     print(text, flush=True)
 
 
-async def _play(folder: Path, seconds: float, kills: bool, as_object: bool) -> int:
-    play = Play(folder, _say)
-    result = await play.run(seconds, kills)
-    if as_object:
+def _other(name: str) -> Path | None:
+    """The checkout of that name; raises LabError where it holds no program of ours."""
+    if not name:
+        return None
+    folder = Path(name).resolve()
+    if not (folder / "station" / "__main__.py").is_file():
+        raise LabError(f"{folder} holds no station/: name a checkout of this project")
+    return folder
+
+
+async def _play(folder: Path, given: flags.FlagValues) -> int:
+    play = Play(folder, _say, _other(given.other))
+    result = await play.run(given.seconds, not given.calm)
+    if given.json:
         _say(json.dumps(as_json(result)))
     else:
         ends = "  ".join(f"{end} {getattr(result, end)}" for end in ("served", "refused", "failed", "cut"))
@@ -67,9 +78,9 @@
             folder.mkdir(parents=True, exist_ok=True)
             if any(folder.iterdir()):
                 raise LabError(f"{folder} is not empty: name a new folder")
-            return asyncio.run(_play(folder, given.seconds, not given.calm, given.json))
+            return asyncio.run(_play(folder, given))
         with tempfile.TemporaryDirectory(prefix="mastturn-") as name:
-            return asyncio.run(_play(Path(name), given.seconds, not given.calm, given.json))
+            return asyncio.run(_play(Path(name), given))
     except LabError as error:
         print(f"smallfleet: {error}", file=sys.stderr)
         return 1
--- a/mastturn/smallfleet/play.py
+++ b/mastturn/smallfleet/play.py
@@ -23,6 +23,7 @@
 PHASES = ("prefill", "prefill", "decode", "decode", "decode")
 LED_S, TAKEN_S, READY_S = 15.0, 10.0, 15.0
 LINE_S, LOOK_S = 1.0, 0.1
+OTHERS = "b"  # names of machines that may run another program end so
 Say = Callable[[str], None]
 
 
@@ -50,8 +51,9 @@
 class Play:
     """Three control processes, three balancers, and all that stands around them."""
 
-    def __init__(self, folder: Path, say: Say) -> None:
-        self._folder, self._say = folder, say
+    def __init__(self, folder: Path, say: Say, other: Path | None = None) -> None:
+        """`other`: a checkout whose program some of the processes run, as in the middle of an upgrade."""
+        self._folder, self._say, self._other = folder, say, other
         self._layout: Layout = layout.lay_out(len(PHASES))
         self._upstreams = [
             Upstream(f"u-{i}", place, layout.ZONES[i % len(layout.ZONES)], phase)
@@ -127,7 +129,10 @@
         (self._folder / machine.node).mkdir(exist_ok=True)
         layout.write(settings, self._layout.settings(machine, self._folder, bootstrap))
         process = self._processes.setdefault(machine.node, Process(machine.node, self._folder))
-        await process.start("station", machine.role, environment={"MASTTURN_CONFIG": str(settings)})
+        environment = {"MASTTURN_CONFIG": str(settings)}
+        if self._other is not None and machine.node.endswith(OTHERS):
+            environment |= {"PYTHONPATH": str(self._other), "PYTHONSAFEPATH": "1"}
+        await process.start("station", machine.role, environment=environment)
 
     async def _stop_all(self) -> None:
         await asyncio.gather(*(process.stop() for process in self._processes.values()))
--- a/tests/test_station_cli_fleet.py
+++ b/tests/test_station_cli_fleet.py
@@ -101,6 +101,11 @@
     assert [p.name for p in tmp_path.iterdir()] == ["mine"]
 
 
+def test_another_program_is_that_of_a_checkout(capsys: pytest.CaptureFixture[str], tmp_path: Path) -> None:
+    assert main(["smallfleet", f"--other={tmp_path}"]) == 1
+    assert "name a checkout of this project" in capsys.readouterr().err
+
+
 def test_all_machines_have_addresses_of_their_own() -> None:
     found = layout.lay_out(5)
     places = [*found.ctl(), found.platform, *found.upstreams]
--- /dev/null
+++ b/tests/test_wire_held.py
@@ -0,0 +1,102 @@
+"""Kinds of messages and of records as releases have spoken them: none of them ever changes.
+
+tests/approved/kinds.txt holds the schema of each kind and one message with its bytes, as the release wrote them
+that first had it. A release that is beside it in an upgrade reads those bytes, and writes the same.
+"""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pytest
+
+from barograph.codec import RECORDS
+from barograph.messages import KINDS as CONTROL
+from screen.wire import EDITION, FrameReader, Kinds, plain
+from sonde.messages import KINDS as NEWS
+from tests.fabric_world import APPROVED, approve
+
+TABLES = {"control": CONTROL, "news": NEWS, "disk": RECORDS}
+
+
+def a_value(schema: Any, place: str) -> Any:
+    """A value that fits a schema: each one another, worked out from where it stands."""
+    if isinstance(schema, list):
+        return a_value(schema[-1], place)
+    name = schema["type"] if isinstance(schema, dict) else schema
+    match name:
+        case "record":
+            return {f["name"]: a_value(f["type"], f"{place}.{f['name']}") for f in schema["fields"]}
+        case "array":
+            return [a_value(schema["items"], f"{place}.{i}") for i in range(2)]
+        case "null":
+            return None
+        case "boolean":
+            return True
+        case "int" | "long":
+            return sum(place.encode()) * (1 if name == "int" else 1_000_003)
+        case "string":
+            return f"{place}-é"
+    return place.encode()
+
+
+def fields_of(schema: Any) -> Any:
+    """A schema as it is spoken: the names of records and fields, in order, and their types."""
+    if isinstance(schema, list):
+        return [fields_of(part) for part in schema]
+    if not isinstance(schema, dict):
+        return schema
+    match schema["type"]:
+        case "record":
+            return {"record": [[f["name"], fields_of(f["type"])] for f in schema["fields"]]}
+        case "array":
+            return {"array": fields_of(schema["items"])}
+    return schema["type"]
+
+
+def kinds_of(kinds: Kinds) -> list[tuple[int, type, Any]]:
+    return sorted((number, cls, schema) for cls, (number, schema) in kinds._by_type.items())
+
+
+def test_each_kind_is_spoken_as_it_was() -> None:
+    lines = []
+    for table, kinds in TABLES.items():
+        for number, cls, schema in kinds_of(kinds):
+            message = cls(**a_value({"type": "record", "fields": schema["fields"]}, cls.__name__))
+            lines.append(f"{table} {number} {cls.__name__} {json.dumps(fields_of(schema))}")
+            lines.append(f"  {kinds.encode(message).hex()}")
+    approve("kinds", "\n".join(lines) + "\n")
+
+
+@pytest.mark.parametrize("table", TABLES)
+def test_what_an_earlier_release_wrote_is_read(table: str) -> None:
+    kinds = TABLES[table]
+    lines = (APPROVED / "kinds.txt").read_text(encoding="utf-8").splitlines()
+    held = [
+        (int(head.split(" ")[1]), bytes.fromhex(raw.strip()))
+        for head, raw in zip(lines[::2], lines[1::2], strict=True)
+        if head.startswith(f"{table} ")
+    ]
+    assert held
+    for number, raw in held:
+        (frame,) = FrameReader().feed(raw)
+        assert frame.number == number
+        message = kinds.decode(number, frame.body)
+        assert kinds.encode(message) == raw
+        schema = kinds._by_number[number][1]
+        told = a_value({"type": "record", "fields": schema["fields"]}, type(message).__name__)
+        assert json.loads(json.dumps(plain(message), default=list_of)) == json.loads(
+            json.dumps(told, default=list_of)
+        )
+
+
+def list_of(value: Any) -> Any:
+    return list(value)  # bytes
+
+
+def test_the_edition_stands_for_these_kinds() -> None:
+    """A new kind raises EDITION with it, and a number is used once."""
+    assert (EDITION, len(CONTROL._by_type), len(NEWS._by_type)) == (2, 14, 11)
+    assert max(CONTROL._by_number) < min(NEWS._by_number)
+    assert len(CONTROL._by_number) == len(CONTROL._by_type) and len(NEWS._by_number) == len(NEWS._by_type)
