Hold what processes tell of themselves to a form before it is shown

Found by a property: an answer to /api/status that lacks a field, or a balancer at an address of ctl, ended status, explain, drain and the dashboard with a traceback (KeyError); so did an address of a member that is none (ValueError, http.client.InvalidURL). Now each counts as a process that gives no answer, which status marks.

--- a/station/asking.py
+++ b/station/asking.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import http.client
 import itertools
 import json
@@ -68,16 +69,14 @@
     most: int = MOST_BODY,
 ) -> Answer | None:
     """One call to one process; None without a whole answer of `most` bytes within the silence (s)."""
-    host, _, port = by.rpartition(":")
-    connection = http.client.HTTPConnection(host, int(port), timeout=silent_s)
     try:
-        connection.request(method, target, body, dict(headers or {}))
-        answer = connection.getresponse()
-        held = answer.read(most + 1)
-    except (OSError, http.client.HTTPException):
+        host, port = parse_address(by)
+        with contextlib.closing(http.client.HTTPConnection(host, port, timeout=silent_s)) as connection:
+            connection.request(method, target, body, dict(headers or {}))
+            answer = connection.getresponse()
+            held = answer.read(most + 1)
+    except (OSError, http.client.HTTPException, SettingsError, UnicodeError):  # the last: no host's name
         return None
-    finally:
-        connection.close()
     if len(held) > most:
         return None
     return Answer(answer.status, {k.lower(): v for k, v in answer.getheaders()}, held, by)
--- a/station/fleet_status.py
+++ b/station/fleet_status.py
@@ -5,9 +5,11 @@
 import concurrent.futures
 import time
 from collections import Counter
+from collections.abc import Iterable
 from typing import Any
 
 from station import asking
+from station.answers import is_status
 from station.tables import table
 from station.wrong import UnansweredError
 
@@ -25,7 +27,7 @@
     that the primary names.
     """
     with concurrent.futures.ThreadPoolExecutor(AT_ONCE) as pool:
-        told = {a["ctl"]: a for a in pool.map(status_of, ctl) if a is not None}
+        told = _control_processes(pool.map(status_of, ctl))
         if not told:
             raise UnansweredError(
                 f"none of {', '.join(ctl)} answers within {SILENT_S:g} s",
@@ -33,7 +35,7 @@
             )
         latest = max(told.values(), key=lambda a: int(a["epoch"]))
         more = [m["ctl"] for m in latest["members"] if m["ctl"] and m["ctl"] not in told]
-        told |= {a["ctl"]: a for a in pool.map(status_of, more) if a is not None}
+        told |= _control_processes(pool.map(status_of, more))
         by_node = {a["node"]: a for a in told.values()}
         newest = max(int(a["epoch"]) for a in told.values())
         leads = [a for a in told.values() if a["standing"] == "primary" and a["epoch"] == newest]
@@ -42,7 +44,7 @@
         asked = [f"{p['ip']}:{readyz_port}" for p in present] if readyz_port else []
         if most is not None and len(asked) > most:
             asked = []
-        answers = list(pool.map(status_of, asked))
+        answers = [a if a and a["role"] == "windvane" else None for a in pool.map(status_of, asked)]
     view = primary or max(told.values(), key=lambda a: int(a["epoch"]))
     names = [m["node"] for m in view["members"]]
     control = [
@@ -65,8 +67,13 @@
     return found
 
 
+def _control_processes(answers: Iterable[dict[str, Any] | None]) -> dict[str, dict[str, Any]]:
+    """Those of control processes, by their addresses for operators."""
+    return {a["ctl"]: a for a in answers if a is not None and a["role"] == "barograph"}
+
+
 def status_of(place: str) -> dict[str, Any] | None:
-    """A process's own word; None if it gives none."""
+    """A process's own word; None if it gives none that can be read."""
     answer = asking.once(place, "GET", "/api/status", silent_s=SILENT_S, most=MOST_STATUS)
     for _ in range(TRIES):
         if answer is None or answer.status != 429:
@@ -79,7 +86,7 @@
         told = answer.json()
     except UnansweredError:
         return None
-    return told if {"role", "node"} <= told.keys() else None
+    return told if is_status(told) else None
 
 
 def _control(node: str, answer: dict[str, Any] | None, view: dict[str, Any]) -> dict[str, Any]:
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -37,12 +37,13 @@
 from screen.settings import parse
 from screen.wire import MOST_FRAME, FrameReader, Kinds, Link, plain
 from sonde import messages as news
-from station import asking, draining
+from station import asking, dashboard, draining, fleet_status
 from station.tracing import pairs_of
 from tests import fuzz_inputs
 from tests.fabric_callers import configuration
 from tests.fuzz_inputs import LIMITS, as_text, changed, deep, json_of, of_schema, spoilt
 from tests.test_screen_settings import WHOLE
+from tests.test_station_cli_commands import PRESENT, UPSTREAMS, _balancer, _control
 from windvane.ingress import read_head
 from windvane.prompt import read_prompt
 from windvane.readiness import MOST, _Asked
@@ -513,6 +514,31 @@
             assert error.remedy
 
 
+CONTROL = _control("core-1", "primary", present=PRESENT, upstreams=UPSTREAMS)
+BALANCER = _balancer("edge-1")
+STATUS_NAMES = sorted({*CONTROL, *BALANCER, *CONTROL["members"][0]})
+
+
+@LIMITS
+@given(
+    control=st.one_of(changed(CONTROL, STATUS_NAMES), changed(BALANCER, STATUS_NAMES)).map(as_text),
+    balancer=st.one_of(changed(BALANCER, STATUS_NAMES), changed(CONTROL, STATUS_NAMES)).map(as_text),
+)
+def test_whatever_processes_tell_is_shown_or_counts_as_no_answer(control: bytes, balancer: bytes) -> None:
+    count("status")
+    whole = as_text(_control("core-2", "witness", epoch=2))
+    bodies = {"core-1:1": control, "core-2:1": whole}
+
+    def once(by: str, method: str, target: str, **more: Any) -> asking.Answer | None:
+        return asking.Answer(200, {}, bodies.get(by, balancer), by)
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(asking, "once", once)
+        found = fleet_status.gather(["core-1:1", "core-2:1"], 8)
+    assert fleet_status.lines_of(found)
+    assert "<script" not in dashboard.page(found, "core-1", "")
+
+
 @LIMITS
 @given(
     line=st.one_of(
--- a/tests/test_fuzz_found.py
+++ b/tests/test_fuzz_found.py
@@ -11,7 +11,10 @@
 from barograph.platform import PlatformError, PlatformList
 from passpost.http1 import Answer
 from screen.checking import parse_upstreams
-from station import asking, draining
+from station import asking, draining, fleet_status
+from station.answers import is_status
+from station.wrong import UnansweredError
+from tests.test_station_cli_commands import PRESENT, _balancer, _control
 from windvane.wire import read_handle
 
 DEEP = b"[" * 100_000
@@ -58,3 +61,32 @@
 
 def test_drains_in_a_body_that_is_nested_without_end_drain_nobody() -> None:
     assert not draining.is_drained(b'{"drained": ' + DEEP, "edge-1")
+
+
+@pytest.mark.parametrize(
+    "place", ["", "core-1", "core-1:", "core-1:x", f"{'a' * 70}.b:1", "\ud800:1", "a b\r\n:1"]
+)
+def test_a_process_at_an_address_that_is_none_gives_no_answer(place: str) -> None:
+    assert asking.once(place, "GET", "/api/status", silent_s=0.1) is None
+
+
+@pytest.mark.parametrize(
+    "lost", ["node", "program", "ver", "memory_kb", "standing", "members", "present", "ctl"]
+)
+def test_a_status_that_lacks_something_counts_as_no_answer(lost: str) -> None:
+    told = _control("core-1", "primary", present=PRESENT)
+    assert is_status(told)
+    assert not is_status({k: v for k, v in told.items() if k != lost})
+    assert not is_status(told | {lost: {"a": True}})
+
+
+@pytest.mark.parametrize("ended", [{"served": "5"}, {"served": True}, [], None])
+def test_a_balancer_whose_counts_are_none_counts_as_no_answer(ended: Any) -> None:
+    assert is_status(_balancer("edge-1")) and not is_status(_balancer("edge-1", ended=ended))
+    assert not is_status({"role": ["windvane"]})
+
+
+def test_a_balancer_in_the_place_of_a_control_process_leads_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(fleet_status, "status_of", {"a:1": _balancer("edge-1")}.get)
+    with pytest.raises(UnansweredError):
+        fleet_status.gather(["a:1"], None)
