Give each new primary time to name a balancer, and all of it while it names nobody

Seen in a fresh checkout beside a loaded machine (docs/RECOVER.md step by step): drain edge-c ended with 2, 'no balancer is present; name one of: none', as another primary had taken over a moment before and named nobody for 2.7 s.

--- a/station/present.py
+++ b/station/present.py
@@ -13,7 +13,7 @@
 from station import fleet_status
 from station.wrong import UnansweredError
 
-NAMED_SHARE = 1 / 3  # of the whole time: a primary's word that doesn't suit is asked for again for so long
+NAMED_SHARE = 1 / 3  # of the whole time: one primary's word that doesn't suit is asked for again for so long
 AGAIN_S = 0.4  # a process answers eight times a second, to all who ask
 Balancers = list[dict[str, Any]]  # each with `node`, `ip` and `zone`
 
@@ -21,10 +21,12 @@
 def balancers(ctl: list[str], within_s: float, suit: Callable[[Balancers], bool]) -> Balancers:
     """Those that the primary names, once they suit; else those of its last word, after a part of `within_s`.
 
-    Raises UnansweredError where nobody leads, or nobody answers, within the whole of it (s).
+    A new primary has that part anew, and one that names nobody at all has the whole: a fleet without balancers
+    is rarer than one that looks for its primary. Raises UnansweredError where nobody leads, or nobody answers,
+    within the whole of it (s).
     """
-    began = time.monotonic()
-    first_led: float | None = None
+    began = since = time.monotonic()
+    epoch = -1
     while True:
         error = None
         try:
@@ -34,8 +36,10 @@
         now = time.monotonic()
         if error is None and found["leader"]:
             named: Balancers = found["balancers"]
-            first_led = now if first_led is None else first_led
-            if suit(named) or now - first_led >= within_s * NAMED_SHARE:
+            if found["epoch"] != epoch:
+                epoch, since = found["epoch"], now
+            patience = within_s * (NAMED_SHARE if named else 1)
+            if suit(named) or now - since >= patience or now - began >= within_s:
                 return named
         elif now - began >= within_s:
             raise error or UnansweredError(
--- a/tests/test_station_cli_present.py
+++ b/tests/test_station_cli_present.py
@@ -39,6 +39,7 @@
         self.body = configuration(5)
         self.busy = 0  # so many questions of why are answered with 429 first
         self.asked = 0  # who is present
+        self.epoch = 3  # until a word begins with another
         self.ctl = Ctl(self._control)
         self.readiness = Ctl(self._balancer)
         self.ip, port = self.readiness.place.split(":")
@@ -60,11 +61,13 @@
         if isinstance(word, int):
             return word, {}, b"{}"
         leads = word != "nobody leads"
+        if leads and word and isinstance(word[0], int):
+            self.epoch, *word = word
         zones = {"edge-a": "hall-a", "edge-b": "hall-a", "edge-c": "hall-b"}
         named = [{"node": n, "ip": self.ip, "zone": zones[n]} for n in (word if leads else ())]
         told = {
-            "role": "barograph", "node": "core-a", "zone": "a", "ctl": self.ctl.place, "epoch": 3, "ver": 5,
-            "standing": "primary" if leads else "witness", "members": [], "present": named, "upstreams": [],
+            "role": "barograph", "node": "core-a", "zone": "a", "ctl": self.ctl.place, "epoch": self.epoch,
+            "ver": 5, "standing": "primary" if leads else "witness", "members": [], "present": named, "upstreams": [],
             "program": "aa", "disk_well": True, "memory_kb": 1,
         }  # fmt: skip
         return 200, {}, json.dumps(told).encode()
@@ -103,6 +106,8 @@
     "nobody leads for a moment": ("nobody leads", "nobody leads", NAMES),
     "the control process fails": (503, 503, NAMES),
     "nobody leads, then nobody is named": ("nobody leads", (), ("edge-c",), NAMES),
+    "nobody is named for long": (*[()] * 15, NAMES),
+    "one primary follows another": (*[(3, "edge-c")] * 5, *[(4, "edge-c")] * 5, (4, *NAMES)),
 }
 
 
@@ -153,6 +158,24 @@
     assert station.main(["station", "drain", "edge-c", "--force", *fleet.flags]) == 0
 
 
+def test_a_fleet_without_balancers_is_told_so_in_the_end(
+    clock: Clock, fleets: list[Fleet], capsys: pytest.CaptureFixture[str]
+) -> None:
+    fleets.append(fleet := Fleet(()))
+    assert station.main(["station", "explain", "edge-a", *fleet.flags]) == 2
+    assert "name one of: none" in capsys.readouterr().err
+    assert 8 <= clock.now - 100 <= 8 + present.AGAIN_S
+
+
+def test_primaries_that_follow_one_another_without_end_are_waited_for_no_longer_than_was_asked(
+    clock: Clock, fleets: list[Fleet], capsys: pytest.CaptureFixture[str]
+) -> None:
+    fleets.append(fleet := Fleet(*((epoch, "edge-c") for epoch in range(3, 99))))
+    assert station.main(["station", "explain", "edge-a", *fleet.flags]) == 2
+    assert "name one of: edge-c" in capsys.readouterr().err
+    assert 8 <= clock.now - 100 <= 8 + present.AGAIN_S
+
+
 @pytest.mark.parametrize("command", ["explain edge-a", "drain edge-b"])
 def test_a_fleet_that_nobody_leads_is_told_so_in_the_end(
     command: str, clock: Clock, fleets: list[Fleet], capsys: pytest.CaptureFixture[str]
