--- a/station/present.py
+++ b/station/present.py
@@ -21,8 +21,8 @@
 def balancers(ctl: list[str], within_s: float, suit: Callable[[Balancers], bool]) -> Balancers:
     """Those that the primary names, once they suit; else those of its last word, after a part of `within_s`.
 
-    A new primary has that part anew, and one that names nobody at all has the whole: a fleet without balancers
-    is rarer than one that looks for its primary. Raises UnansweredError where nobody leads, or nobody answers,
+    A new primary has that part anew, and one that names nobody at all has the whole: a fleet without any is
+    rarer than one that looks for its primary. Raises UnansweredError where nobody leads, or nobody answers,
     within the whole of it (s).
     """
     began = since = time.monotonic()
--- a/tests/test_station_cli_present.py
+++ b/tests/test_station_cli_present.py
@@ -67,8 +67,8 @@
         named = [{"node": n, "ip": self.ip, "zone": zones[n]} for n in (word if leads else ())]
         told = {
             "role": "barograph", "node": "core-a", "zone": "a", "ctl": self.ctl.place, "epoch": self.epoch,
-            "ver": 5, "standing": "primary" if leads else "witness", "members": [], "present": named, "upstreams": [],
-            "program": "aa", "disk_well": True, "memory_kb": 1,
+            "ver": 5, "standing": "primary" if leads else "witness", "members": [], "present": named,
+            "upstreams": [], "program": "aa", "disk_well": True, "memory_kb": 1,
         }  # fmt: skip
         return 200, {}, json.dumps(told).encode()
 
