Derive the schemas of the news from their dataclasses, and revive nested records in one place

Need: sonde/messages.py spelt each field twice, once for Avro, and had a reviver for each kind of nested record.

Change: screen/schema.py reads a dataclass's fields; Kinds.declare takes the nested dataclasses and revives them.

Bytes: tests/approved/kinds.txt (written before this change) is unchanged.

--- a/barograph/herald.py
+++ b/barograph/herald.py
@@ -123,7 +123,7 @@
         if self._view is not None or leader is None:
             return
         if self._feed.present():
-            self._feed.dismiss(Moved([leader.ip]))
+            self._feed.dismiss(Moved((leader.ip,)))
         self._hear_waiting()
 
     def _hear_waiting(self) -> None:
@@ -156,7 +156,7 @@
             self._feed.attach(link, message)
             link.send(HoldingNews(self._holdings.all()))
         elif self._leader_ip:
-            link.send(Moved([self._leader_ip]))
+            link.send(Moved((self._leader_ip,)))
         else:
             self._waiting[link] = [message]
 
@@ -176,8 +176,8 @@
         self._number += 1
         return self._number
 
-    def _cores(self, view: View) -> list[str]:
-        return [m.ip for m in view.members if m is not None]
+    def _cores(self, view: View) -> tuple[str, ...]:
+        return tuple(m.ip for m in view.members if m is not None)
 
     def _members(self) -> tuple[Present, ...]:
         """Who is present or was a moment ago, by node."""
--- a/mastturn/capacity/memory.py
+++ b/mastturn/capacity/memory.py
@@ -64,7 +64,7 @@
     loads = pack_loads({e["id"]: (19, 12_000) for e in entries})
     frames = [
         ("configuration", KINDS.encode(ConfigurationNews(1, configuration(1, shape.routes, shape.services)))),
-        ("members", KINDS.encode(MemberNews(1, 1, present(shape.balancers), ["10.0.255.1"]))),
+        ("members", KINDS.encode(MemberNews(1, 1, present(shape.balancers), ("10.0.255.1",)))),
         ("list", KINDS.encode(UpstreamNews(1, 1, pack(entries)))),
         ("list again", KINDS.encode(UpstreamNews(1, 2, pack(entries[1:])))),
         ("loads", KINDS.encode(LoadNews(1, 1, loads))),
--- a/mastturn/capacity/parts.py
+++ b/mastturn/capacity/parts.py
@@ -134,7 +134,7 @@
 def of_members(members: int, repeats: int) -> dict[str, float]:
     """The list of members, and a roll of a tenth of them, at one size."""
     everybody = present(members)
-    news = MemberNews(1, 1, everybody, ["10.0.255.1", "10.3.255.2", "10.6.255.3"])
+    news = MemberNews(1, 1, everybody, ("10.0.255.1", "10.3.255.2", "10.6.255.3"))
     roll = Roll("edge-zone-0-1", everybody[::10])
     frame, called = KINDS.encode(news), KINDS.encode(roll)
     own = everybody[-1]
--- a/screen/wire.py
+++ b/screen/wire.py
@@ -18,6 +18,7 @@
 from loguru import logger
 
 from screen.errors import WireError
+from screen.schema import Reader, fields_of, reader_of
 
 EDITION = 2  # of all kinds together, as reports show it: the next number with each new kind
 MOST_NUMBER = 255  # of a kind, in this release and later ones
@@ -31,15 +32,22 @@
     def __init__(self) -> None:
         self._by_type: dict[type, tuple[int, Any]] = {}
         self._by_number: dict[int, tuple[type, Any]] = {}
+        self._readers: dict[int, Reader] = {}
 
-    def declare(self, number: int, schema_fields: list[dict[str, Any]]) -> Callable[[type], type]:
-        """Declare a dataclass as the message of this number, with the schema beside it."""
+    def declare(
+        self, number: int, schema_fields: list[dict[str, Any]] | None = None, nested: tuple[type, ...] = ()
+    ) -> Callable[[type], type]:
+        """Declare a dataclass as the message of this number, with its schema or one that its fields give.
+
+        `nested`: the dataclasses that its fields name.
+        """
 
         def take(cls: type) -> type:
-            schema = {"type": "record", "name": cls.__name__, "fields": schema_fields}
-            parsed = fastavro.parse_schema(schema)
+            listed = fields_of(cls, nested) if schema_fields is None else schema_fields
+            parsed = fastavro.parse_schema({"type": "record", "name": cls.__name__, "fields": listed})
             self._by_type[cls] = (number, parsed)
             self._by_number[number] = (cls, parsed)
+            self._readers[number] = reader_of(cls, nested)
             return cls
 
         return take
@@ -48,6 +56,7 @@
         """Speak the other conversation too."""
         self._by_type |= other._by_type
         self._by_number |= other._by_number
+        self._readers |= other._readers
         return self
 
     def encode(self, message: Any) -> bytes:
@@ -78,7 +87,7 @@
             value: Any = fastavro.schemaless_reader(stream, schema, None)
             if stream.read(1):
                 raise ValueError("bytes are left over")
-            return cls(**value)
+            return self._readers[number](value)
         except (ValueError, TypeError, EOFError, IndexError, KeyError, struct.error, OverflowError) as error:
             raise WireError(f"a {cls.__name__} can't be read ({error})", "drop the connection") from None
 
--- a/sonde/messages.py
+++ b/sonde/messages.py
@@ -3,14 +3,12 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import Any
 
+from screen.schema import Int32
 from screen.wire import Kinds
 
 KINDS = Kinds()
 
-_STAMP = [{"name": "epoch", "type": "long"}, {"name": "number", "type": "long"}]
-
 
 @dataclass(frozen=True, slots=True)
 class Present:
@@ -21,21 +19,24 @@
     zone: str
 
 
-def _present(raw: Any) -> tuple[Present, ...]:
-    return tuple(p if isinstance(p, Present) else Present(**p) for p in raw)
+@dataclass(frozen=True, slots=True)
+class UpstreamLoad:
+    """Calls that are out to an upstream, and prompt tokens that are to be read for them."""
+
+    upstream: str
+    calls: Int32
+    tokens: Int32
 
 
-@KINDS.declare(
-    100,
-    [
-        {"name": "node", "type": "string"},
-        {"name": "ip", "type": "string"},
-        {"name": "zone", "type": "string"},
-        {"name": "ver", "type": "long"},
-        {"name": "list_epoch", "type": "long"},
-        {"name": "list_number", "type": "long"},
-    ],
-)
+@dataclass(frozen=True, slots=True)
+class Holding:
+    """An upstream has read the shared parts of prompts on a subject."""
+
+    subject: bytes
+    upstream: str
+
+
+@KINDS.declare(100)
 @dataclass(frozen=True, slots=True)
 class Attach:
     """A balancer asks to be told everything from now on; what it has already need not come again."""
@@ -48,17 +49,17 @@
     list_number: int
 
 
-@KINDS.declare(101, [*_STAMP, {"name": "balancers", "type": "int"}])
+@KINDS.declare(101)
 @dataclass(frozen=True, slots=True)
 class Pulse:
     """The control state is there and is this recent; so many balancers are present."""
 
     epoch: int
     number: int
-    balancers: int
+    balancers: Int32
 
 
-@KINDS.declare(102, [{"name": "ver", "type": "long"}, {"name": "body", "type": "bytes"}])
+@KINDS.declare(102)
 @dataclass(frozen=True, slots=True)
 class ConfigurationNews:
     """A configuration that was acknowledged, or stays for good."""
@@ -67,7 +68,7 @@
     body: bytes
 
 
-@KINDS.declare(103, [*_STAMP, {"name": "page", "type": "bytes"}])
+@KINDS.declare(103)
 @dataclass(frozen=True, slots=True)
 class UpstreamNews:
     """The platform's list, whole, as JSON."""
@@ -77,177 +78,63 @@
     page: bytes
 
 
-@KINDS.declare(104, [{"name": "ips", "type": {"type": "array", "items": "string"}}])
+@KINDS.declare(104)
 @dataclass(frozen=True, slots=True)
 class Moved:
     """Not here: try these, in order."""
 
-    ips: Any
-
-
-@KINDS.declare(
-    105,
-    [
-        *_STAMP,
-        {
-            "name": "balancers",
-            "type": {
-                "type": "array",
-                "items": {
-                    "type": "record",
-                    "name": "Balancer",
-                    "fields": [
-                        {"name": "node", "type": "string"},
-                        {"name": "ip", "type": "string"},
-                        {"name": "zone", "type": "string"},
-                    ],
-                },
-            },
-        },
-        {"name": "cores", "type": {"type": "array", "items": "string"}},
-    ],
-)
+    ips: tuple[str, ...]
+
+
+@KINDS.declare(105, nested=(Present,))
 @dataclass(frozen=True, slots=True)
 class MemberNews:
     """Which balancers are present, and the IPs of the control processes."""
 
     epoch: int
     number: int
-    balancers: Any  # Present
-    cores: Any
-
-    def __post_init__(self) -> None:
-        object.__setattr__(self, "balancers", _present(self.balancers))
-
-
-@KINDS.declare(
-    106,
-    [
-        {"name": "node", "type": "string"},
-        {
-            "name": "present",
-            "type": {
-                "type": "array",
-                "items": {
-                    "type": "record",
-                    "name": "Present",
-                    "fields": [
-                        {"name": "node", "type": "string"},
-                        {"name": "ip", "type": "string"},
-                        {"name": "zone", "type": "string"},
-                    ],
-                },
-            },
-        },
-    ],
-)
+    balancers: tuple[Present, ...]
+    cores: tuple[str, ...]
+
+
+@KINDS.declare(106, nested=(Present,))
 @dataclass(frozen=True, slots=True)
 class Roll:
     """Who is present below a relay, itself included."""
 
     node: str
-    present: Any  # Present
-
-    def __post_init__(self) -> None:
-        object.__setattr__(self, "present", _present(self.present))
-
-
-_LOADS = {
-    "name": "loads",
-    "type": {
-        "type": "array",
-        "items": {
-            "type": "record",
-            "name": "UpstreamLoad",
-            "fields": [
-                {"name": "upstream", "type": "string"},
-                {"name": "calls", "type": "int"},
-                {"name": "tokens", "type": "int"},
-            ],
-        },
-    },
-}
-
-
-@dataclass(frozen=True, slots=True)
-class UpstreamLoad:
-    """Calls that are out to an upstream, and prompt tokens that are to be read for them."""
-
-    upstream: str
-    calls: int
-    tokens: int
-
+    present: tuple[Present, ...]
 
-def _loads(raw: Any) -> tuple[UpstreamLoad, ...]:
-    return tuple(p if isinstance(p, UpstreamLoad) else UpstreamLoad(**p) for p in raw)
 
-
-@KINDS.declare(107, [_LOADS])
+@KINDS.declare(107, nested=(UpstreamLoad,))
 @dataclass(frozen=True, slots=True)
 class LoadReport:
     """The load that a balancer and all below it put on upstreams; what is not named has none from them."""
 
-    loads: Any  # UpstreamLoad
-
-    def __post_init__(self) -> None:
-        object.__setattr__(self, "loads", _loads(self.loads))
+    loads: tuple[UpstreamLoad, ...]
 
 
-@KINDS.declare(108, [*_STAMP, _LOADS])
+@KINDS.declare(108, nested=(UpstreamLoad,))
 @dataclass(frozen=True, slots=True)
 class LoadNews:
     """The load that all balancers together put on upstreams."""
 
     epoch: int
     number: int
-    loads: Any  # UpstreamLoad
-
-    def __post_init__(self) -> None:
-        object.__setattr__(self, "loads", _loads(self.loads))
-
-
-_HOLDINGS = {
-    "name": "holdings",
-    "type": {
-        "type": "array",
-        "items": {
-            "type": "record",
-            "name": "Holding",
-            "fields": [{"name": "subject", "type": "bytes"}, {"name": "upstream", "type": "string"}],
-        },
-    },
-}
+    loads: tuple[UpstreamLoad, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class Holding:
-    """An upstream has read the shared parts of prompts on a subject."""
-
-    subject: bytes
-    upstream: str
-
-
-def _holdings(raw: Any) -> tuple[Holding, ...]:
-    return tuple(p if isinstance(p, Holding) else Holding(**p) for p in raw)
-
-
-@KINDS.declare(109, [_HOLDINGS])
+@KINDS.declare(109, nested=(Holding,))
 @dataclass(frozen=True, slots=True)
 class HoldingReport:
     """What balancers have seen read, on its way up."""
 
-    holdings: Any  # Holding
+    holdings: tuple[Holding, ...]
 
-    def __post_init__(self) -> None:
-        object.__setattr__(self, "holdings", _holdings(self.holdings))
 
-
-@KINDS.declare(110, [_HOLDINGS])
+@KINDS.declare(110, nested=(Holding,))
 @dataclass(frozen=True, slots=True)
 class HoldingNews:
     """The same on its way down, to all."""
 
-    holdings: Any  # Holding
-
-    def __post_init__(self) -> None:
-        object.__setattr__(self, "holdings", _holdings(self.holdings))
+    holdings: tuple[Holding, ...]
--- a/station/balancing.py
+++ b/station/balancing.py
@@ -157,7 +157,7 @@
                     self._feed.attach(link, message)
                     link.send(HoldingNews(self._holdings.all()))
                 else:
-                    link.send(Moved([]))  # what we know may be old
+                    link.send(Moved(()))  # what we know may be old
             case Roll():
                 self._feed.roll(link, message)
             case LoadReport():
--- /dev/null
+++ b/tests/test_schema.py
@@ -0,0 +1,64 @@
+"""Schemas that dataclasses give: what each type becomes, and what has none."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+import pytest
+
+from screen.schema import Int32, fields_of, reader_of
+from screen.wire import FrameReader, Kinds
+
+
+@dataclass(frozen=True, slots=True)
+class Leaf:
+    name: str
+    size: Int32
+
+
+@dataclass(frozen=True, slots=True)
+class Tree:
+    number: int
+    body: bytes
+    is_new: bool
+    names: tuple[str, ...]
+    leaves: tuple[Leaf, ...]
+
+
+def test_each_type_has_its_own() -> None:
+    leaf = {"type": "record", "name": "Leaf", "fields": fields_of(Leaf)}
+    assert fields_of(Leaf) == [{"name": "name", "type": "string"}, {"name": "size", "type": "int"}]
+    assert fields_of(Tree, (Leaf,)) == [
+        {"name": "number", "type": "long"},
+        {"name": "body", "type": "bytes"},
+        {"name": "is_new", "type": "boolean"},
+        {"name": "names", "type": {"type": "array", "items": "string"}},
+        {"name": "leaves", "type": {"type": "array", "items": leaf}},
+    ]
+
+
+def test_a_message_with_nested_ones_comes_as_it_went() -> None:
+    kinds = Kinds()
+    kinds.declare(1, nested=(Leaf,))(Tree)
+    for tree in (Tree(1, b"b", True, (), ()), Tree(-1, b"", False, ("a",), (Leaf("x", 3), Leaf("y", 4)))):
+        (frame,) = FrameReader().feed(kinds.encode(tree))
+        assert kinds.decode(frame.number, frame.body) == tree
+
+
+def test_what_is_read_is_made_of_tuples() -> None:
+    read = reader_of(Tree, (Leaf,))
+    raw: dict[str, Any] = {"number": 1, "body": b"", "is_new": True, "names": ["a"], "leaves": []}
+    assert read(raw) == Tree(1, b"", True, ("a",), ())
+
+
+@dataclass(frozen=True, slots=True)
+class Odd:
+    value: float
+
+
+def test_a_type_that_avro_has_none_for_is_told() -> None:
+    with pytest.raises(TypeError, match="float has no Avro type; name a plain one"):
+        fields_of(Odd)
+    with pytest.raises(TypeError, match="Leaf has no Avro type"):
+        fields_of(Tree)
--- a/tests/test_screen_links.py
+++ b/tests/test_screen_links.py
@@ -210,7 +210,7 @@
     async def story(world: World, a: Peer, b: Peer) -> None:
         sizes = [0, 1, 10, 5_000, 70_000, 300_000, 3]
         for size in sizes:
-            moved = Moved(["x" * size])
+            moved = Moved(("x" * size,))
             a.do(lambda m=moved: a.links.send(b.process.ip, m))  # type: ignore[misc]
         await world.wait(1.0)
         assert [len(m.ips[0]) for m in b.heard] == sizes
--- a/tests/test_screen_strangers.py
+++ b/tests/test_screen_strangers.py
@@ -107,7 +107,7 @@
         news.ConfigurationNews(big, b"no configuration"),
         news.UpstreamNews(big, big, b"no list"),
         news.MemberNews(big, big, (), ()),
-        news.Moved(["10.9.9.9"]),
+        news.Moved(("10.9.9.9",)),
         news.Roll("x", (news.Present("x", "10.9.9.9", "hall-a"),)),
         news.LoadReport((news.UpstreamLoad("i-1", 2**31 - 1, 2**31 - 1),)),
         news.LoadNews(big, big, (news.UpstreamLoad("i-1", -5, -5),)),
--- a/tests/test_sonde_feed.py
+++ b/tests/test_sonde_feed.py
@@ -113,6 +113,6 @@
     desk = Desk()
     a, wire = link()
     desk.feed.attach(a, attach("a", ver=5))
-    desk.feed.dismiss(Moved(["10.2.0.1"]))
+    desk.feed.dismiss(Moved(("10.2.0.1",)))
     desk.feed.tell(Pulse(1, 1, 0))
-    assert wire.sent == [Moved(["10.2.0.1"])] and desk.feed.present() == {}
+    assert wire.sent == [Moved(("10.2.0.1",))] and desk.feed.present() == {}
--- a/tests/test_sonde_tables.py
+++ b/tests/test_sonde_tables.py
@@ -15,7 +15,7 @@
 
 KINDS: dict[str, Any] = {
     "upstreams": lambda e, n: UpstreamNews(e, n, b"%d.%d" % (e, n)),
-    "members": lambda e, n: MemberNews(e, n, (), [f"{e}.{n}"]),
+    "members": lambda e, n: MemberNews(e, n, (), (f"{e}.{n}",)),
     "pulse": lambda e, n: Pulse(e, n, n),
     "loads": lambda e, n: LoadNews(e, n, ()),
 }
@@ -44,7 +44,7 @@
 
 
 def test_what_is_no_news_is_not_taken() -> None:
-    assert not Bulletin().take(Moved([]))
+    assert not Bulletin().take(Moved(()))
 
 
 def test_everything_is_what_somebody_lacks_the_configuration_first() -> None:
