--- a/station/asking.py
+++ b/station/asking.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import http.client
 import itertools
 import json
@@ -15,6 +16,7 @@
 from station.wrong import UnansweredError, WrongCallError
 
 SILENT_S = 2.0  # of one process; then another is asked
+MOST_WORDS = 500  # characters of an error
 MOST_BODY = 16 * 1024 * 1024  # bytes of an answer
 REDIRECTS = 2
 AGAIN_S = 0.4  # until one process is asked again
@@ -34,17 +36,17 @@
         """The object that it holds; raises UnansweredError."""
         try:
             found = json.loads(self.body)
-        except ValueError:
+        except (ValueError, RecursionError):
             found = None
         if not isinstance(found, dict):
             raise UnansweredError(f"{self.by} answers with no JSON", "see that it is one of ours")
         return found
 
     def words(self) -> str:
-        """What it says in a few words."""
+        """What it says in a few words, on one line."""
         try:
-            return str(json.loads(self.body)["error"])
-        except (ValueError, KeyError, TypeError):
+            return " ".join(str(json.loads(self.body)["error"]).split())[:MOST_WORDS]
+        except (ValueError, KeyError, TypeError, RecursionError):
             return f"status {self.status}"
 
 
@@ -64,19 +66,18 @@
     body: bytes | None = None,
     headers: Mapping[str, str] | None = None,
     silent_s: float = SILENT_S,
+    most: int = MOST_BODY,
 ) -> Answer | None:
-    """One call to one process; None without a whole answer within the silence (s)."""
-    host, _, port = by.rpartition(":")
-    connection = http.client.HTTPConnection(host, int(port), timeout=silent_s)
+    """One call to one process; None without a whole answer of `most` bytes within the silence (s)."""
     try:
-        connection.request(method, target, body, dict(headers or {}))
-        answer = connection.getresponse()
-        held = answer.read(MOST_BODY + 1)
-    except (OSError, http.client.HTTPException):
+        host, port = parse_address(by)
+        with contextlib.closing(http.client.HTTPConnection(host, port, timeout=silent_s)) as connection:
+            connection.request(method, target, body, dict(headers or {}))
+            answer = connection.getresponse()
+            held = answer.read(most + 1)
+    except (OSError, http.client.HTTPException, SettingsError, UnicodeError):  # the last: no host's name
         return None
-    finally:
-        connection.close()
-    if len(held) > MOST_BODY:
+    if len(held) > most:
         return None
     return Answer(answer.status, {k.lower(): v for k, v in answer.getheaders()}, held, by)
 
--- a/station/balancing.py
+++ b/station/balancing.py
@@ -141,6 +141,8 @@
             "ver": known.configuration.ver if known.configuration is not None else 0,
             "epoch": known.pulse.epoch if known.pulse is not None else 0,
             "listed": self._listed,
+            "list_calls": self._platform.calls,
+            "news_age_s": self._follower.age_s(),
         }
 
     # ---- news
@@ -155,7 +157,7 @@
                     self._feed.attach(link, message)
                     link.send(HoldingNews(self._holdings.all()))
                 else:
-                    link.send(Moved([]))  # what we know may be old
+                    link.send(Moved(()))  # what we know may be old
             case Roll():
                 self._feed.roll(link, message)
             case LoadReport():
