--- /dev/null
+++ b/barograph/candidate.py
@@ -0,0 +1,106 @@
+"""When a holder takes the primary for lost, and the campaign that it runs then."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Sequence
+
+from barograph.acceptor import Acceptor
+from barograph.campaign import Campaign, Stage
+from barograph.effects import Effect, Send, Spec
+from barograph.messages import Answer, Installed, Message, Promised
+from barograph.patience import Patience
+from barograph.views import Member, View
+
+
+class Candidate:
+    """One campaign at a time; milliseconds of the steady clock."""
+
+    def __init__(
+        self, me: Member, acceptor: Acceptor, spec: Spec, seed: int, emit: Callable[[Effect], None]
+    ) -> None:
+        self._me, self._acceptor, self._spec, self._emit = me, acceptor, spec, emit
+        self.chance = random.Random(seed)
+        self.campaign: Campaign | None = None
+        self.patience = Patience()
+        self.next_try = 0.0
+        self.seen = 0  # the highest epoch that anybody has named
+
+    def wait(self, now: float, least: float, most: float, factor: float = 1.0) -> None:
+        """Try nothing for that many beats, drawn between the two, times the factor."""
+        self.next_try = now + self.chance.uniform(least, most) * self._spec.beat_ms * factor
+
+    def is_free(self, now: float) -> bool:
+        """Whether a holder may campaign at all just now."""
+        memory = self._acceptor.memory
+        return memory.is_holder() and now >= self.next_try and not self._acceptor.sick
+
+    def is_overdue(self, now: float) -> bool:
+        """Whether the primary has been silent for so long that we, as a holder, are to take its place."""
+        memory = self._acceptor.memory
+        slot = memory.slot()
+        rank = memory.view.holders.index(slot) if memory.view is not None and slot is not None else 0
+        patience = self._spec.lost_ms + rank * self._spec.beat_ms / 2
+        return now - self._acceptor.heard_at >= patience * self.patience.factor(now)
+
+    def run(
+        self,
+        base: View,
+        now: float,
+        handover: bool,
+        replaced: int | None,
+        newcomer: Member | None,
+        avoid: frozenset[str],
+    ) -> None:
+        """Begin a campaign from a view that we hold; `avoid`: identities that are not to hold data."""
+        self.seen = epoch = max(self._acceptor.memory.promised, self.seen) + 1
+        wanted = self._spec.holders
+        self.campaign = Campaign(self._me, base, epoch, wanted, now, handover, replaced, newcomer, avoid)
+        self._send(self.campaign.begin(now))
+
+    def hear(self, message: Answer | Promised | Installed, now: float) -> None:
+        """An answer to a campaign, perhaps not to this one."""
+        if isinstance(message, Answer):
+            self._acceptor.learn(message.view)
+        campaign = self.campaign
+        if campaign is None:
+            return
+        match message:
+            case Answer():
+                self._send(campaign.answered(message, now))
+            case Promised():
+                self._send(campaign.told(message, now))
+            case Installed():
+                self._send(campaign.confirmed(message))
+
+    def advance(self, now: float) -> Campaign | None:
+        """Go on with the campaign; it is given back once it has ended, won or lost."""
+        campaign = self.campaign
+        if campaign is None:
+            return None
+        document = self._acceptor.memory.document
+        self._send(campaign.install(document, now))
+        self._send(campaign.resend(document, now))
+        factor = self.patience.factor(now)
+        late = now - campaign.stage_at > self._spec.stage_ms * factor
+        if campaign.stage is Stage.WON and not late:
+            self.campaign = None
+            if now - campaign.stage_at > self._spec.stage_ms:
+                self.patience.keep(now)
+            return campaign
+        if not late and campaign.stage is not Stage.LOST:
+            return None
+        if late and campaign.stage is not Stage.ASK:
+            self.patience.lose(now)
+        campaign.stage = Stage.LOST  # after a freeze others may long have led since
+        self.campaign = None
+        self.seen = max(self.seen, campaign.above)
+        self._acceptor.learn(campaign.later)
+        self.wait(now, 0.3, 1.3, factor)
+        if campaign.later is not None or campaign.above > campaign.epoch:  # give others time
+            self._acceptor.heard_at = max(self._acceptor.heard_at, now - self._spec.lost_ms / 2)
+        return campaign
+
+    def _send(self, messages: Sequence[tuple[Member, Message]]) -> None:
+        for member, message in messages:
+            self._emit(Send(member.ip, message))
--- a/barograph/joining.py
+++ b/barograph/joining.py
@@ -8,7 +8,7 @@
 from barograph.campaign import Campaign, Stage, founding
 from barograph.codec import PromiseRecord
 from barograph.effects import Effect, Persist, Send, Spec
-from barograph.messages import Ask, Install, Join
+from barograph.messages import Ask, Install, Installed, Join, Known
 from barograph.views import Member, View
 
 WAITING_MS = 1_000.0  # a newcomer that has not asked for so long has gone
@@ -62,12 +62,34 @@
     """Asks around for those who know the view: for a slot without one, for news with one."""
 
     def __init__(
-        self, me: Member, acceptor: Acceptor, seeds: tuple[str, ...], emit: Callable[[Effect], None]
+        self,
+        me: Member,
+        acceptor: Acceptor,
+        spec: Spec,
+        seeds: tuple[str, ...],
+        emit: Callable[[Effect], None],
     ) -> None:
-        self._me, self._acceptor, self._emit = me, acceptor, emit
+        self._me, self._acceptor, self._spec, self._emit = me, acceptor, spec, emit
+        self._asked_at = -1e12
         self.seeds = seeds  # IPs
         self.caller = ""  # the IP that last spoke to a process that was here before
 
+    def look(self, now: float) -> None:
+        """Ask again if it is time; called while we don't lead."""
+        if now - self._asked_at < self._spec.join_ms:
+            return
+        self._asked_at = now
+        if self._acceptor.memory.slot() is None:
+            self.ask_in()
+        elif now - self._acceptor.heard_at > self._spec.dead_ms:
+            self.inquire()
+
+    def told(self, message: Known) -> None:
+        """Somebody knows a view."""
+        self._acceptor.learn(message.view)
+        if self._acceptor.await_slot():
+            self._asked_at = -1e12  # ask again at once: we can be named now
+
     def ask_in(self) -> None:
         """Ask for a slot; our promise is synced before it is heard of."""
         promised = self._acceptor.memory.promised
@@ -114,6 +136,11 @@
             self._emit(Send(member.ip, message))
         return True
 
+    def confirmed(self, message: Installed) -> None:
+        """Somebody has accepted the first view, or refused."""
+        for member, install in self.campaign.confirmed(message) if self.campaign is not None else ():
+            self._emit(Send(member.ip, install))
+
     def won(self) -> Campaign | None:
         """The campaign, once it has been won; given once."""
         if self.campaign is None or self.campaign.stage is not Stage.WON:
--- a/mastturn/control_check/defects.py
+++ b/mastturn/control_check/defects.py
@@ -141,6 +141,7 @@
     def _run(self, now: float, handover: bool = False) -> None:
         named = handover and self.primary is None
         super()._run(now, handover)
-        if named and self._campaign is not None:
-            self._campaign.__class__ = _NamedCampaign
-            self._campaign.holders_wanted = 1
+        campaign = self.candidate.campaign
+        if named and campaign is not None:
+            campaign.__class__ = _NamedCampaign
+            campaign.holders_wanted = 1
--- a/mastturn/control_check/local.py
+++ b/mastturn/control_check/local.py
@@ -18,8 +18,8 @@
 # Times and what rests on them alone: here nothing does, since every question is answered with a yes and every
 # campaign begins when the search says so. Two processes that differ in nothing else are one.
 TIMES = frozenset(
-    "heard_at heard_from leading_at began stage_at sent_at now write_at refused behind _next_try _beat_at "
-    "_silent_since _silent_in started _joined_at _ticked_at _came _patience _hung_at write_ms took_ms".split()
+    "heard_at heard_from leading_at began stage_at sent_at now write_at refused behind next_try _beat_at "
+    "_heard_at _epoch started _asked_at _ticked_at _came patience _hung_at write_ms took_ms".split()
 )
 LAPSE_MS = 700.0
 SETTLE_MS = 30.0
@@ -123,7 +123,7 @@
             seeds = self.ips[:3]
             founder = kept.identity == "i0" and kept.promised == 0
             replica = self._make(me, memory, self.spec, seeds, founder, 0)
-            replica._random = Still()  # type: ignore[assignment]
+            replica.candidate.chance = Still()  # type: ignore[assignment]
             replica.start(0.0)
             found = self._steps[key] = self._settle_down(_Process(replica, 0.0), ip)
         return found
@@ -197,7 +197,7 @@
             self._images.append(pickle.dumps(one))
             self._ips.append(ip)
             self._leads.append(one.replica.primary is not None)
-            campaign = one.replica._campaign
+            campaign = one.replica.candidate.campaign
             self._settles.append(campaign is not None and campaign.majority_at > 0 and campaign.view is None)
         return Outcome(number, tuple(sends), tuple(persists), tuple(told))
 
--- a/tests/test_replica_exchanges.py
+++ b/tests/test_replica_exchanges.py
@@ -248,7 +248,7 @@
     world.cut(0)
     world.lost = {"Installed"}
     world.run(725.0)
-    campaign = world.replicas[1]._campaign
+    campaign = world.replicas[1].candidate.campaign
     assert campaign is not None and campaign.view is not None
     world.frozen = {1}
     world.now += 5_000.0
