--- a/barograph/candidate.py
+++ b/barograph/candidate.py
@@ -87,7 +87,8 @@
         self._send(campaign.install(document, now))
         self._send(campaign.resend(document, now))
         factor = self.patience.factor(now)
-        late = now - campaign.stage_at > self._spec.stage_ms * factor
+        since = max(campaign.stage_at, campaign.majority_at)  # a majority that comes late is not thrown away
+        late = now - since > self._spec.stage_ms * factor
         if campaign.stage is Stage.WON and not late:
             self.campaign = None
             if now - campaign.stage_at > self._spec.stage_ms:
