--- a/barograph/replica.py
+++ b/barograph/replica.py
@@ -199,7 +199,7 @@
         assert campaign.view is not None
         view = campaign.view
         self.primary = Primary(self.memory, view, self._spec, self._effects.append, now)
-        self.primary.write_ms *= self.candidate.patience.factor(now)
+        self.primary.write_ms *= self.candidate.patience.factor(now)  # eased in `_lead`
         commands = self._last_term.hand_on(campaign, self.primary)
         self.candidate.next_try = now + self._spec.beat_ms  # a view is given the time of a beat
         self._effects.append(Lead(view))
@@ -221,6 +221,7 @@
         primary = self.primary
         assert primary is not None
         self.acceptor.leading_at = primary.quorum_at()
+        primary.write_ms = min(primary.write_ms, self._spec.write_ms * self.candidate.patience.factor(now))
         if primary.is_beat_due(now):
             primary.beat(now)
         for slot in primary.behind:
--- a/tests/test_replica_exchanges.py
+++ b/tests/test_replica_exchanges.py
@@ -313,6 +313,44 @@
     assert world.replicas[2].memory.slot() == 2
 
 
+def test_a_term_that_began_in_troubled_times_does_not_stay_patient_with_its_disk() -> None:
+    """Found in histories: a write on a hanging disk waited 1.4 s, nine seconds after the trouble before."""
+    world = Exchange()
+    for _ in range(2):
+        world.replicas[0].candidate.patience.lose(world.now)
+    world.replicas[0].candidate.run(world.replicas[0].memory.view, world.now, True, None, None, frozenset())  # type: ignore[arg-type]
+    world.settle()
+    world.run(300.0)
+    leading = world.replicas[0].primary
+    assert leading is not None and leading.view.epoch == 2 and leading.write_ms == 4 * world.spec.write_ms
+    world.run(11_000.0)
+    assert leading.write_ms == world.spec.write_ms
+    world.hangs = {0}
+    world.replicas[0].submit(PUT, world.now)
+    world.settle()
+    world.run(500.0)
+    assert world.primary() == 1
+
+
+def test_a_majority_that_comes_late_is_not_thrown_away() -> None:
+    """Found in histories: it came 2 ms before the campaign's end, and more promises were waited for."""
+    world = Exchange()
+    world.cut(0)
+    world.lost = {"Promised"}
+    while "1 -> 2 Prepare 2" not in world.lines:
+        world.run(25.0)
+    campaign = world.replicas[1].candidate.campaign
+    assert campaign is not None
+    world.run(campaign.stage_at + world.spec.stage_ms - world.now)
+    world.hear(2, 1, Promised("i2", "i1", 2, True, 2, world.replicas[2].memory.view))
+    world.lost = set()
+    world.now += 10.0
+    world.replicas[1].tick(world.now)
+    world.settle()
+    world.run(50.0)
+    assert world.primary() == 1 and world.epoch() == 2
+
+
 def test_patience_grows_with_each_wait_in_vain_and_eases() -> None:
     patience = Patience()
     factors = []
