Name the next heir where the first gives no sign

The second of the holders is named after 0.2 s (barograph/terms.py). Whoever has promised a later epoch takes no notice, so that a successor under way is not disturbed (barograph/replica.py, Succeed).

--- a/barograph/primary.py
+++ b/barograph/primary.py
@@ -125,13 +125,11 @@
         lost = going & set(view.holders) or len(view.holders) < self._spec.holders
         return bool(lost) and len(self.present() - going) >= self._spec.holders
 
-    def heir(self, now: float) -> Member | None:
-        """The best successor: a holder, one heard of a moment ago and with the latest write first."""
+    def heirs(self, now: float) -> list[Member]:
+        """The other holders, the best successor first: heard of a moment ago, with the latest write."""
         others = [s for s in self.view.holders if s != self.view.primary]
-        if not others:
-            return None
         silent = self.silent(now, self._spec.silent_ms)
-        return self.view.at(min(others, key=lambda s: (s in silent, s not in self._kept)))
+        return [self.view.at(s) for s in sorted(others, key=lambda s: (s in silent, s not in self._kept))]
 
     # ---- commands
 
--- a/barograph/replica.py
+++ b/barograph/replica.py
@@ -141,8 +141,9 @@
             case Leaving():
                 self._leaving[message.sender] = now
             case Succeed():
-                view, again = self.memory.view, self.candidate.is_named(message.epoch)
-                if view is not None and message.epoch == view.epoch and self.primary is None and not again:
+                view = self.memory.view
+                due = view is not None and message.epoch == view.epoch == self.memory.promised
+                if due and self.primary is None and not self.candidate.is_named(message.epoch):
                     self._leaving[message.sender] = now
                     self._run(now, handover=True)
         self._advance(now)
--- a/barograph/terms.py
+++ b/barograph/terms.py
@@ -11,7 +11,7 @@
 from barograph.views import Member
 
 REPEAT_MS = 100.0  # a successor that nobody has heard of by then is named again
-REPEATS = 3
+TIMES_NAMED = 2  # each of the first two heirs
 
 
 class LastTerm:
@@ -49,28 +49,29 @@
 
 
 class Succession:
-    """Names the successor, and again until its view is heard of: one message alone may be lost."""
+    """Names the successor, and again until its view is heard of: a message may be lost, or its receiver."""
 
     def __init__(self, emit: Callable[[Effect], None]) -> None:
         self._emit = emit
-        self._named: tuple[Member, Succeed] | None = None
-        self._at, self._left = 0.0, 0
+        self._identity, self._epoch = "", 0  # ours, and that of the term that has ended
+        self._heirs: list[Member] = []  # to be named, the next one first
+        self._at = 0.0
 
     def name(self, primary: Primary, now: float) -> None:
-        """The term ends: the best heir, if there is one, is to take over."""
-        heir = primary.heir(now)
-        if heir is not None:
-            succeed = Succeed(primary.memory.identity, heir.identity, primary.view.epoch)
-            self._named, self._at, self._left = (heir, succeed), now, REPEATS
-            self._emit(Send(heir.ip, succeed))
+        """The term ends: the best heir, if there is one, is to take over; without a sign of it the next."""
+        heirs = [heir for heir in primary.heirs(now) for _ in range(TIMES_NAMED)]
+        self._heirs = heirs[: 2 * TIMES_NAMED]
+        self._identity, self._epoch = primary.memory.identity, primary.view.epoch
+        self._name(now)
 
     def look(self, promised: int, now: float) -> None:
-        """Name it again if it is time and nobody has asked for our promise since."""
-        if self._named is None or now - self._at < REPEAT_MS:
-            return
-        heir, succeed = self._named
-        if promised > succeed.epoch or not self._left:
-            self._named = None
-            return
-        self._at, self._left = now, self._left - 1
-        self._emit(Send(heir.ip, succeed))
+        """Name one again if it is time and nobody has asked for our promise since."""
+        if promised > self._epoch:
+            self._heirs.clear()
+        if now - self._at >= REPEAT_MS:
+            self._name(now)
+
+    def _name(self, now: float) -> None:
+        if self._heirs:
+            heir, self._at = self._heirs.pop(0), now
+            self._emit(Send(heir.ip, Succeed(self._identity, heir.identity, self._epoch)))
--- a/tests/test_replica_exchanges.py
+++ b/tests/test_replica_exchanges.py
@@ -244,6 +244,30 @@
     assert world.primary() == 1 and world.epoch() == 2
 
 
+def test_a_successor_that_is_lost_itself_is_followed_by_the_next() -> None:
+    """Found in histories of five: a primary that hears nothing names one that has just been frozen."""
+    world = Exchange(5, 2)
+    world.cuts = {(i, 0) for i in range(1, 5)}
+    world.frozen = {1}
+    while world.replicas[0].primary is not None:
+        world.run(25.0)
+    ended = world.now
+    while world.primary() is None:
+        world.run(25.0)
+    assert world.primary() == 2 and world.now - ended <= 300.0
+    assert [line for line in world.lines if "Succeed" in line][-1] == "0 -> 2 Succeed 1"
+    world.run(1_000.0)
+    assert world.primary() == 2
+
+
+def test_who_has_promised_another_takes_no_notice_of_being_named() -> None:
+    world = Exchange()
+    world.hear(2, 1, Prepare("i2", "i1", 2))
+    world.lines.clear()
+    world.hear(0, 1, Succeed("i0", "i1", 1))
+    assert world.lines == []
+
+
 def test_a_successor_that_takes_over_is_not_disturbed_by_its_name_again() -> None:
     world = Exchange()
     world.lost = {"Prepare"}
