--- a/mastturn/control_check/troubles.py
+++ b/mastturn/control_check/troubles.py
@@ -18,6 +18,7 @@
     def __init__(self, world: World) -> None:
         self._world = world
         self._lost: set[str] = set()  # IPs
+        self._troubled: set[str] = set()  # those of them whose trouble is not over
         self._herd_at = -1e9
         self._machines_made = world.shape.machines
         self._kinds: list[Callable[[Machine, Callable[[], None]], None]] = [
@@ -67,11 +68,13 @@
             assert primary is not None
             machine = primary
         self._lost.add(machine.ip)
+        self._troubled.add(machine.ip)
         kind = chance.choice(self._kinds)
         ip = machine.ip
 
         def returned() -> None:
             world.calm_since = world.now
+            self._troubled.discard(ip)
             world.tell(f"over {ip}")
             world.later(SYNC_MS, over)
 
@@ -249,7 +252,7 @@
         """All processes are killed, or lose power, at once; those that were down stay so."""
         world = self._world
         power = world.chance.random() < 0.5
-        world.trouble(f"herd power={power}", None)
+        world.trouble(f"{'herd-beside-another' if self._troubled else 'herd'} power={power}", None)
         if not world.shape.storm:
             self._herd_at = world.now
         for machine in list(world.machines.values()):
