Go on with orders where a primary changes the view itself

The machine now says whether the view that it won came from the one that it led (Lead.goes_on). Then nobody has led in between: by point 2 of docs/control.md a view in force between the two would have to be the base or earlier than it. The holder is the same and its fence has risen; orders of two terms don't overlap, since one task gives them. Whoever comes back after another waits for the lease as before. Orders whose proof came to nothing use up no pause.

--- a/barograph/effects.py
+++ b/barograph/effects.py
@@ -57,6 +57,7 @@
     """We are primary of this view from now on; None: no longer."""
 
     view: View | None
+    goes_on: bool = False  # we led the view that it came from, so nobody else has led since
 
 
 Effect = Send | Persist | Reply | Committed | Lead
--- a/barograph/herald.py
+++ b/barograph/herald.py
@@ -91,8 +91,8 @@
 
     # ---- the machine's word
 
-    def lead(self, view: View | None) -> None:
-        """We lead this view, or none."""
+    def lead(self, view: View | None, goes_on: bool = False) -> None:
+        """We lead this view, or none; `goes_on`: nobody else has led since our last term."""
         if view is not None and self._view is None:
             self._since = asyncio.get_running_loop().time()
             self._first_epoch = view.epoch
@@ -100,7 +100,7 @@
         self._view = view
         if view is not None:
             self._leads.set()
-        self._mover.lead(view is not None, asyncio.get_running_loop().time())
+        self._mover.lead(view is not None, asyncio.get_running_loop().time(), goes_on)
         logger.info("event=lead epoch={}", view.epoch if view is not None else 0)
         if view is not None:
             self._tell(MemberNews(view.epoch, self._next(), self._members(), self._cores(view)))
--- a/barograph/mover.py
+++ b/barograph/mover.py
@@ -40,18 +40,18 @@
         self._entries: tuple[Upstream, ...] = ()
         self._moving: dict[str, tuple[str, float]] = {}  # id: the part to come, given up at
         self._unclear: set[str] = set()  # of those, the ones that may never have heard of it
-        self._leads_since: float | None = None
+        self._leads = False
+        self._since = 0.0  # we have held the duty without another in between since then
         self._busy: asyncio.Task[None] | None = None
 
-    def lead(self, leads: bool, now: float) -> None:
-        """We lead, or no longer."""
-        if not leads:
-            self._leads_since = None
+    def lead(self, leads: bool, now: float, goes_on: bool = False) -> None:
+        """We lead, or no longer; `goes_on`: nobody else has led since we did, so all that we know stands."""
+        if leads and not self._leads and not goes_on:
+            self._since = now
             self._moving.clear()
             self._unclear.clear()
-        elif self._leads_since is None:
-            self._leads_since = now
             self._plan.reset()
+        self._leads = leads
 
     def dress(self, entries: list[dict[str, Any]], now: float) -> list[dict[str, Any]]:
         """The platform's list as balancers are to see it: what moves plays no part."""
@@ -70,9 +70,9 @@
 
     def look(self, now: float) -> None:
         """See whether an order is due; called every tenth of a second while we lead."""
-        if self._leads_since is None or not self._entries:
+        if not self._leads or not self._entries:
             return
-        waited = now - self._leads_since >= LEASE_SPARE * self._lease_s
+        waited = now - self._since >= LEASE_SPARE * self._lease_s
         free = waited and self._busy is None and self._moving.keys() <= self._unclear
         staying = [e for e in self._entries if e.id not in self._moving]
         orders = self._plan.look(staying, self._loads(), now, free)
@@ -95,8 +95,9 @@
         if epoch:
             await asyncio.gather(*(self._give(order, epoch) for order in orders))
         else:
-            for order in orders:
+            for order in orders:  # none was given: the next need not wait
                 self._moving.pop(order.upstream.id, None)
+                self._plan.ask_another(order.upstream.svc)
         self._changed()
 
     async def _give(self, order: Order, epoch: int) -> None:
--- a/barograph/node.py
+++ b/barograph/node.py
@@ -214,8 +214,8 @@
             case Committed(_, document):
                 if document.ver:
                     self._herald.committed(document)
-            case Lead(view):
-                self._herald.lead(view)
+            case Lead(view, goes_on):
+                self._herald.lead(view, goes_on)
 
     def _synced(self, then: tuple[Send, ...]) -> None:
         assert self._replica is not None
--- a/barograph/replica.py
+++ b/barograph/replica.py
@@ -203,7 +203,7 @@
         self.primary.write_ms *= self.candidate.patience.factor(now)  # eased in `_lead`
         commands = self._last_term.hand_on(campaign, self.primary)
         self.candidate.next_try = now + self._spec.beat_ms  # a view is given the time of a beat
-        self._effects.append(Lead(view))
+        self._effects.append(Lead(view, self._last_term.is_base_of(campaign)))
         for slot, member in enumerate(view.members):
             if member is not None and slot not in campaign.installed:
                 self._install_at(member, view)
--- a/tests/replica_exchange.py
+++ b/tests/replica_exchange.py
@@ -25,6 +25,7 @@
         self.frozen: set[int] = set()
         self.lost: set[str] = set()  # kinds of message that are lost
         self.replies: list[Reply] = []
+        self.went_on: list[bool] = []  # of each `Lead`
         self._sent: deque[tuple[int, int, Message]] = deque()
         self._held: dict[int, list[Persist]] = {}
         self.disks = {i: Memory(f"i{i}") for i in range(machines)}
@@ -110,7 +111,8 @@
             case Reply():
                 self.replies.append(effect)
                 self.lines.append(f"{index} answers {effect.verdict.value}")
-            case Lead(view):
+            case Lead(view, goes_on):
+                self.went_on.append(goes_on)
                 self.lines.append(f"{index} leads {view.epoch if view is not None else 'no longer'}")
             case Committed():
                 pass
--- a/tests/test_days_found_moves.py
+++ b/tests/test_days_found_moves.py
@@ -118,6 +118,69 @@
     run(scene())
 
 
+def test_a_primary_that_changes_the_view_and_goes_on_waits_for_no_lease_anew(given: Given) -> None:
+    """Found in days with a lost backup: no orders for 3.6 s, and what moved was offered work again."""
+
+    async def scene() -> None:
+        entries = [entry("r1", "prefill"), entry("r2", "prefill"), entry("r3", "prefill")]
+        mover = mover_of(*entries)
+        lease = LEASE_SPARE * LEASE_S
+        await look(mover, 0.0, lease + 0.2)
+        assert given == [("r1", "decode", 7), ("r2", "decode", 7)]
+        mover.lead(False, lease + 3.0)
+        await look(mover, lease + 3.0, lease + 3.2)
+        mover.lead(True, lease + 3.2, goes_on=True)
+        page = mover.dress(entries, lease + 3.2)
+        assert [e["phase"] for e in page] == ["moving", "moving", "prefill"]
+        mover.dress([entry("r1", "decode"), entry("r2", "decode"), entry("r3", "prefill")], lease + 3.3)
+        mover.listed(pack([entry("r3", "prefill")]))  # both are gone again
+        await look(mover, lease + 3.3, lease + 4.3)  # only the pause after the first two is waited for
+        assert given[2:] == [("r3", "decode", 7)]
+
+    run(scene())
+
+
+def test_a_primary_that_comes_back_after_another_waits_for_the_lease(given: Given) -> None:
+    async def scene() -> None:
+        mover = mover_of(entry("r1", "prefill"), entry("r2", "prefill"), entry("r3", "prefill"))
+        lease = LEASE_SPARE * LEASE_S
+        await look(mover, 0.0, lease + 0.2)
+        assert len(given) == 2
+        mover.lead(False, lease + 0.2)
+        mover.lead(True, 20.0)
+        page = mover.dress([entry("r1", "prefill")], 20.0)
+        assert [e["phase"] for e in page] == ["prefill"]
+        await look(mover, 20.0, 20.0 + lease)
+        assert len(given) == 2
+        await look(mover, 20.0 + lease, 20.2 + lease)
+        assert len(given) == 4
+
+    run(scene())
+
+
+def test_orders_that_could_not_be_proved_are_given_in_the_next_term_at_once(given: Given) -> None:
+    """The view changes in the 0.15 s between the telling and the order: nothing was ordered yet."""
+
+    async def scene() -> None:
+        epochs = [0, 8]
+
+        async def prove() -> int:
+            return epochs.pop(0)
+
+        mover = Mover("core-1", LEASE_S, prove, lambda: {}, lambda: None)
+        mover.lead(True, 0.0)
+        mover.listed(pack([entry("r1", "prefill"), entry("r2", "prefill"), entry("r3", "prefill")]))
+        lease = LEASE_SPARE * LEASE_S
+        await look(mover, 0.0, lease + 0.1)
+        assert given == [] and epochs == [8]
+        mover.lead(False, lease + 0.1)
+        mover.lead(True, lease + 0.2, goes_on=True)
+        await look(mover, lease + 0.2, lease + 0.4)
+        assert [fence for _, _, fence in given] == [8, 8]
+
+    run(scene())
+
+
 def test_who_leads_no_longer_orders_nothing(given: Given) -> None:
     async def scene() -> None:
         mover = mover_of(entry("r1", "prefill"), entry("r2", "prefill"))
--- a/tests/test_replica_exchanges.py
+++ b/tests/test_replica_exchanges.py
@@ -207,6 +207,31 @@
     assert primary.silent(world.now, 1_500.0) == [2, 1]
 
 
+def test_a_primary_that_changes_the_view_says_that_it_goes_on() -> None:
+    world = Exchange()
+    world.went_on.clear()
+    world.cut(1)
+    world.run(1_000.0)
+    assert [line for line in world.lines if "leads" in line] == ["0 leads no longer", "0 leads 2"]
+    assert world.went_on == [False, True]
+
+
+def test_a_primary_that_comes_back_after_another_does_not_go_on() -> None:
+    world = Exchange()
+    world.went_on.clear()
+    world.cut(0)
+    world.run(2_000.0)
+    assert world.primary() == 1
+    world.cuts.clear()
+    world.run(1_000.0)
+    world.replicas[1].stop(world.now)
+    world.settle()
+    world.run(1_000.0)
+    leads = [line for line in world.lines if "leads" in line and "no longer" not in line]
+    assert world.epoch() > 2 and leads[0] == "1 leads 2" and leads[-1][0] != "1"
+    assert not any(world.went_on)
+
+
 def test_one_that_leaves_holds_nothing_and_may_come_back() -> None:
     world = Exchange()
     world.hear(1, 0, Leaving("i1", "i0"))
