Give the checks of the control state a command: search, play, story, draw

Need: the model checker and the simulator could only be called from Python, their results were kept nowhere, and take-over times had no picture. python -m mastturn.control_check does all four; the search takes a time limit.

--- /dev/null
+++ b/mastturn/control_check/__main__.py
@@ -0,0 +1,102 @@
+"""`python -m mastturn.control_check`: search all orders of events, play histories, draw take-over times."""
+
+from __future__ import annotations
+
+import multiprocessing
+from pathlib import Path
+
+import click
+
+from mastturn.control_check.explore import Found, explore
+from mastturn.control_check.history import play, play_all
+from mastturn.control_check.kept import histories_table, keep, read, search_row, summed, takeovers_table
+from mastturn.control_check.pictures import takeovers
+from mastturn.control_check.steps import Bounds
+from mastturn.control_check.world import Shape
+from mastturn.files import LabError
+
+SEARCHES = {
+    "three": Bounds(writes=2, campaigns=1, crashes=1),
+    "three-twice": Bounds(writes=2, campaigns=2, crashes=1),
+    "five": Bounds(machines=5, losses=2, writes=1, campaigns=1, crashes=0),
+    "five-crash": Bounds(machines=5, losses=2, writes=1, campaigns=1, crashes=1),
+    "five-twice": Bounds(machines=5, losses=2, writes=1, campaigns=2, crashes=0),
+}
+HEAD = "| machines | writes | campaigns | crashes | states | all of them | broken | seconds |"
+
+
+@click.group()
+def main() -> None:
+    """Checks of the control state's machine: docs/control.md says what they have found."""
+
+
+def _search(job: tuple[Bounds, int, float]) -> tuple[Bounds, Found]:
+    bounds, states, seconds = job
+    return bounds, explore(bounds, most_states=states, most_s=seconds)
+
+
+@main.command()
+@click.argument("names", nargs=-1, type=click.Choice(list(SEARCHES)))
+@click.option("--states", default=200_000, show_default=True, help="The most states of each search.")
+@click.option("--seconds", default=1e9, help="The longest time of each search.")
+@click.option("--jobs", default=2, show_default=True, help="Processes.")
+def search(names: tuple[str, ...], states: int, seconds: float, jobs: int) -> None:
+    """Every order of messages, losses, repeats, syncs and crashes, within named bounds (all of them)."""
+    wanted = [(SEARCHES[name], states, seconds) for name in names or SEARCHES]
+    click.echo(f"{HEAD}\n|---|---|---|---|---|---|---|---|")
+    broken = False
+    with multiprocessing.Pool(min(jobs, len(wanted))) as pool:
+        for bounds, found in pool.imap(_search, wanted, chunksize=1):
+            click.echo(search_row(bounds, found))
+            broken |= bool(found.broken)
+            for line in found.story:
+                click.echo(f"    {line}")
+    if broken:
+        raise click.ClickException("a rule is broken")
+
+
+@main.command("play")
+@click.option("--machines", default=3, show_default=True, help="3 or 5, of which 1 or 2 may be lost.")
+@click.option("--sync_ms", default=1.0, show_default=True, help="How long a sync takes, milliseconds.")
+@click.option("--first", default=0, show_default=True, help="The first seed.")
+@click.option("--count", default=100, show_default=True, help="How many histories.")
+@click.option("--jobs", default=2, show_default=True, help="Processes.")
+@click.option("--out", type=click.Path(path_type=Path), help="File to keep the result in, as JSON.")
+def play_(machines: int, sync_ms: float, first: int, count: int, jobs: int, out: Path | None) -> None:
+    """Seeded histories of a minute with troubles: what was broken, and how long nobody answered."""
+    shape = Shape(machines, (machines - 1) // 2, sync_ms=sync_ms)
+    series = summed(shape, play_all(shape, range(first, first + count), jobs))
+    if out is not None:
+        keep(out, series)
+    click.echo("\n".join([*histories_table([series]), "", *takeovers_table([series])]))
+    if series.broken:
+        raise click.ClickException("a rule is broken: " + "; ".join(series.broken))
+
+
+@main.command()
+@click.argument("seed", type=int)
+@click.option("--machines", default=3, show_default=True)
+@click.option("--sync_ms", default=1.0, show_default=True)
+def story(seed: int, machines: int, sync_ms: float) -> None:
+    """One history, line by line: messages, troubles, who leads, what is answered."""
+    shape = Shape(machines, (machines - 1) // 2, sync_ms=sync_ms)
+    for line in play(shape, seed, told=True).story:
+        click.echo(line)
+
+
+@main.command()
+@click.argument("files", nargs=-1, required=True, type=click.Path(path_type=Path))
+@click.option("--out", type=click.Path(path_type=Path), help="Picture to draw.")
+def draw(files: tuple[Path, ...], out: Path | None) -> None:
+    """Tables of kept series, and a picture of the take-over times."""
+    try:
+        found = [read(path) for path in files]
+    except LabError as error:
+        raise click.ClickException(str(error)) from None
+    click.echo("\n".join([*histories_table(found), "", *takeovers_table(found)]))
+    if out is not None:
+        takeovers(found).savefig(out, dpi=110)
+
+
+if __name__ == "__main__":
+    main()
--- a/mastturn/control_check/explore.py
+++ b/mastturn/control_check/explore.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import pickle
 import random
 import time
@@ -54,8 +55,10 @@
         return found[::-1]
 
 
-def explore(bounds: Bounds, make: Make = Replica, most_states: int = 200_000) -> Found:
-    """Breadth first; ends at the first rule that is broken, at the bounds, or at so many states."""
+def explore(
+    bounds: Bounds, make: Make = Replica, most_states: int = 200_000, most_s: float = math.inf
+) -> Found:
+    """Breadth first; ends at a broken rule, at the bounds, or at so many states or seconds."""
     began = time.monotonic()
     steps, found = Steps(bounds, make), Found()
     seen = _Seen({}, array("q"), [])
@@ -66,7 +69,7 @@
         frontier = deque([(pickle.dumps(first), 0)])
         while frontier:
             image, found.depth = frontier.popleft()
-            if len(seen.parents) >= most_states:
+            if len(seen.parents) >= most_states or time.monotonic() - began > most_s:
                 break
             state: State = pickle.loads(image)
             place = seen.places[hash(state)]
--- /dev/null
+++ b/mastturn/control_check/kept.py
@@ -0,0 +1,134 @@
+"""What histories and searches have given, kept as lines of JSON; and both summed up as tables."""
+
+from __future__ import annotations
+
+import json
+from collections import defaultdict
+from collections.abc import Iterable, Sequence
+from dataclasses import asdict, dataclass
+from pathlib import Path
+
+from mastturn.control_check.explore import Found
+from mastturn.control_check.history import History
+from mastturn.control_check.steps import Bounds
+from mastturn.control_check.world import Shape
+from mastturn.files import LabError
+
+AIM_MS = 1_500.0
+WORDS = {
+    "kill": "killed",
+    "power": "loses power",
+    "freeze": "frozen",
+    "isolate": "cut off",
+    "mute": "can't be heard",
+    "deaf": "hears nothing",
+    "flap": "cut and healed again and again",
+    "wipe": "wiped",
+    "replace": "replaced",
+    "term": "told to stop",
+    "full, write": "disk full: the first write",
+    "hang, write": "disk hangs: the first write",
+    "slow, write": "disk slow: the first write",
+    "herd": "all killed at once, back within 1 s",
+    "herd-beside-another": "all killed while one is in trouble",
+}
+TWO = "two troubles at once"
+
+
+@dataclass(frozen=True, slots=True)
+class Series:
+    """The histories of one shape: over how many machines, how long a sync takes, and which seeds."""
+
+    machines: int
+    sync_ms: float
+    first: int
+    last: int
+    broken: tuple[str, ...]
+    acknowledged: int
+    reads: int
+    views: int
+    gaps: dict[str, list[float]]  # ms without an answer, by trouble, sorted
+    slots_taken: list[float]  # ms until a newcomer has a slot, sorted
+
+
+def summed(shape: Shape, histories: Sequence[History]) -> Series:
+    """A series out of its histories."""
+    gaps: defaultdict[str, list[float]] = defaultdict(list)
+    for history in histories:
+        for gap in history.gaps:
+            gaps[TWO if "+" in gap.trouble else gap.trouble].append(round(gap.took_ms, 1))
+    return Series(
+        shape.machines,
+        shape.sync_ms,
+        min(h.seed for h in histories),
+        max(h.seed for h in histories),
+        tuple(f"{h.seed}: {h.broken}" for h in histories if h.broken),
+        sum(h.acknowledged for h in histories),
+        sum(h.reads for h in histories),
+        sum(h.views for h in histories),
+        {kind: sorted(found) for kind, found in sorted(gaps.items())},
+        sorted(round(ms, 1) for h in histories for ms in h.slots_taken),
+    )
+
+
+def keep(path: Path, series: Series) -> None:
+    """Write a series to a file."""
+    path.parent.mkdir(parents=True, exist_ok=True)
+    path.write_text(json.dumps(asdict(series)) + "\n", encoding="utf-8")
+
+
+def read(path: Path) -> Series:
+    """A series out of its file; raises LabError."""
+    try:
+        raw = json.loads(path.read_text(encoding="utf-8"))
+        return Series(**{**raw, "broken": tuple(raw["broken"])})
+    except (OSError, ValueError, TypeError, KeyError) as error:
+        raise LabError(f"{path} is no series of histories ({error}); make one with play --out") from None
+
+
+def at_share(values: Sequence[float], share: float) -> float:
+    """The value that so large a share of the sorted ones doesn't exceed."""
+    return values[min(int(len(values) * share), len(values) - 1)]
+
+
+def histories_table(found: Iterable[Series]) -> list[str]:
+    """How much was played, and what was broken."""
+    lines = [
+        "| histories of 60 s | seeds | broken | acknowledged | reads | views |",
+        "|---|---|---|---|---|---|",
+    ]
+    for one in found:
+        lines.append(
+            f"| {one.machines} machines, {one.sync_ms:g} ms a sync | {one.first} to {one.last} "
+            f"| {len(one.broken)} | {one.acknowledged:,} | {one.reads:,} | {one.views:,} |"
+        )
+    return lines
+
+
+def takeovers_table(found: Sequence[Series]) -> list[str]:
+    """Time without an answer by trouble: how many; median, 95 of 100, most; how many above the aim."""
+    heads = "".join(f" {one.machines} machines, {one.sync_ms:g} ms a sync |" for one in found)
+    lines = [f"| trouble |{heads}", "|---|" + "---|" * len(found)]
+    for kind, words in (*WORDS.items(), (TWO, TWO)):
+        cells = [_cell(one.gaps.get(kind, [])) for one in found]
+        lines.append(f"| {words} | " + " | ".join(cells) + " |")
+    return lines
+
+
+def _cell(values: Sequence[float]) -> str:
+    if not values:
+        return "-"
+    over = sum(v > AIM_MS for v in values)
+    above = f"; {over} above" if over else ""
+    middle, most = at_share(values, 0.5), values[-1]
+    return f"{len(values):,}: {middle:,.0f}, {at_share(values, 0.95):,.0f}, {most:,.0f}{above}"
+
+
+def search_row(bounds: Bounds, found: Found) -> str:
+    """A line of the table of searches."""
+    extra = f", {bounds.wipes} wipes" if bounds.wipes else ""
+    whole = f"yes, depth {found.depth}" if found.is_whole else f"no: all of fewer than {found.depth} steps"
+    return (
+        f"| {bounds.machines} | {bounds.writes} | {bounds.campaigns} | {bounds.crashes}{extra} "
+        f"| {found.states:,} | {whole} | {found.broken or 'none'} | {found.seconds:.0f} |"
+    )
