List each planted defect with the steps that show it

Tests: the five that the search finds are asked for by it as well (the chance walks stay); the log is planted in tests/test_slots.py.

--- a/mastturn/control_check/__main__.py
+++ b/mastturn/control_check/__main__.py
@@ -11,6 +11,7 @@
 from mastturn.control_check.history import play, play_all
 from mastturn.control_check.kept import histories_table, keep, read, search_row, summed, takeovers_table
 from mastturn.control_check.pictures import takeovers
+from mastturn.control_check.planted import SEARCHED, brief, failed_syncs, shrinks
 from mastturn.control_check.steps import Bounds
 from mastturn.control_check.world import Shape
 from mastturn.files import LabError
@@ -73,6 +74,30 @@
         raise click.ClickException("a rule is broken: " + "; ".join(series.broken))
 
 
+@main.command()
+def defects() -> None:
+    """Planted defects, each with the steps that show it; fails if one isn't caught."""
+    missed = []
+    for planted in SEARCHED:
+        found = planted.show()
+        click.echo(f"{planted.name}: {found.broken or 'NOT CAUGHT'}")
+        click.echo(f"    first: {', '.join(planted.bounds.before)}")
+        click.echo(f"    then:  {', '.join(map(brief, found.story))}")
+        if found.rule != planted.rule:
+            missed.append(planted.name)
+    for name, histories in (
+        ("holders that shrink without a majority", shrinks()),
+        ("a failed sync that is taken for done", failed_syncs()),
+    ):
+        caught = next((h for h in histories if h.rule), None)
+        if caught is None:
+            missed.append(name)
+        else:
+            click.echo(f"{name}: seed {caught.seed}, after {caught.at_ms:,.0f} ms: {caught.broken}")
+    if missed:
+        raise click.ClickException(f"not caught: {', '.join(missed)}")
+
+
 @main.command()
 @click.argument("seed", type=int)
 @click.option("--machines", default=3, show_default=True)
--- /dev/null
+++ b/mastturn/control_check/planted.py
@@ -0,0 +1,102 @@
+"""Each planted defect with the shortest way to show it: the command prints it, the tests ask for it."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from mastturn.control_check.defects import (
+    AnswersBeforeSync,
+    HoldersShrinkAlone,
+    PromisesBeforeSync,
+    ReadsWithoutProof,
+    SuccessorWithoutMajority,
+    WipedVotes,
+)
+from mastturn.control_check.explore import Found, explore
+from mastturn.control_check.history import History, play
+from mastturn.control_check.local import Make
+from mastturn.control_check.steps import Bounds
+from mastturn.control_check.world import STORM_AIR, Shape
+
+PROMISED_TO_1 = ("run 1", "sync 1", "deliver Prepare 1 2")
+TAKEN_OVER = (
+    *PROMISED_TO_1,
+    *("sync 2", "deliver Promised 2 1", "settle 1", "deliver Install 1 2", "sync 2", "sync 1"),
+    "deliver Installed 2 1",
+)
+WRITTEN = (*TAKEN_OVER, "submit 0 1", "sync 1", "deliver Write 1 2", "sync 2", "deliver Written 2 1")
+PROMISED_TWICE = (
+    *(*PROMISED_TO_1, "deliver Promised 2 1"),
+    *("crash 2", "run 0", "sync 0", "deliver Prepare 0 2", "deliver Promised 2 0", "settle 0", "settle 1"),
+)
+WRITE_LOST = ("submit 0 0", "deliver Write 0 1", "crash 1", "run 1")
+STORM = Shape(3, 1, sync_ms=20.0, storm=True, air=STORM_AIR)
+
+
+@dataclass(frozen=True, slots=True)
+class Searched:
+    """A defect that the search finds from some first steps on."""
+
+    name: str
+    rule: str  # that it breaks
+    make: Make
+    bounds: Bounds
+
+    def show(self) -> Found:
+        """The shortest history from there on that breaks a rule."""
+        return explore(self.bounds, self.make)
+
+
+SEARCHED = (
+    Searched(
+        "an answer before the backup's sync",
+        "no loss",
+        AnswersBeforeSync,
+        Bounds(writes=1, tries=1, campaigns=1, crashes=1, before=WRITE_LOST),
+    ),
+    Searched(
+        "an epoch that is promised before its sync",
+        "one primary",
+        PromisesBeforeSync,
+        Bounds(writes=0, before=PROMISED_TWICE),
+    ),
+    Searched(
+        "a wiped process that votes",
+        "one primary",
+        WipedVotes,
+        Bounds(tries=1, writes=1, crashes=0, wipes=1, before=(*WRITTEN, "wipe 2", "run 0")),
+    ),
+    Searched(
+        "an old primary that answers reads",
+        "old answer",
+        ReadsWithoutProof,
+        Bounds(tries=1, writes=1, reads=1, campaigns=1, crashes=0, before=WRITTEN),
+    ),
+    Searched(
+        "a successor that leads beside one that is elected",
+        "no loss",
+        SuccessorWithoutMajority,
+        Bounds(writes=1, tries=1, campaigns=2, crashes=0, before=("run 1",)),
+    ),
+)
+
+
+def shrinks(seeds: range = range(8)) -> Iterator[History]:
+    """Holders that shrink without a majority: histories of the simulator."""
+    return (play(Shape(3, 1), seed, HoldersShrinkAlone) for seed in seeds)
+
+
+def failed_syncs(seeds: tuple[int, ...] = (56, 84, 124, 207)) -> Iterator[History]:
+    """A failed sync that is taken for done: histories of the simulator."""
+    return (play(STORM, seed, heeds_refusals=False) for seed in seeds)
+
+
+def brief(line: str) -> str:
+    """A step of a story in a few words: `1 to 2 Prepare 2`, or `sync 2` as it stands."""
+    message = re.match(r"10\.0\.(\d+)\.1 -> 10\.0\.(\d+)\.1 (\w+)\((.*)", line)
+    if message is None:
+        return line
+    epoch = re.search(r"epoch=(\d+)", message[4])
+    return f"{message[1]} to {message[2]} {message[3]} {epoch[1] if epoch else ''}".strip()
--- a/tests/test_replica_defects.py
+++ b/tests/test_replica_defects.py
@@ -7,7 +7,6 @@
 from barograph.replica import Replica
 from mastturn.control_check.defects import (
     AnswersBeforeSync,
-    HoldersShrinkAlone,
     LeaseByJumpingClock,
     PromisesBeforeSync,
     ReadsWithoutProof,
@@ -15,26 +14,30 @@
     WipedVotes,
 )
 from mastturn.control_check.explore import Found, explore, walk
-from mastturn.control_check.history import play
 from mastturn.control_check.local import Make
+from mastturn.control_check.planted import (
+    PROMISED_TO_1,
+    PROMISED_TWICE,
+    SEARCHED,
+    WRITTEN,
+    Searched,
+    failed_syncs,
+    shrinks,
+)
 from mastturn.control_check.rules import BrokenRuleError
 from mastturn.control_check.steps import Bounds
-from mastturn.control_check.world import STORM_AIR, Shape, World
-
-PROMISED_TO_1 = ("run 1", "sync 1", "deliver Prepare 1 2")
-TAKEN_OVER = (
-    *PROMISED_TO_1,
-    *("sync 2", "deliver Promised 2 1", "settle 1", "deliver Install 1 2", "sync 2", "sync 1"),
-    "deliver Installed 2 1",
-)
-WRITTEN = (*TAKEN_OVER, "submit 0 1", "sync 1", "deliver Write 1 2", "sync 2", "deliver Written 2 1")
-STORM = Shape(3, 1, sync_ms=20.0, storm=True, air=STORM_AIR)
+from mastturn.control_check.world import Shape, World
 
 
 def caught(found: Found, rule: str) -> None:
     assert found.rule == rule and found.story, found
 
 
+@pytest.mark.parametrize("planted", SEARCHED, ids=lambda p: p.make.__name__)
+def test_the_search_finds_each_from_its_first_steps_on(planted: Searched) -> None:
+    caught(planted.show(), planted.rule)
+
+
 def test_an_answer_before_the_backups_sync() -> None:
     bounds = Bounds(writes=1, campaigns=2, crashes=1)
     caught(walk(bounds, 1, 3_000, make=AnswersBeforeSync), "no loss")
@@ -43,9 +46,7 @@
 
 def test_a_promise_that_is_sent_before_its_sync() -> None:
     crash = ("crash 2", "run 0", "sync 0", "deliver Prepare 0 2")
-    both = ("deliver Promised 2 0", "settle 0", "settle 1")
-    hasty = Bounds(writes=0, before=(*PROMISED_TO_1, "deliver Promised 2 1", *crash, *both))
-    caught(explore(hasty, PromisesBeforeSync), "one primary")
+    caught(explore(Bounds(writes=0, before=PROMISED_TWICE), PromisesBeforeSync), "one primary")
     found = explore(Bounds(writes=0, before=(*PROMISED_TO_1, *crash)))
     assert found.is_whole and not found.broken
 
@@ -64,13 +65,11 @@
 
 
 def test_holders_that_shrink_without_a_majority() -> None:
-    found = [play(Shape(3, 1), seed, HoldersShrinkAlone).rule for seed in range(8)]
-    assert "no loss" in found
+    assert "no loss" in [history.rule for history in shrinks()]
 
 
 def test_a_record_that_is_taken_as_kept_though_its_sync_failed() -> None:
-    found = [play(STORM, seed, heeds_refusals=False).rule for seed in (0, 3, 8, 73)]
-    assert "no loss" in found
+    assert "no loss" in [history.rule for history in failed_syncs()]
 
 
 def test_a_successor_that_leads_beside_one_that_is_elected() -> None:
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import errno
 import itertools
 import os
@@ -311,6 +312,35 @@
         check_goes_on(disk, run.possible)
 
 
+class LogReusedTooEarly(Store):
+    """A planted defect: the next generation's log is begun while its slot is not synced yet."""
+
+    def _write_slot(self, path: Path, generation: int, state: bytes) -> None:
+        frame, _ = frame_of(b"", generation, 0, CHAIN)
+        self._write_log(self._logs[generation % 2], 0, frame, cut=True)
+        super()._write_slot(path, generation, state)
+
+
+@pytest.mark.parametrize("kind", [LogReusedTooEarly, Store])
+def test_a_log_that_is_reused_before_the_slots_sync_is_caught(kind: type[Store]) -> None:
+    """A loss of power then leaves a log that vouches for a slot that is torn: nothing can be read."""
+    broken = set()
+    for stop_at in range(2 * CALLS):
+        run = Run(Disk(stop_at=stop_at))
+        run.store = kind.open(FOLDER, run.disk)
+        with contextlib.suppress(Stopped):
+            run.load()
+            for step in STEPS:
+                run.do(step)
+        for disk in run.disk.all_losses():
+            try:
+                Run(disk, run.possible).load()
+            except DiskError as error:
+                broken.add(str(error).split(";")[0])
+    assert bool(broken) == (kind is LogReusedTooEarly)
+    assert all("is damaged: generation" in what for what in broken)
+
+
 @pytest.mark.parametrize("stop_at", range(CALLS + 1))
 def test_a_kill_anywhere_keeps_what_was_acknowledged(stop_at: int) -> None:
     run = run_until(stop_at)
