Send a write again to holders that have not answered

Nothing ever sent a write again, so the primary, by then hearing everybody, waited until the write counted as hanging (0.35 s, or up to eight times that after other troubles), and all reads waited behind it; then it changed the view.

barograph/primary.py, resend: after 0.15 s, 0.3 s, 0.6 s and so on, to the other holders that have not confirmed. Two tests in tests/test_replica_exchanges.py.

--- a/barograph/primary.py
+++ b/barograph/primary.py
@@ -51,7 +51,7 @@
         self._queue: deque[Command] = deque()
         self._writing: Put | None = None
         self._kept: set[int] = set()  # slots that have synced the write
-        self.write_at = 0.0
+        self.write_at = self._resend_at = 0.0
         self.took_ms = 0.0  # how long the last write took
         self.write_ms = spec.write_ms  # a write that takes longer hangs
         self._proofs: list[_Proof] = []
@@ -63,7 +63,7 @@
         self.above = 0  # an epoch that somebody has promised beyond ours
         self.behind: set[int] = set()  # slots that have not accepted our view
         self.refused = False  # a holder could not keep a write
-        self.committed: Document = memory.document
+        self.committed = self._new = memory.document
         emit(Committed(view.epoch, memory.document))
 
     # ---- beats
@@ -191,10 +191,23 @@
 
     def _write(self, put: Put, document: Document, now: float) -> None:
         self._writing, self._kept, self.write_at = put, set(), now
-        new = document.after(put.ver, put.body, put.digest)
+        self._new = document.after(put.ver, put.body, put.digest)
+        self._resend_at = now + self._spec.beat_ms
+        self._send_write(set(self.view.holders))
+
+    def resend(self, now: float) -> None:
+        """Send the write again to the holders that have not said that they kept it; less and less often."""
+        if self._writing is None or now < self._resend_at:
+            return
+        self._resend_at = now + (now - self.write_at)
+        self._send_write(set(self.view.holders) - self._kept - {self.view.primary})
+
+    def _send_write(self, slots: set[int]) -> None:
         for slot in self.view.holders:
+            if slot not in slots:
+                continue
             member = self.view.at(slot)
-            message = Write(self.memory.identity, member.identity, self.view.epoch, new)
+            message = Write(self.memory.identity, member.identity, self.view.epoch, self._new)
             self._emit(Send(member.ip, message))
 
     def _owe(self, command: Command, verdict: Verdict, now: float) -> None:
--- a/barograph/replica.py
+++ b/barograph/replica.py
@@ -222,6 +222,7 @@
         primary = self.primary
         assert primary is not None
         self.acceptor.leading_at = primary.quorum_at()
+        primary.resend(now)
         primary.write_ms = min(primary.write_ms, self._spec.write_ms * self.candidate.patience.factor(now))
         if primary.is_beat_due(now):
             primary.beat(now)
--- a/mastturn/control_check/local.py
+++ b/mastturn/control_check/local.py
@@ -20,7 +20,7 @@
 TIMES = frozenset(
     "heard_at heard_from leading_at began stage_at sent_at now write_at refused behind next_try _beat_at "
     "_heard_at _epoch _succession started _asked_at _ticked_at _came patience _hung_at write_ms "
-    "took_ms".split()
+    "took_ms _resend_at".split()
 )
 LAPSE_MS = 700.0
 SETTLE_MS = 30.0
--- a/tests/test_replica_exchanges.py
+++ b/tests/test_replica_exchanges.py
@@ -190,6 +190,33 @@
     assert world.epoch() == 1 and world.lines[-1] == "0 answers done"
 
 
+def test_a_write_that_was_lost_on_the_way_is_sent_again() -> None:
+    """Found in a history of five (51201): after 0.2 s of deafness nobody was answered for another 1.7 s."""
+    world = Exchange()
+    world.lost = {"Written"}
+    world.replicas[0].submit(PUT, world.now)
+    world.settle()
+    world.lost = set()
+    world.run(175.0)
+    assert [line for line in world.lines if "answers" in line] == ["0 answers done"]
+    assert world.lines.count("0 -> 1 Write 1") == 2 and world.epoch() == 1
+
+
+def test_a_write_is_sent_again_less_and_less_often_and_never_to_oneself() -> None:
+    world = Exchange()
+    world.replicas[0].candidate.patience.lose(world.now)
+    world.hangs = {0}
+    world.lost = {"Write"}
+    assert world.replicas[0].primary is not None
+    world.replicas[0].primary.write_ms = 1_400.0
+    world.replicas[0].submit(PUT, world.now)
+    world.settle()
+    world.run(650.0)
+    assert world.lines.count("0 -> 1 Write 1 (lost)") == 4  # at 0, 150, 300 and 600 ms
+    world.free(0)
+    assert world.disks[0].document.ver == 3
+
+
 def test_a_backup_may_be_quicker_than_the_primary_itself() -> None:
     world = Exchange()
     world.lost = {"Written"}
