Read a list of many pages page by page within the platform's rate

Lines at fault: PlatformList.read asked without regard to the rate and began anew after any page that failed.

Now the one caller keeps to 0.8 of the rate (balancers that are alone to a quarter together), a page after the first is asked for again up to three times, and the next reading of many pages follows at once. As such a reading takes longer than a moment, an upstream that is missing from one is believed gone with the next: one that leaves meanwhile moves all after it across the pages. A list of one page is read as before.

Ruled out: a larger page (the platform's to choose), reading by zone (as many calls and more).

--- a/barograph/herald.py
+++ b/barograph/herald.py
@@ -9,7 +9,7 @@
 from loguru import logger
 
 from barograph.mover import LOOK_S, Mover, Prove
-from barograph.platform import PlatformError, PlatformList, pack
+from barograph.platform import RATE_SHARE, PlatformError, PlatformList, pack
 from barograph.views import Document, Member, View
 from screen.links import Links
 from screen.settings import Settings, parse_address
@@ -38,6 +38,7 @@
 )
 
 LIST_S = 1.0  # the platform's list is read so often; a drain is told within this and its lag
+LEAST_S = 0.02  # between two readings of a list of many pages, which takes longer
 SILENT_S = 2.5  # a balancer that says nothing for so long has gone
 COUNTED_S = 2.0  # a new primary has heard of all balancers after this
 LINGER_S = 1.5  # one that has gone stays a member for so long: most only hear the news from elsewhere now
@@ -57,7 +58,8 @@
         self._entries: list[dict[str, Any]] = []  # of the platform's list
         lease_s = settings.bounds.lease_ms / 1000
         self._mover = Mover(settings.node, lease_s, prove, lambda: self._loaded_by, self._list)
-        self._platform = PlatformList(parse_address(settings.cloud_api.addr))
+        calls_s = settings.cloud_api.rate_per_s * RATE_SHARE
+        self._platform = PlatformList(parse_address(settings.cloud_api.addr), calls_s)
         self._view: View | None = None
         self._leader_ip = ""  # of the other that leads
         self._waiting: dict[Link, list[Any]] = {}  # what balancers have said while nobody led
@@ -83,6 +85,7 @@
         """The settings file has changed."""
         self._settings = settings
         self._platform.move(parse_address(settings.cloud_api.addr))
+        self._platform.allow(settings.cloud_api.rate_per_s * RATE_SHARE)
 
     def told(self) -> tuple[tuple[Present, ...], dict[str, tuple[int, int]]]:
         """For a report: who is present, as is told, and calls and tokens of all by upstream."""
@@ -216,6 +219,7 @@
                 self._leads.clear()
                 await self._leads.wait()
                 continue
+            began = asyncio.get_running_loop().time()
             try:
                 self._entries = await self._platform.read()
             except PlatformError as error:
@@ -225,7 +229,8 @@
             else:
                 unread = ""
                 self._list()
-            await asyncio.sleep(LIST_S)
+            took = asyncio.get_running_loop().time() - began if self._platform.pages > 1 else 0.0
+            await asyncio.sleep(max(LIST_S - took, LEAST_S))
 
     def _list(self) -> None:
         """Tell the list if it is not what was told last; others may have told another since our last term."""
--- a/station/balancing.py
+++ b/station/balancing.py
@@ -78,7 +78,8 @@
             self._attached,
             secrets.randbits(32),
         )
-        self._platform = PlatformList(parse_address(settings.cloud_api.addr))
+        calls_s = settings.cloud_api.rate_per_s * SHARE
+        self._platform = PlatformList(parse_address(settings.cloud_api.addr), calls_s)
         self._tasks: list[asyncio.Task[None]] = []
         self._headcount = Headcount()
         self._drained = False  # the configuration has us take no new clients
@@ -109,6 +110,7 @@
         self.settings = settings
         self._follower.seeds(self._seeds())
         self._platform.move(parse_address(settings.cloud_api.addr))
+        self._platform.allow(settings.cloud_api.rate_per_s * SHARE)
         self._log_steps()
 
     # ---- what operators ask; nothing of it is loaded until they do
--- a/tests/test_barograph_host_platform.py
+++ b/tests/test_barograph_host_platform.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from barograph.platform import PlatformError, PlatformList, pack
+from barograph.platform import RATE_SHARE, PlatformError, PlatformList, pack
 from sonde.messages import Pulse
 from tests.fabric_callers import PLATFORM, DataPlane, upstream
 from tests.fabric_scenes import begun
@@ -55,6 +55,77 @@
     play(scene, starts=False)
 
 
+def test_a_list_of_many_pages_is_read_within_the_platforms_rate() -> None:
+    """2,800 upstreams are 56 calls: asked all at once, one of them was turned away, and all was lost."""
+
+    async def scene(world: World) -> None:
+        world.platform.entries = [upstream(f"i-{n}") for n in range(2_800)]
+        world.platform.rate_per_s = 50.0
+        platform = PlatformList(PLATFORM, 50.0 * RATE_SHARE)
+        since = world.now()
+        for _ in range(3):
+            assert len(await platform.read()) == 2_800
+        assert 56 * 3 / 40 - 1.1 < (world.now() - since) / 1000 < 56 * 3 / 40 + 0.1
+        assert world.platform.busiest_second() <= 41 and len(world.platform.calls) == 168
+
+    play(scene, starts=False)
+
+
+def test_the_primary_reads_a_list_of_many_pages_in_turn() -> None:
+    async def scene(world: World) -> None:
+        await begun(world)
+        world.platform.rate_per_s = world.rate_per_s
+        world.platform.entries = [upstream(f"i-{n}") for n in range(2_200)]
+        await world.until(lambda: all(len(m.plane.ids) == 2_200 for m in world.edges()), 4.0, "the list")
+        world.platform.entries = [*world.platform.entries[:-1], upstream("i-new")]
+        await world.until(lambda: all("i-new" in m.plane.ids for m in world.edges()), 4.0, "a change")
+        assert not any("event=list_unread" in line for line in world.transcript.logs)
+
+    play(scene, edges=2)
+
+
+def test_a_page_that_fails_is_asked_for_again_and_the_pages_before_it_stay(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scene(world: World) -> None:
+        world.platform.entries = [upstream(f"i-{n}") for n in range(200)]
+        answer, calls = world.platform.answer, []
+
+        def flaky(target: str, caller: str) -> bytes | None:
+            calls.append(target)
+            world.platform.says = "429" if len(calls) in (2, 4, 5) else "list"
+            return answer(target, caller)
+
+        monkeypatch.setattr(world.platform, "answer", flaky)
+        assert len(await PlatformList(PLATFORM).read()) == 200
+        tokens = [target.partition("page_token=p-")[2] for target in calls]
+        assert tokens == ["", "50", "50", "100", "100", "100", "150"]
+
+    play(scene, starts=False)
+
+
+def test_what_is_missing_from_one_reading_of_many_pages_is_believed_gone_with_the_next() -> None:
+    """An upstream that leaves while pages are read moves all after it: one of them is on no page."""
+
+    async def scene(world: World) -> None:
+        names = [f"i-{n}" for n in range(120)]
+        platform = PlatformList(PLATFORM)
+
+        async def read(without: set[str]) -> set[str]:
+            world.platform.entries = [upstream(n) for n in names if n not in without]
+            return {e["id"] for e in await platform.read()}
+
+        assert await read(set()) == set(names)
+        assert await read({"i-3", "i-4"}) == set(names)
+        assert await read({"i-3"}) == set(names) - {"i-3"}
+        assert await read({"i-3"}) == set(names) - {"i-3"}
+        assert await read(set()) == set(names)
+        world.platform.entries = [upstream("i-1")]  # one page: no doubt
+        assert [e["id"] for e in await platform.read()] == ["i-1"]
+
+    play(scene, starts=False)
+
+
 def test_the_last_good_list_stays_and_a_long_outage_is_one_line() -> None:
     async def scene(world: World) -> None:
         await begun(world)
