--- a/barograph/herald.py
+++ b/barograph/herald.py
@@ -14,13 +14,15 @@
 from screen.links import Links
 from screen.settings import Settings, parse_address
 from screen.tasks import keep_on
-from screen.wire import Link
+from screen.wire import EDITION, Link
 from sonde.bulletin import Bulletin
 from sonde.counting import COUNT_S
 from sonde.feed import Feed
 from sonde.follower import PULSE_S
 from sonde.holdings import Holdings
-from sonde.loads import LoadSum, unpack
+from sonde.lists import change_of
+from sonde.load_steps import Figures
+from sonde.loads import LoadSum
 from sonde.messages import (
     Attach,
     ConfigurationNews,
@@ -28,11 +30,14 @@
     HoldingReport,
     LoadNews,
     LoadReport,
+    LoadReportStep,
+    LoadStep,
     MemberNews,
     Moved,
     Present,
     Pulse,
     Roll,
+    Speaks,
     UpstreamLoad,
     UpstreamNews,
 )
@@ -52,14 +57,17 @@
         self._settings, self._links = settings, links
         self.bulletin = Bulletin()
         self._feed = Feed(self.bulletin, links.kinds, lambda: None)
-        self._loads = LoadSum(dict, self._loaded)
+        self._loads = LoadSum(dict, self._loaded, self._stepped, self._feed.has_earlier)
+        self._load_number = 0  # of the last step that was told
         self._holdings = Holdings()
-        self._loaded_by: dict[str, tuple[int, int]] = {}
         self._entries: list[dict[str, Any]] = []  # of the platform's list
+        self._dressed: list[dict[str, Any]] = []  # the same as balancers are to see it,
+        self._page = pack([])  # and as it goes to them
         lease_s = settings.bounds.lease_ms / 1000
-        self._mover = Mover(settings.node, lease_s, prove, lambda: self._loaded_by, self._list)
-        calls_s = settings.cloud_api.rate_per_s * RATE_SHARE
-        self._platform = PlatformList(parse_address(settings.cloud_api.addr), calls_s)
+        self._mover = Mover(settings.node, lease_s, prove, self._loads.total, self._list)
+        self._platform = PlatformList(
+            parse_address(settings.cloud_api.addr), settings.cloud_api.rate_per_s * RATE_SHARE
+        )
         self._view: View | None = None
         self._leader_ip = ""  # of the other that leads
         self._waiting: dict[Link, list[Any]] = {}  # what balancers have said while nobody led
@@ -90,7 +98,7 @@
     def told(self) -> tuple[tuple[Present, ...], dict[str, tuple[int, int]]]:
         """For a report: who is present, as is told, and calls and tokens of all by upstream."""
         members = self.bulletin.members
-        return tuple(members.balancers) if members is not None else (), dict(self._loaded_by)
+        return tuple(members.balancers) if members is not None else (), self._loads.total()
 
     # ---- the machine's word
 
@@ -141,8 +149,14 @@
                 self._waiting[link][1:] = [message]  # the latest
             case Roll():
                 self._feed.roll(link, message)
+            case Speaks():
+                self._feed.speaks(link, message)
+                link.send(Speaks(EDITION, b""))
             case LoadReport():
                 self._loads.report(link, message)
+            case LoadReportStep():
+                if not self._loads.report_step(link, message):
+                    link.close()  # it comes back, and tells all
             case HoldingReport(holdings):
                 if new := self._holdings.add(holdings):
                     self._feed.tell(HoldingNews(new))
@@ -164,10 +178,17 @@
         self._loads.forget(link)
 
     def _loaded(self, loads: tuple[UpstreamLoad, ...]) -> None:
-        """The sum of all loads has changed."""
-        self._loaded_by = unpack(loads)
+        """The sum of all loads has changed: all of it, for those of an earlier edition."""
         if self._view is not None:
-            self._tell(LoadNews(self._view.epoch, self._next(), loads))
+            self._feed.tell_loads_whole(LoadNews(self._view.epoch, self._next(), loads))
+
+    def _stepped(self, figures: Figures, whole: bool) -> None:
+        """What has changed in it, for the others."""
+        if self._view is not None:
+            base, self._load_number = 0 if whole else self._load_number, self._next()
+            step = LoadStep(self._view.epoch, self._load_number, base, *figures)
+            if self.bulletin.step(step) is not None:
+                self._feed.tell(step)
 
     def _next(self) -> int:
         self._number += 1
@@ -234,13 +255,18 @@
 
     def _list(self) -> None:
         """Tell the list if it is not what was told last; others may have told another since our last term."""
-        page = pack(self._mover.dress(self._entries, asyncio.get_running_loop().time()))
+        dressed = self._mover.dress(self._entries, asyncio.get_running_loop().time())
+        if dressed != self._dressed:  # entries that were told again as they were are the same objects
+            self._dressed, self._page = dressed, pack(dressed)
+        page = self._page
         known = self.bulletin.upstreams
         is_told = known is not None and known.epoch >= self._first_epoch and known.page == page
         if self._view is not None and not is_told:
             self._mover.listed(page)
             self._holdings.keep_only({str(e.get("id")) for e in self._entries})
-            self._tell(UpstreamNews(self._view.epoch, self._next(), page))
+            news = UpstreamNews(self._view.epoch, self._next(), page)
+            if self.bulletin.take(news):
+                self._feed.tell_list(news, change_of(known, news))
 
     async def _move(self) -> None:
         """See now and then whether an upstream should play another part."""
--- a/barograph/platform.py
+++ b/barograph/platform.py
@@ -10,11 +10,13 @@
 
 from passpost.discovery import Line
 from screen.settings import Address
+from sonde.lists import page_of
 
 CALL_S = 1.0  # for one page
 MOST_PAGES = 256
 RATE_SHARE = 0.8  # of the platform's rate that the one caller uses; the rest is for others and its clock
 RATE_S = 1.0  # the rate is kept within any such time
+SPARE_PAGES = 8
 TRIES = 3  # of a page after the first: what was read before it stays
 
 
@@ -33,6 +35,7 @@
         self._calls: deque[float] = deque()
         self._missing: set[str] = set()  # that were on the list before last and not on the last one
         self._last: list[dict[str, Any]] = []
+        self._pages: dict[str, tuple[bytes, dict[str, Any]]] = {}  # by call: its last answer, as read
         self.allow(calls_s)
 
     def allow(self, calls_s: float) -> None:
@@ -55,6 +58,8 @@
             cursor = page.get("next_cursor")
             if cursor is None:
                 self.pages = number
+                if len(self._pages) > 2 * number + SPARE_PAGES:
+                    self._pages.clear()  # of calls that are asked no more
                 return self._whole(entries)
             target = f"/upstreams?page_token={quote(str(cursor), safe='')}"
         raise PlatformError("the list has no end")
@@ -102,17 +107,19 @@
             raise PlatformError(f"{type(error).__name__}: {error}") from None
         if answer.status != 200:
             raise PlatformError(f"status {answer.status}")
+        known = self._pages.get(target)
+        if known is not None and known[0] == answer.body:
+            return known[1]
         try:
             page = json.loads(answer.body)
         except ValueError:
             raise PlatformError("no JSON") from None
         if not isinstance(page, dict) or not isinstance(page.get("upstreams"), list):
             raise PlatformError("no list")
+        self._pages[target] = answer.body, page
         return page
 
 
 def pack(entries: list[dict[str, Any]]) -> bytes:
     """The list as it goes to the balancers, alike for alike entries."""
-    kept = [{k: v for k, v in e.items() if k != "cold_left_ms"} for e in entries]
-    kept.sort(key=lambda e: str(e.get("id")))
-    return json.dumps({"upstreams": kept}, separators=(",", ":"), sort_keys=True).encode()
+    return page_of([{k: v for k, v in e.items() if k != "cold_left_ms"} for e in entries])
--- a/mastturn/capacity/network.py
+++ b/mastturn/capacity/network.py
@@ -15,13 +15,14 @@
 
 import barograph.messages
 import sonde.messages
-from screen.wire import Kinds
+from screen.wire import PACKED, Kinds
 
 HEAD = struct.Struct(">IH")
 KINDS = Kinds().include(barograph.messages.KINDS).include(sonde.messages.KINDS)
 NAMES = {number: cls.__name__ for number, (cls, _) in KINDS._by_number.items()}
 STATION_PORT, CTL_PORT, PLATFORM_PORT = 7720, 8166, 8169
 IN_ZONE_S, CROSS_ZONE_S, CROSS_REGION_S = 0.0001, 0.0014, 0.012  # one way
+NEXT_S = 1e-9  # what is sent at once arrives one after the other: timers of one moment have no order
 GIVEN_UP_S = 1.5  # bytes without an answer for so long end a connection, as `screen.links` asks for
 
 
@@ -33,6 +34,8 @@
         return "operator"
     if len(data) >= HEAD.size:
         size, number = HEAD.unpack_from(data)
+        if number == PACKED and size + HEAD.size == len(data):
+            return NAMES.get(int.from_bytes(data[HEAD.size : HEAD.size + 2], "big"), "other")
         if size + HEAD.size == len(data) and number in NAMES:
             return NAMES[number]
     return "other"
@@ -117,6 +120,7 @@
         self.peer: End = self
         self.is_over = False
         self._doomed = False
+        self.last_at = 0.0  # when the last that was sent is there
         if owner is not None:
             owner.ends.add(self)
 
@@ -263,11 +267,12 @@
         return CROSS_ZONE_S if a.place[0] != b.place[0] else IN_ZONE_S
 
     def arrival(self, end: End, size: int) -> float:
-        """When what is sent now is there."""
+        """When what is sent now is there: after all that was sent before it."""
         now, owner = self.clock.time(), end.owner
         if owner is not None and self.mbps:
             now = owner.link_free_at = max(now, owner.link_free_at) + size * 8e-6 / self.mbps
-        return now + self.delay(owner, end.peer.owner)
+        end.last_at = max(now + self.delay(owner, end.peer.owner), end.last_at + NEXT_S)
+        return end.last_at
 
     def is_cut(self, a: End, b: End) -> bool:
         """Whether nothing gets from one end to the other."""
--- a/mastturn/capacity/parts.py
+++ b/mastturn/capacity/parts.py
@@ -16,7 +16,8 @@
 from mastturn.capacity.sources import as_quiet, spin_ns
 from screen.checking import check, parse_configuration, parse_upstreams
 from sonde.holdings import Holdings
-from sonde.loads import Loads, OthersLoad, add, unpack
+from sonde.load_steps import Loads
+from sonde.loads import OthersLoad, add, unpack
 from sonde.loads import pack as pack_loads
 from sonde.messages import (
     ConfigurationNews,
--- a/screen/errors.py
+++ b/screen/errors.py
@@ -25,3 +25,7 @@
 
 class DiskError(StationError):
     """The disk refuses a write, or holds what we never wrote."""
+
+
+class GapError(StationError):
+    """A change has come whose beginning we do not have."""
--- a/screen/wire.py
+++ b/screen/wire.py
@@ -10,6 +10,7 @@
 import asyncio
 import io
 import struct
+import zlib
 from collections.abc import Callable
 from dataclasses import dataclass, fields, is_dataclass
 from typing import Any
@@ -19,10 +20,14 @@
 
 from screen.errors import WireError
 
-EDITION = 2  # of all kinds together, as reports show it: the next number with each new kind
+EDITION = 3  # of all kinds together, as reports show it: the next number with each new kind
+STEPS_EDITION = 3  # and later ones take packed frames, changes of the list and steps of loads
+PACKED = 112  # a frame within a frame, compressed: the inner one's kind (2 bytes) and zlib's bytes
+PACK_LEVEL = 1  # of zlib: the list of 2,800 upstreams in some milliseconds, to a tenth
 MOST_NUMBER = 255  # of a kind, in this release and later ones
 MOST_FRAME = 16 * 1024 * 1024  # a whole configuration fits four times
 _HEAD = struct.Struct(">IH")
+_INNER = struct.Struct(">H")
 
 
 class Kinds:
@@ -66,7 +71,9 @@
         return max(self._by_number, default=0) < number <= MOST_NUMBER
 
     def decode(self, number: int, body: bytes) -> Any:
-        """The message of a frame; raises WireError."""
+        """The message of a frame, packed or not; raises WireError."""
+        if number == PACKED:
+            number, body = unpacked(body)
         known = self._by_number.get(number)
         if known is None:
             raise WireError(
@@ -83,6 +90,26 @@
             raise WireError(f"a {cls.__name__} can't be read ({error})", "drop the connection") from None
 
 
+def packed(frame: bytes) -> bytes:
+    """The same frame, compressed; as it is where that makes it no smaller."""
+    _, number = _HEAD.unpack_from(frame)
+    body = _INNER.pack(number) + zlib.compress(frame[_HEAD.size :], PACK_LEVEL)
+    return _HEAD.pack(len(body), PACKED) + body if len(body) + _HEAD.size < len(frame) else frame
+
+
+def unpacked(body: bytes) -> tuple[int, bytes]:
+    """The kind and the body of the frame within; raises WireError."""
+    try:
+        (number,) = _INNER.unpack_from(body)
+        unpack = zlib.decompressobj()
+        inner = unpack.decompress(body[_INNER.size :], MOST_FRAME)
+    except (struct.error, zlib.error) as error:
+        raise WireError(f"a packed frame can't be read ({error})", "drop the connection") from None
+    if number == PACKED or not unpack.eof or unpack.unused_data:
+        raise WireError("a packed frame holds no frame of ours", "drop the connection")
+    return number, inner
+
+
 def plain(value: Any) -> Any:
     """A message as Avro's writer takes it."""
     if is_dataclass(value) and not isinstance(value, type):
@@ -156,9 +183,12 @@
         self.last_heard = asyncio.get_running_loop().time()
         try:
             for frame in self._reader.feed(data):
-                if self._kinds.may_be_later(frame.number):
+                number, body = frame.number, frame.body
+                if number == PACKED:
+                    number, body = unpacked(body)
+                if self._kinds.may_be_later(number):
                     continue
-                self._heard(self, self._kinds.decode(frame.number, frame.body))
+                self._heard(self, self._kinds.decode(number, body))
         except WireError as error:
             logger.warning("event=bad_bytes peer={} error={!r}", self.peer, str(error))
             self.close()
--- a/sonde/bulletin.py
+++ b/sonde/bulletin.py
@@ -4,9 +4,12 @@
 
 from typing import Any
 
-from sonde.messages import ConfigurationNews, LoadNews, MemberNews, Pulse, UpstreamNews
+from screen.errors import GapError
+from sonde.load_steps import Loads, LoadTable
+from sonde.loads import pack
+from sonde.messages import ConfigurationNews, LoadNews, LoadStep, MemberNews, Pulse, UpstreamNews
 
-News = ConfigurationNews | UpstreamNews | MemberNews | Pulse | LoadNews
+News = ConfigurationNews | UpstreamNews | MemberNews | Pulse | LoadNews | LoadStep
 
 
 class Bulletin:
@@ -17,7 +20,8 @@
         self.upstreams: UpstreamNews | None = None
         self.members: MemberNews | None = None
         self.pulse: Pulse | None = None
-        self.loads: LoadNews | None = None
+        self.loads: LoadNews | None = None  # from whoever tells them whole,
+        self.table: LoadTable | None = None  # or from whoever tells steps
 
     def take(self, message: Any) -> bool:
         """Keep a message if it is newer than what we have; whether it was."""
@@ -39,26 +43,65 @@
                     return False
                 self.pulse = message
             case LoadNews():
-                if not _is_newer(message, self.loads):
+                if not _is_newer(message, self.table or self.loads):
                     return False
-                self.loads = message
+                self.loads, self.table = message, None
             case _:
                 return False
         return True
 
-    def everything(self, ver: int, list_stamp: tuple[int, int]) -> list[News]:
-        """What somebody lacks who has this version and this list, in the order in which it is told."""
+    def step(self, message: LoadStep) -> Loads | None:
+        """Take a step of the loads: those that it tells of, as they were; None for one of an earlier term.
+
+        Raises GapError for one that does not follow what we have.
+        """
+        known = self.table or self.loads
+        if known is not None and message.epoch < known.epoch:
+            return None
+        if message.base == 0:
+            table, before = LoadTable(message.epoch), dict(self.loads_known())
+            if table.take(message.number, 0, message.names, message.figures) is not None:
+                self.table, self.loads = table, None
+                return before | dict.fromkeys(table.loads.keys() - before.keys(), (0, 0))
+        elif self.table is not None and self.table.epoch == message.epoch:
+            told = self.table.take(message.number, message.base, message.names, message.figures)
+            if told is not None:
+                return told
+        raise GapError(f"step {message.number} of the loads follows {message.base}", "attach anew")
+
+    def loads_known(self) -> Loads:
+        """The sums as they are known."""
+        if self.table is not None:
+            return self.table.loads
+        return {} if self.loads is None else {e.upstream: (e.calls, e.tokens) for e in self.loads.loads}
+
+    def loads_whole(self) -> LoadNews | None:
+        """The sums as those of an earlier edition hear them."""
+        if self.table is None:
+            return self.loads
+        return LoadNews(self.table.epoch, self.table.number, pack(self.table.loads))
+
+    def everything(self, ver: int, list_stamp: tuple[int, int], steps: bool = False) -> list[News]:
+        """What somebody lacks who has this version and this list, in the order in which it is told.
+
+        `steps`: it can hear what changes from now on.
+        """
         found: list[News] = []
         if self.configuration is not None and self.configuration.ver > ver:
             found.append(self.configuration)
         if self.upstreams is not None and (self.upstreams.epoch, self.upstreams.number) > list_stamp:
             found.append(self.upstreams)
-        found += [news for news in (self.members, self.pulse, self.loads) if news is not None]
+        loads: LoadNews | LoadStep | None = None
+        if steps and self.table is not None:
+            loads = LoadStep(self.table.epoch, self.table.number, 0, *self.table.whole())
+        else:
+            loads = self.loads_whole()
+        found += [news for news in (self.members, self.pulse, loads) if news is not None]
         return found
 
     def forget_loads(self) -> None:
         """What was told of others' work is no use any more; the same sums are news when they come again."""
-        self.loads = None
+        self.loads = self.table = None
 
 
 def _is_newer(message: Any, known: Any) -> bool:
--- a/sonde/feed.py
+++ b/sonde/feed.py
@@ -3,11 +3,36 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
-from screen.wire import Kinds, Link
+from screen.wire import STEPS_EDITION, Kinds, Link, packed
 from sonde.bulletin import Bulletin
-from sonde.messages import Attach, Present, Roll
+from sonde.lists import digest_of, same_as
+from sonde.messages import (
+    Attach,
+    ConfigurationNews,
+    LoadNews,
+    LoadStep,
+    MemberNews,
+    Present,
+    Roll,
+    Speaks,
+    UpstreamChange,
+    UpstreamNews,
+)
+
+LONG = ConfigurationNews | UpstreamNews | MemberNews  # what may be, and is worth to be packed
+
+
+@dataclass(slots=True)
+class _Child:
+    """Somebody who hears the news from us: what it said, who is below it, and the list that it has."""
+
+    attached: Attach
+    present: tuple[Present, ...]
+    takes_steps: bool
+    digest: bytes
 
 
 class Feed:
@@ -16,38 +41,94 @@
     def __init__(self, bulletin: Bulletin, kinds: Kinds, changed: Callable[[], None]) -> None:
         """`changed`: told when others are present below us."""
         self._bulletin, self._kinds, self._changed = bulletin, kinds, changed
-        self._children: dict[Link, tuple[Attach, tuple[Present, ...]]] = {}
+        self._children: dict[Link, _Child] = {}
+        self._spoken: dict[Link, Speaks] = {}
+        self._kept: dict[type, tuple[Any, bytes, bytes]] = {}  # the last of each kind, its frame, and packed
+        self._listed: tuple[UpstreamNews | None, bytes] = None, b""
+
+    def speaks(self, link: Link, message: Speaks) -> None:
+        """Somebody says which edition it speaks and what it has; it is yet to attach."""
+        self._spoken[link] = message
 
     def attach(self, link: Link, message: Attach) -> None:
         """Somebody is to hear everything from now on, beginning with what it lacks."""
-        for old, (attached, _) in list(self._children.items()):
-            if attached.node == message.node and old is not link:
+        for old, child in list(self._children.items()):
+            if child.attached.node == message.node and old is not link:
                 del self._children[old]  # it has come back by another connection
                 old.close()
-        self._children[link] = (message, (Present(message.node, message.ip, message.zone),))
-        for news in self._bulletin.everything(message.ver, (message.list_epoch, message.list_number)):
-            link.send(news)
+        spoken = self._spoken.get(link)
+        steps = spoken is not None and spoken.edition >= STEPS_EDITION
+        present = (Present(message.node, message.ip, message.zone),)
+        child = _Child(message, present, steps, spoken.digest if spoken is not None else b"")
+        self._children[link] = child
+        for news in self._bulletin.everything(message.ver, (message.list_epoch, message.list_number), steps):
+            if isinstance(news, UpstreamNews):
+                self._tell_list(link, child, news, None)
+            else:
+                link.send_bytes(self._frame(news, steps))
         self._changed()
 
     def roll(self, link: Link, message: Roll) -> None:
         """A child says who is below it."""
-        if link in self._children:
-            present, attached = message.present, self._children[link][0]
-            if self._children[link] != (attached, present):
-                self._children[link] = (attached, present)
-                self._changed()
+        child = self._children.get(link)
+        if child is not None and child.present != message.present:
+            child.present = message.present
+            self._changed()
 
     def ended(self, link: Link) -> None:
         """A connection is over."""
+        self._spoken.pop(link, None)
         if self._children.pop(link, None) is not None:
             self._changed()
 
     def tell(self, message: Any) -> None:
-        """Tell all children."""
-        if self._children:
+        """Tell all children; each piece of news as its edition takes it."""
+        for link, child in list(self._children.items()):
+            if isinstance(message, LoadStep) and not child.takes_steps:
+                continue
+            link.send_bytes(self._frame(message, child.takes_steps))
+
+    def tell_list(self, news: UpstreamNews, change: UpstreamChange | None) -> None:
+        """Tell all children of a list; `change`: what is new in it since the one before."""
+        for link, child in list(self._children.items()):
+            self._tell_list(link, child, news, change)
+
+    def _tell_list(
+        self, link: Link, child: _Child, news: UpstreamNews, change: UpstreamChange | None
+    ) -> None:
+        """Only what it lacks, if it can be told that."""
+        digest = self._digest(news)
+        if child.takes_steps and child.digest == digest:
+            link.send(same_as(news))
+        elif child.takes_steps and change is not None and child.digest == change.base:
+            link.send(change)
+        else:
+            link.send_bytes(self._frame(news, child.takes_steps))
+        child.digest = digest
+
+    def tell_loads_whole(self, message: LoadNews) -> None:
+        """Tell the sums to the children of an earlier edition."""
+        for link, child in list(self._children.items()):
+            if not child.takes_steps:
+                link.send(message)
+
+    def has_earlier(self) -> bool:
+        """Whether some children are of an edition that takes no steps."""
+        return any(not child.takes_steps for child in self._children.values())
+
+    def _frame(self, message: Any, steps: bool) -> bytes:
+        """As it goes out: encoded once for all that hear it, and packed where that pays and is understood."""
+        kept = self._kept.get(type(message))
+        if kept is None or kept[0] is not message:
             frame = self._kinds.encode(message)
-            for link in list(self._children):
-                link.send_bytes(frame)
+            short = packed(frame) if isinstance(message, LONG) else frame
+            kept = self._kept[type(message)] = message, frame, short
+        return kept[2] if steps else kept[1]
+
+    def _digest(self, news: UpstreamNews) -> bytes:
+        if self._listed[0] is not news:
+            self._listed = news, digest_of(news)
+        return self._listed[1]
 
     def dismiss(self, message: Any) -> None:
         """Send all children elsewhere."""
@@ -56,7 +137,7 @@
 
     def present(self) -> dict[str, Present]:
         """Everybody below us, by node."""
-        return {p.node: p for _, present in self._children.values() for p in present}
+        return {p.node: p for child in self._children.values() for p in child.present}
 
     def sweep(self, now: float, silent_s: float) -> None:
         """Let go of children whose connection has been silent for too long: they speak while they live."""
--- a/sonde/follower.py
+++ b/sonde/follower.py
@@ -7,19 +7,26 @@
 from collections.abc import Callable
 from typing import Any
 
+from loguru import logger
+
+from screen.errors import GapError
 from screen.links import Links
-from screen.wire import Link
+from screen.wire import EDITION, STEPS_EDITION, Link
 from sonde.bulletin import Bulletin
+from sonde.lists import changed, digest_of
 from sonde.messages import (
     Attach,
     ConfigurationNews,
     HoldingNews,
     LoadNews,
+    LoadStep,
     MemberNews,
     Moved,
     Present,
     Pulse,
     Roll,
+    Speaks,
+    UpstreamChange,
     UpstreamNews,
 )
 from sonde.relays import parent_of
@@ -30,6 +37,7 @@
 MANY = 100  # so many balancers and more wait longer, so that all together ask 1,000 times a second at most
 ROLL_S = 1.0  # we are heard of so often by whoever tells us
 SETTLE_S = 1.0  # the tree has given us another place for so long before we move there
+MEND_S = 0.5  # all is asked for again no sooner after the last time
 SHUN_S = 4.0  # a process that was silent or out of reach is not asked for so long while there are others
 
 
@@ -42,17 +50,22 @@
         links: Links,
         bulletin: Bulletin,
         seeds: tuple[str, ...],
-        told: Callable[[Any], None],
+        told: Callable[[Any, Any], None],
         below: Callable[[], dict[str, Present]],
         attached: Callable[[], None],
+        spoken: Callable[[], None],
         seed: int,
     ) -> None:
-        """`seeds`: IPs of control processes. `told`: each newer piece of news. `below`: who hears us.
+        """`seeds`: IPs of control processes. `told`: each newer piece of news, and what is new in it:
+        an `UpstreamChange` of a list, the loads before a `LoadStep`. `below`: who hears us.
 
-        `attached`: whoever tells us the news from now on knows nothing of us yet.
+        `attached`: whoever tells us the news from now on knows nothing of us yet. `spoken`: it has said
+        what edition it speaks.
         """
         self._me, self._links, self._bulletin, self._told, self._below = me, links, bulletin, told, below
-        self._attached = attached
+        self._attached, self._spoken = attached, spoken
+        self._takes_steps = False
+        self._mended_at = -1e9
         self._seeds = list(seeds)
         self._hints: list[str] = []
         self._random = random.Random(seed)
@@ -91,12 +104,40 @@
                 self._leave()
             case Pulse() if self._bulletin.take(message):
                 self._pulsed_at = now
-                self._told(message)
+                self._told(message, None)
             case HoldingNews():
-                self._told(message)
+                self._told(message, None)
             case ConfigurationNews() | UpstreamNews() | MemberNews() | LoadNews():
                 if self._bulletin.take(message):
-                    self._told(message)
+                    self._told(message, None)
+            case UpstreamChange() | LoadStep():
+                self._heard_change(link, message, now)
+            case Speaks(edition):
+                self._takes_steps = edition >= STEPS_EDITION
+                self._spoken()
+
+    def _heard_change(self, link: Link, message: UpstreamChange | LoadStep, now: float) -> None:
+        """A change: in force if it follows what we have; else all is told again."""
+        try:
+            if isinstance(message, LoadStep):
+                before = self._bulletin.step(message)
+                if before is not None:
+                    self._told(message, before)
+                return
+            known = self._bulletin.upstreams
+            if known is None or (message.epoch, message.number) > (known.epoch, known.number):
+                news = changed(known, message)
+                self._bulletin.take(news)
+                self._told(news, message)
+        except GapError as error:
+            if now - self._mended_at >= MEND_S:
+                self._mended_at = now
+                logger.info("event=gap error={!r}", str(error))
+                self._attach(link, whole=isinstance(message, UpstreamChange))
+
+    def takes_steps(self) -> bool:
+        """Whether whoever tells us the news takes our loads as steps."""
+        return self._takes_steps and self._link is not None
 
     def ended(self, link: Link) -> None:
         """A connection is over."""
@@ -202,8 +243,11 @@
         if self._link is not None:
             self._link.send(message)
 
-    def _attach(self, link: Link) -> None:
-        known, listed = self._bulletin.configuration, self._bulletin.upstreams
+    def _attach(self, link: Link, whole: bool = False) -> None:
+        """Say what we have; `whole`: the list is to come as if we had none."""
+        known, listed = self._bulletin.configuration, None if whole else self._bulletin.upstreams
+        self._takes_steps = False  # until they say so
+        link.send(Speaks(EDITION, digest_of(listed)))
         link.send(
             Attach(
                 self._me.node,
--- /dev/null
+++ b/sonde/lists.py
@@ -0,0 +1,82 @@
+"""The list of upstreams as it goes down the tree: whole to whoever comes, then what has changed in it."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+from typing import Any
+
+from screen.errors import GapError
+from sonde.messages import UpstreamChange, UpstreamNews
+
+DIGEST_BYTES = 8
+
+
+def digest_of(news: UpstreamNews | None) -> bytes:
+    """What tells one list from another; empty for none."""
+    return b"" if news is None else hashlib.blake2b(news.page, digest_size=DIGEST_BYTES).digest()
+
+
+def page_of(entries: list[Any]) -> bytes:
+    """The list as it goes to the balancers, alike for alike entries."""
+    entries = sorted(entries, key=_id_of)
+    return json.dumps({"upstreams": entries}, separators=(",", ":"), sort_keys=True).encode()
+
+
+def change_of(known: UpstreamNews | None, news: UpstreamNews) -> UpstreamChange | None:
+    """What is new in a list; None where that can't be told by ids alone, or is no shorter than the list."""
+    if known is None:
+        return None
+    old, new = _by_id(known.page), _by_id(news.page)
+    if old is None or new is None or page_of(list(new.values())) != news.page:
+        return None
+    entries = [e for i, e in new.items() if old.get(i) != e]
+    gone = [i for i in old if i not in new]
+    body = json.dumps(entries, separators=(",", ":"), sort_keys=True).encode()
+    if len(body) + sum(len(i) for i in gone) >= len(news.page) // 2:
+        return None
+    return UpstreamChange(news.epoch, news.number, digest_of(known), digest_of(news), body, gone)
+
+
+def same_as(news: UpstreamNews) -> UpstreamChange:
+    """For whoever has this list already, by an earlier stamp."""
+    digest = digest_of(news)
+    return UpstreamChange(news.epoch, news.number, digest, digest, b"[]", [])
+
+
+def changed(known: UpstreamNews | None, change: UpstreamChange) -> UpstreamNews:
+    """The list after a change; raises GapError where it does not begin with what we have."""
+    if known is None or digest_of(known) != change.base:
+        raise GapError("a change of a list that we do not have", "attach anew and hear all of it")
+    if change.base == change.digest:
+        return UpstreamNews(change.epoch, change.number, known.page)
+    entries = _by_id(known.page)
+    try:
+        new = json.loads(change.entries)
+        if entries is None or not isinstance(new, list):
+            raise ValueError("no list")
+        entries |= {str(e["id"]): e for e in new}
+    except (ValueError, TypeError, LookupError, RecursionError):
+        raise GapError("a change of the list can't be read", "attach anew and hear all of it") from None
+    for name in change.gone:
+        entries.pop(name, None)
+    found = UpstreamNews(change.epoch, change.number, page_of(list(entries.values())))
+    if digest_of(found) != change.digest:
+        raise GapError("a change makes another list than was meant", "attach anew and hear all of it")
+    return found
+
+
+def _id_of(entry: Any) -> str:
+    return str(entry.get("id")) if isinstance(entry, dict) else ""
+
+
+def _by_id(page: bytes) -> dict[str, Any] | None:
+    """The entries of a list; None where one has no id of its own."""
+    try:
+        entries = json.loads(page)["upstreams"]
+        found = {e["id"]: e for e in entries}
+    except (ValueError, TypeError, LookupError, RecursionError):
+        return None
+    if len(found) != len(entries) or not all(isinstance(i, str) for i in found):
+        return None
+    return found
--- a/sonde/loads.py
+++ b/sonde/loads.py
@@ -8,15 +8,13 @@
 import asyncio
 from collections.abc import Callable, Iterable
 
-from sonde.messages import LoadNews, LoadReport, UpstreamLoad
+from sonde.load_steps import MOST, Figures, Loads, LoadTable, LoadTeller
+from sonde.messages import LoadNews, LoadReport, LoadReportStep, UpstreamLoad
 
 PERIOD_S = 0.04  # a change goes on no sooner after the one before
-ENTRY_BYTES, BYTES_S = (
-    24,
-    20_000,
-)  # of one upstream in a message; a second to each that is told: many wait longer
-MOST = 2**31 - 1  # that a message holds
-Loads = dict[str, tuple[int, int]]  # upstream: calls, tokens
+STEP_ENTRY_S = 0.00005  # and no sooner than to look at all that has changed takes a few hundredths of a core
+# Of one upstream in a whole message, and a second to each of an earlier edition: many wait longer.
+ENTRY_BYTES, BYTES_S = 24, 20_000
 
 
 def unpack(loads: Iterable[UpstreamLoad]) -> Loads:
@@ -43,28 +41,91 @@
 class LoadSum:
     """The load below one process: its own and what its children report."""
 
-    def __init__(self, own: Callable[[], Loads], changed: Callable[[tuple[UpstreamLoad, ...]], None]) -> None:
-        """`own`: the load of this process. `changed`: told the sum, not too often."""
-        self._own, self._changed = own, changed
-        self._children: dict[object, Loads] = {}
+    def __init__(
+        self,
+        own: Callable[[], Loads],
+        changed: Callable[[tuple[UpstreamLoad, ...]], None],
+        stepped: Callable[[Figures, bool], None] | None = None,
+        wants_whole: Callable[[], bool] = lambda: True,
+    ) -> None:
+        """`own`: the load of this process. `changed`: told the sum, not too often, while `wants_whole`.
+
+        `stepped`: told what is new in it, or all of it (True).
+        """
+        self._own, self._changed, self._stepped, self._wants_whole = own, changed, stepped, wants_whole
+        self._children: dict[object, LoadTable] = {}
+        self._below: Loads = {}  # the sum of the children
+        self._own_known: Loads = {}
         self._told: tuple[UpstreamLoad, ...] = ()
         self._timer: asyncio.TimerHandle | None = None
         self._period = PERIOD_S
+        self._teller = LoadTeller()
+        self._step_timer: asyncio.TimerHandle | None = None
 
     def report(self, child: object, message: LoadReport) -> None:
         """A child's report, in place of its last one."""
-        self._children[child] = unpack(message.loads)
-        self.touch()
+        table = LoadTable()
+        table.loads = unpack(message.loads)
+        self._replace(child, table)
+
+    def report_step(self, child: object, message: LoadReportStep) -> bool:
+        """How a child's load has changed; False if that does not follow its last report."""
+        known = self._children.get(child)
+        if message.base == 0:
+            table = LoadTable()
+            if table.take(message.number, 0, message.names, message.figures) is None:
+                return False
+            self._replace(child, table)
+            return True
+        before = known.take(message.number, message.base, message.names, message.figures) if known else None
+        if known is None or before is None:
+            return False
+        self._move(before, known.loads)
+        return True
+
+    def _replace(self, child: object, table: LoadTable) -> None:
+        known = self._children.pop(child, None)
+        if known is not None:
+            self._move(known.loads, {})
+        self._children[child] = table
+        self._move(dict.fromkeys(table.loads, (0, 0)), table.loads)
 
     def forget(self, child: object) -> None:
         """A child has gone; whoever it attaches to next hears of its load."""
-        if self._children.pop(child, None) is not None:
-            self.touch()
+        known = self._children.pop(child, None)
+        if known is not None:
+            self._move(known.loads, {})
+
+    def _move(self, before: Loads, after: Loads) -> None:
+        """Something of a child's load has changed: what it was, and what it is."""
+        for upstream, (old_calls, old_tokens) in before.items():
+            calls, tokens = after.get(upstream, (0, 0))
+            known = self._below.get(upstream, (0, 0))
+            total = known[0] + calls - old_calls, known[1] + tokens - old_tokens
+            if total == (0, 0):
+                self._below.pop(upstream, None)
+            else:
+                self._below[upstream] = total
+        if self._stepped is not None:
+            self._teller.mark(before)
+        self.touch()
+
+    def total(self) -> Loads:
+        """The sum as it is now."""
+        total = dict(self._own())
+        add(total, self._below)
+        return total
 
     def touch(self) -> None:
         """Something has changed: tell it soon."""
-        if self._timer is None:
-            self._timer = asyncio.get_running_loop().call_later(self._period, self._tell)
+        loop = asyncio.get_running_loop()
+        if self._timer is None and self._wants_whole():
+            self._timer = loop.call_later(self._period, self._tell)
+        if self._step_timer is None and self._stepped is not None:
+            self._step_timer = loop.call_later(self._step_period(), self._step)
+
+    def _step_period(self) -> float:
+        return max(PERIOD_S, STEP_ENTRY_S * len(self._teller.behind()))
 
     def again(self) -> None:
         """Somebody new is told: say it now, even if it is the same."""
@@ -72,24 +133,54 @@
         if self._timer is not None:
             self._timer.cancel()
         self._tell()
+        self.begin_steps()
+
+    def begin_steps(self) -> None:
+        """Somebody new takes steps: tell all of it now."""
+        if self._stepped is not None:
+            self._own_known = dict(self._own())
+            total = dict(self._own_known)
+            add(total, self._below)
+            self._stepped(self._teller.whole(total), True)
 
     def _tell(self) -> None:
         self._timer = None
-        total = dict(self._own())
-        for part in self._children.values():
-            add(total, part)
-        packed = pack(total)
+        if not self._wants_whole():
+            return
+        packed = pack(self.total())
         self._period = max(PERIOD_S, ENTRY_BYTES * len(packed) / BYTES_S)
         if packed != self._told:
             self._told = packed
             self._changed(packed)
 
+    def _step(self) -> None:
+        self._step_timer = None
+        if self._stepped is None:
+            return
+        own, known = dict(self._own()), self._own_known
+        self._teller.mark(u for u in own.keys() | known.keys() if own.get(u) != known.get(u))
+        self._own_known = own
+        if self._teller.is_long(len(own) + len(self._below)):
+            self.begin_steps()
+            return
+        loads = {u: self._sum_of(u) for u in self._teller.behind()}
+        found = self._teller.step(loads, asyncio.get_running_loop().time())
+        if found is not None:
+            self._stepped(found, False)
+        if self._teller.behind():
+            self.touch()
+
+    def _sum_of(self, upstream: str) -> tuple[int, int]:
+        own, below = self._own_known.get(upstream, (0, 0)), self._below.get(upstream, (0, 0))
+        return own[0] + below[0], own[1] + below[1]
+
 
 class OthersLoad:
     """What the other balancers have out, out of the sums that come down."""
 
     def __init__(self) -> None:
         self._others: Loads = {}
+        self._reported: Loads = {}  # our own part when the last step came
 
     def take(self, message: LoadNews, reported: Loads) -> None:
         """A newer sum; `reported`: our own part in it, as we have last reported it."""
@@ -99,6 +190,14 @@
             others[entry.upstream] = (max(entry.calls - own[0], 0), max(entry.tokens - own[1], 0))
         self._others = others
 
+    def step(self, loads: Loads, changed: Iterable[str], reported: Loads) -> None:
+        """A step of the sum: what it is now, where it has changed, and our own part as last reported."""
+        known, self._reported = self._reported, dict(reported)
+        moved = {u for u in reported.keys() | known.keys() if reported.get(u) != known.get(u)}
+        for upstream in moved.union(changed):
+            total, own = loads.get(upstream, (0, 0)), reported.get(upstream, (0, 0))
+            self._others[upstream] = (max(total[0] - own[0], 0), max(total[1] - own[1], 0))
+
     def clear(self) -> None:
         """Nothing has been heard for a while: what was known is no use any more."""
         self._others = {}
--- a/sonde/messages.py
+++ b/sonde/messages.py
@@ -251,3 +251,71 @@
 
     def __post_init__(self) -> None:
         object.__setattr__(self, "holdings", _holdings(self.holdings))
+
+
+@KINDS.declare(111, [{"name": "edition", "type": "int"}, {"name": "digest", "type": "bytes"}])
+@dataclass(frozen=True, slots=True)
+class Speaks:
+    """Said first on a connection: which edition we speak, and the digest of the list that we have."""
+
+    edition: int
+    digest: bytes
+
+
+# 112 is `screen.wire.PACKED`: any other message, compressed
+
+
+@KINDS.declare(
+    113,
+    [
+        *_STAMP,
+        {"name": "base", "type": "bytes"},
+        {"name": "digest", "type": "bytes"},
+        {"name": "entries", "type": "bytes"},
+        {"name": "gone", "type": {"type": "array", "items": "string"}},
+    ],
+)
+@dataclass(frozen=True, slots=True)
+class UpstreamChange:
+    """What is new in the list since the one with the digest `base`; `entries` as JSON, `gone` by id."""
+
+    epoch: int
+    number: int
+    base: bytes
+    digest: bytes
+    entries: bytes
+    gone: Any  # str
+
+
+_STEP: list[dict[str, Any]] = [
+    {"name": "number", "type": "long"},
+    {"name": "base", "type": "long"},
+    {"name": "names", "type": {"type": "array", "items": "string"}},
+    {"name": "figures", "type": {"type": "array", "items": "long"}},
+]
+
+
+@KINDS.declare(114, [{"name": "epoch", "type": "long"}, *_STEP])
+@dataclass(frozen=True, slots=True)
+class LoadStep:
+    """How the load of all has changed since the step `base` (0: all of it).
+
+    `names` take the next places; `figures` are place, calls, tokens; place, calls, tokens; and so on.
+    """
+
+    epoch: int
+    number: int
+    base: int
+    names: Any  # str
+    figures: Any  # int
+
+
+@KINDS.declare(115, _STEP)
+@dataclass(frozen=True, slots=True)
+class LoadReportStep:
+    """The same of the load that a balancer and all below it put on upstreams."""
+
+    number: int
+    base: int
+    names: Any  # str
+    figures: Any  # int
--- a/station/balancing.py
+++ b/station/balancing.py
@@ -15,14 +15,14 @@
 from screen.links import Links
 from screen.settings import Settings, parse_address
 from screen.tasks import keep_on
-from screen.wire import Kinds, Link
+from screen.wire import EDITION, Kinds, Link
 from sonde import messages
 from sonde.bulletin import Bulletin
 from sonde.counting import Headcount
 from sonde.feed import Feed
 from sonde.follower import STALE_S, Follower
 from sonde.holdings import Holdings
-from sonde.loads import Loads, LoadSum, OthersLoad
+from sonde.lists import change_of
 from sonde.messages import (
     Attach,
     ConfigurationNews,
@@ -31,14 +31,17 @@
     HoldingReport,
     LoadNews,
     LoadReport,
+    LoadReportStep,
+    LoadStep,
     Moved,
     Present,
     Pulse,
     Roll,
-    UpstreamLoad,
+    Speaks,
     UpstreamNews,
 )
 from station import draining, logs
+from station.load_exchange import LoadExchange
 from windvane.balancer import Balancer
 
 KINDS = Kinds().include(messages.KINDS)
@@ -59,11 +62,10 @@
         self._bulletin = Bulletin()
         self._links = Links(KINDS, (settings.ip, settings.station_port), self._heard, self._ended)
         self._feed = Feed(self._bulletin, KINDS, lambda: None)
-        self._others = OthersLoad()
-        self._loads = LoadSum(self._own_load, self._loaded)
-        self._reported: Loads = {}
+        self._loads = LoadExchange(self.balancer.loads, self._bulletin, self._feed, lambda: self._follower)
+        self._others = self._loads.others
         self.balancer.heed_others(self._others.of)
-        self.balancer.tell_load(self._loads.touch)
+        self.balancer.tell_load(self._loads.sum.touch)
         self._holdings = Holdings()
         self._unsaid: list[Holding] = []  # seen here or below, and not reported yet
         self.balancer.tell_kept(self._kept)
@@ -76,6 +78,7 @@
             self._told,
             self._feed.present,
             self._attached,
+            self._loads.sum.begin_steps,
             secrets.randbits(32),
         )
         calls_s = settings.cloud_api.rate_per_s * SHARE
@@ -160,15 +163,18 @@
                     link.send(Moved([]))  # what we know may be old
             case Roll():
                 self._feed.roll(link, message)
-            case LoadReport():
-                self._loads.report(link, message)
+            case Speaks():
+                self._feed.speaks(link, message)
+                link.send(Speaks(EDITION, b""))
+            case LoadReport() | LoadReportStep():
+                self._loads.heard_below(link, message)
             case HoldingReport(holdings):
                 self._say_later(self._hold(holdings))
 
     def _ended(self, link: Link) -> None:
         self._follower.ended(link)
         self._feed.ended(link)
-        self._loads.forget(link)
+        self._loads.sum.forget(link)
 
     # ---- what upstreams have read
 
@@ -197,32 +203,28 @@
 
     def _attached(self) -> None:
         """Whoever tells us the news from now on knows nothing of us yet."""
-        self._loads.again()
+        self._loads.sum.again()
         self._follower.say(HoldingReport(self._holdings.seen()))
 
-    def _own_load(self) -> Loads:
-        self._reported = self.balancer.loads()
-        return self._reported
-
-    def _loaded(self, loads: tuple[UpstreamLoad, ...]) -> None:
-        self._follower.say(LoadReport(loads))
-
-    def _told(self, message: Any) -> None:
-        """A newer piece of news: in force here, and on to whoever hears it from us."""
+    def _told(self, message: Any, new: Any = None) -> None:
+        """A newer piece of news: on to whoever hears it from us, and in force here. `new`: see `Follower`."""
         match message:
-            case ConfigurationNews(ver, body):
-                self._configure(ver, body)
             case UpstreamNews():
+                self._feed.tell_list(message, new)
                 self._list(message)
+            case LoadNews() | LoadStep():
+                self._loads.heard(message, new)
+            case HoldingNews(holdings):
+                self._hold(holdings)
+            case ConfigurationNews(ver, body):
+                self._feed.tell(message)
+                self._configure(ver, body)
             case Pulse():
+                self._feed.tell(message)
                 if number := self._headcount.take(message, asyncio.get_running_loop().time()):
                     self.balancer.count_balancers(number)
-            case LoadNews():
-                self._others.take(message, self._reported)
-            case HoldingNews(holdings):
-                self._hold(holdings)
-                return
-        self._feed.tell(message)
+            case _:
+                self._feed.tell(message)
 
     def _configure(self, ver: int, body: bytes) -> None:
         try:
@@ -302,5 +304,4 @@
         epoch, number = (known.epoch, known.number) if known is not None else (0, 0)
         message = UpstreamNews(epoch, number + 1, page)
         if self._bulletin.take(message):
-            self._list(message)
-            self._feed.tell(message)
+            self._told(message, change_of(known, message))
--- a/tests/fabric_world.py
+++ b/tests/fabric_world.py
@@ -365,6 +365,9 @@
             return f"configuration {ver}"
         case news.UpstreamNews(_, _, page):
             return f"list of {len(json.loads(page)['upstreams'])} upstreams"
+        case news.UpstreamChange(_, _, base, digest, entries, gone):
+            told = f"change of the list: {len(json.loads(entries))} entries, {len(gone)} gone"
+            return "the list stays" if base == digest else told
         case news.MemberNews(_, _, balancers):
             return f"members {','.join(p.node for p in balancers)}"
         case news.Moved(ips):
--- a/tests/test_barograph_host_platform.py
+++ b/tests/test_barograph_host_platform.py
@@ -141,6 +141,26 @@
     play(scene, edges=2)
 
 
+def test_a_page_that_is_told_again_as_it_was_is_not_read_again() -> None:
+    """The list of 2,800 took the primary 12 ms to pack, and more to read, every second."""
+
+    async def scene(world: World) -> None:
+        world.platform.entries = [upstream(f"i-{n}") for n in range(120)]
+        platform = PlatformList(PLATFORM)
+        first, second = await platform.read(), await platform.read()
+        assert all(a is b for a, b in zip(first, second, strict=True))
+        world.platform.entries[60] = upstream("i-60", state="draining")
+        third = await platform.read()
+        assert [e["id"] for a, e in zip(first, third, strict=True) if a != e] == ["i-60"]
+        for page in range(40):  # each list of other pages: calls that are over are forgotten
+            world.platform.entries = [upstream(f"i-{n}") for n in range(60 + page)]
+            world.platform.per_page = 3 + page
+            await platform.read()
+        assert len(platform._pages) <= 2 * platform.pages + 8
+
+    play(scene, starts=False)
+
+
 def test_alike_lists_are_the_same_bytes() -> None:
     one = [upstream("b", cold_left_ms=500), upstream("a")]
     other: list[dict[str, Any]] = [upstream("a", cold_left_ms=3), upstream("b")]
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -25,7 +25,8 @@
 from mastturn.capacity.troubles import run_troubles
 from mastturn.files import LabError
 from screen.checking import check
-from sonde.messages import Pulse
+from screen.wire import packed
+from sonde.messages import ConfigurationNews, Pulse
 
 SMALL = Shape(balancers=8, upstreams=40, zones=2, regions=2, services=3, routes=6, requests_s=2_400.0)
 
@@ -170,10 +171,13 @@
 
 def test_what_one_sends_another_gets(small_day: dict[str, Any]) -> None:
     roles = small_day["phases"]["configuration"]["roles"]
-    size = len(configuration(2, SMALL.routes, SMALL.services))
+    frames = [
+        packed(KINDS.encode(ConfigurationNews(ver, configuration(ver, SMALL.routes, SMALL.services))))
+        for ver in (2, 3, 4)
+    ]
     for role in ("head", "leaf"):
         assert roles[role]["got"]["ConfigurationNews"] == 3
-        assert roles[role]["got_bytes"]["ConfigurationNews"] == pytest.approx(3 * size, rel=0.05)
+        assert roles[role]["got_bytes"]["ConfigurationNews"] == sum(map(len, frames))
     sent = sum(r["programs"] * r["sent"].get("ConfigurationNews", 0) for r in roles.values())
     assert sent == pytest.approx(3 * SMALL.balancers)
     assert roles["backup"]["got"]["Write"] == 3 and "Write" not in roles["witness"]["got"]
@@ -187,7 +191,8 @@
 
 def test_sums_of_load_go_down_at_the_pace_of_their_period(small_day: dict[str, Any]) -> None:
     busy = small_day["phases"]["busy"]
-    heard = busy["roles"]["leaf"]["got"]["LoadNews"]
+    heard = busy["roles"]["leaf"]["got"]["LoadStep"]
+    assert "LoadNews" not in busy["roles"]["leaf"]["got"]
     assert busy["seconds"] / 0.1 < heard <= busy["seconds"] / 0.04 + 1
 
 
--- /dev/null
+++ b/tests/test_sonde_lists.py
@@ -0,0 +1,162 @@
+"""Changes of the list of upstreams: both sides come to the same bytes, or one asks for all of it."""
+
+from __future__ import annotations
+
+import json
+import random
+import struct
+import zlib
+from typing import Any
+
+import pytest
+
+from barograph.node import KINDS
+from barograph.platform import pack
+from screen.errors import GapError, WireError
+from screen.wire import MOST_FRAME, PACKED, packed, unpacked
+from sonde.lists import change_of, changed, digest_of, same_as
+from sonde.messages import Attach, ConfigurationNews, Pulse, Speaks, UpstreamChange, UpstreamNews
+from tests.fabric_callers import upstream
+from tests.fabric_scenes import begun
+from tests.fabric_world import World, play
+from tests.test_sonde_feed import Desk, Wire, attach, link
+
+
+def news(entries: list[dict[str, Any]], number: int = 1) -> UpstreamNews:
+    return UpstreamNews(1, number, pack(entries))
+
+
+def test_a_list_and_its_changes_are_the_list_that_was_meant() -> None:
+    dice = random.Random(1)
+    entries = {f"i-{n}": upstream(f"i-{n}") for n in range(60)}
+    here = there = news(list(entries.values()))
+    for number in range(2, 60):
+        for _ in range(dice.randint(0, 3)):
+            entries.pop(dice.choice(sorted(entries)))
+        for _ in range(dice.randint(0, 3)):
+            name = f"i-{dice.randint(0, 90)}"
+            entries[name] = upstream(name, state=dice.choice(["up", "draining"]))
+        now = news(dice.sample(list(entries.values()), len(entries)), number)
+        change = change_of(here, now)
+        assert change is not None and len(change.entries) < len(now.page) / 4
+        here, there = now, changed(there, change)
+        assert there == here
+
+
+def test_what_can_not_be_told_as_a_change_is_told_whole() -> None:
+    some = news([upstream(f"i-{n}") for n in range(9)])
+    assert change_of(None, some) is None
+    assert change_of(some, news([upstream("x"), upstream("x")], 2)) is None  # one id twice
+    assert change_of(some, news([{"no": "id"}], 2)) is None
+    assert change_of(some, UpstreamNews(1, 2, b"no list")) is None
+    assert change_of(some, news([upstream(f"j-{n}") for n in range(9)], 2)) is None  # no shorter
+
+
+@pytest.mark.parametrize("spoil", ["base", "digest", "entries", "none"])
+def test_a_change_that_does_not_fit_is_a_gap(spoil: str) -> None:
+    known = news([upstream(f"i-{n}") for n in range(9)])
+    change = change_of(known, news([upstream(f"i-{n}") for n in range(1, 9)], 2))
+    assert change is not None
+    fields = {"base": change.base, "digest": change.digest, "entries": change.entries}
+    fields |= {"base": {"base": b"other"}, "digest": {"digest": b"other"}, "entries": {"entries": b"[5"}}.get(
+        spoil, {}
+    )
+    bad = UpstreamChange(1, 2, **fields, gone=change.gone)
+    with pytest.raises(GapError, match="attach anew"):
+        changed(None if spoil == "none" else known, bad)
+
+
+def test_the_same_list_by_a_later_stamp() -> None:
+    known = news([upstream("a")])
+    later = UpstreamNews(2, 7, known.page)
+    assert changed(known, same_as(later)) == later
+    assert digest_of(None) == b"" and digest_of(known) == digest_of(later)
+
+
+# ---- who is told what
+
+
+def hears(desk: Desk, node: str, edition: int, digest: bytes) -> Wire:
+    to, wire = link()
+    desk.feed.speaks(to, Speaks(edition, digest))
+    desk.feed.attach(to, attach(node, ver=5))
+    return wire
+
+
+def test_each_child_is_told_of_a_list_what_it_lacks() -> None:
+    desk = Desk()
+    old = news([upstream(f"i-{n}") for n in range(30)])
+    desk.bulletin.take(old)
+    has, lacks = hears(desk, "has", 3, digest_of(old)), hears(desk, "lacks", 3, b"")
+    before = hears(desk, "before", 2, digest_of(old))
+    assert has.sent == [same_as(old)] and lacks.sent == [old] and before.sent == [old]
+    new = news([upstream(f"i-{n}") for n in range(1, 30)], 2)
+    change = change_of(old, new)
+    desk.bulletin.take(new)
+    desk.feed.tell_list(new, change)
+    assert has.sent[-1] == lacks.sent[-1] == change and before.sent[-1] == new
+    other = news([upstream("x")], 3)
+    desk.feed.tell_list(other, None)
+    assert has.sent[-1] == lacks.sent[-1] == before.sent[-1] == other
+
+
+def test_a_new_primary_does_not_send_the_list_that_balancers_have() -> None:
+    async def scene(world: World) -> None:
+        await begun(world)
+        world.platform.entries = [upstream(f"i-{n}") for n in range(20)]
+        await world.until(lambda: all(len(m.plane.ids) == 20 for m in world.edges()), 2.5, "the list")
+        since = world.now()
+        world.kill(world.primary())
+        await world.until(lambda: world.primary(), 5.0, "another primary")
+        await world.wait(5.0)
+        assert not [entry for entry in world.transcript.said(UpstreamNews) if entry[0] > since]
+        assert all(m.role._follower.is_fresh() and len(m.plane.ids) == 20 for m in world.edges())
+
+    play(scene, edges=3)
+
+
+# ---- packed frames
+
+
+def test_long_frames_go_packed_to_those_that_take_them() -> None:
+    body = json.dumps([upstream(f"i-{n}") for n in range(200)]).encode()
+    frame = KINDS.encode(ConfigurationNews(9, body))
+    short = packed(frame)
+    size, number = struct.unpack_from(">IH", short)
+    assert number == PACKED and size == len(short) - 6 and len(short) < len(frame) / 4
+    assert KINDS.decode(number, short[6:]) == ConfigurationNews(9, body)
+    little = KINDS.encode(Pulse(1, 1, 1))
+    assert packed(little) == little
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"\0",
+        b"\0\x65",
+        b"\0\x65no zlib",
+        b"\0\x65" + zlib.compress(b"abc")[:-2],
+        b"\0\x65" + zlib.compress(b"abc") + b"more",
+        b"\0\x70" + zlib.compress(b"\0\x65"),  # packed twice
+        b"\0\x65" + zlib.compress(bytes(MOST_FRAME + 1)),
+    ],
+)
+def test_what_is_no_packed_frame_is_refused(body: bytes) -> None:
+    with pytest.raises(WireError):
+        unpacked(body)
+    with pytest.raises(WireError):
+        KINDS.decode(PACKED, body)
+
+
+def test_attaching_again_by_the_same_connection_tells_all() -> None:
+    desk = Desk()
+    listed = news([upstream(f"i-{n}") for n in range(30)])
+    desk.bulletin.take(listed)
+    to, wire = link()
+    desk.feed.speaks(to, Speaks(3, digest_of(listed)))
+    desk.feed.attach(to, Attach("a", "ip", "hall-a", 5, 1, 1))
+    assert wire.sent == []
+    desk.feed.speaks(to, Speaks(3, b""))
+    desk.feed.attach(to, Attach("a", "ip", "hall-a", 5, 0, 0))
+    assert wire.sent == [listed] and not wire.is_closed
--- a/tests/test_sonde_loads.py
+++ b/tests/test_sonde_loads.py
@@ -6,8 +6,9 @@
 
 import pytest
 
-from sonde.loads import BYTES_S, ENTRY_BYTES, Loads, LoadSum, OthersLoad, add, pack, unpack
-from sonde.messages import Attach, LoadNews, LoadReport, UpstreamLoad
+from sonde.load_steps import Loads
+from sonde.loads import BYTES_S, ENTRY_BYTES, LoadSum, OthersLoad, add, pack, unpack
+from sonde.messages import Attach, LoadNews, LoadReport, LoadStep, UpstreamLoad
 from tests.fabric_scenes import begun
 from tests.fabric_world import Machine, World, play
 from tests.test_sonde_news import settled
@@ -180,9 +181,10 @@
         for number in range(1000):
             world.machines[f"edge-{number % 4 + 1}"].plane.put_load(**{"i-1": (number, 0)})
             await world.wait(0.001)
-        told = [entry for entry in world.transcript.said(LoadNews) if entry[0] > since]
+        told = [entry for entry in world.transcript.said(LoadStep) if entry[0] > since]
         by_link = {(here, there) for _, here, there, _ in told}
-        assert len(told) / len(by_link) <= 1000 / 40 + 2
+        assert len(by_link) == 4 and len(told) / len(by_link) <= 1000 / 40 + 2
+        assert not [entry for entry in world.transcript.said(LoadNews) if entry[0] > since]
 
     play(scene, edges=4, zones=1)
 
--- /dev/null
+++ b/tests/test_sonde_steps.py
@@ -0,0 +1,305 @@
+"""Loads as steps: both sides agree, the most wrong goes first, a bound of bytes holds, a gap is mended."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import Any
+
+import pytest
+
+from barograph.herald import Herald
+from barograph.node import KINDS
+from screen.errors import GapError
+from sonde.bulletin import Bulletin
+from sonde.load_steps import BYTES_S, MOST, MOST_PLACES, SAVED_S, Figures, Loads, LoadTable, LoadTeller
+from sonde.loads import LoadSum, OthersLoad
+from sonde.messages import (
+    Attach,
+    LoadNews,
+    LoadReport,
+    LoadReportStep,
+    LoadStep,
+    Pulse,
+    Speaks,
+    UpstreamChange,
+    UpstreamLoad,
+    UpstreamNews,
+)
+from tests.fabric_callers import upstream
+from tests.fabric_scenes import begun
+from tests.fabric_world import Machine, World, play
+from tests.test_screen_strangers import connect
+from tests.test_sonde_loads import UP_S, is_right, seen, work
+from tests.test_sonde_news import settled
+
+
+async def listed(world: World, entries: list[dict[str, Any]]) -> None:
+    """The platform's list is this one, and all balancers have it."""
+    world.platform.entries = entries
+    names = sorted(e["id"] for e in entries)
+    await world.until(lambda: all(sorted(m.plane.ids) == names for m in world.edges()), 2.5, "the list")
+
+
+def clean(loads: Loads) -> Loads:
+    return {u: load for u, load in loads.items() if load != (0, 0)}
+
+
+@pytest.mark.parametrize("bytes_s", [2_000, BYTES_S, 1e9])
+def test_the_other_side_follows_and_is_right_once_there_is_time(bytes_s: float) -> None:
+    dice, loads = random.Random(1), {f"u{n}": (n % 3, n % 5 * 100) for n in range(120)}
+    teller, table, now, number = LoadTeller(bytes_s), LoadTable(), 10.0, 1
+    assert table.take(1, 0, *teller.whole(loads)) is not None
+    assert clean(table.loads) == clean(loads)
+    for _ in range(500):
+        for name in dice.sample(sorted(loads), 20):
+            loads[name] = (dice.randint(0, 4), dice.randint(0, 3) * 1_000)
+            teller.mark([name])
+        now += 0.04
+        if (found := teller.step(loads, now)) is not None:
+            before = table.take(number + 1, number, *found)
+            assert before is not None
+            number += 1
+    while teller.behind():
+        now += 0.04
+        found = teller.step(loads, now)
+        if found is not None:
+            assert table.take(number + 1, number, *found) is not None
+            number += 1
+    assert clean(table.loads) == clean(loads)
+
+
+def test_steps_stay_within_their_bytes_whatever_changes() -> None:
+    """The capacity page's first gap: all by name were 77 times what a balancer may spend."""
+    dice, names = random.Random(2), [f"i-{n:08x}" for n in range(2_800)]
+    loads = dict.fromkeys(names, (9, 9_000))
+    teller, now, sent, number = LoadTeller(), 0.0, 0, 1
+    teller.whole(loads)
+    for _ in range(250):
+        now += 0.04
+        for name in dice.choices(names, k=384):  # 9,600 changes a second
+            loads[name] = (dice.randint(0, 40), dice.randint(0, 4) * 12_000)
+            teller.mark([name])
+        if (found := teller.step(loads, now)) is not None:
+            sent += len(KINDS.encode(LoadStep(7, number + 1, number, *found)))
+            number += 1
+    assert 0.7 * BYTES_S < sent / now < 1.2 * BYTES_S + SAVED_S * BYTES_S / now
+
+
+def test_what_is_most_wrong_goes_first() -> None:
+    loads = {f"u{n:03d}": (20, 0) for n in range(400)}
+    teller = LoadTeller()
+    teller.whole(loads)
+    for name in loads:
+        loads[name] = (21, 0)
+    loads["u399"] = loads["u200"] = (0, 0)
+    loads["u300"] = (20, 40_000)
+    teller.mark(loads)
+    found = teller.step(loads, 1.0)
+    assert found is not None
+    places = found[1][::3]
+    assert {200, 300, 399} <= set(places) and len(places) < 250
+
+
+def test_a_name_crosses_once_and_places_of_what_is_gone_begin_anew() -> None:
+    teller, loads = LoadTeller(1e9), {"a": (1, 1)}
+    assert teller.whole(loads) == (["a"], [0, 1, 1])
+    loads |= {"a": (2, 1), "b": (5, 0)}
+    teller.mark(["a", "b"])
+    assert teller.step(loads, 1.0) == (["b"], [0, 2, 1, 1, 5, 0])
+    teller.mark(["a", "b"])
+    assert teller.step(loads, 2.0) is None  # nothing new
+    assert not teller.is_long(2)
+    for n in range(3_000):
+        loads = {f"n{n}": (1, 0)}
+        teller.mark(loads)
+        teller.step(loads, 3.0 + n)
+    assert teller.is_long(1)
+    teller.whole(loads)
+    assert not teller.is_long(1)
+
+
+@pytest.mark.parametrize(
+    ("number", "base", "names", "figures"),
+    [
+        (9, 5, [], []),  # another base
+        (9, 1, [], [0, 1]),
+        (9, 1, [], [1, 1, 1]),  # no such place
+        (9, 1, [], [-1, 1, 1]),
+        (9, 0, ["x"] * (MOST_PLACES + 1), []),
+    ],
+)
+def test_what_does_not_follow_changes_nothing(number: int, base: int, names: Any, figures: Any) -> None:
+    table = LoadTable()
+    table.take(1, 0, ["a"], [0, 3, 4])
+    assert table.take(number, base, names, figures) is None
+    assert table.loads == {"a": (3, 4)} and table.number == 1
+    assert table.take(2, 1, ["b"], [1, -7, 2**62]) == {"b": (0, 0)}
+    assert table.loads == {"a": (3, 4), "b": (0, MOST)}
+
+
+def test_the_bulletin_keeps_steps_and_tells_both_editions() -> None:
+    bulletin = Bulletin()
+    assert bulletin.step(LoadStep(2, 5, 0, ["a", "b"], [0, 1, 10, 1, 2, 20])) == {"a": (0, 0), "b": (0, 0)}
+    assert bulletin.step(LoadStep(2, 6, 5, ["c"], [0, 0, 0, 2, 4, 0])) == {"a": (1, 10), "c": (0, 0)}
+    whole = LoadNews(2, 6, (UpstreamLoad("b", 2, 20), UpstreamLoad("c", 4, 0)))
+    assert bulletin.loads_whole() == whole
+    assert bulletin.everything(0, (0, 0)) == [whole]
+    newcomer = Bulletin()
+    (step,) = bulletin.everything(0, (0, 0), steps=True)
+    assert isinstance(step, LoadStep) and newcomer.step(step) is not None
+    later = LoadStep(2, 9, 6, [], [1, 7, 7])
+    assert newcomer.step(later) == bulletin.step(later) == {"b": (2, 20)}
+    assert newcomer.loads_known() == clean(bulletin.loads_known())
+    with pytest.raises(GapError, match="attach anew"):
+        bulletin.step(LoadStep(2, 11, 10, [], []))
+    assert bulletin.step(LoadStep(1, 99, 0, ["z"], [0, 1, 1])) is None  # of an earlier term
+    assert bulletin.take(LoadNews(3, 1, ())) and bulletin.loads_known() == {}
+    with pytest.raises(GapError):
+        bulletin.step(LoadStep(3, 2, 1, [], []))
+
+
+def test_sums_of_steps_and_whole_reports_are_the_same() -> None:
+    async def scene(world: World) -> None:
+        told: list[tuple[Figures, bool]] = []
+        total = LoadSum(lambda: {"a": (1, 1)}, lambda packed: None, lambda f, whole: told.append((f, whole)))
+        total.report("x", LoadReport((UpstreamLoad("a", 4, 4), UpstreamLoad("b", 1, 0))))
+        assert total.report_step("y", LoadReportStep(1, 0, ["b"], [0, 2, 2]))
+        assert total.total() == {"a": (5, 5), "b": (3, 2)}
+        assert total.report_step("y", LoadReportStep(2, 1, ["c"], [0, 0, 0, 1, 9, 9]))
+        assert total.total() == {"a": (5, 5), "b": (1, 0), "c": (9, 9)}
+        assert not total.report_step("y", LoadReportStep(9, 8, [], []))
+        assert not total.report_step("z", LoadReportStep(2, 1, [], []))
+        total.forget("x")
+        total.forget("y")
+        assert total.total() == {"a": (1, 1)}
+        await world.wait(0.1)
+        assert told == [((["a"], [0, 1, 1]), False)]
+        total.begin_steps()
+        assert told[1:] == [((["a"], [0, 1, 1]), True)]
+
+    play(scene, starts=False)
+
+
+def test_others_follow_steps_and_our_own_reports() -> None:
+    others = OthersLoad()
+    others.step({"a": (5, 50), "b": (1, 1)}, ["a", "b"], {"a": (2, 60)})
+    assert others.of("a") == (3, 0) and others.of("b") == (1, 1)
+    others.step({"a": (5, 50), "b": (1, 1)}, [], {"b": (1, 1)})  # one of ours ended, another's began
+    assert others.of("a") == (5, 50) and others.of("b") == (0, 0)
+
+
+# ---- a gap
+
+
+def test_a_step_that_is_missing_is_noticed_and_mended() -> None:
+    async def scene(world: World) -> None:
+        await begun(world)
+        await settled(world)
+        work(world)
+        await world.until(lambda: is_right(world), UP_S)
+        for machine in world.edges():
+            machine.role._bulletin.table.number -= 1  # as if one had been lost
+        work(world, 2)
+        await world.until(lambda: is_right(world), 2.0, seen(world))
+        assert any("event=gap" in line for line in world.transcript.logs)
+        assert len(world.transcript.said(Attach)) < 40
+
+    play(scene, edges=4, zones=1)
+
+
+def test_a_change_of_another_list_is_noticed_and_mended() -> None:
+    async def scene(world: World) -> None:
+        await begun(world)
+        relay = await settled(world)
+        await listed(world, [upstream(f"i-{n}") for n in range(20)])
+        victim = next(m for m in world.edges() if m.name != relay).role
+        known = victim._bulletin.upstreams
+        victim._bulletin.upstreams = UpstreamNews(known.epoch, known.number, b'{"upstreams":[]}')
+        since = world.now()
+        await listed(world, [upstream(f"i-{n}") for n in range(1, 20)])
+        whole = [entry for entry in world.transcript.said(UpstreamNews) if entry[0] > since]
+        changes = [entry for entry in world.transcript.said(UpstreamChange) if entry[0] > since]
+        assert len(whole) == 1 and len(changes) == 4
+
+    play(scene, edges=4, zones=1)
+
+
+# ---- two editions side by side
+
+
+def earlier(message: Any) -> bool:
+    """What a core of the edition before passes over."""
+    return isinstance(message, Speaks | LoadReportStep)
+
+
+def test_balancers_of_this_edition_below_a_core_of_the_one_before(monkeypatch: pytest.MonkeyPatch) -> None:
+    heard = Herald.heard
+    monkeypatch.setattr(Herald, "heard", lambda self, link, m: None if earlier(m) else heard(self, link, m))
+
+    async def scene(world: World) -> None:
+        await begun(world)
+        await settled(world)
+        await listed(world, [upstream(f"i-{n}") for n in range(20)])
+        work(world)
+        await world.until(lambda: is_right(world), UP_S, seen(world))
+        await listed(world, world.platform.entries[1:])
+        work(world, 3)
+        await world.until(lambda: is_right(world), UP_S, seen(world))
+        told = world.transcript.said(LoadStep)
+        assert not [entry for entry in told if entry[1].startswith("core")]
+        assert world.transcript.said(LoadNews)
+
+    play(scene, edges=12, zones=1)
+
+
+@pytest.mark.parametrize("below", ["core", "relay"])
+def test_a_balancer_of_the_edition_before_hears_all_whole(below: str) -> None:
+    async def scene(world: World) -> None:
+        await begun(world)
+        relay = await settled(world)
+        await listed(world, [upstream(f"i-{n}") for n in range(20)])
+        name = world.primary() if below == "core" else relay
+        old = await connect(world.machines[name].ip)
+        old.transport.write(KINDS.encode(Attach("edge-old", "10.1.1.99", "hall-a", 0, 0, 0)))
+        report = LoadReport((UpstreamLoad("i-1", 7, 700),))
+        old.transport.write(KINDS.encode(report))
+        work(world)
+        calls = sum(m.plane.work["i-1"][0] for m in world.edges()) + 7
+
+        def knows(machine: Machine) -> bool:
+            return bool(machine.plane.others("i-1")[0] + machine.plane.work["i-1"][0] == calls)
+
+        await world.until(lambda: all(knows(m) for m in world.edges()), UP_S, "its load counts")
+        await world.wait(0.2)
+        await listed(world, world.platform.entries[1:])
+        await world.wait(0.1)
+        got = [m for _, here, there, m in world.transcript.heard if here == name and there == "stranger"]
+        assert not [m for m in got if isinstance(m, UpstreamChange | LoadStep | Speaks)]
+        assert [m for m in got if isinstance(m, Pulse)]
+        lists = [m for m in got if isinstance(m, UpstreamNews)]
+        assert len(lists) == 2 and lists[-1].page == world.edges()[0].role._bulletin.upstreams.page
+        sums = [m for m in got if isinstance(m, LoadNews)][-1]
+        assert {e.upstream: e.calls for e in sums.loads} == {"i-1": calls}
+        old.transport.abort()
+        await world.until(lambda: is_right(world), UP_S, "it has gone")
+
+    play(scene, edges=4, zones=1)
+
+
+def test_steps_cross_the_wire_as_they_are() -> None:
+    step = LoadStep(1, 2, 0, ["a"], [0, 1, 2])
+    report = LoadReportStep(2, 1, [], [5, 0, 0])
+    for message in (step, report, Speaks(3, b"\0"), UpstreamChange(1, 2, b"a", b"b", b"[]", ["x"])):
+        frame = KINDS.encode(message)
+        assert KINDS.decode(int.from_bytes(frame[4:6], "big"), frame[6:]) == message
+
+
+def test_the_first_message_of_a_connection_says_the_edition() -> None:
+    async def scene(world: World) -> None:
+        await begun(world)
+        said = [m for _, here, _, m in world.transcript.heard if here.startswith("edge")]
+        assert isinstance(said[0], Speaks) and isinstance(said[1], Attach)
+        await asyncio.sleep(0)
+
+    play(scene, edges=1)
