--- a/tests/test_sonde_steps.py
+++ b/tests/test_sonde_steps.py
@@ -101,6 +101,25 @@
     assert {200, 300, 399} <= set(places) and len(places) < 250
 
 
+def test_nothing_waits_for_ever_while_more_changes_than_may_be_told() -> None:
+    """Found by the hollow fleet: readers' changes, one of one call, kept all other news from being told."""
+    dice, busy, calm = random.Random(3), [f"r{n}" for n in range(1_200)], [f"d{n}" for n in range(1_600)]
+    loads = dict.fromkeys(calm, (20, 0)) | dict.fromkeys(busy, (0, 0))
+    teller, table, now, number = LoadTeller(), LoadTable(), 0.0, 1
+    table.take(1, 0, *teller.whole({}))
+    teller.mark(loads)
+    while now < 4.0:
+        now += 0.04
+        for name in dice.choices(busy, k=190):  # 4,800 changes a second
+            loads[name] = (1 - loads[name][0], 12_000 * (1 - loads[name][0]))
+            teller.mark([name])
+        if (found := teller.step(loads, now)) is not None:
+            assert table.take(number + 1, number, *found) is not None
+            number += 1
+    assert all(table.loads.get(name) == (20, 0) for name in calm)
+    assert sum(table.loads.get(name, (0, 0)) == loads[name] for name in busy) > 0.55 * len(busy)
+
+
 def test_a_name_crosses_once_and_places_of_what_is_gone_begin_anew() -> None:
     teller, loads = LoadTeller(1e9), {"a": (1, 1)}
     assert teller.whole(loads) == (["a"], [0, 1, 1])
