Share one jumping event loop between the tests' rig and the hollow fleets

Cause: mastturn/capacity/clockwork.py had the loop of tests/fabric.py once more: the clock that jumps, whose work a callback is, connections in memory. Both now stand on mastturn/jumping.py; what differs (who keeps work that is not due: a frozen process, a busy core) stays with each. A program's run is told whether it is a timer.

--- a/mastturn/capacity/clockwork.py
+++ b/mastturn/capacity/clockwork.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import contextvars
-import selectors
 import time
 from collections import Counter, defaultdict, deque
 from collections.abc import Callable
@@ -18,25 +17,13 @@
 
 from mastturn.capacity.network import Network, Owner
 from mastturn.capacity.sources import as_quiet, spin_ns
+from mastturn.jumping import JumpingLoop
 
 LOOK_NS = 20_000_000  # how fast this core is at the moment is looked at so often
 BESIDE = 20_000  # turns of the plain loop that tell it
 OWNER: contextvars.ContextVar[Program | None] = contextvars.ContextVar("OWNER", default=None)
 
 
-class _Jumping(selectors.SelectSelector):
-    """Nothing is ever waited for: the clock moves instead."""
-
-    now = 1_000.0
-
-    def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
-        """Move the clock to the next timer; raises RuntimeError where there is none."""
-        if timeout is None:
-            raise RuntimeError("nothing is left that could ever happen")
-        self.now += max(timeout, 0.0)
-        return []
-
-
 @dataclass(slots=True)
 class Tally:
     """What one program did since it was cleared: messages, bytes by kind, quiet core's seconds by cause."""
@@ -72,7 +59,13 @@
         self._queue: deque[_Work] = deque()
         self.disk: Any = None  # where it has one
 
-    def run(self, cell: list[asyncio.Handle], callback: Callable[..., object], args: tuple[Any, ...]) -> None:
+    def run(
+        self,
+        cell: list[asyncio.Handle],
+        is_timer: bool,
+        callback: Callable[..., object],
+        args: tuple[Any, ...],
+    ) -> None:
         """Carry out what was scheduled, now or once the core is free."""
         if self.is_dead:
             return
@@ -127,31 +120,25 @@
         self.ends.clear()
 
 
-class Loop(asyncio.SelectorEventLoop):
+class Loop(JumpingLoop):
     """An event loop on the fleet's clock and network."""
 
     def __init__(self, charge: float = 0.0) -> None:
         """`charge`: seconds on the clock for each of a quiet core's time; 0: work takes no time."""
-        self._jumping = _Jumping()
-        super().__init__(self._jumping)
+        super().__init__(OWNER)
         self.charge = charge
         self.network = Network(self, OWNER.get)
-        self.faults: list[str] = []
         self._began_ns = 0  # of the piece of work that a program does now; 0: none does
         self._scale, self._scaled_ns = (
             1.0,
             0,
         )  # a quiet core's time for this one's, and when that was looked at
-        self.set_exception_handler(self._fault)
-
-    def _fault(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
-        self.faults.append(f"{context.get('message')}: {context.get('exception')!r}")
 
     def time(self) -> float:
         """Seconds on the fleet's clock; within a piece of work what it has taken so far has gone by."""
         if self._began_ns and self.charge:
-            return self._jumping.now + self._spent() * self.charge
-        return self._jumping.now
+            return self.clock.now + self._spent() * self.charge
+        return self.clock.now
 
     def begin_work(self) -> float:
         """A program begins a piece of work; when that is."""
@@ -159,7 +146,7 @@
             self._scale = as_quiet(1.0, spin_ns(BESIDE))
             self._scaled_ns = time.process_time_ns()
         self._began_ns = time.process_time_ns()
-        return self._jumping.now
+        return self.clock.now
 
     def end_work(self) -> float:
         """It is done; seconds of a quiet core that it took."""
@@ -171,38 +158,4 @@
 
     def at(self, when: float, callback: Callable[..., object], *args: Any) -> None:
         """Schedule what belongs to no program."""
-        super().call_at(when, callback, *args, context=contextvars.Context())
-
-    def call_soon(  # type: ignore[override]
-        self, callback: Any, *args: Any, context: contextvars.Context | None = None
-    ) -> Any:
-        """As asyncio has it; the work is booked on the program that schedules it."""
-        context = contextvars.copy_context() if context is None else context
-        owner = context.get(OWNER)
-        if owner is None:
-            return super().call_soon(callback, *args, context=context)
-        cell: list[asyncio.Handle] = []
-        handle = super().call_soon(owner.run, cell, callback, args, context=context)
-        cell.append(handle)
-        return handle
-
-    def call_at(  # type: ignore[override]
-        self, when: float, callback: Any, *args: Any, context: contextvars.Context | None = None
-    ) -> Any:
-        """As asyncio has it; the work is booked on the program that schedules it."""
-        context = contextvars.copy_context() if context is None else context
-        owner = context.get(OWNER)
-        if owner is None:
-            return super().call_at(when, callback, *args, context=context)
-        cell: list[asyncio.Handle] = []
-        handle = super().call_at(when, owner.run, cell, callback, args, context=context)
-        cell.append(handle)
-        return handle
-
-    async def create_connection(self, factory: Any, host: Any = None, port: Any = None, **more: Any) -> Any:  # type: ignore[override]
-        """A connection on the network in memory."""
-        return await self.network.connect(factory, str(host), int(port))
-
-    async def create_server(self, factory: Any, host: Any = None, port: Any = None, **more: Any) -> Any:  # type: ignore[override]
-        """A listener on the network in memory."""
-        return self.network.listen(factory, str(host), int(port))
+        self.call_at(when, callback, *args, context=contextvars.Context())
--- a/tests/fabric.py
+++ b/tests/fabric.py
@@ -1,8 +1,8 @@
 """The rig of the system's tests: a clock that jumps to the next timer, and a network inside one process.
 
-`Loop` is an asyncio event loop that never sleeps. `Network` stands in for TCP between IPs: delay, windows,
-cuts (silent, one way, refusing), resets, machines without power. `Process` is whoever runs on a machine: all
-that its code has scheduled waits while it is frozen, and after a kill.
+`Loop` is an asyncio event loop that never sleeps (`mastturn.jumping`). `Network` stands in for TCP between
+IPs: delay, windows, cuts (silent, one way, refusing), resets, machines without power. `Process` is whoever
+runs on a machine: all that its code has scheduled waits while it is frozen, and after a kill.
 """
 
 from __future__ import annotations
@@ -10,81 +10,31 @@
 import asyncio
 import contextvars
 import errno
-import selectors
 import socket
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
+from mastturn.jumping import JumpingLoop
+
 WINDOW = 64 * 1024  # bytes that a peer takes without its program reading them
 OUTSIDE = "10.99.0.1"  # whoever calls without being one of our processes
 
 PROCESS: contextvars.ContextVar[Process | None] = contextvars.ContextVar("PROCESS", default=None)
 
 
-class _Jumping(selectors.SelectSelector):
-    """Nothing is ever waited for: the clock moves instead."""
-
-    now = 1_000.0
-
-    def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
-        if timeout is None:
-            raise RuntimeError("nothing is left that could ever happen")
-        self.now += max(timeout, 0.0)
-        return []
-
-
-class Loop(asyncio.SelectorEventLoop):
+class Loop(JumpingLoop):
     """An event loop on the fabric's clock and network."""
 
     def __init__(self) -> None:
-        self._jumping = _Jumping()
-        super().__init__(self._jumping)
+        super().__init__(PROCESS)
         self.network = Network(self)
-        self.faults: list[str] = []  # what a program did not catch
         self.signals: dict[int, Callable[[], Any]] = {}  # each as if the signal came
-        self.set_exception_handler(self._fault)
 
     def add_signal_handler(self, sig: int, callback: Any, *args: Any) -> None:  # type: ignore[override]
         self.signals[sig] = lambda: self.call_soon(callback, *args)
 
-    def _fault(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
-        self.faults.append(f"{context.get('message')}: {context.get('exception')!r}")
-
-    def time(self) -> float:
-        return self._jumping.now
-
-    def call_soon(  # type: ignore[override]
-        self, callback: Any, *args: Any, context: contextvars.Context | None = None
-    ) -> Any:
-        context = contextvars.copy_context() if context is None else context
-        process = context.get(PROCESS)
-        if process is None:
-            return super().call_soon(callback, *args, context=context)
-        cell: list[asyncio.Handle] = []
-        handle = super().call_soon(process.run, cell, False, callback, args, context=context)
-        cell.append(handle)
-        return handle
-
-    def call_at(  # type: ignore[override]
-        self, when: float, callback: Any, *args: Any, context: contextvars.Context | None = None
-    ) -> Any:
-        context = contextvars.copy_context() if context is None else context
-        process = context.get(PROCESS)
-        if process is None:
-            return super().call_at(when, callback, *args, context=context)
-        cell: list[asyncio.Handle] = []
-        handle = super().call_at(when, process.run, cell, True, callback, args, context=context)
-        cell.append(handle)
-        return handle
-
-    async def create_connection(self, factory: Any, host: Any = None, port: Any = None, **more: Any) -> Any:  # type: ignore[override]
-        return await self.network.connect(factory, str(host), int(port))
-
-    async def create_server(self, factory: Any, host: Any = None, port: Any = None, **more: Any) -> Any:  # type: ignore[override]
-        return self.network.listen(factory, str(host), int(port))
-
 
 @dataclass(slots=True)
 class _Waiting:
