Foresee steps of load by the bytes that may be told

Need: sums of load no longer grow with their entries but up to a bound; the lines of the eight quantities of the peak go through what the rule lets go by (steps_down, steps_up), or the balancers.

--- a/mastturn/capacity/foreseen.py
+++ b/mastturn/capacity/foreseen.py
@@ -12,6 +12,8 @@
 from mastturn.capacity.shapes import FITTED, HELD_OUT, TARGET, Shape
 from mastturn.capacity.slopes import Line, agrees, fit
 from mastturn.capacity.sources import as_quiet
+from sonde.load_steps import BYTES_S, FIGURE_BYTES, STEP_BYTES
+from sonde.loads import PERIOD_S
 from sonde.relays import DEGREE
 
 Figures = dict[str, Any]
@@ -38,9 +40,22 @@
     return _loaded(shape, shape.balancers)
 
 
-def heard_entries(shape: Shape) -> float:
-    """Entries that the primary reads in one report of each zone."""
-    return shape.zones * _loaded(shape, shape.balancers / shape.zones)
+def _steps(shape: Shape, balancers: float) -> float:
+    """Bytes a second of steps that tell so many balancers' load: what changes, up to what may be told."""
+    loaded = _loaded(shape, balancers)
+    changes_s = 4 * shape.requests_s * balancers / 350
+    changed = loaded * (1 - math.exp(-changes_s * PERIOD_S / loaded))
+    return min((STEP_BYTES + FIGURE_BYTES * changed) / PERIOD_S, BYTES_S)
+
+
+def steps_down(shape: Shape) -> float:
+    """Bytes a second of the sums that each balancer is told."""
+    return _steps(shape, shape.balancers)
+
+
+def steps_up(shape: Shape) -> float:
+    """Bytes a second of all zones' reports to the primary."""
+    return shape.zones * _steps(shape, shape.balancers / shape.zones)
 
 
 def head_children(shape: Shape) -> float:
@@ -90,30 +105,31 @@
     value: Callable[[Figures], float]
 
 
-LOADS = ("LoadNews",)
+LOADS = ("LoadNews", "LoadStep")
+REPORTS = ("LoadReport", "LoadReportStep")
+LISTS = ("UpstreamNews", "UpstreamChange")
 QUANTITIES = (
     Quantity("balancer, quiet: bytes in and out", "B/s", 1, "balancers", balancers,
              lambda f: rate(f, "quiet", "leaf", "got_bytes") + rate(f, "quiet", "leaf", "sent_bytes")),
     Quantity("balancer, quiet: processor time", "% of a core", 100, "balancers", balancers,
              lambda f: rate(f, "quiet", "leaf", "cpu")),
-    Quantity("balancer, peak: sums of load in", "kB/s", 1e-3, "entries told", told_entries,
+    Quantity("balancer, peak: sums of load in", "kB/s", 1e-3, "bytes of steps", steps_down,
              lambda f: rate(f, "busy", "leaf", "got_bytes", *LOADS)),
     Quantity("balancer, peak: reports of load out", "kB/s", 1e-3, "balancers", balancers,
-             lambda f: rate(f, "busy", "leaf", "sent_bytes", "LoadReport")),
-    Quantity("balancer, peak: processor time", "% of a core", 100, "entries told", told_entries,
+             lambda f: rate(f, "busy", "leaf", "sent_bytes", *REPORTS)),
+    Quantity("balancer, peak: processor time", "% of a core", 100, "bytes of steps", steps_down,
              lambda f: rate(f, "busy", "leaf", "cpu")),
-    Quantity("head of a zone, peak: sums of load out", "kB/s", 1e-3, "entries told x children",
-             lambda s: told_entries(s) * head_children(s),
+    Quantity("head of a zone, peak: sums of load out", "kB/s", 1e-3, "bytes of steps x children",
+             lambda s: steps_down(s) * head_children(s),
              lambda f: rate(f, "busy", "head", "sent_bytes", *LOADS)),
-    Quantity("head of a zone, peak: processor time", "% of a core", 100, "entries told", told_entries,
+    Quantity("head of a zone, peak: processor time", "% of a core", 100, "balancers", balancers,
              lambda f: rate(f, "busy", "head", "cpu")),
-    Quantity("primary, peak: reports of load in", "kB/s", 1e-3, "entries heard", heard_entries,
-             lambda f: rate(f, "busy", "primary", "got_bytes", "LoadReport")),
-    Quantity("primary, peak: sums of load out", "kB/s", 1e-3, "entries told x zones",
-             lambda s: told_entries(s) * s.zones,
+    Quantity("primary, peak: reports of load in", "kB/s", 1e-3, "bytes of steps", steps_up,
+             lambda f: rate(f, "busy", "primary", "got_bytes", *REPORTS)),
+    Quantity("primary, peak: sums of load out", "kB/s", 1e-3, "bytes of steps x zones",
+             lambda s: steps_down(s) * s.zones,
              lambda f: rate(f, "busy", "primary", "sent_bytes", *LOADS)),
-    Quantity("primary, peak: processor time", "% of a core", 100, "entries heard + 3 x told",
-             lambda s: heard_entries(s) + 3 * told_entries(s),
+    Quantity("primary, peak: processor time", "% of a core", 100, "bytes of steps in", steps_up,
              lambda f: rate(f, "busy", "primary", "cpu")),
     Quantity("primary, quiet: rolls in", "B/s", 1, "balancers", balancers,
              lambda f: rate(f, "quiet", "primary", "got_bytes", "Roll")),
@@ -128,11 +144,11 @@
     Quantity("configuration: processor time of a balancer, one change", "ms", 1e3, "balancers", balancers,
              lambda f: per_change(f, "configuration", "leaf", "cpu", "ConfigurationNews")),
     Quantity("list: bytes into a balancer, one change", "kB", 1e-3, "balancers", balancers,
-             lambda f: rate(f, "list", "leaf", "got_bytes", "UpstreamNews")
-             / max(rate(f, "list", "leaf", "got", "UpstreamNews"), 1e-9)),
+             lambda f: rate(f, "list", "leaf", "got_bytes", *LISTS)
+             / max(rate(f, "list", "leaf", "got", *LISTS), 1e-9)),
     Quantity("list: processor time of a balancer, one change", "ms", 1e3, "balancers", balancers,
-             lambda f: rate(f, "list", "leaf", "cpu", "UpstreamNews")
-             / max(rate(f, "list", "leaf", "got", "UpstreamNews"), 1e-9)),
+             lambda f: rate(f, "list", "leaf", "cpu", *LISTS)
+             / max(rate(f, "list", "leaf", "got", *LISTS), 1e-9)),
     Quantity("restart of one: members told to a balancer", "kB", 1e-3, "balancers", balancers,
              lambda f: per_change(f, "restart", "leaf", "got_bytes", "MemberNews")),
     Quantity("start of all: bytes out of the primary", "MB", 1e-6, "balancers", balancers,
