Price changes of the list and steps of loads, as they are in force

Need: the budget's prices were those of whole lists and sums. Measured now: a change of one entry (found, told, made into the list), a step of the loads by its upstreams, unpacking. Tests: the fixture of exact prices has the new ones; the budget's list is its change, the sums are a step of 36 upstreams; the ways are named anew.

--- a/mastturn/capacity/budget.py
+++ b/mastturn/capacity/budget.py
@@ -5,9 +5,10 @@
 from dataclasses import dataclass
 from typing import Any
 
-from mastturn.capacity.foreseen import one_report_entries, told_entries
+from mastturn.capacity.foreseen import steps_down
 from mastturn.capacity.shapes import BUDGET, TARGET
 from mastturn.capacity.slopes import Line, fit
+from sonde.load_steps import FIGURE_BYTES, STEP_BYTES
 from sonde.loads import PERIOD_S
 from sonde.relays import DEGREE
 
@@ -26,6 +27,7 @@
 HELD_KEYS = {
     "list": "entries",
     "loads": "entries",
+    "steps": "changes",
     "holdings": "holdings",
     "members": "members",
     "configuration": "routes",
@@ -80,26 +82,28 @@
 def costs(parts: Parts, frame_s: float) -> list[Cost]:
     """All kinds of news at the target; `frame_s`: of a core, for taking one frame from a socket."""
     entries, members, routes = float(TARGET.upstreams), float(TARGET.balancers), float(TARGET.routes)
-    told, own = told_entries(TARGET), one_report_entries(TARGET)
+    step = (steps_down(TARGET) * PERIOD_S - STEP_BYTES) / FIGURE_BYTES  # upstreams in one
 
     def at(part: str, what: str, x: float) -> float:
         return max(price(parts, part, what).at(x), 0.0)
 
     changes_s = 4 * REQUESTS_S  # a request is sent to be read, read, sent to be run, ended
     reports_s = 1 / (PERIOD_S + 1 / changes_s)
+    report = changes_s / reports_s
 
     def read(part: str, x: float, *work: str) -> float:
         return frame_s + sum(at(part, what, x) for what in work)
 
     return [
-        Cost("sums of load, down", 1 / PERIOD_S, at("loads", "bytes", told),
-             read("loads", told, "decode_s", "take_s"), at("loads", "encode_s", told)),
-        Cost("own report of load, up", reports_s, at("loads", "bytes", own),
-             read("loads", own, "pack_s", "encode_s"), 0.0),
-        Cost("list of upstreams", LIST_CHANGES / DAY_S, at("list", "bytes", entries),
-             read("list", entries, "parse_s", "take_s"), at("list", "encode_s", entries)),
-        Cost("configuration", CONFIGURATIONS / DAY_S, at("configuration", "bytes", routes),
-             read("configuration", routes, "parse_s", "table_s"), at("configuration", "encode_s", routes)),
+        Cost("sums of load, down", 1 / PERIOD_S, at("steps", "bytes", step),
+             read("steps", step, "decode_s", "take_s"), at("steps", "encode_s", step)),
+        Cost("own report of load, up", reports_s, at("steps", "bytes", report),
+             read("steps", report, "tell_s", "encode_s"), 0.0),
+        Cost("list of upstreams", LIST_CHANGES / DAY_S, at("list", "change_bytes", entries),
+             read("list", entries, "change_s", "parse_s", "take_s"), 0.0),
+        Cost("configuration", CONFIGURATIONS / DAY_S, at("configuration", "packed_bytes", routes),
+             read("configuration", routes, "unpack_s", "parse_s", "table_s"),
+             at("configuration", "encode_s", routes) + at("configuration", "zlib_s", routes)),
         Cost("members", MEMBER_CHANGES / DAY_S, at("members", "bytes", members),
              read("members", members, "decode_s"), at("members", "encode_s", members)),
         Cost("pulses, own rolls, place in the tree", 1 / 0.3, 18.0,
--- a/mastturn/capacity/parts.py
+++ b/mastturn/capacity/parts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import itertools
 import random
 import statistics
 import time
@@ -16,7 +17,8 @@
 from mastturn.capacity.sources import as_quiet, spin_ns
 from screen.checking import check, parse_configuration, parse_upstreams
 from sonde.holdings import Holdings
-from sonde.load_steps import Loads
+from sonde.lists import change_of, changed
+from sonde.load_steps import Loads, LoadTable, LoadTeller
 from sonde.loads import OthersLoad, add, unpack
 from sonde.loads import pack as pack_loads
 from sonde.messages import (
@@ -24,6 +26,7 @@
     Holding,
     HoldingNews,
     LoadNews,
+    LoadStep,
     MemberNews,
     Present,
     Roll,
@@ -36,8 +39,9 @@
 ENTRIES = (100, 200, 400, 700, 1_000, 1_400, 2_000)
 MEMBERS = (20, 50, 100, 150, 200, 250)
 ROUTES = (30, 100, 200, 400, 600)
+CHANGES = (2, 5, 10, 20, 60, 100)  # upstreams in one step of the loads
 # Foreseen from the sizes above, then measured.
-HELD_OUT = {"entries": 2_800, "holdings": 2_800, "members": 350, "routes": 840}
+HELD_OUT = {"entries": 2_800, "holdings": 2_800, "members": 350, "routes": 840, "changes": 40}
 HEAD = 6
 BESIDE = 20_000  # turns of the loop: under half a millisecond
 Points = list[dict[str, Any]]
@@ -73,6 +77,10 @@
     tiers = Tiers(random.Random(1), lambda name: True)
     tiers.take(parsed, 0.0)
     takes = iter([other, parsed] * repeats)
+    drains = [e | {"state": "draining"} if i == entries // 2 else e for i, e in enumerate(raw)]
+    later = UpstreamNews(1, 2, pack(drains))
+    change = change_of(news, later)
+    assert change is not None
     return {
         "bytes": len(frame),
         "packed_bytes": len(zlib.compress(page, 1)),
@@ -83,6 +91,9 @@
         "parse_s": cost_s(lambda: parse_upstreams(page), repeats),
         "first_take_s": cost_s(lambda: Tiers(random.Random(1), lambda name: True).take(parsed, 0.0), repeats),
         "take_s": cost_s(lambda: tiers.take(next(takes), 1.0), repeats),
+        "change_bytes": len(KINDS.encode(change)),
+        "change_s": cost_s(lambda: changed(news, change), repeats),
+        "change_tell_s": cost_s(lambda: change_of(news, later), repeats),
     }
 
 
@@ -110,6 +121,40 @@
     }
 
 
+def of_steps(changes: int, repeats: int) -> dict[str, float]:
+    """A step of the sums that tells of so many upstreams, of all that the target has."""
+    chance = random.Random(changes)
+    names = [e["id"] for e in list_entries(TARGET)]
+    loads: Loads = {name: (chance.randint(1, 40), chance.randint(0, 40_000)) for name in names}
+    table, others, numbers = LoadTable(), OthersLoad(), itertools.count(1)
+    whole = LoadTeller().whole(loads)
+    table.take(1, 0, *whole)
+    told = sorted(chance.sample(range(len(names)), changes))
+    figures = [x for place in told for x in (place, chance.randint(1, 40), chance.randint(0, 40_000))]
+    step = LoadStep(1, 200, 199, [], figures)
+    frame = KINDS.encode(step)
+
+    def take() -> None:
+        number = next(numbers)
+        before = table.take(number + 1, number, [], figures)
+        assert before is not None
+        others.step(table.loads, before, {})
+
+    def tell() -> None:
+        teller = LoadTeller(1e9)
+        teller.whole({})
+        teller.mark(names[:changes])
+        teller.step(loads, 1.0)
+
+    return {
+        "bytes": len(frame),
+        "encode_s": cost_s(lambda: KINDS.encode(step), repeats),
+        "decode_s": cost_s(lambda: KINDS.decode(114, frame[HEAD:]), repeats),
+        "take_s": cost_s(take, repeats),
+        "tell_s": cost_s(tell, repeats),
+    }
+
+
 def of_holdings(holdings: int, repeats: int) -> dict[str, float]:
     """News of who has read what, all of it new to whoever hears it."""
     names = [e["id"] for e in list_entries(_shape(2_000))]
@@ -153,12 +198,13 @@
     """A configuration at one size."""
     body = configuration(7, routes, TARGET.services)
     news = ConfigurationNews(7, body)
-    parsed = parse_configuration(body)
+    parsed, short = parse_configuration(body), zlib.compress(body, 1)
     return {
         "bytes": len(KINDS.encode(news)),
         "encode_s": cost_s(lambda: KINDS.encode(news), repeats),
         "packed_bytes": len(zlib.compress(body, 1)),
         "zlib_s": cost_s(lambda: zlib.compress(body, 1), repeats),
+        "unpack_s": cost_s(lambda: zlib.decompress(short), repeats),
         "check_s": cost_s(lambda: check(body), repeats),
         "parse_s": cost_s(lambda: parse_configuration(body), repeats),
         "table_s": cost_s(lambda: RouteTable(parsed), repeats),
@@ -167,12 +213,15 @@
 
 def measured(repeats: int = 9, rounds: int = 3) -> dict[str, Any]:
     """All of it, `rounds` times over, so that a moment in which the machine was busy shows as scatter."""
-    found: dict[str, Any] = {"list": [], "loads": [], "holdings": [], "members": [], "configuration": []}
+    names = ("list", "loads", "steps", "holdings", "members", "configuration")
+    found: dict[str, Any] = {name: [] for name in names}
     for _ in range(rounds):
         for n in (*ENTRIES, HELD_OUT["entries"]):
             found["list"].append({"x": n} | of_list(n, repeats))
             found["loads"].append({"x": n} | of_loads(n, repeats))
             found["holdings"].append({"x": n} | of_holdings(n, repeats))
+        for n in (*CHANGES, HELD_OUT["changes"]):
+            found["steps"].append({"x": n} | of_steps(n, repeats))
         for n in (*MEMBERS, HELD_OUT["members"]):
             found["members"].append({"x": n} | of_members(n, repeats))
         for n in (*ROUTES, HELD_OUT["routes"]):
--- a/mastturn/capacity/remedies.py
+++ b/mastturn/capacity/remedies.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from mastturn.capacity import budget
-from mastturn.capacity.foreseen import one_report_entries, told_entries
+from mastturn.capacity.foreseen import one_report_entries, steps_down, told_entries
 from mastturn.capacity.shapes import TARGET
 from sonde.follower import PULSE_S
 from sonde.loads import PERIOD_S
@@ -63,7 +63,9 @@
     zone = HEAD_B + INDEXED_B * TARGET.upstreams / zones + TOTAL_B * (zones - 1)
     named = bytes_of("loads", told / zones)
     return [
-        Remedy("sums of load", "today: all by name, every 40 ms", bytes_of("loads", told) / PERIOD_S, ""),
+        Remedy("sums of load", "in force: by place, the most wrong first, 40 ms or 6 kB a second",
+               steps_down(TARGET), "what is told of a reader is a second old at the peak"),
+        Remedy("sums of load", "all by name, every 40 ms", bytes_of("loads", told) / PERIOD_S, ""),
         Remedy("sums of load", "what has changed, every 40 ms",
                bytes_of("loads", changed_entries(PERIOD_S)) / PERIOD_S, "a whole one for whoever comes"),
         Remedy("sums of load", "all by name, every 1 s", bytes_of("loads", told),
@@ -75,16 +77,17 @@
         Remedy("sums of load", f"one's own zone by place, others' totals, every {SLOW_S} s", zone / SLOW_S,
                "both of the above"),
         Remedy("own report", f"by place, every {SLOW_S} s", (HEAD_B + SPARSE_B * own) / SLOW_S, "as above"),
-        Remedy("list", "today: whole at each change", lists * bytes_of("list", TARGET.upstreams), ""),
+        Remedy("list", "whole at each change", lists * bytes_of("list", TARGET.upstreams), ""),
         Remedy("list", "whole, compressed", lists * packed("list", TARGET.upstreams),
                "some ms of a core each"),
-        Remedy("list", "the entries that changed", lists * (entry + CHANGE_B),
+        Remedy("list", "in force: the entries that changed", lists * (entry + CHANGE_B),
                "whole for whoever comes or has missed one"),
-        Remedy("configuration", "today: whole at each change",
+        Remedy("configuration", "whole at each change",
                changes * bytes_of("configuration", TARGET.routes), ""),
-        Remedy("configuration", "whole, compressed", changes * packed("configuration", TARGET.routes),
-               "1 ms of a core each; a body of the same bytes"),
-        Remedy("configuration", "the routes that changed (two, say)", changes * (2 * route + CHANGE_B),
+        Remedy("configuration", "in force: whole, compressed",
+               changes * packed("configuration", TARGET.routes), "1 ms of a core each; a body of the same bytes"),
+        Remedy("configuration", "the routes that changed (two, say)",
+               changes * (2 * route + CHANGE_B),
                "a digest to be checked; whole for whoever comes"),
         Remedy("members", "today: whole at each change, a balancer's start and end",
                budget.MEMBER_CHANGES / budget.DAY_S * bytes_of("members", TARGET.balancers), ""),
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -226,8 +226,9 @@
 def _parts() -> dict[str, Any]:
     """Prices that are exact lines."""
     prices = ("bytes", "packed_bytes", "parse_s", "first_take_s", "take_s", "pack_s", "decode_s", "encode_s")
-    names = (*prices, "add_s", "place_s", "check_s", "table_s")
-    held = {"entries": 2_800, "holdings": 2_800, "members": 350, "routes": 840}
+    names = (*prices, "add_s", "place_s", "check_s", "table_s", "tell_s", "zlib_s", "unpack_s")
+    names = (*names, "change_bytes", "change_s", "change_tell_s")
+    held = {"entries": 2_800, "holdings": 2_800, "members": 350, "routes": 840, "changes": 60}
     slopes = {name: 100.0 if "bytes" in name else 1e-6 for name in names}
     points = {
         part: [{"x": x} | {n: slope * x for n, slope in slopes.items()} for x in (10, 20, 40, held[key])]
@@ -242,7 +243,8 @@
     assert listed.one_bytes == pytest.approx(280_000.0)
     assert listed.bytes_s == pytest.approx(280_000.0 * budget.LIST_CHANGES / 86_400)
     assert listed.relayed_bytes_s == pytest.approx(9 * listed.bytes_s)
-    assert found["sums of load, down"].times_s == pytest.approx(25.0)
+    sums = found["sums of load, down"]
+    assert sums.times_s == pytest.approx(25.0) and sums.one_bytes == pytest.approx(100 * 36.0)
 
 
 def test_each_part_of_the_budget_has_a_verdict() -> None:
@@ -283,9 +285,12 @@
 
 def test_each_way_that_was_weighed_has_its_bytes() -> None:
     found = {(way.of, way.way): way for way in remedies.ways(_parts())}
-    today, changed = found["list", "today: whole at each change"], found["list", "the entries that changed"]
-    assert today.in_bytes_s > 1_000 * changed.in_bytes_s
-    assert today.relay_bytes_s == 9 * today.in_bytes_s
+    whole, changed = (
+        found["list", "whole at each change"],
+        found["list", "in force: the entries that changed"],
+    )
+    assert whole.in_bytes_s > 1_000 * changed.in_bytes_s
+    assert whole.relay_bytes_s == 9 * whole.in_bytes_s
     told = told_entries(TARGET)
     assert 0 < remedies.changed_entries(0.04) < remedies.changed_entries(0.4) < told
     assert remedies.changed_entries(3_600.0) == pytest.approx(told)
