Keep to the machines that may be lost in the simulator's storms

Cause, from the story: in a storm a machine counted as back 4 s after its return although kills of all had kept it from getting its slot; with one replaced, one wiped and one replaced again three of five slots were lost for good, one more than may be.

--- a/mastturn/control_check/troubles.py
+++ b/mastturn/control_check/troubles.py
@@ -82,12 +82,20 @@
             if world.now - self._herd_at < SYNC_MS:  # killed with all others since its return
                 world.later(SYNC_MS, over)
                 return
+            if world.shape.storm and self._somebody_waits():  # a slot is lost as long as it isn't given anew
+                world.later(SYNC_MS / 8, over)
+                return
             self._lost.discard(ip)
             pause = 0.0 if chance.random() < 0.4 else chance.uniform(0, 2_500)
             world.later(pause, self._next)
 
         kind(machine, returned)
 
+    def _somebody_waits(self) -> bool:
+        """Whether a process runs that has no slot."""
+        running = [m.replica for m in self._world.machines.values() if m.replica is not None]
+        return any(replica.memory.slot() is None for replica in running)
+
     def _ago(self, least: float, most: float) -> float:
         return self._world.chance.uniform(least, most)
 
