--- a/mastturn/days/__main__.py
+++ b/mastturn/days/__main__.py
@@ -22,11 +22,12 @@
 @click.option("--first", default=0, show_default=True, help="Number of the first day.")
 @click.option("--count", default=150, show_default=True, help="How many days.")
 @click.option("--crowd", default=0, show_default=True, help="So many troubles within a few seconds.")
+@click.option("--every", is_flag=True, help="All kinds, also those that the site doesn't name.")
 @click.option("--out", required=True, type=click.Path(path_type=Path), help="Folder for the files.")
-def draw(site: Path, first: int, count: int, crowd: int, out: Path) -> None:
+def draw(site: Path, first: int, count: int, crowd: int, every: bool, out: Path) -> None:
     """Write days of a site, one a file: NUMBER.toml."""
     try:
-        drawn = draw_days(read_site(site), range(first, first + count), crowd)
+        drawn = draw_days(read_site(site, every), range(first, first + count), crowd)
     except LabError as error:
         raise click.ClickException(str(error)) from None
     out.mkdir(parents=True, exist_ok=True)
--- a/mastturn/days/draw.py
+++ b/mastturn/days/draw.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 from typing import Any
 
-from mastturn.days.kinds import BY_NAME, Kind, Trouble
+from mastturn.days.kinds import BY_NAME, KINDS, Kind, Trouble
 from mastturn.files import LabError
 
 NAME = "drawn"
@@ -33,10 +33,14 @@
     services: list[str]
     classes: list[str]
     models: dict[str, dict[str, Any]]  # by slot: the first standard day of it
+    salt: str = ""  # keeps the days of one choice of kinds apart from those of another
 
 
-def read_site(path: Path) -> Site:
-    """Read a site file; raises LabError where it can't be read, or names a kind that isn't known here."""
+def read_site(path: Path, every: bool = False) -> Site:
+    """Read a site file; raises LabError where it can't be read, or names a kind that isn't known here.
+
+    With `every`, days hold all kinds that the bench plays there, also those that the site doesn't name.
+    """
     try:
         data = tomllib.loads(path.read_text(encoding="utf-8"))
     except (OSError, ValueError) as error:
@@ -45,15 +49,17 @@
     unknown = [n for n in names if n not in BY_NAME]
     if unknown or not names:
         raise LabError(f"{path}: kinds of trouble {unknown} aren't known; add them to mastturn/days/kinds.py")
+    parts = data.get("contracts", [])
     models: dict[str, dict[str, Any]] = {}
     for day in data.get("day", []):
         models.setdefault(day["slot"], day)
     return Site(
         data["name"],
-        tuple(BY_NAME[n] for n in names),
+        tuple(k for k in KINDS if k.part in ("", *parts)) if every else tuple(BY_NAME[n] for n in names),
         [s["name"] for s in data["services"]],
         [c["name"] for c in data["classes"]],
         models,
+        "every" if every else "",
     )
 
 
@@ -63,7 +69,8 @@
     Shapes take turns fastest, then closings, then first kinds; the rest is drawn with a seed made of the
     site's name and the number.
     """
-    chance = random.Random(f"{site.name}/{number}/{crowd}" if crowd else f"{site.name}/{number}")
+    parts = (site.name, number, crowd or "", site.salt)
+    chance = random.Random("/".join(str(p) for p in parts if p != ""))
     shape = f"crowd{crowd}" if crowd else SHAPES[number % len(SHAPES)]
     turn = number // len(SHAPES)
     first = site.kinds[turn % len(site.kinds)]
--- a/mastturn/days/kinds.py
+++ b/mastturn/days/kinds.py
@@ -23,6 +23,7 @@
     counts: Mapping[str, tuple[int, int]] = field(default_factory=dict)
     hows: tuple[str, ...] = ()
     needs: str = ""  # "service" or "class": a name of the site that the entry carries
+    part: str = ""  # of the rules: the bench plays the kind only where the site names it among `contracts`
 
     def draw(self, at: float, chance: random.Random, services: list[str], classes: list[str]) -> Trouble:
         """An entry of this kind at that second, in the form of the site files."""
@@ -140,5 +141,20 @@
     ),
     Kind("kv_slow", ranges=_LASTS | {"share": (0.2, 1.0), "x": (4.0, 40.0)}, needs="service"),
     Kind("handle_short", ranges=_LASTS | {"share": (0.2, 1.0)}, needs="service"),
+    Kind("srv_slow", ranges=_LASTS | {"share": (0.1, 0.5), "x": (2.0, 8.0)}, needs="service"),
+    Kind(
+        "srv_grey",
+        ranges=_LASTS | {"share": (0.1, 0.4), "x": (0.2, 0.9)},
+        hows=("errors", "shed", "busy", "hang", "reset", "mute", "errors one_zone", "hang one_zone"),
+    ),
+    Kind(
+        "srv_lying_health",
+        ranges=_LASTS | {"share": (0.1, 0.4)},
+        hows=("errors", "hang", "reset", "bad"),
+        part="health",
+    ),
+    Kind("srv_flap", ranges=_LASTS | {"share": (0.1, 0.4), "gap_s": (0.4, 2.0)}, part="health"),
+    Kind("shift", ranges=_LASTS | {"share": (0.2, 0.9)}),
+    Kind("scale_out", True, {"share": (0.1, 0.5), "gap_s": (0.5, 3.0)}),
 )
 BY_NAME = {kind.name: kind for kind in KINDS}
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -125,6 +125,23 @@
     assert kinds == {"node_freeze", "disk_full"}
 
 
+def test_every_kind_can_be_drawn_for_a_site_that_names_few(tmp_path: Path) -> None:
+    path = tmp_path / "site.toml"
+    path.write_text(site_text(("node_freeze", "disk_full")), encoding="utf-8")
+    few = {t["kind"] for day in draw_days(read_site(path, every=True), range(TURN)) for t in day["faults"]}
+    assert few == {k.name for k in KINDS if not k.is_planned and not k.part}
+    path.write_text('contracts = ["base", "health"]' + site_text(("node_freeze",)), encoding="utf-8")
+    site = read_site(path, every=True)
+    days = [*draw_days(site, range(TURN))]
+    assert {t["kind"] for day in days for t in day["plan"] + day["faults"]} == set(BY_NAME)
+    assert [*draw_days(read_site(path, every=True), range(9))] == days[:9]
+    assert draw_day(read_site(path), 3)["seed"] != days[3]["seed"]
+    out = tmp_path / "days"
+    done = CliRunner().invoke(main, ["draw", str(path), "--every", "--count", "9", "--out", str(out)])
+    assert done.exit_code == 0
+    assert [(out / f"{n:04d}.toml").read_text() for n in range(9)] == [write_day(d) for d in days[:9]]
+
+
 def test_an_unknown_kind_or_a_missing_file_says_what_to_do(tmp_path: Path) -> None:
     path = tmp_path / "site.toml"
     path.write_text(site_text(("meteor",)), encoding="utf-8")
