Count a prefill call that broke off in the budget until one is taken up

A prefill call that an upstream took up is free; one that broke off was held for such a call (windvane/pair.py, read_ended), so the run after it was sent without being paid for. Where the call had been reset, or thrown out of the queue of an upstream that went dark, the run was an extra arrival. Ruled out: runs sent twice (one attempt), a wrong number of balancers. Change: the budget, not the attempts, counts such a call until another prefill call is taken up. Test: the exhaustive one now also counts arrivals as upstreams see them if no broken call was taken up.

--- a/tests/test_windvane_pair.py
+++ b/tests/test_windvane_pair.py
@@ -80,6 +80,22 @@
     assert wallet.left == 98
 
 
+def test_a_broken_read_may_not_have_been_taken_up_and_the_run_after_it_is_paid() -> None:
+    """Day drawn-0009 of tin-shed: slack 12, no ratio, upstreams that reset what they are sent: BUDGET."""
+    made = pair(tries=1, wallet=Wallet(0))
+    made.first(split=True)
+    assert made.read_ended(End.BROKEN) == Refuse()
+    wallet = Wallet(1)
+    made = pair(tries=1, wallet=wallet)
+    made.first(split=True)
+    assert made.read_ended(End.BROKEN) == Run(None)
+    assert wallet.left == 0
+    assert made.run_ended(End.UNSENT) == Run(None)  # not sent: the same arrival once more
+    assert wallet.left == 0
+    assert made.no_runner() == Refuse()
+    assert wallet.left == 1
+
+
 def test_a_read_that_was_never_written_costs_nothing_and_goes_elsewhere() -> None:
     wallet = Wallet()
     made = pair(tries=1, wallet=wallet)
@@ -162,14 +178,18 @@
         made = pair(tries, idempotent, idempotent, wallet)
         step: Step = made.first(split=True)
         arrivals, free, may_have_run, runs = 0, True, False, 0
+        arrived, taken_up = 0, False  # as upstreams see it, if no call that broke off was taken up
         for end in order:
             if isinstance(step, Read):
+                arrived += end is not End.UNSENT
+                taken_up |= end is End.TAKEN
                 if end is not End.UNSENT:
                     counts = end is End.REJECTED or not free
                     arrivals += counts
                     free = free and end is End.REJECTED
                 step = made.read_ended(end, KV if end is End.TAKEN else None)
             elif isinstance(step, Run):
+                arrived += end is not End.UNSENT
                 if end is not End.UNSENT:
                     arrivals += 1
                 if end in (End.BROKEN, End.LATE):
@@ -180,6 +200,7 @@
             else:
                 break
         assert arrivals <= tries and wallet.left >= 0 and arrivals - 1 <= left, order
+        assert arrived - taken_up - 1 <= left, order
         assert idempotent or runs <= 1, order
         if isinstance(step, Refuse):
             assert not may_have_run, order
--- a/windvane/pair.py
+++ b/windvane/pair.py
@@ -2,7 +2,7 @@
 
 A split request is read by a prefill upstream and run by a decode upstream that fetches the memory. `tries`
 bounds the upstreams that it arrives at; the first prefill call that an upstream takes up counts neither there
-nor in the budget.
+nor in the budget. One that broke off may not have been taken up: the budget counts it until another one is.
 """
 
 from __future__ import annotations
@@ -92,6 +92,7 @@
         self._arrivals, self._unsent, self._reads = 0, 0, 0
         self._read_is_free = True  # until an upstream has taken up a prefill call
         self._paid_read = False
+        self._doubtful = False  # a prefill call broke off, and none has been taken up since
         self.handle: Handle | None = None  # that is ours to use or to free
         self.may_have_run = False
         self.started = False  # its answer has begun at the client
@@ -113,6 +114,7 @@
         """A prefill call is over."""
         if end is End.TAKEN and handle is not None:
             self._read_is_free, self.handle = False, handle
+            self._doubt(False)
             return self._run(handle)
         if end is End.LATE:
             return Refuse()
@@ -124,8 +126,9 @@
         if end is End.REJECTED:
             if not self._paid_read:
                 self._arrive()
-        else:
+        elif self._read_is_free:
             self._read_is_free = False  # it may have been taken up
+            self._doubt(True)
         if self._reads < 2 and self._may(1 if self._read_is_free else 2):
             return self._read()
         return self._run(None) if self._may(1) else Refuse()
@@ -189,15 +192,24 @@
 
     def _may(self, more: int) -> bool:
         """Whether so many more arrivals are allowed."""
-        extra = self._arrivals + more - max(self._arrivals, 1)
-        return self._arrivals + more <= self._tries and self._purse.allows(extra)
+        paid = self._arrivals + self._doubtful
+        return self._arrivals + more <= self._tries and self._purse.allows(paid + more - max(paid, 1))
 
     def _arrive(self) -> None:
         self._arrivals += 1
-        if self._arrivals > 1:
+        if self._arrivals + self._doubtful > 1:
             self._purse.spend()
 
     def _withdraw(self) -> None:
-        if self._arrivals > 1:
+        if self._arrivals + self._doubtful > 1:
             self._purse.refund()
         self._arrivals -= 1
+
+    def _doubt(self, doubtful: bool) -> None:
+        """Whether the budget counts a prefill call that may have arrived without being taken up."""
+        if doubtful != self._doubtful and self._arrivals:
+            if doubtful:
+                self._purse.spend()
+            else:
+                self._purse.refund()
+        self._doubtful = doubtful
