Leave upstreams that nobody reaches out of the plan of parts

The platform's list shows for ten seconds what is gone; two of four that make answers had no call any more, and their places counted as free (barograph/phases.py, _due), so no reader was ordered to make answers before 15.8 s. Ruled out: the lease of a new primary (none changed), orders rejected. Change: one that has had no work for a second while each other one of its part has at least twice what the choice allows above the least counts neither as a place nor as a reader. The least that make answers is counted as before.

--- a/barograph/phases.py
+++ b/barograph/phases.py
@@ -10,7 +10,7 @@
 import math
 from collections import Counter
 from collections.abc import Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from screen.configuration import Upstream
 
@@ -25,6 +25,8 @@
 PLACES_AFTER = 0.45  # share of them in use with one upstream less, at the most, at the peak
 PAUSE_S = 4.0  # between two orders for one service: the one before has to show in the measures
 STEP = 0.1  # share of a service's upstreams that move at once: one of few
+SHUNNED_S = 1.0  # one without work for so long, while each other of its part has much, is out of reach
+SHUNNED_CALLS, SHUNNED_TOKENS = 6, 4_000  # so much: twice what the choice allows above the least
 LEAST_RUNNERS = 0.4  # share of the upstreams that make answers, in any case: one or two may be lost
 
 
@@ -46,6 +48,11 @@
     places: float = 0.0  # places in use where answers are made
     peak: float = 0.0  # the most of them, slowly forgotten
     ordered: float = -math.inf
+    idle: dict[str, float] = field(default_factory=dict)  # without work, and since when others have had much
+
+    def shunned(self, now: float) -> set[str]:
+        """Those that balancers keep away from: they hear nothing from them, and the list shows them still."""
+        return {name for name, since in self.idle.items() if now - since >= SHUNNED_S}
 
 
 class PhasePlan:
@@ -84,7 +91,9 @@
             measure = self._measure(service, ups, loads, now)
             settled = now - measure.since >= SETTLED_S and now - measure.ordered >= PAUSE_S
             if may_order and not found and settled:
-                found = _due(measure, ups, loads)
+                shunned = measure.shunned(now)
+                least = max(math.ceil(LEAST_RUNNERS * len(ups)), 1)
+                found = _due(measure, [u for u in ups if u.id not in shunned], loads, least)
                 if found:
                     measure.ordered = now
         return found
@@ -108,14 +117,28 @@
         measure.places = measure.places * keep + places * (1 - keep)
         measure.peak = max(measure.places, measure.peak * math.exp(-max(now - measure.at, 0.0) / PEAK_S))
         measure.at = now
+        idle = _idle(ups, loads)
+        measure.idle = {name: measure.idle.get(name, now) for name in idle}
         return measure
 
 
-def _due(measure: _Measure, ups: list[Upstream], loads: Mapping[str, tuple[int, int]]) -> list[Order]:
+def _idle(ups: list[Upstream], loads: Mapping[str, tuple[int, int]]) -> list[str]:
+    """Those without work while each other one of their part has much: the choice would have taken them."""
+    found: list[str] = []
+    for phase, part, much in ((PREFILL, 1, SHUNNED_TOKENS), (DECODE, 0, SHUNNED_CALLS)):
+        work = {u.id: loads.get(u.id, (0, 0))[part] for u in ups if u.phase == phase}
+        if min((held for held in work.values() if held), default=0) >= much:
+            found += [name for name, held in work.items() if not held]
+    return found
+
+
+def _due(
+    measure: _Measure, ups: list[Upstream], loads: Mapping[str, tuple[int, int]], least: int
+) -> list[Order]:
+    """The orders for one service's upstreams; `least`: how many make answers in any case."""
     readers = _leaving(ups, PREFILL, loads)
     runners = _leaving(ups, DECODE, loads)
     step = max(int(STEP * len(ups)), 1)
-    least = max(math.ceil(LEAST_RUNNERS * len(ups)), 1)
     if not runners:  # they are gone for good, and no load will ever show that some are needed
         return [Order(u, DECODE) for u in readers[: max(min(least, len(readers) - 1), 1)]]
     places = sum(u.capacity for u in runners)
--- a/tests/test_days_found_parts.py
+++ b/tests/test_days_found_parts.py
@@ -81,3 +81,24 @@
                 assert after.count("prefill") >= 1
             assert len({o.upstream.svc for o in orders}) <= 1
             ups = [replace(u, phase=moved.get(u.id, u.phase)) for u in ups]
+
+
+def test_those_that_nobody_can_reach_are_no_free_places_although_the_list_shows_them() -> None:
+    """Day drawn-0006 (every kind) of magnolia-shelf: two runners were gone, their places counted as free."""
+    ups = fleet(4, 4)
+    crowded = {"a0": (99, 0), "a1": (98, 0)} | {f"r{i}": (2, 900) for i in range(4)}
+    found = watch(PhasePlan(), ups, crowded, 0.0, 4.0)
+    assert [o.phase for o in found] == ["decode"]
+    # With work now and then they are only little used, and so are those beside one that has little.
+    plan = PhasePlan()
+    for tick in range(60):
+        loads = crowded | {"a2": (tick % 8 == 0, 0), "a3": (tick % 8 == 0, 0)}
+        assert plan.look(ups, loads, tick / 10) == []
+    assert watch(PhasePlan(), ups, crowded | {"a1": (5, 0)}, 0.0, 4.0) == []
+
+
+def test_a_reader_that_nobody_can_reach_takes_no_share_of_the_reading() -> None:
+    ups = fleet(2, 4)
+    busy = {"r0": (4, 9_000)} | {f"a{i}": (4, 0) for i in range(4)}
+    found = watch(PhasePlan(), ups, busy, 0.0, 4.0)
+    assert [o.phase for o in found] == ["prefill"]
