Look in on upstreams that move, so that one that goes holds up no order

Nothing else is ordered while an upstream moves (barograph/mover.py, look), and a move that doesn't show in the list is given up after 8 s: no order from 1.5 to 9.6 s, with seven in ten requests failing. Change: a connection is opened to each that moves once a second; where none comes up it is held for lost as one whose order had no answer: nobody sends there, and another may be asked. Connections to upstreams have a price; a move takes 2 to 5 s. Test: a transcript of such a move; the fixture of the other transcripts now also answers this look.

--- a/barograph/mover.py
+++ b/barograph/mover.py
@@ -8,7 +8,7 @@
 
 from loguru import logger
 
-from barograph.orders import Rejected, Taken, change_phase
+from barograph.orders import Rejected, Taken, change_phase, is_there
 from barograph.phases import Order, PhasePlan
 from screen.checking import parse_upstreams
 from screen.configuration import Upstream
@@ -17,6 +17,7 @@
 LEASE_SPARE = 1.2  # the holder before us may have ordered something just now: so many leases are waited
 TOLD_S = 0.15  # balancers have heard by then that an upstream moves
 MOVING_S = 8.0  # after so long a move that does not show in the list is given up
+WATCH_S = 1.0  # what moves is looked in on so often: one that goes meanwhile must not hold up other orders
 MOVING = "moving"  # the part that an upstream plays meanwhile, so that nobody sends to it
 
 Prove = Callable[[], Awaitable[int]]
@@ -42,6 +43,8 @@
         self._unclear: set[str] = set()  # of those, the ones that may never have heard of it
         self._leads_since: float | None = None
         self._busy: asyncio.Task[None] | None = None
+        self._watched: dict[str, float] = {}  # ids of those that move: when they were last looked in on
+        self._watches: set[asyncio.Task[None]] = set()
 
     def lead(self, leads: bool, now: float) -> None:
         """We lead, or no longer."""
@@ -74,12 +77,35 @@
             return
         waited = now - self._leads_since >= LEASE_SPARE * self._lease_s
         free = waited and self._busy is None and self._moving.keys() <= self._unclear
+        self._watch(now)
         staying = [e for e in self._entries if e.id not in self._moving]
         orders = self._plan.look(staying, self._loads(), now, free)
         if orders:
             self._busy = asyncio.get_running_loop().create_task(self._carry_out(orders))
             self._busy.add_done_callback(self._over)
 
+    def _watch(self, now: float) -> None:
+        """Look in on those that move."""
+        self._watched = {i: self._watched.get(i, now) for i in self._moving.keys() - self._unclear}
+        for entry in self._entries:
+            if entry.id in self._watched and now - self._watched[entry.id] >= WATCH_S:
+                self._watched[entry.id] = now
+                watch = asyncio.get_running_loop().create_task(self._look_in(entry))
+                self._watches.add(watch)
+                watch.add_done_callback(self._watches.discard)
+
+    async def _look_in(self, upstream: Upstream) -> None:
+        move = self._moving.get(upstream.id)
+        there = await is_there(upstream)
+        if not there and move is not None and self._moving.get(upstream.id) is move:
+            logger.warning("event=move_lost upstream={} phase={}", upstream.id, move[0])
+            self._ask_another(upstream)
+
+    def _ask_another(self, upstream: Upstream) -> None:
+        """It may move, or be gone: nobody sends there, and the next order need not wait for it."""
+        self._unclear.add(upstream.id)
+        self._plan.ask_another(upstream.svc)
+
     def _over(self, task: asyncio.Task[None]) -> None:
         self._busy = None
         if not task.cancelled() and (error := task.exception()) is not None:
@@ -107,8 +133,5 @@
         )
         if isinstance(outcome, Rejected):
             self._moving.pop(name, None)
-        elif not isinstance(
-            outcome, Taken
-        ):  # it may move, or be gone: nobody sends there, and another is asked
-            self._unclear.add(name)
-            self._plan.ask_another(order.upstream.svc)
+        elif not isinstance(outcome, Taken):
+            self._ask_another(order.upstream)
--- a/barograph/orders.py
+++ b/barograph/orders.py
@@ -35,6 +35,17 @@
 Outcome = Taken | Rejected | Unclear
 
 
+async def is_there(upstream: Upstream) -> bool:
+    """Whether a connection to an upstream comes up."""
+    try:
+        async with asyncio.timeout(CALL_S):
+            _, writer = await asyncio.open_connection(*parse_address(upstream.addr))
+    except (OSError, TimeoutError):
+        return False
+    writer.close()
+    return True
+
+
 async def change_phase(upstream: Upstream, phase: str, owner: str, fence: int) -> Outcome:
     """Order an upstream to play another part."""
     body = json.dumps({"op": "phase", "phase": phase, "owner": owner, "fence": fence}).encode()
--- a/tests/test_days_found_moves.py
+++ b/tests/test_days_found_moves.py
@@ -30,7 +30,11 @@
         orders.append((upstream.id, phase, fence))
         return Taken()
 
+    async def is_there(upstream: Upstream) -> bool:
+        return True
+
     monkeypatch.setattr(barograph.mover, "change_phase", change)
+    monkeypatch.setattr(barograph.mover, "is_there", is_there)
     monkeypatch.setattr(barograph.mover, "TOLD_S", 0.0)
     return orders
 
@@ -118,6 +122,41 @@
     run(scene())
 
 
+def test_one_that_is_gone_before_its_move_is_over_holds_up_no_order(
+    given: Given, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Day drawn-0006 (every kind) of magnolia-shelf: it took its order and was gone, for eight seconds."""
+    asked: list[str] = []
+
+    async def is_there(upstream: Upstream) -> bool:
+        asked.append(upstream.id)
+        return upstream.id != "r1"
+
+    monkeypatch.setattr(barograph.mover, "is_there", is_there)
+
+    async def scene() -> None:
+        entries = [
+            entry("r1", "prefill"),
+            entry("r2", "prefill"),
+            entry("r3", "prefill"),
+            entry("a1", "decode"),
+        ]
+        mover = mover_of(*entries, loads={"r2": (2, 900), "r3": (3, 900), "a1": (90, 0)})
+        lease = LEASE_SPARE * LEASE_S
+        await look(mover, 0.0, lease + 0.9)
+        assert [name for name, _, _ in given] == ["r1"] and not asked
+        await look(mover, lease + 0.9, lease + 1.5)
+        assert asked == ["r1"]
+        assert [name for name, _, _ in given] == ["r1", "r2"]
+        page = mover.dress(entries, lease + 1.5)
+        assert [e["phase"] for e in page] == ["moving", "moving", "prefill", "decode"]
+        await look(mover, lease + 1.5, lease + 6.9)
+        assert set(asked) == {"r1", "r2"} and len(asked) <= 7  # one look a second, none at what is lost
+        assert len(given) == 2  # the second one is there and moves
+
+    run(scene())
+
+
 def test_who_leads_no_longer_orders_nothing(given: Given) -> None:
     async def scene() -> None:
         mover = mover_of(entry("r1", "prefill"), entry("r2", "prefill"))
