Judge upstreams by shared failures, not by the few that one balancer sees

Need: with 70 upstreams and 80 balancers each balancer sends an upstream a request every ten seconds, so that it never learns alone that one fails while its health check is good. Lines at fault: windvane/tiers.py `_able` knew only `silent` and `blocked_until`, of this balancer alone, and Balancer._probe takes a connection that comes up for health. Change: windvane/trust.py judges; windvane/standing.py tells it how calls end (moved there from Balancer: silence and its probe); sonde/doubts.py sums failures up the tree by zone, as loads are. DoubtReport and DoubtNews (111, 112) are new kinds, edition 3. Tests changed: tests/fabric_callers.py's stand-in for the balancer has the three new calls.

--- a/barograph/herald.py
+++ b/barograph/herald.py
@@ -17,6 +17,7 @@
 from screen.wire import Link
 from sonde.bulletin import Bulletin
 from sonde.counting import COUNT_S
+from sonde.doubts import DoubtSum
 from sonde.feed import Feed
 from sonde.follower import PULSE_S
 from sonde.holdings import Holdings
@@ -24,6 +25,9 @@
 from sonde.messages import (
     Attach,
     ConfigurationNews,
+    Doubt,
+    DoubtNews,
+    DoubtReport,
     HoldingNews,
     HoldingReport,
     LoadNews,
@@ -52,6 +56,7 @@
         self.bulletin = Bulletin()
         self._feed = Feed(self.bulletin, links.kinds, lambda: None)
         self._loads = LoadSum(dict, self._loaded)
+        self._doubts = DoubtSum(dict, self._doubted)
         self._holdings = Holdings()
         self._loaded_by: dict[str, tuple[int, int]] = {}
         self._entries: list[dict[str, Any]] = []  # of the platform's list
@@ -97,6 +102,7 @@
             self._since = asyncio.get_running_loop().time()
             self._first_epoch = view.epoch
             self.bulletin.forget_loads()
+            self.bulletin.forget_doubts()
         self._view = view
         if view is not None:
             self._leads.set()
@@ -105,6 +111,7 @@
         if view is not None:
             self._tell(MemberNews(view.epoch, self._next(), self._members(), self._cores(view)))
             self._hear_waiting()
+            self._doubts.again()
             self._loads.again()  # what was reported while nobody led was told to nobody
 
     def committed(self, document: Document) -> None:
@@ -140,6 +147,8 @@
                 self._feed.roll(link, message)
             case LoadReport():
                 self._loads.report(link, message)
+            case DoubtReport():
+                self._doubts.report(link, message)
             case HoldingReport(holdings):
                 if new := self._holdings.add(holdings):
                     self._feed.tell(HoldingNews(new))
@@ -159,6 +168,7 @@
         self._waiting.pop(link, None)
         self._feed.ended(link)
         self._loads.forget(link)
+        self._doubts.forget(link)
 
     def _loaded(self, loads: tuple[UpstreamLoad, ...]) -> None:
         """The sum of all loads has changed."""
@@ -166,6 +176,11 @@
         if self._view is not None:
             self._tell(LoadNews(self._view.epoch, self._next(), loads))
 
+    def _doubted(self, doubts: tuple[Doubt, ...]) -> None:
+        """What all together hold against upstreams has changed."""
+        if self._view is not None:
+            self._tell(DoubtNews(self._view.epoch, self._next(), doubts))
+
     def _next(self) -> int:
         self._number += 1
         return self._number
--- a/screen/wire.py
+++ b/screen/wire.py
@@ -19,7 +19,7 @@
 
 from screen.errors import WireError
 
-EDITION = 2  # of all kinds together, as reports show it: the next number with each new kind
+EDITION = 3  # of all kinds together, as reports show it: the next number with each new kind
 MOST_NUMBER = 255  # of a kind, in this release and later ones
 MOST_FRAME = 16 * 1024 * 1024  # a whole configuration fits four times
 _HEAD = struct.Struct(">IH")
--- a/sonde/bulletin.py
+++ b/sonde/bulletin.py
@@ -4,9 +4,9 @@
 
 from typing import Any
 
-from sonde.messages import ConfigurationNews, LoadNews, MemberNews, Pulse, UpstreamNews
+from sonde.messages import ConfigurationNews, DoubtNews, LoadNews, MemberNews, Pulse, UpstreamNews
 
-News = ConfigurationNews | UpstreamNews | MemberNews | Pulse | LoadNews
+News = ConfigurationNews | UpstreamNews | MemberNews | Pulse | LoadNews | DoubtNews
 
 
 class Bulletin:
@@ -18,6 +18,7 @@
         self.members: MemberNews | None = None
         self.pulse: Pulse | None = None
         self.loads: LoadNews | None = None
+        self.doubts: DoubtNews | None = None
 
     def take(self, message: Any) -> bool:
         """Keep a message if it is newer than what we have; whether it was."""
@@ -42,6 +43,10 @@
                 if not _is_newer(message, self.loads):
                     return False
                 self.loads = message
+            case DoubtNews():
+                if not _is_newer(message, self.doubts):
+                    return False
+                self.doubts = message
             case _:
                 return False
         return True
@@ -53,9 +58,13 @@
             found.append(self.configuration)
         if self.upstreams is not None and (self.upstreams.epoch, self.upstreams.number) > list_stamp:
             found.append(self.upstreams)
-        found += [news for news in (self.members, self.pulse, self.loads) if news is not None]
+        found += [news for news in (self.members, self.pulse, self.loads, self.doubts) if news is not None]
         return found
 
+    def forget_doubts(self) -> None:
+        """What was held against upstreams under another primary is told anew by those who hold it."""
+        self.doubts = None
+
     def forget_loads(self) -> None:
         """What was told of others' work is no use any more; the same sums are news when they come again."""
         self.loads = None
--- a/sonde/follower.py
+++ b/sonde/follower.py
@@ -13,6 +13,7 @@
 from sonde.messages import (
     Attach,
     ConfigurationNews,
+    DoubtNews,
     HoldingNews,
     LoadNews,
     MemberNews,
@@ -94,7 +95,7 @@
                 self._told(message)
             case HoldingNews():
                 self._told(message)
-            case ConfigurationNews() | UpstreamNews() | MemberNews() | LoadNews():
+            case ConfigurationNews() | UpstreamNews() | MemberNews() | LoadNews() | DoubtNews():
                 if self._bulletin.take(message):
                     self._told(message)
 
--- a/sonde/messages.py
+++ b/sonde/messages.py
@@ -251,3 +251,59 @@
 
     def __post_init__(self) -> None:
         object.__setattr__(self, "holdings", _holdings(self.holdings))
+
+
+_DOUBTS = {
+    "name": "doubts",
+    "type": {
+        "type": "array",
+        "items": {
+            "type": "record",
+            "name": "Doubt",
+            "fields": [
+                {"name": "upstream", "type": "string"},
+                {"name": "zone", "type": "string"},
+                {"name": "balancers", "type": "int"},
+                {"name": "failures", "type": "int"},
+            ],
+        },
+    },
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Doubt:
+    """So many balancers of a zone saw so many failures at an upstream in the last seconds."""
+
+    upstream: str
+    zone: str
+    balancers: int
+    failures: int
+
+
+def _doubts(raw: Any) -> tuple[Doubt, ...]:
+    return tuple(d if isinstance(d, Doubt) else Doubt(**d) for d in raw)
+
+
+@KINDS.declare(111, [_DOUBTS])
+@dataclass(frozen=True, slots=True)
+class DoubtReport:
+    """What a balancer and all below it hold against upstreams; what is not named is in good standing."""
+
+    doubts: Any  # Doubt
+
+    def __post_init__(self) -> None:
+        object.__setattr__(self, "doubts", _doubts(self.doubts))
+
+
+@KINDS.declare(112, [*_STAMP, _DOUBTS])
+@dataclass(frozen=True, slots=True)
+class DoubtNews:
+    """What all balancers together hold against upstreams."""
+
+    epoch: int
+    number: int
+    doubts: Any  # Doubt
+
+    def __post_init__(self) -> None:
+        object.__setattr__(self, "doubts", _doubts(self.doubts))
--- a/station/balancing.py
+++ b/station/balancing.py
@@ -19,6 +19,7 @@
 from sonde import messages
 from sonde.bulletin import Bulletin
 from sonde.counting import Headcount
+from sonde.doubts import DoubtExchange
 from sonde.feed import Feed
 from sonde.follower import STALE_S, Follower
 from sonde.holdings import Holdings
@@ -26,6 +27,8 @@
 from sonde.messages import (
     Attach,
     ConfigurationNews,
+    DoubtNews,
+    DoubtReport,
     Holding,
     HoldingNews,
     HoldingReport,
@@ -78,6 +81,7 @@
             self._attached,
             secrets.randbits(32),
         )
+        self._doubts = DoubtExchange(self.balancer, self._bulletin, self._follower.say)
         self._platform = PlatformList(parse_address(settings.cloud_api.addr))
         self._tasks: list[asyncio.Task[None]] = []
         self._headcount = Headcount()
@@ -160,6 +164,8 @@
                 self._feed.roll(link, message)
             case LoadReport():
                 self._loads.report(link, message)
+            case DoubtReport():
+                self._doubts.sum.report(link, message)
             case HoldingReport(holdings):
                 self._say_later(self._hold(holdings))
 
@@ -167,6 +173,7 @@
         self._follower.ended(link)
         self._feed.ended(link)
         self._loads.forget(link)
+        self._doubts.sum.forget(link)
 
     # ---- what upstreams have read
 
@@ -196,6 +203,7 @@
     def _attached(self) -> None:
         """Whoever tells us the news from now on knows nothing of us yet."""
         self._loads.again()
+        self._doubts.sum.again()
         self._follower.say(HoldingReport(self._holdings.seen()))
 
     def _own_load(self) -> Loads:
@@ -213,8 +221,11 @@
             case UpstreamNews():
                 self._list(message)
             case Pulse():
+                self._doubts.pulsed(message)
                 if number := self._headcount.take(message, asyncio.get_running_loop().time()):
                     self.balancer.count_balancers(number)
+            case DoubtNews():
+                self._doubts.told(message)
             case LoadNews():
                 self._others.take(message, self._reported)
             case HoldingNews(holdings):
@@ -267,27 +278,20 @@
             if not self._follower.is_fresh():
                 self._others.clear()
                 self._bulletin.forget_loads()
+                self._doubts.lost()
             if self._follower.is_fresh(ALONE_S) or self._bulletin.configuration is None:
                 next_list = None
                 continue
-            period, offset = self._turn()
+            members = self._bulletin.members
+            nodes = [m.node for m in members.balancers] if members is not None else []
+            pages = max(self._platform.pages, math.ceil(self._listed / PAGE))
+            period, offset = _turn(nodes, self.settings, pages)
             if next_list is None:
                 next_list = now + offset
             if now >= next_list:
                 next_list += period
                 await self._read_list()
 
-    def _turn(self) -> tuple[float, float]:
-        """How often we read the list while all balancers are alone, and our own place in that time, in s."""
-        members = self._bulletin.members
-        nodes = [m.node for m in members.balancers] if members is not None else []
-        count = max(len(nodes), 1)
-        rate = self.settings.cloud_api.rate_per_s * SHARE
-        pages = max(self._platform.pages, math.ceil(self._listed / PAGE))
-        period = max(LEAST_LIST_S, count * pages / rate)
-        place = nodes.index(self.settings.node) if self.settings.node in nodes else 0
-        return period, period * place / count
-
     async def _read_list(self) -> None:
         try:
             page = pack(await self._platform.read())
@@ -302,3 +306,12 @@
         if self._bulletin.take(message):
             self._list(message)
             self._feed.tell(message)
+
+
+def _turn(nodes: list[str], settings: Settings, pages: int) -> tuple[float, float]:
+    """How often we read the list while all balancers are alone, and our own place in that time, in s."""
+    count = max(len(nodes), 1)
+    rate = settings.cloud_api.rate_per_s * SHARE
+    period = max(LEAST_LIST_S, count * pages / rate)
+    place = nodes.index(settings.node) if settings.node in nodes else 0
+    return period, period * place / count
--- a/tests/fabric_callers.py
+++ b/tests/fabric_callers.py
@@ -244,6 +244,9 @@
         self.kept: Callable[[bytes, str], None] = lambda subject, upstream: None
         self.keeps: list[tuple[bytes, str]] = []  # what others have seen kept, in the order in which we heard
         self.other_calls: Any = None
+        self.held_against: dict[tuple[str, str], tuple[int, int]] = {}
+        self.told_doubts: dict[tuple[str, str], tuple[int, int]] = {}
+        self.doubts_changed: Callable[[], None] = lambda: None
         self.drain_s = 0.0
         self.is_draining = False
 
@@ -281,6 +284,15 @@
     def tell_load(self, changed: Callable[[], None]) -> None:
         self.changed = changed
 
+    def tell_doubts(self, changed: Callable[[], None]) -> None:
+        self.doubts_changed = changed
+
+    def doubts(self) -> dict[tuple[str, str], tuple[int, int]]:
+        return dict(self.held_against)
+
+    def heed_doubts(self, told: dict[tuple[str, str], tuple[int, int]]) -> None:
+        self.told_doubts = told
+
     def tell_kept(self, tell: Callable[[bytes, str], None]) -> None:
         self.kept = tell
 
--- /dev/null
+++ b/tests/test_windvane_trust.py
@@ -0,0 +1,245 @@
+"""Upstreams are judged by what they do with requests, with the failures that other balancers saw."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import random
+
+import pytest
+
+from passpost.http1 import Answer
+from screen.configuration import Upstream
+from sonde.doubts import DoubtSum, pack, unpack
+from sonde.messages import Doubt, DoubtReport
+from tests.fabric_scenes import begun
+from tests.fabric_world import World, play
+from tests.test_sonde_news import settled
+from tests.windvane_stage import Stage as Stand
+from tests.windvane_stage import answer, configuration, playing, route
+from umberworks.interface import Outcome
+from windvane.prompt import Prompt
+from windvane.tiers import Peer, Tiers
+from windvane.trust import HARD, KEPT, SILENT, WARY_S, WINDOW_S, is_failure
+
+PROMPT = Prompt(1000, 800, b"s")
+
+
+def tiers(count: int = 10, zones: int = 1, seed: int = 1) -> Tiers:
+    made = Tiers(random.Random(seed), lambda name: True, "z0")
+    entries = (Upstream(f"i-{n}", "pool", f"10.0.0.{n}:80", f"z{n % zones}") for n in range(count))
+    made.take(tuple(entries), 0.0)
+    return made
+
+
+def peer(made: Tiers, name: str = "i-0") -> Peer:
+    found = made.peer(name)
+    assert found is not None
+    return found
+
+
+def served(made: Tiers, calls: int, now: float = 0.0) -> None:
+    """So many calls of ours have gone well, spread over all."""
+    for n in range(calls):
+        made.trust.ended(peer(made, f"i-{n % 10}"), now)
+
+
+def able(made: Tiers, now: float, repeatable: bool = True) -> set[str]:
+    """Where requests may go: whoever is drawn in many draws."""
+    found = set()
+    for _ in range(300):
+        one = made.pick_runner("pool", None, "z0", (), now, repeatable)
+        assert one is not None
+        found.add(one.entry.id)
+    return found
+
+
+def heed(made: Tiers, told: dict[tuple[str, str], tuple[int, int]], now: float) -> None:
+    made.trust.heed(told, made.peer, now)
+
+
+# ---- what counts as a failure
+
+
+@pytest.mark.parametrize(
+    ("outcome", "status", "good", "failed"),
+    [
+        (Outcome.SERVED, 200, True, False),
+        (Outcome.SERVED, 200, False, True),
+        (Outcome.ERROR, 500, True, True),
+        (Outcome.ERROR, 504, True, False),
+        (Outcome.ERROR, 404, True, False),
+        (Outcome.BROKEN, 0, True, True),
+        (Outcome.TURNED_AWAY, 503, True, False),
+        (Outcome.TIMED_OUT, 0, True, False),
+        (Outcome.CANCELLED, 0, True, False),
+    ],
+)
+def test_errors_breaks_and_spoilt_answers_are_failures_and_rejections_are_not(
+    outcome: Outcome, status: int, good: bool, failed: bool
+) -> None:
+    told = Answer(status, [], b"", True) if status else None
+    assert is_failure(outcome, told, good) is failed
+
+
+# ---- one balancer alone
+
+
+def test_failures_of_our_own_calls_are_held_against_how_many_calls_there_usually_are() -> None:
+    few, many = tiers(), tiers()
+    served(few, 10)
+    served(many, 400)
+    for made in (few, many):
+        made.trust.failed(peer(made), 0.0)
+        made.trust.failed(peer(made), 0.0)
+    assert "i-0" not in able(few, 0.1)
+    assert "i-0" in able(many, 0.1)
+    many.trust.failed(peer(many), 0.2, 5 * HARD)
+    assert "i-0" not in able(many, 0.3)
+
+
+def test_silence_counts_half_as_it_may_be_load() -> None:
+    """Found on a small site's days: two pauses under load took an upstream from all for 4 s."""
+    made = tiers()
+    made.trust.failed(peer(made), 0.0, 3 * SILENT)
+    assert "i-0" in able(made, 0.1)
+    made.trust.failed(peer(made), 0.2, SILENT)
+    assert "i-0" not in able(made, 0.3)
+
+
+def test_trust_returns_by_requests_that_may_be_repeated_and_a_relapse_costs_little() -> None:
+    made = tiers()
+    made.trust.failed(peer(made), 0.0, 2 * HARD)
+    assert "i-0" not in able(made, WINDOW_S - 0.1)
+    back = WINDOW_S + 0.1
+    assert "i-0" in able(made, back)
+    assert "i-0" not in able(made, back, repeatable=False)
+    made.trust.failed(peer(made), back + 1)  # one is enough now
+    assert "i-0" not in able(made, back + 1.1)
+    calm = back + 1 + WINDOW_S + WARY_S + 0.2
+    able(made, back + 1 + WINDOW_S + 0.1)  # its failure is forgotten
+    assert "i-0" in able(made, calm, repeatable=False)
+
+
+def test_nine_in_ten_bad_at_once_leave_most_in_use_those_least_doubted() -> None:
+    made = tiers()
+    for n in range(9):
+        made.trust.failed(peer(made, f"i-{n}"), 0.0, 20 - n)
+    used = able(made, 0.1)
+    assert used == {f"i-{n}" for n in range(2, 10)} and len(used) == math.ceil(KEPT * 10)
+
+
+@pytest.mark.parametrize(("count", "left"), [(1, 1), (2, 2), (3, 3), (4, 3), (8, 6)])
+def test_a_tier_of_few_is_not_left_to_fewer(count: int, left: int) -> None:
+    """Found on the small site: of two that run, the one left bore all for 4 s after the other paused."""
+    made = tiers(count)
+    for n in range(count // 2 + 1):
+        made.trust.failed(peer(made, f"i-{n}"), 0.0, 20)
+    assert len(able(made, 0.1)) == left
+
+
+def test_one_that_left_the_list_is_forgotten() -> None:
+    made = tiers()
+    made.trust.failed(peer(made), 0.0, 5)
+    made.take(tuple(peer(made, f"i-{n}").entry for n in range(1, 10)), 0.1)
+    assert made.trust.distrusted() == [] and made.trust.seen(0.2) == {}
+
+
+# ---- what others saw
+
+
+def test_one_balancers_bad_link_condemns_nothing() -> None:
+    made = tiers(zones=2)
+    made.trust.balancers = 80
+    heed(made, {("i-0", "z0"): (1, 50)}, 0.0)
+    assert "i-0" in able(made, 0.1)
+
+
+def test_two_balancers_of_our_zone_are_enough_and_those_of_one_other_zone_are_not() -> None:
+    made = tiers(zones=2)
+    made.trust.balancers = 80
+    heed(made, {("i-0", "z0"): (2, 2 * HARD), ("i-2", "z1"): (9, 50)}, 0.0)
+    used = able(made, 0.1)
+    assert "i-0" not in used and "i-2" in used
+
+
+def test_balancers_of_two_zones_are_enough_and_what_they_take_back_is_over() -> None:
+    made = tiers(zones=2)
+    made.trust.balancers = 80
+    heed(made, {("i-0", "z1"): (1, HARD), ("i-0", "z2"): (2, HARD)}, 0.0)
+    assert "i-0" not in able(made, 0.1)
+    heed(made, {}, 0.2)
+    assert "i-0" in able(made, 0.3) and "i-0" not in able(made, 0.3, repeatable=False)
+
+
+# ---- on the wire
+
+
+def test_sums_of_doubts_hold_each_child_once_and_forget_the_gone() -> None:
+    async def scene() -> None:
+        told: list[tuple[Doubt, ...]] = []
+        total = DoubtSum(lambda: {("a", "z"): (1, 2)}, told.append)
+        total.report("x", DoubtReport((Doubt("a", "z", 2, 3), Doubt("b", "y", 1, 1))))
+        total.report("x", DoubtReport((Doubt("a", "z", 1, 1),)))
+        total._tell()
+        total.forget("x")
+        total._tell()
+        total._tell()
+        assert told == [(Doubt("a", "z", 2, 3),), (Doubt("a", "z", 1, 2),)]
+
+    asyncio.run(scene())
+    assert unpack(pack({("a", "z"): (1, 2), ("b", "z"): (0, 0)})) == {("a", "z"): (1, 2)}
+
+
+def test_failures_are_known_to_all_balancers_and_gone_when_they_are_taken_back() -> None:
+    async def scene(world: World) -> None:
+        await begun(world)
+        await settled(world)
+        first, second, *others = world.edges()
+        for machine in (first, second):
+            machine.plane.held_against = {("i-1", "z"): (1, 2)}
+            machine.plane.doubts_changed()
+        wanted = {("i-1", "z"): (2, 4)}
+        await world.until(lambda: all(m.plane.told_doubts == wanted for m in world.edges()), 1.0)
+        world.kill(first.name)
+        wanted = {("i-1", "z"): (1, 2)}
+        await world.until(lambda: all(m.plane.told_doubts == wanted for m in others), 4.0)
+        second.plane.held_against = {}
+        second.plane.doubts_changed()
+        await world.until(lambda: all(m.plane.told_doubts == {} for m in others), 1.0)
+
+    play(scene, edges=12, zones=1)
+
+
+def test_a_take_over_keeps_what_is_held_and_drops_what_nobody_holds() -> None:
+    async def scene(world: World) -> None:
+        await begun(world)
+        await settled(world)
+        first, second = world.edges()[:2]
+        for machine, upstream in ((first, "i-1"), (second, "i-2")):
+            machine.plane.held_against = {(upstream, "z"): (1, 2)}
+            machine.plane.doubts_changed()
+        await world.until(lambda: all(len(m.plane.told_doubts) == 2 for m in world.edges()), 1.0)
+        world.kill(world.primary())
+        second.plane.held_against = {}
+        second.plane.doubts_changed()
+        wanted = {("i-1", "z"): (1, 2)}
+        await world.until(lambda: all(m.plane.told_doubts == wanted for m in world.edges()), 6.0)
+
+    play(scene, edges=5, zones=1)
+
+
+# ---- on sockets
+
+
+def test_an_upstream_that_fails_requests_gets_no_more_of_them() -> None:
+    async def scene() -> None:
+        bad, good = Stand("i-0", "", answer("500 Error")), [Stand(f"i-{n}", "") for n in range(1, 4)]
+        config = configuration(1, route(route_type="unsafe", split=()))
+        async with playing(bad, *good, config=config) as stage:
+            stage.list(bad, *good)
+            for n in range(60):
+                await stage.ask(f"r{n}")
+            assert len(bad.got) <= 8 and sum(len(s.got) for s in good) >= 52
+
+    asyncio.run(scene())
--- a/windvane/balancer.py
+++ b/windvane/balancer.py
@@ -9,8 +9,6 @@
 from collections.abc import Callable
 from typing import Any
 
-from loguru import logger
-
 from passpost.counters import Final
 from passpost.engine import Client
 from passpost.http1 import Headers
@@ -26,12 +24,13 @@
 from windvane.passage import Passage
 from windvane.prompt import Prompt
 from windvane.routes import RouteTable, draw_service
+from windvane.standing import Standing
 from windvane.tiers import Peer, Tiers
+from windvane.trust import Told
 from windvane.wire import free_handle
 
 TOLD_TOKENS = 512  # shared parts that are shorter are not worth a word to others
 CONNECT_S = 0.5
-PROBE_S = 0.5  # between two looks whether a silent upstream can be reached again
 IDLE_S = 120.0  # an upstream that tells no time keeps idle connections at least so long
 DOOR_S = 0.9  # clients wait so long at the most for a process that has just started: then they go elsewhere
 UPSTREAM_SHARE = 0.4  # of the descriptors
@@ -98,7 +97,8 @@
         self.load_changed: Callable[[], None] = _nothing
         self._tell_kept: Callable[[bytes, str], None] | None = None
         self.other_calls: readiness.Other | None = None  # at the address of readiness
-        self.tiers = Tiers(self._chance, self.upstreams.has_place)
+        self.tiers = Tiers(self._chance, self.upstreams.has_place, settings.zone)
+        self.standing = Standing(self.tiers, self.upstreams)
         self._max_open = files - to_upstreams
         self._server: Server | None = None
         self._readyz: asyncio.Server | None = None
@@ -156,6 +156,7 @@
         """So many balancers live: our parts of what all of them share follow."""
         if n != self._balancers:
             self._balancers = n
+            self.tiers.trust.balancers = max(n, 1)
             for purse in self._purses.values():
                 purse.budget.count_balancers(n)
             self._limit_connections()
@@ -181,6 +182,18 @@
         """`changed` is called whenever `loads` would tell something new."""
         self.load_changed = changed
 
+    def tell_doubts(self, changed: Callable[[], None]) -> None:
+        """`changed` is called whenever `doubts` would tell something new."""
+        self.standing.changed = changed
+
+    def doubts(self) -> Told:
+        """Failures that our calls saw, by upstream and our zone, each as of one balancer."""
+        return self.tiers.trust.seen(time.monotonic())
+
+    def heed_doubts(self, told: Told) -> None:
+        """What all balancers together hold against upstreams, ourselves among them."""
+        self.tiers.trust.heed(told, self.tiers.peer, time.monotonic())
+
     def tell_kept(self, tell: Callable[[bytes, str], None]) -> None:
         """`tell` hears of each subject whose shared parts an upstream has newly read or fetched for us."""
         self._tell_kept = tell
@@ -247,28 +260,6 @@
             purse = self._purses[service] = Purse(budget)
         return purse
 
-    def silent(self, peer: Peer) -> None:
-        """An upstream owes us a word for too long: it gets nothing new until it is heard or reached again."""
-        if not peer.silent:
-            peer.silent = True
-            logger.warning("event=silent upstream={}", peer.entry.id)
-            self.upstreams.drop_idle(peer.entry.id)
-            asyncio.get_running_loop().call_later(PROBE_S, self._probe, peer)
-
-    def _probe(self, peer: Peer) -> None:
-        name = peer.entry.id
-        if not peer.silent or self.tiers.peer(name) is not peer:
-            return
-
-        def found(reached: bool) -> None:
-            if reached:
-                peer.heard(time.monotonic())
-                logger.info("event=reached_again upstream={}", name)
-            else:
-                asyncio.get_running_loop().call_later(PROBE_S, self._probe, peer)
-
-        self.upstreams.probe(name, found)
-
     def priority(self, route: Route, tokens: int) -> int:
         """What an upstream is told: by the route's rank, and within it short prompts go before long ones."""
         usual = self._usual.get(route.name, 0.0) or float(tokens)
--- a/windvane/errand.py
+++ b/windvane/errand.py
@@ -78,13 +78,14 @@
         if answer is not None:
             peer.heard(now)
         peer.ended(now, self.tokens, good and outcome is Outcome.SERVED)
+        self._balancer.standing.ended(peer, outcome, answer, good)
         self._balancer.load_changed()
         if outcome is Outcome.TURNED_AWAY and answer is not None:
             peer.avoid(now, MISPLACED_S if answer.status == 421 else FULL_S)
             self.avoid.add(peer.entry.id)
         elif outcome in (Outcome.UNREACHED, Outcome.BROKEN, Outcome.TIMED_OUT):
             if outcome is Outcome.UNREACHED:
-                self._balancer.silent(peer)
+                self._balancer.standing.silent(peer)
             self.avoid.add(peer.entry.id)
         return peer
 
@@ -103,7 +104,7 @@
 
     def _silent(self, peer: Peer, quiet: float, most: float) -> None:
         """The upstream is silent; what may be sent again moves on."""
-        self._balancer.silent(peer)
+        self._balancer.standing.silent(peer)
         if self.reads or self._may_leave(quiet, most):
             self.left = True
             self.cancel()
--- a/windvane/passage.py
+++ b/windvane/passage.py
@@ -132,7 +132,8 @@
     def _run(self, handle: steps.Handle | None) -> None:
         now = time.monotonic()
         prompt = self._call.prompt if handle is None else None
-        peer = self._balancer.tiers.pick_runner(self._service, prompt, self._zone, self._errand.avoid, now)
+        avoid, repeatable = self._errand.avoid, self._call.route.is_idempotent()
+        peer = self._balancer.tiers.pick_runner(self._service, prompt, self._zone, avoid, now, repeatable)
         if peer is None:
             self._follow(self._pair.no_runner())
             return
--- /dev/null
+++ b/windvane/standing.py
@@ -0,0 +1,63 @@
+"""What our calls tell of the upstreams: silence is looked after, failures go to `windvane.trust`."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from loguru import logger
+
+from passpost.http1 import Answer
+from passpost.upstream import Upstreams
+from umberworks.interface import Outcome
+from windvane.tiers import Peer, Tiers
+from windvane.trust import HARD, SILENT, WINDOW_S, is_failure
+
+PROBE_S = 0.5  # between two looks whether a silent upstream can be reached again
+
+
+def _nothing() -> None:
+    """Nobody wants to be told."""
+
+
+class Standing:
+    """Keeps it for one balancer."""
+
+    def __init__(self, tiers: Tiers, upstreams: Upstreams) -> None:
+        self._tiers, self._upstreams = tiers, upstreams
+        self.changed: Callable[[], None] = _nothing  # told when there are failures to report, or no longer
+
+    def ended(self, peer: Peer, outcome: Outcome, answer: Answer | None, good: bool) -> None:
+        """A call of ours has ended there; `good`: nothing of its answer was spoilt."""
+        self._tiers.trust.ended(peer, time.monotonic())
+        if is_failure(outcome, answer, good):
+            self._failed(peer, HARD)
+
+    def silent(self, peer: Peer) -> None:
+        """An upstream owes us a word for too long: it gets nothing new until it is heard or reached again."""
+        if not peer.silent:
+            peer.silent = True
+            logger.warning("event=silent upstream={}", peer.entry.id)
+            self._failed(peer, SILENT * peer.server.in_flight)  # each call that is out there is owed
+            self._upstreams.drop_idle(peer.entry.id)
+            asyncio.get_running_loop().call_later(PROBE_S, self._probe, peer)
+
+    def _failed(self, peer: Peer, count: int) -> None:
+        self._tiers.trust.failed(peer, time.monotonic(), count)
+        self.changed()
+        asyncio.get_running_loop().call_later(WINDOW_S, lambda: self.changed())  # it is out of date by then
+
+    def _probe(self, peer: Peer) -> None:
+        name = peer.entry.id
+        if not peer.silent or self._tiers.peer(name) is not peer:
+            return
+
+        def found(reached: bool) -> None:
+            if reached:
+                peer.heard(time.monotonic())
+                logger.info("event=reached_again upstream={}", name)
+            else:
+                asyncio.get_running_loop().call_later(PROBE_S, self._probe, peer)
+
+        self._upstreams.probe(name, found)
--- a/windvane/tiers.py
+++ b/windvane/tiers.py
@@ -1,7 +1,7 @@
 """The upstreams of the list, each tier's ready ones, and the choice among them.
 
-The rule is `umberworks.choice`; here the ready set is filtered before the draw: by state, part, silence, home
-and zone.
+The rule is `umberworks.choice`; here the ready set is filtered before the draw: by state, part, silence,
+trust (`windvane.trust`), home and zone.
 """
 
 from __future__ import annotations
@@ -16,6 +16,7 @@
 from umberworks.choice import Choice
 from umberworks.members import Server
 from windvane.prompt import Prompt
+from windvane.trust import Trust
 
 PREFILL, DECODE = "prefill", "decode"
 SPOILT, SPOILT_S = 2, 1.0  # so many handles in a row that could not be fetched, and it is avoided so long
@@ -128,8 +129,9 @@
 class Tiers:
     """All upstreams of the list, by service and part."""
 
-    def __init__(self, chance: random.Random, has_place: Callable[[str], bool]) -> None:
+    def __init__(self, chance: random.Random, has_place: Callable[[str], bool], zone: str = "") -> None:
         self._chance, self._has_place = chance, has_place
+        self.trust = Trust(zone, self._size)
         self.others: Callable[[str], tuple[int, int]] = _unknown  # others' calls and tokens at an upstream
         self._peers: dict[str, Peer] = {}
         self._groups: dict[tuple[str, str], Group] = {}
@@ -158,8 +160,14 @@
             if key not in self._groups:
                 self._groups[key] = Group(self._chance)
             self._groups[key].take(sorted(ready.get(key, []), key=lambda p: p.entry.id), now)
+        self.trust.keep_only(self._peers)
+        self.trust.zones = len({entry.zone for entry in entries})
         return True
 
+    def _size(self, part: tuple[str, str]) -> int:
+        group = self._groups.get(part)
+        return len(group.peers) if group is not None else 0
+
     def addresses(self) -> Iterable[tuple[str, str]]:
         """Id and address of each upstream of the list, draining ones too."""
         return ((p.entry.id, p.entry.addr) for p in self._peers.values())
@@ -187,13 +195,22 @@
         return self._draw(group, self._readers(able, prompt), now) if group is not None and able else None
 
     def pick_runner(
-        self, service: str, prompt: Prompt | None, zone: str, avoid: Collection[str], now: float
+        self,
+        service: str,
+        prompt: Prompt | None,
+        zone: str,
+        avoid: Collection[str],
+        now: float,
+        repeatable: bool = True,
     ) -> Peer | None:
-        """The upstream that runs: of `zone`, where the memory is; or one that reads `prompt` by itself."""
+        """The upstream that runs: of `zone`, where the memory is; or one that reads `prompt` by itself.
+
+        `repeatable`: the request may be tried at one whose trust is about to return.
+        """
         group = self._groups.get((service, DECODE))
         if group is None or not group.peers:
             group, prompt = self._groups.get((service, "")), None
-        able = self._able(group, avoid, now)
+        able = self._able(group, avoid, now, repeatable)
         if group is None or not able:
             return None
         if prompt is not None and prompt.tokens:
@@ -251,16 +268,18 @@
         able = self._able(self._groups.get((service, DECODE)), (), now)
         return min((self.outstanding(p) for p in able), default=math.inf) * PACE_S * ITSELF
 
-    def _able(self, group: Group | None, avoid: Collection[str], now: float) -> list[Peer]:
-        """Those of its ready ones that are not avoided or blocked; blocked ones rather than none."""
+    def _able(
+        self, group: Group | None, avoid: Collection[str], now: float, repeatable: bool = True
+    ) -> list[Peer]:
+        """Those of its ready ones that are trusted, not avoided or blocked; blocked ones rather than none."""
         if group is None:
             return []
         able = [p for p in group.peers if p.entry.id not in avoid and self._has_place(p.entry.id)]
-        return (
-            [p for p in able if p.blocked_until <= now and not p.silent]
-            or [p for p in able if not p.silent]
-            or able
-        )
+        heard = [p for p in able if not p.silent]
+        if not heard:
+            return able
+        heard = self.trust.narrow(heard, repeatable, now)
+        return [p for p in heard if p.blocked_until <= now] or heard
 
     def _draw(self, group: Group, able: list[Peer], now: float) -> Peer:
         if len(able) == 1:
