Draw among the upstreams with an idle connection, where a part has more than 16

Change: `Tiers._near` narrows what is left after load, home and zone to upstreams with an idle connection, if there is one: each balancer keeps to as many as its own traffic needs, and widens where they are busier, gone or distrusted. Not tried: subsets by rendezvous hashing.

--- a/passpost/upstream.py
+++ b/passpost/upstream.py
@@ -588,6 +588,11 @@
         upstream = self._upstreams.get(server)
         return upstream is not None and (bool(upstream.idle) or len(upstream.open) < self._most_each)
 
+    def has_idle(self, server: str) -> bool:
+        """Whether an attempt on this upstream would most likely need no new connection."""
+        upstream = self._upstreams.get(server)
+        return upstream is not None and bool(upstream.idle)
+
     def probe(self, server: str, found: Callable[[bool], None]) -> None:
         """See whether a connection comes up, and keep it; `found` is told once, later.
 
--- a/tests/test_windvane_draw.py
+++ b/tests/test_windvane_draw.py
@@ -9,7 +9,18 @@
 
 from screen.configuration import Upstream
 from windvane.prompt import Prompt
-from windvane.tiers import AGAIN, DECODE, PREFILL, SPARE_CALLS, SPARE_TOKENS, SPOILT, SPOILT_S, Peer, Tiers
+from windvane.tiers import (
+    AGAIN,
+    DECODE,
+    MANY,
+    PREFILL,
+    SPARE_CALLS,
+    SPARE_TOKENS,
+    SPOILT,
+    SPOILT_S,
+    Peer,
+    Tiers,
+)
 
 SVC = "pool"
 
@@ -247,6 +258,30 @@
     assert {runner(made, zone="a") for _ in range(20)} == {"y"}
 
 
+def test_of_many_upstreams_those_with_an_idle_connection_are_drawn_while_they_are_not_busier() -> None:
+    """With 80 balancers and 70 upstreams the price of new connections was the largest of a quiet day."""
+    names = [f"u{n:02}" for n in range(20)]
+    idle = {"u03", "u07"}
+    made = Tiers(random.Random(1), lambda name: True, "a", lambda name: name in idle)
+    made.take(tuple(entry(name, DECODE) for name in names), 0.0)
+    assert {runner(made) for _ in range(100)} == idle
+    made.others = lambda name: (9, 0) if name == "u03" else (0, 0)
+    assert {runner(made) for _ in range(100)} == {"u07"}
+    made.others = lambda name: (9, 0) if name in idle else (0, 0)
+    assert len({runner(made) for _ in range(300)}) == 18  # they are busier: to the others
+    made.others = lambda name: (0, 0)
+    idle.clear()
+    assert len({runner(made) for _ in range(300)}) == 20
+
+
+def test_of_few_upstreams_each_is_drawn_whatever_connections_there_are() -> None:
+    """Found on the small sites: fc-kitchen-line's scale-1 fell from 0.83 to 0.72."""
+    names = [f"u{n:02}" for n in range(MANY)]
+    made = Tiers(random.Random(1), lambda name: True, "a", lambda name: name == "u03")
+    made.take(tuple(entry(name, DECODE) for name in names), 0.0)
+    assert len({runner(made) for _ in range(300)}) == MANY
+
+
 def test_without_phases_any_upstream_runs() -> None:
     made = tiers(entry("x", phase=""))
     assert not made.is_split(SVC) and runner(made) == "x"
--- a/windvane/balancer.py
+++ b/windvane/balancer.py
@@ -97,7 +97,7 @@
         self.load_changed: Callable[[], None] = _nothing
         self._tell_kept: Callable[[bytes, str], None] | None = None
         self.other_calls: readiness.Other | None = None  # at the address of readiness
-        self.tiers = Tiers(self._chance, self.upstreams.has_place, settings.zone)
+        self.tiers = Tiers(self._chance, self.upstreams.has_place, settings.zone, self.upstreams.has_idle)
         self.standing = Standing(self.tiers, self.upstreams)
         self._max_open = files - to_upstreams
         self._server: Server | None = None
--- a/windvane/tiers.py
+++ b/windvane/tiers.py
@@ -27,6 +27,7 @@
 ITSELF = 10.0
 AGAIN = 10  # times as much as others a shared token weighs that would be read again
 SPARE_TOKENS = 2_000  # to be read above the least of the others: with more an upstream is not drawn
+MANY = 16  # upstreams of a part: of more, a balancer keeps to those that it has connections to
 BUSIER, SPARE_CALLS = 1.25, 3  # the same for calls, where they run
 
 # The choice asks its settings for what cold servers can bear; `cold_left_ms` is not held against them.
@@ -129,8 +130,16 @@
 class Tiers:
     """All upstreams of the list, by service and part."""
 
-    def __init__(self, chance: random.Random, has_place: Callable[[str], bool], zone: str = "") -> None:
+    def __init__(
+        self,
+        chance: random.Random,
+        has_place: Callable[[str], bool],
+        zone: str = "",
+        has_idle: Callable[[str], bool] | None = None,
+    ) -> None:
+        """`has_idle`: whether we have an idle connection there; a new one is dear."""
         self._chance, self._has_place = chance, has_place
+        self._has_idle = has_idle or has_place
         self.trust = Trust(zone, self._size)
         self.others: Callable[[str], tuple[int, int]] = _unknown  # others' calls and tokens at an upstream
         self._peers: dict[str, Peer] = {}
@@ -192,7 +201,9 @@
         """The prefill upstream that reads a prompt: where that takes least, the subject's home first."""
         group = self._groups.get((service, PREFILL))
         able = self._able(group, avoid, now)
-        return self._draw(group, self._readers(able, prompt), now) if group is not None and able else None
+        if group is None or not able:
+            return None
+        return self._draw(group, self._near(group, self._readers(able, prompt)), now)
 
     def pick_runner(
         self,
@@ -220,7 +231,18 @@
         calls = [p.server.in_flight + self.others(p.entry.id)[0] for p in able]
         most = min(calls) * BUSIER + SPARE_CALLS
         able = [p for p, held in zip(able, calls, strict=True) if held <= most]
-        return self._draw(group, [p for p in able if p.entry.zone == zone] or able, now)
+        able = [p for p in able if p.entry.zone == zone] or able
+        return self._draw(group, self._near(group, able), now)
+
+    def _near(self, group: Group, able: list[Peer]) -> list[Peer]:
+        """Of many upstreams those of `able`, about equally loaded, that we have idle connections to.
+
+        So each of many balancers keeps to a few, and goes to others as far as those are busier, gone or
+        distrusted. Of few upstreams a balancer reaches all often enough.
+        """
+        if len(group.peers) <= MANY:
+            return able
+        return [p for p in able if self._has_idle(p.entry.id)] or able
 
     def _readers(self, able: list[Peer], prompt: Prompt) -> list[Peer]:
         """Those of `able` (not empty) that have read a prompt soonest, shared parts at home or where kept."""
