--- a/barograph/herald.py
+++ b/barograph/herald.py
@@ -17,6 +17,7 @@
 from screen.wire import EDITION, Link
 from sonde.bulletin import Bulletin
 from sonde.counting import COUNT_S
+from sonde.doubts import DoubtSum
 from sonde.feed import Feed
 from sonde.follower import PULSE_S
 from sonde.holdings import Holdings
@@ -26,6 +27,9 @@
 from sonde.messages import (
     Attach,
     ConfigurationNews,
+    Doubt,
+    DoubtNews,
+    DoubtReport,
     HoldingNews,
     HoldingReport,
     LoadNews,
@@ -59,6 +63,7 @@
         self._feed = Feed(self.bulletin, links.kinds, lambda: None)
         self._loads = LoadSum(dict, self._loaded, self._stepped, self._feed.has_earlier)
         self._load_number = 0  # of the last step that was told
+        self._doubts = DoubtSum(dict, self._doubted)
         self._holdings = Holdings()
         self._entries: list[dict[str, Any]] = []  # of the platform's list
         self._dressed: list[dict[str, Any]] = []  # the same as balancers are to see it,
@@ -114,6 +119,7 @@
             self._first_epoch = view.epoch
             self.take_overs += 1
             self.bulletin.forget_loads()
+            self.bulletin.forget_doubts()
         self._view = view
         if view is not None:
             self._leads.set()
@@ -122,6 +128,7 @@
         if view is not None:
             self._tell(MemberNews(view.epoch, self._next(), self._members(), self._cores(view)))
             self._hear_waiting()
+            self._doubts.again()
             self._loads.again()  # what was reported while nobody led was told to nobody
 
     def committed(self, document: Document) -> None:
@@ -163,6 +170,8 @@
             case LoadReportStep():
                 if not self._loads.report_step(link, message):
                     link.close()  # it comes back, and tells all
+            case DoubtReport():
+                self._doubts.report(link, message)
             case HoldingReport(holdings):
                 if new := self._holdings.add(holdings):
                     self._feed.tell(HoldingNews(new))
@@ -182,6 +191,7 @@
         self._waiting.pop(link, None)
         self._feed.ended(link)
         self._loads.forget(link)
+        self._doubts.forget(link)
 
     def _loaded(self, loads: tuple[UpstreamLoad, ...]) -> None:
         """The sum of all loads has changed: all of it, for those of an earlier edition."""
@@ -196,6 +206,11 @@
             if self.bulletin.step(step) is not None:
                 self._feed.tell(step)
 
+    def _doubted(self, doubts: tuple[Doubt, ...]) -> None:
+        """What all together hold against upstreams has changed."""
+        if self._view is not None:
+            self._tell(DoubtNews(self._view.epoch, self._next(), doubts))
+
     def _next(self) -> int:
         self._number += 1
         return self._number
--- a/sonde/bulletin.py
+++ b/sonde/bulletin.py
@@ -7,9 +7,9 @@
 from screen.errors import GapError
 from sonde.load_steps import Loads, LoadTable
 from sonde.loads import pack
-from sonde.messages import ConfigurationNews, LoadNews, LoadStep, MemberNews, Pulse, UpstreamNews
+from sonde.messages import ConfigurationNews, DoubtNews, LoadNews, LoadStep, MemberNews, Pulse, UpstreamNews
 
-News = ConfigurationNews | UpstreamNews | MemberNews | Pulse | LoadNews | LoadStep
+News = ConfigurationNews | UpstreamNews | MemberNews | Pulse | LoadNews | LoadStep | DoubtNews
 
 
 class Bulletin:
@@ -22,6 +22,7 @@
         self.pulse: Pulse | None = None
         self.loads: LoadNews | None = None  # from whoever tells them whole,
         self.table: LoadTable | None = None  # or from whoever tells steps
+        self.doubts: DoubtNews | None = None
 
     def take(self, message: Any) -> bool:
         """Keep a message if it is newer than what we have; whether it was."""
@@ -46,6 +47,10 @@
                 if not _is_newer(message, self.table or self.loads):
                     return False
                 self.loads, self.table = message, None
+            case DoubtNews():
+                if not _is_newer(message, self.doubts):
+                    return False
+                self.doubts = message
             case _:
                 return False
         return True
@@ -96,9 +101,13 @@
             loads = LoadStep(self.table.epoch, self.table.number, 0, *self.table.whole())
         else:
             loads = self.loads_whole()
-        found += [news for news in (self.members, self.pulse, loads) if news is not None]
+        found += [news for news in (self.members, self.pulse, loads, self.doubts) if news is not None]
         return found
 
+    def forget_doubts(self) -> None:
+        """What was held against upstreams under another primary is told anew by those who hold it."""
+        self.doubts = None
+
     def forget_loads(self) -> None:
         """What was told of others' work is no use any more; the same sums are news when they come again."""
         self.loads = self.table = None
--- a/sonde/follower.py
+++ b/sonde/follower.py
@@ -17,6 +17,7 @@
 from sonde.messages import (
     Attach,
     ConfigurationNews,
+    DoubtNews,
     HoldingNews,
     LoadNews,
     LoadStep,
@@ -111,7 +112,7 @@
                 self._told(message, None)
             case HoldingNews():
                 self._told(message, None)
-            case ConfigurationNews() | UpstreamNews() | MemberNews() | LoadNews():
+            case ConfigurationNews() | UpstreamNews() | MemberNews() | LoadNews() | DoubtNews():
                 if self._bulletin.take(message):
                     self._told(message, None)
             case UpstreamChange() | LoadStep():
--- a/sonde/messages.py
+++ b/sonde/messages.py
@@ -36,6 +36,16 @@
     upstream: str
 
 
+@dataclass(frozen=True, slots=True)
+class Doubt:
+    """So many balancers of a zone saw so many failures at an upstream in the last seconds."""
+
+    upstream: str
+    zone: str
+    balancers: Int32
+    failures: Int32
+
+
 @KINDS.declare(100)
 @dataclass(frozen=True, slots=True)
 class Attach:
@@ -189,3 +199,21 @@
     base: int
     names: tuple[str, ...]
     figures: tuple[int, ...]
+
+
+@KINDS.declare(116, nested=(Doubt,))
+@dataclass(frozen=True, slots=True)
+class DoubtReport:
+    """What a balancer and all below it hold against upstreams; what is not named is in good standing."""
+
+    doubts: tuple[Doubt, ...]
+
+
+@KINDS.declare(117, nested=(Doubt,))
+@dataclass(frozen=True, slots=True)
+class DoubtNews:
+    """What all balancers together hold against upstreams."""
+
+    epoch: int
+    number: int
+    doubts: tuple[Doubt, ...]
--- a/station/balancing.py
+++ b/station/balancing.py
@@ -19,6 +19,7 @@
 from sonde import messages
 from sonde.bulletin import Bulletin
 from sonde.counting import Headcount
+from sonde.doubts import DoubtExchange
 from sonde.feed import Feed
 from sonde.follower import STALE_S, Follower
 from sonde.holdings import Holdings
@@ -26,6 +27,8 @@
 from sonde.messages import (
     Attach,
     ConfigurationNews,
+    DoubtNews,
+    DoubtReport,
     Holding,
     HoldingNews,
     HoldingReport,
@@ -81,6 +84,7 @@
             self._loads.sum.begin_steps,
             secrets.randbits(32),
         )
+        self._doubts = DoubtExchange(self.balancer, self._bulletin, self._follower.say)
         calls_s = settings.cloud_api.rate_per_s * SHARE
         self._platform = PlatformList(parse_address(settings.cloud_api.addr), calls_s)
         self._tasks: list[asyncio.Task[None]] = []
@@ -170,6 +174,8 @@
                 link.send(Speaks(EDITION, b""))
             case LoadReport() | LoadReportStep():
                 self._loads.heard_below(link, message)
+            case DoubtReport():
+                self._doubts.sum.report(link, message)
             case HoldingReport(holdings):
                 self._say_later(self._hold(holdings))
 
@@ -177,6 +183,7 @@
         self._follower.ended(link)
         self._feed.ended(link)
         self._loads.sum.forget(link)
+        self._doubts.sum.forget(link)
 
     # ---- what upstreams have read
 
@@ -206,6 +213,7 @@
     def _attached(self) -> None:
         """Whoever tells us the news from now on knows nothing of us yet."""
         self._loads.sum.again()
+        self._doubts.sum.again()
         self._follower.say(HoldingReport(self._holdings.seen()))
 
     def _told(self, message: Any, new: Any = None) -> None:
@@ -216,6 +224,9 @@
                 self._list(message)
             case LoadNews() | LoadStep():
                 self._loads.heard(message, new)
+            case DoubtNews():
+                self._feed.tell(message)
+                self._doubts.told(message)
             case HoldingNews(holdings):
                 self._hold(holdings)
             case ConfigurationNews(ver, body):
@@ -223,6 +234,7 @@
                 self._configure(ver, body)
             case Pulse():
                 self._feed.tell(message)
+                self._doubts.pulsed(message)
                 if number := self._headcount.take(message, asyncio.get_running_loop().time()):
                     self.balancer.count_balancers(number)
             case _:
@@ -273,6 +285,7 @@
             if not self._follower.is_fresh():
                 self._others.clear()
                 self._bulletin.forget_loads()
+                self._doubts.lost()
             if self._follower.is_fresh(ALONE_S) or self._bulletin.configuration is None:
                 next_list = None
                 continue
--- a/tests/test_windvane_pair.py
+++ b/tests/test_windvane_pair.py
@@ -80,6 +80,18 @@
     assert wallet.left == 98
 
 
+def test_a_broken_read_that_was_not_taken_up_is_paid_for() -> None:
+    """Found on a day of nine upstreams in ten that reset all: 2 arrivals beyond the first, 1 paid."""
+    wallet = Wallet(1)
+    made = pair(tries=1, wallet=wallet)
+    made.first(split=True)
+    assert made.read_ended(End.BROKEN) == Run(None)
+    assert wallet.left == 0
+    made = pair(tries=2, wallet=wallet)
+    made.first(split=True)
+    assert made.read_ended(End.BROKEN) == Refuse()  # nothing more may arrive
+
+
 def test_a_broken_read_may_not_have_been_taken_up_and_the_run_after_it_is_paid() -> None:
     """Day drawn-0009 of tin-shed: slack 12, no ratio, upstreams that reset what they are sent: BUDGET."""
     made = pair(tries=1, wallet=Wallet(0))
