--- a/barograph/codec.py
+++ b/barograph/codec.py
@@ -13,8 +13,11 @@
 
 
 def member_of(raw: Any) -> Member:
-    """A member."""
-    return raw if isinstance(raw, Member) else Member(**raw)
+    """A member; raises ValueError on a port that is none, which could not be written again."""
+    member = raw if isinstance(raw, Member) else Member(**raw)
+    if not 0 <= member.port < 65536:
+        raise ValueError(f"port {member.port} is none")
+    return member
 
 
 def view_of(raw: Any) -> View | None:
--- a/tests/test_fuzz_found.py
+++ b/tests/test_fuzz_found.py
@@ -8,9 +8,13 @@
 
 import pytest
 
+from barograph.codec import revive
+from barograph.messages import KINDS, Known
 from barograph.platform import PlatformError, PlatformList
+from barograph.views import Member, View
 from passpost.http1 import Answer
 from screen.checking import parse_upstreams
+from screen.wire import FrameReader
 from station import asking, draining, fleet_status
 from station.answers import is_status
 from station.wrong import UnansweredError
@@ -59,6 +63,17 @@
     assert len(asking.Answer(400, {}, json.dumps({"error": "x" * 9999}).encode(), "c").words()) == 500
 
 
+@pytest.mark.parametrize("port", [-1, 65536, 2**31, 2**40])
+def test_a_member_at_a_port_that_is_none_is_refused_as_it_could_not_be_told_again(port: int) -> None:
+    view = View(3, 0, (0,), (Member("m0", "core-1", "10.0.0.1", 7720, "", "a"),))
+    (frame,) = FrameReader().feed(KINDS.encode(Known("m0", "m1", view, 3)))
+    known = KINDS.decode(frame.number, frame.body)
+    assert revive(known).view == view
+    known.view["members"][0]["port"] = port  # as Avro's reader gives it, whatever its type is
+    with pytest.raises(ValueError, match="is none"):
+        revive(known)
+
+
 def test_drains_in_a_body_that_is_nested_without_end_drain_nobody() -> None:
     assert not draining.is_drained(b'{"drained": ' + DEEP, "edge-1")
 
