--- a/station/commands.py
+++ b/station/commands.py
@@ -367,7 +367,20 @@
 
 
 def main(words: list[str]) -> int:
-    """Carry out a command; the result is its exit code. A wrong call is told in one line."""
+    """Carry out a command; the result is its exit code. Whoever reads it may have enough early."""
+    try:
+        code = _carry_out(words)
+        sys.stdout.flush()
+    except BrokenPipeError:
+        os.dup2(
+            os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno()
+        )  # nothing is left to be flushed at the end
+        return DONE
+    return code
+
+
+def _carry_out(words: list[str]) -> int:
+    """A wrong call is told in one line."""
     given = _flags()
     if "--help" in words:
         print(USAGE)
--- a/tests/test_station_cli_commands.py
+++ b/tests/test_station_cli_commands.py
@@ -148,6 +148,24 @@
     assert "config put FILE" in capsys.readouterr().out
 
 
+@pytest.mark.parametrize("words", [["status", "--help"], ["config", "check", "good.json"]])
+def test_a_reader_that_has_enough_is_no_fault(words: list[str], tmp_path: Path) -> None:
+    (tmp_path / "good.json").write_bytes(configuration(7))
+    reads, writes = os.pipe()
+    os.close(reads)
+    with os.fdopen(writes, "w") as pipe:
+        done = subprocess.run(
+            [sys.executable, "-m", "station", *words],
+            cwd=tmp_path,
+            env=os.environ | {"PYTHONPATH": str(ROOT)},
+            stdout=pipe,
+            stderr=subprocess.PIPE,
+            text=True,
+            check=False,
+        )
+    assert (done.returncode, done.stderr) == (0, "")
+
+
 def test_whoever_does_not_answer_is_named(capsys: pytest.CaptureFixture[str]) -> None:
     assert run("config", "get", "--ctl=127.0.0.1:1", "--within_s=0.1") == 1
     assert "none of 127.0.0.1:1 gives a clear answer to GET /api/config within 0.1 s; see that" in (
