--- a/tests/test_screen_strangers.py
+++ b/tests/test_screen_strangers.py
@@ -111,6 +111,14 @@
         news.Roll("x", (news.Present("x", "10.9.9.9", "hall-a"),)),
         news.LoadReport((news.UpstreamLoad("i-1", 2**31 - 1, 2**31 - 1),)),
         news.LoadNews(big, big, (news.UpstreamLoad("i-1", -5, -5),)),
+        news.Speaks(-1, b""),
+        news.Speaks(2**31 - 1, b"x" * 1_000),
+        news.UpstreamChange(big, big, b"", b"", b"no list", ["i-1"]),
+        news.UpstreamChange(1, big, b"", b"x", b'[{"id": 5}, 7]', []),
+        news.LoadStep(big, big, 0, ["i-1"], [0, -5, -5]),
+        news.LoadStep(big, 5, 4, [], [2**40, 1, 1, 7]),
+        news.LoadReportStep(big, 0, ["i-1"], [0, 2**62, 2**62]),
+        news.LoadReportStep(5, 4, [], [9, 9, 9]),
         news.Attach("", "", "", -1, -1, -1),
     ]
 
