Show how wrong balancers are about each other's calls, before and with steps

Need: sums of load are bounded in bytes, so what has to be shown is how old they are: a table of what balancers know against what is so. The peak in the budget's table is of the largest fleet that was measured.

--- a/mastturn/capacity/remedies.py
+++ b/mastturn/capacity/remedies.py
@@ -90,9 +90,9 @@
         Remedy("configuration", "the routes that changed (two, say)",
                changes * (2 * route + CHANGE_B),
                "a digest to be checked; whole for whoever comes"),
-        Remedy("members", "today: whole at each change, a balancer's start and end",
+        Remedy("members", "whole at each change, a balancer's start and end",
                budget.MEMBER_CHANGES / budget.DAY_S * bytes_of("members", TARGET.balancers), ""),
-        Remedy("members", "a rolling restart of all, today: with each pulse",
+        Remedy("members", "a rolling restart of all: with each pulse",
                bytes_of("members", TARGET.balancers) / PULSE_S, "for as long as that goes on"),
     ]  # fmt: skip
 
--- a/mastturn/capacity/tables.py
+++ b/mastturn/capacity/tables.py
@@ -83,6 +83,24 @@
     return rows(["middle / busiest or longest", "30", "100", "300", "power of the busiest"], body)
 
 
+def _wrong(folder: Path) -> list[str]:
+    """How far off balancers are about each other's calls, before the steps and with them."""
+    body = []
+    for where in (folder / "before", folder):
+        for path in sorted(where.glob("fleet-*.json"), key=lambda p: int(p.stem.split("-")[1])):
+            figures = json.loads(path.read_text(encoding="utf-8"))
+            busy = figures["phases"].get("busy", {})
+            if "wrong" in busy and not figures["charge"]:
+                wrong = busy["wrong"]
+                inward = rate(figures, "busy", "leaf", "got_bytes") / 1000
+                size, when = figures["shape"]["balancers"], "before" if where != folder else "with steps"
+                body.append(
+                    [f"{size}", when, figure(inward), figure(wrong["reading"]), figure(wrong["answering"])]
+                )
+    head = ["balancers", "", "kB/s into a balancer", "wrong of readers' calls", "of answering ones'"]
+    return rows(head, body)
+
+
 def _prices(folder: Path) -> list[str]:
     parts = read(folder, "parts")
     wanted = [
@@ -286,7 +304,8 @@
 def _measured_peak(folder: Path) -> dict[str, float]:
     """What a hollow fleet of the target's size spent at its peak, by the part of the budget."""
     found: dict[str, float] = {}
-    for figures in read_fleets(folder).get(HELD_OUT, []):
+    fleets = read_fleets(folder)
+    for figures in fleets[max(fleets)] if fleets else []:
         for role, words in (("leaf", "a balancer that tells nobody"), ("head", "a relay")):
             both = rate(figures, "busy", role, "got_bytes") + rate(figures, "busy", role, "sent_bytes")
             found[f"bytes a second, {words}"] = both
@@ -301,7 +320,14 @@
     for name, value, bound, verdict in found:
         measured = figure(peak[name]) if name in peak else "-"
         body.append([name, figure(value), measured, figure(bound), verdict])
-    head = ["control at one balancer", "foreseen by prices", "measured at 350, peak", "budget", "foreseen"]
+    size = max(read_fleets(folder), default=TARGET.balancers)
+    head = [
+        "control at one balancer",
+        "foreseen by prices",
+        f"measured at {size}, peak",
+        "budget",
+        "foreseen",
+    ]
     return rows(head, body)
 
 
@@ -472,6 +498,7 @@
 
 TABLES: dict[str, Table] = {
     "sweep": _sweep_table,
+    "wrong": _wrong,
     "roles": _roles,
     "prices": _prices,
     "links": _links,
