Hold the emulator's order, idle phase and look at beliefs by tests

Need: the network's order was mended without a test; the phases 'idle' and what balancers believe are new. The times table names earlier revisions.

--- a/mastturn/capacity/tables.py
+++ b/mastturn/capacity/tables.py
@@ -375,14 +375,15 @@
 
 def _times(folder: Path) -> list[str]:
     body = []
-    for size, found in sorted(read_fleets(folder, charged=True).items()):
+    earlier, now = read_fleets(folder / "before", charged=True), read_fleets(folder, charged=True)
+    for size, found in [*sorted(earlier.items()), *sorted(now.items())]:
         for figures in found:
             phases = figures["phases"]
             busy = phases["busy configuration"]
             late = f"{busy['missing']} of {size} not within {BUDGET.in_force_s:.0f} s"
             body.append(
                 [
-                    f"{size}",
+                    f"{size}, {'now' if figures in now.get(size, []) else figures['run']['revision']}",
                     figure(phases["boot"]["ready_s"]),
                     figure(phases["boot"]["tree_s"]),
                     figure(_core_mb(phases["boot"])),
@@ -395,7 +396,7 @@
                 ]
             )
     head = [
-        "balancers",
+        "balancers, revision",
         "all ready after a start, s",
         "tree stands, s",
         "MB out of the core at the start",
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -161,7 +161,8 @@
 
 def test_a_hollow_fleet_plays_its_day(small_day: dict[str, Any]) -> None:
     phases = small_day["phases"]
-    assert list(phases) == ["boot", "quiet", "configuration", "list", "restart", "busy", "busy configuration"]
+    order = ["boot", "quiet", "idle", "configuration", "list", "restart", "busy", "busy configuration"]
+    assert list(phases) == order
     roles = phases["quiet"]["roles"]
     assert roles["primary"]["programs"] == roles["backup"]["programs"] == roles["witness"]["programs"] == 1
     assert sum(roles[r]["programs"] for r in ("head", "relay", "leaf") if r in roles) == SMALL.balancers
@@ -196,6 +197,41 @@
     assert busy["seconds"] / 0.1 < heard <= busy["seconds"] / 0.04 + 1
 
 
+def test_what_balancers_believe_of_each_other_is_held_against_what_is_so(small_day: dict[str, Any]) -> None:
+    """A small fleet's changes all fit: what is wrong is what has changed since the last step."""
+    wrong = small_day["phases"]["busy"]["wrong"]
+    assert set(wrong) == {"reading", "answering"}
+    assert 0.0 < wrong["answering"] < 0.1 and wrong["reading"] < 0.6
+
+
+def test_idle_processes_are_measured_with_empty_caches(small_day: dict[str, Any]) -> None:
+    quiet, idle = (small_day["phases"][name] for name in ("quiet", "idle"))
+    assert idle["seconds"] == 10.0 and idle["roles"]["backup"]["got"]["Beat"] >= 50
+    cpu = [sum(p["roles"]["backup"]["cpu"].values()) / p["seconds"] for p in (quiet, idle)]
+    assert cpu[1] > cpu[0]
+
+
+def test_what_is_sent_at_one_moment_arrives_in_order() -> None:
+    """Found by the first runs with changes: two messages of one moment could change places."""
+    loop = Loop()
+    got: list[bytes] = []
+
+    class Reader(asyncio.Protocol):
+        def data_received(self, data: bytes) -> None:
+            got.append(data)
+
+    async def day() -> None:
+        await loop.create_server(Reader, "10.0.0.1", 7720)
+        transport, _ = await loop.create_connection(asyncio.Protocol, "10.0.0.1", 7720)
+        for number in range(200):
+            transport.write(b"%d" % number)
+        await asyncio.sleep(1.0)
+
+    loop.run_until_complete(day())
+    loop.close()
+    assert got == [b"%d" % number for number in range(200)]
+
+
 def test_work_takes_time_on_a_charged_fleet() -> None:
     shape = dataclasses.replace(SMALL, balancers=4)
     free, charged = (run_day(shape, 0.2, charge, 0.0, 1) for charge in (0.0, 20.0))
