--- a/mastturn/capacity/pictures.py
+++ b/mastturn/capacity/pictures.py
@@ -8,7 +8,7 @@
 from matplotlib.axes import Axes
 from matplotlib.figure import Figure
 
-from mastturn.capacity.foreseen import Figures, per_change, rate, shape_of, told_entries
+from mastturn.capacity.foreseen import Figures, per_change, rate, shape_of, steps_down
 from mastturn.capacity.shapes import BUDGET, FITTED, HELD_OUT
 from mastturn.capacity.slopes import fit
 
@@ -54,7 +54,7 @@
 
         _draw(low, _points(fleets, cpu), f"{words}, peak", color)
     fitted = [
-        (told_entries(shape_of(n)), 100 * rate(f, "busy", "leaf", "cpu"))
+        (steps_down(shape_of(n)), 100 * rate(f, "busy", "leaf", "cpu"))
         for n in FITTED
         for f in fleets.get(n, [])
     ]
@@ -63,7 +63,7 @@
         sizes = range(30, 401, 10)
         low.plot(
             list(sizes),
-            [line.at(told_entries(shape_of(n))) for n in sizes],
+            [line.at(steps_down(shape_of(n))) for n in sizes],
             color=FIRST,
             ls=":",
             label=f"foreseen from up to {max(FITTED)}",
@@ -132,9 +132,9 @@
     figure = Figure(figsize=(WIDTH_IN, 4.0), layout="constrained")
     axes = figure.subplots()
     for phase, kind, label, color in (
-        ("list", "UpstreamNews", "an upstream changes: the list, whole", SECOND),
-        ("configuration", "ConfigurationNews", "a configuration, whole", FIRST),
-        ("restart", "MemberNews", "a balancer restarts: members, each time whole", THIRD),
+        ("list", "UpstreamChange", "an upstream changes: its entry", SECOND),
+        ("configuration", "ConfigurationNews", "a configuration, whole, compressed", FIRST),
+        ("restart", "MemberNews", "a balancer restarts: members, each time whole, compressed", THIRD),
     ):
         _draw(
             axes,
