--- a/mastturn/engines/balancer.py
+++ b/mastturn/engines/balancer.py
@@ -8,12 +8,13 @@
 from typing import Any
 
 from mastturn.engines.demand import Asked
-from mastturn.engines.engine import Engine, Job
-from mastturn.engines.wire import Network, SimulatedUpstreams, extra
+from mastturn.engines.engine import Engine, Figures, Job
+from mastturn.engines.wire import HEAD_BYTES, Network, SimulatedUpstreams, extra
+from passpost.upstream import Outgoing
 from screen.configuration import Configuration, Upstream
 from screen.settings import Bounds, CloudApi, Limits, Settings
 from sonde.holdings import Holdings
-from sonde.loads import Loads, LoadSum, OthersLoad
+from sonde.loads import ENTRY_BYTES, Loads, LoadSum, OthersLoad
 from sonde.messages import Holding, HoldingNews, HoldingReport, LoadNews, LoadReport, UpstreamLoad
 from station.balancing import HOLDINGS_S
 from windvane.balancer import Balancer
@@ -25,6 +26,16 @@
 MakeTiers = Callable[[random.Random, Callable[[str], bool]], Tiers]
 
 
+PACKET_BYTES, HOLDING_BYTES = 60, 30  # of a message of news beside its entries; of an entry
+
+
+def size_of(message: Any) -> int:
+    """Bytes of a message of news, about."""
+    if isinstance(message, LoadNews | LoadReport):
+        return PACKET_BYTES + ENTRY_BYTES * len(message.loads)
+    return PACKET_BYTES + HOLDING_BYTES * len(message.holdings)
+
+
 class DataPlane(Balancer):
     """The real one, on simulated connections and with a chooser that can be replaced."""
 
@@ -47,7 +58,9 @@
         slack: float,
         tiers: MakeTiers,
         engine_at: Callable[[str], Engine | None],
+        figures: Figures,
     ) -> None:
+        self._figures = figures
         self.name, self.zone, self.network, self._engine_at = name, zone, network, engine_at
         self._seed, self._handshake_ms, self._tiers = seed, handshake_ms, tiers
         self._settings = Settings(
@@ -70,7 +83,9 @@
 
     def _begin(self) -> None:
         self._asked: dict[bytes, Asked] = {}
-        self.upstreams = SimulatedUpstreams(self.zone, self.network, self._handshake_ms, self._job)
+        self.upstreams = SimulatedUpstreams(
+            self.zone, self.network, self._handshake_ms, self._job, self._size_of, self._figures
+        )
         self.plane = DataPlane(self._settings, self._seed, self.upstreams, self._tiers)
         self._others = OthersLoad()
         self.loads = LoadSum(self._own, self._loaded)
@@ -135,6 +150,11 @@
             source=source,
         )
 
+    def _size_of(self, request: Outgoing) -> float:
+        """Bytes of a request."""
+        asked = self._asked.get(request.request_id) if isinstance(request, Staged) else None
+        return HEAD_BYTES + (asked.kind.req_bytes.mean if asked is not None else 0.0)
+
     # ---- the control side
 
     def configure(self, configuration: Configuration) -> None:
@@ -198,10 +218,12 @@
     def _say(self, message: Any) -> None:
         parent = self.parent
         if parent is not None and self.up:
+            self._figures.crossed += size_of(message) * (parent.zone != self.zone)
             asyncio.get_running_loop().call_later(self.way_to(parent), parent.heard, self, message)
 
     def _tell(self, message: Any) -> None:
         for child in self.children:
+            self._figures.crossed += size_of(message) * (child.zone != self.zone)
             asyncio.get_running_loop().call_later(self.way_to(child), child.told, message)
 
     def heard(self, child: Node, message: Any) -> None:
@@ -248,8 +270,8 @@
 class Root:
     """The primary of the control state: sums of load, what was read, and the list as it is told."""
 
-    def __init__(self, zone: str, network: Network) -> None:
-        self.zone, self._network = zone, network
+    def __init__(self, zone: str, network: Network, figures: Figures) -> None:
+        self.zone, self._network, self._figures = zone, network, figures
         self.children: list[Node] = []
         self.loads = LoadSum(dict, self._loaded)
         self.loaded_by: dict[str, tuple[int, int]] = {}
@@ -271,4 +293,5 @@
     def _tell(self, message: Any) -> None:
         loop = asyncio.get_running_loop()
         for child in self.children:
+            self._figures.crossed += size_of(message) * (child.zone != self.zone)
             loop.call_later(self._network.way(self.zone, child.zone), child.told, message)
--- a/mastturn/engines/engine.py
+++ b/mastturn/engines/engine.py
@@ -62,7 +62,6 @@
     seen: int = 0  # tokens of it that are there
     written: int = 0  # tokens of the answer
     held: tuple[Part, ...] = ()
-    fetched: bool = False
     over: bool = False
     had: int = 0  # shared parts that were there when it was let in
     run: int = 0  # counts admissions, so that what was due before a preemption is dropped
@@ -101,6 +100,7 @@
     preempted: int = 0
     rejected: int = 0
     orders: int = 0
+    crossed: float = 0.0  # bytes between zones, of requests, answers and news
     known: set[str] = field(default_factory=set)  # shared parts that were read
 
 
@@ -137,7 +137,8 @@
         self.serial += 1
         self.memory = Memory(self._llm.kv_tokens, self._llm.block)
         self.handles: dict[str, Handle] = {}
-        self.waiting: list[tuple[int, int, Job]] = []
+        self.waiting: list[tuple[int, int, Job]] = []  # whose prompts are to be read
+        self.arrived: list[tuple[int, int, Job]] = []  # whose memory has been fetched
         self.reading: list[Job] = []
         self.running: dict[str, Job] = {}
         self._fetching: set[Job] = set()
@@ -158,8 +159,7 @@
         if self.switching:
             self._reject(job, SWITCHING)
             return
-        out = len(self.waiting) + len(self.reading) + len(self.running) + len(self._fetching)
-        if out >= self._service.slots + self._service.queue or not self.memory.fits_ever(job.tokens):
+        if self._out() >= self._service.slots + self._service.queue or not self.memory.fits_ever(job.tokens):
             self._reject(job, FULL)
             return
         self._seq += 1
@@ -169,6 +169,11 @@
         else:
             self._let_wait(job)
 
+    def _out(self) -> int:
+        """Calls that are here."""
+        queues = len(self.waiting) + len(self.arrived) + len(self._fetching)
+        return queues + len(self.reading) + len(self.running)
+
     def drop(self, job: Job) -> None:
         """The caller has closed the connection."""
         if not job.over:
@@ -219,8 +224,8 @@
             return
         self._fetching.discard(job)
         if not job.over:
-            job.fetched = True
-            self._let_wait(job)
+            heapq.heappush(self.arrived, (job.priority, job.seq, job))
+            self._wake()
 
     def let_go(self, ref: str, handle: Handle) -> None:
         """A handle was fetched, freed or has lapsed."""
@@ -251,34 +256,42 @@
         if not self._stepping and not self.down:
             self._begin_step()
 
-    def _admit(self, now: float) -> None:
-        while self.waiting and len(self.running) + len(self.reading) < self._llm.batch:
-            _, _, job = self.waiting[0]
-            if job.over:
-                heapq.heappop(self.waiting)
-                continue
-            if now >= job.ends:
-                heapq.heappop(self.waiting)
+    def _admit(self, now: float, room: int) -> None:
+        """Let the most urgent in: whose memory is here, and prompts while a piece has room for more of them."""
+        while (job := self._next(self.arrived, now)) is not None:
+            if not self._hold(job, self.arrived):
+                break
+            self.memory.read(job.held)
+            self._run(job)
+        room -= sum(job.left for job in self.reading)
+        while room > 0 and (job := self._next(self.waiting, now)) is not None:
+            job.had, kept = self.memory.kept(job.chain)
+            if not self._hold(job, self.waiting):
+                break
+            # What was written before is read as well.
+            job.left, job.seen = job.tokens - kept + job.after * self._llm.stride, kept
+            room -= job.left
+            self._figures.kept += kept
+            self.reading.append(job)
+
+    def _next(self, queue: list[tuple[int, int, Job]], now: float) -> Job | None:
+        """Who is first in a queue, if there is a place for it."""
+        while queue and len(self.running) + len(self.reading) < self._llm.batch:
+            job = queue[0][2]
+            if not job.over and now < job.ends:
+                return job
+            heapq.heappop(queue)
+            if not job.over:
                 self._reject(job, LATE)
-                continue
-            job.had, kept = (len(job.chain), job.tokens) if job.fetched else self.memory.kept(job.chain)
-            if not self.memory.hold(job.parts):
-                if self.running or self.reading or self.handles or self._fetching:
-                    return
-                heapq.heappop(self.waiting)
-                self._reject(job, FULL)
-                continue
-            heapq.heappop(self.waiting)
-            job.held, job.run = job.parts, job.run + 1
-            job.left, job.seen = job.tokens - kept, kept
-            if job.fetched:
-                job.fetched = False
-                self.memory.read(job.held)
-                self._run(job)
-            else:
-                job.left += job.after * self._llm.stride  # what was written before is read as well
-                self._figures.kept += kept
-                self.reading.append(job)
+        return None
+
+    def _hold(self, job: Job, queue: list[tuple[int, int, Job]]) -> bool:
+        """Hold the memory of who is first in a queue, and take it out; False while there is no room."""
+        if not self.memory.hold(job.parts):
+            return False
+        heapq.heappop(queue)
+        job.held, job.run = job.parts, job.run + 1
+        return True
 
     def _run(self, job: Job) -> None:
         self.running[job.name] = job
@@ -289,7 +302,8 @@
 
     def _begin_step(self) -> None:
         loop = asyncio.get_running_loop()
-        self._admit(loop.time())
+        slower, room = (1.0, self._llm.chunk) if self.phase == PREFILL else (ITSELF, self._llm.chunk // ITSELF_PIECE)
+        self._admit(loop.time(), room)
         if not self.running and not self.reading:
             self._stepping = False
             return
@@ -300,7 +314,6 @@
             ms += llm.step_ms_per_slot * len(self.running)
         done: list[Job] = []
         if self.reading:
-            slower, room = (ITSELF, llm.chunk // ITSELF_PIECE) if self.phase != PREFILL else (1.0, llm.chunk)
             for job in self.reading:
                 piece = min(job.left, room)
                 room -= piece
@@ -420,7 +433,7 @@
     def _settle(self) -> None:
         if not self.switching or self._emptied:
             return
-        if not (self.running or self.reading or self._fetching or self._beginning):
+        if not (self.running or self.reading or self._fetching or self._beginning or self.arrived):
             self._emptied = True
             loop = asyncio.get_running_loop()
             loop.call_later(self._llm.switch_s, self._switch, self.switching, self.serial)
@@ -432,7 +445,8 @@
 
     def crash(self, dark: bool) -> None:
         """It is gone, with all that it held: connections reset, or nothing is heard when `dark`."""
-        jobs = [*self.running.values(), *self.reading, *(j for _, _, j in self.waiting), *self._fetching]
+        queued = [j for _, _, j in (*self.waiting, *self.arrived)]
+        jobs = [*self.running.values(), *self.reading, *queued, *self._fetching]
         self.down, self.dark, self.switching = True, dark, ""
         self.restart()
         for job in jobs:
--- a/mastturn/engines/fleet.py
+++ b/mastturn/engines/fleet.py
@@ -90,7 +90,7 @@
             self.platform.put(engine, engine.ident, service.slots)
         self.configuration = _configuration(sheet)
         core = next((m.zone for m in sheet.machines if m.kind == "core"), sheet.machines[0].zone)
-        self.root = Root(core, self.network)
+        self.root = Root(core, self.network, self.figures)
         self.nodes = [
             Node(
                 f"edge-{m.zone}-{i + 1}",
@@ -101,6 +101,7 @@
                 sheet.bounds.budget_slack,
                 tiers,
                 self._by_address.get,
+                self.figures,
             )
             for n, m in enumerate(m for m in sheet.machines if m.kind == "front")
             for i in range(m.count)
--- a/mastturn/engines/judge.py
+++ b/mastturn/engines/judge.py
@@ -1,9 +1,10 @@
 """What a day was worth (RULES, "The score"), as far as it is modelled.
 
 Modelled: aims, late worth, sizes, a refusal and then an answer in time, the worst windows, kind and zone, and the
-prices of machines, memory of machines, calls of the list, connections, moves, prompts read for nothing, orders,
-shared parts that are read again. Not modelled: processor time, bytes between zones, the largest tenth as a kind by
-itself, refusals that come late.
+prices of machines, memory of machines, calls of the list, connections, bytes between zones,
+moves, prompts read for nothing, orders,
+shared parts that are read again. Not modelled: processor time, the largest tenth as a kind by itself, refusals that
+come late.
 """
 
 from __future__ import annotations
@@ -68,9 +69,7 @@
 
 
 def _size(sheet: Sheet, record: Record) -> float:
-    asked = record.asked
-    most = asked.kind.stream.pieces.max or asked.kind.stream.pieces.mean
-    return asked.tokens + OUT_WEIGHT * most * sheet.service.llm.stride
+    return record.asked.tokens + OUT_WEIGHT * record.asked.pieces * sheet.service.llm.stride
 
 
 def is_in_aim(record: Record, since_try: bool = False) -> bool:
@@ -152,6 +151,7 @@
         "machines": machines * span * prices.machine_s * sheet.thin,
         "memory": machines * span * MACHINE_GB * prices.memory_gb_s * sheet.thin,
         "list": calls * prices.cloud_call * sheet.thin,
+        "between zones": figures.crossed / 1e9 * prices.cross_zone_gb,
         "connections": handshakes * prices.handshake,
         "moves": figures.moved_gb * prices.kv_gb,
         "read for nothing": figures.wasted / 1000 * prices.read_waste,
--- a/mastturn/engines/sheet.py
+++ b/mastturn/engines/sheet.py
@@ -36,6 +36,7 @@
     prompt_tokens: Size
     gap_aim_ms: float = 300.0
     resume: bool = False
+    piece_bytes: Size = Size(90.0)
     chain: tuple[Part, ...] = ()
 
 
@@ -52,6 +53,7 @@
     retries: int = 0
     attempts: int = 1
     timeout_ms: float = 0.0
+    req_bytes: Size = Size(1000.0)
 
 
 class Llm(msgspec.Struct, frozen=True):
@@ -137,6 +139,7 @@
 
     machine_s: float = 0.0
     memory_gb_s: float = 0.0
+    cross_zone_gb: float = 0.0
     handshake: float = 0.0
     late_refusal: float = 0.0
     cloud_call: float = 0.0
--- a/mastturn/engines/wire.py
+++ b/mastturn/engines/wire.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
-from mastturn.engines.engine import MISPLACED, Engine, Job
+from mastturn.engines.engine import MISPLACED, Engine, Figures, Job
 from passpost.http1 import Answer, Start
 from passpost.upstream import Done, Outgoing, Sink
 from umberworks.interface import Outcome
@@ -17,6 +17,7 @@
 from windvane.wire import Staged
 
 CONNECT_S = 0.5
+HEAD_BYTES, EVENT_BYTES = 600, 180  # of a request, and of an event with its packet
 IDLE_S = 15.0  # an idle connection is closed after this
 _EXTRA = re.compile(rb"([A-Za-z-]+): ([^\r]*)\r\n")
 _FREED = re.compile(rb"DELETE /api/kv-handle/(\S+) ")
@@ -86,6 +87,7 @@
         if self._done is None:
             return
         self._sent = True
+        self._pool.crossed(self._engine, self._pool.size_of(self._request))
         self._loop.call_later(self._way, self._arrive, self._engine.serial)
 
     def _arrive(self, serial: int) -> None:
@@ -145,6 +147,7 @@
 
     def begun(self, number: int) -> None:
         """An event of the answer."""
+        self._pool.crossed(self._engine, EVENT_BYTES)
         self._back(self._event, number)
 
     def _event(self, number: int) -> None:
@@ -177,7 +180,15 @@
 class SimulatedUpstreams:
     """All engines by name, and the connections to them."""
 
-    def __init__(self, zone: str, network: Network, handshake_ms: float, job: Callable[..., Job]) -> None:
+    def __init__(
+        self,
+        zone: str,
+        network: Network,
+        handshake_ms: float,
+        job: Callable[..., Job],
+        size_of: Callable[[Outgoing], float],
+        figures: Figures,
+    ) -> None:
         """`job`: what a staged request, its caller and the time of its arrival mean to an engine."""
         self.zone, self.network, self.job = zone, network, job
         self._handshake_s = handshake_ms / 1000
@@ -186,6 +197,13 @@
         self._open: dict[Engine, int] = {}
         self._most_each = math.inf
         self.handshakes = 0
+        self.figures = figures
+        self.size_of = size_of
+
+    def crossed(self, engine: Engine, size: float) -> None:
+        """So many bytes go to or come from an engine."""
+        if engine.zone != self.zone:
+            self.figures.crossed += size
 
     def know(self, engines: Mapping[str, Engine]) -> None:
         """The engines of the list, by id."""
