--- a/mastturn/engines/balancer.py
+++ b/mastturn/engines/balancer.py
@@ -74,7 +74,8 @@
             limits=Limits(max_fds=4100),
             bounds=Bounds(retry_slack=slack),
         )
-        self.up, self.frozen_until = True, 0.0
+        self.up, self.starting = True, False
+        self._at_door: list[Callable[[], None]] = []
         self.parent: Node | Root | None = None
         self.children: list[Node] = []
         self.handshakes = 0
@@ -124,6 +125,18 @@
         self._clients[name] = client
         return self.plane.take_up(call, min(left, route.deadline_ms / 1000), outgoing, client, 0.0)
 
+    def is_starting(self) -> bool:
+        """Whether the process listens, and will take requests in a moment."""
+        return self.starting
+
+    def wait(self, then: Callable[[], None]) -> None:
+        """Do that once it takes requests."""
+        self._at_door.append(then)
+
+    def listen(self) -> None:
+        """The process has started: clients wait in its socket's queue."""
+        self.starting = True
+
     def left(self, number: int) -> None:
         """A client has gone."""
         if self.up:
@@ -197,11 +210,19 @@
         self.configure(configuration)
         self.count(balancers)
         self.list_upstreams(entries)
+        self.starting = False
+        waiting, self._at_door = self._at_door, []
+        for then in waiting:
+            then()
 
     def all_handshakes(self) -> int:
         """New connections to upstreams, of all its processes."""
         return self.handshakes + (self.upstreams.handshakes if self.up else 0)
 
+    def forget_loads(self) -> None:
+        """No news for a while: what others have out is not known."""
+        self._others.clear()
+
     # ---- news
 
     def way_to(self, other: Node | Root) -> float:
@@ -273,10 +294,15 @@
     def __init__(self, zone: str, network: Network, figures: Figures) -> None:
         self.zone, self._network, self._figures = zone, network, figures
         self.children: list[Node] = []
+        self.silent_until = 0.0
+        self._number = 0
+        self.begin_anew()
+
+    def begin_anew(self) -> None:
+        """Nothing is known yet."""
         self.loads = LoadSum(dict, self._loaded)
         self.loaded_by: dict[str, tuple[int, int]] = {}
         self.holdings = Holdings()
-        self._number = 0
 
     def heard(self, child: Node, message: Any) -> None:
         """A word from below."""
@@ -292,6 +318,6 @@
 
     def _tell(self, message: Any) -> None:
         loop = asyncio.get_running_loop()
-        for child in self.children:
+        for child in self.children if loop.time() >= self.silent_until else ():
             self._figures.crossed += size_of(message) * (child.zone != self.zone)
             loop.call_later(self._network.way(self.zone, child.zone), child.told, message)
--- a/mastturn/engines/clients.py
+++ b/mastturn/engines/clients.py
@@ -11,6 +11,7 @@
 from passpost.http1 import Answer, Flow, Start
 
 AGAIN_S = 0.2  # after a failure
+UNREAD_MOST = 4  # tries that no balancer took up, which do not count; each waits twice as long as the one before
 WAIT_SHARE = 1 / 3  # of the time left that a Retry-After is heeded
 GIVE_UP = (2.0, 4.0, 8.0)  # seconds, objectives, longest pauses: the longest of these without a word
 
@@ -24,6 +25,12 @@
     def left(self, number: int) -> None:
         """The client has gone."""
 
+    def is_starting(self) -> bool:
+        """Whether it listens, and will take requests in a moment."""
+
+    def wait(self, then: Callable[[], None]) -> None:
+        """Do that once it takes requests."""
+
 
 class Try:
     """One try: the client side of one answer."""
@@ -86,6 +93,7 @@
         self._heard_at = self._began
         kind = record.asked.kind
         spans = (kind.aim_ms, kind.stream.gap_aim_ms)
+        self._unread = 0
         self._patience = max(GIVE_UP[0], GIVE_UP[1] * spans[0] / 1000, GIVE_UP[2] * spans[1] / 1000)
 
     def begin(self) -> None:
@@ -95,9 +103,9 @@
             return
         record.tries += 1
         self._try_began = self._loop.time()
-        door = self._choose(record.asked, record.tries)
+        door = self._choose(record.asked, record.tries + self._unread)
         if door is None:
-            self._again(AGAIN_S)
+            self.unread()
             return
         self._try = Try(self, door)
         self._loop.call_later(self._way, self._arrive, self._try)
@@ -105,12 +113,15 @@
     def _arrive(self, current: Try) -> None:
         if current.over:
             return
-        name = b"%d-%d" % (self._record.asked.number, self._record.tries)
+        name = b"%d-%d-%d" % (self._record.asked.number, self._record.tries, self._unread)
         after = self._record.pieces if self._record.pieces else None
         left = self._ends - self._loop.time()
+        if current.door.is_starting():
+            current.door.wait(lambda: self._arrive(current))
+            return
         current.number = current.door.take(self._record.asked, name, left, after, current)
         if current.number is None:
-            self.back(current, self.failed)
+            self.back(current, self.unread)
 
     def back(self, current: Try, then: Callable[..., None], *args: float) -> None:
         """What a balancer says, on its way."""
@@ -157,6 +168,16 @@
         else:
             self._close("failed")
 
+    def unread(self) -> None:
+        """Nobody was there to take it."""
+        self._end_try()
+        self._unread += 1
+        if self._unread <= UNREAD_MOST:
+            self._record.tries -= 1
+            self._again(AGAIN_S * 2 ** (self._unread - 1))
+        else:
+            self.failed()
+
     def _again(self, wait: float) -> None:
         if self._loop.time() + wait >= self._ends:
             self._close("refused" if self._record.refusals else "failed")
--- a/mastturn/engines/demand.py
+++ b/mastturn/engines/demand.py
@@ -80,9 +80,11 @@
         return [self._chains[int(i)] for i in chance.choice(len(self._chains), size=count, p=self._shares)]
 
 
-def _moments(traffic: Traffic, thin: float, sheet: Sheet, pressed: list[Trouble], chance: np.random.Generator) -> list[float]:
+def _moments(
+    traffic: Traffic, thin: float, length: float, pressed: list[Trouble], chance: np.random.Generator
+) -> list[float]:
     """When requests come from a zone; clumps of a geometric size, by thinning of an even stream."""
-    shape, length = traffic.shape, sheet.length_s
+    shape = traffic.shape
     most = (1 + shape.swing) * max([1.0, *(t.x or 1.0 for t in pressed)])
     rate = traffic.per_s * thin / max(shape.clump, 1.0) * most
     found: list[float] = []
@@ -97,7 +99,7 @@
             found += [at] * int(chance.geometric(1 / max(shape.clump, 1.0)))
 
 
-def _bursts(sheet: Sheet, day: Day) -> list[Trouble]:
+def _bursts(day: Day) -> list[Trouble]:
     return [t for t in (*day.faults, *day.plan) if t.kind == "burst"]
 
 
@@ -105,7 +107,7 @@
     """All requests of a day, in order."""
     kinds = {k.name: k for k in sheet.classes}
     subjects = {k.name: _Subjects(seed, k) for k in sheet.classes}
-    bursts = _bursts(sheet, day)
+    bursts = _bursts(day)
     found: list[Asked] = []
     for place, traffic in enumerate(day.traffic or sheet.traffic):
         streams: list[tuple[dict[str, float], list[Trouble], float]] = []
@@ -121,7 +123,7 @@
             if not mix or not share:
                 continue
             chance = generator(seed, "traffic", place, number)
-            moments = _moments(traffic, sheet.thin * share, sheet, pressed, chance)
+            moments = _moments(traffic, sheet.thin * share, sheet.length(day), pressed, chance)
             names = list(mix)
             weights = np.array([mix[n] for n in names])
             chosen = chance.choice(len(names), size=len(moments), p=weights / weights.sum())
--- a/mastturn/engines/engine.py
+++ b/mastturn/engines/engine.py
@@ -142,6 +142,7 @@
         self.reading: list[Job] = []
         self.running: dict[str, Job] = {}
         self._fetching: set[Job] = set()
+        self._jobs: set[Job] = set()  # all calls that are here
         self._due: list[tuple[int, int, int, Job]] = []  # step, seq, run: an event is to be told
         self._step, self._context, self._stepping = 0, 0, False
         self._link_free = 0.0
@@ -164,6 +165,7 @@
             return
         self._seq += 1
         job.seq = self._seq
+        self._jobs.add(job)
         if job.handle:
             self._fetch(job, now)
         else:
@@ -171,8 +173,7 @@
 
     def _out(self) -> int:
         """Calls that are here."""
-        queues = len(self.waiting) + len(self.arrived) + len(self._fetching)
-        return queues + len(self.reading) + len(self.running)
+        return len(self._jobs)
 
     def drop(self, job: Job) -> None:
         """The caller has closed the connection."""
@@ -181,12 +182,14 @@
 
     def _reject(self, job: Job, why: str) -> None:
         job.over = True
+        self._jobs.discard(job)
         self._figures.rejected += 1
         job.caller.rejected(why)
 
     def _leave(self, job: Job) -> None:
         """It is over, in whatever state it is."""
         job.over = True
+        self._jobs.discard(job)
         if self.running.pop(job.name, None) is not None:
             self._context -= job.tokens + job.written
         elif job in self.reading:
@@ -243,7 +246,8 @@
 
     def _lapse(self, ref: str, handle: Handle) -> None:
         if not handle.taken and self.handles.get(ref) is handle:
-            self._figures.wasted += handle.tokens
+            if not self.lapse_at_once:
+                self._figures.wasted += handle.tokens
             self.let_go(ref, handle)
 
     # ---- the queue
@@ -355,6 +359,7 @@
             ref = f"{self.ident}-{job.seq}"
             handle = Handle(job.held, job.tokens, loop.time() + self._llm.handle_s)
             job.held, job.over = (), True
+            self._jobs.discard(job)
             self.handles[ref] = handle
             lapse = 0.0 if self.lapse_at_once else self._llm.handle_s
             first = self._llm.first_ms / 1000
@@ -445,15 +450,13 @@
 
     def crash(self, dark: bool) -> None:
         """It is gone, with all that it held: connections reset, or nothing is heard when `dark`."""
-        queued = [j for _, _, j in (*self.waiting, *self.arrived)]
-        jobs = [*self.running.values(), *self.reading, *queued, *self._fetching]
+        jobs = sorted(self._jobs, key=lambda j: j.seq)
         self.down, self.dark, self.switching = True, dark, ""
         self.restart()
         for job in jobs:
-            if not job.over:
-                job.over = True
-                if not dark:
-                    job.caller.cut()
+            job.over, job.held = True, ()
+            if not dark:
+                job.caller.cut()
 
     def come_back(self) -> None:
         """It starts anew."""
--- a/mastturn/engines/fleet.py
+++ b/mastturn/engines/fleet.py
@@ -16,13 +16,18 @@
 from mastturn.engines.sheet import Sheet
 from mastturn.engines.wire import Network
 from screen.configuration import Configuration, Route, Service, Upstream
+from sonde.follower import STALE_S
 from sonde.messages import Present
 from sonde.relays import parent_of
 
 LIST_S = 1.0  # between two readings of the platform's list
+DRAIN_MORE_S = 1.0  # an upstream that leaves goes on so long beyond the time it was given
 GONE_S = 3.0  # an upstream that has crashed stays on it so long
 READY_S = 1.0  # the platform asks balancers so often whether they are ready
-RESTART_S = 0.6  # from the start of a balancer's process until it takes clients
+ELECTED_S = 0.8  # after all have stopped, until the control state tells anything
+LISTEN_S = 0.15  # from the start of a balancer's process until it listens
+READY_AFTER_S = 0.15  # and from then until it has the news and takes clients
+LEASE_S = 3.0
 SERVICE = "llm"
 
 
@@ -81,13 +86,11 @@
         self.figures = Figures()
         self.platform = Platform(sheet.discovery.lag_ms / 1000)
         self.engines: list[Engine] = []
+        self._replaced, self._silent_until = 0, 0.0
         self._by_address: dict[str, Engine] = {}
         for index, (zone, speed, phase) in enumerate(sheet.upstreams()):
             engine = Engine(f"10.0.64.{index}:80", f"i-{seed}-{index}", zone, speed, phase, service, self.figures)
-            engine.changed = lambda e=engine: self.list_anew(e)
-            self.engines.append(engine)
-            self._by_address[engine.address] = engine
-            self.platform.put(engine, engine.ident, service.slots)
+            self._add(engine)
         self.configuration = _configuration(sheet)
         core = next((m.zone for m in sheet.machines if m.kind == "core"), sheet.machines[0].zone)
         self.root = Root(core, self.network, self.figures)
@@ -109,7 +112,7 @@
         self._plant()
         self._entries: tuple[Upstream, ...] = ()
         self._told: list[dict[str, Any]] = []
-        self._mover = Mover("core", 0.0, self._prove, lambda: self.root.loaded_by, self._list)
+        self._mover = Mover("core", LEASE_S, self._prove, lambda: self.root.loaded_by, self._list)
         self._read: list[dict[str, Any]] = []
         self._homes = {
             (t.zone, c): self._chance.uniform() for t in sheet.traffic for c in range(max(t.clients, 1))
@@ -148,7 +151,7 @@
     def _list(self) -> None:
         loop = asyncio.get_running_loop()
         shown = self._mover.dress(self._read, loop.time())
-        if shown == self._told:
+        if shown == self._told or loop.time() < self._silent_until:
             return
         self._told = shown
         entries = tuple(
@@ -176,6 +179,56 @@
         await asyncio.sleep(2 * self.network.way(self.root.zone, engine.zone))
         return Taken() if engine.order(phase) else Rejected(409)
 
+    def leave(self, engine: Engine) -> None:
+        """An upstream is drained and ends."""
+        if engine.draining or engine.down:
+            return
+        engine.draining = True
+        self.platform.put(engine, engine.ident, self.sheet.service.slots, "draining")
+        wait = self.sheet.bounds.drain_ms / 1000 + DRAIN_MORE_S
+        asyncio.get_running_loop().call_later(wait, self._gone, engine)
+
+    def _gone(self, engine: Engine) -> None:
+        self.platform.drop(engine.ident)
+        engine.crash(dark=False)
+
+    def replace(self, engine: Engine) -> None:
+        """Another upstream starts in its place, and it leaves."""
+        if engine.draining:
+            return
+        self._replaced += 1
+        address = f"10.0.65.{self._replaced}:80"
+        ident = f"{engine.ident}r{self._replaced}"
+        phase = engine.switching or engine.phase
+        self._add(Engine(address, ident, engine.zone, engine.speed, phase, self.sheet.service, self.figures))
+        self.leave(engine)
+
+    def _add(self, engine: Engine) -> None:
+        engine.changed = lambda: self.list_anew(engine)
+        self.engines.append(engine)
+        self._by_address[engine.address] = engine
+        self.platform.put(engine, engine.ident, self.sheet.service.slots)
+
+    def silence(self, for_s: float) -> None:
+        """The control state tells nothing for a while: another takes over."""
+        loop = asyncio.get_running_loop()
+        self._silent_until = max(self._silent_until, loop.time() + for_s)
+        self.root.silent_until = self._silent_until
+        self._mover.lead(False, loop.time())
+        loop.call_later(for_s, self._lead_again)
+        if for_s >= STALE_S:
+            loop.call_later(STALE_S, self._forget_loads)
+
+    def _lead_again(self) -> None:
+        now = asyncio.get_running_loop().time()
+        if now >= self._silent_until:
+            self._mover.lead(True, now)
+            self._list()
+
+    def _forget_loads(self) -> None:
+        for node in self.nodes:
+            node.forget_loads()
+
     # ---- clients
 
     def _look_ready(self) -> None:
@@ -210,16 +263,24 @@
         loop.call_later(for_s, self._back, engine)
 
     def _back(self, engine: Engine) -> None:
-        engine.ident += "'"
+        engine.ident += "n"
         engine.come_back()
         self.list_anew(engine)
 
-    def kill(self, node: Node, for_s: float) -> None:
-        """A balancer's process is killed."""
+    def kill(self, node: Node, for_s: float, ready_s: float = READY_AFTER_S) -> None:
+        """A balancer's process is killed; once it listens again it takes requests after `ready_s`."""
         loop = asyncio.get_running_loop()
         if node.up:
             node.kill()
-            loop.call_later(for_s + RESTART_S, self._start, node)
+            loop.call_later(for_s + LISTEN_S, node.listen)
+            loop.call_later(for_s + LISTEN_S + ready_s, self._start, node)
+
+    def kill_all(self, for_s: float) -> None:
+        """All machines of the system stop at once; what the control state knew of loads and prompts is gone."""
+        self.silence(for_s + LISTEN_S + ELECTED_S)
+        self.root.begin_anew()
+        for node in self.nodes:
+            self.kill(node, for_s, ELECTED_S)
 
     def _start(self, node: Node) -> None:
         node.start(self.configuration, self._entries, len(self.nodes))
--- a/mastturn/engines/judge.py
+++ b/mastturn/engines/judge.py
@@ -1,10 +1,9 @@
 """What a day was worth (RULES, "The score"), as far as it is modelled.
 
-Modelled: aims, late worth, sizes, a refusal and then an answer in time, the worst windows, kind and zone, and the
-prices of machines, memory of machines, calls of the list, connections, bytes between zones,
+Modelled: aims, late worth, sizes, a refusal and then an answer in time, the worst windows, kind (the
+largest tenth of one and the fifth below it too) and zone, what is refused again or put behind, and the prices of machines, memory of machines, calls of the list, connections, bytes between zones,
 moves, prompts read for nothing, orders,
-shared parts that are read again. Not modelled: processor time, the largest tenth as a kind by itself, refusals that
-come late.
+shared parts that are read again. Not modelled: processor time, refusals that come late.
 """
 
 from __future__ import annotations
@@ -21,6 +20,8 @@
 WINDOW_S = 2.0
 OUT_WEIGHT = 10  # of a token out against one in
 TAIL_S = 8.2  # machines run on after the last request, about the longest deadline
+REFUSED_AGAIN, BEHIND, BEHIND_ALLOWED = 0.3, 0.5, 0.05  # shares of the worth, and of what is served
+LEAST_OF_SIZE = 30  # requests that a tenth by size has to have to count by itself
 MACHINE_GB = 0.0209  # of memory that one program takes on the bench
 
 
@@ -93,8 +94,10 @@
     return late
 
 
-def judge(sheet: Sheet, records: Sequence[Record], figures: Figures, handshakes: int, calls: int) -> Outcome:
-    """Weigh a day."""
+def judge(
+    sheet: Sheet, length: float, records: Sequence[Record], figures: Figures, handshakes: int, calls: int
+) -> Outcome:
+    """Weigh a day of so many seconds of traffic; `calls` of the platform's list."""
     owed = weigh(sheet, records)
 
     def parts(key: Callable[[Record], str]) -> dict[str, float]:
@@ -111,8 +114,10 @@
     kinds, zones = parts(lambda r: r.asked.kind.name), parts(lambda r: r.asked.zone)
     window = sum(windows[:2]) / len(windows[:2])
     goal = sheet.goal
-    prices = {k: v / total for k, v in _prices(sheet, figures, handshakes, calls).items()}
-    kind, zone = min(kinds.values()), min(zones.values())
+    prices = {k: v / total for k, v in _prices(sheet, length, figures, handshakes, calls).items()}
+    prices["refused again"] = REFUSED_AGAIN * sum(owed[r.asked.number] for r in records if _in_vain(r)) / total
+    prices["put behind"] = BEHIND * _behind(records, owed) / total
+    kind, zone = min([*kinds.values(), *_sizes(sheet, records, owed)]), min(zones.values())
     worth = goal.mean * day + goal.window * window + goal.kind * kind + goal.zone * zone
     firsts = sorted(r.first for r in records if r.first is not None)
     in_aim = sum(is_in_aim(r) for r in records)
@@ -144,9 +149,47 @@
     )
 
 
-def _prices(sheet: Sheet, figures: Figures, handshakes: int, calls: int) -> dict[str, float]:
+def _in_vain(record: Record) -> bool:
+    """It came back after a refusal and was refused."""
+    return record.end == "refused" and record.refusals > 1
+
+
+def _behind(records: Sequence[Record], owed: dict[int, float]) -> float:
+    """Worth of kinds that are served less often than a less urgent one, beyond what is allowed."""
+    found: dict[int, list[Record]] = defaultdict(list)
+    for record in records:
+        found[record.asked.kind.priority].append(record)
+    served = {k: sum(r.whole for r in v) / len(v) for k, v in found.items()}
+    worth = 0.0
+    for priority, mine in found.items():
+        best = max((s for k, s in served.items() if k > priority), default=0.0)
+        over = best - served[priority] - BEHIND_ALLOWED
+        worth += max(over, 0.0) * sum(owed[r.asked.number] for r in mine)
+    return worth
+
+
+def _sizes(sheet: Sheet, records: Sequence[Record], owed: dict[int, float]) -> list[float]:
+    """Worth of the largest tenth of each kind, and of the fifth below it, where those are many enough."""
+    kinds: dict[str, list[Record]] = defaultdict(list)
+    for record in records:
+        kinds[record.asked.kind.name].append(record)
+    found = []
+    for mine in kinds.values():
+        mine.sort(key=lambda r: -_size(sheet, r))
+        tenth = len(mine) // 10
+        for group in (mine[:tenth], mine[tenth : 3 * tenth]):
+            if len(group) >= LEAST_OF_SIZE:
+                weights = [owed[r.asked.number] for r in group]
+                got = sum(w * earned(r) for w, r in zip(weights, group, strict=True))
+                found.append(got / sum(weights))
+    return found
+
+
+def _prices(
+    sheet: Sheet, length: float, figures: Figures, handshakes: int, calls: int
+) -> dict[str, float]:
     prices, machines = sheet.prices, sum(m.count for m in sheet.machines)
-    span = sheet.lead_s + sheet.length_s + TAIL_S
+    span = sheet.lead_s + length + TAIL_S
     return {
         "machines": machines * span * prices.machine_s * sheet.thin,
         "memory": machines * span * MACHINE_GB * prices.memory_gb_s * sheet.thin,
--- a/mastturn/engines/play.py
+++ b/mastturn/engines/play.py
@@ -15,7 +15,7 @@
 from mastturn.engines import troubles
 from mastturn.engines.clock import SimulatedLoop
 from mastturn.engines.demand import draw
-from mastturn.engines.fleet import Fleet
+from mastturn.engines.fleet import LIST_S, Fleet
 from mastturn.engines.judge import Outcome, judge
 from mastturn.engines.sheet import Day, Sheet
 from screen.configuration import Upstream
@@ -39,10 +39,11 @@
     for request in asked:
         loop.call_at(begin + request.at, fleet.ask, request)
     troubles.arrange(fleet, day, seed, begin)
-    await asyncio.sleep(sheet.length_s + SETTLE_S)
+    await asyncio.sleep(sheet.length(day) + SETTLE_S)
     handshakes = sum(n.all_handshakes() for n in fleet.nodes)
-    span = (sheet.lead_s + sheet.length_s + SETTLE_S) / (LEAD_S + sheet.length_s + SETTLE_S)
-    return judge(sheet, fleet.records, fleet.figures, handshakes, round(fleet.platform.calls * span))
+    early = (sheet.lead_s - LEAD_S) / LIST_S  # calls of the list before our clock begins
+    calls = fleet.platform.calls + round(early)
+    return judge(sheet, sheet.length(day), fleet.records, fleet.figures, handshakes, calls)
 
 
 def play(sheet: Sheet, day: Day, seed: int, tiers: Callable[..., Tiers] = Tiers) -> Outcome:
--- a/mastturn/engines/sheet.py
+++ b/mastturn/engines/sheet.py
@@ -13,6 +13,9 @@
 from mastturn.files import LabError
 
 
+RECOVERY_S = 16.0  # traffic goes on so long after a closing
+
+
 class Size(msgspec.Struct, frozen=True):
     """A log-normal size: `spread` is its deviation over its mean; cut off at `max`."""
 
@@ -174,6 +177,13 @@
     zone: str = ""
 
 
+class Closing(msgspec.Struct, frozen=True):
+    """All machines of the system are stopped at the end, and traffic goes on."""
+
+    kind: str
+    down_s: float = 1.0
+
+
 class Day(msgspec.Struct, frozen=True):
     """One day: its troubles, and its traffic where that differs."""
 
@@ -183,6 +193,7 @@
     traffic: tuple[Traffic, ...] = ()
     faults: tuple[Trouble, ...] = ()
     plan: tuple[Trouble, ...] = ()
+    closing: Closing | None = None
 
 
 class Discovery(msgspec.Struct, frozen=True):
@@ -216,6 +227,10 @@
     bounds: Bounds = Bounds()
     days: tuple[Day, ...] = msgspec.field(default=(), name="day")
 
+    def length(self, day: Day) -> float:
+        """Seconds of traffic on a day."""
+        return self.length_s + (RECOVERY_S if day.closing is not None else 0.0)
+
     @property
     def service(self) -> Service:
         """The one that is emulated."""
--- a/mastturn/engines/wire.py
+++ b/mastturn/engines/wire.py
@@ -193,7 +193,7 @@
         self.zone, self.network, self.job = zone, network, job
         self._handshake_s = handshake_ms / 1000
         self._engines: dict[str, Engine] = {}
-        self._idle: dict[Engine, list[float]] = {}  # since when each is idle
+        self._idle: dict[Engine, list[tuple[float, int]]] = {}  # since when, to which incarnation
         self._open: dict[Engine, int] = {}
         self._most_each = math.inf
         self.handshakes = 0
@@ -229,11 +229,11 @@
             self._open[engine] = self._open.get(engine, 0) - len(self._idle.get(engine, ()))
             self._idle[engine] = []
 
-    def _idle_ones(self, engine: Engine) -> list[float]:
+    def _idle_ones(self, engine: Engine) -> list[tuple[float, int]]:
         idle = self._idle.setdefault(engine, [])
         now = asyncio.get_running_loop().time()
-        while idle and now - idle[0] > IDLE_S:
-            del idle[0]
+        while idle and (now - idle[0][0] > IDLE_S or (idle[0][1] != engine.serial and not engine.dark)):
+            del idle[0]  # a process that ends closes its connections, a dark one tells nobody
             self._open[engine] -= 1
         return idle
 
@@ -278,7 +278,8 @@
     def over(self, engine: Engine, reusable: bool) -> None:
         """A call has ended; its connection can be used again after a whole answer."""
         if reusable:
-            self._idle.setdefault(engine, []).append(asyncio.get_running_loop().time())
+            now = asyncio.get_running_loop().time()
+            self._idle.setdefault(engine, []).append((now, engine.serial))
         else:
             self._open[engine] = self._open.get(engine, 0) - 1
 
