--- a/mastturn/engines/balancer.py
+++ b/mastturn/engines/balancer.py
@@ -8,7 +8,8 @@
 from typing import Any
 
 from mastturn.engines.demand import Asked
-from mastturn.engines.engine import Engine, Figures, Job
+from mastturn.engines.engine import Engine
+from mastturn.engines.jobs import Figures, Job
 from mastturn.engines.wire import HEAD_BYTES, Network, SimulatedUpstreams, extra
 from passpost.upstream import Outgoing
 from screen.configuration import Configuration, Upstream
--- a/mastturn/engines/clients.py
+++ b/mastturn/engines/clients.py
@@ -11,7 +11,9 @@
 from passpost.http1 import Answer, Flow, Start
 
 AGAIN_S = 0.2  # after a failure
-UNREAD_MOST = 4  # tries that no balancer took up, which do not count; each waits twice as long as the one before
+UNREAD_MOST = (
+    4  # tries that no balancer took up, which do not count; each waits twice as long as the one before
+)
 WAIT_SHARE = 1 / 3  # of the time left that a Retry-After is heeded
 GIVE_UP = (2.0, 4.0, 8.0)  # seconds, objectives, longest pauses: the longest of these without a word
 
--- a/mastturn/engines/demand.py
+++ b/mastturn/engines/demand.py
@@ -1,6 +1,7 @@
 """What clients will ask for on a day, drawn ahead: two choosers meet the same requests.
 
-Each zone's requests come in clumps at a pace that swings; who asks, for what and about what is drawn for each.
+Each zone's requests come in clumps at a pace that swings; who asks, for what and about what is drawn for each
+one.
 """
 
 from __future__ import annotations
@@ -58,18 +59,15 @@
         chance = generator(seed, "subjects", kind.name)
         self._chains: list[Chain] = [()]
         self._shares = np.array([1.0])
+        roots: list[Chain] = [()]
+        root_shares = np.array([1.0])
         for level, part in enumerate(kind.stream.chain):
             sizes = drawn(part.tokens, part.things, chance)
             if level == 0 and len(kind.stream.chain) > 1:
-                self._roots = [((f"{kind.name}-0-{i}", sizes[i]),) for i in range(part.things)]
-                self._root_shares = popular(part.things, part.skew)
+                roots = [((f"{kind.name}-0-{i}", sizes[i]),) for i in range(part.things)]
+                root_shares = popular(part.things, part.skew)
                 continue
-            roots = getattr(self, "_roots", [()])
-            before = (
-                chance.choice(len(roots), size=part.things, p=self._root_shares)
-                if len(roots) > 1
-                else [0] * part.things
-            )
+            before = chance.choice(len(roots), size=part.things, p=root_shares)
             self._chains = [
                 (*roots[int(before[i])], (f"{kind.name}-{level}-{i}", sizes[i])) for i in range(part.things)
             ]
--- a/mastturn/engines/judge.py
+++ b/mastturn/engines/judge.py
@@ -1,9 +1,9 @@
 """What a day was worth (RULES, "The score"), as far as it is modelled.
 
-Modelled: aims, late worth, sizes, a refusal and then an answer in time, the worst windows, kind (the
-largest tenth of one and the fifth below it too) and zone, what is refused again or put behind, and the prices of machines, memory of machines, calls of the list, connections, bytes between zones,
-moves, prompts read for nothing, orders,
-shared parts that are read again. Not modelled: processor time, refusals that come late.
+Modelled: aims, late worth, sizes, a refusal and then an answer in time, the worst windows, kind (the largest
+tenth of one and the fifth below it too) and zone, what is refused again or put behind, and the prices of
+machines, memory of machines, calls of the list, connections, bytes between zones, moves, prompts read for
+nothing, orders, shared parts that are read again. Not modelled: processor time, refusals that come late.
 """
 
 from __future__ import annotations
@@ -13,7 +13,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
-from mastturn.engines.engine import Figures
+from mastturn.engines.jobs import Figures
 from mastturn.engines.records import Record
 from mastturn.engines.sheet import Sheet
 
@@ -26,7 +26,7 @@
 
 
 @dataclass(slots=True)
-class Outcome:
+class Worth:
     """What a day was worth and what it cost."""
 
     worth: float
@@ -96,7 +96,7 @@
 
 def judge(
     sheet: Sheet, length: float, records: Sequence[Record], figures: Figures, handshakes: int, calls: int
-) -> Outcome:
+) -> Worth:
     """Weigh a day of so many seconds of traffic; `calls` of the platform's list."""
     owed = weigh(sheet, records)
 
@@ -115,7 +115,9 @@
     window = sum(windows[:2]) / len(windows[:2])
     goal = sheet.goal
     prices = {k: v / total for k, v in _prices(sheet, length, figures, handshakes, calls).items()}
-    prices["refused again"] = REFUSED_AGAIN * sum(owed[r.asked.number] for r in records if _in_vain(r)) / total
+    prices["refused again"] = (
+        REFUSED_AGAIN * sum(owed[r.asked.number] for r in records if _in_vain(r)) / total
+    )
     prices["put behind"] = BEHIND * _behind(records, owed) / total
     kind, zone = min([*kinds.values(), *_sizes(sheet, records, owed)]), min(zones.values())
     worth = goal.mean * day + goal.window * window + goal.kind * kind + goal.zone * zone
@@ -123,7 +125,7 @@
     in_aim = sum(is_in_aim(r) for r in records)
     served = sum(r.whole for r in records)
     refused = sum(r.end == "refused" for r in records)
-    return Outcome(
+    return Worth(
         worth - sum(prices.values()),
         day,
         window,
@@ -185,9 +187,7 @@
     return found
 
 
-def _prices(
-    sheet: Sheet, length: float, figures: Figures, handshakes: int, calls: int
-) -> dict[str, float]:
+def _prices(sheet: Sheet, length: float, figures: Figures, handshakes: int, calls: int) -> dict[str, float]:
     prices, machines = sheet.prices, sum(m.count for m in sheet.machines)
     span = sheet.lead_s + length + TAIL_S
     return {
--- a/mastturn/engines/memory.py
+++ b/mastturn/engines/memory.py
@@ -18,7 +18,9 @@
     def __init__(self, size: int, block: int) -> None:
         self._size, self._block = size, block
         self._held: dict[str, list[int]] = {}  # id: how many use it, its tokens in blocks
-        self._idle: OrderedDict[str, int] = OrderedDict()  # id: its tokens in blocks; the longest unused first
+        self._idle: OrderedDict[str, int] = (
+            OrderedDict()
+        )  # id: its tokens in blocks; the longest unused first
         self._read = set[str]()  # those, held or idle, that are there: others are still being read
         self.used = 0  # by what can't give way
         self._kept = 0  # by what can
--- a/mastturn/engines/play.py
+++ b/mastturn/engines/play.py
@@ -10,13 +10,13 @@
 
 from loguru import logger
 
-import barograph.mover
-from barograph.orders import Unclear
+from barograph.orders import Outcome, Unclear
 from mastturn.engines import troubles
 from mastturn.engines.clock import SimulatedLoop
+from mastturn.engines.control import LIST_S
 from mastturn.engines.demand import draw
-from mastturn.engines.fleet import LIST_S, Fleet
-from mastturn.engines.judge import Outcome, judge
+from mastturn.engines.fleet import Fleet
+from mastturn.engines.judge import Worth, judge
 from mastturn.engines.sheet import Day, Sheet
 from screen.configuration import Upstream
 from windvane.tiers import Tiers
@@ -25,15 +25,22 @@
 SETTLE_S = 10.0  # after the last request
 
 
-async def _no_fleet(upstream: Upstream, phase: str, owner: str, fence: int) -> Unclear:
-    return Unclear("no fleet is there yet")
+class _Orders:
+    """Stands in for `barograph.orders.change_phase` once a fleet is there."""
 
+    def __init__(self) -> None:
+        self.fleet: Fleet | None = None
 
-async def _play(sheet: Sheet, day: Day, seed: int, tiers: Callable[..., Tiers]) -> Outcome:
+    async def give(self, upstream: Upstream, phase: str, owner: str, fence: int) -> Outcome:
+        """Order an engine to play another part."""
+        return await self.fleet.order(upstream, phase) if self.fleet is not None else Unclear("no fleet")
+
+
+async def _play(sheet: Sheet, day: Day, seed: int, tiers: Callable[..., Tiers], orders: _Orders) -> Worth:
     loop = asyncio.get_running_loop()
     asked = draw(sheet, day, seed)
     fleet = Fleet(sheet, seed, tiers)
-    barograph.mover.change_phase = fleet.order
+    orders.fleet = fleet
     await asyncio.sleep(LEAD_S)
     begin = loop.time()
     for request in asked:
@@ -46,19 +53,20 @@
     return judge(sheet, sheet.length(day), fleet.records, fleet.figures, handshakes, calls)
 
 
-def play(sheet: Sheet, day: Day, seed: int, tiers: Callable[..., Tiers] = Tiers) -> Outcome:
+def play(sheet: Sheet, day: Day, seed: int, tiers: Callable[..., Tiers] = Tiers) -> Worth:
     """Play a day; `faults` of the outcome holds what was raised in it."""
     began = time.process_time()
     loop = SimulatedLoop()
     state = random.getstate()
+    orders = _Orders()
     logger.disable("windvane")
     logger.disable("barograph")
     try:
         with (
             mock.patch("time.monotonic", loop.time),
-            mock.patch("barograph.mover.change_phase", _no_fleet),
+            mock.patch("barograph.mover.change_phase", orders.give),
         ):
-            outcome = loop.run_until_complete(_play(sheet, day, seed, tiers))
+            outcome = loop.run_until_complete(_play(sheet, day, seed, tiers, orders))
     finally:
         logger.enable("windvane")
         logger.enable("barograph")
--- a/mastturn/engines/sheet.py
+++ b/mastturn/engines/sheet.py
@@ -12,7 +12,6 @@
 
 from mastturn.files import LabError
 
-
 RECOVERY_S = 16.0  # traffic goes on so long after a closing
 
 
--- a/mastturn/engines/troubles.py
+++ b/mastturn/engines/troubles.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from mastturn.emulator.chance import Stream
@@ -52,7 +51,7 @@
         elif trouble.kind != "burst" and is_modelled(trouble):
             loop.call_at(begin + trouble.at, _strike, fleet, trouble, chance)
     if day.closing is not None:
-        ends = fleet.kill_all if day.closing.kind in ("kill_all", "power_off_all") else fleet.silence
+        ends = fleet.kill_all if day.closing.kind in ("kill_all", "power_off_all") else fleet.control.silence
         loop.call_at(begin + max(fleet.sheet.length_s, free), ends, day.closing.down_s)
 
 
@@ -84,8 +83,8 @@
             loop.call_later(trouble.for_s, _set, engine, "move_x", 1.0)
     elif trouble.kind == "handle_short":
         for engine in chosen(0.3):
-            engine.lapse_at_once = True
-            loop.call_later(trouble.for_s, _set, engine, "lapse_at_once", False)
+            engine.lapses_soon = True
+            loop.call_later(trouble.for_s, _set, engine, "lapses_soon", False)
     elif trouble.kind == "release":
         for place, engine in enumerate(chosen(0.5)):
             loop.call_later(place * trouble.gap_s, fleet.replace, engine)
@@ -100,7 +99,7 @@
     loop = asyncio.get_running_loop()
     leads = "leader" in trouble.how or trouble.kind == "herd_kill" or chance.uniform() < 1 / 3
     if leads and trouble.kind in SILENCING:
-        loop.call_at(begin + at, fleet.silence, TAKE_OVER_S)
+        loop.call_at(begin + at, fleet.control.silence, TAKE_OVER_S)
     if "drain" in trouble.how:
         back = KILLED_S if trouble.kind in ("node_kill", "herd_kill") else trouble.for_s
         leaves = at + back + LEAVE_AFTER_S
--- a/mastturn/engines/wire.py
+++ b/mastturn/engines/wire.py
@@ -9,8 +9,9 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
-from mastturn.engines.engine import MISPLACED, Engine, Figures, Job
-from passpost.http1 import Answer, Start
+from mastturn.engines.engine import Engine
+from mastturn.engines.jobs import MISPLACED, Figures, Job
+from passpost.http1 import Answer, Headers, Start
 from passpost.upstream import Done, Outgoing, Sink
 from umberworks.interface import Outcome
 from windvane import manners
@@ -21,7 +22,8 @@
 IDLE_S = 15.0  # an idle connection is closed after this
 _EXTRA = re.compile(rb"([A-Za-z-]+): ([^\r]*)\r\n")
 _FREED = re.compile(rb"DELETE /api/kv-handle/(\S+) ")
-_EVENTS = ((b"Content-Type", b"text/event-stream"), (b"Mastturn-Server-Seal", b"s"))
+_EVENTS: Headers = [(b"Content-Type", b"text/event-stream"), (b"Mastturn-Server-Seal", b"s")]
+_NOT_RUN: Headers = [(b"Mastturn-Not-Run", b"1")]
 
 
 class Network:
@@ -103,7 +105,7 @@
         if not isinstance(self._request, Staged):
             found = _FREED.match(self._request.head)
             if found is not None:
-                engine.free(found[1].decode())
+                engine.handover.free(found[1].decode())
             self._back(self._answered, 200, b"")
             return
         self._job = self._pool.job(self._request, self, self._loop.time())
@@ -130,7 +132,7 @@
         self._loop.call_later(self._way, then, *args)
 
     def _answered(self, status: int, body: bytes) -> None:
-        headers = (_EVENTS[1],) if 200 <= status < 300 else ((b"Mastturn-Not-Run", b"1"),)
+        headers = _EVENTS[1:] if 200 <= status < 300 else _NOT_RUN
         answer = Answer(status, headers, body, True)
         if 200 <= status < 300:
             self.end(Outcome.SERVED, answer)
@@ -157,7 +159,7 @@
             self._flowing = True
             request = self._request
             assert isinstance(request, Staged)
-            headers = (*_EVENTS, (b"Mastturn-Request-Id", request.request_id))
+            headers = [*_EVENTS, (b"Mastturn-Request-Id", request.request_id)]
             if not self._sink.start(Start(headers, None), Flowing()):
                 self.end(Outcome.BROKEN)
                 return
