--- /dev/null
+++ b/tests/test_windvane_draw_properties.py
@@ -0,0 +1,130 @@
+"""The design's rule by its properties: draws follow capacity, the pick minimises, ties, and the way back."""
+
+from __future__ import annotations
+
+import math
+import random
+from collections import Counter
+
+import pytest
+
+from screen.configuration import Upstream
+from windvane.tiers import DECODE, Peer, Tiers
+
+SVC = "pool"
+
+
+def tiers(names: str, seed: int) -> Tiers:
+    made = Tiers(random.Random(seed), lambda name: True)
+    made.take(tuple(Upstream(n, SVC, f"10.0.0.{i}:80", "a", phase=DECODE) for i, n in enumerate(names)), 0.0)
+    return made
+
+
+def known(made: Tiers, name: str) -> Peer:
+    peer = made.peer(name)
+    assert peer is not None
+    return peer
+
+
+def learn(peer: Peer, rate: float) -> None:
+    """Its capacity is `rate` calls a second of one in flight, with so much evidence that no prior counts."""
+    peer.server.served, peer.server.busy, peer.server.seen = 1e6, 1e9 / rate, 0.0
+
+
+def draw(made: Tiers) -> str:
+    group = made._groups[SVC, DECODE]
+    return made._draw(group, group.peers, 0.0).entry.id
+
+
+def chi_square(counts: Counter[str], shares: dict[str, float]) -> float:
+    total = counts.total()
+    return sum((counts[n] - total * p) ** 2 / (total * p) for n, p in shares.items())
+
+
+def above(degrees: int) -> float:
+    """What chi-square exceeds once in ten thousand times (Wilson and Hilferty's approximation)."""
+    part = 2 / (9 * degrees)
+    return float(degrees * (1 - part + 3.719 * math.sqrt(part)) ** 3)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_100_000_draws_follow_capacity(monkeypatch: pytest.MonkeyPatch, seed: int) -> None:
+    monkeypatch.setattr("umberworks.choice.DRAWS", 1)
+    chance = random.Random(seed)
+    names = "abcdefgh"
+    rates = {n: chance.uniform(0.2, 5.0) for n in names}
+    made = tiers(names, seed)
+    for name, rate in rates.items():
+        learn(known(made, name), rate)
+    counts = Counter(draw(made) for _ in range(100_000))
+    shares = {n: r / sum(rates.values()) for n, r in rates.items()}
+    assert chi_square(counts, shares) < above(len(names) - 1), (counts, shares)
+
+
+def test_the_better_of_d_draws_is_taken_as_often_as_chance_says(monkeypatch: pytest.MonkeyPatch) -> None:
+    """With d draws the least loaded is taken unless none of them hits it, and so on down the order."""
+    monkeypatch.setattr("umberworks.choice.DRAWS", 2)
+    rates, out = {"a": 1.0, "b": 2.0, "c": 3.0, "d": 4.0}, {"a": 0, "b": 3, "c": 8, "d": 15}
+    made = tiers("abcd", 4)
+    for name, rate in rates.items():
+        learn(known(made, name), rate)
+        known(made, name).server.in_flight = out[name]
+    order = sorted(rates, key=lambda n: (out[n] + 1) / rates[n])
+    shares, left = {}, 1.0
+    for name in order:
+        rest = left - rates[name] / sum(rates.values())
+        shares[name] = left**2 - max(rest, 0.0) ** 2
+        left = rest
+    counts = Counter(draw(made) for _ in range(100_000))
+    assert chi_square(counts, shares) < above(3), (counts, shares)
+
+
+def test_the_pick_minimises_whatever_the_counts(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("umberworks.choice.DRAWS", 200)  # so many draws see all of five
+    for seed in range(300):
+        chance = random.Random(seed)
+        made = tiers("vwxyz", seed)
+        loads = {}
+        for name in "vwxyz":
+            rate, peer = chance.choice((0.5, 1.0, 2.0)) * chance.uniform(0.8, 1.2), known(made, name)
+            learn(peer, rate)
+            peer.server.in_flight = chance.randrange(8)
+            loads[name] = (peer.server.in_flight + 1) / rate
+        assert loads[draw(made)] == pytest.approx(min(loads.values()), rel=1e-3), (seed, loads)
+
+
+def test_a_tie_goes_to_the_larger_capacity_and_then_to_chance(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("umberworks.choice.DRAWS", 64)
+    monkeypatch.setattr("umberworks.choice.PRIOR_CALLS", 0.0)
+    for factor in (2, 3, 4):
+        made = tiers("xyz", factor)
+        for name, rate, out in (("x", 1.0, 0), ("y", float(factor), factor - 1), ("z", 1.0, 0)):
+            learn(known(made, name), rate)
+            known(made, name).server.in_flight = out
+        assert {draw(made) for _ in range(100)} == {"y"}
+    made = tiers("xyz", 1)
+    for name in "xyz":
+        learn(known(made, name), 2.0)
+    counts = Counter(draw(made) for _ in range(3000))
+    assert chi_square(counts, dict.fromkeys("xyz", 1 / 3)) < above(2)
+
+
+@pytest.mark.parametrize("silent_s", [0.5, 2.0, 8.0])
+@pytest.mark.parametrize("calls", [1, 5, 30])
+def test_an_estimate_that_fell_near_zero_comes_back_by_itself(silent_s: float, calls: int) -> None:
+    """It rises without a break and never above the median: nothing pushes it over."""
+    made = tiers("xyz", 2)
+    for name in "xy":
+        learn(known(made, name), 4.0)
+    group = made._groups[SVC, DECODE]
+    median = group.choice.bring_up(0.0)
+    peer = known(made, "z")
+    for _ in range(calls):
+        peer.sent(0.0, 0)
+    for _ in range(calls):
+        peer.ended(silent_s, 0, served=False)
+    found = [
+        group.choice._capacity(peer.server, median, 1000 * (silent_s + s)) / median for s in range(0, 61, 2)
+    ]
+    assert found == sorted(found) and found[-1] > 0.9
+    assert max(found) <= 1.0 + 1e-9
