--- a/mastturn/engines/__main__.py
+++ b/mastturn/engines/__main__.py
@@ -17,8 +17,8 @@
 from mastturn.engines.sheet import load
 from mastturn.files import LabError
 
-USAGE = """usage: python -m mastturn.engines VERB ... [--seeds=N] [--jobs=N] [--chooser=NAME] [--folder=DIR]
-  play SITE DAY               one day, as JSON; DAY: one of the site's, or calm, full, burst, crash, dark, links, kills
+USAGE = """usage: python -m mastturn.engines VERB ... [--seeds=N] [--jobs=N] [--chooser=NAME] [--days=A,B] [--folder=DIR]
+  play SITE DAY               one day, as JSON; DAY: one of the site's or of our own (see `days`)
   days SITE DIR               write those days of our own as files that the bench plays
   compare SITE...             all choosers on them; figures to FOLDER/choosers-NAME.json
   hold SITE REPORT...         beside the bench's reports (DAY.json, DAY-sSEED.json); to FOLDER/held-NAME.json
@@ -30,6 +30,7 @@
     flags.DEFINE_integer("seeds", 8, "How many seeds, from 1 on.", 1, 1000, flag_values=found)
     flags.DEFINE_integer("seed", 1, "The seed of `play`.", 0, flag_values=found)
     flags.DEFINE_integer("jobs", 3, "Processes side by side.", 1, 64, flag_values=found)
+    flags.DEFINE_list("days", [], "Days of `compare`; all if none is named.", flag_values=found)
     flags.DEFINE_enum("chooser", "ours", list(CHOOSERS), "Who chooses in `play`.", flag_values=found)
     flags.DEFINE_string("folder", "docs/placement", "Where figures and plots are.", flag_values=found)
     flags.DEFINE_string("page", "docs/placement.md", "The page.", flag_values=found)
@@ -49,7 +50,7 @@
 
 def _compare(given: flags.FlagValues, rest: list[str]) -> None:
     for site in rest:
-        found = compare.compare(Path(site), given.seeds, given.jobs)
+        found = compare.compare(Path(site), given.days, given.seeds, given.jobs)
         compare.save(found, Path(given.folder) / f"choosers-{found[0].site}.json")
 
 
--- a/mastturn/engines/compare.py
+++ b/mastturn/engines/compare.py
@@ -52,13 +52,14 @@
     )
 
 
-def compare(path: Path, seeds: int, jobs: int) -> list[Played]:
-    """All choosers on all days of our own, by as many processes as `jobs`."""
+def compare(path: Path, days: Sequence[str], seeds: int, jobs: int) -> list[Played]:
+    """All choosers on days of our own (all if none is named), by as many processes as `jobs`."""
     sheet = load(path)
     with ProcessPoolExecutor(max_workers=jobs) as pool:
         tasks = [
             pool.submit(_one, path, day, chooser, seed)
             for day in own_days(sheet)
+            if not days or day.name in days
             for chooser in CHOOSERS
             for seed in range(1, seeds + 1)
         ]
@@ -103,8 +104,8 @@
     found = []
     with ProcessPoolExecutor(max_workers=jobs) as pool:
         for name, benches in by_day.items():
-            day = _day(sheet, name)
-            worths = list(pool.map(_emulated, [path] * seeds, [day] * seeds, range(1, seeds + 1)))
+            played = _day(sheet, name)
+            worths = list(pool.map(_emulated, [path] * seeds, [played] * seeds, range(1, seeds + 1)))
             values = [w.worth for w in worths]
             means = {
                 part: round(statistics.mean(getattr(w, part) for w in worths), 4)
--- a/mastturn/engines/handover.py
+++ b/mastturn/engines/handover.py
@@ -54,7 +54,7 @@
             self._let_go(ref)
 
     def _lapse(self, ref: str, handle: Handle) -> None:
-        if not handle.taken and self.handles.get(ref) is handle:
+        if self._engine.handover is self and not handle.taken and self.handles.get(ref) is handle:
             if not self._engine.lapses_soon:
                 self._figures.wasted += handle.tokens
             self._let_go(ref)
--- a/mastturn/engines/page.py
+++ b/mastturn/engines/page.py
@@ -15,6 +15,7 @@
 
 matplotlib.use("Agg")
 from matplotlib import pyplot as plt
+from matplotlib.figure import Figure
 
 OURS = "ours"
 CLOSE = 0.05  # of worth: so near the emulator has to be for a decision to be drawn from it
@@ -125,7 +126,7 @@
     _save(figure, folder / "held.svg")
 
 
-def _save(figure: plt.Figure, path: Path) -> None:
+def _save(figure: Figure, path: Path) -> None:
     figure.tight_layout()
     figure.savefig(path, metadata={"Date": None})
     plt.close(figure)
--- a/tests/test_engines_engine.py
+++ b/tests/test_engines_engine.py
@@ -183,3 +183,14 @@
     bench.run()
     assert cut.said == [(20.0, "cut")] and silent.said == []
     assert anew.said == [(232.0, "read")] and engine.memory.used <= 1000
+
+
+def test_a_handle_is_gone_with_the_process_that_held_it() -> None:
+    bench = Bench(handle_s=0.3)
+    reader, runner = bench.engine("prefill"), bench.engine("decode")
+    read = bench.call(0, reader, 100)
+    bench.do(100, lambda: reader.crash(dark=False))
+    bench.do(150, reader.come_back)
+    gone = bench.call(200, runner, 100, after=read, source=reader)
+    bench.run()
+    assert [w for _, w in gone.said] == ["gone"] and bench.figures.wasted == 0
