--- a/mastturn/engines/__main__.py
+++ b/mastturn/engines/__main__.py
@@ -17,7 +17,8 @@
 from mastturn.engines.sheet import load
 from mastturn.files import LabError
 
-USAGE = """usage: python -m mastturn.engines VERB ... [--seeds=N] [--jobs=N] [--chooser=NAME] [--days=A,B] [--folder=DIR]
+USAGE = """usage: python -m mastturn.engines VERB ... [--seeds=N] [--jobs=N] [--chooser=NAME] [--days=A,B]
+  [--folder=DIR]
   play SITE DAY               one day, as JSON; DAY: one of the site's or of our own (see `days`)
   days SITE DIR               write those days of our own as files that the bench plays
   compare SITE...             all choosers on them; figures to FOLDER/choosers-NAME.json
