--- a/mastturn/control_check/pictures.py
+++ b/mastturn/control_check/pictures.py
@@ -37,7 +37,7 @@
     axes.invert_yaxis()
     axes.set_xlim(left=0)
     axes.set_xlabel("milliseconds without an answer (black: the median)")
-    axes.legend(fontsize=8, loc="lower right")
+    axes.legend(fontsize=8, loc="upper right")
     axes.grid(axis="x", alpha=0.25)
     axes.set_title("Time without an answer after a trouble of the primary, simulated")
     return figure
