Know a settings file's number without end as red: its message can't be written

The settings file is read every two seconds, and only StationError is caught there: such a file ends the process. Cause: screen/settings.py writes values as they are.

--- a/tests/test_screen_settings.py
+++ b/tests/test_screen_settings.py
@@ -216,6 +216,15 @@
         parse(text)
 
 
+def test_a_number_without_end_is_refused_in_a_short_line() -> None:
+    """YAML takes hexadecimal numbers of any length, which Python writes in decimal up to 4,300 digits only."""
+    for digits in (300, 5_000):
+        text = yaml.safe_dump(WHOLE).replace("- 7720\n", f"- 0x{'f' * digits}\n", 1)
+        with pytest.raises(SettingsError, match="give the first and the last port") as found:
+            parse(text)
+        assert len(str(found.value)) < 200
+
+
 @pytest.mark.parametrize("port", [-1, 65536])
 def test_the_port_of_the_balancers_readiness_is_a_port(port: int) -> None:
     assert parse(yaml.safe_dump(WHOLE)).readyz_port == 0
