--- a/tests/test_screen_settings.py
+++ b/tests/test_screen_settings.py
@@ -217,7 +217,7 @@
 
 
 def test_a_number_without_end_is_refused_in_a_short_line() -> None:
-    """YAML takes hexadecimal numbers of any length, which Python writes in decimal up to 4,300 digits only."""
+    """YAML takes hexadecimal numbers of any length; Python writes up to 4,300 decimal digits only."""
     for digits in (300, 5_000):
         text = yaml.safe_dump(WHOLE).replace("- 7720\n", f"- 0x{'f' * digits}\n", 1)
         with pytest.raises(SettingsError, match="give the first and the last port") as found:
