Know a settings file's number beyond all floats as red

Found while the red test before was written: 10**400 in bounds.apply_ms raises OverflowError (math.isfinite), which is caught nowhere and ends a process that reads such settings.

--- a/tests/test_screen_settings.py
+++ b/tests/test_screen_settings.py
@@ -225,6 +225,12 @@
         assert len(str(found.value)) < 200
 
 
+def test_a_number_that_no_float_holds_is_refused() -> None:
+    for value in (10**400, -(10**400)):
+        with pytest.raises(SettingsError, match=r"bounds.apply_ms is .*; make it a number"):
+            parse(changed("bounds.apply_ms", value))
+
+
 @pytest.mark.parametrize("port", [-1, 65536])
 def test_the_port_of_the_balancers_readiness_is_a_port(port: int) -> None:
     assert parse(yaml.safe_dump(WHOLE)).readyz_port == 0
