Cut what a settings file's error shows of a value, also of a number without end

Cause: screen/settings.py wrote numbers as they are, and Python writes no number of over 4,300 digits (ValueError, which ended the process).

--- a/screen/settings.py
+++ b/screen/settings.py
@@ -154,6 +154,15 @@
 }
 
 
+def _shown(value: object) -> str:
+    """A value for a message, cut off where it is long; numbers of thousands of digits can't be written."""
+    try:
+        text = repr(value)
+    except ValueError:
+        return "a number without end"
+    return text if len(text) <= 60 else text[:60] + "..."
+
+
 def _without_nulls(raw: dict[Any, Any]) -> dict[Any, Any]:
     """A field that is null counts as missing."""
     return {k: _without_nulls(v) if isinstance(v, dict) else v for k, v in raw.items() if v is not None}
@@ -167,7 +176,7 @@
         raise SettingsError(f"there is no {path}", f"add {path.rpartition('.')[2]}") from None
     except dacite.WrongTypeError as error:
         value = error.value.value if isinstance(error.value, _Unfit) else error.value
-        shown = repr(value) if len(repr(value)) <= 60 else repr(value)[:60] + "..."
+        shown = _shown(value)
         remedy = _EXPECTED.get(error.field_type, "make it an object")
         raise SettingsError(f"{error.field_path} is {shown}", remedy) from None
     except (dacite.DaciteError, TypeError, ValueError) as error:
@@ -193,15 +202,15 @@
                 raise SettingsError(f"{name}: {error.wrong}", error.remedy) from None
     first, last = settings.port_range
     if not 0 < first <= last < 65536:
-        raise SettingsError(f"port_range is {first} to {last}", _PORTS)
+        raise SettingsError(f"port_range is {_shown(first)} to {_shown(last)}", _PORTS)
     if settings.cloud_api.rate_per_s <= 0:
         raise SettingsError(f"cloud_api.rate_per_s is {settings.cloud_api.rate_per_s:g}", "make it above 0")
     if not 0 <= settings.readyz_port < 65536:
         raise SettingsError(
-            f"readyz_port is {settings.readyz_port}", "give the port of the balancers' readiness"
+            f"readyz_port is {_shown(settings.readyz_port)}", "give the port of the balancers' readiness"
         )
     if settings.faults.nodes < 0:
-        raise SettingsError(f"faults.nodes is {settings.faults.nodes}", "make it 0 or more")
+        raise SettingsError(f"faults.nodes is {_shown(settings.faults.nodes)}", "make it 0 or more")
 
 
 def _bound(text: str) -> None:
