--- a/screen/settings.py
+++ b/screen/settings.py
@@ -127,9 +127,13 @@
 
 
 def _to_float(value: object) -> object:
-    if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
+    if isinstance(value, bool) or not isinstance(value, int | float):
         return _Unfit(value)
-    return float(value)
+    try:
+        found = float(value)
+    except OverflowError:
+        return _Unfit(value)
+    return found if math.isfinite(found) else _Unfit(value)
 
 
 def _to_int(value: object) -> object:
