--- a/station/balancing.py
+++ b/station/balancing.py
@@ -36,6 +36,7 @@
     LoadReport,
     LoadReportStep,
     LoadStep,
+    MemberNews,
     Moved,
     Present,
     Pulse,
@@ -77,7 +78,7 @@
             me,
             self._links,
             self._bulletin,
-            self._seeds(),
+            _seeds(settings),
             self._told,
             self._feed.present,
             self._attached,
@@ -85,8 +86,7 @@
             secrets.randbits(32),
         )
         self._doubts = DoubtExchange(self.balancer, self._bulletin, self._follower.say)
-        calls_s = settings.cloud_api.rate_per_s * SHARE
-        self._platform = PlatformList(parse_address(settings.cloud_api.addr), calls_s)
+        self._platform = PlatformList(parse_address(settings.cloud_api.addr), _calls_s(settings))
         self._tasks: list[asyncio.Task[None]] = []
         self._headcount = Headcount()
         self._drained = False  # the configuration has us take no new clients
@@ -94,9 +94,6 @@
         self.balancer.other_calls = self._asked
         self._listed = 0  # upstreams
 
-    def _seeds(self) -> tuple[str, ...]:
-        return tuple(parse_address(a)[0] for a in self.settings.seed_addrs)
-
     async def start(self) -> None:
         """Listen, and hear the news from now on; raises OSError where an address can't be had."""
         await self._links.start()
@@ -115,9 +112,9 @@
     def reconfigure(self, settings: Settings) -> None:
         """The settings file has changed."""
         self.settings = settings
-        self._follower.seeds(self._seeds())
+        self._follower.seeds(_seeds(settings))
         self._platform.move(parse_address(settings.cloud_api.addr))
-        self._platform.allow(settings.cloud_api.rate_per_s * SHARE)
+        self._platform.allow(_calls_s(settings))
         self._log_steps()
 
     # ---- what operators ask; nothing of it is loaded until they do
@@ -289,24 +286,14 @@
             if self._follower.is_fresh(ALONE_S) or self._bulletin.configuration is None:
                 next_list = None
                 continue
-            period, offset = self._turn()
+            pages = max(self._platform.pages, math.ceil(self._listed / PAGE))
+            period, offset = _turn(self._bulletin.members, self.settings, pages)
             if next_list is None:
                 next_list = now + offset
             if now >= next_list:
                 next_list += period
                 await self._read_list()
 
-    def _turn(self) -> tuple[float, float]:
-        """How often we read the list while all balancers are alone, and our own place in that time, in s."""
-        members = self._bulletin.members
-        nodes = [m.node for m in members.balancers] if members is not None else []
-        count = max(len(nodes), 1)
-        rate = self.settings.cloud_api.rate_per_s * SHARE
-        pages = max(self._platform.pages, math.ceil(self._listed / PAGE))
-        period = max(LEAST_LIST_S, count * pages / rate)
-        place = nodes.index(self.settings.node) if self.settings.node in nodes else 0
-        return period, period * place / count
-
     async def _read_list(self) -> None:
         try:
             page = pack(await self._platform.read())
@@ -320,3 +307,21 @@
         message = UpstreamNews(epoch, number + 1, page)
         if self._bulletin.take(message):
             self._told(message, change_of(known, message))
+
+
+def _seeds(settings: Settings) -> tuple[str, ...]:
+    return tuple(parse_address(a)[0] for a in settings.seed_addrs)
+
+
+def _calls_s(settings: Settings) -> float:
+    """Calls a second that all balancers together may ask of the platform while they are alone."""
+    return settings.cloud_api.rate_per_s * SHARE
+
+
+def _turn(members: MemberNews | None, settings: Settings, pages: int) -> tuple[float, float]:
+    """How often we read the list while all balancers are alone, and our own place in that time, in s."""
+    nodes = [m.node for m in members.balancers] if members is not None else []
+    count = max(len(nodes), 1)
+    period = max(LEAST_LIST_S, count * pages / _calls_s(settings))
+    place = nodes.index(settings.node) if settings.node in nodes else 0
+    return period, period * place / count
--- a/windvane/passage.py
+++ b/windvane/passage.py
@@ -10,6 +10,7 @@
 from passpost.engine import Client
 from passpost.http1 import Answer
 from passpost.upstream import Outgoing
+from screen.configuration import Route
 from umberworks.interface import Outcome
 from windvane import pair as steps
 from windvane.errand import Errand
@@ -67,7 +68,7 @@
         if split:
             now = time.monotonic()
             reading, itself = tiers.reading(self._service, now), tiers.reading_itself(self._service, now)
-            if min(reading, itself) > self._bearable():
+            if min(reading, itself) > _bearable(self._call.route):
                 self._follow(steps.Refuse(), Refusal.QUEUES)
                 return
             prompt = self._call.prompt
@@ -75,12 +76,6 @@
             split = reading < QUEUED_S or apart < tiers.cost(self._service, DECODE, prompt, now) * ITSELF
         self._follow(self._pair.first(split))
 
-    def _bearable(self) -> float:
-        """How long it may take until the prompt is begun, in seconds; the urgent wait where others do not."""
-        route = self._call.route
-        aim = route.target_ms or route.deadline_ms / 2
-        return aim / 1000 * max(WAIT_MOST - WAIT_RANK * route.prio, WAIT_LEAST)
-
     def left(self) -> None:
         """The client has gone: nobody needs what is under way."""
         if not self._finished:
@@ -191,7 +186,7 @@
     def _read_done(self, outcome: Outcome, answer: Answer | None) -> None:
         peer = self._errand.ended(outcome, answer, good=True)
         if outcome is not Outcome.SERVED and not self._finished:
-            self._log(peer, "read_ended", outcome, answer)
+            _log(peer, "read_ended", outcome, answer, self._call)
         told = read_handle(answer.body) if outcome is Outcome.SERVED and answer is not None else None
         handle = None
         if told is not None:
@@ -279,18 +274,12 @@
             self._free()
             self._client.serve(answer)
         else:
-            self._log(peer, "run_ended", outcome, answer)
+            _log(peer, "run_ended", outcome, answer, self._call)
             if outcome is Outcome.TURNED_AWAY and self._fetching is not None:
                 self._fetched(False)
             end = steps.End.BROKEN if outcome is Outcome.SERVED else _end(outcome)
             self._follow(self._pair.run_ended(end))
 
-    def _log(self, peer: Peer, what: str, outcome: Outcome, answer: Answer | None) -> None:
-        status = answer.status if answer is not None else 0
-        name, request = peer.entry.id, self._call.txn.decode("latin-1")
-        text = "event={} upstream={} outcome={!r} status={} request={}"
-        logger.debug(text, what, name, outcome.value, status, request)
-
 
 _ENDS = {
     Outcome.TURNED_AWAY: steps.End.REJECTED,
@@ -302,3 +291,15 @@
 
 def _end(outcome: Outcome) -> steps.End:
     return _ENDS.get(outcome, steps.End.BROKEN)
+
+
+def _bearable(route: Route) -> float:
+    """How long it may take until a prompt is begun, in seconds; the urgent wait where others do not."""
+    aim = route.target_ms or route.deadline_ms / 2
+    return aim / 1000 * max(WAIT_MOST - WAIT_RANK * route.prio, WAIT_LEAST)
+
+
+def _log(peer: Peer, what: str, outcome: Outcome, answer: Answer | None, call: RoutedCall) -> None:
+    status = answer.status if answer is not None else 0
+    text = "event={} upstream={} outcome={!r} status={} request={}"
+    logger.debug(text, what, peer.entry.id, outcome.value, status, call.txn.decode("latin-1"))
