Let a tier without any place cost more than any other, as ours answered 500

After a full loss of power the number of balancers is not known, each has 13 connections to an upstream; one decode upstream was left, all 13 were in use, so none was able.

At fault: windvane/tiers.py, Tiers._costs sought a subject's home by rendezvous hashing among no upstreams.

Ruled out: an empty list (the group had its upstream), a request that tells no subject (no home is sought).

Change: no home among none; the tier's cost is infinite, as its docstring says.

Test: a tier without a place, either part (failed before with the same error).

--- a/tests/test_windvane_draw.py
+++ b/tests/test_windvane_draw.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections import Counter
 
@@ -287,3 +288,12 @@
     assert not made.is_split(SVC) and runner(made) == "x"
     assert tiers(entry("x", PREFILL), entry("y")).is_split(SVC)
     assert not tiers(entry("y")).is_split(SVC)
+
+
+@pytest.mark.parametrize("part", [PREFILL, DECODE])
+def test_a_tier_without_a_place_costs_more_than_any_other(part: str) -> None:
+    """With a subject that nobody has read: its home was sought among none, and the client got a 500."""
+    made = tiers(entry("a", PREFILL), entry("b", DECODE), full=("a" if part == PREFILL else "b",))
+    told = Prompt(2_000, 1_500, b"subject")
+    assert made.cost(SVC, part, told, 0.0) == math.inf
+    assert made.cost(SVC, DECODE if part == PREFILL else PREFILL, told, 0.0) == 2_000
--- a/windvane/tiers.py
+++ b/windvane/tiers.py
@@ -263,7 +263,7 @@
         A subject that nobody has read has its home where rendezvous hashing puts it: all read it there.
         """
         home = None
-        if prompt.subject and not any(prompt.subject in p.kept for p in able):
+        if prompt.subject and able and not any(prompt.subject in p.kept for p in able):
             home = max(able, key=lambda p: _weight(prompt.subject, p.home))
         own = prompt.tokens - prompt.shared
         costs = []
