Bring balancers to a new primary as soon as it leads, after a loss of power too

Four things held them up. - sonde/follower.py dialled one control process at a time; one without power took all of 0.5 s. - barograph/node.py, leader(): after a start, and once a candidate had the promise, the primary of before was named although nothing was heard of it, so balancers and operators were sent there. - Whoever was told where to go waited 0.05 to 0.15 s before it went. - barograph/herald.py told no pulse with the first news of a term: a balancer that woke in the 0.3 s until then took what it had just been told for old, and forgot the sums of load until something in them changed.

Change: Links.dial_any dials the next 0.1 s later and keeps the first that is up; only a primary that was heard of is named; whoever is sent on goes within 10 to 40 ms, unless it was sent on less than 0.5 s ago (a circle while nobody leads); a term begins with a pulse. An ending control process sends its balancers on in any case before it ends.

--- a/barograph/herald.py
+++ b/barograph/herald.py
@@ -133,6 +133,7 @@
         logger.info("event=lead epoch={}", view.epoch if view is not None else 0)
         if view is not None:
             self._tell(MemberNews(view.epoch, self._next(), self._members(), self._cores(view)))
+            self._tell(Pulse(view.epoch, self._next(), self._count()))  # before what only the fresh keep
             self._hear_waiting()
             self._doubts.again()
             self._loads.again()  # what was reported while nobody led was told to nobody
--- a/barograph/node.py
+++ b/barograph/node.py
@@ -79,6 +79,7 @@
             until = self._loop.time() + STOP_S
             while self._loop.time() < until and not self._is_followed(replica):
                 await asyncio.sleep(TICK_S)
+            self._herald.led_by(self.leader())  # whoever hears the news from us goes there at once
         if self._ticker is not None:
             self._ticker.cancel()
         self._herald.stop()
@@ -105,9 +106,9 @@
     def leader(self) -> Member | None:
         """Another that is the primary, as far as we know, and was heard of a moment ago."""
         replica = self._replica
-        if replica is None or not replica.is_led(self._now()):
+        if replica is None:
             return None
-        leader = replica.leader()
+        leader = replica.heard_leader(self._now())
         return None if leader is None or leader.identity == replica.me.identity else leader
 
     def parts(self) -> tuple[Replica | None, Herald, Keeper]:
--- a/barograph/replica.py
+++ b/barograph/replica.py
@@ -98,6 +98,13 @@
         """Whether a primary is there: ourselves, or one that was heard of a moment ago."""
         return self.primary is not None or now - self.acceptor.heard_at < self._spec.lost_ms
 
+    def heard_leader(self, now: float) -> Member | None:
+        """The primary if it was heard of a moment ago, itself: after a start, or once a candidate has our
+        promise, the one that we know of is only given its time."""
+        leader = self.leader()
+        is_heard = leader is not None and self.acceptor.heard_from == leader.identity
+        return leader if is_heard and self.is_led(now) else None
+
     def stop(self, now: float) -> None:
         """We are told to end: name a successor if we lead, and hold nothing any more."""
         self.stopping = True
--- a/screen/links.py
+++ b/screen/links.py
@@ -4,13 +4,14 @@
 
 import asyncio
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any
 
 from screen.settings import Address
 from screen.wire import Kinds, Link
 
 DIAL_S = 0.5  # a connection comes up within this, or the peer is out of reach
+STAGGER_S = 0.1  # where one of several is wanted, the next is dialled if the one before is not up by then
 SILENT_S = 0.8  # one on which nothing was heard for so long is not trusted while another can be had
 DROP_S = 4.0  # one on which nothing was heard for so long is closed
 HELD_FRAMES = 64  # wait for a connection that comes up
@@ -105,6 +106,30 @@
             for frame in waiting:
                 link.send_bytes(frame)
 
+    async def dial_any(self, ips: Sequence[str]) -> tuple[str, Link] | None:
+        """A connection to the first of these that takes us in; None if nobody does."""
+        dials: dict[asyncio.Task[Link | None], str] = {}
+        found: tuple[str, Link] | None = None
+        waiting = list(ips)
+        try:
+            while found is None and (waiting or dials):
+                if waiting:
+                    ip = waiting.pop(0)
+                    dials[asyncio.get_running_loop().create_task(self.dial(ip))] = ip
+                wait_s = STAGGER_S if waiting else None
+                done, _ = await asyncio.wait(dials, timeout=wait_s, return_when=asyncio.FIRST_COMPLETED)
+                for dial in done:
+                    ip, link = dials.pop(dial), dial.result()
+                    if link is not None and found is None and link.is_up():
+                        found = ip, link
+                    elif link is not None:
+                        link.close()
+        finally:
+            for dial in dials:
+                dial.add_done_callback(_close_late)
+                dial.cancel()
+        return found
+
     async def dial(self, ip: str) -> Link | None:
         """A new connection to an IP; None if none comes up."""
         try:
@@ -117,3 +142,9 @@
         except (OSError, TimeoutError):
             return None
         return link
+
+
+def _close_late(dial: asyncio.Task[Link | None]) -> None:
+    """It came up all the same."""
+    if not dial.cancelled() and dial.exception() is None and (link := dial.result()) is not None:
+        link.close()
--- a/sonde/follower.py
+++ b/sonde/follower.py
@@ -35,6 +35,9 @@
 PULSE_S = 0.3  # the control state is heard of so often
 STALE_S = 0.9  # without a newer pulse for so long whoever tells us is behind itself
 PAUSE_S = 0.1  # between two attempts, more or less
+SOON = (0.1, 0.4)  # of it, where we were told whom to ask
+LED_S = 0.5  # whoever is sent on again sooner than this is sent in a circle, while nobody leads yet
+MOST_DIALLED = 3  # one after the other, before we look anew whom to dial
 MANY = 100  # so many balancers and more wait longer, so that all together ask 1,000 times a second at most
 ROLL_S = 1.0  # we are heard of so often by whoever tells us
 SETTLE_S = 1.0  # the tree has given us another place for so long before we move there
@@ -69,6 +72,7 @@
         self._mended_at = -1e9
         self._seeds = list(seeds)
         self._hints: list[str] = []
+        self._was_led, self._moved_at = False, -1e9
         self._random = random.Random(seed)
         self._link: Link | None = None
         self._parent = ""  # its IP
@@ -104,6 +108,7 @@
         match message:
             case Moved(ips):
                 self._hints = [ip for ip in ips if ip != self._me.ip]
+                self._was_led, self._moved_at = now - self._moved_at >= LED_S, now
                 if self._is_relay(self._parent):
                     self._shun(self._parent)  # it is behind itself
                 self._leave()
@@ -153,17 +158,18 @@
     async def run(self) -> None:
         """Stay attached for ever."""
         while True:
-            ip, moves = self._choose(), False
-            link = await self._links.dial(ip) if ip is not None else None
-            if ip is not None and link is not None and link.is_up():
-                self._ended.clear()
-                self._link, self._parent = link, ip
-                self._attach(link)
-                moves = await self._stay(ip)
-            elif ip is not None:
+            ips, moves = self._choose(), False
+            reached = await self._links.dial_any(ips)
+            for ip in ips if reached is None else ips[: ips.index(reached[0])]:
                 self._shun(ip)
+            if reached is not None:
+                self._parent, self._link = reached
+                self._ended.clear()
+                self._attach(self._link)
+                moves = await self._stay(self._parent)
             if not moves:
-                await asyncio.sleep(self._pause() * self._random.uniform(0.5, 1.5))
+                shares = SOON if self._hints and self._was_led else (0.5, 1.5)
+                await asyncio.sleep(self._pause() * self._random.uniform(*shares))
 
     def _pause(self) -> float:
         """In seconds; many balancers that look for a primary must not take the time of those who make one."""
@@ -184,18 +190,19 @@
         members = self._bulletin.members
         return members is not None and any(m.ip == ip for m in members.balancers)
 
-    def _choose(self) -> str | None:
-        """The relay that the tree gives us, or one of the control state: the leader if we know it."""
-        relay = self._relay()
-        if relay and self.is_fresh(2 * STALE_S):
-            return relay
-        if self._hints:
-            return self._hints.pop(0)
+    def _choose(self) -> list[str]:
+        """Whom to dial, one after the other until one takes us in.
+
+        First the relay that the tree gives us, or the leader if we know it; then others of the control state.
+        """
         members = self._bulletin.members
-        known = dict.fromkeys([*self._seeds, *(members.cores if members is not None else ())])
-        known.pop(self._me.ip, None)
-        likely = [ip for ip in known if not self._is_shunned(ip)]
-        return self._random.choice(likely or list(known)) if known else None
+        known = list(dict.fromkeys([*self._seeds, *(members.cores if members is not None else ())]))
+        self._random.shuffle(known)
+        known.sort(key=self._is_shunned)
+        first = [relay] if (relay := self._relay()) and self.is_fresh(2 * STALE_S) else []
+        if not first and self._hints:
+            first = [self._hints.pop(0)]
+        return [ip for ip in dict.fromkeys([*first, *known]) if ip != self._me.ip][:MOST_DIALLED]
 
     def _shun(self, ip: str) -> None:
         self._shunned[ip] = asyncio.get_running_loop().time()
--- a/tests/test_screen_links.py
+++ b/tests/test_screen_links.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from screen.links import DIAL_S, DROP_S, HELD_FRAMES, USER_TIMEOUT_MS, Links, harden
+from screen.links import DIAL_S, DROP_S, HELD_FRAMES, STAGGER_S, USER_TIMEOUT_MS, Links, harden
 from screen.wire import Kinds, Link
 from sonde import messages
 from sonde.messages import Moved, Pulse
@@ -246,3 +246,35 @@
             await ended.wait()
 
     uvloop.run(story())
+
+
+@pytest.mark.parametrize("fault", ["off", "refusing"])
+def test_the_next_is_dialled_where_the_first_does_not_take_us_in(fault: str) -> None:
+    async def story(world: World, a: Peer, b: Peer) -> None:
+        getattr(world.network, fault).add("10.9.9.9")
+        since = world.loop.time()
+        reached = await world.loop.create_task(
+            a.links.dial_any(["10.9.9.9", b.process.ip]), context=a.process.context
+        )
+        assert reached is not None and reached[0] == b.process.ip and reached[1].is_up()
+        assert world.loop.time() - since < (STAGGER_S if fault == "off" else 0.0) + 0.02
+        await world.wait(DIAL_S)
+        assert len(a.to(b)) == 1
+
+    scene(story)
+
+
+def test_of_several_that_take_us_in_one_is_left_and_without_any_there_is_none() -> None:
+    async def story(world: World, a: Peer, b: Peer) -> None:
+        world.network.delay_s = 0.08  # so that a second one is dialled before the first is up
+        dialled = a.links.dial_any([b.process.ip, b.process.ip])
+        reached = await world.loop.create_task(dialled, context=a.process.context)
+        assert reached is not None
+        await world.wait(DIAL_S)
+        assert reached[1].is_up() and len(a.to(b)) == 1
+        world.network.off.add(b.process.ip)
+        dialled = a.links.dial_any([b.process.ip, "10.9.9.9"])
+        assert await world.loop.create_task(dialled, context=a.process.context) is None
+        assert await a.links.dial_any([]) is None
+
+    scene(story)
--- a/tests/test_sonde_news.py
+++ b/tests/test_sonde_news.py
@@ -201,6 +201,23 @@
     play(scene, edges=2)
 
 
+def test_a_machine_without_power_among_the_seeds_holds_no_balancer_up() -> None:
+    """All lose power, and one of the control state stays away: the others take the balancers in."""
+
+    async def scene(world: World) -> None:
+        await begun(world)
+        await settled(world)
+        primary = world.primary()
+        names = [m.name for m in world.machines.values()]
+        world.power_off(*names)
+        await world.wait(1.0)
+        world.boot(*(name for name in names if name != primary))
+        await world.until(lambda: world.primary() not in ("", primary), 3.0, "another leads")
+        await world.until(lambda: all(m.plane.is_allowed for m in world.edges()), 0.3, "all are ready")
+
+    play(scene, edges=8, zones=1)
+
+
 @pytest.mark.parametrize(("edges", "rate", "upstreams"), [(7, 42.0, 5), (9, 4.0, 9), (30, 10.0, 120)])
 def test_balancers_alone_read_the_list_themselves_and_stay_within_the_rate(
     edges: int, rate: float, upstreams: int
