Give a reader back where losses leave fewer than two in five making answers

At fault: barograph/phases.py, _due, holds LEAST_RUNNERS only when it takes one away; a loss is made good only once more than 0.7 of the places are taken, smoothed.

Change: where the list shows fewer than the least, one reader is given back if the others have room for its work.

--- a/barograph/phases.py
+++ b/barograph/phases.py
@@ -93,7 +93,8 @@
             if may_order and not found and settled:
                 shunned = measure.shunned(now)
                 least = max(math.ceil(LEAST_RUNNERS * len(ups)), 1)
-                found = _due(measure, [u for u in ups if u.id not in shunned], loads, least)
+                short = sum(u.phase == DECODE for u in ups) < least
+                found = _due(measure, [u for u in ups if u.id not in shunned], loads, least, short)
                 if found:
                     measure.ordered = now
         return found
@@ -133,9 +134,12 @@
 
 
 def _due(
-    measure: _Measure, ups: list[Upstream], loads: Mapping[str, tuple[int, int]], least: int
+    measure: _Measure, ups: list[Upstream], loads: Mapping[str, tuple[int, int]], least: int, short: bool
 ) -> list[Order]:
-    """The orders for one service's upstreams; `least`: how many make answers in any case."""
+    """The orders for one service's upstreams; `least`: how many make answers in any case.
+
+    `short`: losses have left fewer of them on the list.
+    """
     readers = _leaving(ups, PREFILL, loads)
     runners = _leaving(ups, DECODE, loads)
     step = max(int(STEP * len(ups)), 1)
@@ -151,7 +155,8 @@
         return [Order(u, PREFILL) for u in leaving]
     crowded = used > PLACES_FULL or (used > PLACES_HIGH and reading < READING_HIGH)
     idle = reading < READING_LOW and used > PLACES_AFTER
-    if (crowded or idle) and len(readers) > 1:
+    spare = measure.reading <= READING_HIGH * (len(readers) - step)
+    if (crowded or idle or (short and spare)) and len(readers) > 1:
         return [Order(u, DECODE) for u in readers[: min(step, len(readers) - 1)]]
     return []
 
