--- a/features/steps/fleet.py
+++ b/features/steps/fleet.py
@@ -209,7 +209,7 @@
 @then("it answers what it holds before it ends")
 def has_drained(context: Any) -> None:
     """It took the time that it needed, and not much more."""
-    assert 2.0 <= context.drained_s < 2.2
+    assert 2.0 <= round(context.drained_s, 6) < 2.2  # the clock's sums of floats are off by 1e-12
 
 
 @then("the others hear the news as before")
