Bound what is known of kept parts of prompts as one table, not for each upstream

And each request looked over all upstreams up to three times for who has a subject, once of them for a figure only.

At fault: windvane/tiers.py, Peer.kept and KEPT_MOST; Tiers.is_kept.

Ruled out: a smaller bound for each upstream: 24 are too few where there are five upstreams.

What left the list or plays another part is taken out of it in one go.

Tests: the bound, the order, what is forgotten when the list changes; the two of Peer's own table follow the new one.

--- a/mastturn/capacity/choices.py
+++ b/mastturn/capacity/choices.py
@@ -75,7 +75,7 @@
         self.spent += (time.process_time_ns() - began) / 1e9
         assert peer is not None
         self._out(peer, self.now, self._shape.read_s, tokens)
-        peer.keeps(prompt.subject)
+        self._tiers.kept.add(prompt.subject, peer.entry.id)
 
     def _run(self, at: float, reader: Peer) -> None:
         began = time.process_time_ns()
--- a/mastturn/capacity/memory.py
+++ b/mastturn/capacity/memory.py
@@ -31,7 +31,7 @@
     UpstreamNews,
 )
 from station.balancing import BalancerRole
-from windvane.tiers import KEPT_MOST
+from windvane.kept import MOST_PAIRS
 
 STEPS = ("program", "configuration", "members", "list", "list again", "loads", "holdings", "kept, full")
 SIZES = (0.125, 0.25, 0.5, 0.75)  # of the target's entries, members and routes
@@ -108,9 +108,9 @@
 
 
 def _full(shape: Shape) -> int:
-    """After so many of those news every upstream's table of what it has read is as long as it may be."""
+    """After so many of those news the table of what upstreams have read has been filled twice."""
     told = MOST_SUBJECTS * MOST_HOLDERS * shape.upstreams / TARGET.upstreams
-    return math.ceil(KEPT_MOST * shape.upstreams / told)
+    return math.ceil(2 * MOST_PAIRS / told)
 
 
 def measured() -> dict[str, Any]:
--- a/mastturn/engines/choosers.py
+++ b/mastturn/engines/choosers.py
@@ -82,7 +82,8 @@
         if prompt is None or not prompt.subject:
             drawn = [self._chance.choice(able), self._chance.choice(able)]
             return min(drawn, key=lambda p: p.server.in_flight)
-        keepers = [p for p in able if prompt.subject in p.kept]
+        holders = self.kept.holders(prompt.subject)
+        keepers = [p for p in able if p.entry.id in holders]
         return max(keepers or able, key=lambda p: _weight(prompt.subject, p.home))
 
 
--- a/tests/test_windvane_draw.py
+++ b/tests/test_windvane_draw.py
@@ -9,6 +9,7 @@
 import pytest
 
 from screen.configuration import Upstream
+from windvane.kept import MOST_PAIRS, KeptParts
 from windvane.prompt import Prompt
 from windvane.tiers import (
     AGAIN,
@@ -225,13 +226,36 @@
     made = tiers(*(entry(n, PREFILL) for n in "wxyz"))
     subject = b"91bd3f06"
     other = next(n for n in "wxyz" if n != home(made, subject))
-    holder = known(made.peer(other))
-    assert holder.keeps(subject) and not holder.keeps(subject)
+    assert made.kept.add(subject, other) and not made.kept.add(subject, other)
     assert {home(made, subject) for _ in range(20)} == {other}
-    for i in range(300):
-        holder.keeps(b"%d" % i)
-    assert subject not in holder.kept
-    assert not holder.keeps(b"")
+    for i in range(MOST_PAIRS):
+        made.kept.add(b"%d" % i, other)
+    assert other not in made.kept.holders(subject)
+    assert not made.kept.add(b"", other)
+
+
+def test_what_an_upstream_had_is_forgotten_with_its_part_or_its_place_on_the_list() -> None:
+    made = tiers(*(entry(n, PREFILL) for n in "xyz"))
+    for name in "xyz":
+        made.kept.add(b"5c1e07a2", name)
+    made.take((entry("x", PREFILL), entry("y", DECODE), entry("v", PREFILL)), 1.0)
+    assert list(made.kept.holders(b"5c1e07a2")) == ["x"]
+    made.take((entry("x", PREFILL, addr="10.9.9.9:80"), entry("y", DECODE)), 2.0)
+    assert not made.kept.holders(b"5c1e07a2")
+
+
+def test_the_table_of_what_was_read_is_bounded_as_a_whole() -> None:
+    table = KeptParts(10)
+    for number in range(100):
+        table.add(b"%d" % (number // 3), f"u{number % 3}")
+    left = [s for s in range(34) if table.holders(b"%d" % s)]
+    assert left == [30, 31, 32, 33]  # three of each but the last
+    assert table.add(b"30", "u9") and len(table.holders(b"30")) == 4  # and now it is the latest
+    table.add(b"99", "u0")
+    assert not table.holders(b"31") and len(table.holders(b"30")) == 4
+    table.forget(["u0", "u1", "u2", "u9"])
+    assert not any(table.holders(b"%d" % s) for s in range(100))
+    assert all(table.add(b"%d" % number, "u0") for number in range(10)) and table.holders(b"0")
 
 
 def test_what_others_have_out_counts() -> None:
--- a/windvane/balancer.py
+++ b/windvane/balancer.py
@@ -183,13 +183,13 @@
 
     def heed_kept(self, subject: bytes, upstream: str) -> None:
         """Another balancer has seen that an upstream has the shared parts of a subject."""
-        peer = self.tiers.peer(upstream)
-        if peer is not None:
-            peer.keeps(subject)
+        if self.tiers.peer(upstream) is not None:
+            self.tiers.kept.add(subject, upstream)
 
     def kept(self, peer: Peer, prompt: Prompt) -> None:
         """An upstream has read or fetched a prompt for us."""
-        if peer.keeps(prompt.subject) and prompt.shared >= TOLD_TOKENS and self._tell_kept is not None:
+        is_new = self.tiers.kept.add(prompt.subject, peer.entry.id)
+        if is_new and prompt.shared >= TOLD_TOKENS and self._tell_kept is not None:
             self._tell_kept(prompt.subject, peer.entry.id)
 
     async def drain(self) -> None:
--- a/windvane/passage.py
+++ b/windvane/passage.py
@@ -160,9 +160,9 @@
     def _to_read(self, peer: Peer) -> int:
         """The tokens that an upstream has to read for it, counted."""
         prompt, balancer = self._call.prompt, self._balancer
-        tokens = peer.missing(prompt)
+        tokens = balancer.tiers.missing(peer, prompt)
         balancer.counters.reads(tokens, self._was_read)
-        if prompt.shared and tokens == prompt.tokens and balancer.tiers.is_kept(prompt.subject):
+        if prompt.shared and tokens == prompt.tokens and balancer.tiers.kept.holders(prompt.subject):
             balancer.counters.shared_again += prompt.shared
         self._was_read = True
         return tokens
--- a/windvane/tiers.py
+++ b/windvane/tiers.py
@@ -15,13 +15,13 @@
 from umberworks import interface as face
 from umberworks.choice import Choice
 from umberworks.members import Server
+from windvane.kept import KeptParts
 from windvane.prompt import Prompt
 from windvane.trust import Trust
 
 PREFILL, DECODE = "prefill", "decode"
 SPOILT, SPOILT_S = 2, 1.0  # so many handles in a row that could not be fetched, and it is avoided so long
 LEAST_TOKENS = 500  # a shorter prompt tells the pace no better
-KEPT_MOST = 256  # subjects that are remembered of one upstream
 PACE_SHARE = 0.2  # of the smoothed pace that the latest call makes up
 PACE_S = 0.000025  # seconds for each token of a prompt, until it is learned
 ITSELF = 10.0
@@ -42,7 +42,6 @@
         "entry",
         "heard_at",
         "home",
-        "kept",
         "pace",
         "server",
         "silent",
@@ -57,9 +56,6 @@
         self.blocked_until = 0.0
         self.heard_at, self.silent = now, False  # silent: it owes us a word for too long, or can't be reached
         self.spoilt = 0  # handles from here that could not be fetched, since the last one that was
-        self.kept: dict[
-            bytes, None
-        ] = {}  # subjects whose shared parts we saw it read or fetch, the latest last
         self.pace = 0.0  # seconds for each of our outstanding tokens that a prefill call has taken, smoothed
         self.home = entry.id.encode()
 
@@ -70,21 +66,6 @@
         self.server.last_sent = now * 1000
         self.tokens += tokens
 
-    def missing(self, prompt: Prompt) -> int:
-        """How many tokens of a prompt it would have to read."""
-        return prompt.tokens - prompt.shared if prompt.subject in self.kept else prompt.tokens
-
-    def keeps(self, subject: bytes) -> bool:
-        """It has the shared parts of a subject now, those unused longest give way; whether that is new."""
-        if not subject:
-            return False
-        new = subject not in self.kept
-        self.kept.pop(subject, None)
-        self.kept[subject] = None
-        if len(self.kept) > KEPT_MOST:
-            del self.kept[next(iter(self.kept))]
-        return new
-
     def read(self, seconds: float, tokens: int) -> None:
         """A prompt was read, with so many tokens outstanding when it was sent."""
         pace = seconds / max(tokens, LEAST_TOKENS)
@@ -145,6 +126,7 @@
         self._peers: dict[str, Peer] = {}
         self._groups: dict[tuple[str, str], Group] = {}
         self._entries: tuple[Upstream, ...] | None = None
+        self.kept = KeptParts()
 
     def take(self, entries: tuple[Upstream, ...], now: float) -> bool:
         """Take over the whole list; whether it has changed. Draining and missing ones get nothing new."""
@@ -152,6 +134,7 @@
             return False
         self._entries = entries
         known, self._peers = self._peers, {}
+        emptied = set(known)
         ready: dict[tuple[str, str], list[Peer]] = {}
         for entry in entries:
             peer = known.get(entry.id)
@@ -159,8 +142,9 @@
                 peer = Peer(entry, now, self._chance.random())
             elif peer.entry.phase != entry.phase:
                 peer.server.forget(now * 1000)
-                peer.kept.clear()
                 peer.blocked_until = 0.0
+            else:
+                emptied.discard(entry.id)
             peer.entry = entry
             self._peers[entry.id] = peer
             if entry.state == "up":
@@ -169,6 +153,7 @@
             if key not in self._groups:
                 self._groups[key] = Group(self._chance)
             self._groups[key].take(sorted(ready.get(key, []), key=lambda p: p.entry.id), now)
+        self.kept.forget(emptied)
         self.trust.keep_only(self._peers)
         self.trust.zones = len({entry.zone for entry in entries})
         return True
@@ -185,9 +170,10 @@
         """The upstream of this id, if it is on the list."""
         return self._peers.get(name)
 
-    def is_kept(self, subject: bytes) -> bool:
-        """Whether any upstream of the list has the shared parts of a subject."""
-        return any(subject in peer.kept for peer in self._peers.values())
+    def missing(self, peer: Peer, prompt: Prompt) -> int:
+        """How many tokens of a prompt an upstream would have to read."""
+        has = peer.entry.id in self.kept.holders(prompt.subject)
+        return prompt.tokens - prompt.shared if has else prompt.tokens
 
     def has_any(self) -> bool:
         """Whether any upstream is ready."""
@@ -262,14 +248,13 @@
 
         A subject that nobody has read has its home where rendezvous hashing puts it: all read it there.
         """
-        home = None
-        if prompt.subject and able and not any(prompt.subject in p.kept for p in able):
+        home, holders = None, self.kept.holders(prompt.subject)
+        if prompt.subject and able and not any(p.entry.id in holders for p in able):
             home = max(able, key=lambda p: _weight(prompt.subject, p.home))
         own = prompt.tokens - prompt.shared
         costs = []
         for peer in able:
-            kept = prompt.subject in peer.kept
-            shared = 0 if kept else prompt.shared * (1 if peer is home else AGAIN)
+            shared = 0 if peer.entry.id in holders else prompt.shared * (1 if peer is home else AGAIN)
             costs.append(float(self.outstanding(peer) + own + shared))
         return costs, home
 
