Name 350 as left out again before the program is measured anew, and mend one line and one measure

Two of 21 quantities did not agree. 'Members told after a restart' was told once or not at all by chance: the one that was killed came back after 2 s, within the 4 s after which it is dropped (silence 2.5 s, then 1.5 s); it stays away for 5 s now.

280 is fitted from now on.

--- a/mastturn/capacity/days.py
+++ b/mastturn/capacity/days.py
@@ -23,6 +23,7 @@
 IDLE_S = 10.0  # 55 beats: the work of one is a tenth of a millisecond
 WARM_S = 1.0  # of traffic at the most before it is measured
 WRONG_LOOKS = 8  # in the busy phase
+DOWN_S = 5.0  # of the one that is killed: members are told that it has gone, and that it is back
 SETTLED_S = 4.0  # after the last balancer is configured the tree has its shape
 Figures = dict[str, Any]
 
@@ -269,12 +270,12 @@
         number = list(fleet.edges).index(victim.program.name)
         victim.program.kill()
         began = fleet.loop.time()
-        await asyncio.sleep(2.0)
+        await asyncio.sleep(DOWN_S)
         machine = fleet.boot_edge(number)
         await fleet.until(
             lambda: machine.role is not None and fleet.plane(machine).is_ready(), 120.0, "it is ready again"
         )
-        ready = fleet.loop.time() - began - 2.0
+        ready = fleet.loop.time() - began - DOWN_S
         await asyncio.sleep(4.0)
         return {"restarts": 1, "ready_s": ready}
 
--- a/mastturn/capacity/foreseen.py
+++ b/mastturn/capacity/foreseen.py
@@ -40,6 +40,11 @@
     return _loaded(shape, shape.balancers)
 
 
+def zone_entries(shape: Shape) -> float:
+    """Upstreams at which the balancers of one zone have work: what its first one sums up and looks at."""
+    return _loaded(shape, shape.balancers / shape.zones)
+
+
 def _steps(shape: Shape, balancers: float) -> float:
     """Bytes a second of steps that tell so many balancers' load: what changes, up to what may be told."""
     loaded = _loaded(shape, balancers)
@@ -122,7 +127,7 @@
     Quantity("head of a zone, peak: sums of load out", "kB/s", 1e-3, "bytes of steps x children",
              lambda s: steps_down(s) * head_children(s),
              lambda f: rate(f, "busy", "head", "sent_bytes", *LOADS)),
-    Quantity("head of a zone, peak: processor time", "% of a core", 100, "entries told", told_entries,
+    Quantity("head of a zone, peak: processor time", "% of a core", 100, "entries of its zone", zone_entries,
              lambda f: rate(f, "busy", "head", "cpu")),
     Quantity("primary, peak: reports of load in", "kB/s", 1e-3, "bytes of steps", steps_up,
              lambda f: rate(f, "busy", "primary", "got_bytes", *REPORTS)),
--- a/mastturn/capacity/shapes.py
+++ b/mastturn/capacity/shapes.py
@@ -127,6 +127,7 @@
 
 
 # Named before any of them was measured: slopes come from the sizes below, and are held against the last one.
-# 280 was the first to be held out of the lines of steps; two of them were mended by it, so it counts no more.
-FITTED = (30, 50, 100, 200)
+# 280 was the first to be held out of the lines of steps; two of them were mended by it, so it is fitted now.
+# 350 is measured anew with the program as it is, after one more line was mended and one measure put right.
+FITTED = (30, 50, 100, 200, 280)
 HELD_OUT = 350
