Show upstreams in doubt in status, explain and the figures

Need: an operator learned of a distrusted upstream from the logs only (docs/OPERATE.md, README "Open").

Others' words are held to their form, and earlier releases, which don't tell it, are read as before.

--- a/station/balancer_figures.py
+++ b/station/balancer_figures.py
@@ -16,12 +16,14 @@
     """The same as figures."""
     told = status(role)
     age = told["news_age_s"]
-    parts: dict[str, dict[str, float]] = {"up": {}, "silent": {}, "calls": {}, "tokens": {}}
+    names = ("up", "silent", "distrusted", "calls", "tokens")
+    parts: dict[str, dict[str, float]] = {name: {} for name in names}
     for entry in told["upstreams"]:
         part = entry["part"] or "whole"
         for name, more in (
             ("up", entry["state"] == "up"),
             ("silent", entry["silent"]),
+            ("distrusted", entry["trust"] == "distrusted"),
             ("calls", entry["calls"]),
             ("tokens", entry["tokens"]),
         ):
@@ -70,6 +72,13 @@
         counter("station_list_calls_total", "Pages of the platform's list asked for.", told["list_calls"]),
         by("station_upstreams_up", "gauge", "Upstreams that are up.", "part", parts["up"]),
         by("station_upstreams_silent", "gauge", "Upstreams that owe us a word.", "part", parts["silent"]),
+        by(
+            "station_upstreams_distrusted",
+            "gauge",
+            "Upstreams that get nothing new as too many requests failed there.",
+            "part",
+            parts["distrusted"],
+        ),
         by("station_upstream_calls", "gauge", "Our calls out.", "part", parts["calls"]),
         by("station_upstream_tokens", "gauge", "Prompt tokens read for us.", "part", parts["tokens"]),
         gauge("process_resident_memory_bytes", "Memory in use.", told["memory_kb"] * 1024),
--- a/station/balancer_report.py
+++ b/station/balancer_report.py
@@ -49,6 +49,8 @@
                 "tokens": peer.tokens,
                 "silent": peer.silent,
                 "blocked_ms": round(max(peer.blocked_until - now, 0.0) * 1000),
+                "trust": balancer.tiers.trust.standing(peer.entry.id, now),
+                "failures": balancer.tiers.trust.failures(peer.entry.id),
             }
             for peer in _peers(role)
         ],
--- a/station/commands.py
+++ b/station/commands.py
@@ -328,12 +328,20 @@
             f"{u['load']:.4f}",
             f"{u['drawn'] * 100:.1f}%",
             f"{u['chosen'] * 100:.1f}%",
-            "silent" if u["silent"] else f"{u['blocked_ms']} ms" if u["blocked_ms"] else "",
+            _held_back(u),
         ]
         for u in upstreams
     ]
 
 
+def _held_back(upstream: dict[str, Any]) -> str:
+    """Why an upstream gets less than its draws: nothing comes from it, it is avoided, or not trusted."""
+    words = ["silent"] if upstream["silent"] else []
+    words += [f"{upstream['blocked_ms']} ms"] if upstream["blocked_ms"] else []
+    words += [trust] if (trust := str(upstream.get("trust", ""))) else []  # not told by earlier releases
+    return ", ".join(words)
+
+
 def _find(commands: Commands, words: list[str]) -> Callable[[], Report]:
     """The command that the words name; raises WrongCallError."""
     one = {"drain": commands.drain, "undrain": commands.undrain, "explain": commands.explain}
--- a/station/explaining.py
+++ b/station/explaining.py
@@ -97,6 +97,7 @@
                 "drawn": round(capacity / whole, 4),
                 "silent": peer.silent,
                 "blocked_ms": round(max(peer.blocked_until - now, 0.0) * 1000),
+                "trust": tiers.trust.standing(peer.entry.id, now),
             }
         )
     loads = [((p.server.in_flight + 1) / c, -c) for p, c in zip(able, capacities, strict=True)]
--- a/station/fleet_status.py
+++ b/station/fleet_status.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable
 from typing import Any
 
-from station import asking
+from station import asking, judged
 from station.answers import is_status
 from station.tables import table
 from station.wrong import UnansweredError
@@ -65,7 +65,8 @@
         "balancers_asked": bool(asked) or not present,
         "upstreams": view["upstreams"],
     }
-    found["differs"] = _differences(found)
+    found["judged"] = judged.gather(found["balancers"])
+    found["differs"] = _differences(found) + judged.lines_of(found["judged"])
     return found
 
 
--- a/tests/test_station_cli_commands.py
+++ b/tests/test_station_cli_commands.py
@@ -428,6 +428,41 @@
     assert marked == ["core-2", "core-3", "edge-1", "edge-2"]
 
 
+def test_upstreams_in_doubt_are_marked_by_how_many_balancers_doubt_them(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    def told(trust: str, failures: int, silent: bool = False) -> list[dict[str, Any]]:
+        doubted = {"id": "u-7", "silent": silent, "trust": trust, "failures": failures}
+        return [doubted, {"id": "u-8", "silent": False, "trust": "", "failures": 0}]
+
+    members = [_control("core-1", "primary")["members"][0]]
+    found = _gather(
+        monkeypatch,
+        {
+            "core-1:1": _control("core-1", "primary", present=PRESENT, members=members),
+            "10.1.0.1:8": _balancer("edge-1", upstreams=told("distrusted", 9, True)),
+            "10.1.0.2:8": _balancer("edge-2", upstreams=told("wary", 4)),
+        },
+    )
+    line = "u-7: upstream in doubt, by balancers: distrusted 1, wary 1, silent 1; 9 failures"
+    assert found["differs"] == [line] and list(found["judged"]) == ["u-7"]
+    assert f"! {line}" in fleet_status.lines_of(found)
+
+
+STRANGE = [None, 5, "u-7", [None], [{"id": 7}], [{"id": "u", "trust": ["x"], "silent": "yes"}], {"id": "u"}]
+
+
+@pytest.mark.parametrize("upstreams", STRANGE)
+def test_strange_words_on_upstreams_are_passed_over(
+    upstreams: object, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    answers = {
+        "core-1:1": _control("core-1", "primary", present=PRESENT[:1]),
+        "10.1.0.1:8": _balancer("edge-1", upstreams=upstreams),
+    }
+    assert _gather(monkeypatch, answers)["judged"] == {}
+
+
 def test_one_that_still_takes_itself_for_the_primary_of_an_earlier_epoch_does_not_lead(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/tests/test_windvane_trust.py
+++ b/tests/test_windvane_trust.py
@@ -111,14 +111,17 @@
     made = tiers()
     made.trust.failed(peer(made), 0.0, 2 * HARD)
     assert "i-0" not in able(made, WINDOW_S - 0.1)
+    assert (made.trust.standing("i-0", WINDOW_S - 0.1), made.trust.failures("i-0")) == ("distrusted", 2)
     back = WINDOW_S + 0.1
     assert "i-0" in able(made, back)
+    assert (made.trust.standing("i-0", back), made.trust.failures("i-0")) == ("wary", 0)
     assert "i-0" not in able(made, back, repeatable=False)
     made.trust.failed(peer(made), back + 1)  # one is enough now
     assert "i-0" not in able(made, back + 1.1)
     calm = back + 1 + WINDOW_S + WARY_S + 0.2
     able(made, back + 1 + WINDOW_S + 0.1)  # its failure is forgotten
     assert "i-0" in able(made, calm, repeatable=False)
+    assert made.trust.standing("i-0", calm) == ""
 
 
 def test_nine_in_ten_bad_at_once_leave_most_in_use_those_least_doubted() -> None:
--- a/windvane/trust.py
+++ b/windvane/trust.py
@@ -137,6 +137,16 @@
         """Those upstreams, by name."""
         return sorted(self._distrusted)
 
+    def standing(self, name: str, now: float) -> str:
+        """For a report: "distrusted", "wary" (it gets what may be repeated), or empty."""
+        if name in self._distrusted:
+            return "distrusted"
+        return "wary" if self._wary.get(name, 0.0) > now else ""
+
+    def failures(self, name: str) -> int:
+        """For a report: calls that failed there in the last seconds, as all balancers have seen them."""
+        return self._held_against(name) // HARD
+
     def _is_trusted(self, name: str, repeatable: bool) -> bool:
         return name not in self._distrusted and (repeatable or name not in self._wary)
 
