Have one balancer of each zone read the platform's list for it where all are alone and many

At fault: station/balancing.py, _turn gave each balancer a turn of its own whatever their number.

Ruled out: the tree as it stands, which dissolves: without a newer pulse each leaves its relay after 0.9 s.

Change: station/alone.py (out of BalancerRole, which shrinks). Where a turn of all is longer than 6 s the first of each zone, by the order of the relays, reads the list in half of the share and tells the others of its zone: packed, or that it is as it was. Who hears nothing of it for two of its periods reads in a turn of its own, from the other half. Its word counts by its address and only while no control process is heard of.

Result by the turns: at the target each zone's list is 90 s old at the most (10 x 56 pages at 6.25 a second; 1,568 s before).

Tests: shares and who tells whom for 1 to 400 balancers; the change within 12 s; the reader lost as well; a stranger's list.

--- a/screen/links.py
+++ b/screen/links.py
@@ -77,10 +77,14 @@
 
     def send(self, ip: str, message: Any) -> None:
         """Send to the process at an IP, by what connection there is or a new one; it may be lost."""
+        if not self._is_stopped:
+            self.send_frame(ip, self.kinds.encode(message))
+
+    def send_frame(self, ip: str, frame: bytes) -> None:
+        """The same with a message that is encoded already."""
         if self._is_stopped:
             return
         now = asyncio.get_running_loop().time()
-        frame = self.kinds.encode(message)
         link = self.to(ip)
         if link is not None:
             for old in list(self._by_ip.get(ip, ())):
--- a/sonde/relays.py
+++ b/sonde/relays.py
@@ -28,6 +28,16 @@
     return order[(place - 1) // DEGREE]
 
 
+def heads_of(members: Iterable[Present]) -> dict[str, Present]:
+    """By zone: the first in that order, which hears the news from the control state itself."""
+    heads: dict[str, tuple[int, str, Present]] = {}
+    for member in members:
+        rank = score(member.node, "relay"), member.node
+        if member.zone not in heads or rank < heads[member.zone][:2]:
+            heads[member.zone] = (*rank, member)
+    return {zone: member for zone, (_, _, member) in sorted(heads.items())}
+
+
 def watched_by(own: str, members: Iterable[Present], most: int) -> list[Present]:
     """The few others that a balancer knows and watches."""
     others = [m for m in members if m.node != own]
--- a/station/balancing.py
+++ b/station/balancing.py
@@ -3,13 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import math
 import secrets
 from typing import Any
 
 from loguru import logger
 
-from barograph.platform import PlatformError, PlatformList, pack
+from barograph.platform import PlatformList
 from screen.checking import parse_configuration, parse_upstreams
 from screen.errors import InvalidConfigurationError, StationError
 from screen.links import Links
@@ -23,7 +22,6 @@
 from sonde.feed import Feed
 from sonde.follower import STALE_S, Follower
 from sonde.holdings import Holdings
-from sonde.lists import change_of
 from sonde.messages import (
     Attach,
     ConfigurationNews,
@@ -36,25 +34,22 @@
     LoadReport,
     LoadReportStep,
     LoadStep,
-    MemberNews,
     Moved,
     Present,
     Pulse,
     Roll,
     Speaks,
+    UpstreamChange,
     UpstreamNews,
 )
 from station import draining, logs
+from station.alone import LoneReader
 from station.load_exchange import LoadExchange
 from windvane.balancer import Balancer
 
 KINDS = Kinds().include(messages.KINDS)
 HOLDINGS_S = 0.1  # what was seen read is reported no sooner after the report before
 SILENT_S = 2.5  # a balancer below us that says nothing for so long has gone
-ALONE_S = 1.8  # without news for so long we read the platform's list ourselves
-SHARE = 0.25  # of the platform's rate that all balancers may use when they are alone
-LEAST_LIST_S = 1.5
-PAGE = 50  # upstreams on a page of the platform's list, until we have read it ourselves
 
 
 class BalancerRole:
@@ -86,13 +81,16 @@
             secrets.randbits(32),
         )
         self._doubts = DoubtExchange(self.balancer, self._bulletin, self._follower.say)
-        self._platform = PlatformList(parse_address(settings.cloud_api.addr), _calls_s(settings))
+        self._platform = PlatformList(parse_address(settings.cloud_api.addr), settings.cloud_api.rate_per_s)
+        self._lone = LoneReader(
+            me, self._platform, self._bulletin, self._links, self._follower.is_fresh, self._told
+        )
+        self._lone.allow(settings.cloud_api.rate_per_s)
         self._tasks: list[asyncio.Task[None]] = []
         self._headcount = Headcount()
         self._drained = False  # the configuration has us take no new clients
         self._tap: Any = None  # while every step of a request is logged
         self.balancer.other_calls = self._asked
-        self._listed = 0  # upstreams
 
     async def start(self) -> None:
         """Listen, and hear the news from now on; raises OSError where an address can't be had."""
@@ -114,7 +112,7 @@
         self.settings = settings
         self._follower.seeds(_seeds(settings))
         self._platform.move(parse_address(settings.cloud_api.addr))
-        self._platform.allow(_calls_s(settings))
+        self._lone.allow(settings.cloud_api.rate_per_s)
         self._log_steps()
 
     # ---- what operators ask; nothing of it is loaded until they do
@@ -146,7 +144,7 @@
             "tells": sorted(self._feed.present()),
             "ver": known.configuration.ver if known.configuration is not None else 0,
             "epoch": known.pulse.epoch if known.pulse is not None else 0,
-            "listed": self._listed,
+            "listed": self._lone.listed,
             "list_calls": self._platform.calls,
             "news_age_s": self._follower.age_s(),
         }
@@ -175,6 +173,8 @@
                 self._doubts.sum.report(link, message)
             case HoldingReport(holdings):
                 self._say_later(self._hold(holdings))
+            case UpstreamNews() | UpstreamChange():
+                self._lone.heard(link.peer, message)
 
     def _ended(self, link: Link) -> None:
         self._follower.ended(link)
@@ -253,7 +253,7 @@
         except StationError as error:
             logger.error("event=list_unusable error={!r}", str(error))
             return
-        self._listed = len(entries)
+        self._lone.listed = len(entries)
         self._holdings.keep_only({e.id for e in entries})
         self.balancer.list_upstreams(entries)
         self._allow()
@@ -271,57 +271,18 @@
     # ---- alone
 
     async def _watch(self) -> None:
-        """Without the control state the list is read here, and goes to whoever hears the news from us."""
+        """Without the control state the list is read here, or by another balancer of the zone for us."""
         loop = asyncio.get_running_loop()
-        next_list: float | None = None
         while True:
-            left = STALE_S if next_list is None else max(next_list - loop.time(), 0.0)
-            await asyncio.sleep(min(STALE_S / 2, left))
+            await asyncio.sleep(self._lone.wait_s(loop.time(), STALE_S / 2))
             now = loop.time()
             self._feed.sweep(now, SILENT_S)
             if not self._follower.is_fresh():
                 self._others.clear()
                 self._bulletin.forget_loads()
                 self._doubts.lost()
-            if self._follower.is_fresh(ALONE_S) or self._bulletin.configuration is None:
-                next_list = None
-                continue
-            pages = max(self._platform.pages, math.ceil(self._listed / PAGE))
-            period, offset = _turn(self._bulletin.members, self.settings, pages)
-            if next_list is None:
-                next_list = now + offset
-            if now >= next_list:
-                next_list += period
-                await self._read_list()
-
-    async def _read_list(self) -> None:
-        try:
-            page = pack(await self._platform.read())
-        except PlatformError as error:
-            logger.warning("event=list_unread error={!r}", str(error))
-            return
-        known = self._bulletin.upstreams
-        if self._follower.is_fresh() or (known is not None and known.page == page):
-            return
-        epoch, number = (known.epoch, known.number) if known is not None else (0, 0)
-        message = UpstreamNews(epoch, number + 1, page)
-        if self._bulletin.take(message):
-            self._told(message, change_of(known, message))
+            await self._lone.look(now)
 
 
 def _seeds(settings: Settings) -> tuple[str, ...]:
     return tuple(parse_address(a)[0] for a in settings.seed_addrs)
-
-
-def _calls_s(settings: Settings) -> float:
-    """Calls a second that all balancers together may ask of the platform while they are alone."""
-    return settings.cloud_api.rate_per_s * SHARE
-
-
-def _turn(members: MemberNews | None, settings: Settings, pages: int) -> tuple[float, float]:
-    """How often we read the list while all balancers are alone, and our own place in that time, in s."""
-    nodes = [m.node for m in members.balancers] if members is not None else []
-    count = max(len(nodes), 1)
-    period = max(LEAST_LIST_S, count * pages / _calls_s(settings))
-    place = nodes.index(settings.node) if settings.node in nodes else 0
-    return period, period * place / count
--- a/tests/test_sonde_news.py
+++ b/tests/test_sonde_news.py
@@ -10,8 +10,9 @@
 
 from barograph.node import KINDS
 from screen.links import Links
-from sonde.messages import Attach, MemberNews, Moved, Pulse
-from sonde.relays import parent_of
+from sonde.messages import Attach, MemberNews, Moved, Present, Pulse, UpstreamNews
+from sonde.relays import heads_of, parent_of
+from station.alone import LEAST_S, MISSED, turn_of
 from tests.fabric import Process
 from tests.fabric_callers import PLATFORM, configuration, upstream
 from tests.fabric_scenes import APPLY_S, begun, in_force
@@ -233,6 +234,8 @@
         world.platform.entries[0]["state"] = "draining"
         await world.wait(40.0)
         assert world.platform.calls[0][0] - since < 4.0
+        told = [next(t for t, e in m.plane.listed if e[0].state == "draining") for m in world.edges()]
+        assert max(told) - since <= 12.0  # where they are many one reads for its zone
         assert all(m.plane.listed[-1][1][0].state == "draining" for m in world.edges())
         assert len(world.platform.calls) / 40.0 <= rate / 4 * 1.1
         assert world.platform.busiest_second() <= rate / 2
@@ -250,6 +253,72 @@
     play(scene, edges=edges, before=starts)
 
 
+@pytest.mark.parametrize(("count", "zones"), [(1, 1), (7, 3), (30, 3), (80, 4), (350, 10), (400, 1)])
+@pytest.mark.parametrize(("pages", "calls_s"), [(1, 10.5), (3, 2.5), (56, 12.5)])
+def test_the_turns_of_all_that_are_alone_stay_within_their_share(
+    count: int, zones: int, pages: int, calls_s: float
+) -> None:
+    members = [Present(f"edge-{n}", f"10.0.{n // 200}.{n % 200}", f"z{n % zones}") for n in range(count)]
+    if count <= 80:
+        first = {m.zone: m for m in members if parent_of(m.node, m.zone, members) is None}
+        assert heads_of(members) == first
+    turns = {m.node: turn_of(m, members, pages, calls_s) for m in members}
+    asked_s = sum(pages / turn.period for turn in turns.values())
+    assert asked_s <= calls_s * 1.001 or all(t.period == LEAST_S for t in turns.values())
+    readers = {turn.reader for turn in turns.values()} - {""}
+    tells = [ip for turn in turns.values() for ip in turn.tells]
+    spared = [m.ip for m in members if turns[m.node].reader]
+    assert sorted(tells) == sorted(spared)  # whoever waits for a reader is told by it, once
+    for ip in readers:
+        reader = next(m for m in members if m.ip == ip)
+        assert turns[reader.node].tells and not turns[reader.node].reader
+        assert turns[reader.node].period * MISSED <= min(t.spared_s for t in turns.values() if t.reader == ip)
+
+
+def test_without_its_zones_reader_a_balancer_reads_the_list_itself() -> None:
+    async def scene(world: World) -> None:
+        await begun(world)
+        world.platform.entries = [upstream(f"i-{n}") for n in range(120)]
+        await world.wait(2.5)
+        members = [m.role._follower._me for m in world.edges()]
+        heads = [m.node for m in members if parent_of(m.node, m.zone, members) is None]
+        assert len(heads) == 1
+        world.power_off("core-1", "core-2", "core-3", heads[0])
+        world.platform.entries[0]["state"] = "draining"
+        await world.wait(120.0)
+        lasts = [m.plane.listed[-1][1][0].state for m in world.edges() if world.running(m)]
+        assert lasts == ["draining"] * 23
+        assert len(world.platform.calls) / 120.0 <= 10.0 / 4 * 1.1
+
+    def starts(world: World) -> None:
+        world.rate_per_s = 10.0
+
+    play(scene, edges=24, zones=1, before=starts)
+
+
+def test_a_strangers_list_is_not_taken() -> None:
+    """Only the reader of our zone is believed, and only while no control process is heard of."""
+
+    async def scene(world: World) -> None:
+        await begun(world)
+        other, reader = Process(world.network, "x", "10.77.0.1"), world.machines["edge-1"]
+        plane = world.machines["edge-2"].plane
+
+        async def tell() -> None:
+            links = Links(KINDS, (other.ip, STATION_PORT), lambda link, message: None, lambda link: None)
+            links.send(world.machines["edge-2"].ip, UpstreamNews(9, 9, b'{"upstreams":[]}'))
+            await asyncio.sleep(0.2)
+
+        await world.loop.create_task(tell(), context=other.context)
+        assert plane.ids == ["i-1", "i-2"]
+        world.power_off("core-1", "core-2", "core-3")
+        await world.wait(2.5)
+        await world.loop.create_task(tell(), context=other.context)
+        assert plane.ids == ["i-1", "i-2"] and reader is not None
+
+    play(scene, edges=2, zones=1)
+
+
 def test_a_lone_balancers_list_gives_way_to_the_control_states() -> None:
     async def scene(world: World) -> None:
         await begun(world)
