Give no more than two orders in a row without an answer, until the first is given up

Seen in the hollow fleets of 280 and 350 measured anew, whose upstreams answer no order: order followed order, 1.3 a second of ten upstreams each, each told as moving for 8 s. Nobody sends to what moves, and each change of a list of 2,800 costs each balancer 45 ms (6.7% of a core in all). A primary whose own link to the upstreams is at fault would do the same.

Change: after two rounds without any answer the next is given once the first would be given up (8 s); any answer ends that.

--- a/barograph/mover.py
+++ b/barograph/mover.py
@@ -17,6 +17,9 @@
 LEASE_SPARE = 1.2  # the holder before us may have ordered something just now: so many leases are waited
 TOLD_S = 0.15  # balancers have heard by then that an upstream moves
 MOVING_S = 8.0  # after so long a move that does not show in the list is given up
+UNHEARD = (
+    2  # orders in a row without any answer: it may be our own link, and each takes upstreams from service
+)
 WATCH_S = 1.0  # what moves is looked in on so often: one that goes meanwhile must not hold up other orders
 MOVING = "moving"  # the part that an upstream plays meanwhile, so that nobody sends to it
 
@@ -46,6 +49,8 @@
         self._busy: asyncio.Task[None] | None = None
         self._watched: dict[str, float] = {}  # ids of those that move: when they were last looked in on
         self._watches: set[asyncio.Task[None]] = set()
+        self._unheard, self._unheard_at = 0, 0.0  # orders in a row without an answer, and since when
+        self._looked_at = 0.0
 
     def lead(self, leads: bool, now: float, goes_on: bool = False) -> None:
         """We lead, or no longer; `goes_on`: nobody else has led since we did, so all that we know stands."""
@@ -73,10 +78,12 @@
 
     def look(self, now: float) -> None:
         """See whether an order is due; called every tenth of a second while we lead."""
+        self._looked_at = now
         if not self._leads or not self._entries:
             return
         waited = now - self._since >= LEASE_SPARE * self._lease_s
-        free = waited and self._busy is None and self._moving.keys() <= self._unclear
+        heard = self._unheard < UNHEARD or now - self._unheard_at >= MOVING_S
+        free = waited and heard and self._busy is None and self._moving.keys() <= self._unclear
         self._watch(now)
         staying = [e for e in self._entries if e.id not in self._moving]
         orders = self._plan.look(staying, self._loads(), now, free)
@@ -119,14 +126,17 @@
         await asyncio.sleep(TOLD_S)
         epoch = await self._prove()
         if epoch:
-            await asyncio.gather(*(self._give(order, epoch) for order in orders))
+            answered = await asyncio.gather(*(self._give(order, epoch) for order in orders))
+            self._unheard = 0 if any(answered) else self._unheard + 1
+            self._unheard_at = self._looked_at
         else:
             for order in orders:  # none was given: the next need not wait
                 self._moving.pop(order.upstream.id, None)
                 self._plan.ask_another(order.upstream.svc)
         self._changed()
 
-    async def _give(self, order: Order, epoch: int) -> None:
+    async def _give(self, order: Order, epoch: int) -> bool:
+        """Give one order; whether it had an answer."""
         name = order.upstream.id
         outcome = await change_phase(order.upstream, order.phase, self._owner, epoch)
         logger.info(
@@ -136,3 +146,5 @@
             self._moving.pop(name, None)
         elif not isinstance(outcome, Taken):
             self._ask_another(order.upstream)
+            return False
+        return True
--- a/tests/test_days_found_moves.py
+++ b/tests/test_days_found_moves.py
@@ -7,8 +7,8 @@
 import pytest
 
 import barograph.mover
-from barograph.mover import LEASE_SPARE, Mover
-from barograph.orders import Outcome, Taken, Unclear
+from barograph.mover import LEASE_SPARE, MOVING_S, UNHEARD, Mover
+from barograph.orders import Outcome, Rejected, Taken, Unclear
 from barograph.platform import pack
 from screen.configuration import Upstream
 from tests.loopback import run
@@ -122,6 +122,34 @@
     run(scene())
 
 
+def test_a_primary_that_reaches_no_upstream_takes_few_of_them_from_service(
+    given: Given, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Found by the hollow fleet: order followed order without an answer, and all counted as moving."""
+    answers: list[Outcome] = []
+
+    async def unheard(upstream: Upstream, phase: str, owner: str, fence: int) -> Outcome:
+        given.append((upstream.id, phase, fence))
+        return answers.pop(0) if answers else Unclear("nobody answers")
+
+    monkeypatch.setattr(barograph.mover, "change_phase", unheard)
+
+    async def scene() -> None:
+        entries = [entry(f"r{n}", "prefill") for n in range(1, 8)] + [entry("a1", "decode")]
+        loads = {f"r{n}": (1, 0) for n in range(1, 8)} | {"a1": (90, 0)}
+        mover = mover_of(*entries, loads=loads)
+        lease = LEASE_SPARE * LEASE_S
+        await look(mover, 0.0, lease + 5.0)
+        assert len(given) == UNHEARD
+        await look(mover, lease + 5.0, lease + MOVING_S + 1.0)
+        assert len(given) == UNHEARD + 1  # one more, when the first ones are given up
+        answers.append(Rejected(409))
+        await look(mover, lease + MOVING_S + 1.0, lease + 3 * MOVING_S)
+        assert len(given) > UNHEARD + 2  # one has answered: the way is there
+
+    run(scene())
+
+
 def test_a_primary_that_changes_the_view_and_goes_on_waits_for_no_lease_anew(given: Given) -> None:
     """Found in days with a lost backup: no orders for 3.6 s, and what moved was offered work again."""
 
