--- a/windvane/balancer.py
+++ b/windvane/balancer.py
@@ -16,6 +16,7 @@
 from passpost.validation import BadRequestError, Call
 from screen.configuration import Configuration, Upstream
 from screen.settings import Settings, parse_address
+from sonde.doubts import Doubts
 from windvane import manners, readiness
 from windvane.budget import RetryBudget
 from windvane.ingress import RoutedCall, read_head
@@ -26,7 +27,6 @@
 from windvane.standing import Standing
 from windvane.tally import Refusal, Tally
 from windvane.tiers import Peer, Tiers
-from windvane.trust import Told
 from windvane.urgency import Urgency
 from windvane.wire import free_handle
 
@@ -169,11 +169,11 @@
         """`changed` is called whenever `doubts` would tell something new."""
         self.standing.changed = changed
 
-    def doubts(self) -> Told:
+    def doubts(self) -> Doubts:
         """Failures that our calls saw, by upstream and our zone, each as of one balancer."""
         return self.tiers.trust.seen(time.monotonic())
 
-    def heed_doubts(self, told: Told) -> None:
+    def heed_doubts(self, told: Doubts) -> None:
         """What all balancers together hold against upstreams, ourselves among them."""
         self.tiers.trust.heed(told, self.tiers.peer, time.monotonic())
 
--- a/windvane/trust.py
+++ b/windvane/trust.py
@@ -19,6 +19,7 @@
 from loguru import logger
 
 from passpost.http1 import Answer
+from sonde.doubts import Doubts
 from umberworks.interface import Outcome
 
 if TYPE_CHECKING:
@@ -31,7 +32,6 @@
 WARY_S = 4.0  # after a distrust only what may be repeated goes there
 WARY = 1 / 3  # of the evidence that is enough meanwhile
 KEPT = 0.75  # of a tier that stays in use, the least doubted first: what is left must bear the load
-Told = dict[tuple[str, str], tuple[int, int]]  # upstream and zone: balancers, failures that they saw
 
 
 @dataclass(slots=True)
@@ -91,12 +91,12 @@
         self._look_at = min(self._look_at, now + WINDOW_S)
         self._judge(now)
 
-    def seen(self, now: float) -> Told:
+    def seen(self, now: float) -> Doubts:
         """What we hold against upstreams ourselves, for a report."""
         self._forget_old(now)
         return {(name, self._zone): (1, sum(n for _, n in kept)) for name, kept in self._own.items()}
 
-    def heed(self, told: Told, part_of: Callable[[str], Peer | None], now: float) -> None:
+    def heed(self, told: Doubts, part_of: Callable[[str], Peer | None], now: float) -> None:
         """What all balancers together hold against them; `part_of` finds an upstream of the list."""
         self._told = {}
         for (name, zone), doubt in told.items():
