--- a/barograph/replica.py
+++ b/barograph/replica.py
@@ -99,10 +99,8 @@
         return self.primary is not None or now - self.acceptor.heard_at < self._spec.lost_ms
 
     def heard_leader(self, now: float) -> Member | None:
-        """The primary if it was heard of a moment ago, itself: after a start, or once a candidate has our
-        promise, the one that we know of is only given its time."""
-        leader = self.leader()
-        is_heard = leader is not None and self.acceptor.heard_from == leader.identity
+        """The primary if it was heard of itself a moment ago: one that is only given its time is not."""
+        is_heard = (leader := self.leader()) is not None and self.acceptor.heard_from == leader.identity
         return leader if is_heard and self.is_led(now) else None
 
     def stop(self, now: float) -> None:
