Judge whether readers have room by a measure without the bias of its first seconds

At fault: barograph/phases.py, `spare` took the smoothed figure as it stands, which begins at 0.

Change: what smoothing takes off while the measure is young is put back before it is held against the bound.

--- a/barograph/phases.py
+++ b/barograph/phases.py
@@ -50,6 +50,11 @@
     ordered: float = -math.inf
     idle: dict[str, float] = field(default_factory=dict)  # without work, and since when others have had much
 
+    def reading_lately(self) -> float:
+        """Upstreams' worth of reading, without what smoothing takes off while the measure is young."""
+        known = 1 - math.exp(-(self.at - self.since) / MEMORY_S)
+        return self.reading / known if known > 0 else math.inf
+
     def shunned(self, now: float) -> set[str]:
         """Those that balancers keep away from: they hear nothing from them, and the list shows them still."""
         return {name for name, since in self.idle.items() if now - since >= SHUNNED_S}
@@ -155,7 +160,7 @@
         return [Order(u, PREFILL) for u in leaving]
     crowded = used > PLACES_FULL or (used > PLACES_HIGH and reading < READING_HIGH)
     idle = reading < READING_LOW and used > PLACES_AFTER
-    spare = measure.reading <= READING_HIGH * (len(readers) - step)
+    spare = measure.reading_lately() <= READING_HIGH * (len(readers) - step)
     if (crowded or idle or (short and spare)) and len(readers) > 1:
         return [Order(u, DECODE) for u in readers[: min(step, len(readers) - 1)]]
     return []
