--- a/barograph/herald.py
+++ b/barograph/herald.py
@@ -133,7 +133,7 @@
         logger.info("event=lead epoch={}", view.epoch if view is not None else 0)
         if view is not None:
             self._tell(MemberNews(view.epoch, self._next(), self._members(), self._cores(view)))
-            self._tell(Pulse(view.epoch, self._next(), self._count()))  # before what only the fresh keep
+            self._tell_pulse(view)  # before what only the fresh keep
             self._hear_waiting()
             self._doubts.again()
             self._loads.again()  # what was reported while nobody led was told to nobody
@@ -242,6 +242,9 @@
         if known is None or tuple(known.balancers) != present:
             self._tell(MemberNews(view.epoch, self._next(), present, self._cores(view)))
 
+    def _tell_pulse(self, view: View) -> None:
+        self._tell(Pulse(view.epoch, self._next(), self._count()))
+
     def _count(self) -> int:
         """How many balancers there are, at the most within a while; 0 while that can't be known."""
         now = asyncio.get_running_loop().time()
@@ -256,7 +259,7 @@
             if view is not None:
                 self._feed.sweep(asyncio.get_running_loop().time(), SILENT_S)
                 self._tell_members(view)
-                self._tell(Pulse(view.epoch, self._next(), self._count()))
+                self._tell_pulse(view)
             await asyncio.sleep(PULSE_S)
 
     async def _read(self) -> None:
--- a/barograph/mover.py
+++ b/barograph/mover.py
@@ -17,9 +17,7 @@
 LEASE_SPARE = 1.2  # the holder before us may have ordered something just now: so many leases are waited
 TOLD_S = 0.15  # balancers have heard by then that an upstream moves
 MOVING_S = 8.0  # after so long a move that does not show in the list is given up
-UNHEARD = (
-    2  # orders in a row without any answer: it may be our own link, and each takes upstreams from service
-)
+UNHEARD = 2  # orders in a row without any answer are enough: it may be our own link that is at fault
 WATCH_S = 1.0  # what moves is looked in on so often: one that goes meanwhile must not hold up other orders
 MOVING = "moving"  # the part that an upstream plays meanwhile, so that nobody sends to it
 
--- a/barograph/phases.py
+++ b/barograph/phases.py
@@ -51,9 +51,8 @@
     idle: dict[str, float] = field(default_factory=dict)  # without work, and since when others have had much
 
     def reading_lately(self) -> float:
-        """Upstreams' worth of reading, without what smoothing takes off while the measure is young."""
-        known = 1 - math.exp(-(self.at - self.since) / MEMORY_S)
-        return self.reading / known if known > 0 else math.inf
+        """Upstreams' worth of reading, without what smoothing takes off while a settled measure is young."""
+        return self.reading / (1 - math.exp(-(self.at - self.since) / MEMORY_S))
 
     def shunned(self, now: float) -> set[str]:
         """Those that balancers keep away from: they hear nothing from them, and the list shows them still."""
--- a/barograph/replica.py
+++ b/barograph/replica.py
@@ -32,8 +32,6 @@
 from barograph.views import Member, Memory, View
 
 LEAVING_MS = 10_000.0  # one that is told to end has ended by then
-
-
 START_HEARD = 0.7  # of the time after which a silent primary is lost has gone by when a process starts
 
 
--- a/raingauge/ledger.py
+++ b/raingauge/ledger.py
@@ -69,10 +69,8 @@
         `replicas`: how many there are. None for a tenant that has no allowance: it draws freely.
         """
         tenant = self._tenants.get(ask.tenant)
-        if tenant is None:
+        if tenant is None or ask.window > tenant.window:  # a later one: no ledger of ours said so
             return None, None
-        if ask.window > tenant.window:
-            return None, None  # no ledger of ours said so
         drawn = tenant.drawn.setdefault((ask.replica, ask.life), Drawn())
         recall = None
         if ask.window == tenant.window:
@@ -98,7 +96,12 @@
     def state(self) -> tuple[tuple[object, ...], ...]:
         """All of it, for those that hold it beside us."""
         return tuple(
-            (name, t.tokens, t.window, tuple((*k, d.granted, d.returned, d.spent) for k, d in rows(t)))
+            (
+                name,
+                t.tokens,
+                t.window,
+                tuple((*k, d.granted, d.returned, d.spent) for k, d in sorted(t.drawn.items())),
+            )
             for name, t in sorted(self._tenants.items())
         )
 
@@ -114,8 +117,3 @@
             }
             found._tenants[name] = Tenant(tokens, window, lives)
         return found
-
-
-def rows(tenant: Tenant) -> list[tuple[tuple[str, str], Drawn]]:
-    """Who has drawn what, in order."""
-    return sorted(tenant.drawn.items())
--- a/screen/links.py
+++ b/screen/links.py
@@ -77,8 +77,7 @@
 
     def send(self, ip: str, message: Any) -> None:
         """Send to the process at an IP, by what connection there is or a new one; it may be lost."""
-        if not self._is_stopped:
-            self.send_frame(ip, self.kinds.encode(message))
+        self.send_frame(ip, self.kinds.encode(message))
 
     def send_frame(self, ip: str, frame: bytes) -> None:
         """The same with a message that is encoded already."""
--- a/sonde/relays.py
+++ b/sonde/relays.py
@@ -15,13 +15,17 @@
     return int.from_bytes(hashlib.blake2b(f"{key}/{name}".encode(), digest_size=8).digest(), "big")
 
 
+def _rank(member: Present) -> tuple[int, str]:
+    return score(member.node, "relay"), member.node
+
+
 def parent_of(own: str, zone: str, members: Iterable[Present]) -> Present | None:
     """The balancer that tells us the news; None: the control state itself does.
 
     In each zone the balancers stand in the order of their scores, and each tells the next ones: news cross
     into a zone once.
     """
-    order = sorted((m for m in members if m.zone == zone), key=lambda m: (score(m.node, "relay"), m.node))
+    order = sorted((m for m in members if m.zone == zone), key=_rank)
     place = next((i for i, m in enumerate(order) if m.node == own), None)
     if not place:
         return None
@@ -30,12 +34,10 @@
 
 def heads_of(members: Iterable[Present]) -> dict[str, Present]:
     """By zone: the first in that order, which hears the news from the control state itself."""
-    heads: dict[str, tuple[int, str, Present]] = {}
+    zones: dict[str, list[Present]] = {}
     for member in members:
-        rank = score(member.node, "relay"), member.node
-        if member.zone not in heads or rank < heads[member.zone][:2]:
-            heads[member.zone] = (*rank, member)
-    return {zone: member for zone, (_, _, member) in sorted(heads.items())}
+        zones.setdefault(member.zone, []).append(member)
+    return {zone: min(zones[zone], key=_rank) for zone in sorted(zones)}
 
 
 def watched_by(own: str, members: Iterable[Present], most: int) -> list[Present]:
--- a/station/alone.py
+++ b/station/alone.py
@@ -19,7 +19,7 @@
 from screen.links import Links
 from screen.wire import packed
 from sonde.bulletin import Bulletin
-from sonde.lists import change_of, changed, digest_of, same_as
+from sonde.lists import change_of, changed, same_as
 from sonde.messages import Present, UpstreamChange, UpstreamNews
 from sonde.relays import heads_of
 
@@ -119,14 +119,10 @@
             return
         if self._is_fresh(ALONE_S):
             return
-        before = self._bulletin.upstreams
-        self._take(page)
-        news = self._bulletin.upstreams
+        is_new, news, kinds = self._take(page), self._bulletin.upstreams, self._links.kinds
         if news is None or not turn.tells:
             return
-        same = before is not None and digest_of(before) == digest_of(news)
-        kinds = self._links.kinds
-        frame = kinds.encode(same_as(news)) if same else packed(kinds.encode(news))
+        frame = packed(kinds.encode(news)) if is_new else kinds.encode(same_as(news))
         for ip in turn.tells:
             self._links.send_frame(ip, frame)
 
@@ -142,12 +138,14 @@
         self._spared_at = asyncio.get_running_loop().time()
         self._take(message.page)
 
-    def _take(self, page: bytes) -> None:
-        """A list as the platform gave it, under a stamp of our own."""
+    def _take(self, page: bytes) -> bool:
+        """A list as the platform gave it, under a stamp of our own; whether it was new here."""
         known = self._bulletin.upstreams
         if known is not None and known.page == page:
-            return
+            return False
         epoch, number = (known.epoch, known.number) if known is not None else (0, 0)
         news = UpstreamNews(epoch, number + 1, page)
-        if self._bulletin.take(news):
+        is_new = self._bulletin.take(news)
+        if is_new:
             self._told(news, change_of(known, news))
+        return is_new
--- a/windvane/kept.py
+++ b/windvane/kept.py
@@ -23,10 +23,7 @@
         """An upstream has the shared parts of a subject now; whether that is new."""
         if not subject:
             return False
-        holders = self._holders.pop(subject, None)
-        if holders is None:
-            holders = {}
-        self._holders[subject] = holders
+        holders = self._holders[subject] = self._holders.pop(subject, {})
         if upstream in holders:
             return False
         holders[upstream] = None
