Forget what gone upstreams had in one look at each subject, and hash members for turns only where many are alone

Read over again: KeptParts.forget asked each subject for each upstream that is gone, so a list replaced whole at the target's size was 4,096 x 2,800 questions in one turn of the loop; now an intersection for each subject. turn_of hashed every member each half second also where each balancer reads for itself (all small fleets), and guarded a zone that the member's own entry answers. Two tests of moves built the same four upstreams.

No behaviour in it; the tests keep their assertions.

--- a/station/alone.py
+++ b/station/alone.py
@@ -44,18 +44,18 @@
 
 def turn_of(me: Present, members: Sequence[Present], pages: int, calls_s: float) -> Turn:
     """The turn of one balancer while all are alone; `calls_s`: pages a second that all may ask for."""
-    nodes = [m.node for m in members]
-    count = max(len(nodes), 1)
-    place = nodes.index(me.node) if me.node in nodes else 0
-    whole, heads = count * pages / calls_s, heads_of(members)
-    if whole <= EACH_S or me.node not in nodes or me.zone not in heads:
+    count = max(len(members), 1)
+    whole = count * pages / calls_s
+    place, mine = next(((i, m) for i, m in enumerate(members) if m.node == me.node), (0, None))
+    if whole <= EACH_S or mine is None:
         period = max(LEAST_S, whole)
         return Turn(period, period * place / count)
+    heads = heads_of(members)
     read_s = max(LEAST_S, 2 * len(heads) * pages / calls_s)  # half of the rate is theirs
-    reader = heads[me.zone]
-    if reader.node == me.node:
-        zone = tuple(m.ip for m in members if m.zone == me.zone and m.node != me.node)
-        return Turn(read_s, read_s * list(heads).index(me.zone) / len(heads), zone)
+    reader = heads[mine.zone]
+    if reader is mine:
+        zone = tuple(m.ip for m in members if m.zone == mine.zone and m is not mine)
+        return Turn(read_s, read_s * list(heads).index(mine.zone) / len(heads), zone)
     spared = MISSED * read_s
     return Turn(2 * whole, spared + 2 * whole * place / count, (), reader.ip, spared)
 
--- a/tests/test_days_found_moves.py
+++ b/tests/test_days_found_moves.py
@@ -57,6 +57,12 @@
     return mover
 
 
+def crowded() -> tuple[list[dict[str, object]], Mover]:
+    """Three that read, the first without work, and one that makes answers and has more calls than places."""
+    entries = [*(entry(name, "prefill") for name in ("r1", "r2", "r3")), entry("a1", "decode")]
+    return entries, mover_of(*entries, loads={"r2": (2, 900), "r3": (3, 900), "a1": (90, 0)})
+
+
 async def look(mover: Mover, first: float, last: float) -> None:
     for tick in range(round(first * 10), round(last * 10)):
         mover.look(tick / 10)
@@ -103,13 +109,7 @@
     monkeypatch.setattr(barograph.mover, "change_phase", refused)
 
     async def scene() -> None:
-        entries = [
-            entry("r1", "prefill"),
-            entry("r2", "prefill"),
-            entry("r3", "prefill"),
-            entry("a1", "decode"),
-        ]
-        mover = mover_of(*entries, loads={"r2": (2, 900), "r3": (3, 900), "a1": (90, 0)})
+        entries, mover = crowded()
         lease = LEASE_SPARE * LEASE_S
         await look(mover, 0.0, lease + 0.2)
         assert [name for name, _, _ in given] == ["r1", "r2"]
@@ -224,13 +224,7 @@
     monkeypatch.setattr(barograph.mover, "is_there", is_there)
 
     async def scene() -> None:
-        entries = [
-            entry("r1", "prefill"),
-            entry("r2", "prefill"),
-            entry("r3", "prefill"),
-            entry("a1", "decode"),
-        ]
-        mover = mover_of(*entries, loads={"r2": (2, 900), "r3": (3, 900), "a1": (90, 0)})
+        entries, mover = crowded()
         lease = LEASE_SPARE * LEASE_S
         await look(mover, 0.0, lease + 0.9)
         assert [name for name, _, _ in given] == ["r1"] and not asked
--- a/windvane/kept.py
+++ b/windvane/kept.py
@@ -38,12 +38,10 @@
 
     def forget(self, upstreams: Collection[str]) -> None:
         """These have left the list or play another part: nothing that they had counts."""
-        if not upstreams:
-            return
-        for subject, holders in list(self._holders.items()):
-            for upstream in upstreams:
-                if upstream in holders:
-                    del holders[upstream]
-                    self._pairs -= 1
+        gone = set(upstreams)
+        for subject, holders in list(self._holders.items()) if gone else ():
+            for upstream in holders.keys() & gone:
+                del holders[upstream]
+                self._pairs -= 1
             if not holders:
                 del self._holders[subject]
