--- a/mastturn/days/__main__.py
+++ b/mastturn/days/__main__.py
@@ -6,6 +6,7 @@
 
 import click
 
+from mastturn.days.control import draw_control_days
 from mastturn.days.draw import draw_days, read_site
 from mastturn.days.outcomes import read_outcomes, table
 from mastturn.days.written import write_day
@@ -23,11 +24,21 @@
 @click.option("--count", default=150, show_default=True, help="How many days.")
 @click.option("--crowd", default=0, show_default=True, help="So many troubles within a few seconds.")
 @click.option("--every", is_flag=True, help="All kinds, also those that the site doesn't name.")
+@click.option(
+    "--profile",
+    type=click.Choice(["site", "control"]),
+    default="site",
+    show_default=True,
+    help="The site's own kinds, or all that touch the control state.",
+)
 @click.option("--out", required=True, type=click.Path(path_type=Path), help="Folder for the files.")
-def draw(site: Path, first: int, count: int, crowd: int, every: bool, out: Path) -> None:
+def draw(site: Path, first: int, count: int, crowd: int, every: bool, profile: str, out: Path) -> None:
     """Write days of a site, one a file: NUMBER.toml."""
+    numbers = range(first, first + count)
     try:
-        drawn = draw_days(read_site(site, every), range(first, first + count), crowd)
+        known = read_site(site, every)
+        is_control = profile == "control"
+        drawn = draw_control_days(known, numbers) if is_control else draw_days(known, numbers, crowd)
     except LabError as error:
         raise click.ClickException(str(error)) from None
     out.mkdir(parents=True, exist_ok=True)
