--- a/barograph/acceptor.py
+++ b/consensus/acceptor.py
@@ -4,9 +4,9 @@
 
 from collections.abc import Callable
 
-from barograph.codec import PromiseRecord, Record, ViewRecord, WriteRecord, whole
-from barograph.effects import Effect, Persist, Send
-from barograph.messages import (
+from consensus.codec import PromiseRecord, Record, ViewRecord, WriteRecord, whole
+from consensus.effects import Effect, Persist, Send
+from consensus.messages import (
     Answer,
     Ask,
     Beat,
@@ -20,7 +20,7 @@
     Write,
     Written,
 )
-from barograph.views import Memory, View
+from consensus.views import Memory, View
 
 LISTENS = 0.7  # of the time without a beat after which others may take over: the part in which we say no
 
--- a/barograph/campaign.py
+++ b/consensus/campaign.py
@@ -11,8 +11,8 @@
 import enum
 from dataclasses import dataclass, field
 
-from barograph.messages import Answer, Ask, Install, Installed, Prepare, Promised
-from barograph.views import Document, Member, View
+from consensus.messages import Answer, Ask, Install, Installed, Prepare, Promised
+from consensus.views import Document, Member, View
 
 
 class Stage(enum.Enum):
--- a/barograph/candidate.py
+++ b/consensus/candidate.py
@@ -5,12 +5,12 @@
 import random
 from collections.abc import Callable, Sequence
 
-from barograph.acceptor import Acceptor
-from barograph.campaign import Campaign, Stage
-from barograph.effects import Effect, Send, Spec
-from barograph.messages import Answer, Installed, Message, Promised
-from barograph.patience import Patience
-from barograph.views import Member, View
+from consensus.acceptor import Acceptor
+from consensus.campaign import Campaign, Stage
+from consensus.effects import Effect, Send, Spec
+from consensus.messages import Answer, Installed, Message, Promised
+from consensus.patience import Patience
+from consensus.views import Member, View
 
 
 class Candidate:
--- a/barograph/codec.py
+++ b/consensus/codec.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass, fields, replace
 from typing import Any
 
-from barograph.messages import DOCUMENT, VIEW
-from barograph.views import Document, Member, Memory, Taken, View
+from consensus.messages import DOCUMENT, VIEW
+from consensus.views import Document, Member, Memory, Taken, View
 from screen.wire import FrameReader, Kinds
 
 RECORDS = Kinds()
--- a/barograph/disk_queue.py
+++ b/consensus/disk_queue.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass
 from typing import TypeVar
 
-from barograph.slots import MOST_RECORD_BYTES, Loaded, Store
+from consensus.slots import MOST_RECORD_BYTES, Loaded, Store
 from screen.errors import DiskError
 
 MOST_GROUP_BYTES = 1 << 20
--- a/barograph/effects.py
+++ b/consensus/effects.py
@@ -5,9 +5,9 @@
 import enum
 from dataclasses import dataclass
 
-from barograph.codec import Record
-from barograph.messages import Message
-from barograph.views import Document, View
+from consensus.codec import Record
+from consensus.messages import Message
+from consensus.views import Document, View
 
 
 @dataclass(frozen=True, slots=True)
--- a/barograph/joining.py
+++ b/consensus/joining.py
@@ -4,12 +4,12 @@
 
 from collections.abc import Callable
 
-from barograph.acceptor import Acceptor
-from barograph.campaign import Campaign, Stage, founding
-from barograph.codec import PromiseRecord
-from barograph.effects import Effect, Persist, Send, Spec
-from barograph.messages import Ask, Install, Installed, Join, Known
-from barograph.views import Member, View
+from consensus.acceptor import Acceptor
+from consensus.campaign import Campaign, Stage, founding
+from consensus.codec import PromiseRecord
+from consensus.effects import Effect, Persist, Send, Spec
+from consensus.messages import Ask, Install, Installed, Join, Known
+from consensus.views import Member, View
 
 WAITING_MS = 1_000.0  # a newcomer that has not asked for so long has gone
 
--- a/barograph/keeper.py
+++ b/consensus/keeper.py
@@ -9,11 +9,11 @@
 
 from loguru import logger
 
-from barograph.codec import Record, apply, read_record, whole, write_record
-from barograph.disk_queue import DiskQueue
-from barograph.files import OsFiles
-from barograph.slots import Store
-from barograph.views import Memory
+from consensus.codec import Record, apply, read_record, whole, write_record
+from consensus.disk_queue import DiskQueue
+from consensus.files import OsFiles
+from consensus.slots import Store
+from consensus.views import Memory
 from screen.errors import DiskError, WireError
 
 LOG_BYTES = 1 << 20  # a longer log is folded into the next slot
--- a/barograph/primary.py
+++ b/consensus/primary.py
@@ -6,9 +6,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from barograph.effects import Committed, Effect, Reply, Send, Spec, Verdict
-from barograph.messages import Beat, Heard, Write, Written
-from barograph.views import Document, Member, Memory, View
+from consensus.effects import Committed, Effect, Reply, Send, Spec, Verdict
+from consensus.messages import Beat, Heard, Write, Written
+from consensus.views import Document, Member, Memory, View
 
 
 @dataclass(frozen=True, slots=True)
--- a/barograph/replica.py
+++ b/consensus/replica.py
@@ -8,12 +8,12 @@
 
 from collections import deque
 
-from barograph.acceptor import Acceptor
-from barograph.campaign import Campaign, Stage
-from barograph.candidate import Candidate
-from barograph.effects import Effect, Lead, Reply, Send, Spec, Verdict
-from barograph.joining import Founding, Inquirer, Newcomers
-from barograph.messages import (
+from consensus.acceptor import Acceptor
+from consensus.campaign import Campaign, Stage
+from consensus.candidate import Candidate
+from consensus.effects import Effect, Lead, Reply, Send, Spec, Verdict
+from consensus.joining import Founding, Inquirer, Newcomers
+from consensus.messages import (
     Answer,
     Heard,
     Install,
@@ -27,9 +27,9 @@
     Succeed,
     Written,
 )
-from barograph.primary import Command, Primary
-from barograph.terms import LastTerm, Succession
-from barograph.views import Member, Memory, View
+from consensus.primary import Command, Primary
+from consensus.terms import LastTerm, Succession
+from consensus.views import Member, Memory, View
 
 LEAVING_MS = 10_000.0  # one that is told to end has ended by then
 START_HEARD = 0.7  # of the time after which a silent primary is lost has gone by when a process starts
--- a/barograph/slots.py
+++ b/consensus/slots.py
@@ -40,7 +40,7 @@
 from pathlib import Path
 from typing import TypeVar
 
-from barograph.files import Files
+from consensus.files import Files
 from screen.errors import DiskError
 
 _MARK = b"bgs1"
--- a/barograph/terms.py
+++ b/consensus/terms.py
@@ -4,11 +4,11 @@
 
 from collections.abc import Callable
 
-from barograph.campaign import Campaign
-from barograph.effects import Effect, Reply, Send, Verdict
-from barograph.messages import Succeed
-from barograph.primary import Command, Primary
-from barograph.views import Member
+from consensus.campaign import Campaign
+from consensus.effects import Effect, Reply, Send, Verdict
+from consensus.messages import Succeed
+from consensus.primary import Command, Primary
+from consensus.views import Member
 
 REPEAT_MS = 100.0  # a successor that nobody has heard of by then is named again
 TIMES_NAMED = 2  # each of the first two heirs
--- a/barograph/herald.py
+++ b/control/herald.py
@@ -8,9 +8,9 @@
 
 from loguru import logger
 
-from barograph.mover import LOOK_S, Mover, Prove
-from barograph.platform import RATE_SHARE, PlatformError, PlatformList, pack
-from barograph.views import Document, Member, View
+from consensus.views import Document, Member, View
+from control.mover import LOOK_S, Mover, Prove
+from control.platform import RATE_SHARE, PlatformError, PlatformList, pack
 from screen.links import Links
 from screen.settings import Settings, parse_address
 from screen.tasks import keep_on
--- a/barograph/mover.py
+++ b/control/mover.py
@@ -8,8 +8,8 @@
 
 from loguru import logger
 
-from barograph.orders import Rejected, Taken, change_phase, is_there
-from barograph.phases import Order, PhasePlan
+from control.orders import Rejected, Taken, change_phase, is_there
+from control.phases import Order, PhasePlan
 from screen.checking import parse_upstreams
 from screen.configuration import Upstream
 
--- a/barograph/node.py
+++ b/control/node.py
@@ -9,15 +9,15 @@
 
 from loguru import logger
 
-from barograph import messages
-from barograph.codec import revive
-from barograph.effects import Committed, Effect, Lead, Persist, Reply, Send, Spec, Verdict
-from barograph.herald import Herald
-from barograph.keeper import FOUNDER, Keeper
-from barograph.operators import CALLS
-from barograph.primary import Command, Get
-from barograph.replica import Replica
-from barograph.views import Member
+from consensus import messages
+from consensus.codec import revive
+from consensus.effects import Committed, Effect, Lead, Persist, Reply, Send, Spec, Verdict
+from consensus.keeper import FOUNDER, Keeper
+from consensus.primary import Command, Get
+from consensus.replica import Replica
+from consensus.views import Member
+from control.herald import Herald
+from control.operators import CALLS
 from screen.calls import CallServer
 from screen.links import Links
 from screen.settings import Settings, parse_address
--- a/barograph/operators.py
+++ b/control/operators.py
@@ -6,10 +6,10 @@
 import json
 from typing import Protocol
 
-from barograph.effects import Reply as Outcome
-from barograph.effects import Verdict
-from barograph.primary import Command, Get, Put
-from barograph.views import Member
+from consensus.effects import Reply as Outcome
+from consensus.effects import Verdict
+from consensus.primary import Command, Get, Put
+from consensus.views import Member
 from screen.calls import Call, Calls, Reply, say
 from screen.checking import check
 from screen.errors import InvalidConfigurationError
--- a/mastturn/capacity/choices.py
+++ b/mastturn/capacity/choices.py
@@ -12,7 +12,7 @@
 from dataclasses import replace
 from typing import Any
 
-from barograph.platform import pack
+from control.platform import pack
 from mastturn.capacity.shapes import TARGET, Shape, list_entries
 from mastturn.capacity.sources import spin_ns
 from screen.checking import parse_upstreams
--- a/mastturn/capacity/disk.py
+++ b/mastturn/capacity/disk.py
@@ -7,14 +7,14 @@
 from pathlib import Path
 from typing import Any
 
-from barograph.slots import Loaded, Store
+from consensus.slots import Loaded, Store
 from mastturn.capacity.clockwork import OWNER
 
 SYNC_S = 0.001
 
 
 class MemoryFiles:
-    """As `barograph.files.Files`; counts what a disk would have done."""
+    """As `consensus.files.Files`; counts what a disk would have done."""
 
     def __init__(self) -> None:
         self.files: dict[str, bytearray] = {}
@@ -54,7 +54,7 @@
 
 
 class InlineQueue:
-    """As `barograph.disk_queue.DiskQueue`, in the loop itself: each command takes the time of a sync."""
+    """As `consensus.disk_queue.DiskQueue`, in the loop itself: each command takes the time of a sync."""
 
     def __init__(self, store: Store) -> None:
         self._store, self._loop = store, asyncio.get_running_loop()
--- a/mastturn/capacity/fleet.py
+++ b/mastturn/capacity/fleet.py
@@ -13,7 +13,7 @@
 
 from loguru import logger
 
-from barograph.node import ControlNode
+from control.node import ControlNode
 from mastturn.capacity.clockwork import Loop, Program
 from mastturn.capacity.disk import InlineQueue, MemoryFiles
 from mastturn.capacity.network import CTL_PORT, PLATFORM_PORT, STATION_PORT, Owner
@@ -284,18 +284,19 @@
 @contextlib.contextmanager
 def _stand_ins() -> Iterator[None]:
     """Disks without threads, and data planes without sockets."""
-    logger.disable("barograph")
+    logger.disable("consensus")
+    logger.disable("control")
     logger.disable("station")
     logger.disable("sonde")
     with (
-        mock.patch("barograph.keeper.DiskQueue", InlineQueue),
-        mock.patch("barograph.keeper.OsFiles", MemoryFiles),
+        mock.patch("consensus.keeper.DiskQueue", InlineQueue),
+        mock.patch("consensus.keeper.OsFiles", MemoryFiles),
         mock.patch("station.balancing.Balancer", HollowBalancer),
     ):
         try:
             yield
         finally:
-            for name in ("barograph", "station", "sonde"):
+            for name in ("consensus", "control", "station", "sonde"):
                 logger.enable(name)
 
 
--- a/mastturn/capacity/memory.py
+++ b/mastturn/capacity/memory.py
@@ -12,7 +12,7 @@
 import uvloop
 from loguru import logger
 
-from barograph.platform import pack
+from control.platform import pack
 from mastturn.capacity.children import child
 from mastturn.capacity.days import resident_mb
 from mastturn.capacity.network import KINDS
--- a/mastturn/capacity/network.py
+++ b/mastturn/capacity/network.py
@@ -13,12 +13,12 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-import barograph.messages
+import consensus.messages
 import sonde.messages
 from screen.wire import PACKED, Kinds
 
 HEAD = struct.Struct(">IH")
-KINDS = Kinds().include(barograph.messages.KINDS).include(sonde.messages.KINDS)
+KINDS = Kinds().include(consensus.messages.KINDS).include(sonde.messages.KINDS)
 NAMES = {number: cls.__name__ for number, (cls, _) in KINDS._by_number.items()}
 STATION_PORT, CTL_PORT, PLATFORM_PORT = 7720, 8166, 8169
 IN_ZONE_S, CROSS_ZONE_S, CROSS_REGION_S = 0.0001, 0.0014, 0.012  # one way
--- a/mastturn/capacity/parts.py
+++ b/mastturn/capacity/parts.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from barograph.platform import pack
+from control.platform import pack
 from mastturn.capacity.network import KINDS
 from mastturn.capacity.shapes import TARGET, Shape, configuration, list_entries
 from mastturn.capacity.sources import as_quiet, spin_ns
--- a/mastturn/control_check/defects.py
+++ b/mastturn/control_check/defects.py
@@ -4,14 +4,14 @@
 
 from dataclasses import replace
 
-from barograph.acceptor import Acceptor
-from barograph.campaign import Campaign
-from barograph.codec import Record
-from barograph.effects import Persist, Reply, Send, Spec, Verdict
-from barograph.messages import Install, Message, Promised, Written
-from barograph.primary import Command, Primary
-from barograph.replica import Replica
-from barograph.views import Member, Memory
+from consensus.acceptor import Acceptor
+from consensus.campaign import Campaign
+from consensus.codec import Record
+from consensus.effects import Persist, Reply, Send, Spec, Verdict
+from consensus.messages import Install, Message, Promised, Written
+from consensus.primary import Command, Primary
+from consensus.replica import Replica
+from consensus.views import Member, Memory
 
 LEASE_MS = 400.0
 
--- a/mastturn/control_check/disk.py
+++ b/mastturn/control_check/disk.py
@@ -6,8 +6,8 @@
 from collections import deque
 from collections.abc import Callable
 
-from barograph.codec import Record, apply
-from barograph.views import Memory
+from consensus.codec import Record, apply
+from consensus.views import Memory
 
 
 class Disk:
--- a/mastturn/control_check/explore.py
+++ b/mastturn/control_check/explore.py
@@ -10,7 +10,7 @@
 from collections import deque
 from dataclasses import dataclass
 
-from barograph.replica import Replica
+from consensus.replica import Replica
 from mastturn.control_check.local import Make
 from mastturn.control_check.rules import BrokenRuleError
 from mastturn.control_check.steps import Bounds, State, Steps
--- a/mastturn/control_check/history.py
+++ b/mastturn/control_check/history.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from barograph.replica import Replica
+from consensus.replica import Replica
 from mastturn.control_check.rules import BrokenRuleError
 from mastturn.control_check.troubles import Troubles
 from mastturn.control_check.world import Make, Shape, Takeover, World
--- a/mastturn/control_check/local.py
+++ b/mastturn/control_check/local.py
@@ -8,12 +8,12 @@
 from dataclasses import dataclass, fields, is_dataclass
 from typing import Any
 
-from barograph.codec import Record, WholeRecord
-from barograph.effects import Committed, Lead, Persist, Reply, Send, Spec
-from barograph.messages import Beat, Heard, Message
-from barograph.primary import Command
-from barograph.replica import Replica
-from barograph.views import Member, Memory
+from consensus.codec import Record, WholeRecord
+from consensus.effects import Committed, Lead, Persist, Reply, Send, Spec
+from consensus.messages import Beat, Heard, Message
+from consensus.primary import Command
+from consensus.replica import Replica
+from consensus.views import Member, Memory
 
 # Times and what rests on them alone: here nothing does, since every question is answered with a yes and every
 # campaign begins when the search says so. Two processes that differ in nothing else are one.
--- a/mastturn/control_check/machine.py
+++ b/mastturn/control_check/machine.py
@@ -7,11 +7,11 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from barograph.codec import whole
-from barograph.effects import Committed, Effect, Lead, Persist, Reply, Send, Spec
-from barograph.messages import Message
-from barograph.replica import Replica
-from barograph.views import Member, Memory
+from consensus.codec import whole
+from consensus.effects import Committed, Effect, Lead, Persist, Reply, Send, Spec
+from consensus.messages import Message
+from consensus.replica import Replica
+from consensus.views import Member, Memory
 from mastturn.control_check.disk import Disk
 
 TICK_MS = 25.0
--- a/mastturn/control_check/network.py
+++ b/mastturn/control_check/network.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from barograph.messages import Message
+from consensus.messages import Message
 
 
 @dataclass(frozen=True, slots=True)
--- a/mastturn/control_check/operators.py
+++ b/mastturn/control_check/operators.py
@@ -6,8 +6,8 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from barograph.effects import Reply, Verdict
-from barograph.primary import Command, Get, Put
+from consensus.effects import Reply, Verdict
+from consensus.primary import Command, Get, Put
 from mastturn.control_check.rules import Asked, Rules
 
 PATIENCE_MS = 1_000.0  # without an answer for so long the call is sent again
--- a/mastturn/control_check/rules.py
+++ b/mastturn/control_check/rules.py
@@ -4,9 +4,9 @@
 
 from dataclasses import dataclass, field
 
-from barograph.effects import Committed, Reply, Verdict
-from barograph.primary import Get, Put
-from barograph.views import Document, Taken
+from consensus.effects import Committed, Reply, Verdict
+from consensus.primary import Get, Put
+from consensus.views import Document, Taken
 
 
 class BrokenRuleError(Exception):
--- a/mastturn/control_check/steps.py
+++ b/mastturn/control_check/steps.py
@@ -11,12 +11,12 @@
 from dataclasses import dataclass, replace
 from typing import Any, TypeVar
 
-from barograph.codec import WholeRecord, apply, whole
-from barograph.effects import Committed, Lead, Reply, Send, Spec, Verdict
-from barograph.messages import Answer, Ask
-from barograph.primary import Command, Get, Put
-from barograph.replica import Replica
-from barograph.views import Memory
+from consensus.codec import WholeRecord, apply, whole
+from consensus.effects import Committed, Lead, Reply, Send, Spec, Verdict
+from consensus.messages import Answer, Ask
+from consensus.primary import Command, Get, Put
+from consensus.replica import Replica
+from consensus.views import Memory
 from mastturn.control_check.local import (
     AskIn,
     Event,
--- a/mastturn/control_check/world.py
+++ b/mastturn/control_check/world.py
@@ -7,11 +7,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
-from barograph.effects import Committed, Lead, Reply, Spec, Verdict
-from barograph.messages import Message
-from barograph.primary import Command, Get
-from barograph.replica import Replica
-from barograph.views import Member, Memory
+from consensus.effects import Committed, Lead, Reply, Spec, Verdict
+from consensus.messages import Message
+from consensus.primary import Command, Get
+from consensus.replica import Replica
+from consensus.views import Member, Memory
 from mastturn.control_check.machine import Machine
 from mastturn.control_check.network import Air, Network
 from mastturn.control_check.operators import Operator
--- a/mastturn/engines/control.py
+++ b/mastturn/engines/control.py
@@ -6,7 +6,7 @@
 from collections.abc import Sequence
 from typing import Any
 
-from barograph.mover import LOOK_S, Mover
+from control.mover import LOOK_S, Mover
 from mastturn.engines.balancer import Node, Root
 from mastturn.engines.engine import Engine
 from mastturn.engines.wire import Network
--- a/mastturn/engines/fleet.py
+++ b/mastturn/engines/fleet.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from barograph.orders import Outcome, Rejected, Taken
+from control.orders import Outcome, Rejected, Taken
 from mastturn.emulator.chance import Stream
 from mastturn.engines.balancer import MakeTiers, Node, Root
 from mastturn.engines.clients import User
@@ -92,7 +92,7 @@
         self.platform.put(engine, engine.ident, self.sheet.service.slots)
 
     async def order(self, upstream: Upstream, phase: str) -> Outcome:
-        """What `barograph.orders.change_phase` does on sockets."""
+        """What `control.orders.change_phase` does on sockets."""
         engine = self._by_address[upstream.addr]
         await asyncio.sleep(2 * self.network.way(self.root.zone, engine.zone))
         return Taken() if engine.order(phase) else Rejected(409)
--- a/mastturn/engines/play.py
+++ b/mastturn/engines/play.py
@@ -10,7 +10,7 @@
 
 from loguru import logger
 
-from barograph.orders import Outcome, Unclear
+from control.orders import Outcome, Unclear
 from mastturn.engines import troubles
 from mastturn.engines.clock import SimulatedLoop
 from mastturn.engines.control import LIST_S
@@ -26,7 +26,7 @@
 
 
 class _Orders:
-    """Stands in for `barograph.orders.change_phase` once a fleet is there."""
+    """Stands in for `control.orders.change_phase` once a fleet is there."""
 
     def __init__(self) -> None:
         self.fleet: Fleet | None = None
@@ -60,16 +60,18 @@
     state = random.getstate()
     orders = _Orders()
     logger.disable("windvane")
-    logger.disable("barograph")
+    logger.disable("consensus")
+    logger.disable("control")
     try:
         with (
             mock.patch("time.monotonic", loop.time),
-            mock.patch("barograph.mover.change_phase", orders.give),
+            mock.patch("control.mover.change_phase", orders.give),
         ):
             outcome = loop.run_until_complete(_play(sheet, day, seed, tiers, orders))
     finally:
         logger.enable("windvane")
-        logger.enable("barograph")
+        logger.enable("consensus")
+        logger.enable("control")
         random.setstate(state)
         loop.close()
     outcome.faults = list(loop.faults)
--- a/mastturn/smallfleet/layout.py
+++ b/mastturn/smallfleet/layout.py
@@ -56,7 +56,7 @@
 
     def settings(self, machine: Machine, folder: Path, bootstrap: bool) -> dict[str, Any]:
         """What a machine's settings file holds."""
-        is_core = machine.role == "barograph"
+        is_core = machine.role == "control"
         listen = (
             {"ctl": f"{machine.ip}:{self.port(CTL)}"}
             if is_core
@@ -93,7 +93,7 @@
     """A layout on ports that are free now; raises LabError if there are none."""
     subnet = random.SystemRandom().randrange(1, 250)
     cores = tuple(
-        Machine(f"core-{z[-1]}", "barograph", f"127.{subnet}.{i + 1}.1", z) for i, z in enumerate(ZONES)
+        Machine(f"core-{z[-1]}", "control", f"127.{subnet}.{i + 1}.1", z) for i, z in enumerate(ZONES)
     )
     edges = tuple(
         Machine(f"edge-{name}", "windvane", f"127.{subnet}.{i + 1}.2", zone)
--- a/station/__main__.py
+++ b/station/__main__.py
@@ -27,13 +27,13 @@
 from screen.errors import SettingsError, StationError
 from screen.settings import Settings
 from station import logs
+from station.roles import BALANCER, CONTROL, ROLES, current_name
 
 FLAGS = flags.FLAGS
 flags.DEFINE_enum(
     "log_level", "INFO", ["DEBUG", "INFO", "WARNING", "ERROR"], "Lines below this are not written."
 )
 
-ROLES = ("windvane", "barograph")
 OPERATORS = ("status", "config", "drain", "undrain", "trace", "explain")  # their commands
 USAGE = (
     "usage: python3 -m station [--log_level=LEVEL] ROLE, with ROLE one of: "
@@ -60,11 +60,11 @@
 def _check(name: str, settings: Settings) -> None:
     """Whether the settings hold what a role needs; raises SettingsError."""
     needed = {
-        "windvane": [
+        BALANCER: [
             ("listen.http", settings.listen.http, "name the address for clients"),
             ("listen.readyz", settings.listen.readyz, "name the address at which readiness is asked for"),
         ],
-        "barograph": [
+        CONTROL: [
             ("listen.ctl", settings.listen.ctl, "name the address for operators"),
             ("data_dir", settings.data_dir, "name the folder of this machine's disk"),
         ],
@@ -72,7 +72,7 @@
     for field, value, remedy in needed[name]:
         if not value:
             raise SettingsError(f"there is no {field}", remedy)
-    if name == "barograph" and not os.path.isdir(settings.data_dir or ""):
+    if name == CONTROL and not os.path.isdir(settings.data_dir or ""):
         raise SettingsError(
             f"data_dir is {settings.data_dir!r}, which is no folder", "name one that is there"
         )
@@ -81,11 +81,11 @@
 def _role(name: str, settings: Settings) -> Role:
     """The role of that name; nothing of another is imported. Raises SettingsError."""
     _check(name, settings)
-    if name == "windvane":
+    if name == BALANCER:
         from station.balancing import BalancerRole
 
         return BalancerRole(settings)
-    from barograph.node import ControlNode
+    from control.node import ControlNode
     from station import control_calls
 
     control_calls.declare()
@@ -136,7 +136,8 @@
 
     Operators' commands have codes of their own (docs/OPERATE.md).
     """
-    if any(word in OPERATORS for word in argv[1:]) and not any(word in ROLES for word in argv[1:]):
+    has_role = any(current_name(word) in ROLES for word in argv[1:])
+    if any(word in OPERATORS for word in argv[1:]) and not has_role:
         from station.commands import main as operate
 
         return operate(argv[1:])
@@ -145,14 +146,17 @@
     except flags.Error as error:
         print(f"{error}; {USAGE}", file=sys.stderr)
         return 2
-    if len(rest) != 1 or rest[0] not in ROLES:
+    role = current_name(rest[0]) if len(rest) == 1 else ""
+    if role not in ROLES:
         print(USAGE, file=sys.stderr)
         return 2
+    if role != rest[0]:
+        print(f"the role {rest[0]} is named {role} now; name it so", file=sys.stderr)
     logs.write_from(FLAGS.log_level)
     try:
         settings = settings_file.read()
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(serve(rest[0], settings))
+            runner.run(serve(role, settings))
     except StationError as error:
         print(str(error), file=sys.stderr)
         return 1
--- a/station/alone.py
+++ b/station/alone.py
@@ -14,7 +14,7 @@
 
 from loguru import logger
 
-from barograph.platform import PlatformError, PlatformList, pack
+from control.platform import PlatformError, PlatformList, pack
 from screen.errors import GapError
 from screen.links import Links
 from screen.wire import packed
--- a/station/answers.py
+++ b/station/answers.py
@@ -4,6 +4,8 @@
 
 from typing import Any
 
+from station.roles import BALANCER, CONTROL, current_name
+
 TEXT, NUMBER, YES = (str,), (int,), (bool,)
 MAYBE = (int, type(None))
 _BOTH: dict[str, Any] = {"node": TEXT, "program": TEXT, "ver": NUMBER, "memory_kb": NUMBER}
@@ -11,10 +13,10 @@
 _MEMBER = {"node": TEXT, "ctl": TEXT, "zone": TEXT, "silent_ms": MAYBE}
 _UPSTREAM = {"svc": TEXT, "part": TEXT, "state": TEXT, "calls": NUMBER, "tokens": NUMBER}
 FORMS: dict[str, dict[str, Any]] = {
-    "barograph": _BOTH
+    CONTROL: _BOTH
     | {"zone": TEXT, "ctl": TEXT, "standing": TEXT, "epoch": NUMBER, "disk_well": YES}
     | {"members": [_MEMBER], "present": [_PRESENT], "upstreams": [_UPSTREAM]},
-    "windvane": _BOTH
+    BALANCER: _BOTH
     | {"ready": YES, "drained": YES, "fresh": YES, "told_by": TEXT, "in_flight": NUMBER, "ended": dict},
 }
 
@@ -22,10 +24,11 @@
 def is_status(told: dict[str, Any]) -> bool:
     """Whether an answer holds all that is shown of a process of its role."""
     role = told.get("role")
-    form = FORMS.get(role) if isinstance(role, str) else None
+    name = current_name(role) if isinstance(role, str) else ""
+    form = FORMS.get(name)
     if form is None or not _fits(told, form):
         return False
-    if role == "barograph":
+    if name == CONTROL:
         return _is(told.get("leads_ms"), MAYBE)  # earlier releases don't tell it
     return all(_is(count, NUMBER) for count in told["ended"].values())
 
--- a/station/balancer_report.py
+++ b/station/balancer_report.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Any
 
 from screen.wire import EDITION
+from station.roles import BALANCER
 from station.version import memory_kb, processor_s, program
 from windvane.tiers import Peer
 
@@ -25,7 +26,7 @@
     figures = balancer.figures()
     now = time.monotonic()
     return {
-        "role": "windvane",
+        "role": BALANCER,
         "node": settings.node,
         "ip": settings.ip,
         "zone": settings.zone,
--- a/station/balancing.py
+++ b/station/balancing.py
@@ -8,7 +8,7 @@
 
 from loguru import logger
 
-from barograph.platform import PlatformList
+from control.platform import PlatformList
 from screen.checking import parse_configuration, parse_upstreams
 from screen.errors import InvalidConfigurationError, StationError
 from screen.links import Links
--- a/station/control_calls.py
+++ b/station/control_calls.py
@@ -9,12 +9,12 @@
 from typing import TYPE_CHECKING
 from weakref import WeakKeyDictionary
 
-from barograph.operators import CALLS
+from control.operators import CALLS
 from screen.calls import Call, Reply, say
 from station.pace import Pace
 
 if TYPE_CHECKING:
-    from barograph.node import ControlNode
+    from control.node import ControlNode
     from station.dashboard import Dashboard
 
 _STATUS, _METRICS, _DASHBOARD = Pace(), Pace(), Pace()  # so that a stranger takes nothing from a collector
--- a/station/control_figures.py
+++ b/station/control_figures.py
@@ -8,7 +8,7 @@
 from station.control_report import status
 
 if TYPE_CHECKING:
-    from barograph.node import ControlNode
+    from control.node import ControlNode
 
 
 def metrics(node: ControlNode) -> list[Metric]:
--- a/station/control_report.py
+++ b/station/control_report.py
@@ -8,11 +8,12 @@
 from screen.checking import parse_upstreams
 from screen.errors import WireError
 from screen.wire import EDITION
+from station.roles import CONTROL
 from station.version import memory_kb, processor_s, program
 
 if TYPE_CHECKING:
-    from barograph.node import ControlNode
-    from barograph.replica import Replica
+    from consensus.replica import Replica
+    from control.node import ControlNode
 
 
 def _standing(replica: Replica | None) -> str:
@@ -29,7 +30,7 @@
     replica, herald, keeper = node.parts()
     settings = node.settings
     found: dict[str, Any] = {
-        "role": "barograph",
+        "role": CONTROL,
         "node": settings.node,
         "ip": settings.ip,
         "zone": settings.zone,
--- a/station/fleet_status.py
+++ b/station/fleet_status.py
@@ -10,6 +10,7 @@
 
 from station import asking, judged
 from station.answers import is_status
+from station.roles import BALANCER, CONTROL, current_name
 from station.tables import table
 from station.wrong import UnansweredError
 
@@ -45,7 +46,7 @@
         asked = [f"{p['ip']}:{readyz_port}" for p in present] if readyz_port else []
         if most is not None and len(asked) > most:
             asked = []
-        answers = [a if a and a["role"] == "windvane" else None for a in pool.map(status_of, asked)]
+        answers = [a if a and a["role"] == BALANCER else None for a in pool.map(status_of, asked)]
     view = primary or max(told.values(), key=lambda a: int(a["epoch"]))
     names = [m["node"] for m in view["members"]]
     control = [
@@ -77,7 +78,7 @@
 
 def _control_processes(answers: Iterable[dict[str, Any] | None]) -> dict[str, dict[str, Any]]:
     """Those of control processes, by their addresses for operators."""
-    return {a["ctl"]: a for a in answers if a is not None and a["role"] == "barograph"}
+    return {a["ctl"]: a for a in answers if a is not None and current_name(a["role"]) == CONTROL}
 
 
 def status_of(place: str) -> dict[str, Any] | None:
@@ -172,7 +173,7 @@
     return lines
 
 
-CONTROL = (
+CONTROL_COLUMNS = (
     "CONTROL",
     "ZONE",
     "STANDING",
@@ -237,7 +238,7 @@
         for row in found["balancers"]
         for a in (row["answer"] or {},)
     ]
-    return [(CONTROL, control), (BALANCERS, balancers), (PARTS, _by_part(found["upstreams"]))]
+    return [(CONTROL_COLUMNS, control), (BALANCERS, balancers), (PARTS, _by_part(found["upstreams"]))]
 
 
 def _mb(answer: dict[str, Any]) -> str | None:
--- a/station/logs.py
+++ b/station/logs.py
@@ -7,6 +7,8 @@
 
 from loguru import logger
 
+from station.roles import current_name
+
 LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 LINE = "time={time:HH:mm:ss.SSS} level={level} module={name} {message}"
 
@@ -38,7 +40,8 @@
 
         One that is no level is said in the log, and changes nothing.
         """
-        level = named.get(self._role, self._usual).upper()
+        levels = {current_name(role): level for role, level in named.items()}
+        level = levels.get(self._role, self._usual).upper()
         if level not in LEVELS:
             logger.warning(
                 "event=bad_log_level role={} level={!r} remedy={!r}",
--- /dev/null
+++ b/station/roles.py
@@ -0,0 +1,12 @@
+"""Names of the program's roles, and those that earlier releases used for them."""
+
+from __future__ import annotations
+
+BALANCER, CONTROL = "windvane", "control"
+ROLES = (BALANCER, CONTROL)
+FORMER_NAMES = {"barograph": CONTROL}  # accepted for one release
+
+
+def current_name(name: str) -> str:
+    """The name of a role today, whatever release named it."""
+    return FORMER_NAMES.get(name, name)
--- a/station/salvage.py
+++ b/station/salvage.py
@@ -10,10 +10,10 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from barograph.codec import apply, read_record
-from barograph.files import OsFiles
-from barograph.slots import Store
-from barograph.views import Memory
+from consensus.codec import apply, read_record
+from consensus.files import OsFiles
+from consensus.slots import Store
+from consensus.views import Memory
 from screen.errors import DiskError, WireError
 from station.wrong import FailedError, WrongCallError
 
--- a/station/version.py
+++ b/station/version.py
@@ -7,7 +7,7 @@
 import os
 from pathlib import Path
 
-PACKAGES = ("station", "windvane", "barograph", "sonde", "screen", "passpost", "umberworks")
+PACKAGES = ("station", "windvane", "consensus", "control", "sonde", "screen", "passpost", "umberworks")
 
 
 @functools.cache
--- a/tests/fabric_disk.py
+++ b/tests/fabric_disk.py
@@ -9,13 +9,13 @@
 from pathlib import Path
 from typing import Any
 
-from barograph.slots import Loaded, Store
+from consensus.slots import Loaded, Store
 from screen.errors import DiskError
 from tests.fabric import PROCESS
 
 
 class Disk:
-    """The files of one machine, as `barograph.files.Files`; they outlive its processes."""
+    """The files of one machine, as `consensus.files.Files`; they outlive its processes."""
 
     def __init__(self) -> None:
         self.files: dict[str, bytearray] = {}
--- a/tests/fabric_world.py
+++ b/tests/fabric_world.py
@@ -17,10 +17,10 @@
 import yaml
 from loguru import logger
 
-from barograph import messages as control
-from barograph.codec import revive
-from barograph.node import KINDS, ControlNode
-from barograph.views import View
+from consensus import messages as control
+from consensus.codec import revive
+from consensus.views import View
+from control.node import KINDS, ControlNode
 from screen import settings as settings_file
 from screen.errors import WireError
 from screen.settings import Settings
@@ -390,11 +390,11 @@
     logger.remove()
     sink = logger.add(say, format="{level} {message}", level="DEBUG")
     with (
-        mock.patch("barograph.keeper.secrets", dice),
-        mock.patch("barograph.node.secrets", dice),
+        mock.patch("consensus.keeper.secrets", dice),
+        mock.patch("control.node.secrets", dice),
         mock.patch("station.balancing.secrets", dice),
-        mock.patch("barograph.keeper.DiskQueue", InlineQueue),
-        mock.patch("barograph.keeper.OsFiles", own_disk),
+        mock.patch("consensus.keeper.DiskQueue", InlineQueue),
+        mock.patch("consensus.keeper.OsFiles", own_disk),
         mock.patch("station.balancing.Balancer", DataPlane),
     ):
         try:
--- a/tests/replica_exchange.py
+++ b/tests/replica_exchange.py
@@ -4,11 +4,11 @@
 
 from collections import deque
 
-from barograph.codec import apply, whole
-from barograph.effects import Committed, Lead, Persist, Reply, Send, Spec
-from barograph.messages import Beat, Heard, Message
-from barograph.replica import Replica
-from barograph.views import Member, Memory
+from consensus.codec import apply, whole
+from consensus.effects import Committed, Lead, Persist, Reply, Send, Spec
+from consensus.messages import Beat, Heard, Message
+from consensus.replica import Replica
+from consensus.views import Member, Memory
 
 TICK_MS = 25.0
 
--- a/tests/test_barograph_host_disk.py
+++ b/tests/test_control_host_disk.py
@@ -9,11 +9,11 @@
 
 import pytest
 
-from barograph import messages as control
-from barograph.codec import PromiseRecord, WriteRecord, whole, write_record
-from barograph.keeper import AGAIN_S, LOG_BYTES, STUCK_S, Keeper
-from barograph.slots import Loaded, Store
-from barograph.views import Document, Memory
+from consensus import messages as control
+from consensus.codec import PromiseRecord, WriteRecord, whole, write_record
+from consensus.keeper import AGAIN_S, LOG_BYTES, STUCK_S, Keeper
+from consensus.slots import Loaded, Store
+from consensus.views import Document, Memory
 from screen.errors import DiskError
 from tests.fabric import Process
 from tests.fabric_callers import configuration
@@ -207,8 +207,8 @@
     async def scene(world: World) -> None:
         queue, told = ByHand(), list[bool]()
         with (
-            mock.patch("barograph.keeper.DiskQueue", lambda store: queue),
-            mock.patch("barograph.keeper.OsFiles", Disk),
+            mock.patch("consensus.keeper.DiskQueue", lambda store: queue),
+            mock.patch("consensus.keeper.OsFiles", Disk),
         ):
             keeper = Keeper("/disk", told.append)
         loading = asyncio.create_task(keeper.load(False))
--- a/tests/test_barograph_host_platform.py
+++ b/tests/test_control_host_platform.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from barograph.platform import RATE_SHARE, PlatformError, PlatformList, pack
+from control.platform import RATE_SHARE, PlatformError, PlatformList, pack
 from sonde.messages import Pulse
 from tests.fabric_callers import PLATFORM, DataPlane, upstream
 from tests.fabric_scenes import begun
--- a/tests/test_days_found_moves.py
+++ b/tests/test_days_found_moves.py
@@ -6,10 +6,10 @@
 
 import pytest
 
-import barograph.mover
-from barograph.mover import LEASE_SPARE, MOVING_S, UNHEARD, Mover
-from barograph.orders import Outcome, Rejected, Taken, Unclear
-from barograph.platform import pack
+import control.mover
+from control.mover import LEASE_SPARE, MOVING_S, UNHEARD, Mover
+from control.orders import Outcome, Rejected, Taken, Unclear
+from control.platform import pack
 from screen.configuration import Upstream
 from tests.loopback import run
 
@@ -33,9 +33,9 @@
     async def is_there(upstream: Upstream) -> bool:
         return True
 
-    monkeypatch.setattr(barograph.mover, "change_phase", change)
-    monkeypatch.setattr(barograph.mover, "is_there", is_there)
-    monkeypatch.setattr(barograph.mover, "TOLD_S", 0.0)
+    monkeypatch.setattr(control.mover, "change_phase", change)
+    monkeypatch.setattr(control.mover, "is_there", is_there)
+    monkeypatch.setattr(control.mover, "TOLD_S", 0.0)
     return orders
 
 
@@ -106,7 +106,7 @@
         given.append((upstream.id, phase, fence))
         return Unclear("refused") if upstream.id == "r1" else Taken()
 
-    monkeypatch.setattr(barograph.mover, "change_phase", refused)
+    monkeypatch.setattr(control.mover, "change_phase", refused)
 
     async def scene() -> None:
         entries, mover = crowded()
@@ -132,7 +132,7 @@
         given.append((upstream.id, phase, fence))
         return answers.pop(0) if answers else Unclear("nobody answers")
 
-    monkeypatch.setattr(barograph.mover, "change_phase", unheard)
+    monkeypatch.setattr(control.mover, "change_phase", unheard)
 
     async def scene() -> None:
         entries = [entry(f"r{n}", "prefill") for n in range(1, 8)] + [entry("a1", "decode")]
@@ -221,7 +221,7 @@
         asked.append(upstream.id)
         return upstream.id != "r1"
 
-    monkeypatch.setattr(barograph.mover, "is_there", is_there)
+    monkeypatch.setattr(control.mover, "is_there", is_there)
 
     async def scene() -> None:
         entries, mover = crowded()
--- a/tests/test_days_found_parts.py
+++ b/tests/test_days_found_parts.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from barograph.phases import LEAST_RUNNERS, PAUSE_S, SETTLED_S, Order, PhasePlan
+from control.phases import LEAST_RUNNERS, PAUSE_S, SETTLED_S, Order, PhasePlan
 from tests.test_phases import Loads, fleet, reading, watch
 
 
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -21,13 +21,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from barograph import messages as control
-from barograph.codec import RECORDS, read_record, revive
-from barograph.files import OsFiles
-from barograph.operators import CALLS
-from barograph.orders import change_phase
-from barograph.platform import PlatformError, PlatformList, pack
-from barograph.slots import Store
+from consensus import messages as control
+from consensus.codec import RECORDS, read_record, revive
+from consensus.files import OsFiles
+from consensus.slots import Store
+from control.operators import CALLS
+from control.orders import change_phase
+from control.platform import PlatformError, PlatformList, pack
 from passpost.http1 import Answer
 from passpost.validation import BadRequestError
 from screen.calls import _Caller
--- a/tests/test_fuzz_found.py
+++ b/tests/test_fuzz_found.py
@@ -8,10 +8,10 @@
 
 import pytest
 
-from barograph.codec import revive
-from barograph.messages import KINDS, Known
-from barograph.platform import PlatformError, PlatformList
-from barograph.views import Member, View
+from consensus.codec import revive
+from consensus.messages import KINDS, Known
+from consensus.views import Member, View
+from control.platform import PlatformError, PlatformList
 from passpost.http1 import Answer
 from screen.checking import parse_upstreams
 from screen.wire import FrameReader
--- a/tests/test_phases.py
+++ b/tests/test_phases.py
@@ -4,7 +4,7 @@
 
 from dataclasses import replace
 
-from barograph.phases import PAUSE_S, Order, PhasePlan
+from control.phases import PAUSE_S, Order, PhasePlan
 from screen.configuration import Upstream
 
 Loads = dict[str, tuple[int, int]]
--- a/tests/test_replica_defects.py
+++ b/tests/test_replica_defects.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from barograph.replica import Replica
+from consensus.replica import Replica
 from mastturn.control_check.defects import (
     AnswersBeforeSync,
     LeaseByJumpingClock,
--- a/tests/test_replica_exchanges.py
+++ b/tests/test_replica_exchanges.py
@@ -4,12 +4,12 @@
 
 from dataclasses import replace
 
-from barograph.effects import Verdict
-from barograph.joining import Newcomers
-from barograph.messages import Ask, Beat, Install, Join, Leaving, Prepare, Promised, Succeed, Written
-from barograph.patience import Patience
-from barograph.primary import Get, Put
-from barograph.views import Member, View
+from consensus.effects import Verdict
+from consensus.joining import Newcomers
+from consensus.messages import Ask, Beat, Install, Join, Leaving, Prepare, Promised, Succeed, Written
+from consensus.patience import Patience
+from consensus.primary import Get, Put
+from consensus.views import Member, View
 from tests.replica_exchange import Exchange, ip
 
 PUT = Put(1, 0, 3, "d", b"{}")
--- a/tests/test_replica_messages.py
+++ b/tests/test_replica_messages.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from barograph.codec import (
+from consensus.codec import (
     PromiseRecord,
     Record,
     ViewRecord,
@@ -16,7 +16,7 @@
     whole,
     write_record,
 )
-from barograph.messages import (
+from consensus.messages import (
     KINDS,
     Answer,
     Ask,
@@ -34,7 +34,7 @@
     Write,
     Written,
 )
-from barograph.views import Document, Member, Memory, Taken, View
+from consensus.views import Document, Member, Memory, Taken, View
 from screen.errors import WireError
 from screen.wire import FrameReader
 
--- a/tests/test_screen_strangers.py
+++ b/tests/test_screen_strangers.py
@@ -9,8 +9,8 @@
 
 import pytest
 
-from barograph import messages as control
-from barograph.node import KINDS
+from consensus import messages as control
+from control.node import KINDS
 from screen.calls import MOST_BODY
 from screen.errors import WireError
 from screen.wire import MOST_FRAME, FrameReader
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -20,11 +20,11 @@
 
 import pytest
 
-from barograph.disk_queue import MOST_GROUP_BYTES, DiskQueue
-from barograph.files import Files, OsFiles
-from barograph.slots import _CHAIN as CHAIN
-from barograph.slots import MOST_RECORD_BYTES, Loaded, Store
-from barograph.slots import _frame as frame_of
+from consensus.disk_queue import MOST_GROUP_BYTES, DiskQueue
+from consensus.files import Files, OsFiles
+from consensus.slots import _CHAIN as CHAIN
+from consensus.slots import MOST_RECORD_BYTES, Loaded, Store
+from consensus.slots import _frame as frame_of
 from screen.errors import DiskError
 
 FOLDER = Path("/data")
--- a/tests/test_sonde_lists.py
+++ b/tests/test_sonde_lists.py
@@ -10,8 +10,8 @@
 
 import pytest
 
-from barograph.node import KINDS
-from barograph.platform import pack
+from control.node import KINDS
+from control.platform import pack
 from screen.errors import GapError, WireError
 from screen.wire import MOST_FRAME, PACKED, packed, unpacked
 from sonde.lists import change_of, changed, digest_of, same_as
--- a/tests/test_sonde_news.py
+++ b/tests/test_sonde_news.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from barograph.node import KINDS
+from control.node import KINDS
 from screen.links import Links
 from sonde.messages import Attach, MemberNews, Moved, Present, Pulse, UpstreamNews
 from sonde.relays import heads_of, parent_of
--- a/tests/test_sonde_steps.py
+++ b/tests/test_sonde_steps.py
@@ -8,8 +8,8 @@
 
 import pytest
 
-from barograph.herald import Herald
-from barograph.node import KINDS
+from control.herald import Herald
+from control.node import KINDS
 from screen.errors import GapError
 from sonde.bulletin import Bulletin
 from sonde.load_steps import BYTES_S, MOST, MOST_PLACES, SAVED_S, Figures, Loads, LoadTable, LoadTeller
--- a/tests/test_station_cli_balancer.py
+++ b/tests/test_station_cli_balancer.py
@@ -328,7 +328,7 @@
     monkeypatch.setattr(logs, "write_from", write_from)
     monkeypatch.setattr(logs, "_written", ["INFO"])
     level = logs.LogLevel("windvane")
-    assert not level.follow({}) and not level.follow({"barograph": "DEBUG"})
+    assert not level.follow({}) and not level.follow({"control": "DEBUG"})
     assert level.follow({"windvane": "debug"}) and logs.is_debug()
     assert not level.follow({"windvane": "LOUD"}) and logs.is_debug()
     assert level.follow({}) and not logs.is_debug()
--- a/tests/test_station_cli_commands.py
+++ b/tests/test_station_cli_commands.py
@@ -14,10 +14,10 @@
 
 import pytest
 
-from barograph.codec import whole, write_record
-from barograph.files import OsFiles
-from barograph.slots import Store
-from barograph.views import Document, Member, Memory, View
+from consensus.codec import whole, write_record
+from consensus.files import OsFiles
+from consensus.slots import Store
+from consensus.views import Document, Member, Memory, View
 from screen import settings as settings_file
 from station import __main__ as station
 from station import asking, configuring, explaining, fleet_status, tracing
@@ -344,7 +344,7 @@
         for i, n in enumerate(("core-1", "core-2", "core-3"))
     ]
     return {
-        "role": "barograph", "node": node, "zone": "a", "ctl": f"{node}:1", "standing": standing,
+        "role": "control", "node": node, "zone": "a", "ctl": f"{node}:1", "standing": standing,
         "epoch": epoch, "ver": ver, "program": "aa", "disk_well": True, "memory_kb": 30_720,
         "members": members, "present": [], "upstreams": [],
     } | more  # fmt: skip
@@ -529,7 +529,7 @@
 # ---- nothing of it is loaded by a role
 
 
-@pytest.mark.parametrize("module", ["station.balancing", "barograph.node"])
+@pytest.mark.parametrize("module", ["station.balancing", "control.node"])
 def test_a_role_loads_nothing_of_the_operators_commands(module: str) -> None:
     code = f"import sys, station.__main__, {module}; print([m for m in sys.modules if m in {LAZY!r}])"
     done = subprocess.run(
--- a/tests/test_station_cli_present.py
+++ b/tests/test_station_cli_present.py
@@ -68,7 +68,7 @@
         zones = {"edge-a": "hall-a", "edge-b": "hall-a", "edge-c": "hall-b"}
         named = [{"node": n, "ip": self.ip, "zone": zones[n]} for n in (word if leads else ())]
         told = {
-            "role": "barograph", "node": "core-a", "zone": "a", "ctl": self.ctl.place, "epoch": self.epoch,
+            "role": "control", "node": "core-a", "zone": "a", "ctl": self.ctl.place, "epoch": self.epoch,
             "ver": 5, "standing": "primary" if leads else "witness", "members": [], "present": named,
             "upstreams": [], "program": "aa", "disk_well": True, "memory_kb": 1,
         }  # fmt: skip
@@ -253,7 +253,7 @@
 @pytest.mark.parametrize("leads_ms", [True, "4", 1.5, []])
 def test_a_strangers_time_of_leading_is_no_status(leads_ms: object) -> None:
     told = {
-        "role": "barograph", "node": "a", "program": "p", "ver": 1, "memory_kb": 1, "zone": "z", "ctl": "c",
+        "role": "control", "node": "a", "program": "p", "ver": 1, "memory_kb": 1, "zone": "z", "ctl": "c",
         "standing": "primary", "epoch": 1, "disk_well": True, "members": [], "present": [], "upstreams": [],
     }  # fmt: skip
     assert is_status(told) and is_status(told | {"leads_ms": 4}) and is_status(told | {"leads_ms": None})
--- a/tests/test_station_command.py
+++ b/tests/test_station_command.py
@@ -24,6 +24,7 @@
 from screen.settings import Settings
 from station import __main__ as station
 from station import logs
+from station.roles import ROLES
 from tests.fabric import Loop
 from tests.fabric_callers import configuration
 
@@ -74,7 +75,7 @@
     [
         [],
         ["unknown"],
-        ["windvane", "barograph"],
+        ["windvane", "control"],
         ["--nothing", "windvane"],
         ["--log_level=LOUD", "windvane"],
         ["--log_level"],
@@ -91,10 +92,10 @@
     assert told.out == ""
     assert told.err.count("\n") == 1
     assert "usage: python3 -m station [--log_level=LEVEL] ROLE" in told.err
-    assert "windvane, barograph" in told.err
+    assert "windvane, control" in told.err
 
 
-@pytest.mark.parametrize("role", station.ROLES)
+@pytest.mark.parametrize("role", ROLES)
 def test_without_settings_it_is_one_line_and_1(
     role: str, capsys: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -107,10 +108,10 @@
 @pytest.mark.parametrize(
     ("role", "changes", "said"),
     [
-        ("barograph", {"data_dir": None}, "there is no data_dir; name the folder of this machine's disk"),
-        ("barograph", {"data_dir": "/nowhere/at/all"}, "data_dir is '/nowhere/at/all', which is no folder"),
-        ("barograph", {"listen": {}}, "there is no listen.ctl; name the address for operators"),
-        ("barograph", {"node": 7}, "node is 7; make it a text"),
+        ("control", {"data_dir": None}, "there is no data_dir; name the folder of this machine's disk"),
+        ("control", {"data_dir": "/nowhere/at/all"}, "data_dir is '/nowhere/at/all', which is no folder"),
+        ("control", {"listen": {}}, "there is no listen.ctl; name the address for operators"),
+        ("control", {"node": 7}, "node is 7; make it a text"),
         (
             "windvane",
             {"listen": {"readyz": "127.0.0.1:1"}},
@@ -141,7 +142,7 @@
     with socket.socket() as taken:
         taken.bind(("127.0.0.1", raw["port_range"][0]))
         taken.listen()
-        assert station.main(["station", "barograph"]) == 1
+        assert station.main(["station", "control"]) == 1
     told = [line for line in capsys.readouterr().err.splitlines() if "level=" not in line]
     assert len(told) == 1 and "free the address, or name another in the settings" in told[0]
 
@@ -238,7 +239,7 @@
             lines = capsys.readouterr().err.splitlines()
             said[name] = [line.partition("event=")[2] for line in lines]
 
-        await after("of another role", {"barograph": "DEBUG"}, True, 0.1)
+        await after("of another role", {"control": "DEBUG"}, True, 0.1)
         await after("by a signal", {"windvane": "DEBUG"}, True, 0.1)
         await after("without a signal", {"windvane": "ERROR"}, False, 2.5)
         await after("a bad one", {"windvane": "LOUD"}, True, 0.1)
@@ -277,7 +278,7 @@
 def start(tmp_path: Path, raw: dict[str, Any]) -> subprocess.Popen[str]:
     environment = os.environ | {settings_file.VARIABLE: str(write(tmp_path, raw))}
     return subprocess.Popen(
-        [sys.executable, "-m", "station", "barograph"],
+        [sys.executable, "-m", "station", "control"],
         cwd=ROOT,
         env=environment,
         stderr=subprocess.PIPE,
@@ -326,3 +327,22 @@
     lines = said + told.splitlines()
     assert all(line.startswith("time=") and " event=" in line for line in lines), told
     assert "event=stopped" in lines[-1]
+
+
+def test_a_role_is_known_by_its_former_name_for_one_release(
+    capsys: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.delenv(settings_file.VARIABLE, raising=False)
+    assert station.main(["station", "barograph"]) == 1
+    told = capsys.readouterr().err.splitlines()
+    assert told[0] == "the role barograph is named control now; name it so"
+    assert told[1] == "MASTTURN_CONFIG is not set; let it name the settings file"
+
+
+def test_a_level_for_a_role_by_its_former_name_holds() -> None:
+    level = logs.LogLevel("control")
+    before = logs._written[0]
+    try:
+        assert level.follow({"barograph": "ERROR"})
+    finally:
+        logs.write_from(before)
--- a/tests/test_station_dashboard.py
+++ b/tests/test_station_dashboard.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from barograph.operators import CALLS
+from control.operators import CALLS
 from screen.calls import CallServer, Reply
 from screen.settings import Listen, Settings, parse
 from station import control_calls, dashboard, fleet_status
--- a/tests/test_wire_held.py
+++ b/tests/test_wire_held.py
@@ -11,8 +11,8 @@
 
 import pytest
 
-from barograph.codec import RECORDS
-from barograph.messages import KINDS as CONTROL
+from consensus.codec import RECORDS
+from consensus.messages import KINDS as CONTROL
 from screen.wire import EDITION, FrameReader, Kinds, plain
 from sonde.messages import KINDS as NEWS
 from tests.fabric_world import APPROVED, approve
