Never refuse a change that was taken, however long ago; send and log one change a write

Change: the history holds 4,096 changes; versions rise, so whatever is not in it was never taken, unless it is older than its oldest: that gets 503 and neither 200 nor 412. A write carries the last change alone; a holder takes it only on top of the write before. Kinds of messages and records stay as they were, and those of the release before are read. The simulator's operators send old changes once more, and its rules know all that was ever taken.

--- a/consensus/acceptor.py
+++ b/consensus/acceptor.py
@@ -149,13 +149,13 @@
             and view.epoch == message.epoch
             and memory.promised <= message.epoch
             and memory.is_holder()
-            and document.number >= memory.document.number
+            and memory.document.takes(document)
             and not self.sick
         )
         reply = Written(memory.identity, message.sender, message.epoch, document.number, ok, memory.promised)
         if ok:
-            memory.document = document
-            self._persist(WriteRecord(document), ip, reply)
+            memory.document = memory.document.with_change(document)
+            self._persist(WriteRecord(document.latest_change()), ip, reply)
         else:
             self._send(ip, reply)
 
--- a/consensus/codec.py
+++ b/consensus/codec.py
@@ -74,7 +74,7 @@
 @RECORDS.declare(3, [{"name": "document", "type": DOCUMENT}])
 @dataclass(frozen=True, slots=True)
 class WriteRecord:
-    """A document was kept."""
+    """A write was kept: the document with the last change alone; earlier releases logged all of it."""
 
     document: Any
 
@@ -127,7 +127,7 @@
             memory.view, memory.promised = view, max(memory.promised, view.epoch)
             memory.document = memory.document if document is None else document
         case WriteRecord(document):
-            memory.document = document
+            memory.document = memory.document.with_change(document)
         case WholeRecord(identity, promised, view, document):
             memory.identity, memory.promised, memory.view, memory.document = (
                 identity,
--- a/consensus/effects.py
+++ b/consensus/effects.py
@@ -32,6 +32,7 @@
     DONE = "done"
     STALE = "stale"  # another version is in place
     NOT_ABOVE = "not above"  # its number is not above that of the version in place
+    UNSURE = "unsure"  # its version is older than the history, so nobody can tell whether it was taken
     MOVED = "moved"  # we are not the primary, or no longer: another can tell
 
 
--- a/consensus/messages.py
+++ b/consensus/messages.py
@@ -136,7 +136,7 @@
 @KINDS.declare(7, [*_ENDS, _EPOCH, {"name": "document", "type": DOCUMENT}])
 @dataclass(frozen=True, slots=True)
 class Write:
-    """Keep this document in place of the one before it."""
+    """Keep this change on top of the document before it: `document` holds the last change alone."""
 
     sender: str
     to: str
--- a/consensus/primary.py
+++ b/consensus/primary.py
@@ -8,7 +8,7 @@
 
 from consensus.effects import Committed, Effect, Reply, Send, Spec, Verdict
 from consensus.messages import Beat, Heard, Write, Written
-from consensus.views import Document, Member, Memory, View
+from consensus.views import Document, Member, Memory, Past, View
 
 
 @dataclass(frozen=True, slots=True)
@@ -180,8 +180,8 @@
             match command:
                 case Get():
                     self._owe(command, Verdict.DONE, now)
-                case Put() if document.holds(command.ver, command.digest):
-                    self._owe(command, Verdict.DONE, now)
+                case Put() if (past := document.past(command.ver, command.digest)) is not Past.NEVER:
+                    self._owe(command, Verdict.DONE if past is Past.TAKEN else Verdict.UNSURE, now)
                 case Put() if command.base != document.ver:
                     self._owe(command, Verdict.STALE, now)
                 case Put() if command.ver <= document.ver:
@@ -203,11 +203,12 @@
         self._send_write(set(self.view.holders) - self._kept - {self.view.primary})
 
     def _send_write(self, slots: set[int]) -> None:
+        change = self._new.latest_change()
         for slot in self.view.holders:
             if slot not in slots:
                 continue
             member = self.view.at(slot)
-            message = Write(self.memory.identity, member.identity, self.view.epoch, self._new)
+            message = Write(self.memory.identity, member.identity, self.view.epoch, change)
             self._emit(Send(member.ip, message))
 
     def _owe(self, command: Command, verdict: Verdict, now: float) -> None:
--- a/consensus/views.py
+++ b/consensus/views.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import enum
+from bisect import bisect_left
 from dataclasses import dataclass, field
+from operator import attrgetter
 
-MOST_TAKEN = 512  # versions remembered as taken: an operator resends within seconds
+MOST_REMEMBERED = 4_096  # changes in the history: about a day at 4,500 a day, in some 300 kB
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,24 +63,68 @@
     digest: str
 
 
+class Past(enum.Enum):
+    """Whether a change was ever taken, as far as the history tells."""
+
+    TAKEN = "taken"
+    NEVER = "never"
+    FORGOTTEN = "forgotten"  # its version is older than all that the history holds
+
+
 @dataclass(frozen=True, slots=True)
 class Document:
-    """What the holders keep: the newest configuration as it was sent, and which versions were ever taken."""
+    """What the holders keep: the newest configuration as it was sent, and the history of changes.
+
+    Versions rise strictly, so the history is sorted and `ver` is its last. It holds the newest changes, at
+    most `MOST_REMEMBERED`: keeping and sending it has a bound, however many changes there have been.
+    """
 
     number: int = 0  # of the write that made it, counted from 1
     ver: int = 0
     body: bytes = b""
     taken: tuple[Taken, ...] = ()  # the oldest first
 
-    def holds(self, ver: int, digest: str) -> bool:
-        """Whether this very configuration was taken once."""
-        return Taken(ver, digest) in self.taken
+    def past(self, ver: int, digest: str) -> Past:
+        """Whether this very configuration was taken once.
+
+        What is not in the history was never taken, unless the history is cut and the version is older than
+        its oldest: then nobody can tell, and the caller gets neither an acknowledgement nor a refusal.
+        """
+        if ver > self.ver:
+            return Past.NEVER
+        is_cut = self.number > len(self.taken)
+        if is_cut and (not self.taken or ver < self.taken[0].ver):
+            return Past.FORGOTTEN
+        place = bisect_left(self.taken, ver, key=attrgetter("ver"))
+        is_there = place < len(self.taken) and self.taken[place] == Taken(ver, digest)
+        return Past.TAKEN if is_there else Past.NEVER
 
     def after(self, ver: int, body: bytes, digest: str) -> Document:
         """The document that the next write makes."""
-        taken = (*self.taken, Taken(ver, digest))[-MOST_TAKEN:]
+        taken = (*self.taken, Taken(ver, digest))[-MOST_REMEMBERED:]
         return Document(self.number + 1, ver, body, taken)
 
+    def latest_change(self) -> Document:
+        """The last write alone, as it is sent and logged: without the history before it."""
+        return Document(self.number, self.ver, self.body, self.taken[-1:])
+
+    def takes(self, change: Document) -> bool:
+        """Whether a write is the next one, or the last one once more."""
+        if change.number == self.number:
+            return self.latest_change() == change.latest_change()
+        return change.number == self.number + 1 and bool(change.taken)
+
+    def with_change(self, change: Document) -> Document:
+        """The document after a write; raises ValueError for one that is not next, nor the last once more.
+
+        Earlier releases send and log the whole document with each write; its last change is all that counts.
+        """
+        if not self.takes(change):
+            raise ValueError(f"write {change.number} does not follow write {self.number}")
+        if change.number == self.number:
+            return self
+        return self.after(change.ver, change.body, change.taken[-1].digest)
+
 
 @dataclass(slots=True)
 class Memory:
--- a/control/operators.py
+++ b/control/operators.py
@@ -79,8 +79,11 @@
             return say(200)
         case Verdict.STALE:
             return say(412, f"version {current} is in place; build on that", ETag=str(current))
-        case _:
+        case Verdict.NOT_ABOVE:
             return say(400, f"version {ver} is not above {current}; give it a higher number")
+        case _:
+            remedy = f"read the configuration and build on version {current}"
+            return say(503, f"version {ver} is older than the history, it may have been taken; {remedy}")
 
 
 @CALLS.on("GET", "/api/config")
--- a/mastturn/control_check/operators.py
+++ b/mastturn/control_check/operators.py
@@ -11,6 +11,7 @@
 from mastturn.control_check.rules import Asked, Rules
 
 PATIENCE_MS = 1_000.0  # without an answer for so long the call is sent again
+REPEAT_SHARE = 0.1  # of the calls are a change of before, sent once more: its acknowledgement was lost
 
 
 class Line(Protocol):
@@ -33,8 +34,9 @@
 class Operator:
     """One operator: one call at a time, sent again unchanged until it has an answer."""
 
-    def __init__(self, line: Line, name: str, pause_ms: float) -> None:
-        self._line, self.name, self._pause = line, name, pause_ms
+    def __init__(self, line: Line, name: str, pause_ms: float, repeats: bool = False) -> None:
+        """`repeats`: now and then it sends a change of before once more."""
+        self._line, self.name, self._pause, self._repeats = line, name, pause_ms, repeats
         self._asked: Asked | None = None
         self._version = 0  # the newest that we know of
         self.reads_next = True
@@ -46,6 +48,7 @@
         self.tried = line.chance.randrange(100)
         self.stopped = False
         self.slowest = 0.0
+        self._acknowledged: list[Put] = []
 
     def begin(self) -> None:
         """Make the next call."""
@@ -55,6 +58,8 @@
         command: Command
         if self.reads_next or chance.random() < 0.25:
             command = Get(0)
+        elif self._repeats and self._acknowledged and chance.random() < REPEAT_SHARE:
+            command = chance.choice(self._acknowledged)
         else:
             self._count += 1
             digest = f"{self.name}-{self._count}"
@@ -96,6 +101,7 @@
         self._turn += 1
         self._line.rules.replied(asked, reply)
         if isinstance(of, Put) and reply.verdict is Verdict.DONE:
+            self._acknowledged.append(of)
             self._line.acknowledged(self)
         self.slowest = max(self.slowest, self._line.now - self.since)
         assert reply.document is not None
--- a/mastturn/control_check/rules.py
+++ b/mastturn/control_check/rules.py
@@ -4,9 +4,10 @@
 
 from dataclasses import dataclass, field
 
+from consensus import views
 from consensus.effects import Committed, Reply, Verdict
 from consensus.primary import Get, Put
-from consensus.views import Document, Taken
+from consensus.views import Document, Past, Taken
 
 
 class BrokenRuleError(Exception):
@@ -34,6 +35,7 @@
     told: int = 0  # the newest number that an operator was told of
     winners: dict[int, Taken] = field(default_factory=dict)  # by base version: what was acknowledged
     refused: dict[Taken, int] = field(default_factory=dict)
+    taken: set[Taken] = field(default_factory=set)  # all that was ever committed, also what is forgotten
     leaders: dict[int, str] = field(default_factory=dict)  # epoch: who led it
     acknowledged: int = 0
     reads: int = 0
@@ -47,14 +49,11 @@
         """
         document = effect.document
         known = self.chain.setdefault(document.number, document)
+        self.taken.update(document.taken[-1:])
         if known != document:
             raise BrokenRuleError("one chain", f"{_brief(known)} and {_brief(document)}")
-        before = self.chain.get(document.number - 1)
-        if before is not None and document.taken[-len(before.taken) - 1 : -1] != before.taken[-511:]:
-            raise BrokenRuleError("one chain", f"{_brief(document)} does not follow {_brief(before)}")
-        after = self.chain.get(document.number + 1)
-        if after is not None and after.taken[-len(document.taken) - 1 : -1] != document.taken[-511:]:
-            raise BrokenRuleError("one chain", f"{_brief(after)} does not follow {_brief(document)}")
+        self._check_follows(document, self.chain.get(document.number - 1))
+        self._check_follows(self.chain.get(document.number + 1), document)
         least = max((n for e, n in self.epochs.items() if e < effect.epoch), default=0)
         if document.number < least:
             what = f"epoch {effect.epoch} has {document.number}, an earlier one {least}"
@@ -67,6 +66,13 @@
         if document.taken and document.taken[-1] in self.refused:
             raise BrokenRuleError("refused", f"{document.taken[-1]} was refused and is in force")
 
+    def _check_follows(self, document: Document | None, before: Document | None) -> None:
+        """Whether a document is the one before it with one change more."""
+        if document is None or before is None:
+            return
+        if document.taken != (*before.taken, document.taken[-1])[-views.MOST_REMEMBERED :]:
+            raise BrokenRuleError("one chain", f"{_brief(document)} does not follow {_brief(before)}")
+
     def leads(self, epoch: int, identity: str) -> None:
         """A process says that it leads an epoch."""
         if self.leaders.setdefault(epoch, identity) != identity:
@@ -94,12 +100,16 @@
 
     def _put(self, put: Put, verdict: Verdict, document: Document) -> None:
         taken = Taken(put.ver, put.digest)
+        if verdict is Verdict.UNSURE:
+            if document.past(put.ver, put.digest) is not Past.FORGOTTEN:
+                raise BrokenRuleError("an answer", f"{taken} has none, though {_brief(document)} can tell")
+            return
         if verdict is not Verdict.DONE:
-            if taken in document.taken:
-                raise BrokenRuleError("refused", f"{taken} is refused and in force")
+            if taken in self.taken:
+                raise BrokenRuleError("refused", f"{taken} is refused and was taken")
             self.refused[taken] = document.number
             return
-        if taken not in document.taken:
+        if taken not in self.taken or document.past(put.ver, put.digest) is not Past.TAKEN:
             raise BrokenRuleError("no loss", f"{taken} is acknowledged and not in {_brief(document)}")
         if self.winners.setdefault(put.base, taken) != taken:
             raise BrokenRuleError("race", f"{taken} and {self.winners[put.base]} on version {put.base}")
--- a/mastturn/control_check/steps.py
+++ b/mastturn/control_check/steps.py
@@ -333,9 +333,10 @@
         tuple(sorted(rules.winners.items(), key=lambda item: item[0])),
         tuple(rules.refused.items()),
         tuple(sorted(rules.leaders.items())),
+        tuple(sorted(rules.taken, key=lambda taken: taken.ver)),
     )
 
 
 def _rules(book: tuple[Any, ...]) -> Rules:
-    chain, epochs, told, winners, refused, leaders = book
-    return Rules(dict(chain), dict(epochs), told, dict(winners), dict(refused), dict(leaders))
+    chain, epochs, told, winners, refused, leaders, taken = book
+    return Rules(dict(chain), dict(epochs), told, dict(winners), dict(refused), set(taken), dict(leaders))
--- a/mastturn/control_check/world.py
+++ b/mastturn/control_check/world.py
@@ -36,6 +36,7 @@
     length_ms: float = 60_000.0
     air: Air = field(default_factory=Air)
     jumps: bool = False  # the clocks that processes measure by jump, which steady clocks never do
+    repeats: bool = False  # operators send changes of before once more
     storm: bool = False  # all are killed every few seconds: only what must never happen is judged
 
 
@@ -64,7 +65,9 @@
         self.network = Network(shape.air, self.chance, self.later, self._deliver)
         self.machines: dict[str, Machine] = {}  # by IP; those that are gone are out
         self._listed: list[tuple[float, tuple[str, ...]]] = []  # since when: the operators' list
-        self.operators = [Operator(self, name, pause) for name, pause in (("ann", 400.0), ("bob", 700.0))]
+        self.operators = [
+            Operator(self, name, pause, shape.repeats) for name, pause in (("ann", 400.0), ("bob", 700.0))
+        ]
         self._calls: dict[int, tuple[Operator | None, Command, float]] = {}
         self._identities = 0
         self.calm_since = 0.0  # the last change of any trouble
--- a/screen/wire.py
+++ b/screen/wire.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import io
 import struct
 import zlib
@@ -121,13 +122,20 @@
 
 def plain(value: Any) -> Any:
     """A message as Avro's writer takes it."""
-    if is_dataclass(value) and not isinstance(value, type):
-        return {f.name: plain(getattr(value, f.name)) for f in fields(value)}
+    if isinstance(value, str | int | float | bytes) or value is None:
+        return value
     if isinstance(value, list | tuple):
         return [plain(item) for item in value]
+    if is_dataclass(value) and not isinstance(value, type):
+        return {name: plain(getattr(value, name)) for name in _field_names(type(value))}
     return value
 
 
+@functools.cache
+def _field_names(cls: type) -> tuple[str, ...]:
+    return tuple(field.name for field in fields(cls))
+
+
 @dataclass(frozen=True, slots=True)
 class Frame:
     """A frame as it came."""
--- /dev/null
+++ b/tests/test_consensus_history.py
@@ -0,0 +1,184 @@
+"""A change that was taken is never refused: the history of changes, its bound, and the forms of before."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from consensus import views
+from consensus.codec import Record, WholeRecord, WriteRecord, apply, read_record, whole, write_record
+from consensus.effects import Verdict
+from consensus.messages import KINDS, Write
+from consensus.primary import Get, Put
+from consensus.views import MOST_REMEMBERED, Document, Memory, Past
+from mastturn.control_check.history import play
+from mastturn.control_check.network import Air
+from mastturn.control_check.world import STORM_AIR, Shape
+from tests.replica_exchange import Exchange
+
+BODY = b"x" * 2_000
+
+
+def document_of(changes: int, step: int = 2) -> Document:
+    """The document after so many changes; versions rise by `step`."""
+    document = Document()
+    for number in range(1, changes + 1):
+        document = document.after(number * step, BODY, f"digest-{number}")
+    return document
+
+
+@given(st.lists(st.integers(1, 9), max_size=60), st.integers(1, 12), st.integers(0, 400), st.booleans())
+def test_past_never_refuses_what_was_taken_and_never_takes_what_was_not(
+    steps: list[int], most: int, ver: int, same: bool
+) -> None:
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(views, "MOST_REMEMBERED", most)
+        document, taken = Document(), dict[int, str]()
+        for step in steps:
+            number = document.ver + step
+            taken[number] = f"d{number}"
+            document = document.after(number, b"", taken[number])
+        digest = taken.get(ver, "") if same else "another"
+        past = document.past(ver, digest)
+    was_taken = taken.get(ver) == digest
+    assert past is not Past.NEVER or not was_taken
+    assert past is not Past.TAKEN or was_taken
+    assert past is not Past.FORGOTTEN or (len(taken) > most and ver < min([*taken][-most:]))
+
+
+def test_a_change_is_remembered_for_thousands_of_changes_and_then_left_open() -> None:
+    document = document_of(10_000)
+    assert len(document.taken) == MOST_REMEMBERED
+    assert document.past(2 * 8_000, "digest-8000") is Past.TAKEN
+    assert document.past(2 * 8_000, "another") is Past.NEVER
+    assert document.past(2 * 8_000 + 1, "between") is Past.NEVER
+    assert document.past(2, "digest-1") is Past.FORGOTTEN
+    assert document.past(20_002, "later") is Past.NEVER
+
+
+def test_what_a_write_costs_does_not_grow_with_the_history() -> None:
+    sizes = []
+    for changes in (1, 100, 10_000):
+        change = document_of(changes).latest_change()
+        sizes.append((len(KINDS.encode(Write("a", "b", 3, change))), len(write_record(WriteRecord(change)))))
+    assert max(w for w, _ in sizes) - min(w for w, _ in sizes) <= 16
+    assert max(r for _, r in sizes) - min(r for _, r in sizes) <= 16
+    everything = [len(write_record(whole(Memory("a", document=document_of(n))))) for n in (5_000, 10_000)]
+    assert abs(everything[0] - everything[1]) <= 8 * MOST_REMEMBERED  # versions and digests get longer digits
+
+
+def test_records_of_writes_bring_back_the_whole_history() -> None:
+    memory, kept = Memory("a"), Memory("a")
+    for number in range(1, 200):
+        memory.document = memory.document.after(3 * number, BODY, f"digest-{number}")
+        record = read_record(write_record(WriteRecord(memory.document.latest_change())))
+        apply(kept, record)
+        apply(kept, record)  # the same write may stand there twice
+    assert kept == memory
+
+
+def test_a_write_that_does_not_follow_is_no_record() -> None:
+    memory = Memory("a", document=document_of(4))
+    later = document_of(6)
+    with pytest.raises(ValueError, match="write 6 does not follow write 4"):
+        apply(memory, WriteRecord(later.latest_change()))
+    other = replace(document_of(4), body=b"another")
+    with pytest.raises(ValueError, match="write 4 does not follow write 4"):
+        apply(memory, WriteRecord(other.latest_change()))
+    assert memory.document == document_of(4)
+
+
+def test_records_of_the_release_before_are_read() -> None:
+    """It logged the whole document with each write, with the last 512 changes."""
+    memory, document = Memory("a"), Document()
+    for number in range(1, 700):
+        document = document.after(number, BODY, f"digest-{number}")
+        apply(memory, WriteRecord(replace(document, taken=document.taken[-512:])))
+    assert memory.document == document
+    before: Record = WholeRecord("a", 7, None, replace(document, taken=document.taken[-512:]))
+    apply(memory, before)
+    assert memory.document.past(100, "digest-100") is Past.FORGOTTEN
+    assert memory.document.past(600, "digest-600") is Past.TAKEN
+
+
+def test_a_holder_takes_writes_of_a_leader_of_the_release_before() -> None:
+    world = Exchange()
+    follower = world.replicas[1]
+    view = follower.memory.view
+    assert view is not None
+    document = Document()
+    for number in range(1, 600):
+        document = document.after(number, BODY, f"digest-{number}")
+        sent = replace(document, taken=document.taken[-512:])
+        world.hear(0, 1, Write("i0", "i1", view.epoch, sent))
+    assert world.disks[1].document == follower.memory.document == document
+
+
+def put(number: int, token: int = 1) -> Put:
+    return Put(token, 2 * (number - 1), 2 * number, f"digest-{number}", BODY)
+
+
+@pytest.mark.parametrize("since", [1, 2, 511, 512, 513, 2_000])
+def test_an_order_that_is_sent_again_after_many_changes_is_acknowledged(since: int) -> None:
+    world = Exchange()
+    for number in range(1, since + 2):
+        world.replicas[0].submit(put(number), world.now)
+        world.settle()
+    world.replies.clear()
+    world.replicas[0].submit(put(1, token=9), world.now)
+    world.settle()
+    assert [(r.token, r.verdict) for r in world.replies] == [(9, Verdict.DONE)]
+
+
+def test_an_order_older_than_the_history_has_no_clear_answer(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(views, "MOST_REMEMBERED", 8)
+    world = Exchange()
+    for number in range(1, 12):
+        world.replicas[0].submit(put(number), world.now)
+        world.settle()
+    world.replies.clear()
+    orders = [put(1), put(2), Put(1, 2, 6, "never taken", BODY), put(4), Put(1, 6, 8, "never taken", BODY)]
+    for order in orders:
+        world.replicas[0].submit(order, world.now)
+        world.settle()
+    found = [reply.verdict for reply in world.replies]
+    assert found == [Verdict.UNSURE, Verdict.UNSURE, Verdict.UNSURE, Verdict.DONE, Verdict.STALE]
+
+
+def test_a_new_leader_knows_all_that_the_one_before_had_taken() -> None:
+    world = Exchange()
+    for number in range(1, 700):
+        world.replicas[0].submit(put(number), world.now)
+        world.settle()
+    world.cut(0)
+    world.run(1_200.0)
+    assert world.primary() == 1
+    world.replies.clear()
+    for number in (1, 300, 699):
+        world.replicas[1].submit(put(number, token=number), world.now)
+        world.run(50.0)
+    assert [(r.token, r.verdict) for r in world.replies] == [(n, Verdict.DONE) for n in (1, 300, 699)]
+    world.replicas[1].submit(Get(1), world.now)
+    world.run(50.0)
+    assert world.replies[-1].document == document_of(699)
+
+
+@pytest.mark.parametrize("machines", [3, 5])
+@pytest.mark.parametrize("most", [3, 4_096])
+def test_repeats_in_histories_with_troubles_are_never_refused(
+    machines: int, most: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Operators send changes of long ago once more, to any process, while machines come and go."""
+    monkeypatch.setattr(views, "MOST_REMEMBERED", most)
+    losses = (machines - 1) // 2
+    shapes = [
+        Shape(machines, losses, repeats=True),
+        Shape(machines, losses, 20.0, storm=True, air=STORM_AIR, repeats=True),
+        Shape(machines, losses, repeats=True, storm=True, air=Air(lost_share=0.1, repeated_share=0.1)),
+    ]
+    found = [play(shape, seed) for shape in shapes for seed in range(4)]
+    assert [h.broken for h in found if h.broken] == []
+    assert all(h.acknowledged > 10 for h in found)
--- a/tests/test_control_host_disk.py
+++ b/tests/test_control_host_disk.py
@@ -47,8 +47,10 @@
 
     def keep(self, keeper: Keeper, number: int) -> None:
         """Sync a write, as the machine does: the memory is changed first."""
-        keeper.memory.document = Document(number, number)
-        keeper.keep(WriteRecord(keeper.memory.document), lambda: self.done.append(number))
+        keeper.memory.document = keeper.memory.document.after(number, b"", str(number))
+        assert keeper.memory.document.number == number
+        change = keeper.memory.document.latest_change()
+        keeper.keep(WriteRecord(change), lambda: self.done.append(number))
 
 
 def test_a_new_disk_gets_an_identity_that_stays() -> None:
@@ -247,8 +249,9 @@
 
         async def writes() -> None:
             for number in range(1, 100):
-                keeper.memory.document = Document(number, number, body)
-                keeper.keep(WriteRecord(keeper.memory.document), lambda n=number: bench.done.append(n))  # type: ignore[misc]
+                keeper.memory.document = keeper.memory.document.after(number, body, str(number))
+                change = keeper.memory.document.latest_change()
+                keeper.keep(WriteRecord(change), lambda n=number: bench.done.append(n))  # type: ignore[misc]
                 await asyncio.sleep(0.0004)
 
         writing = asyncio.create_task(writes())
@@ -259,10 +262,11 @@
         await writing
         await world.wait(3 * AGAIN_S)
         assert keeper._well and keeper._mending is None
-        bench.keep(keeper, 200)
+        bench.keep(keeper, 100)
         await world.wait(0.01)
-        assert bench.done[-1] == 200
-        assert (await bench.load()).memory.document.number == 200
+        assert bench.done[-1] == 100
+        loaded = (await bench.load()).memory.document
+        assert loaded.number == 100 and [t.ver for t in loaded.taken] == list(range(1, 101))
 
     play(scene, starts=False)
 
