Let a member that is told to stop end only once nothing rests on it, and give its place away while it lives

Cause: a process that was told to stop ended as soon as another led, and in any case after 1 s. It could end as a holder of the data, with the only copy if the other holder was lost in that moment; its place went to a newcomer that waited only 1.5 s after its end, so a loss in between left no majority. And whoever heard of a view without it gave its slot up, also where that view came to nothing. Change: 'Leaving' is said again until the leader says 'Released' (a new kind, 118, that the release before passes over): once the member holds no data and no newcomer waits for its place. A newcomer is first made one member more, with a vote at once, then the other is taken out (membership.py: majorities of neighbouring views always share somebody). A leader that leaves moves the data to one that stays, then names it. A slot is given up only for a view that its leader says is in force. 'control_check losses' strikes at every step of a replacement.

--- a/consensus/acceptor.py
+++ b/consensus/acceptor.py
@@ -36,6 +36,7 @@
         self._promised_to = ""  # a repeat of its question gets the same answer
         self.leading_at = -1e12  # as primary: when we last knew of a majority behind us
         self.latest: View | None = memory.view  # heard of, whether accepted or not
+        self._in_force: View | None = None  # the latest that is known to be in force
         self.sick = False  # the disk refuses: we promise nothing
 
     def take(self, ip: str, message: Message, now: float) -> bool:
@@ -60,22 +61,28 @@
         if view is not None and (self.latest is None or view.epoch > self.latest.epoch):
             self.latest = view
 
+    def confirm(self, view: View) -> None:
+        """A view is in force: its leader says so, or we have won it."""
+        self.learn(view)
+        if self._in_force is None or view.epoch > self._in_force.epoch:
+            self._in_force = view
+
     def is_displaced(self) -> bool:
-        """Whether a later view than ours has given our slot away."""
-        view, latest = self.memory.view, self.latest
+        """Whether a later view in force has given our slot away; one that may come to nothing has not."""
+        view, later = self.memory.view, self._in_force
         return (
             view is not None
-            and latest is not None
-            and latest.epoch > view.epoch
+            and later is not None
+            and later.epoch > view.epoch
             and self.memory.slot() is not None
-            and latest.slot_of(self.memory.identity) is None
+            and later.slot_of(self.memory.identity) is None
         )
 
     def forget(self) -> None:
         """Give our slot up: from here on we have no say until a view in force names us anew."""
-        assert self.latest is not None
+        assert self._in_force is not None
         self.memory.view = None
-        self.memory.promised = max(self.memory.promised, self.latest.epoch)
+        self.memory.promised = max(self.memory.promised, self._in_force.epoch)
         self._emit(Persist(whole(self.memory), ()))
 
     def await_slot(self) -> bool:
@@ -115,22 +122,25 @@
         memory, view = self.memory, message.view
         slot = view.slot_of(memory.identity)
         known = memory.view
-        # Who has no slot yet takes one only from a view in force, or from the very first.
-        invited = memory.slot() is not None or message.active or view.epoch == 1
+        # Who has no slot yet takes one only from a view in force, from the very first, or as one member more.
+        added = view.added()
+        is_added = added is not None and added.identity == memory.identity
+        invited = memory.slot() is not None or message.active or view.epoch == 1 or is_added
         # A holder begins to hold with the data in hand; a view in force only tells what it accepted.
         again = known is not None and known.epoch == view.epoch
         equipped = slot not in view.holders or message.document is not None or again
         ok = view.epoch >= memory.promised and slot is not None and invited and equipped and not self.sick
+        if message.active:
+            self.confirm(view)  # it tells where the leader is, whether we can keep it or not
         if not ok:
-            if message.active:
-                self.learn(view)  # a view in force tells where the primary is, whether we can keep it or not
             reply = Installed(
                 memory.identity, message.sender, view.epoch, False, memory.promised, memory.view
             )
             self._send(ip, reply)
             return
         self.learn(view)
-        self.heard_at, self.heard_from = now, view.leader().identity
+        if message.sender == view.leader().identity:  # else a candidate brings us its base
+            self.heard_at, self.heard_from = now, message.sender
         memory.promised = view.epoch
         document = message.document
         if again:
--- a/consensus/campaign.py
+++ b/consensus/campaign.py
@@ -1,9 +1,9 @@
 """One attempt to begin a new view: ask, prepare, install; a majority decides and every holder has the data.
 
-The safety argument is in docs/control.md. A slot whose occupant is replaced does not count for that view:
-neither the old nor the new process has a say in it. Our own promise is synced before the others are asked for
-theirs, so a disk that hangs disturbs nobody; and the holders accept the view before any witness does, so a
-view that a witness knows of is in the hands of somebody who can go on from it.
+The safety argument is in docs/control.md; who is asked when members change is in `membership.py`. Our own
+promise is synced before the others are asked for theirs, so a disk that hangs disturbs nobody; and the
+holders accept the view before any witness does, so a view that a witness knows of is in the hands of somebody
+who can go on from it.
 """
 
 from __future__ import annotations
@@ -11,6 +11,7 @@
 import enum
 from dataclasses import dataclass, field
 
+from consensus.membership import Change, Keep
 from consensus.messages import Answer, Ask, Install, Installed, Prepare, Promised
 from consensus.views import Document, Member, View
 
@@ -39,8 +40,7 @@
     holders_wanted: int
     began: float
     handover: bool = False
-    replaced: int | None = None  # slot
-    newcomer: Member | None = None
+    change: Change = field(default_factory=Keep)
     avoid: frozenset[str] = frozenset()  # identities that are not to hold data
     stage: Stage = Stage.ASK
     stage_at: float = 0.0
@@ -48,16 +48,23 @@
     majority_at: float = 0.0
     yes: set[int] = field(default_factory=set)
     promised: set[int] = field(default_factory=set)
-    installed: set[int] = field(default_factory=set)
+    installed: set[int] = field(default_factory=set)  # slots of the view, the others of the base
     against: set[int] = field(default_factory=set)  # slots that won't count for this attempt
     view: View | None = None
     later: View | None = None  # one that we did not know of: it ends the campaign
     above: int = 0  # the highest epoch that somebody has promised
 
-    def begin(self, now: float) -> list[tuple[Member, Ask]]:
-        """Ask everybody who votes."""
+    def begin(self, now: float) -> list[tuple[Member, Ask | Install]]:
+        """Ask everybody who votes.
+
+        The last member of a view with one more may not have accepted it yet, and votes only then.
+        """
         self.stage_at = now
-        return [(m, Ask(self.me.identity, m.identity, self.epoch, self.handover)) for m in self._voters()]
+        asks = [(m, Ask(self.me.identity, m.identity, self.epoch, self.handover)) for m in self._voters()]
+        added = self.base.added()
+        if added is None or added == self.me:
+            return [*asks]
+        return [(added, Install(self.me.identity, added.identity, self.base, None, False)), *asks]
 
     def answered(self, message: Answer, now: float) -> list[tuple[Member, Prepare]]:
         """Somebody would promise, or not."""
@@ -92,29 +99,29 @@
         everybody = len(self.promised) == len(self._voters())
         if not everybody and now < self.majority_at + SETTLE_MS:
             return []
-        holders = self._choose(own)
-        if len(holders) < self.holders_wanted:
+        chosen = self._choose(own)
+        if len(chosen) < self.holders_wanted:
             return []
-        members = list(self.base.members)
-        if self.replaced is not None:
-            members[self.replaced] = self.newcomer
-        self.view = View(self.epoch, own, tuple(holders), tuple(members))
+        holders = tuple(self.change.slot_after(slot) for slot in chosen)
+        self.view = View(self.epoch, holders[0], holders, self.change.members(self.base))
         self.stage, self.stage_at = Stage.INSTALL, now
-        return [(m, self._install(m, document)) for m in map(self.base.at, holders)]
+        return [(m, self._install(m, document)) for m in map(self.view.at, holders)]
 
     def confirmed(self, message: Installed) -> list[tuple[Member, Install]]:
         """Somebody has accepted the view, or refused; with all holders, the witnesses that it still takes."""
-        slot = self._count(message.sender, message.epoch, message.ok, message.promised, message.view)
-        if slot is None or self.stage is not Stage.INSTALL or self.view is None or slot in self.installed:
+        agrees = self._agrees(message.sender, message.epoch, message.ok, message.promised, message.view)
+        if not agrees or self.stage is not Stage.INSTALL or self.view is None:
+            return []
+        slot = self.view.slot_of(message.sender)
+        if slot is None or slot in self.installed:
             return []
         self.installed.add(slot)
         if not self.installed.issuperset(self.view.holders):
             return []
-        if self._is_majority(self.installed):
+        if self._is_accepted(self.view):
             self.stage = Stage.WON
             return []
-        witnesses = [m for m in self._voters() if self.base.slot_of(m.identity) not in self.view.holders]
-        return [(m, self._install(m, None)) for m in witnesses]
+        return [(m, self._install(m, None)) for m in self._witnesses()]
 
     def resend(self, document: Document, now: float) -> list[tuple[Member, Ask | Prepare | Install]]:
         """What has had no answer for a while, once more; nothing while the sync of our own promise lasts."""
@@ -128,12 +135,8 @@
             case Stage.PREPARE if self.base.slot_of(self.me.identity) in self.promised:
                 done = self.promised | self.against
             case Stage.INSTALL if self.view is not None:
-                done = self.installed | self.against
-                return [
-                    (self.base.at(slot), self._install(self.base.at(slot), document))
-                    for slot in self.view.holders
-                    if slot not in done
-                ]
+                waited = [slot for slot in self.view.holders if slot not in self.installed]
+                return [(m, self._install(m, document)) for m in map(self.view.at, waited)]
             case _:
                 return []
         waiting = [m for m in self._voters() if m != self.me and self.base.slot_of(m.identity) not in done]
@@ -148,6 +151,13 @@
         assert self.view is not None
         return Install(self.me.identity, member.identity, self.view, document, False)
 
+    def _witnesses(self) -> list[Member]:
+        """Those who are to accept the view without data: voters, and one that it adds."""
+        assert self.view is not None
+        added = self.change.joins(self.base)
+        members = [*self._voters(), added] if added is not None else self._voters()
+        return [m for m in members if self.view.slot_of(m.identity) not in self.view.holders]
+
     def _choose(self, own: int) -> list[int]:
         """Ourselves, then whoever held the data before, then others; another zone first."""
 
@@ -164,33 +174,45 @@
         return [own, *others[: self.holders_wanted - 1]]
 
     def _voters(self) -> list[Member]:
-        return [m for slot, m in enumerate(self.base.members) if m is not None and slot != self.replaced]
+        return [self.base.at(slot) for slot in self.change.voters(self.base)]
 
     def _is_majority(self, slots: set[int]) -> bool:
         return len(slots) >= self.base.majority
 
+    def _is_accepted(self, view: View) -> bool:
+        """Whether a majority of the base and of the view has accepted it; at most one of them is new."""
+        return len(self.installed) >= max(self.base.majority, view.majority)
+
     def _count(self, sender: str, epoch: int, ok: bool, promised: int, view: View | None) -> int | None:
-        """The slot of a voter that agrees with this attempt; too many who don't end it."""
+        """The slot of a voter that agrees with this attempt."""
+        return self.base.slot_of(sender) if self._agrees(sender, epoch, ok, promised, view) else None
+
+    def _agrees(self, sender: str, epoch: int, ok: bool, promised: int, view: View | None) -> bool:
+        """Whether somebody with a say in it agrees with this attempt; too many who don't end it."""
         if epoch != self.epoch or self.stage in (Stage.WON, Stage.LOST):
-            return None
-        slot = self.base.slot_of(sender)
+            return False
         self.above = max(self.above, promised)
         later = view if view is not None and view.epoch > self.base.epoch else None
         if later is not None and later.epoch == self.epoch:
             later = None  # ours
         if later is not None and (self.later is None or later.epoch > self.later.epoch):
             self.later = later
-        if slot is None or slot == self.replaced:
-            return None
+        added = self.change.joins(self.base)
+        if added is not None and sender == added.identity:
+            return ok and later is None
+        slot = self.base.slot_of(sender)
+        if slot not in self.change.voters(self.base):
+            return False
+        assert slot is not None
         if ok and later is None:
             self.against.discard(slot)
-            return slot
+            return True
         # Whoever knows of a later view is not counted: if that view is in force, a majority is out of reach.
         self.against.add(slot)
         retry = self.stage is Stage.ASK and promised >= self.epoch
         if retry or len(self._voters()) - len(self.against) < self.base.majority:
             self.stage = Stage.LOST
-        return None
+        return False
 
 
 def founding(me: Member, others: list[Member], slots: int, holders: int) -> View:
--- a/consensus/candidate.py
+++ b/consensus/candidate.py
@@ -8,6 +8,7 @@
 from consensus.acceptor import Acceptor
 from consensus.campaign import Campaign, Stage
 from consensus.effects import Effect, Send, Spec
+from consensus.membership import Change
 from consensus.messages import Answer, Installed, Message, Promised
 from consensus.patience import Patience
 from consensus.views import Member, View
@@ -35,11 +36,15 @@
         memory = self._acceptor.memory
         return memory.is_holder() and now >= self.next_try and not self._acceptor.sick
 
-    def is_overdue(self, now: float) -> bool:
-        """Whether the primary has been silent for so long that we, as a holder, are to take its place."""
+    def is_overdue(self, now: float, leaves: bool = False) -> bool:
+        """Whether the primary has been silent for so long that we, as a holder, are to take its place.
+
+        One that `leaves` comes after all other holders.
+        """
         memory = self._acceptor.memory
         slot = memory.slot()
         rank = memory.view.holders.index(slot) if memory.view is not None and slot is not None else 0
+        rank += self._spec.holders if leaves else 0
         patience = self._spec.lost_ms + rank * self._spec.beat_ms / 2
         return now - self._acceptor.heard_at >= patience * self.patience.factor(now)
 
@@ -53,14 +58,13 @@
         base: View,
         now: float,
         handover: bool,
-        replaced: int | None,
-        newcomer: Member | None,
+        change: Change,
         avoid: frozenset[str],
     ) -> None:
         """Begin a campaign from a view that we hold; `avoid`: identities that are not to hold data."""
         self.seen = epoch = max(self._acceptor.memory.promised, self.seen) + 1
         wanted = self._spec.holders
-        self.campaign = Campaign(self._me, base, epoch, wanted, now, handover, replaced, newcomer, avoid)
+        self.campaign = Campaign(self._me, base, epoch, wanted, now, handover, change, avoid)
         self._send(self.campaign.begin(now))
 
     def hear(self, message: Answer | Promised | Installed, now: float) -> None:
--- a/consensus/joining.py
+++ b/consensus/joining.py
@@ -8,6 +8,7 @@
 from consensus.campaign import Campaign, Stage, founding
 from consensus.codec import PromiseRecord
 from consensus.effects import Effect, Persist, Send, Spec
+from consensus.membership import Add, Change, Keep, Remove, Replace
 from consensus.messages import Ask, Install, Installed, Join, Known
 from consensus.views import Member, View
 
@@ -38,24 +39,42 @@
         """All that wait."""
         return [join.member for join in self._joins.values()]
 
-    def vacancy(self, view: View, dead: list[int]) -> tuple[int | None, Member | None]:
-        """A slot to give to a newcomer: its own of before, an empty one, or the first of the dead.
+    def are_waiting(self, view: View) -> bool:
+        """Whether somebody asks for a slot who has none in this view."""
+        return any(view.slot_of(identity) is None for identity in self._joins)
 
-        Only who has synced a promise of this view is named: it accepts no older view that names it as well.
+    def change(self, view: View, dead: list[int], leaving: list[int]) -> Change:
+        """The change of members that is due in a view; `dead` and `leaving`: slots, the first to go first.
+
+        Only a newcomer that has synced a promise of this view is named: it accepts no older view that names
+        it as well.
         """
+        if view.added() is not None:
+            return _removal(view, [*dead, *leaving])
         for join in self._joins.values():
             newcomer = join.member
             if view.slot_of(newcomer.identity) is not None or join.promised < view.epoch:
                 continue
-            for slot, member in enumerate(view.members):
-                same = member is not None and (member.node == newcomer.node or member.ip == newcomer.ip)
-                if same and slot != view.primary:
-                    return slot, newcomer
-            free = [slot for slot, member in enumerate(view.members) if member is None]
-            for slot in (*free, *dead):
+            own = [slot for slot, m in enumerate(view.members) if m is not None and _is_same(m, newcomer)]
+            empty = [slot for slot, member in enumerate(view.members) if member is None]
+            for slot in (*own, *empty, *dead):
                 if slot != view.primary:
-                    return slot, newcomer
-        return None, None
+                    return Replace(slot, newcomer)
+            if any(slot != view.primary for slot in leaving):
+                return Add(newcomer)
+        return Keep()
+
+
+def _is_same(member: Member, newcomer: Member) -> bool:
+    """Whether a newcomer runs where a member ran: that one is gone for good."""
+    return member.node == newcomer.node or member.ip == newcomer.ip
+
+
+def _removal(view: View, going: list[int]) -> Remove:
+    """Who goes from a view with one member more: a lost one, one that leaves, or else the last that came."""
+    last = len(view.members) - 1
+    others = [slot for slot in (*going, last, *range(last)) if slot != view.primary]
+    return Remove(others[0], len(view.members))
 
 
 class Inquirer:
--- a/consensus/messages.py
+++ b/consensus/messages.py
@@ -220,12 +220,25 @@
 @KINDS.declare(14, [*_ENDS])
 @dataclass(frozen=True, slots=True)
 class Leaving:
-    """The sender is told to stop: it is to hold nothing from now on."""
+    """The sender is told to stop: it is to hold nothing, and ends once it is released."""
 
     sender: str
     to: str
 
 
+@KINDS.declare(118, [*_ENDS, _EPOCH])
+@dataclass(frozen=True, slots=True)
+class Released:
+    """The leader of this view needs the receiver, which is told to stop, no longer: its process may end.
+
+    Numbers 15 to 117 would end the connection to an earlier release, which passes over those from 118 on.
+    """
+
+    sender: str
+    to: str
+    epoch: int
+
+
 Message = (
     Ask
     | Answer
@@ -241,4 +254,5 @@
     | Known
     | Succeed
     | Leaving
+    | Released
 )
--- a/consensus/primary.py
+++ b/consensus/primary.py
@@ -115,21 +115,38 @@
         silent = [slot for slot in taken if now - self.heard_at[slot] > after_ms]
         return sorted(silent, key=self.heard_at.__getitem__)
 
-    def wants_change(self, now: float, leaving: set[str]) -> bool:
-        """Whether the view has to change: a holder is lost or leaves (identities), a write hangs."""
-        view = self.view
-        if self.above >= view.epoch or self.is_hanging(now) or self.refused:
+    def wants_change(self, now: float, leaving: frozenset[str]) -> bool:
+        """Whether the view has to change: a write hangs, or fewer holders could be lost or leaving."""
+        if self.above >= self.view.epoch or self.is_hanging(now) or self.refused:
             return True
-        going = set(self.silent(now, self._spec.silent_ms))
-        going |= {slot for identity in leaving if (slot := view.slot_of(identity)) is not None}
-        lost = going & set(view.holders) or len(view.holders) < self._spec.holders
-        return bool(lost) and len(self.present() - going) >= self._spec.holders
-
-    def heirs(self, now: float) -> list[Member]:
-        """The other holders, the best successor first: heard of a moment ago, with the latest write."""
+        return self._has_better_holders(now, leaving)
+
+    def _has_better_holders(self, now: float, leaving: frozenset[str]) -> bool:
+        """Whether other holders would rest on fewer members that are silent or leave (identities)."""
+        view, wanted = self.view, self._spec.holders
+        able = self.present() - set(self.silent(now, self._spec.silent_ms))
+        if len(able) < wanted:
+            return False
+        staying = able - self.slots_of(leaving)
+        others = len(staying - {view.primary})
+        best = min(wanted - 1, others) + (view.primary in staying)  # whoever campaigns holds the data
+        return best > len(staying & set(view.holders)) or len(view.holders) < wanted
+
+    def slots_of(self, identities: frozenset[str]) -> set[int]:
+        """The slots of those who are members."""
+        return {slot for i in identities if (slot := self.view.slot_of(i)) is not None}
+
+    def staying(self, now: float, leaving: frozenset[str]) -> set[int]:
+        """The slots of the others that are there and don't leave."""
+        gone = set(self.silent(now, self._spec.silent_ms)) | self.slots_of(leaving)
+        return self.present() - gone - {self.view.primary}
+
+    def heirs(self, now: float, leaving: frozenset[str] = frozenset()) -> list[Member]:
+        """The other holders, the best successor first: it stays, is heard of and has the latest write."""
         others = [s for s in self.view.holders if s != self.view.primary]
-        silent = self.silent(now, self._spec.silent_ms)
-        return [self.view.at(s) for s in sorted(others, key=lambda s: (s in silent, s not in self._kept))]
+        silent, going = self.silent(now, self._spec.silent_ms), self.slots_of(leaving)
+        order = sorted(others, key=lambda s: (s in going, s in silent, s not in self._kept))
+        return [self.view.at(s) for s in order]
 
     # ---- commands
 
--- a/consensus/replica.py
+++ b/consensus/replica.py
@@ -13,8 +13,11 @@
 from consensus.candidate import Candidate
 from consensus.effects import Effect, Lead, Reply, Send, Spec, Verdict
 from consensus.joining import Founding, Inquirer, Newcomers
+from consensus.leaving import Departure, Leavers
+from consensus.membership import Change, Keep
 from consensus.messages import (
     Answer,
+    Ask,
     Heard,
     Install,
     Installed,
@@ -24,6 +27,7 @@
     Message,
     Prepare,
     Promised,
+    Released,
     Succeed,
     Written,
 )
@@ -31,7 +35,6 @@
 from consensus.terms import LastTerm, Succession
 from consensus.views import Member, Memory, View
 
-LEAVING_MS = 10_000.0  # one that is told to end has ended by then
 START_HEARD = 0.7  # of the time after which a silent primary is lost has gone by when a process starts
 
 
@@ -51,11 +54,11 @@
         self._inquirer = Inquirer(me, self.acceptor, spec, seeds, self._effects.append)
         self._founding = Founding(me, self.acceptor, spec, founder, self._effects.append)
         self._hung_at = -1e12  # when the last write that hung was begun
-        self._leaving: dict[str, float] = {}  # identity: since when
+        self._leavers = Leavers()
+        self._departure = Departure(me.identity, self._effects.append)
         self._ticked_at = 0.0
         self._last_term = LastTerm(self._effects.append)
         self._succession = Succession(self._effects.append)
-        self.stopping = False
 
     # ---- the host's side
 
@@ -102,12 +105,18 @@
         return leader if is_heard and self.is_led(now) else None
 
     def stop(self, now: float) -> None:
-        """We are told to end: name a successor if we lead, and hold nothing any more."""
-        self.stopping = True
+        """The process is told to stop: what rests on it goes to others first; see `may_end`."""
+        self._departure.begin(now)
+        self._departure.look(self.leader(), now)
+
+    def may_end(self) -> bool:
+        """Whether a process that is told to stop may end: no view rests on it any more."""
+        return self.memory.slot() is None or (self._departure.is_released and self.primary is None)
+
+    def resign(self, now: float) -> None:
+        """The process ends now, whether it may or not: name a successor if we lead."""
         if self.primary is not None:
             self._succeed(now)
-        elif (leader := self.leader()) is not None and leader.identity != self.me.identity:
-            self._send(leader, Leaving(self.me.identity, leader.identity))
 
     # ---- events
 
@@ -116,6 +125,8 @@
         if message.to not in (self.me.identity, ""):
             self._inquirer.caller = ip
             return  # meant for a process that was here before
+        if self.primary is not None and isinstance(message, Ask | Leaving):
+            self._tell_displaced(ip, message.sender, self.primary.view)
         named = (getattr(message, "epoch", 0), getattr(message, "promised", 0))
         self.candidate.seen = max(self.candidate.seen, *named)
         was = self.memory.promised
@@ -142,12 +153,16 @@
             case Join():
                 self._join(ip, message, now)
             case Leaving():
-                self._leaving[message.sender] = now
+                self._leavers.add(message.sender, now)
+                self._release(ip, message.sender, now)
+            case Released():
+                self._departure.released(message)
             case Succeed():
                 view = self.memory.view
                 due = view is not None and message.epoch == view.epoch == self.memory.promised
-                if due and self.primary is None and not self.candidate.is_named(message.epoch):
-                    self._leaving[message.sender] = now
+                free = self.primary is None and not self.candidate.is_named(message.epoch)
+                if due and free and not self._departure.is_begun:
+                    self._leavers.add(message.sender, now)
                     self._run(now, handover=True)
         self._advance(now)
 
@@ -157,12 +172,12 @@
             self.acceptor.heard_at = max(self.acceptor.heard_at, now - self._spec.lost_ms / 2)
         self._ticked_at = now
         self._newcomers.expire(now)
-        self._leaving = {i: at for i, at in self._leaving.items() if now - at < LEAVING_MS}
+        self._leavers.expire(now)
         self._advance(now)
         if self.primary is not None:
             self._lead(now)
         elif self.memory.slot() is not None:
-            if self.candidate.campaign is None and not self.stopping and self._is_time(now):
+            if self.candidate.campaign is None and self._is_time(now):
                 self._run(now)
         elif self._founding.is_ours:
             self._founding.found(self._newcomers.members(), now)
@@ -172,22 +187,23 @@
         if self.primary is None:
             self._inquirer.look(now)
             self._succession.look(self.memory.promised, now)
+            self._departure.look(self.leader(), now)
 
     # ---- campaigns
 
     def _is_time(self, now: float) -> bool:
         """Whether the primary has been silent for so long that a holder is to take its place."""
         free = self.candidate.is_free(now) and not self._founding.is_under_way(now)
-        return free and self.candidate.is_overdue(now)
+        return free and self.candidate.is_overdue(now, self._departure.is_begun)
 
     def _run(self, now: float, handover: bool = False) -> None:
         """Begin a campaign, as a holder of the latest view that we have accepted."""
         view, primary = self.memory.view, self.primary
-        if view is None or not self.memory.is_holder() or self.acceptor.sick or self.stopping:
+        if view is None or not self.memory.is_holder() or self.acceptor.sick:
             return
-        replaced, newcomer = self._vacancy(primary, now) if primary is not None else (None, None)
-        leaving = frozenset(self._leaving)  # identities
-        self.candidate.run(view, now, handover or primary is not None, replaced, newcomer, leaving)
+        change = self._due_change(primary, now) if primary is not None else Keep()
+        avoid = self._leavers.identities()
+        self.candidate.run(view, now, handover or primary is not None, change, avoid)
 
     def _advance(self, now: float) -> None:
         ended = self.candidate.advance(now)
@@ -206,6 +222,7 @@
         self.primary.write_ms *= self.candidate.patience.factor(now)  # eased in `_lead`
         commands = self._last_term.hand_on(campaign, self.primary)
         self.candidate.next_try = now + self._spec.beat_ms  # a view is given the time of a beat
+        self.acceptor.confirm(view)
         self._effects.append(Lead(view, self._last_term.is_base_of(campaign)))
         for slot, member in enumerate(view.members):
             if member is not None and slot not in campaign.installed:
@@ -239,8 +256,11 @@
         if self.acceptor.sick or own_hangs or now - primary.quorum_at() > self._spec.quorum_ms:
             self._succeed(now)
             return
+        if self._departure.is_begun:
+            self._step_down(primary, now)
         if (
-            self.candidate.campaign is None
+            self.primary is not None
+            and self.candidate.campaign is None
             and now >= self.candidate.next_try
             and self._wants_change(primary, now)
         ):
@@ -248,17 +268,56 @@
 
     def _wants_change(self, primary: Primary, now: float) -> bool:
         """Whether the view has to change: a holder is lost or leaves, a write hangs, somebody waits."""
-        return primary.wants_change(now, set(self._leaving)) or self._vacancy(primary, now)[0] is not None
-
-    def _vacancy(self, primary: Primary, now: float) -> tuple[int | None, Member | None]:
-        """A slot to give to a newcomer, and which."""
-        return self._newcomers.vacancy(primary.view, primary.silent(now, self._spec.dead_ms))
+        return primary.wants_change(now, self._leaving()) or self._due_change(primary, now) != Keep()
+
+    def _leaving(self) -> frozenset[str]:
+        """The identities of all that are told to stop, our own too."""
+        own = frozenset({self.me.identity}) if self._departure.is_begun else frozenset()
+        return self._leavers.identities() | own
+
+    def _due_change(self, primary: Primary, now: float) -> Change:
+        """The change of members that is due."""
+        dead = primary.silent(now, self._spec.dead_ms)
+        leaving = sorted(primary.slots_of(self._leavers.identities()) - set(dead))
+        return self._newcomers.change(primary.view, dead, leaving)
+
+    def _step_down(self, primary: Primary, now: float) -> None:
+        """We are told to stop as leader: hand over to a holder that stays, once there is one."""
+        if not self._departure.is_settled(now):
+            return
+        staying = primary.staying(now, self._leavers.identities())
+        if staying & set(primary.view.holders):
+            self._succeed(now)
+        elif not staying and not self._newcomers.are_waiting(primary.view):
+            self._dissolve(primary, now)
+
+    def _dissolve(self, primary: Primary, now: float) -> None:
+        """Nobody is there to whom anything could go: all that leave may end, we too; their disks stay."""
+        for identity in self._leavers.identities():
+            slot = primary.view.slot_of(identity)
+            if slot is not None:
+                released = Released(self.me.identity, identity, primary.view.epoch)
+                self._send(primary.view.at(slot), released)
+        self._departure.is_released = True
+        self._succeed(now)
+
+    def _release(self, ip: str, identity: str, now: float) -> None:
+        """Let a member end that is told to stop, if the view in force does not rest on it."""
+        primary = self.primary
+        if primary is None:
+            return
+        view = primary.view
+        slot = view.slot_of(identity)
+        is_free = slot not in view.holders and view.added() is None
+        is_free = is_free and not self._newcomers.are_waiting(view)
+        if slot is None or is_free:
+            self._effects.append(Send(ip, Released(self.me.identity, identity, view.epoch)))
 
     def _succeed(self, now: float) -> None:
-        """Name the successor: a holder, one that has the latest write and was heard of a moment ago first."""
+        """Name the successor: a holder that stays, was heard of and has the latest write first."""
         primary = self.primary
         assert primary is not None
-        self._succession.name(primary, now)
+        self._succession.name(primary, now, self._leavers.identities())
         self._end_term(now)
 
     def _end_term(self, now: float) -> None:
@@ -275,6 +334,11 @@
 
     # ---- newcomers
 
+    def _tell_displaced(self, ip: str, identity: str, view: View) -> None:
+        """One that is no member any more asks as if it were: tell it the view in force."""
+        if view.slot_of(identity) is None:
+            self._effects.append(Send(ip, Install(self.me.identity, identity, view, None, True)))
+
     def _join(self, ip: str, message: Join, now: float) -> None:
         self._newcomers.take(message, now)
         self.candidate.seen = max(self.candidate.seen, message.promised)
--- a/consensus/terms.py
+++ b/consensus/terms.py
@@ -35,9 +35,12 @@
     def hand_on(self, campaign: Campaign, primary: Primary) -> list[Command]:
         """Whoever has not spoken in the campaign is silent since before; and the commands to go on with."""
         since = self._heard_at if self.is_base_of(campaign) else {}
-        heard = campaign.promised | campaign.installed | {campaign.replaced}
-        for slot in set(range(len(primary.view.members))) - heard:
-            primary.heard_at[slot] = min(since.get(slot, primary.heard_at[slot]), campaign.began)
+        heard = {campaign.base.at(slot).identity for slot in campaign.promised}
+        heard |= {primary.view.at(slot).identity for slot in campaign.installed}
+        for slot, member in enumerate(primary.view.members):
+            before = campaign.base.slot_of(member.identity) if member is not None else None
+            if before is not None and member is not None and member.identity not in heard:
+                primary.heard_at[slot] = min(since.get(before, primary.heard_at[slot]), campaign.began)
         commands, self._commands = self._commands, []
         return commands
 
@@ -57,9 +60,9 @@
         self._heirs: list[Member] = []  # to be named, the next one first
         self._at = 0.0
 
-    def name(self, primary: Primary, now: float) -> None:
+    def name(self, primary: Primary, now: float, leaving: frozenset[str]) -> None:
         """The term ends: the best heir, if there is one, is to take over; without a sign of it the next."""
-        heirs = [heir for heir in primary.heirs(now) for _ in range(TIMES_NAMED)]
+        heirs = [heir for heir in primary.heirs(now, leaving) for _ in range(TIMES_NAMED)]
         self._heirs = heirs[: 2 * TIMES_NAMED]
         self._identity, self._epoch = primary.memory.identity, primary.view.epoch
         self._name(now)
--- a/consensus/views.py
+++ b/consensus/views.py
@@ -50,6 +50,10 @@
             raise ValueError(f"slot {slot} is empty")
         return member
 
+    def added(self) -> Member | None:
+        """The member that a view with one more than an odd number has beside them, until one is removed."""
+        return self.members[-1] if len(self.members) % 2 == 0 else None
+
     def leader(self) -> Member:
         """The primary."""
         return self.at(self.primary)
--- a/control/node.py
+++ b/control/node.py
@@ -5,6 +5,7 @@
 import asyncio
 import secrets
 from collections import deque
+from collections.abc import Callable
 from typing import Any
 
 from loguru import logger
@@ -26,7 +27,8 @@
 
 TICK_S = 0.03
 PROOF_S = 0.5
-STOP_S = 1.0  # a successor is waited for so long
+STAY_SHARE = 0.7  # of the time until we are killed: so long we wait until no view rests on us
+FOLLOWED_S = 0.5  # a successor is waited for so long
 KINDS = Kinds().include(messages.KINDS).include(news.KINDS)
 
 
@@ -71,14 +73,15 @@
         self._tick()
 
     async def stop(self) -> None:
-        """Name a successor, wait for it a little, and end."""
+        """Wait until nothing rests on us any more, name a successor if that took too long, and end."""
         replica = self._replica
         if replica is not None:
             replica.stop(self._now())
             self._carry_out()
-            until = self._loop.time() + STOP_S
-            while self._loop.time() < until and not self._is_followed(replica):
-                await asyncio.sleep(TICK_S)
+            await self._until(replica.may_end, self.settings.bounds.grace_s * STAY_SHARE)
+            replica.resign(self._now())
+            self._carry_out()
+            await self._until(lambda: self._is_followed(replica), FOLLOWED_S)
             self._herald.led_by(self.leader())  # whoever hears the news from us goes there at once
         if self._ticker is not None:
             self._ticker.cancel()
@@ -86,6 +89,12 @@
         self._calls.stop()
         self._links.stop()
 
+    async def _until(self, is_so: Callable[[], bool], most_s: float) -> None:
+        """Wait until something is so, at most so long."""
+        until = self._loop.time() + most_s
+        while self._loop.time() < until and not is_so():
+            await asyncio.sleep(TICK_S)
+
     def _is_followed(self, replica: Replica) -> bool:
         leader = replica.leader()
         return leader is not None and leader.identity != replica.me.identity and replica.is_led(self._now())
--- a/mastturn/control_check/__main__.py
+++ b/mastturn/control_check/__main__.py
@@ -10,6 +10,7 @@
 from mastturn.control_check.explore import Found, explore
 from mastturn.control_check.history import play, play_all
 from mastturn.control_check.kept import histories_table, keep, read, search_row, summed, takeovers_table
+from mastturn.control_check.losses import cases, losses_table, play_cases
 from mastturn.control_check.pictures import takeovers
 from mastturn.control_check.planted import SEARCHED, brief, failed_syncs, shrinks
 from mastturn.control_check.steps import Bounds
@@ -74,6 +75,21 @@
         raise click.ClickException("a rule is broken: " + "; ".join(series.broken))
 
 
+@main.command()
+@click.option("--machines", default=3, show_default=True, help="3 or 5, of which 1 or 2 may be lost.")
+@click.option("--orders", default=1, show_default=True, help="In so many orders of messages each.")
+@click.option("--jobs", default=2, show_default=True, help="Processes.")
+def losses(machines: int, orders: int, jobs: int) -> None:
+    """Replace a member, and lose what more is to be borne at every step of it; fails if one isn't borne."""
+    outcomes = list(play_cases(cases(machines, orders), jobs))
+    broken = [outcome for outcome in outcomes if outcome.broken]
+    click.echo("\n".join(losses_table(outcomes)))
+    for outcome in broken[:5]:
+        click.echo(f"{outcome.case}: {outcome.broken}")
+    if broken:
+        raise click.ClickException(f"{len(broken)} of {len(outcomes)} were not borne")
+
+
 @main.command()
 def defects() -> None:
     """Planted defects, each with the steps that show it; fails if one isn't caught."""
--- a/mastturn/control_check/defects.py
+++ b/mastturn/control_check/defects.py
@@ -11,7 +11,7 @@
 from consensus.messages import Install, Message, Promised, Written
 from consensus.primary import Command, Primary
 from consensus.replica import Replica
-from consensus.views import Member, Memory
+from consensus.views import Member, Memory, View
 
 LEASE_MS = 400.0
 
@@ -134,6 +134,9 @@
     def _is_majority(self, slots: set[int]) -> bool:
         return len(slots) >= 1 if self.handover else super()._is_majority(slots)
 
+    def _is_accepted(self, view: View) -> bool:
+        return bool(self.installed) if self.handover else super()._is_accepted(view)
+
 
 class SuccessorWithoutMajority(Replica):
     """The successor that was named leads at once, whoever else is elected."""
--- a/tests/replica_exchange.py
+++ b/mastturn/control_check/lockstep.py
@@ -1,23 +1,33 @@
-"""A few control processes without delays, on disks that sync at once; every exchange is written down."""
+"""A few control processes without delays, on disks that sync at once; every exchange is written down.
+
+Time goes by in ticks; all that a tick leads to is carried out before the next. A caller may look on at each
+step, that is before and after each sync and before each message, and let machines be lost in it.
+"""
 
 from __future__ import annotations
 
+import random
 from collections import deque
+from collections.abc import Callable
 
-from consensus.codec import apply, whole
+from consensus.codec import Record, apply, whole
 from consensus.effects import Committed, Lead, Persist, Reply, Send, Spec
 from consensus.messages import Beat, Heard, Message
 from consensus.replica import Replica
 from consensus.views import Member, Memory
 
 TICK_MS = 25.0
+Make = Callable[[Member, Memory, Spec, tuple[str, ...], bool, int], Replica]
 
 
-class Exchange:
+class Lockstep:
     """`cuts`: pairs (from, to) that lose messages; `hangs`: whose disks sync nothing; `frozen`: who rests."""
 
-    def __init__(self, machines: int = 3, losses: int = 1) -> None:
-        self.spec = Spec(machines, losses + 1)
+    def __init__(self, machines: int = 3, losses: int = 1, make: Make = Replica) -> None:
+        self.spec, self._make = Spec(machines, losses + 1), make
+        self.on_step: Callable[[], None] | None = None  # called at each step
+        self.on_told: Callable[[Reply | Committed | Lead], None] | None = None  # called with each
+        self.chance: random.Random | None = None  # of the messages under way, any may be next
         self.now = 0.0
         self.lines: list[str] = []
         self.cuts: set[tuple[int, int]] = set()
@@ -42,7 +52,7 @@
         memory = Memory(disk.identity, disk.promised, disk.view, disk.document)
         me = Member(memory.identity, f"core-{index}", ip(index), 7700, f"{ip(index)}:8166", f"z{index}")
         seeds = tuple(ip(i) for i in range(3))
-        self.replicas[index] = Replica(me, memory, self.spec, seeds, founder, index)
+        self.replicas[index] = self._make(me, memory, self.spec, seeds, founder, index)
         self.replicas[index].start(self.now)
 
     def wipe(self, index: int, identity: str) -> None:
@@ -50,6 +60,17 @@
         self.disks[index] = Memory(identity)
         self.boot(index)
 
+    def lose(self, index: int) -> None:
+        """A machine goes, with its disk."""
+        self.replicas.pop(index, None)
+        self._held.pop(index, None)
+        self.disks.pop(index, None)
+
+    def end(self, index: int) -> None:
+        """A process ends; its disk stays."""
+        self.replicas.pop(index, None)
+        self._held.pop(index, None)
+
     def cut(self, index: int) -> None:
         """One process is cut off from all others."""
         self.cuts |= {p for i in self.replicas if i != index for p in ((i, index), (index, i))}
@@ -69,7 +90,7 @@
         while self.now < until:
             self.now += TICK_MS
             for index in list(self.replicas):
-                if index not in self.frozen:
+                if index not in self.frozen and index in self.replicas:
                     self.replicas[index].tick(self.now)
                     self.settle()
 
@@ -81,16 +102,34 @@
     def settle(self) -> None:
         """Carry out all that follows."""
         while True:
-            for index, replica in self.replicas.items():
+            for index, replica in list(self.replicas.items()):
                 if index not in self.frozen:
                     for effect in replica.take():
-                        self._do(index, effect)
+                        if self.replicas.get(index) is replica:
+                            self._do(index, effect)
             if not self._sent:
                 return
-            sender, receiver, message = self._sent.popleft()
+            sender, receiver, message = self._next()
+            self._step()
             if receiver in self.replicas and receiver not in self.frozen:
                 self.replicas[receiver].hear(ip(sender), message, self.now)
 
+    def _next(self) -> tuple[int, int, Message]:
+        """The message that arrives next; those from one process to another stay in order."""
+        if self.chance is not None:
+            place = self.chance.randrange(len(self._sent))
+            ends = self._sent[place][:2]
+            first = next(i for i, sent in enumerate(self._sent) if sent[:2] == ends)
+            self._sent.rotate(-first)
+            found = self._sent.popleft()
+            self._sent.rotate(first)
+            return found
+        return self._sent.popleft()
+
+    def _step(self) -> None:
+        if self.on_step is not None:
+            self.on_step()
+
     def free(self, index: int) -> None:
         """A disk that hung syncs what has waited."""
         self.hangs.discard(index)
@@ -105,17 +144,31 @@
             case Persist() if index in self.hangs:
                 self._held.setdefault(index, []).append(effect)
             case Persist(record, then):
-                apply(self.disks[index], record)
-                for send in then:
-                    self._do(index, send)
+                self._sync(index, record, then)
             case Reply():
                 self.replies.append(effect)
+                if self.on_told is not None:
+                    self.on_told(effect)
                 self.lines.append(f"{index} answers {effect.verdict.value}")
             case Lead(view, goes_on):
+                if self.on_told is not None:
+                    self.on_told(effect)
                 self.went_on.append(goes_on)
                 self.lines.append(f"{index} leads {view.epoch if view is not None else 'no longer'}")
             case Committed():
-                pass
+                if self.on_told is not None:
+                    self.on_told(effect)
+
+    def _sync(self, index: int, record: Record, then: tuple[Send, ...]) -> None:
+        replica = self.replicas.get(index)
+        self._step()
+        if self.replicas.get(index) is not replica:
+            return
+        apply(self.disks[index], record)
+        self._step()
+        for send in then:
+            if self.replicas.get(index) is replica:
+                self._do(index, send)
 
     def _send(self, sender: int, receiver: int, message: Message) -> None:
         kind = type(message).__name__
--- a/tests/fabric_world.py
+++ b/tests/fabric_world.py
@@ -359,6 +359,8 @@
             return f"take over after epoch {epoch}"
         case control.Leaving():
             return "I leave"
+        case control.Released(_, _, epoch):
+            return f"released, epoch {epoch}"
         case news.Attach(_, _, _, ver):
             return f"subscribe, have version {ver}"
         case news.ConfigurationNews(ver):
--- a/tests/test_consensus_history.py
+++ b/tests/test_consensus_history.py
@@ -15,9 +15,9 @@
 from consensus.primary import Get, Put
 from consensus.views import MOST_REMEMBERED, Document, Memory, Past
 from mastturn.control_check.history import play
+from mastturn.control_check.lockstep import Lockstep
 from mastturn.control_check.network import Air
 from mastturn.control_check.world import STORM_AIR, Shape
-from tests.replica_exchange import Exchange
 
 BODY = b"x" * 2_000
 
@@ -105,7 +105,7 @@
 
 
 def test_a_holder_takes_writes_of_a_leader_of_the_release_before() -> None:
-    world = Exchange()
+    world = Lockstep()
     follower = world.replicas[1]
     view = follower.memory.view
     assert view is not None
@@ -123,7 +123,7 @@
 
 @pytest.mark.parametrize("since", [1, 2, 511, 512, 513, 2_000])
 def test_an_order_that_is_sent_again_after_many_changes_is_acknowledged(since: int) -> None:
-    world = Exchange()
+    world = Lockstep()
     for number in range(1, since + 2):
         world.replicas[0].submit(put(number), world.now)
         world.settle()
@@ -135,7 +135,7 @@
 
 def test_an_order_older_than_the_history_has_no_clear_answer(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(views, "MOST_REMEMBERED", 8)
-    world = Exchange()
+    world = Lockstep()
     for number in range(1, 12):
         world.replicas[0].submit(put(number), world.now)
         world.settle()
@@ -149,7 +149,7 @@
 
 
 def test_a_new_leader_knows_all_that_the_one_before_had_taken() -> None:
-    world = Exchange()
+    world = Lockstep()
     for number in range(1, 700):
         world.replicas[0].submit(put(number), world.now)
         world.settle()
--- a/tests/test_replica_exchanges.py
+++ b/tests/test_replica_exchanges.py
@@ -6,17 +6,18 @@
 
 from consensus.effects import Verdict
 from consensus.joining import Newcomers
+from consensus.membership import Keep, Replace
 from consensus.messages import Ask, Beat, Install, Join, Leaving, Prepare, Promised, Succeed, Written
 from consensus.patience import Patience
 from consensus.primary import Get, Put
 from consensus.views import Member, View
-from tests.replica_exchange import Exchange, ip
+from mastturn.control_check.lockstep import Lockstep, ip
 
 PUT = Put(1, 0, 3, "d", b"{}")
 
 
 def test_a_write_is_synced_by_all_holders_before_its_answer() -> None:
-    world = Exchange()
+    world = Lockstep()
     world.replicas[0].submit(PUT, world.now)
     world.settle()
     assert world.lines == ["0 -> 1 Write 1", "1 -> 0 Written 1", "0 answers done"]
@@ -25,7 +26,7 @@
 
 
 def test_the_primary_is_cut_off_and_a_holder_takes_its_place() -> None:
-    world = Exchange()
+    world = Lockstep()
     world.cut(0)
     world.run(800.0)
     told = [line for line in world.lines if "(lost)" not in line]
@@ -43,7 +44,7 @@
 
 
 def test_a_primary_that_is_cut_off_answers_no_question() -> None:
-    world = Exchange()
+    world = Lockstep()
     world.cut(0)
     world.replicas[0].submit(Get(1), world.now)
     world.run(2_000.0)
@@ -52,7 +53,7 @@
 
 def test_a_later_view_of_one_that_is_no_help_does_not_bar_the_others() -> None:
     """1 has accepted a view that came to nothing, and its disk is full."""
-    world = Exchange()
+    world = Lockstep()
     world.lost = {"Installed", "Install"}
     world.cuts = {(0, 1), (0, 2)}
     world.run(700.0)
@@ -66,7 +67,7 @@
 
 def test_no_witness_accepts_a_view_before_its_holders() -> None:
     """The campaigner is lost after its Installs: who is left can go on."""
-    world = Exchange()
+    world = Lockstep()
     world.frozen = {0}
     world.lost = {"Installed"}
     world.run(900.0)
@@ -79,7 +80,7 @@
 
 
 def test_who_comes_out_of_a_freeze_does_not_unseat_the_primary() -> None:
-    world = Exchange()
+    world = Lockstep()
     world.frozen = {1}
     world.run(300.0)
     world.frozen = set()
@@ -95,7 +96,7 @@
 
 
 def test_a_candidate_whose_disk_hangs_disturbs_nobody() -> None:
-    world = Exchange()
+    world = Lockstep()
     world.hangs = {1}
     world.cut(0)
     world.run(1_500.0)
@@ -105,7 +106,7 @@
 
 
 def test_a_primary_whose_disk_hangs_names_its_successor() -> None:
-    world = Exchange()
+    world = Lockstep()
     world.hangs = {0}
     world.replicas[0].submit(PUT, world.now)
     world.settle()
@@ -115,7 +116,7 @@
 
 
 def test_a_process_that_was_given_up_gives_up_its_slot_and_comes_back() -> None:
-    world = Exchange()
+    world = Lockstep()
     world.cut(2)
     world.replicas[3] = world.replicas[2]  # one of another machine waits for a slot
     del world.replicas[3]
@@ -142,9 +143,9 @@
     view = View(5, 0, (0, 1), (Member("a", "a", "1", 1, ""), Member("b", "b", "2", 1, ""), None))
     newcomers = Newcomers()
     newcomers.take(Join("n", "", member, 4), 0.0)
-    assert newcomers.vacancy(view, []) == (None, None)
+    assert newcomers.change(view, [], []) == Keep()
     newcomers.take(Join("n", "", member, 5), 0.0)
-    assert newcomers.vacancy(view, []) == (2, member)
+    assert newcomers.change(view, [], []) == Replace(2, member)
 
 
 def test_a_slot_goes_to_the_latest_process_of_a_machine_and_from_the_longest_silent() -> None:
@@ -153,16 +154,16 @@
     old, new = (Member(i, "core-2", ip(2), 1, "") for i in ("old", "new"))
     newcomers.take(Join("old", "", old, 5), 0.0)
     newcomers.take(Join("new", "", new, 5), 1.0)
-    assert newcomers.members() == [new] and newcomers.vacancy(view, []) == (2, new)
+    assert newcomers.members() == [new] and newcomers.change(view, [], []) == Replace(2, new)
     other = Member("x", "core-7", ip(7), 1, "")
     newcomers = Newcomers()
     newcomers.take(Join("x", "", other, 5), 0.0)
-    assert newcomers.vacancy(view, [2, 1]) == (2, other)
+    assert newcomers.change(view, [2, 1], []) == Replace(2, other)
 
 
 def test_an_old_install_names_nobody_again() -> None:
     """A view in force that comes late: the newcomer has promised a later one."""
-    world = Exchange()
+    world = Lockstep()
     newcomer = Member("i3", "core-3", ip(3), 7700, f"{ip(3)}:8166", "z3")
     first = world.replicas[0].memory.view
     assert first is not None
@@ -177,7 +178,7 @@
 
 
 def test_a_late_refusal_of_an_earlier_write_changes_no_view() -> None:
-    world = Exchange()
+    world = Lockstep()
     world.replicas[0].submit(PUT, world.now)
     world.settle()
     world.hangs = {1}
@@ -192,7 +193,7 @@
 
 def test_a_write_that_was_lost_on_the_way_is_sent_again() -> None:
     """Found in a history of five (51201): after 0.2 s of deafness nobody was answered for another 1.7 s."""
-    world = Exchange()
+    world = Lockstep()
     world.lost = {"Written"}
     world.replicas[0].submit(PUT, world.now)
     world.settle()
@@ -203,7 +204,7 @@
 
 
 def test_a_write_is_sent_again_less_and_less_often_and_never_to_oneself() -> None:
-    world = Exchange()
+    world = Lockstep()
     world.replicas[0].candidate.patience.lose(world.now)
     world.hangs = {0}
     world.lost = {"Write"}
@@ -218,7 +219,7 @@
 
 
 def test_a_backup_may_be_quicker_than_the_primary_itself() -> None:
-    world = Exchange()
+    world = Lockstep()
     world.lost = {"Written"}
     world.replicas[0].submit(PUT, world.now)
     world.replicas[0].hear(ip(1), Written("i1", "i0", 1, 1, True, 1), world.now)
@@ -227,7 +228,7 @@
 
 
 def test_the_longest_silent_comes_first() -> None:
-    world = Exchange()
+    world = Lockstep()
     primary = world.replicas[0].primary
     assert primary is not None
     primary.heard_at = {0: world.now, 1: world.now - 2_000.0, 2: world.now - 3_000.0}
@@ -235,7 +236,7 @@
 
 
 def test_a_primary_that_changes_the_view_says_that_it_goes_on() -> None:
-    world = Exchange()
+    world = Lockstep()
     world.went_on.clear()
     world.cut(1)
     world.run(1_000.0)
@@ -244,7 +245,7 @@
 
 
 def test_a_primary_that_comes_back_after_another_does_not_go_on() -> None:
-    world = Exchange()
+    world = Lockstep()
     world.went_on.clear()
     world.cut(0)
     world.run(2_000.0)
@@ -260,7 +261,7 @@
 
 
 def test_one_that_leaves_holds_nothing_and_may_come_back() -> None:
-    world = Exchange()
+    world = Lockstep()
     world.hear(1, 0, Leaving("i1", "i0"))
     world.run(300.0)
     view = world.replicas[0].memory.view
@@ -270,11 +271,11 @@
     world.run(2_000.0)
     assert world.epoch() <= before + 1  # with nobody left to take its place the view stays
     world.run(11_000.0)
-    assert not world.replicas[0]._leaving
+    assert not world.replicas[0]._leavers.identities()
 
 
 def test_a_primary_that_hears_nothing_still_names_its_successor() -> None:
-    world = Exchange()
+    world = Lockstep()
     world.cuts = {(1, 0), (2, 0)}
     world.run(1_100.0)
     assert "0 -> 1 Succeed 1" in world.lines and world.primary() == 1
@@ -282,7 +283,7 @@
 
 def test_a_successor_that_did_not_hear_its_name_is_named_again() -> None:
     """Found in histories: nobody led for another 0.6 s after one lost message (deaf, 41420 and 42004)."""
-    world = Exchange()
+    world = Lockstep()
     world.cuts = {(1, 0), (2, 0)}
     world.lost = {"Succeed"}
     while world.replicas[0].primary is not None:
@@ -298,7 +299,7 @@
 
 def test_a_successor_that_is_lost_itself_is_followed_by_the_next() -> None:
     """Found in histories of five: a primary that hears nothing names one that has just been frozen."""
-    world = Exchange(5, 2)
+    world = Lockstep(5, 2)
     world.cuts = {(i, 0) for i in range(1, 5)}
     world.frozen = {1}
     while world.replicas[0].primary is not None:
@@ -313,7 +314,7 @@
 
 
 def test_who_has_promised_another_takes_no_notice_of_being_named() -> None:
-    world = Exchange()
+    world = Lockstep()
     world.hear(2, 1, Prepare("i2", "i1", 2))
     world.lines.clear()
     world.hear(0, 1, Succeed("i0", "i1", 1))
@@ -321,7 +322,7 @@
 
 
 def test_a_successor_that_takes_over_is_not_disturbed_by_its_name_again() -> None:
-    world = Exchange()
+    world = Lockstep()
     world.lost = {"Prepare"}
     world.replicas[0].stop(world.now)
     world.settle()
@@ -336,7 +337,7 @@
 
 
 def test_a_lost_message_of_a_campaign_is_sent_again_and_a_repeat_gets_the_same_answer() -> None:
-    world = Exchange()
+    world = Lockstep()
     world.cut(0)
     world.lost = {"Promised"}
     world.run(700.0)
@@ -351,7 +352,7 @@
 
 
 def test_a_campaign_that_was_won_in_a_freeze_is_over() -> None:
-    world = Exchange()
+    world = Lockstep()
     world.cut(0)
     world.lost = {"Installed"}
     world.run(725.0)
@@ -367,7 +368,7 @@
 
 
 def test_a_wiped_process_has_no_say_until_a_view_in_force_names_it() -> None:
-    world = Exchange()
+    world = Lockstep()
     world.cut(2)
     world.wipe(2, "j2")
     world.hear(1, 2, Prepare("i1", "i2", 2))  # meant for the one of before
@@ -381,7 +382,7 @@
 
 
 def test_a_wiped_process_whose_seeds_are_gone_asks_whoever_speaks_to_its_predecessor() -> None:
-    world = Exchange()
+    world = Lockstep()
     world.wipe(2, "j2")
     world.replicas[2].follow_seeds(("10.0.77.1",))
     world.hear(0, 2, Beat("i0", "i2", 1, 1))
@@ -391,10 +392,10 @@
 
 def test_a_term_that_began_in_troubled_times_does_not_stay_patient_with_its_disk() -> None:
     """Found in histories: a write on a hanging disk waited 1.4 s, nine seconds after the trouble before."""
-    world = Exchange()
+    world = Lockstep()
     for _ in range(2):
         world.replicas[0].candidate.patience.lose(world.now)
-    world.replicas[0].candidate.run(world.replicas[0].memory.view, world.now, True, None, None, frozenset())  # type: ignore[arg-type]
+    world.replicas[0].candidate.run(world.replicas[0].memory.view, world.now, True, Keep(), frozenset())  # type: ignore[arg-type]
     world.settle()
     world.run(300.0)
     leading = world.replicas[0].primary
@@ -410,7 +411,7 @@
 
 def test_a_majority_that_comes_late_is_not_thrown_away() -> None:
     """Found in histories: it came 2 ms before the campaign's end, and more promises were waited for."""
-    world = Exchange()
+    world = Lockstep()
     world.cut(0)
     world.lost = {"Promised"}
     while "1 -> 2 Prepare 2" not in world.lines:
--- a/tests/test_replica_messages.py
+++ b/tests/test_replica_messages.py
@@ -30,6 +30,7 @@
     Message,
     Prepare,
     Promised,
+    Released,
     Succeed,
     Write,
     Written,
@@ -60,6 +61,7 @@
     Known("a", "c", VIEW, 3),
     Succeed("a", "b", 3),
     Leaving("a", "b"),
+    Released("a", "b", 4),
 ]
 RECORDS: list[Record] = [
     PromiseRecord(7),
