Change members by adding the newcomer first, so that whoever is only silent keeps its vote

Cause: the slot of a member that was silent for 1.5 s was given to a newcomer in one step. Change: a newcomer is added beside the silent or leaving member, and that one taken out next; a slot is given away in one step only where its occupant is gone for certain (the newcomer runs at its address or node). Who is taken out has to leave enough that agree; a newcomer is named only if it asked within 0.4 s; one that is told to stop asks for no slot; one that hears of a view without it asks that view's leader. The simulator plays 'eager' (the next loss as soon as all are members again) and 'overlaps' (any number in trouble at once, f disks lost at the most).

--- a/consensus/acceptor.py
+++ b/consensus/acceptor.py
@@ -78,6 +78,12 @@
             and later.slot_of(self.memory.identity) is None
         )
 
+    def may_be_displaced(self) -> bool:
+        """Whether we have heard of a later view without us: its leader can tell whether it is in force."""
+        view, latest = self.memory.view, self.latest
+        is_later = view is not None and latest is not None and latest.epoch > view.epoch
+        return is_later and latest is not None and latest.slot_of(self.memory.identity) is None
+
     def forget(self) -> None:
         """Give our slot up: from here on we have no say until a view in force names us anew."""
         assert self._in_force is not None
--- a/consensus/joining.py
+++ b/consensus/joining.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from consensus.acceptor import Acceptor
 from consensus.campaign import Campaign, Stage, founding
@@ -13,6 +14,17 @@
 from consensus.views import Member, View
 
 WAITING_MS = 1_000.0  # a newcomer that has not asked for so long has gone
+FRESH_MS = 400.0  # one that has asked within this is there: it asks every 250 ms
+
+
+@dataclass(frozen=True, slots=True)
+class Standing:
+    """How the members of a view stand, by slot; of each list the first is to go first."""
+
+    dead: tuple[int, ...] = ()  # silent for so long that their slots may be given away
+    leaving: tuple[int, ...] = ()  # told to stop, and there
+    silent: tuple[int, ...] = ()  # for a while
+    present: frozenset[int] = frozenset()  # heard of in this view, and not silent
 
 
 class Newcomers:
@@ -43,24 +55,25 @@
         """Whether somebody asks for a slot who has none in this view."""
         return any(view.slot_of(identity) is None for identity in self._joins)
 
-    def change(self, view: View, dead: list[int], leaving: list[int]) -> Change:
-        """The change of members that is due in a view; `dead` and `leaving`: slots, the first to go first.
+    def change(self, view: View, standing: Standing, now: float) -> Change:
+        """The change of members that is due in a view.
 
-        Only a newcomer that has synced a promise of this view is named: it accepts no older view that names
-        it as well.
+        Only a newcomer that is there and has synced a promise of this view is named: it accepts no older view
+        that names it as well.
         """
         if view.added() is not None:
-            return _removal(view, [*dead, *leaving])
+            return _removal(view, standing)
         for join in self._joins.values():
             newcomer = join.member
-            if view.slot_of(newcomer.identity) is not None or join.promised < view.epoch:
+            is_there = now - self._came[join.sender] <= FRESH_MS
+            if view.slot_of(newcomer.identity) is not None or join.promised < view.epoch or not is_there:
                 continue
             own = [slot for slot, m in enumerate(view.members) if m is not None and _is_same(m, newcomer)]
             empty = [slot for slot, member in enumerate(view.members) if member is None]
-            for slot in (*own, *empty, *dead):
+            for slot in (*own, *empty):
                 if slot != view.primary:
                     return Replace(slot, newcomer)
-            if any(slot != view.primary for slot in leaving):
+            if any(slot != view.primary for slot in (*standing.dead, *standing.leaving)):
                 return Add(newcomer)
         return Keep()
 
@@ -70,11 +83,25 @@
     return member.node == newcomer.node or member.ip == newcomer.ip
 
 
-def _removal(view: View, going: list[int]) -> Remove:
-    """Who goes from a view with one member more: a lost one, one that leaves, or else the last that came."""
-    last = len(view.members) - 1
-    others = [slot for slot in (*going, last, *range(last)) if slot != view.primary]
-    return Remove(others[0], len(view.members))
+def _removal(view: View, standing: Standing) -> Change:
+    """Who goes from a view with one member more: one that leaves or is silent; else the last that came.
+
+    The last one stays only if it has accepted the view, so that it votes. Nobody goes while somebody may be
+    silent who has not been for long enough yet, or where too few of the others are there to agree.
+    """
+    size = len(view.members)
+    last = size - 1
+    others = set(range(size)) - {view.primary}
+    going = [slot for slot in (*standing.dead, *standing.leaving, *standing.silent) if slot in others]
+    if last in going:
+        going = [last]
+    elif not going and others <= standing.present:
+        going = [last if last in others else min(others)]
+    able = standing.present | {view.primary}
+    for slot in going:
+        if len(able - {slot}) >= view.majority and (slot == last or last in able):
+            return Remove(slot, size)
+    return Keep()
 
 
 class Inquirer:
@@ -100,7 +127,7 @@
         self._asked_at = now
         if self._acceptor.memory.slot() is None:
             self.ask_in()
-        elif now - self._acceptor.heard_at > self._spec.dead_ms:
+        elif self._acceptor.may_be_displaced() or now - self._acceptor.heard_at > self._spec.dead_ms:
             self.inquire()
 
     def told(self, message: Known) -> None:
--- a/consensus/membership.py
+++ b/consensus/membership.py
@@ -1,12 +1,13 @@
 """Changes of membership: one a view, each agreed on by a majority of the members before it.
 
-A view has `slots` members, or one more while a member that leaves is about to give its place to a newcomer.
+A view has `slots` members, or one more while one of them is about to give its place to a newcomer.
 
-- `Replace` gives the slot of a lost member, or an empty one, to a newcomer. The slot has no say in that
-  change, so the newcomer votes only once the view is in force.
-- `Add` makes the newcomer one member more, beside the one that leaves. Majorities of n and of n + 1 members,
-  which differ in one, always share somebody, so the newcomer votes at once and a loss in between is borne.
+- `Add` makes the newcomer one member more, beside one that leaves or is silent. Majorities of n and of n + 1
+  members, which differ in one, always share somebody, so the newcomer votes at once, and losses in between
+  are borne: also if the silent one comes back, and whoever may have accepted the view or not.
 - `Remove` takes one out again; the last member moves to its slot.
+- `Replace` gives a newcomer a slot that nobody has, or whose occupant is gone for certain, as the newcomer
+  runs in its place. The slot has no say in that change, and the newcomer votes once the view is in force.
 """
 
 from __future__ import annotations
@@ -39,7 +40,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Replace(Keep):
-    """A newcomer takes a slot whose occupant is lost, or that nobody has."""
+    """A newcomer takes a slot that nobody has any more."""
 
     slot: int
     newcomer: Member
--- a/consensus/replica.py
+++ b/consensus/replica.py
@@ -12,7 +12,7 @@
 from consensus.campaign import Campaign, Stage
 from consensus.candidate import Candidate
 from consensus.effects import Effect, Lead, Reply, Send, Spec, Verdict
-from consensus.joining import Founding, Inquirer, Newcomers
+from consensus.joining import Founding, Inquirer, Newcomers, Standing
 from consensus.leaving import Departure, Leavers
 from consensus.membership import Change, Keep
 from consensus.messages import (
@@ -79,6 +79,10 @@
         """The settings name other processes that may know the view, by IP."""
         self._inquirer.seeds = seeds
 
+    def seeds(self) -> tuple[str, ...]:
+        """The processes that the settings name, by IP."""
+        return self._inquirer.seeds
+
     def disk(self, well: bool) -> None:
         """The disk refuses writes, or takes them again after all of the memory has been written to it."""
         self.acceptor.sick = not well
@@ -185,7 +189,8 @@
             self.candidate.campaign = None
             self.acceptor.forget()
         if self.primary is None:
-            self._inquirer.look(now)
+            if not self._departure.is_begun or self.memory.slot() is not None:  # who stops asks for no slot
+                self._inquirer.look(now)
             self._succession.look(self.memory.promised, now)
             self._departure.look(self.leader(), now)
 
@@ -278,8 +283,11 @@
     def _due_change(self, primary: Primary, now: float) -> Change:
         """The change of members that is due."""
         dead = primary.silent(now, self._spec.dead_ms)
+        silent = primary.silent(now, self._spec.silent_ms)
         leaving = sorted(primary.slots_of(self._leavers.identities()) - set(dead))
-        return self._newcomers.change(primary.view, dead, leaving)
+        present = frozenset(primary.present() - set(silent))
+        standing = Standing(tuple(dead), tuple(leaving), tuple(silent), present)
+        return self._newcomers.change(primary.view, standing, now)
 
     def _step_down(self, primary: Primary, now: float) -> None:
         """We are told to stop as leader: hand over to a holder that stays, once there is one."""
--- a/mastturn/control_check/history.py
+++ b/mastturn/control_check/history.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 
 from consensus.replica import Replica
+from mastturn.control_check.overlaps import Overlaps
 from mastturn.control_check.rules import BrokenRuleError
 from mastturn.control_check.troubles import Troubles
 from mastturn.control_check.world import Make, Shape, Takeover, World
@@ -26,6 +27,7 @@
     views: int
     gaps: tuple[Takeover, ...]
     slots_taken: tuple[float, ...]
+    healed: tuple[Takeover, ...]
     slowest_ms: float
     story: tuple[str, ...] = field(default=(), repr=False)
 
@@ -38,7 +40,7 @@
     world.heeds_refusals = heeds_refusals
     if told:
         world.story = []
-    troubles = Troubles(world)
+    troubles = Overlaps(world) if shape.overlaps else Troubles(world)
     world.begin()
     troubles.begin()
     broken = rule = ""
@@ -56,6 +58,7 @@
         world.views,
         tuple(world.gaps),
         tuple(world.slots_taken),
+        tuple(world.healed),
         max(o.slowest for o in world.operators),
         tuple(world.story or ()),
     )
--- a/mastturn/control_check/kept.py
+++ b/mastturn/control_check/kept.py
@@ -5,13 +5,13 @@
 import json
 from collections import defaultdict
 from collections.abc import Iterable, Sequence
-from dataclasses import asdict, dataclass
+from dataclasses import asdict, dataclass, field
 from pathlib import Path
 
 from mastturn.control_check.explore import Found
 from mastturn.control_check.history import History
 from mastturn.control_check.steps import Bounds
-from mastturn.control_check.world import Shape
+from mastturn.control_check.world import Shape, Takeover
 from mastturn.files import LabError
 
 AIM_MS = 1_500.0
@@ -25,6 +25,7 @@
     "flap": "cut and healed again and again",
     "wipe": "wiped",
     "replace": "replaced",
+    "planned": "replaced as planned",
     "term": "told to stop",
     "full, write": "disk full: the first write",
     "hang, write": "disk hangs: the first write",
@@ -49,6 +50,7 @@
     views: int
     gaps: dict[str, list[float]]  # ms without an answer, by trouble, sorted
     slots_taken: list[float]  # ms until a newcomer has a slot, sorted
+    healed: dict[str, list[float]] = field(default_factory=dict)  # ms from a return to full membership
 
 
 def summed(shape: Shape, histories: Sequence[History]) -> Series:
@@ -68,9 +70,17 @@
         sum(h.views for h in histories),
         {kind: sorted(found) for kind, found in sorted(gaps.items())},
         sorted(round(ms, 1) for h in histories for ms in h.slots_taken),
+        _by_trouble(took for h in histories for took in h.healed),
     )
 
 
+def _by_trouble(found: Iterable[Takeover]) -> dict[str, list[float]]:
+    by_trouble: defaultdict[str, list[float]] = defaultdict(list)
+    for one in found:
+        by_trouble[one.trouble].append(round(one.took_ms, 1))
+    return {kind: sorted(times) for kind, times in sorted(by_trouble.items())}
+
+
 def keep(path: Path, series: Series) -> None:
     """Write a series to a file."""
     path.parent.mkdir(parents=True, exist_ok=True)
@@ -115,6 +125,23 @@
     return lines
 
 
+def healed_table(found: Sequence[Series]) -> list[str]:
+    """Time from a machine's return until the next loss is borne: how many; median, 99 of 100, most; in ms."""
+    kinds = list(dict.fromkeys(kind for one in found for kind in one.healed))
+    if not kinds:
+        return []
+    heads = "".join(f" {one.machines} machines, {one.sync_ms:g} ms a sync |" for one in found)
+    lines = [f"| healed after |{heads}", "|---|" + "---|" * len(found)]
+    for kind in kinds:
+        cells = []
+        for one in found:
+            times = one.healed.get(kind, [])
+            figures = (at_share(times, 0.5), at_share(times, 0.99), times[-1]) if times else ()
+            cells.append(f"{len(times):,}: " + ", ".join(f"{ms:,.0f}" for ms in figures))
+        lines.append(f"| {kind} | " + " | ".join(cells) + " |")
+    return lines
+
+
 def _cell(values: Sequence[float]) -> str:
     if not values:
         return "-"
--- a/mastturn/control_check/world.py
+++ b/mastturn/control_check/world.py
@@ -18,6 +18,7 @@
 from mastturn.control_check.rules import BrokenRuleError, Rules
 
 SEED_LAG_MS = 3_000.0
+SETTINGS_MS = 2_000.0  # a process looks for new settings so often
 DISK_TROUBLES = ("full", "hang", "slow")
 PROBE_MS = 500.0
 GAP_PROBE_MS = 20.0
@@ -37,6 +38,8 @@
     air: Air = field(default_factory=Air)
     jumps: bool = False  # the clocks that processes measure by jump, which steady clocks never do
     repeats: bool = False  # operators send changes of before once more
+    eager: bool = False  # the next machine is lost as soon as the one before is a full member again
+    overlaps: bool = False  # any number in trouble at once, with no more disks lost than may be
     storm: bool = False  # all are killed every few seconds: only what must never happen is judged
 
 
@@ -45,7 +48,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Takeover:
-    """How long nobody answered after a trouble of the primary, in milliseconds."""
+    """How long it took after a trouble until somebody answered, or until it was healed; milliseconds."""
 
     trouble: str
     took_ms: float
@@ -78,7 +81,9 @@
         self._open_write: tuple[str, float] | None = None  # a trouble of the primary's disk
         self.views = 0
         self.slots_taken: list[float] = []
+        self.healed: list[Takeover] = []  # from the return of a machine until it was a full member again
         self._slotless: dict[str, tuple[float, int]] = {}  # ip: since when it runs without a slot, its life
+        self.is_disturbed = False  # more may be in trouble than is to be borne: nothing has to be answered
         self.on_acknowledged: Callable[[], None] | None = None
         self.heeds_refusals = True
         self.story: list[str] | None = None  # kept on request
@@ -147,6 +152,8 @@
         if self.machines.get(machine.ip) is machine and machine.replica is None:
             machine.start(self.seeds(), False)
             assert machine.replica is not None
+            if self.shape.eager or self.shape.overlaps:
+                self.later(SETTINGS_MS, lambda: self._follow(machine))
             if machine.replica.memory.slot() is None:
                 self._slotless[machine.ip] = (self.now, machine.life)
 
@@ -168,6 +175,24 @@
                 found, epoch = machine, primary.view.epoch
         return found
 
+    def _follow(self, machine: Machine) -> None:
+        """A process reads its settings now and then, which name other seeds by then."""
+        replica, life = machine.replica, machine.life
+        if replica is None:
+            return
+        machine.run(lambda: replica.follow_seeds(self.seeds()))
+        self.later(SETTINGS_MS, lambda: self._follow(machine) if machine.life == life else None)
+
+    def is_member(self, machine: Machine) -> bool:
+        """Whether a machine has a place in the view in force, and has accepted it."""
+        leader = self.primary()
+        if leader is None or machine.replica is None or machine.frozen:
+            return False
+        assert leader.replica is not None and leader.replica.primary is not None
+        view = leader.replica.primary.view
+        has_accepted = machine.replica.memory.view == view and machine.replica.memory.slot() is not None
+        return has_accepted and view.added() is None
+
     def tell(self, what: str) -> None:
         """A line of the story."""
         if self.story is not None:
@@ -289,9 +314,18 @@
         cuts = self.network.cuts
         return primary is not None and ((ip, primary.ip) in cuts or (primary.ip, ip) in cuts)
 
+    def _knows_anybody(self, machine: Machine) -> bool:
+        """Whether one of the seeds that a process knows is there: losses may come faster than the list."""
+        assert machine.replica is not None
+        return bool(set(machine.replica.seeds()) & self.machines.keys())
+
     def _watch(self) -> None:
         """What has to happen within a time does."""
         self.later(100.0, self._watch)
+        if self.is_disturbed:
+            self.calm_since = self.now
+            self._slotless = {ip: (self.now, life) for ip, (_, life) in self._slotless.items()}
+            return
         since = max(self.calm_since, 1_000.0)
         if self.now - since > ANSWER_MS and self.now - max(self.answered_at, since) > ANSWER_MS:
             raise BrokenRuleError("an answer", f"nobody has answered since {self.answered_at:.0f}")
@@ -306,7 +340,7 @@
             elif machine.replica.memory.slot() is not None:
                 self.slots_taken.append(self.now - began)
                 del self._slotless[ip]
-            elif self._is_apart(ip):
+            elif self._is_apart(ip) or not self._knows_anybody(machine):
                 self._slotless[ip] = (self.now, life)
             elif self.now - max(began, self.calm_since) > 4_000.0:
                 raise BrokenRuleError("a slot", f"{ip} has none since {began:.0f}")
