Tell how each upstream answer ends: by its framing, a FIN, a reset or bytes that are none

Change: the connection to an upstream tells a watcher the end of each answer; the balancer counts them (station_upstream_answers_total by framing and end) and logs those that were cut (event=answer_cut). At an end of file the kernel is asked whether it was a reset. Nothing is decided by it.

--- /dev/null
+++ b/passpost/answer_end.py
@@ -0,0 +1,46 @@
+"""How the answers of upstreams end, as told to whoever watches them."""
+
+from __future__ import annotations
+
+import enum
+import select
+import socket
+from dataclasses import dataclass
+
+from passpost.http1 import AnswerReader, Framing
+
+
+class EndKind(enum.Enum):
+    """What ended an answer."""
+
+    WHOLE = "whole"  # its own framing: a length or the last chunk
+    FIN = "fin"  # its connection was closed in order
+    RESET = "reset"  # its connection was reset, or is dead
+    INVALID = "invalid"  # what came is no answer
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerEnd:
+    """The end of one answer. `status` is 0 where no whole head has come; `body_bytes` without framing."""
+
+    kind: EndKind
+    framing: Framing
+    status: int
+    body_bytes: int
+
+
+def answer_end(kind: EndKind, reader: AnswerReader) -> AnswerEnd:
+    """The end of the answer that a reader was at."""
+    return AnswerEnd(kind, reader.framing(), reader.status(), reader.body_size())
+
+
+def connection_end(peer: socket.socket) -> EndKind:
+    """Whether a connection at its end of file was closed in order or reset.
+
+    An event loop may report an end of file for a reset: libuv does where it finds the last bytes and a reset
+    at once. The kernel still knows: after a FIN alone our side of the connection is open, while a reset
+    has ended both (POLLHUP, and POLLERR until the error is read).
+    """
+    poll = select.poll()
+    poll.register(peer, 0)  # POLLERR and POLLHUP are always told
+    return EndKind.RESET if poll.poll(0) else EndKind.FIN
--- a/passpost/http1.py
+++ b/passpost/http1.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 from typing import Protocol
@@ -76,6 +77,15 @@
         """Read on."""
 
 
+class Framing(enum.Enum):
+    """How an answer tells where its body ends (RFC 9112, section 6.3)."""
+
+    UNKNOWN = "unknown"  # its head is not whole yet
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    CLOSE = "close"  # it ends with its connection
+
+
 class AnswerReader:
     """Reads the one answer that is due on a connection.
 
@@ -151,6 +161,22 @@
         """Whether a good answer is coming whose length nobody knows yet."""
         return self._head_done and self._status == 200 and self._length is None and self._whole is None
 
+    def framing(self) -> Framing:
+        """How the answer that is coming tells its end."""
+        if not self._head_done:
+            return Framing.UNKNOWN
+        if self._to_the_end:
+            return Framing.CLOSE
+        return Framing.CHUNKED if self._length is None else Framing.LENGTH
+
+    def status(self) -> int:
+        """The status of the answer that is coming, 0 before its head is whole."""
+        return self._status if self._head_done else 0
+
+    def body_size(self) -> int:
+        """The bytes of its body that have come, without their framing."""
+        return self._size
+
     def take(self) -> bytes:
         """What has come of the body since the last time."""
         data = bytes(self._body)
--- a/passpost/upstream.py
+++ b/passpost/upstream.py
@@ -16,6 +16,7 @@
 from dataclasses import dataclass
 from typing import Protocol, cast
 
+from passpost.answer_end import AnswerEnd, EndKind, answer_end, connection_end
 from passpost.http1 import (
     HELD_BODY,
     Address,
@@ -38,6 +39,9 @@
 REST_S = 0.005  # an upstream that closes behind an answer, or sends more than it, does so within this
 
 Done = Callable[[Outcome, Answer | None], None]
+WatchAnswers = Callable[
+    [str, "Outgoing", AnswerEnd], None
+]  # told of an upstream, a request and its answer's end
 
 _KEPT = re.compile(rb"timeout\s*=\s*([0-9]{1,6})")
 
@@ -408,6 +412,7 @@
             answer = reader.feed(data)
         except BadAnswerError as error:
             log.warning("upstream %s: bad answer: %s", self._upstream.name, error)
+            self._tell_end(EndKind.INVALID)
             attempt.end(Outcome.BROKEN)
             return
         self._pass_on(attempt, reader)
@@ -416,8 +421,15 @@
                 timer = asyncio.get_running_loop().call_later(LENGTH_S, self._waited)
                 self._length_timer = timer
         elif answer is not None:
+            self._tell_end(EndKind.WHOLE)
             self._answered(attempt, answer)
 
+    def _tell_end(self, kind: EndKind) -> None:
+        """Whoever watches hears how the answer that was due has ended."""
+        if self._attempt is not None and self._reader is not None:
+            end = answer_end(kind, self._reader)
+            self._pool.watch_answers(self._upstream.name, self._attempt.request, end)
+
     def _pass_on(self, attempt: Attempt, reader: AnswerReader, waited: bool = False) -> None:
         """Begin or go on with an answer that is too long to be held."""
         if not attempt.started and (start := reader.start(waited)) is not None:
@@ -465,6 +477,8 @@
 
     def eof_received(self) -> None:
         """The upstream has closed: an idle connection must not be used again, an answer may end so."""
+        if self._transport is not None:
+            self._tell_end(connection_end(self._transport.get_extra_info("socket")))
         attempt, reader = self._attempt, self._reader
         if attempt is not None and reader is not None and (answer := reader.end()) is not None:
             self._answered(attempt, answer)
@@ -473,6 +487,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """As eof_received."""
+        self._tell_end(EndKind.RESET)
         self._ended()
 
     def _ended(self) -> None:
@@ -501,6 +516,10 @@
         self.open: set[_Connection] = set()
 
 
+def _unwatched(server: str, request: Outgoing, end: AnswerEnd) -> None:
+    """Nobody wants to know how answers end."""
+
+
 class Upstreams:
     """All upstreams by name, and the connections to them, of which there are `max_open` at most."""
 
@@ -508,6 +527,7 @@
         self, connect_timeout: float, idle_timeout: float, max_open: int, manner: Manner | None = None
     ) -> None:
         self.manner = manner or Manner()
+        self.watch_answers: WatchAnswers = _unwatched
         self._connect_timeout = connect_timeout
         self._idle_limit = idle_timeout * IDLE_SHARE
         self._max_open = self._allowed = max_open
--- a/screen/metrics.py
+++ b/screen/metrics.py
@@ -11,7 +11,7 @@
 from prometheus_client import exposition
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, HistogramMetricFamily, Metric
 
-__all__ = ["Metric", "by", "counter", "gauge", "histogram", "render"]
+__all__ = ["Metric", "by", "by_labels", "counter", "gauge", "histogram", "render"]
 
 
 def gauge(name: str, text: str, value: float) -> Metric:
@@ -36,6 +36,14 @@
     return family
 
 
+def by_labels(name: str, text: str, labels: Sequence[str], values: Mapping[tuple[str, ...], float]) -> Metric:
+    """A counter for each combination of the values of several labels; the name ends with `_total`."""
+    family = CounterMetricFamily(name, text, labels=labels)
+    for key, value in sorted(values.items()):
+        family.add_metric(key, float(value))
+    return family
+
+
 def histogram(name: str, text: str, bounds: Sequence[float], counts: Sequence[int], total: float) -> Metric:
     """How many values lay up to each bound and above the one before; one count more for those above all."""
     buckets, below = [], 0
--- a/station/balancer_figures.py
+++ b/station/balancer_figures.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from screen.metrics import Metric, by, counter, gauge, histogram
+from screen.metrics import Metric, by, by_labels, counter, gauge, histogram
 from station.balancer_report import status
 from windvane.tally import FIRST_EVENT_S
 
@@ -63,6 +63,12 @@
             "Tokens of shared parts sent to be read while another upstream has them.",
             counters.shared_again,
         ),
+        by_labels(
+            "station_upstream_answers_total",
+            "Answers of upstreams that have ended, by how they tell their end and by what ended them.",
+            ("framing", "end"),
+            {(framing.value, end.value): n for (framing, end), n in role.balancer.answers.ends.items()},
+        ),
         gauge("station_epoch", "The epoch of whoever leads, as last heard of.", told["epoch"]),
         *(
             [gauge("station_news_age_seconds", "Since the control state was last heard of.", age)]
--- a/tests/windvane_stage.py
+++ b/tests/windvane_stage.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import json
+import os
 import socket
+import struct
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field, replace
@@ -12,11 +14,12 @@
 
 from screen.configuration import Backend, ClientLimits, Configuration, Route, Service, Upstream
 from screen.settings import Bounds, CloudApi, Limits, Listen, Settings
-from tests.loopback import Got, Reader, Writer, read_request
+from tests.loopback import Got, Reader, Writer, read_request, until
 from windvane.balancer import Balancer
 
 HOST, PATH = "shop.example", "/run/1"
 Act = Callable[["Stage", Got, Writer], Awaitable[None]]
+Begun = Callable[[], bool]
 
 
 def free_port() -> int:
@@ -113,6 +116,31 @@
     writer.write((head(got, f"Content-Length: {len(stage.name)}\r\n\r\n") + stage.name).encode())
 
 
+def until_close(
+    text: str, kind: str = "text/plain", by_reset: bool = False, begun: Begun | None = None
+) -> Act:
+    """An answer that ends with its connection: closed in order, or reset.
+
+    The reset comes in the same turn of the loop as the bytes, or once `begun` says that those are read.
+    """
+
+    async def act(stage: Stage, got: Got, writer: Writer) -> None:
+        sent = head(got, f"Content-Type: {kind}\r\n\r\n") + text
+        peer = writer.get_extra_info("socket")
+        assert os.write(peer.fileno(), sent.encode()) == len(
+            sent
+        )  # the transport would hold it until we wait
+        if begun is not None:
+            await until(begun)
+        if by_reset:
+            peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            writer.transport.abort()
+        else:
+            writer.close()
+
+    return act
+
+
 async def reset(stage: Stage, got: Got, writer: Writer) -> None:
     writer.transport.abort()
 
--- /dev/null
+++ b/windvane/answer_log.py
@@ -0,0 +1,36 @@
+"""How the answers of upstreams ended, counted, and logged where the connection or bad bytes ended them."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from loguru import logger
+
+from passpost.answer_end import AnswerEnd, EndKind
+from passpost.http1 import Framing
+from passpost.upstream import Outgoing
+
+
+class AnswerLog:
+    """Watches one balancer's upstream connections; counts since the process started."""
+
+    def __init__(self) -> None:
+        self.ends: Counter[tuple[Framing, EndKind]] = Counter()
+
+    def ended(self, upstream: str, request: Outgoing, end: AnswerEnd) -> None:
+        """An answer, or the wait for one, is over."""
+        self.ends[end.framing, end.kind] += 1
+        if end.kind is EndKind.WHOLE:
+            return
+        # An upstream may close after each answer without a length: those ends are no trouble.
+        usual = end.framing is Framing.CLOSE and end.kind is EndKind.FIN
+        logger.log(
+            "DEBUG" if usual else "INFO",
+            "event=answer_cut upstream={} request={} end={} framing={} status={} bytes={}",
+            upstream,
+            getattr(request, "request_id", b"").decode("latin-1"),
+            end.kind.value,
+            end.framing.value,
+            end.status,
+            end.body_bytes,
+        )
--- a/windvane/balancer.py
+++ b/windvane/balancer.py
@@ -18,6 +18,7 @@
 from screen.settings import Settings, parse_address
 from sonde.doubts import Doubts
 from windvane import manners, readiness
+from windvane.answer_log import AnswerLog
 from windvane.budget import RetryBudget
 from windvane.ingress import RoutedCall, read_head
 from windvane.pair import Handle
@@ -76,6 +77,8 @@
         files = max(settings.limits.max_fds - RESERVED_FILES, 64)
         to_upstreams = max(int(files * UPSTREAM_SHARE), 16)
         self.upstreams = Upstreams(CONNECT_S, IDLE_S * 2, to_upstreams, manners.of_upstreams())
+        self.answers = AnswerLog()
+        self.upstreams.watch_answers = self.answers.ended
         self._chance = random.Random(seed)
         self.load_changed: Callable[[], None] = _nothing
         self._tell_kept: Callable[[bytes, str], None] | None = None
