--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -8,6 +8,8 @@
 import asyncio
 import itertools
 import json
+import socket
+import struct
 from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
@@ -95,6 +97,57 @@
             writer.close()
 
 
+class CuttingServer:
+    """Answers one request a connection, and ends it in the turn of the loop in which it sends the answer.
+
+    With transports the end would come a turn later: whoever reads in between sees one after the other.
+    """
+
+    def __init__(self, answer: Callable[[Got], bytes], by_reset: bool) -> None:
+        self._answer, self._by_reset = answer, by_reset
+        self.got: list[Got] = []
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self._listener.setblocking(False)
+        self.host_port = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        self._begin(self._accept())
+
+    def _begin(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _accept(self) -> None:
+        while True:
+            peer, _ = await asyncio.get_running_loop().sock_accept(self._listener)
+            self._begin(self._serve(peer))
+
+    async def _serve(self, peer: socket.socket) -> None:
+        with peer:
+            reader = Reader()
+            reading = asyncio.get_running_loop().create_task(read_request(reader))
+            while not reading.done():
+                data = await asyncio.get_running_loop().sock_recv(peer, 65536)
+                if data:
+                    reader.feed_data(data)
+                else:
+                    reader.feed_eof()
+                await asyncio.sleep(0)
+            if (got := reading.result()) is None:
+                return
+            self.got.append(got)
+            peer.sendall(self._answer(got))
+            if self._by_reset:
+                peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+    def stop(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        self._listener.close()
+
+
 async def silent(request: Got, writer: Writer) -> None:
     """Take a request and answer nothing."""
 
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -9,74 +9,54 @@
 from passpost.http1 import Framing
 from tests.loopback import run
 from tests.windvane_stage import (
-    Act,
-    Play,
+    CuttingStage,
     Stage,
     answer,
     configuration,
     cut_after,
+    event,
     playing,
     reset,
     route,
-    until_close,
 )
 
 UNSAFE = configuration(1, route(route_type="unsafe", tries=1))
 
 
-def has_begun(play: Play) -> bool:
-    """Whether the balancer has read something of the body that is coming."""
-    connections = [c for u in play.balancer.upstreams._upstreams.values() for c in u.open]
-    return any(c._reader is not None and c._reader.body_size() > 0 for c in connections)
-
-
 async def _garbage(stage: Stage, got: object, writer: object) -> None:
     writer.write(b"noise\r\n\r\n")  # type: ignore[attr-defined]
 
 
 @pytest.mark.parametrize(
-    ("act", "framing", "kind"),
+    ("stage", "framing", "kind"),
     [
-        (answer("200 OK", body="whole"), Framing.LENGTH, EndKind.WHOLE),
-        (answer("500 Oh"), Framing.LENGTH, EndKind.WHOLE),
-        (until_close("whole"), Framing.CLOSE, EndKind.FIN),
-        (until_close("part", by_reset=True), Framing.CLOSE, EndKind.RESET),
-        (cut_after(2), Framing.CHUNKED, EndKind.FIN),
-        (reset, Framing.UNKNOWN, EndKind.FIN),
-        (_garbage, Framing.UNKNOWN, EndKind.INVALID),
+        (Stage("u1", "", answer("200 OK", body="whole")), Framing.LENGTH, EndKind.WHOLE),
+        (Stage("u1", "", answer("500 Oh")), Framing.LENGTH, EndKind.WHOLE),
+        (Stage("u1", "", cut_after(2)), Framing.CHUNKED, EndKind.FIN),
+        (Stage("u1", "", reset), Framing.UNKNOWN, EndKind.FIN),
+        (Stage("u1", "", _garbage), Framing.UNKNOWN, EndKind.INVALID),
+        (CuttingStage("u1", "whole"), Framing.CLOSE, EndKind.FIN),
+        (CuttingStage("u1", "part", by_reset=True), Framing.CLOSE, EndKind.RESET),
     ],
-    ids=["length", "error", "closed", "reset at once", "chunks cut", "nothing", "noise"],
+    ids=["length", "error", "chunks cut", "nothing", "noise", "closed", "reset at once"],
 )
 def test_each_end_of_an_answer_is_counted_by_its_framing_and_by_what_ended_it(
-    act: Act, framing: Framing, kind: EndKind
+    stage: Stage, framing: Framing, kind: EndKind
 ) -> None:
     async def test() -> None:
-        async with playing(Stage("u1", "", act), config=UNSAFE) as play:
+        async with playing(stage, config=UNSAFE) as play:
             await play.ask()
             assert play.balancer.answers.ends == {(framing, kind): 1}
 
     run(test())
 
 
-def test_a_reset_that_comes_after_the_bytes_were_read_counts_as_one_too() -> None:
-    async def test() -> None:
-        async with playing(config=UNSAFE) as play:
-            late = Stage("u1", "", until_close("part", by_reset=True, begun=lambda: has_begun(play)))
-            await late.start()
-            play.list(late)
-            await play.ask()
-            assert play.balancer.answers.ends == {(Framing.CLOSE, EndKind.RESET): 1}
-            late.stop()
-
-    run(test())
-
-
 def test_an_answer_that_is_cut_is_logged_with_its_request_and_what_had_come() -> None:
     lines: list[str] = []
     sink = logger.add(lines.append, format="{message}", level="INFO")
 
     async def test() -> None:
-        async with playing(Stage("u1", "", until_close("part", by_reset=True)), config=UNSAFE) as play:
+        async with playing(CuttingStage("u1", "part", by_reset=True), config=UNSAFE) as play:
             await play.ask("r7")
 
     try:
@@ -85,3 +65,17 @@
         logger.remove(sink)
     said = "event=answer_cut upstream=u1 request=r7 end=reset framing=close status=200 bytes=4\n"
     assert said in lines
+
+
+@pytest.mark.parametrize(
+    ("text", "kind"),
+    [("part", "text/plain"), (event(1) + event(2), "text/event-stream")],
+    ids=["plain", "stream between events"],
+)
+def test_what_a_reset_cuts_never_reaches_a_client_as_whole(text: str, kind: str) -> None:
+    async def test() -> None:
+        async with playing(CuttingStage("u1", text, kind, by_reset=True), config=UNSAFE) as play:
+            reply = await play.ask()
+            assert reply.status == 502 or not reply.whole
+
+    run(test())
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -13,7 +13,7 @@
 from passpost.discovery import parse_address
 from passpost.http1 import Answer
 from passpost.upstream import Attempt, Outgoing, Upstreams
-from tests.loopback import AWAY, OK, FakeServer, Got, Writer, balancer, run, silent, until
+from tests.loopback import AWAY, OK, CuttingServer, FakeServer, Got, Writer, balancer, run, silent, until
 from umberworks.interface import Outcome
 
 REQUEST = Outgoing(b"GET /read HTTP/1.1\r\nX-Txn: a\r\nContent-Length: 0\r\n", b"")
@@ -41,7 +41,9 @@
 
 
 @asynccontextmanager
-async def calls(*servers: FakeServer, max_open: int = 10, idle: float = 30.0) -> AsyncIterator[Calls]:
+async def calls(
+    *servers: FakeServer | CuttingServer, max_open: int = 10, idle: float = 30.0
+) -> AsyncIterator[Calls]:
     for server in servers:
         await server.start()
     upstreams = Upstreams(5.0, idle, max_open)
@@ -108,6 +110,16 @@
     run(test())
 
 
+def test_an_answer_that_ends_with_its_connection_is_whole_after_a_fin_and_not_after_a_reset() -> None:
+    async def test() -> None:
+        for by_reset, outcome in ((False, Outcome.SERVED), (True, Outcome.BROKEN)):
+            server = CuttingServer(lambda got: b"HTTP/1.1 200 OK\r\n\r\npart", by_reset)
+            async with calls(server) as c:
+                assert await c.outcome() is outcome
+
+    run(test())
+
+
 def test_a_refused_connection_never_ran() -> None:
     async def test() -> None:
         with socket.socket() as unused:
--- a/tests/windvane_stage.py
+++ b/tests/windvane_stage.py
@@ -4,9 +4,7 @@
 
 import asyncio
 import json
-import os
 import socket
-import struct
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field, replace
@@ -14,12 +12,11 @@
 
 from screen.configuration import Backend, ClientLimits, Configuration, Route, Service, Upstream
 from screen.settings import Bounds, CloudApi, Limits, Listen, Settings
-from tests.loopback import Got, Reader, Writer, read_request, until
+from tests.loopback import CuttingServer, Got, Reader, Writer, read_request
 from windvane.balancer import Balancer
 
 HOST, PATH = "shop.example", "/run/1"
 Act = Callable[["Stage", Got, Writer], Awaitable[None]]
-Begun = Callable[[], bool]
 
 
 def free_port() -> int:
@@ -116,31 +113,6 @@
     writer.write((head(got, f"Content-Length: {len(stage.name)}\r\n\r\n") + stage.name).encode())
 
 
-def until_close(
-    text: str, kind: str = "text/plain", by_reset: bool = False, begun: Begun | None = None
-) -> Act:
-    """An answer that ends with its connection: closed in order, or reset.
-
-    The reset comes in the same turn of the loop as the bytes, or once `begun` says that those are read.
-    """
-
-    async def act(stage: Stage, got: Got, writer: Writer) -> None:
-        sent = head(got, f"Content-Type: {kind}\r\n\r\n") + text
-        peer = writer.get_extra_info("socket")
-        assert os.write(peer.fileno(), sent.encode()) == len(
-            sent
-        )  # the transport would hold it until we wait
-        if begun is not None:
-            await until(begun)
-        if by_reset:
-            peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-            writer.transport.abort()
-        else:
-            writer.close()
-
-    return act
-
-
 async def reset(stage: Stage, got: Got, writer: Writer) -> None:
     writer.transport.abort()
 
@@ -177,6 +149,23 @@
         writer.close()
 
 
+class CuttingStage(Stage):
+    """An upstream whose answers have neither length nor chunks: they end with their connections."""
+
+    def __init__(self, name: str, text: str, kind: str = "text/plain", by_reset: bool = False) -> None:
+        super().__init__(name)
+        fields = f"Content-Type: {kind}\r\n\r\n"
+        self._cutting = CuttingServer(lambda got: (head(got, fields) + text).encode(), by_reset)
+        self.got = self._cutting.got
+
+    async def start(self) -> None:
+        await self._cutting.start()
+        self.entry = replace(self.entry, addr=self._cutting.host_port)
+
+    def stop(self) -> None:
+        self._cutting.stop()
+
+
 @dataclass
 class Reply:
     """An answer as its client sees it; `whole`: whether it ended in order."""
