Take a close for the end of an answer only where the kernel says that it was no reset

An answer with neither length nor chunks ends with its connection. libuv reports an end of file where it finds the last bytes and a reset in one poll, so that what a crash had cut went to the client framed as complete. Change: at an end of file the connection asks the kernel (POLLERR, POLLHUP), and AnswerReader.end is told which of the two it was; a reset never ends an answer. Plain answers and streams, the system's balancer and the one in service share this code. Looked for elsewhere: the platform's list and orders never take an end of file for an end, links and disks are framed, operators' calls read plain sockets.

--- a/passpost/answer_end.py
+++ b/passpost/answer_end.py
@@ -2,21 +2,11 @@
 
 from __future__ import annotations
 
-import enum
 import select
 import socket
 from dataclasses import dataclass
 
-from passpost.http1 import AnswerReader, Framing
-
-
-class EndKind(enum.Enum):
-    """What ended an answer."""
-
-    WHOLE = "whole"  # its own framing: a length or the last chunk
-    FIN = "fin"  # its connection was closed in order
-    RESET = "reset"  # its connection was reset, or is dead
-    INVALID = "invalid"  # what came is no answer
+from passpost.http1 import AnswerReader, EndKind, Framing
 
 
 @dataclass(frozen=True, slots=True)
--- a/passpost/http1.py
+++ b/passpost/http1.py
@@ -86,6 +86,15 @@
     CLOSE = "close"  # it ends with its connection
 
 
+class EndKind(enum.Enum):
+    """What ended an answer."""
+
+    WHOLE = "whole"  # its own framing: a length or the last chunk
+    FIN = "fin"  # its connection was closed in order
+    RESET = "reset"  # its connection was reset, or is dead
+    INVALID = "invalid"  # what came is no answer
+
+
 class AnswerReader:
     """Reads the one answer that is due on a connection.
 
@@ -131,9 +140,13 @@
             return replace(self._whole, reusable=False)
         return self._whole
 
-    def end(self) -> Answer | None:
-        """The connection has ended in order: the answer if that is how it ends; None if it is cut short."""
-        if self._head_done and self._to_the_end and self._whole is None and not self._bad:
+    def end(self, kind: EndKind) -> Answer | None:
+        """The connection has ended: the answer if that is how it ends; None if it is cut short.
+
+        A body without length and chunks ends with a close in order (RFC 9112, section 8); after a reset
+        nobody can tell what is missing.
+        """
+        if kind is EndKind.FIN and self.framing() is Framing.CLOSE and self._whole is None and not self._bad:
             self._whole = Answer(self._status, self._headers, self._rest(), False)
             return self._whole
         return None
--- a/passpost/upstream.py
+++ b/passpost/upstream.py
@@ -16,13 +16,14 @@
 from dataclasses import dataclass
 from typing import Protocol, cast
 
-from passpost.answer_end import AnswerEnd, EndKind, answer_end, connection_end
+from passpost.answer_end import AnswerEnd, answer_end, connection_end
 from passpost.http1 import (
     HELD_BODY,
     Address,
     Answer,
     AnswerReader,
     BadAnswerError,
+    EndKind,
     Flow,
     Headers,
     Start,
@@ -476,11 +477,16 @@
                 return
 
     def eof_received(self) -> None:
-        """The upstream has closed: an idle connection must not be used again, an answer may end so."""
-        if self._transport is not None:
-            self._tell_end(connection_end(self._transport.get_extra_info("socket")))
+        """The upstream has closed: an idle connection must not be used again, an answer may end so.
+
+        Only a close in order ends an answer: the loop reports an end of file for some resets too.
+        """
+        if self._transport is None:
+            return
+        kind = connection_end(self._transport.get_extra_info("socket"))
+        self._tell_end(kind)
         attempt, reader = self._attempt, self._reader
-        if attempt is not None and reader is not None and (answer := reader.end()) is not None:
+        if attempt is not None and reader is not None and (answer := reader.end(kind)) is not None:
             self._answered(attempt, answer)
         else:
             self._ended()
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -5,8 +5,7 @@
 import pytest
 from loguru import logger
 
-from passpost.answer_end import EndKind
-from passpost.http1 import Framing
+from passpost.http1 import EndKind, Framing
 from tests.loopback import run
 from tests.windvane_stage import (
     CuttingStage,
@@ -79,3 +78,15 @@
             assert reply.status == 502 or not reply.whole
 
     run(test())
+
+
+def test_a_request_that_may_be_repeated_goes_to_another_upstream_after_a_reset() -> None:
+    async def test() -> None:
+        config = configuration(1, route(route_type="safe", tries=2))
+        cutting = [CuttingStage(name, "part", by_reset=True) for name in ("u1", "u2")]
+        async with playing(*cutting, config=config) as play:
+            reply = await play.ask()
+            assert reply.status == 502
+            assert sorted(len(stage.got) for stage in cutting) == [1, 1]
+
+    run(test())
--- a/windvane/answer_log.py
+++ b/windvane/answer_log.py
@@ -6,8 +6,8 @@
 
 from loguru import logger
 
-from passpost.answer_end import AnswerEnd, EndKind
-from passpost.http1 import Framing
+from passpost.answer_end import AnswerEnd
+from passpost.http1 import EndKind, Framing
 from passpost.upstream import Outgoing
 
 
