--- a/mastturn/days/__main__.py
+++ b/mastturn/days/__main__.py
@@ -6,9 +6,9 @@
 
 import click
 
-from mastturn.days.control import draw_control_days
 from mastturn.days.draw import draw_days, read_site
 from mastturn.days.outcomes import read_outcomes, table
+from mastturn.days.overlap import PROFILES, draw_overlapping_days
 from mastturn.days.written import write_day
 from mastturn.files import LabError
 
@@ -26,10 +26,10 @@
 @click.option("--every", is_flag=True, help="All kinds, also those that the site doesn't name.")
 @click.option(
     "--profile",
-    type=click.Choice(["site", "control"]),
+    type=click.Choice(["site", *(p.name for p in PROFILES)]),
     default="site",
     show_default=True,
-    help="The site's own kinds, or all that touch the control state.",
+    help="The site's own kinds; all that touch the control state; or all that the bench lists.",
 )
 @click.option("--out", required=True, type=click.Path(path_type=Path), help="Folder for the files.")
 def draw(site: Path, first: int, count: int, crowd: int, every: bool, profile: str, out: Path) -> None:
@@ -37,8 +37,11 @@
     numbers = range(first, first + count)
     try:
         known = read_site(site, every)
-        is_control = profile == "control"
-        drawn = draw_control_days(known, numbers) if is_control else draw_days(known, numbers, crowd)
+        overlapping = next((p for p in PROFILES if p.name == profile), None)
+        if overlapping is None:
+            drawn = draw_days(known, numbers, crowd)
+        else:
+            drawn = draw_overlapping_days(known, overlapping, numbers)
     except LabError as error:
         raise click.ClickException(str(error)) from None
     out.mkdir(parents=True, exist_ok=True)
