Skip answers to earlier requests instead of ending the attempt that meets them

Cause: after a late second answer the next request on its connection was ended as broken: 502 where it may run once, though it ran, or was about to. An error of status 300 or more without an id even passed for its answer. Change: AnswerReader reads an answer that is not due to its end and goes on to the next; such a connection carries no further request. Only what says that nothing was run may lack an id. Counted as station_upstream_misuses_total, with bytes behind a whole answer and bytes while no request is out.

--- a/passpost/answer_end.py
+++ b/passpost/answer_end.py
@@ -1,7 +1,8 @@
-"""How the answers of upstreams end, as told to whoever watches them."""
+"""How the answers of upstreams end, and what else upstreams send, as told to whoever watches them."""
 
 from __future__ import annotations
 
+import enum
 import select
 import socket
 from dataclasses import dataclass
@@ -9,6 +10,14 @@
 from passpost.http1 import AnswerReader, EndKind, Framing
 
 
+class Misuse(enum.Enum):
+    """What an upstream sends besides the answers that are due; its connection carries no further request."""
+
+    STALE_ANSWER = "stale_answer"  # an answer to an earlier request, in the place of the one that is due
+    SURPLUS = "surplus"  # bytes right behind a whole answer
+    UNASKED = "unasked"  # bytes while no request is out
+
+
 @dataclass(frozen=True, slots=True)
 class AnswerEnd:
     """The end of one answer. `status` is 0 where no whole head has come; `body_bytes` without framing."""
--- a/passpost/upstream.py
+++ b/passpost/upstream.py
@@ -16,7 +16,7 @@
 from dataclasses import dataclass
 from typing import Protocol, cast
 
-from passpost.answer_end import AnswerEnd, answer_end, connection_end
+from passpost.answer_end import AnswerEnd, Misuse, answer_end, connection_end
 from passpost.http1 import (
     HELD_BODY,
     Address,
@@ -40,6 +40,7 @@
 REST_S = 0.005  # an upstream that closes behind an answer, or sends more than it, does so within this
 
 Done = Callable[[Outcome, Answer | None], None]
+WatchMisuse = Callable[[str, Misuse], None]  # told of an upstream and what it sent
 WatchAnswers = Callable[
     [str, "Outgoing", AnswerEnd], None
 ]  # told of an upstream, a request and its answer's end
@@ -151,9 +152,10 @@
         """Whether an attempt can be made: nothing of it is gone."""
         return self.upload is None or self.upload.is_fresh()
 
-    def is_answered_by(self, answer: Answer) -> bool:
-        """Whether an answer is the one to this request, as far as it tells; a surplus one is not."""
-        return True
+    @property
+    def is_due(self) -> Callable[[int, Headers], bool] | None:
+        """Tells by an answer's status and headers whether it is to this request; None: all are."""
+        return None
 
 
 class Sink(Protocol):
@@ -288,7 +290,8 @@
         assert self._transport is not None
         self._attempt = attempt
         held = HELD_BODY if attempt.is_holding() else None
-        self._reader = AnswerReader(held=held, at_once=self._pool.manner.at_once)
+        is_due = attempt.request.is_due
+        self._reader = AnswerReader(held=held, at_once=self._pool.manner.at_once, is_due=is_due)
         attempt.connection = self
         self._moved = time.monotonic()
         # The transport says at once if it could not write it all: see pause_writing.
@@ -364,7 +367,12 @@
         An end, or bytes behind the answer, may lie in the kernel unread: the loop has had no turn since. What
         is written then is lost, or the stray bytes are taken for its answer.
         """
-        return self._transport is None or self._transport.is_closing() or bool(self._poll.poll(0))
+        if self._transport is None or self._transport.is_closing():
+            return True
+        told = next((told for _, told in self._poll.poll(0)), 0)
+        if told == select.POLLIN:
+            self._pool.watch_misuse(self._upstream.name, Misuse.UNASKED)
+        return bool(told)
 
     def drop(self) -> None:
         """Close at once; an attempt on it has been told its end."""
@@ -406,9 +414,11 @@
         """A piece of the answer; without an attempt it is stray, and the connection can't be trusted."""
         attempt, reader = self._attempt, self._reader
         if attempt is None or reader is None:
+            self._pool.watch_misuse(self._upstream.name, Misuse.UNASKED)
             self.drop()
             return
         self._moved = time.monotonic()
+        had_stale = reader.stale
         try:
             answer = reader.feed(data)
         except BadAnswerError as error:
@@ -416,6 +426,8 @@
             self._tell_end(EndKind.INVALID)
             attempt.end(Outcome.BROKEN)
             return
+        for _ in range(reader.stale - had_stale):
+            self._pool.watch_misuse(self._upstream.name, Misuse.STALE_ANSWER)
         self._pass_on(attempt, reader)
         if answer is None and not attempt.is_over():
             if reader.is_open_ended() and not attempt.started and self._length_timer is None:
@@ -423,6 +435,8 @@
                 self._length_timer = timer
         elif answer is not None:
             self._tell_end(EndKind.WHOLE)
+            if reader.has_surplus():
+                self._pool.watch_misuse(self._upstream.name, Misuse.SURPLUS)
             self._answered(attempt, answer)
 
     def _tell_end(self, kind: EndKind) -> None:
@@ -456,10 +470,6 @@
         if attempt.is_over():
             return
         self._forget_timer()
-        if not attempt.request.is_answered_by(answer):
-            log.warning("upstream %s: an answer to another request", self._upstream.name)
-            attempt.end(Outcome.BROKEN)
-            return
         if answer.reusable and not self.unwritten:
             if self._waiting:
                 self.resume()
@@ -526,6 +536,10 @@
     """Nobody wants to know how answers end."""
 
 
+def _unwatched_misuse(server: str, misuse: Misuse) -> None:
+    """Nobody wants to know what upstreams send besides answers."""
+
+
 class Upstreams:
     """All upstreams by name, and the connections to them, of which there are `max_open` at most."""
 
@@ -534,6 +548,7 @@
     ) -> None:
         self.manner = manner or Manner()
         self.watch_answers: WatchAnswers = _unwatched
+        self.watch_misuse: WatchMisuse = _unwatched_misuse
         self._connect_timeout = connect_timeout
         self._idle_limit = idle_timeout * IDLE_SHARE
         self._max_open = self._allowed = max_open
--- a/station/balancer_figures.py
+++ b/station/balancer_figures.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from passpost.answer_end import Misuse
 from screen.metrics import Metric, by, by_labels, counter, gauge, histogram
 from station.balancer_report import status
 from windvane.tally import FIRST_EVENT_S
@@ -69,6 +70,13 @@
             ("framing", "end"),
             {(framing.value, end.value): n for (framing, end), n in role.balancer.answers.ends.items()},
         ),
+        by(
+            "station_upstream_misuses_total",
+            "counter",
+            "What upstreams sent that belongs to no request that is out; its connection is given up.",
+            "by",
+            {misuse.value: role.balancer.answers.misuses[misuse] for misuse in Misuse},
+        ),
         gauge("station_epoch", "The epoch of whoever leads, as last heard of.", told["epoch"]),
         *(
             [gauge("station_news_age_seconds", "Since the control state was last heard of.", age)]
--- a/windvane/answer_log.py
+++ b/windvane/answer_log.py
@@ -6,7 +6,7 @@
 
 from loguru import logger
 
-from passpost.answer_end import AnswerEnd
+from passpost.answer_end import AnswerEnd, Misuse
 from passpost.http1 import EndKind, Framing
 from passpost.upstream import Outgoing
 
@@ -16,6 +16,12 @@
 
     def __init__(self) -> None:
         self.ends: Counter[tuple[Framing, EndKind]] = Counter()
+        self.misuses: Counter[Misuse] = Counter()
+
+    def misused(self, upstream: str, misuse: Misuse) -> None:
+        """An upstream has sent what belongs to no request of ours that is out."""
+        self.misuses[misuse] += 1
+        logger.info("event=connection_misused upstream={} by={}", upstream, misuse.value)
 
     def ended(self, upstream: str, request: Outgoing, end: AnswerEnd) -> None:
         """An answer, or the wait for one, is over."""
--- a/windvane/balancer.py
+++ b/windvane/balancer.py
@@ -79,6 +79,7 @@
         self.upstreams = Upstreams(CONNECT_S, IDLE_S * 2, to_upstreams, manners.of_upstreams())
         self.answers = AnswerLog()
         self.upstreams.watch_answers = self.answers.ended
+        self.upstreams.watch_misuse = self.answers.misused
         self._chance = random.Random(seed)
         self.load_changed: Callable[[], None] = _nothing
         self._tell_kept: Callable[[bytes, str], None] | None = None
--- a/windvane/passage.py
+++ b/windvane/passage.py
@@ -54,7 +54,7 @@
         self._errand = Errand(balancer, self.wants, self._may_leave)
         self._zone = balancer.settings.zone  # where the memory of the prompt is
         after = int(call.after) if call.after is not None and call.after.isdigit() else None
-        self._relay = Relay(self, client, call.txn, after)
+        self._relay = Relay(self, client, after)
         self._fetching: steps.Handle | None = None  # by the run that is out
         self._taken_at = time.monotonic()
         self._was_read = False  # an upstream was sent the prompt to read
--- a/windvane/relay.py
+++ b/windvane/relay.py
@@ -7,7 +7,7 @@
 from passpost.engine import Client
 from passpost.http1 import Flow, Start
 from windvane.streams import BadStreamError, EventReader
-from windvane.wire import is_ours, is_sound
+from windvane.wire import is_sound
 
 
 class Owner(Protocol):
@@ -29,9 +29,9 @@
 class Relay:
     """The sink of each run's stream, and the flow that the client steers."""
 
-    def __init__(self, owner: Owner, client: Client, request_id: bytes, after: int | None) -> None:
+    def __init__(self, owner: Owner, client: Client, after: int | None) -> None:
         """`after`: the last event that the client has already."""
-        self._owner, self._client, self._id = owner, client, request_id
+        self._owner, self._client = owner, client
         self._events = EventReader(after)
         self._head: Start | None = None  # of the stream that comes; it waits for the first event
         self._flow: Flow | None = None
@@ -58,10 +58,10 @@
         return self._events.is_between()
 
     def start(self, start: Start, flow: Flow) -> bool:
-        """A stream begins; False if nobody wants it, or if it is not ours or not sound."""
+        """A stream begins; False if nobody wants it, or if it is not sound."""
         if not self._owner.wants():
             return False
-        self.bad = not (is_ours(start.status, start.headers, self._id) and is_sound(start.headers))
+        self.bad = not is_sound(start.headers)
         if self.bad:
             return False
         self._head, self._flow = start, flow
--- a/windvane/wire.py
+++ b/windvane/wire.py
@@ -5,13 +5,16 @@
 import json
 import re
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from passpost.http1 import Answer, Headers
 from passpost.upstream import Outgoing
 from umberworks.interface import Outcome
 
-SEAL = b"mastturn-server-seal"
+SEAL, REQUEST_ID, NOT_RUN = b"mastturn-server-seal", b"mastturn-request-id", b"mastturn-not-run"
+REJECTIONS = (400, 421)  # statuses that need no header to say so
+IsDue = Callable[[int, Headers], bool]
 _REF = re.compile(r"[0-9A-Za-z_.~-]{1,128}")
 _EVENTS = b"text/event-stream"
 
@@ -29,7 +32,7 @@
 
 def is_not_run(answer: Answer) -> bool:
     """Whether the upstream says that it did not run the request."""
-    return answer.status == 421 or header(answer.headers, b"mastturn-not-run") is not None
+    return answer.status == 421 or header(answer.headers, NOT_RUN) is not None
 
 
 def outcome(answer: Answer) -> Outcome:
@@ -52,15 +55,25 @@
         left = max(self.ends - time.monotonic(), 0.0) * 1000
         return b"%bMastturn-Deadline-Ms: %d\r\n%b\r\n%b" % (self.head, left, self.extra, self.body)
 
-    def is_answered_by(self, answer: Answer) -> bool:
-        """By its id; only rejections may come without one."""
-        return is_ours(answer.status, answer.headers, self.request_id)
+    @property
+    def is_due(self) -> IsDue:
+        """By its id; see `is_ours`."""
+        return lambda status, headers: is_ours(status, headers, self.request_id)
 
 
 def is_ours(status: int, headers: Headers, request_id: bytes) -> bool:
-    """Whether an answer belongs to this request: by its id, which only those that are no success may lack."""
-    told = header(headers, b"mastturn-request-id")
-    return told == request_id if told is not None else status >= 300
+    """Whether an answer belongs to this request.
+
+    Every answer carries its request's id; only one that says that nothing was run may lack it (PROTOCOL,
+    "Upstreams").
+    """
+    told = header(headers, REQUEST_ID)
+    return told == request_id if told is not None else is_rejection(status, headers)
+
+
+def is_rejection(status: int, headers: Headers) -> bool:
+    """Whether an answer says that its request was not run."""
+    return status in REJECTIONS or header(headers, NOT_RUN) is not None
 
 
 def is_sound(headers: Headers) -> bool:
@@ -71,12 +84,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Freed(Outgoing):
-    """The call that frees a handle; its answer carries no id."""
+    """The call that frees a handle; it carries no id, and neither does its answer."""
 
     def write(self, remaining: float) -> bytes:
         """The bytes for the wire."""
         return self.head
 
+    @property
+    def is_due(self) -> IsDue:
+        """An answer with an id belongs to an earlier request."""
+        return lambda status, headers: not header(headers, REQUEST_ID)
+
 
 def free_handle(address: str, holder: str, ref: str) -> Freed:
     """Frees the memory behind `ref` at its holder."""
