End answers that have begun with their requests' deadlines

A stream whose upstream fell silent was held until its client left, 1.5 s and more past its deadline, and kept a balancer that was told to stop from ending. The program in service passes long answers on as before.

--- a/passpost/upstream.py
+++ b/passpost/upstream.py
@@ -66,6 +66,7 @@
     at_once: Callable[[int, Headers], bool] | None = None  # answers passed on from their heads on
     stall_s: float | None = None  # STALL_S
     heeds_keep_alive: bool = False  # idle connections live as long as the upstream's Keep-Alive tells
+    bounds_answers: bool = False  # an answer that is passed on as it comes has to end in its attempt's time
     dark_ms: int = 0  # TCP_USER_TIMEOUT and keep-alive probes: a peer that says nothing so long is gone
 
 
@@ -180,7 +181,10 @@
         sink: Sink | None = None,
         wanted: Callable[[], bool] = lambda: True,
         write_within: float = math.inf,
+        is_bounded: bool = False,
     ) -> None:
+        """`is_bounded`: an answer that is passed on as it comes has to end within the timeout as well."""
+        self._is_bounded = is_bounded
         self.request, self.wanted = request, wanted
         self.connection: _Connection | None = None
         self.connecting: asyncio.Task[None] | None = None
@@ -224,11 +228,11 @@
         return self._sink is not None
 
     def start(self, start: Start, flow: Flow) -> bool:
-        """Its answer is passed on from now on, for as long as it comes; False if nobody wants it."""
+        """Its answer is passed on from now on; False if nobody wants it."""
         if self._sink is None or not self._sink.start(start, flow):
             return False
         self.started = True
-        if self._timer is not None:
+        if self._timer is not None and not self._is_bounded:
             self._timer.cancel()
         return True
 
@@ -599,7 +603,8 @@
         `wanted` is asked again where it has had to wait for its connection. What has not been written within
         so many seconds is not any more.
         """
-        attempt = Attempt(request, timeout, done, written, sink, wanted, write_within)
+        bounded = self.manner.bounds_answers
+        attempt = Attempt(request, timeout, done, written, sink, wanted, write_within, bounded)
         upstream = self._upstreams.get(server)
         if upstream is None or not request.is_sendable():
             attempt.end(Outcome.NOT_SENT)
--- /dev/null
+++ b/tests/test_windvane_deadlines.py
@@ -0,0 +1,42 @@
+"""Answers that have begun end with their requests' deadlines, whatever their upstreams do."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from tests.loopback import Got, Writer, run
+from tests.windvane_stage import Stage, chunk, configuration, event, playing, route, stream_head
+
+
+@pytest.mark.parametrize("resumable", [False, True])
+def test_a_stream_that_falls_silent_is_broken_off_at_its_deadline(resumable: bool) -> None:
+    async def silent_after_one(stage: Stage, got: Got, writer: Writer) -> None:
+        writer.write(stream_head(got) + chunk(event(1)))
+        await asyncio.sleep(30)
+
+    async def test() -> None:
+        config = configuration(1, route(resumable=resumable, tries=1))
+        async with playing(Stage("u1", "", silent_after_one), config=config) as play:
+            begun = asyncio.get_running_loop().time()
+            reply = await play.ask(headers="Mastturn-Deadline-Ms: 300\r\n")
+            assert reply.status == 200 and not reply.whole
+            assert 0.3 <= asyncio.get_running_loop().time() - begun < 1.5
+
+    run(test())
+
+
+def test_a_stream_that_is_still_coming_at_its_deadline_is_broken_off() -> None:
+    async def without_end(stage: Stage, got: Got, writer: Writer) -> None:
+        writer.write(stream_head(got))
+        for number in range(1, 1_000):
+            writer.write(chunk(event(number)))
+            await asyncio.sleep(0.05)
+
+    async def test() -> None:
+        async with playing(Stage("u1", "", without_end), config=configuration(1, route(tries=1))) as play:
+            reply = await play.ask(headers="Mastturn-Deadline-Ms: 300\r\n")
+            assert reply.status == 200 and not reply.whole and reply.body.startswith(event(1).encode())
+
+    run(test())
--- a/windvane/manners.py
+++ b/windvane/manners.py
@@ -19,7 +19,14 @@
 
 def of_upstreams() -> Manner:
     """How upstreams are spoken to."""
-    return Manner(outcome, is_event_stream, STALL_S, True, DARK_MS)
+    return Manner(
+        outcome=outcome,
+        at_once=is_event_stream,
+        stall_s=STALL_S,
+        heeds_keep_alive=True,
+        bounds_answers=True,
+        dark_ms=DARK_MS,
+    )
 
 
 def of_clients(limits: ClientLimits, grace_s: float) -> ClientManner:
