Pass long and slow answers on that are no streams of events

Change: Relay passes an answer that is no stream on byte by byte, with its upstream's framing; nobody takes it up.

--- /dev/null
+++ b/tests/test_windvane_whole_answers.py
@@ -0,0 +1,74 @@
+"""Answers that are no streams of events, however long or slow, reach clients as they are."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from tests.loopback import Got, Writer, run
+from tests.windvane_stage import (
+    Act,
+    Stage,
+    answer,
+    chunk,
+    configuration,
+    head,
+    playing,
+    route,
+)
+
+LONG = "0123456789abcdef" * 8_192  # twice of what is held of a body whose length is known
+PLAIN = configuration(1, route(route_type="safe", tries=2))
+
+
+def slow(body: str, pieces: int = 4, pause_s: float = 0.15, last: bool = True) -> Act:
+    """In chunks with pauses, so that nobody knows its length when it begins to be passed on."""
+
+    async def act(stage: Stage, got: Got, writer: Writer) -> None:
+        writer.write(head(got, "Transfer-Encoding: chunked\r\n\r\n").encode())
+        size = -(-len(body) // pieces)
+        for i in range(0, len(body), size):
+            writer.write(chunk(body[i : i + size]))
+            await asyncio.sleep(pause_s)
+        if last:
+            writer.write(b"0\r\n\r\n")
+        else:
+            writer.close()
+
+    return act
+
+
+def chunked(body: str) -> Act:
+    return slow(body, pieces=3, pause_s=0.0)
+
+
+@pytest.mark.parametrize("act", [answer("200 OK", body=LONG), chunked(LONG)], ids=["a length", "chunks"])
+def test_a_long_whole_answer_reaches_the_client_as_it_is(act: Act) -> None:
+    async def test() -> None:
+        async with playing(Stage("u1", "", act), config=PLAIN) as play:
+            reply = await play.ask()
+            assert (reply.status, reply.whole, reply.body) == (200, True, LONG.encode())
+
+    run(test())
+
+
+def test_a_slow_answer_without_length_reaches_the_client_as_it_is() -> None:
+    async def test() -> None:
+        async with playing(Stage("u1", "", slow("slowly but whole")), config=PLAIN) as play:
+            reply = await play.ask()
+            assert (reply.status, reply.whole, reply.body) == (200, True, b"slowly but whole")
+
+    run(test())
+
+
+def test_a_whole_answer_that_breaks_off_is_not_taken_up_by_another_upstream() -> None:
+    async def test() -> None:
+        config = configuration(1, route(route_type="stream", resumable=True, tries=2))
+        stages = [Stage(name, "", slow("slowly", last=False)) for name in ("u1", "u2")]
+        async with playing(*stages, config=config) as play:
+            reply = await play.ask()
+            assert reply.status == 200 and not reply.whole
+            assert sum(len(stage.got) for stage in stages) == 1
+
+    run(test())
--- a/windvane/pair.py
+++ b/windvane/pair.py
@@ -168,6 +168,11 @@
             self.handle = None
         return self._run(self.handle)
 
+    def begin_answer(self, is_stream: bool) -> None:
+        """Its answer begins at the client; only a stream of events can be resumed."""
+        self.started = True
+        self._resumable = self._resumable and is_stream
+
     def may_repeat(self) -> bool:
         """Whether the run that is out could be left for another."""
         return (self._resumable if self.started else self._idempotent) and self._may(1)
--- a/windvane/passage.py
+++ b/windvane/passage.py
@@ -225,8 +225,8 @@
         self._errand.cancel()
 
     def passes(self) -> None:
-        """Events go to the client now."""
-        self._pair.started = True
+        """Events, or pieces of another answer, go to the client now."""
+        self._pair.begin_answer(self._relay.is_stream)
         if self._fetching is not None:
             self._fetched(True)
         else:
--- a/windvane/relay.py
+++ b/windvane/relay.py
@@ -1,4 +1,8 @@
-"""One answer to a client out of the streams of one upstream or of several, one after the other."""
+"""One answer to a client: a stream out of the runs of one upstream or of several, or a long whole answer.
+
+A stream goes on in whole events, so that another run can take it up. Any other answer goes on byte by byte as
+it comes, with the framing that its upstream gave it, and nobody can take it up.
+"""
 
 from __future__ import annotations
 
@@ -7,7 +11,7 @@
 from passpost.engine import Client
 from passpost.http1 import Flow, Start
 from windvane.streams import BadStreamError, EventReader
-from windvane.wire import is_sound
+from windvane.wire import is_event_stream, is_sound
 
 
 class Owner(Protocol):
@@ -20,20 +24,21 @@
         """Something has come from the upstream."""
 
     def passes(self) -> None:
-        """Events go to the client now."""
+        """Events, or pieces of another answer, go to the client now."""
 
     def spoilt(self) -> None:
         """The stream is broken: nothing more of this upstream is wanted."""
 
 
 class Relay:
-    """The sink of each run's stream, and the flow that the client steers."""
+    """The sink of each run's answer, and the flow that the client steers."""
 
     def __init__(self, owner: Owner, client: Client, after: int | None) -> None:
         """`after`: the last event that the client has already."""
         self._owner, self._client = owner, client
         self._events = EventReader(after)
-        self._head: Start | None = None  # of the stream that comes; it waits for the first event
+        self._head: Start | None = None  # of the answer that comes; a stream's waits for the first event
+        self.is_stream = True  # of events
         self._flow: Flow | None = None
         self._held_up = False  # the client does not read
         self.begun = False  # the head has gone to the client
@@ -50,30 +55,34 @@
         self._events.begin_anew()
 
     def is_streaming(self) -> bool:
-        """Whether the run that is out has begun a stream."""
+        """Whether the run that is out has begun an answer that is passed on as it comes."""
         return self._head is not None
 
     def is_whole(self) -> bool:
-        """Whether what has come ends between two events."""
-        return self._events.is_between()
+        """Whether what has come of a stream ends between two events."""
+        return not self.is_stream or self._events.is_between()
 
     def start(self, start: Start, flow: Flow) -> bool:
-        """A stream begins; False if nobody wants it, or if it is not sound."""
+        """An answer begins; False if nobody wants it, or if it is not sound."""
         if not self._owner.wants():
             return False
         self.bad = not is_sound(start.headers)
         if self.bad:
             return False
         self._head, self._flow = start, flow
+        self.is_stream = is_event_stream(start.status, start.headers)
         if self._held_up:
             flow.pause()
         return True
 
     def more(self, data: bytes) -> None:
-        """A piece of it; only whole events that go on where the last one ended reach the client."""
+        """A piece of it; of a stream only whole events, in their order, reach the client."""
         if not self._owner.wants():
             return
         self._owner.heard()
+        if not self.is_stream:
+            self._pass_on(data)
+            return
         try:
             self._pass_on(self._events.feed(data))
         except BadStreamError as error:
@@ -81,18 +90,19 @@
             self.bad = True
             self._owner.spoilt()
 
-    def _pass_on(self, events: bytes) -> None:
-        if events:
+    def _pass_on(self, data: bytes) -> None:
+        if data:
             self._owner.passes()
             self.show_head()
-            self._client.more(events)
+            self._client.more(data)
 
     def show_head(self) -> None:
         """Let the client have the head of the first stream; those of later ones are nobody's."""
         if not self.begun and self._head is not None:
             self.begun = True
-            # The length of one run says nothing of an answer that another may go on with.
-            self._client.begin(Start(self._head.headers, None, self._head.status), self)
+            # The length of one run says nothing of a stream that another may go on with.
+            length = None if self.is_stream else self._head.length
+            self._client.begin(Start(self._head.headers, length, self._head.status), self)
 
     # ---- the flow of what the client gets
 
