--- a/mastturn/cli.py
+++ b/mastturn/cli.py
@@ -24,6 +24,7 @@
 from mastturn.lab.versions import HERE, MODULE, Versions, open_version
 from mastturn.registry.commands import registry
 from mastturn.report import tables
+from mastturn.soak.commands import soak
 
 BAD_INPUT = 2
 RUN_FAILED = 1
@@ -35,6 +36,15 @@
 class Main(click.Group):
     """The top of the command: what can't be had is one line and exit status 2."""
 
+    def resolve_command(
+        self, ctx: click.Context, args: list[str]
+    ) -> tuple[str | None, click.Command | None, list[str]]:
+        """As the base; raises LabError for a command that is none."""
+        try:
+            return super().resolve_command(ctx, args)
+        except click.UsageError as error:
+            raise LabError(f"{error.format_message()} See 'mastturn --help'.") from None
+
     def invoke(self, ctx: click.Context) -> object:
         """Run a command."""
         try:
@@ -99,6 +109,7 @@
 
 main.add_command(registry)
 main.add_command(chaos)
+main.add_command(soak)
 main.add_command(bench)
 
 
--- a/mastturn/smallfleet/layout.py
+++ b/mastturn/smallfleet/layout.py
@@ -89,26 +89,32 @@
         return raw | {"node": "operator", "role": ""}
 
 
-def lay_out(upstreams: int) -> Layout:
+def lay_out(upstreams: int, cores: int = len(ZONES), edges: int = len(EDGE_ZONES)) -> Layout:
     """A layout on ports that are free now; raises LabError if there are none."""
     subnet = random.SystemRandom().randrange(1, 250)
-    cores = tuple(
-        Machine(f"core-{z[-1]}", "control", f"127.{subnet}.{i + 1}.1", z) for i, z in enumerate(ZONES)
+    control = tuple(
+        Machine(f"core-{_name(i)}", "control", f"127.{subnet}.{i + 1}.1", ZONES[i % len(ZONES)])
+        for i in range(cores)
     )
-    edges = tuple(
-        Machine(f"edge-{name}", "windvane", f"127.{subnet}.{i + 1}.2", zone)
-        for i, (name, zone) in enumerate(zip("abc", EDGE_ZONES, strict=True))
+    balancers = tuple(
+        Machine(f"edge-{_name(i)}", "windvane", f"127.{subnet}.{i + 1}.2", EDGE_ZONES[i % len(EDGE_ZONES)])
+        for i in range(edges)
     )
-    around = [f"127.{subnet}.100.{i + 1}" for i in range(upstreams + 1)]
+    around = [f"127.{subnet}.255.{i + 1}" for i in range(upstreams + 1)]
+    ips = [m.ip for m in (*control, *balancers)] + around
     for first in random.SystemRandom().sample(range(20_000, 30_000, PORTS), 50):
-        if all(
-            _is_free(ip, first + i) for ip in [m.ip for m in (*cores, *edges)] + around for i in range(PORTS)
-        ):
+        if all(_is_free(ip, first + i) for ip in ips for i in range(PORTS)):
             places = tuple(f"{ip}:{first + UPSTREAM}" for ip in around[1:])
-            return Layout(first, cores, edges, f"{around[0]}:{first + PLATFORM}", places)
+            return Layout(first, control, balancers, f"{around[0]}:{first + PLATFORM}", places)
     raise LabError("no free ports on loopback addresses: end whatever holds ports 20000 to 30000")
 
 
+def _name(number: int) -> str:
+    """A machine's name among its kind: a letter, or a number where there are many."""
+    letters = "abcdefghij"
+    return letters[number] if number < len(letters) else str(number)
+
+
 def _is_free(ip: str, port: int) -> bool:
     with socket.socket() as probe:
         probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
--- /dev/null
+++ b/mastturn/soak/checker.py
@@ -0,0 +1,248 @@
+"""Reads the records of a soak and finds what breaks a rule. It has seen nothing of the run but them.
+
+| rule | what breaks it |
+| --- | --- |
+| `mixed` | an answer framed as complete is not its own request's, or not its upstream's whole answer |
+| `gap` | a stream's events do not follow one another, or it ends as complete before its last |
+| `twice` | what may run once has run twice |
+| `promise` | a status that says that nothing was run, though it ran |
+| `unserved` | an upstream's whole answer was there, and the waiting client got another end |
+| `lost` | a request that a sound upstream got is closed on unanswered |
+| `stop` | the same at a balancer that was told to end |
+| `held` | no end in the request's time |
+| `ends` | a request has two ends, or a client gets bytes that it asked nothing for |
+| `drain` | a request reaches an upstream long after the list has shown that it leaves |
+| `configuration` | two changes on one base are acknowledged, or the last acknowledged one is not read back |
+| `process` | a process does not end as told |
+"""
+
+from __future__ import annotations
+
+import json
+import re
+from collections import defaultdict
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from mastturn.soak import faults
+from mastturn.soak.clients import PATIENCE_S
+from mastturn.soak.records import Arrival, Ask, End, EndKind, Records, Style
+
+PROMISES = (408, 421, 429, 503)
+TOUCH_S = 0.1  # a kill or a stop so shortly before a request is sent, or after its end, is an excuse
+DRAIN_S = 4.0  # the bound of the drain, and what the list and the news take
+RECOVERY_S = 2.0  # a trouble of the control state, the list or a balancer holds news up so long after its end
+NEWS_S = 2.5  # without one, news are everywhere within this: the list is read each second
+CROSSING_S = 0.02  # bytes that belong to no request may have crossed a request that was sent so soon
+DUE_S = 0.3  # before its deadline an answer that is whole at its upstream must reach the client
+_EVENT = re.compile(rb"id: (\d+)\ndata: (\S+) (\S+) (\d+)/(\d+)\n\n")
+
+
+@dataclass(frozen=True, slots=True)
+class Finding:
+    """One broken rule: what the request met, and in words what is wrong. `at` on the monotonic clock."""
+
+    rule: str
+    at: float
+    request: str
+    words: str
+    faults: tuple[str, ...] = ()
+    balancer: str = ""
+
+
+class Checker:
+    """The records by request, and the rules."""
+
+    def __init__(self, records: Records) -> None:
+        self._records = records
+        self._arrivals: dict[str, list[Arrival]] = defaultdict(list)
+        for arrival in records.arrivals:
+            self._arrivals[arrival.request].append(arrival)
+        self._runs = {a.seal: a for a in records.arrivals if a.seal}
+
+    def findings(self) -> list[Finding]:
+        """All of them, in the order of their moments."""
+        found = [f for ask in self._records.asks for f in self._check(ask)]
+        found += [*self._drains(), *self._configuration(), *self._others()]
+        return sorted(found, key=lambda f: f.at)
+
+    def _finding(self, rule: str, ask: Ask, words: str) -> Finding:
+        arrivals = self._arrivals[ask.request]
+        at = ask.ends[0].at if ask.ends else ask.sent_at
+        return Finding(rule, at, ask.request, words, tuple(a.fault.value for a in arrivals), ask.balancer)
+
+    # ---- one request
+
+    def _check(self, ask: Ask) -> Iterator[Finding]:
+        runs = [a for a in self._arrivals[ask.request] if a.ran]
+        if len(ask.ends) != 1:
+            yield self._finding("ends", ask, f"{len(ask.ends)} ends")
+            return
+        if not ask.kind.is_idempotent and len(runs) > 1:
+            yield self._finding("twice", ask, f"{ask.kind.value} ran {len(runs)} times")
+        end = ask.ends[0]
+        if end.kind is EndKind.WHOLE:
+            yield from self._check_answer(ask, end, runs)
+        elif end.kind is EndKind.INVALID:
+            yield self._finding("mixed", ask, "the client got what is no answer")
+        if end.kind in (EndKind.WHOLE, EndKind.LEFT) and not _is_failure(end):
+            return
+        yield from self._check_loss(ask, end, runs)
+
+    def _check_answer(self, ask: Ask, end: End, runs: list[Arrival]) -> Iterator[Finding]:
+        seal = end.headers.get("mastturn-server-seal")
+        if seal is None:
+            if end.status < 300:
+                yield self._finding("mixed", ask, f"status {end.status} without a seal")
+            elif end.status in PROMISES and runs and not ask.kind.is_idempotent:
+                yield self._finding("promise", ask, f"status {end.status}, and it ran")
+            elif end.body:
+                yield self._finding("mixed", ask, f"status {end.status} with a body of its own")
+            return
+        run = self._runs.get(seal)
+        if run is None or run.request != ask.request:
+            whose = "nobody's" if run is None else run.request
+            yield self._finding("mixed", ask, f"it got the answer of {whose}")
+        elif run.status != end.status:
+            yield self._finding("mixed", ask, f"status {end.status}, the upstream gave {run.status}")
+        elif ask.kind.is_stream and end.status == 200:
+            yield from self._check_events(ask, end, run)
+        elif run.body != end.body:
+            yield self._finding("mixed", ask, f"{len(end.body)} of {len(run.body)} bytes, framed as complete")
+
+    def _check_events(self, ask: Ask, end: End, run: Arrival) -> Iterator[Finding]:
+        """Each event follows the one before, and is one of a run of this request; the last is there."""
+        last, rest = 0, end.body
+        while (found := _EVENT.match(rest)) is not None:
+            number, seal, request = int(found[1]), found[2].decode(), found[3].decode()
+            event_run = self._runs.get(seal)
+            if request != ask.request or event_run is None or event_run.request != ask.request:
+                yield self._finding("mixed", ask, f"event {number} of {request}")
+                return
+            if number != last + 1:
+                yield self._finding("gap", ask, f"event {number} behind {last}")
+                return
+            last, rest = number, rest[found.end() :]
+        if rest:
+            yield self._finding("mixed", ask, f"{len(rest)} bytes that are no event behind event {last}")
+        elif last != run.events:
+            yield self._finding("gap", ask, f"complete with {last} of {run.events} events")
+
+    def _check_loss(self, ask: Ask, end: End, runs: list[Arrival]) -> Iterator[Finding]:
+        """What the client missed, where nobody but the balancer can be to blame."""
+        if self._is_excused(ask, end) or any(a.dirty_s < CROSSING_S for a in self._arrivals[ask.request]):
+            return
+        if end.kind is EndKind.NONE and ask.style is not Style.SLOW:
+            yield self._finding("held", ask, f"no end {PATIENCE_S:g} s after its deadline")
+            return
+        served = [a for a in runs if a.whole_at is not None and a.fault in faults.SOUND and a.status == 200]
+        in_time = [a for a in served if a.whole_at is not None and a.whole_at < ask.deadline_at - DUE_S]
+        if in_time and end.status != 200:
+            yield self._finding("unserved", ask, f"{_words(end)} though {in_time[0].seal} was whole")
+            return
+        if end.at >= ask.deadline_at:
+            return
+        is_sound = all(a.fault in faults.HARMLESS for a in self._arrivals[ask.request])
+        if (
+            end.kind in (EndKind.CUT, EndKind.CLOSED)
+            and runs
+            and is_sound
+            and not self._has_crashed(runs, end)
+        ):
+            rule = "stop" if self._meets("term", ask, end) else "lost"
+            yield self._finding(rule, ask, f"{_words(end)} at a sound upstream")
+
+    def _is_excused(self, ask: Ask, end: End) -> bool:
+        """Whether its balancer was killed, or stood still, while it was open, or its client is to blame."""
+        if ask.style in (Style.LEAVES, Style.HALF_CLOSED):
+            return True
+        return self._meets("kill", ask, end) or self._meets("stop", ask, end)
+
+    def _meets(self, what: str, ask: Ask, end: End) -> bool:
+        return any(
+            span.what == what
+            and span.who == ask.balancer
+            and span.meets(ask.sent_at - TOUCH_S, end.at + TOUCH_S)
+            for span in self._records.spans
+        )
+
+    def _has_crashed(self, runs: list[Arrival], end: End) -> bool:
+        """Whether one of its upstreams crashed while it was there."""
+        return any(
+            span.what == "crash" and span.who == run.upstream and span.meets(run.at, end.at + TOUCH_S)
+            for run in runs
+            for span in self._records.spans
+        )
+
+    # ---- the whole
+
+    def _drains(self) -> Iterator[Finding]:
+        left = {d.upstream: d.at for d in self._records.delisted}
+        balancers = {ask.request: ask.balancer for ask in self._records.asks}
+        for arrival in self._records.arrivals:
+            since = left.get(arrival.upstream)
+            if since is None or arrival.at - since <= DRAIN_S:
+                continue
+            balancer = balancers.get(arrival.request, "")
+            if self._longest_calm(since, arrival.at, balancer) >= NEWS_S:
+                words = f"reaches {arrival.upstream} {arrival.at - since:.1f} s after it began to leave"
+                yield Finding("drain", arrival.at, arrival.request, words, (arrival.fault.value,), balancer)
+
+    def _longest_calm(self, begin: float, end: float, balancer: str) -> float:
+        """The longest time between in which nothing that brings news to a balancer was in trouble."""
+        held_up = sorted(
+            (span.begin, span.end + RECOVERY_S)
+            for span in self._records.spans
+            if span.what == "list" or span.who.startswith("core") or span.who == balancer
+        )
+        longest, calm_since = 0.0, begin
+        for trouble, over in held_up:
+            longest = max(longest, min(trouble, end) - calm_since)
+            calm_since = max(calm_since, over)
+        return max(longest, end - calm_since)
+
+    def _configuration(self) -> Iterator[Finding]:
+        acked = [put for put in self._records.puts if put.status == 200]
+        by_base: dict[int, set[bytes]] = defaultdict(set)
+        for put in acked:
+            if not put.is_valid:
+                yield Finding(
+                    "configuration", put.answered_at, "", f"invalid version {put.ver} is acknowledged"
+                )
+            by_base[put.base].add(put.body)
+            if len(by_base[put.base]) == 2:
+                words = f"two changes on top of {put.base} are acknowledged"
+                yield Finding("configuration", put.answered_at, "", words)
+        yield from self._reads()
+        newest = max((put.ver for put in acked), default=0)
+        if self._records.settled_ver < newest:
+            words = f"version {self._records.settled_ver} is read back, {newest} was acknowledged"
+            yield Finding("configuration", 0.0, "", words)
+        sent = {put.ver: json.loads(put.body) for put in self._records.puts if put.status == 200}
+        wanted = sent.get(self._records.settled_ver)
+        if wanted is not None and json.loads(self._records.settled_body) != wanted:
+            words = f"version {self._records.settled_ver} is not as it was sent"
+            yield Finding("configuration", 0.0, "", words)
+
+    def _reads(self) -> Iterator[Finding]:
+        """A read that was sent after an acknowledgement shows that version or a later one."""
+        for read in self._records.reads:
+            before = [p.ver for p in self._records.puts if p.status == 200 and p.answered_at < read.sent_at]
+            if read.ver and before and read.ver < max(before):
+                words = f"{read.by} shows version {read.ver} after {max(before)} was acknowledged"
+                yield Finding("configuration", read.sent_at, "", words)
+
+    def _others(self) -> Iterator[Finding]:
+        for words in self._records.unclean:
+            yield Finding("process", 0.0, "", words)
+        for words in self._records.unasked:
+            yield Finding("ends", 0.0, "", f"bytes that nobody asked for: {words}")
+
+
+def _is_failure(end: End) -> bool:
+    """Whether it is an answer of the balancer's own that says that the request has failed."""
+    return end.status >= 500 and end.status not in PROMISES and "mastturn-server-seal" not in end.headers
+
+
+def _words(end: End) -> str:
+    return f"status {end.status}" if end.kind is EndKind.WHOLE else end.kind.value
--- /dev/null
+++ b/mastturn/soak/play.py
@@ -0,0 +1,97 @@
+"""One soak from its start to its end: the fleet, what stands around it, troubles, and the records of all."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import tempfile
+import time
+from collections.abc import Callable, Iterator
+from contextlib import AsyncExitStack
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from mastturn.files import LabError
+from mastturn.smallfleet.layout import lay_out
+from mastturn.soak import clients, operators
+from mastturn.soak.checker import Checker, Finding
+from mastturn.soak.fleet import Fleet
+from mastturn.soak.plan import Plan
+from mastturn.soak.records import Records
+from mastturn.soak.surroundings import Surroundings
+from mastturn.soak.troubles import Troubles
+
+SPARE_PLACES = 12  # addresses for upstreams that come later
+OPERATORS = 2
+
+Say = Callable[[str], None]
+
+
+@dataclass(frozen=True, slots=True)
+class Result:
+    """What came of a soak. `began` is the moment, on the monotonic clock, from which seconds count."""
+
+    plan: Plan
+    records: Records
+    findings: list[Finding]
+    troubles: dict[str, int]
+    began: float
+    logs: dict[str, str] = field(repr=False)
+
+    def lines_about(self, request: str) -> list[str]:
+        """What balancers and control processes have logged of one request."""
+        return [
+            f"{name}: {line}"
+            for name, text in self.logs.items()
+            for line in text.splitlines()
+            if request and request in line
+        ]
+
+
+async def _play(plan: Plan, folder: Path, say: Say) -> Result:
+    records = Records()
+    layout = lay_out(plan.upstreams + SPARE_PLACES, plan.control, plan.balancers)
+    around = Surroundings(layout, plan.upstreams, plan.seed, records)
+    fleet = Fleet(layout, folder, records, plan.defect)
+    troubles = Troubles(fleet, around, plan.seed, say, plan.only)
+    stop, began = asyncio.Event(), time.monotonic()
+    async with AsyncExitStack() as ending:
+        ending.callback(around.stop)
+        await around.start()
+        ending.push_async_callback(fleet.stop)
+        await fleet.start()
+        say(f"{len(fleet.members)} processes and {plan.upstreams} upstreams are up")
+        began = time.monotonic()
+        watching = asyncio.create_task(fleet.watch())
+        ending.callback(watching.cancel)
+        callers = [clients.Client(n, plan.seed, records, lambda: fleet.ready) for n in range(plan.clients)]
+        changing = [operators.Operator(n, plan.seed, layout.ctl(), records) for n in range(OPERATORS)]
+        playing = [asyncio.create_task(clients.play(callers, stop))]
+        playing += [asyncio.create_task(operator.run(stop)) for operator in changing]
+        try:
+            await troubles.run(plan.seconds)
+        finally:
+            stop.set()
+            await asyncio.gather(*playing)
+        await operators.read_back(layout.ctl(), records)
+    logs = {path.stem: path.read_text(errors="replace") for path in sorted(folder.glob("*.log"))}
+    return Result(plan, records, Checker(records).findings(), troubles.counts, began, logs)
+
+
+def play(plan: Plan, say: Say, keep: Path | None = None) -> Result:
+    """Play it; all that was started has ended then. `keep`: a folder for settings, disks and logs."""
+    with _folder(keep) as folder:
+        try:
+            return asyncio.run(_play(plan, folder, say))
+        except OSError as error:
+            raise LabError(f"{error}; free the address, or try again") from None
+
+
+@contextlib.contextmanager
+def _folder(keep: Path | None) -> Iterator[Path]:
+    if keep is not None:
+        keep.mkdir(parents=True, exist_ok=True)
+        yield keep
+        return
+    with tempfile.TemporaryDirectory(prefix="mastturn-soak-") as name:
+        yield Path(name)
