Name the system packages of a clean build in deploy/system.toml

Change: packages: ca-certificates, python3, python3-pip; a test holds them and the programs that the build calls.

--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -35,3 +35,13 @@
     requirements.write_text("# nothing still, in other words\n")
     run_build()
     assert not leftover.exists()
+
+
+def test_the_system_names_the_packages_of_a_clean_build() -> None:
+    """Its build runs the system's own `python3 -m pip`, and no other program that Debian's base lacks."""
+    deploy = tomllib.loads((DEPLOY.parent / "system.toml").read_text())
+    assert deploy["packages"] == ["ca-certificates", "python3", "python3-pip"]
+    commands = {
+        word for word in deploy["build"].replace("(", " ").replace(")", " ").split() if word.isalnum()
+    }
+    assert commands & {"python3", "touch", "cmp", "cp", "git", "make", "gcc", "cc"} == {"python3", "touch"}
