--- a/consensus/leaving.py
+++ b/consensus/leaving.py
@@ -22,19 +22,19 @@
     """The members that are told to stop, as far as this process has heard."""
 
     def __init__(self) -> None:
-        self._heard_at: dict[str, float] = {}  # by identity
+        self._said_at: dict[str, float] = {}  # by identity
 
     def add(self, identity: str, now: float) -> None:
         """A member says that it leaves, or has named us its successor."""
-        self._heard_at[identity] = now
+        self._said_at[identity] = now
 
     def expire(self, now: float) -> None:
         """Who has not said so for a while leaves no more."""
-        self._heard_at = {i: at for i, at in self._heard_at.items() if now - at < HEARD_MS}
+        self._said_at = {i: at for i, at in self._said_at.items() if now - at < HEARD_MS}
 
     def identities(self) -> frozenset[str]:
         """All of them."""
-        return frozenset(self._heard_at)
+        return frozenset(self._said_at)
 
 
 class Departure:
--- a/mastturn/control_check/defects.py
+++ b/mastturn/control_check/defects.py
@@ -8,12 +8,14 @@
 from consensus.campaign import Campaign
 from consensus.codec import Record
 from consensus.effects import Persist, Reply, Send, Spec, Verdict
-from consensus.messages import Install, Message, Promised, Written
-from consensus.primary import Command, Primary
+from consensus.membership import Add, Change, Replace
+from consensus.messages import Install, Message, Prepare, Promised, Write, Written
+from consensus.primary import Command, Primary, Put
 from consensus.replica import Replica
-from consensus.views import Member, Memory, View
+from consensus.views import Member, Memory, Past, View
 
 LEASE_MS = 400.0
+FEW = 3  # changes that a forgetful process remembers
 
 
 class _HastyAcceptor(Acceptor):
@@ -148,3 +150,192 @@
         if named and campaign is not None:
             campaign.__class__ = _NamedCampaign
             campaign.holders_wanted = 1
+
+
+class _MinorityPrimary(Primary):
+    """Acknowledges a write once it is on its own disk."""
+
+    def written(self, message: Written, now: float) -> None:
+        """As if the other holders had kept it too."""
+        if message.ok and message.number == self.committed.number + 1:
+            self._kept |= set(self.view.holders) - {self.view.primary}
+        super().written(message, now)
+
+
+class AnswersFromMinority(_Replaced):
+    """A leader that is cut off confirms changes."""
+
+    primary_kind = _MinorityPrimary
+
+
+class _HastyRefusals(Primary):
+    """Refuses without proof that nobody has taken its place."""
+
+    def _owe(self, command: Command, verdict: Verdict, now: float) -> None:
+        if verdict is Verdict.STALE:
+            self._emit(Reply(command.token, verdict, self.committed))
+        else:
+            super()._owe(command, verdict, now)
+
+
+class RefusesWithoutProof(_Replaced):
+    """A deposed leader that does not know it yet answers 412."""
+
+    primary_kind = _HastyRefusals
+
+
+class _CarelessPrimary(Primary):
+    """Takes a change on top of an older version, as long as its number is higher."""
+
+    def submit(self, command: Command, now: float) -> None:
+        """As if every change built on the newest version."""
+        if isinstance(command, Put) and command.base < self.committed.ver < command.ver:
+            command = replace(command, base=self.committed.ver)
+        super().submit(command, now)
+
+
+class ConfirmsBothOfARace(_Replaced):
+    """Two changes on top of one version are both confirmed."""
+
+    primary_kind = _CarelessPrimary
+
+
+class _ByNumberAlone(Primary):
+    """Takes a number for the change that it was given to."""
+
+    def submit(self, command: Command, now: float) -> None:
+        """As if whoever names a version that was taken had sent it."""
+        if isinstance(command, Put):
+            digest = next((t.digest for t in self.committed.taken if t.ver == command.ver), command.digest)
+            command = replace(command, digest=digest)
+        super().submit(command, now)
+
+
+class ConfirmsOneNumberTwice(_Replaced):
+    """Two operators are both confirmed under one number."""
+
+    primary_kind = _ByNumberAlone
+
+
+class _Forgetful(Primary):
+    """Knows the last few changes only, and takes all others for new."""
+
+    def submit(self, command: Command, now: float) -> None:
+        """As if the history ended there."""
+        known = self.committed
+        if isinstance(command, Put) and known.past(command.ver, command.digest) is Past.TAKEN:
+            recent = {taken.ver for taken in known.taken[-FEW:]}
+            command = command if command.ver in recent else replace(command, digest="forgotten")
+        super().submit(command, now)
+
+
+class RefusesARepeat(_Replaced):
+    """An order that was taken is refused when it comes again after some other changes."""
+
+    primary_kind = _Forgetful
+
+
+class EndsAtOnce(Replica):
+    """A member that is told to stop ends, whatever rests on it."""
+
+    def may_end(self) -> bool:
+        """At any time."""
+        return True
+
+
+class ReplacesWhoIsSilent(Replica):
+    """The slot of a silent member goes to a newcomer in one step."""
+
+    def _due_change(self, primary: Primary, now: float) -> Change:
+        change = super()._due_change(primary, now)
+        dead = [slot for slot in primary.silent(now, self._spec.dead_ms) if slot != primary.view.primary]
+        return Replace(dead[0], change.newcomer) if isinstance(change, Add) and dead else change
+
+
+class _EarlyAcceptor(Acceptor):
+    """Takes a slot from a view that may come to nothing."""
+
+    def _install(self, ip: str, message: Install, now: float) -> None:
+        super()._install(ip, replace(message, active=True), now)
+
+
+class _EarlyReplace(Replace):
+    """Tells the newcomer of the view at once, and counts it."""
+
+    def joins(self, base: View) -> Member | None:
+        """The newcomer, though its slot is another's in the base."""
+        return self.newcomer
+
+
+class NewcomerVotesEarly(_Replaced):
+    """A newcomer in another's slot votes before the view is in force."""
+
+    acceptor_kind = _EarlyAcceptor
+
+    def _due_change(self, primary: Primary, now: float) -> Change:
+        change = super()._due_change(primary, now)
+        return _EarlyReplace(change.slot, change.newcomer) if isinstance(change, Replace) else change
+
+
+class _KeepsOldData(Acceptor):
+    """Accepts a view, and keeps the data that it had."""
+
+    def _install(self, ip: str, message: Install, now: float) -> None:
+        if message.document is not None and message.view.leader().identity != self.memory.identity:
+            message = replace(message, document=self.memory.document)
+        super()._install(ip, message, now)
+
+
+class SkipsAChange(_Replaced):
+    """A holder does not take over the data that comes with a view."""
+
+    acceptor_kind = _KeepsOldData
+
+
+class _BlindCampaign(Campaign):
+    """Counts whoever promises, whatever view it has accepted."""
+
+    __slots__ = ()
+
+    def _agrees(self, sender: str, epoch: int, ok: bool, promised: int, view: View | None) -> bool:
+        return super()._agrees(sender, epoch, ok, promised, None)
+
+
+class LeadsWithAnOldDisk(Replica):
+    """A process that was away for long goes on from the view that it knows."""
+
+    def _run(self, now: float, handover: bool = False) -> None:
+        super()._run(now, handover)
+        campaign = self.candidate.campaign
+        if campaign is not None:
+            campaign.__class__ = _BlindCampaign
+
+
+class _ForgetfulOfPromises(Acceptor):
+    """Promises an epoch to whoever asks for it, also to two."""
+
+    def _prepare(self, ip: str, message: Prepare, now: float) -> None:
+        if message.epoch == self.memory.promised:
+            self._promised_to = message.sender
+        super()._prepare(ip, message, now)
+
+
+class PromisesTwice(_Replaced):
+    """One epoch is promised to two processes."""
+
+    acceptor_kind = _ForgetfulOfPromises
+
+
+class _TakesAnyWrite(Acceptor):
+    """Keeps a write of an epoch below its promise."""
+
+    def _write(self, ip: str, message: Write) -> None:
+        promised, self.memory.promised = self.memory.promised, 0
+        super()._write(ip, message)
+        self.memory.promised = max(promised, self.memory.promised)
+
+
+class WritesPastAPromise(_Replaced):
+    """A holder that has promised a later epoch still keeps writes of the one before."""
+
+    acceptor_kind = _TakesAnyWrite
--- a/mastturn/control_check/explore.py
+++ b/mastturn/control_check/explore.py
@@ -8,7 +8,8 @@
 import time
 from array import array
 from collections import deque
-from dataclasses import dataclass
+from collections.abc import Hashable
+from dataclasses import dataclass, field
 
 from consensus.replica import Replica
 from mastturn.control_check.local import Make
@@ -29,6 +30,7 @@
     story: tuple[str, ...] = ()
     taken_over: int = 0  # states in which another than the first leads
     acknowledged: int = 0  # states in which a write is acknowledged
+    outcomes: set[Hashable] = field(default_factory=set, repr=False)  # all that was ever said
 
 
 @dataclass(slots=True)
@@ -75,6 +77,7 @@
             place = seen.places[hash(state)]
             found.taken_over += any(steps.processes.leads(p) for p in state.processes[1:])
             found.acknowledged += steps.acknowledged(state)
+            found.outcomes.add(steps.told(state))
             for action in steps.actions(state):
                 try:
                     after = steps.act(state, action)
@@ -116,6 +119,7 @@
                 story.append(action)
                 state = steps.act(state, action)
                 met.add(hash(state))
+                found.outcomes.add(steps.told(state))
                 found.taken_over += any(steps.processes.leads(p) for p in state.processes[1:])
                 found.acknowledged += steps.acknowledged(state)
     except BrokenRuleError as error:
--- a/mastturn/soak/fleet.py
+++ b/mastturn/soak/fleet.py
@@ -180,8 +180,8 @@
         return "; ".join(f"{name}: {m.process.last_words()}" for name, m in list(self.members.items())[:4])
 
 
-def configuration(ver: int, idle_routes: int = 0) -> dict[str, object]:
-    """The configuration of a soak, with so many routes that nobody asks for."""
+def configuration(ver: int, idle_routes: int = 0, mark: str = "") -> dict[str, object]:
+    """The configuration of a soak, with so many routes that nobody asks for, and one that tells whose it is."""
     base = layout.configuration(ver)
     stream = base["routes"][0] | {"deadline_ms": 6000}
     routes = [
@@ -190,7 +190,8 @@
         stream | {"name": "safe", "path_prefix": "/safe/", "route_type": "safe", "tries": 3},
         stream | {"name": "once", "path_prefix": "/once/", "route_type": "unsafe", "tries": 2},
     ]
-    idle = [stream | {"name": f"idle{n}", "path_prefix": f"/idle{n}/"} for n in range(idle_routes)]
+    names = [*(f"idle{number}" for number in range(idle_routes)), *([f"mark-{mark}"] if mark else [])]
+    idle = [stream | {"name": name, "path_prefix": f"/{name}/"} for name in names]
     return base | {"routes": [*routes, *idle]}
 
 
--- a/mastturn/soak/operators.py
+++ b/mastturn/soak/operators.py
@@ -27,6 +27,10 @@
     def __init__(self, number: int, seed: int, ctl: list[str], records: Records) -> None:
         self._dice = random.Random(f"{seed}/operator/{number}")
         self._ctl, self._records, self._known = ctl, records, 1
+        self._number, self._count = (
+            number,
+            0,
+        )  # of this operator, and of its changes: no two changes are alike
 
     async def run(self, stop: asyncio.Event) -> None:
         """A change each second until told to stop."""
@@ -43,7 +47,8 @@
     async def _change(self, session: ClientSession, stop: asyncio.Event) -> None:
         """One change, sent again as it was until its answer is clear."""
         ver = self._known + self._dice.randint(1, MOST_STEP)
-        raw = configuration(ver, self._dice.randint(0, IDLE_ROUTES))
+        self._count += 1
+        raw = configuration(ver, self._dice.randint(0, IDLE_ROUTES), f"{self._number}-{self._count}")
         is_valid = self._dice.random() >= INVALID_SHARE
         if not is_valid:
             raw["routes"][0]["svc"] = "nobody"  # type: ignore[index]
