--- a/mastturn/control_check/__main__.py
+++ b/mastturn/control_check/__main__.py
@@ -22,7 +22,7 @@
 )
 from mastturn.control_check.losses import cases, losses_table, play_cases
 from mastturn.control_check.pictures import takeovers
-from mastturn.control_check.planted import SEARCHED, brief, failed_syncs, shrinks
+from mastturn.control_check.planted import SEARCHED, brief, ends_at_once, failed_syncs, shrinks
 from mastturn.control_check.steps import Bounds
 from mastturn.control_check.world import STORM_AIR, Shape
 from mastturn.files import LabError
@@ -125,6 +125,11 @@
         click.echo(f"    then:  {', '.join(map(brief, found.story))}")
         if found.rule != planted.rule:
             missed.append(planted.name)
+    ended = next((outcome for outcome in ends_at_once() if outcome.broken), None)
+    if ended is None:
+        missed.append("a holder let go too early")
+    else:
+        click.echo(f"a holder let go too early: {ended.case}: {ended.broken}")
     for name, histories in (
         ("holders that shrink without a majority", shrinks()),
         ("a failed sync that is taken for done", failed_syncs()),
--- a/mastturn/control_check/defects.py
+++ b/mastturn/control_check/defects.py
@@ -8,14 +8,13 @@
 from consensus.campaign import Campaign
 from consensus.codec import Record
 from consensus.effects import Persist, Reply, Send, Spec, Verdict
-from consensus.membership import Add, Change, Replace
-from consensus.messages import Install, Message, Prepare, Promised, Write, Written
+from consensus.messages import Install, Message, Promised, Written
 from consensus.primary import Command, Primary, Put
 from consensus.replica import Replica
 from consensus.views import Member, Memory, Past, View
 
 LEASE_MS = 400.0
-FEW = 3  # changes that a forgetful process remembers
+FEW = 1  # changes that a forgetful process remembers
 
 
 class _HastyAcceptor(Acceptor):
@@ -243,40 +242,6 @@
         return True
 
 
-class ReplacesWhoIsSilent(Replica):
-    """The slot of a silent member goes to a newcomer in one step."""
-
-    def _due_change(self, primary: Primary, now: float) -> Change:
-        change = super()._due_change(primary, now)
-        dead = [slot for slot in primary.silent(now, self._spec.dead_ms) if slot != primary.view.primary]
-        return Replace(dead[0], change.newcomer) if isinstance(change, Add) and dead else change
-
-
-class _EarlyAcceptor(Acceptor):
-    """Takes a slot from a view that may come to nothing."""
-
-    def _install(self, ip: str, message: Install, now: float) -> None:
-        super()._install(ip, replace(message, active=True), now)
-
-
-class _EarlyReplace(Replace):
-    """Tells the newcomer of the view at once, and counts it."""
-
-    def joins(self, base: View) -> Member | None:
-        """The newcomer, though its slot is another's in the base."""
-        return self.newcomer
-
-
-class NewcomerVotesEarly(_Replaced):
-    """A newcomer in another's slot votes before the view is in force."""
-
-    acceptor_kind = _EarlyAcceptor
-
-    def _due_change(self, primary: Primary, now: float) -> Change:
-        change = super()._due_change(primary, now)
-        return _EarlyReplace(change.slot, change.newcomer) if isinstance(change, Replace) else change
-
-
 class _KeepsOldData(Acceptor):
     """Accepts a view, and keeps the data that it had."""
 
@@ -311,31 +276,15 @@
             campaign.__class__ = _BlindCampaign
 
 
-class _ForgetfulOfPromises(Acceptor):
-    """Promises an epoch to whoever asks for it, also to two."""
-
-    def _prepare(self, ip: str, message: Prepare, now: float) -> None:
-        if message.epoch == self.memory.promised:
-            self._promised_to = message.sender
-        super()._prepare(ip, message, now)
-
-
-class PromisesTwice(_Replaced):
-    """One epoch is promised to two processes."""
-
-    acceptor_kind = _ForgetfulOfPromises
-
-
-class _TakesAnyWrite(Acceptor):
-    """Keeps a write of an epoch below its promise."""
+class _EagerPrimary(Primary):
+    """Counts its own copy of a write before it is synced."""
 
-    def _write(self, ip: str, message: Write) -> None:
-        promised, self.memory.promised = self.memory.promised, 0
-        super()._write(ip, message)
-        self.memory.promised = max(promised, self.memory.promised)
+    def _send_write(self, slots: set[int]) -> None:
+        super()._send_write(slots)
+        self._kept.add(self.view.primary)
 
 
-class WritesPastAPromise(_Replaced):
-    """A holder that has promised a later epoch still keeps writes of the one before."""
+class AnswersBeforeOwnSync(_Replaced):
+    """A leader acknowledges what only the backup has synced."""
 
-    acceptor_kind = _TakesAnyWrite
+    primary_kind = _EagerPrimary
--- a/mastturn/control_check/planted.py
+++ b/mastturn/control_check/planted.py
@@ -7,16 +7,26 @@
 from dataclasses import dataclass
 
 from mastturn.control_check.defects import (
+    AnswersBeforeOwnSync,
     AnswersBeforeSync,
+    AnswersFromMinority,
+    ConfirmsBothOfARace,
+    ConfirmsOneNumberTwice,
+    EndsAtOnce,
     HoldersShrinkAlone,
+    LeadsWithAnOldDisk,
     PromisesBeforeSync,
     ReadsWithoutProof,
+    RefusesARepeat,
+    RefusesWithoutProof,
+    SkipsAChange,
     SuccessorWithoutMajority,
     WipedVotes,
 )
 from mastturn.control_check.explore import Found, explore
 from mastturn.control_check.history import History, play
 from mastturn.control_check.local import Make
+from mastturn.control_check.losses import Outcome, Replacement, cases
 from mastturn.control_check.steps import Bounds
 from mastturn.control_check.world import STORM_AIR, Shape
 
@@ -31,6 +41,9 @@
     *(*PROMISED_TO_1, "deliver Promised 2 1"),
     *("crash 2", "run 0", "sync 0", "deliver Prepare 0 2", "deliver Promised 2 0", "settle 0", "settle 1"),
 )
+ACKNOWLEDGED = ("sync 0", "deliver Write 0 1", "sync 1", "deliver Written 1 0")
+TWO_ACKNOWLEDGED = ("submit 0 0", *ACKNOWLEDGED, "submit 1 0", *ACKNOWLEDGED)
+LOGGED = ("submit 0 0", "sync 0", "run 0", "sync 0")
 WRITE_LOST = ("submit 0 0", "deliver Write 0 1", "crash 1", "run 1")
 STORM = Shape(3, 1, sync_ms=20.0, storm=True, air=STORM_AIR)
 
@@ -80,9 +93,62 @@
         SuccessorWithoutMajority,
         Bounds(writes=1, tries=1, campaigns=2, crashes=0, before=("run 1",)),
     ),
+    Searched(
+        "an answer before the leader's own sync",
+        "no loss",
+        AnswersBeforeOwnSync,
+        Bounds(writes=1, tries=1, campaigns=1, crashes=1),
+    ),
+    Searched(
+        "an answer from a minority",
+        "no loss",
+        AnswersFromMinority,
+        Bounds(writes=1, tries=1, campaigns=1, crashes=0),
+    ),
+    Searched(
+        "412 from a deposed leader",
+        "old answer",
+        RefusesWithoutProof,
+        Bounds(writes=2, chained=1, tries=1, campaigns=1, crashes=0, before=WRITTEN[:-5]),
+    ),
+    Searched(
+        "two changes on one version confirmed",
+        "race",
+        ConfirmsBothOfARace,
+        Bounds(writes=2, tries=1, campaigns=0, crashes=0),
+    ),
+    Searched(
+        "one number confirmed twice",
+        "no loss",
+        ConfirmsOneNumberTwice,
+        Bounds(writes=2, tries=1, reads=1, campaigns=0, crashes=0, same_number=True),
+    ),
+    Searched(
+        "a repeat refused",
+        "refused",
+        RefusesARepeat,
+        Bounds(writes=1, chained=1, tries=2, reads=1, campaigns=0, crashes=0, before=TWO_ACKNOWLEDGED),
+    ),
+    Searched(
+        "a view that skips a change",
+        "no loss",
+        SkipsAChange,
+        Bounds(writes=1, tries=1, campaigns=2, crashes=0, before=LOGGED),
+    ),
+    Searched(
+        "a member with an old disk that leads",
+        "no loss",
+        LeadsWithAnOldDisk,
+        Bounds(writes=1, tries=1, campaigns=2, crashes=0, before=LOGGED),
+    ),
 )
 
 
+def ends_at_once() -> Iterator[Outcome]:
+    """A holder that is let go before its data is elsewhere: replacements with a further loss."""
+    return (Replacement(case, EndsAtOnce).play() for case in cases(3))
+
+
 def shrinks(seeds: range = range(8)) -> Iterator[History]:
     """Holders that shrink without a majority: histories of the simulator."""
     return (play(Shape(3, 1), seed, HoldersShrinkAlone) for seed in seeds)
--- a/mastturn/control_check/steps.py
+++ b/mastturn/control_check/steps.py
@@ -41,7 +41,9 @@
 
     machines: int = 3
     losses: int = 1
-    writes: int = 2
+    writes: int = 2  # that race on the first version
+    chained: int = 0  # further ones, each on top of the one before; the first is on top of the first write
+    same_number: bool = False  # the writes that race have one number
     reads: int = 0
     tries: int = 2  # of each command
     campaigns: int = 2  # for the same members
@@ -104,8 +106,10 @@
         self._victims = bounds.victims or tuple(range(bounds.machines))
         self._inert: dict[tuple[int, int, int, bool], bool] = {}
         self.commands: list[Command] = [
-            Put(0, 0, 1 + i, f"w{i}", f"w{i}".encode()) for i in range(min(bounds.writes, 2))
+            Put(0, 0, 1 if bounds.same_number else 1 + i, f"w{i}", f"w{i}".encode())
+            for i in range(min(bounds.writes, 2))
         ]
+        self.commands += [Put(0, 1 + i, 2 + i, f"c{i}", f"c{i}".encode()) for i in range(bounds.chained)]
         self.commands += [Get(0)] * bounds.reads
 
     # ---- the first state
--- a/mastturn/soak/fleet.py
+++ b/mastturn/soak/fleet.py
@@ -181,7 +181,7 @@
 
 
 def configuration(ver: int, idle_routes: int = 0, mark: str = "") -> dict[str, object]:
-    """The configuration of a soak, with so many routes that nobody asks for, and one that tells whose it is."""
+    """The configuration of a soak: so many routes that nobody asks for, and one that tells whose it is."""
     base = layout.configuration(ver)
     stream = base["routes"][0] | {"deadline_ms": 6000}
     routes = [
--- a/tests/test_replica_defects.py
+++ b/tests/test_replica_defects.py
@@ -15,12 +15,14 @@
 )
 from mastturn.control_check.explore import Found, explore, walk
 from mastturn.control_check.local import Make
+from mastturn.control_check.losses import Replacement
 from mastturn.control_check.planted import (
     PROMISED_TO_1,
     PROMISED_TWICE,
     SEARCHED,
     WRITTEN,
     Searched,
+    ends_at_once,
     failed_syncs,
     shrinks,
 )
@@ -38,6 +40,21 @@
     caught(planted.show(), planted.rule)
 
 
+# The first steps of the others are possible without their defects too.
+@pytest.mark.parametrize(
+    "planted", [p for p in SEARCHED if p.make is not PromisesBeforeSync], ids=lambda p: p.make.__name__
+)
+def test_the_same_search_finds_nothing_without_the_defect(planted: Searched) -> None:
+    """As far as it gets; most are whole."""
+    assert not explore(planted.bounds, most_states=10_000).broken
+
+
+def test_a_holder_that_is_let_go_too_early() -> None:
+    outcome = next(outcome for outcome in ends_at_once() if outcome.broken)
+    assert outcome.broken.startswith("goes on: nobody answers")
+    assert not Replacement(outcome.case).play().broken
+
+
 def test_an_answer_before_the_backups_sync() -> None:
     bounds = Bounds(writes=1, campaigns=2, crashes=1)
     caught(walk(bounds, 1, 3_000, make=AnswersBeforeSync), "no loss")
