Rename the packages of the news and of allowances: dissemination and quota

Cause: sonde and raingauge are names from the house style that the operators have withdrawn. Both in one commit, as they share the lists of packages.

--- a/control/herald.py
+++ b/control/herald.py
@@ -11,20 +11,16 @@
 from consensus.views import Document, Member, View
 from control.mover import LOOK_S, Mover, Prove
 from control.platform import RATE_SHARE, PlatformError, PlatformList, pack
-from screen.links import Links
-from screen.settings import Settings, parse_address
-from screen.tasks import keep_on
-from screen.wire import EDITION, Link
-from sonde.bulletin import Bulletin
-from sonde.counting import COUNT_S
-from sonde.doubts import DoubtSum
-from sonde.feed import Feed
-from sonde.follower import PULSE_S
-from sonde.holdings import Holdings
-from sonde.lists import change_of
-from sonde.load_steps import Figures
-from sonde.loads import LoadSum
-from sonde.messages import (
+from dissemination.bulletin import Bulletin
+from dissemination.counting import COUNT_S
+from dissemination.doubts import DoubtSum
+from dissemination.feed import Feed
+from dissemination.follower import PULSE_S
+from dissemination.holdings import Holdings
+from dissemination.lists import change_of
+from dissemination.load_steps import Figures
+from dissemination.loads import LoadSum
+from dissemination.messages import (
     Attach,
     ConfigurationNews,
     Doubt,
@@ -45,6 +41,10 @@
     UpstreamLoad,
     UpstreamNews,
 )
+from screen.links import Links
+from screen.settings import Settings, parse_address
+from screen.tasks import keep_on
+from screen.wire import EDITION, Link
 
 LIST_S = 1.0  # the platform's list is read so often; a drain is told within this and its lag
 LEAST_S = 0.02  # between two readings of a list of many pages, which takes longer
--- a/control/node.py
+++ b/control/node.py
@@ -19,11 +19,11 @@
 from consensus.views import Member
 from control.herald import Herald
 from control.operators import CALLS
+from dissemination import messages as news
 from screen.calls import CallServer
 from screen.links import Links
 from screen.settings import Settings, parse_address
 from screen.wire import Kinds, Link
-from sonde import messages as news
 
 TICK_S = 0.03
 PROOF_S = 0.5
--- a/control/platform.py
+++ b/control/platform.py
@@ -8,9 +8,9 @@
 from typing import Any
 from urllib.parse import quote
 
+from dissemination.lists import page_of
 from passpost.discovery import Line
 from screen.settings import Address
-from sonde.lists import page_of
 
 CALL_S = 1.0  # for one page
 MOST_PAGES = 256
--- a/sonde/bulletin.py
+++ b/dissemination/bulletin.py
@@ -4,10 +4,18 @@
 
 from typing import Any
 
+from dissemination.load_steps import Loads, LoadTable
+from dissemination.loads import pack
+from dissemination.messages import (
+    ConfigurationNews,
+    DoubtNews,
+    LoadNews,
+    LoadStep,
+    MemberNews,
+    Pulse,
+    UpstreamNews,
+)
 from screen.errors import GapError
-from sonde.load_steps import Loads, LoadTable
-from sonde.loads import pack
-from sonde.messages import ConfigurationNews, DoubtNews, LoadNews, LoadStep, MemberNews, Pulse, UpstreamNews
 
 News = ConfigurationNews | UpstreamNews | MemberNews | Pulse | LoadNews | LoadStep | DoubtNews
 
--- a/sonde/counting.py
+++ b/dissemination/counting.py
@@ -4,7 +4,7 @@
 
 from collections import deque
 
-from sonde.messages import Pulse
+from dissemination.messages import Pulse
 
 COUNT_S = 20.0  # balancers that were there within this still count: their part of a budget may be spent
 
--- a/sonde/doubts.py
+++ b/dissemination/doubts.py
@@ -10,8 +10,8 @@
 from collections.abc import Callable, Iterable
 from typing import Any, Protocol
 
-from sonde.bulletin import Bulletin
-from sonde.messages import Doubt, DoubtNews, DoubtReport, Pulse
+from dissemination.bulletin import Bulletin
+from dissemination.messages import Doubt, DoubtNews, DoubtReport, Pulse
 
 PERIOD_S = 0.1  # a change goes on no sooner after the one before
 MOST = 2**31 - 1  # that a message holds
--- a/sonde/feed.py
+++ b/dissemination/feed.py
@@ -6,10 +6,9 @@
 from dataclasses import dataclass
 from typing import Any
 
-from screen.wire import STEPS_EDITION, Kinds, Link, packed
-from sonde.bulletin import Bulletin
-from sonde.lists import digest_of, same_as
-from sonde.messages import (
+from dissemination.bulletin import Bulletin
+from dissemination.lists import digest_of, same_as
+from dissemination.messages import (
     Attach,
     ConfigurationNews,
     LoadNews,
@@ -21,6 +20,7 @@
     UpstreamChange,
     UpstreamNews,
 )
+from screen.wire import STEPS_EDITION, Kinds, Link, packed
 
 LONG = ConfigurationNews | UpstreamNews | MemberNews  # what may be, and is worth to be packed
 
--- a/sonde/follower.py
+++ b/dissemination/follower.py
@@ -9,12 +9,9 @@
 
 from loguru import logger
 
-from screen.errors import GapError
-from screen.links import Links
-from screen.wire import EDITION, STEPS_EDITION, Link
-from sonde.bulletin import Bulletin
-from sonde.lists import changed, digest_of
-from sonde.messages import (
+from dissemination.bulletin import Bulletin
+from dissemination.lists import changed, digest_of
+from dissemination.messages import (
     Attach,
     ConfigurationNews,
     DoubtNews,
@@ -30,7 +27,10 @@
     UpstreamChange,
     UpstreamNews,
 )
-from sonde.relays import parent_of
+from dissemination.relays import parent_of
+from screen.errors import GapError
+from screen.links import Links
+from screen.wire import EDITION, STEPS_EDITION, Link
 
 PULSE_S = 0.3  # the control state is heard of so often
 STALE_S = 0.9  # without a newer pulse for so long whoever tells us is behind itself
--- a/sonde/holdings.py
+++ b/dissemination/holdings.py
@@ -8,7 +8,7 @@
 
 from collections.abc import Iterable
 
-from sonde.messages import Holding
+from dissemination.messages import Holding
 
 MOST_SUBJECTS = 4096  # those heard of longest ago give way
 MOST_HOLDERS = 6  # of one subject that are told of: more add little choice
--- a/sonde/lists.py
+++ b/dissemination/lists.py
@@ -6,8 +6,8 @@
 import json
 from typing import Any
 
+from dissemination.messages import UpstreamChange, UpstreamNews
 from screen.errors import GapError
-from sonde.messages import UpstreamChange, UpstreamNews
 
 DIGEST_BYTES = 8
 
--- a/sonde/loads.py
+++ b/dissemination/loads.py
@@ -8,8 +8,8 @@
 import asyncio
 from collections.abc import Callable, Iterable
 
-from sonde.load_steps import MOST, Figures, Loads, LoadTable, LoadTeller
-from sonde.messages import LoadNews, LoadReport, LoadReportStep, UpstreamLoad
+from dissemination.load_steps import MOST, Figures, Loads, LoadTable, LoadTeller
+from dissemination.messages import LoadNews, LoadReport, LoadReportStep, UpstreamLoad
 
 PERIOD_S = 0.04  # a change goes on no sooner after the one before
 STEP_ENTRY_S = 0.00005  # and no sooner than to look at all that has changed takes a few hundredths of a core
--- a/sonde/relays.py
+++ b/dissemination/relays.py
@@ -5,7 +5,7 @@
 import hashlib
 from collections.abc import Iterable
 
-from sonde.messages import Present
+from dissemination.messages import Present
 
 DEGREE = 8  # balancers that one relay tells
 
--- a/mastturn/allowance_check/search.py
+++ b/mastturn/allowance_check/search.py
@@ -12,9 +12,9 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
-from raingauge.account import Account
-from raingauge.ledger import Ledger
-from raingauge.messages import Ask, Grant, Recall
+from quota.account import Account
+from quota.ledger import Ledger
+from quota.messages import Ask, Grant, Recall
 
 TENANT = "t"
 DEFECTS = {
--- a/mastturn/allowance_check/week.py
+++ b/mastturn/allowance_check/week.py
@@ -14,9 +14,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from raingauge.account import Account
-from raingauge.ledger import Ledger
-from raingauge.messages import Ask, Recall
+from quota.account import Account
+from quota.ledger import Ledger
+from quota.messages import Ask, Recall
 
 DAY_S, DAYS = 86_400.0, 7
 WAY_S = 0.005  # one way, between a replica and the ledger
--- a/mastturn/capacity/budget.py
+++ b/mastturn/capacity/budget.py
@@ -5,12 +5,12 @@
 from dataclasses import dataclass
 from typing import Any
 
+from dissemination.load_steps import FIGURE_BYTES, STEP_BYTES
+from dissemination.loads import PERIOD_S
+from dissemination.relays import DEGREE
 from mastturn.capacity.foreseen import steps_down
 from mastturn.capacity.shapes import BUDGET, TARGET
 from mastturn.capacity.slopes import Line, fit
-from sonde.load_steps import FIGURE_BYTES, STEP_BYTES
-from sonde.loads import PERIOD_S
-from sonde.relays import DEGREE
 
 DAY_S = 86_400.0
 CONFIGURATIONS = 4_500.0  # a day
--- a/mastturn/capacity/fleet.py
+++ b/mastturn/capacity/fleet.py
@@ -14,13 +14,13 @@
 from loguru import logger
 
 from control.node import ControlNode
+from dissemination.follower import Follower
 from mastturn.capacity.clockwork import Loop, Program
 from mastturn.capacity.disk import InlineQueue, MemoryFiles
 from mastturn.capacity.network import CTL_PORT, PLATFORM_PORT, STATION_PORT, Owner
 from mastturn.capacity.shapes import Shape, configuration, list_entries
 from screen.configuration import Configuration, Upstream
 from screen.settings import CloudApi, Faults, Limits, Listen, Settings
-from sonde.follower import Follower
 from station.balancing import BalancerRole
 from windvane.balancer import Balancer
 
@@ -287,7 +287,7 @@
     logger.disable("consensus")
     logger.disable("control")
     logger.disable("station")
-    logger.disable("sonde")
+    logger.disable("dissemination")
     with (
         mock.patch("consensus.keeper.DiskQueue", InlineQueue),
         mock.patch("consensus.keeper.OsFiles", MemoryFiles),
@@ -296,7 +296,7 @@
         try:
             yield
         finally:
-            for name in ("consensus", "control", "station", "sonde"):
+            for name in ("consensus", "control", "station", "dissemination"):
                 logger.enable(name)
 
 
--- a/mastturn/capacity/foreseen.py
+++ b/mastturn/capacity/foreseen.py
@@ -9,12 +9,12 @@
 from pathlib import Path
 from typing import Any
 
+from dissemination.load_steps import BYTES_S, FIGURE_BYTES, STEP_BYTES
+from dissemination.loads import PERIOD_S
+from dissemination.relays import DEGREE
 from mastturn.capacity.shapes import FITTED, HELD_OUT, TARGET, Shape
 from mastturn.capacity.slopes import Line, agrees, fit
 from mastturn.capacity.sources import as_quiet
-from sonde.load_steps import BYTES_S, FIGURE_BYTES, STEP_BYTES
-from sonde.loads import PERIOD_S
-from sonde.relays import DEGREE
 
 Figures = dict[str, Any]
 Regressor = Callable[[Shape], float]
--- a/mastturn/capacity/memory.py
+++ b/mastturn/capacity/memory.py
@@ -13,15 +13,9 @@
 from loguru import logger
 
 from control.platform import pack
-from mastturn.capacity.children import child
-from mastturn.capacity.days import resident_mb
-from mastturn.capacity.network import KINDS
-from mastturn.capacity.parts import present
-from mastturn.capacity.shapes import TARGET, Shape, configuration, list_entries
-from screen.settings import CloudApi, Limits, Settings
-from sonde.holdings import MOST_HOLDERS, MOST_SUBJECTS
-from sonde.loads import pack as pack_loads
-from sonde.messages import (
+from dissemination.holdings import MOST_HOLDERS, MOST_SUBJECTS
+from dissemination.loads import pack as pack_loads
+from dissemination.messages import (
     ConfigurationNews,
     Holding,
     HoldingNews,
@@ -30,6 +24,12 @@
     Pulse,
     UpstreamNews,
 )
+from mastturn.capacity.children import child
+from mastturn.capacity.days import resident_mb
+from mastturn.capacity.network import KINDS
+from mastturn.capacity.parts import present
+from mastturn.capacity.shapes import TARGET, Shape, configuration, list_entries
+from screen.settings import CloudApi, Limits, Settings
 from station.balancing import BalancerRole
 from windvane.kept import MOST_PAIRS
 
--- a/mastturn/capacity/network.py
+++ b/mastturn/capacity/network.py
@@ -14,11 +14,11 @@
 from typing import Any, Protocol
 
 import consensus.messages
-import sonde.messages
+import dissemination.messages
 from screen.wire import PACKED, Kinds
 
 HEAD = struct.Struct(">IH")
-KINDS = Kinds().include(consensus.messages.KINDS).include(sonde.messages.KINDS)
+KINDS = Kinds().include(consensus.messages.KINDS).include(dissemination.messages.KINDS)
 NAMES = {number: cls.__name__ for number, (cls, _) in KINDS._by_number.items()}
 STATION_PORT, CTL_PORT, PLATFORM_PORT = 7720, 8166, 8169
 IN_ZONE_S, CROSS_ZONE_S, CROSS_REGION_S = 0.0001, 0.0014, 0.012  # one way
--- a/mastturn/capacity/parts.py
+++ b/mastturn/capacity/parts.py
@@ -12,16 +12,12 @@
 from typing import Any
 
 from control.platform import pack
-from mastturn.capacity.network import KINDS
-from mastturn.capacity.shapes import TARGET, Shape, configuration, list_entries
-from mastturn.capacity.sources import as_quiet, spin_ns
-from screen.checking import check, parse_configuration, parse_upstreams
-from sonde.holdings import Holdings
-from sonde.lists import change_of, changed
-from sonde.load_steps import Loads, LoadTable, LoadTeller
-from sonde.loads import OthersLoad, add, unpack
-from sonde.loads import pack as pack_loads
-from sonde.messages import (
+from dissemination.holdings import Holdings
+from dissemination.lists import change_of, changed
+from dissemination.load_steps import Loads, LoadTable, LoadTeller
+from dissemination.loads import OthersLoad, add, unpack
+from dissemination.loads import pack as pack_loads
+from dissemination.messages import (
     ConfigurationNews,
     Holding,
     HoldingNews,
@@ -32,7 +28,11 @@
     Roll,
     UpstreamNews,
 )
-from sonde.relays import parent_of
+from dissemination.relays import parent_of
+from mastturn.capacity.network import KINDS
+from mastturn.capacity.shapes import TARGET, Shape, configuration, list_entries
+from mastturn.capacity.sources import as_quiet, spin_ns
+from screen.checking import check, parse_configuration, parse_upstreams
 from windvane.routes import RouteTable
 from windvane.tiers import Tiers
 
--- a/mastturn/capacity/remedies.py
+++ b/mastturn/capacity/remedies.py
@@ -6,12 +6,12 @@
 from dataclasses import dataclass
 from typing import Any
 
+from dissemination.follower import PULSE_S
+from dissemination.loads import PERIOD_S
+from dissemination.relays import DEGREE
 from mastturn.capacity import budget
 from mastturn.capacity.foreseen import one_report_entries, steps_down, told_entries
 from mastturn.capacity.shapes import TARGET
-from sonde.follower import PULSE_S
-from sonde.loads import PERIOD_S
-from sonde.relays import DEGREE
 
 INDEXED_B = (
     2.0  # an upstream by its place in the list, calls and tokens each in a byte on a scale of logarithms
--- a/mastturn/capacity/sources.py
+++ b/mastturn/capacity/sources.py
@@ -10,7 +10,16 @@
 from pathlib import Path
 from typing import Any
 
-MEASURED = ("sonde", "consensus", "control", "station", "screen", "windvane", "passpost", "umberworks")
+MEASURED = (
+    "dissemination",
+    "consensus",
+    "control",
+    "station",
+    "screen",
+    "windvane",
+    "passpost",
+    "umberworks",
+)
 SPINS = 1_000_000
 REFERENCE_NS = 18.0  # a turn of the plain loop on a quiet core of the machine of these runs
 
--- a/mastturn/capacity/troubles.py
+++ b/mastturn/capacity/troubles.py
@@ -12,7 +12,7 @@
 from mastturn.capacity.fleet import Fleet, Machine, play
 from mastturn.capacity.shapes import Shape
 
-FRESH_S = 0.9  # news older than this count as none, as `sonde.follower` has it
+FRESH_S = 0.9  # news older than this count as none, as `dissemination.follower` has it
 LOOK_S = 0.02
 ZONE_AWAY_S = 10.0
 WITHIN_S = 60.0
--- a/mastturn/engines/balancer.py
+++ b/mastturn/engines/balancer.py
@@ -7,6 +7,10 @@
 from collections.abc import Callable
 from typing import Any
 
+from dissemination.holdings import Holdings
+from dissemination.load_steps import Loads
+from dissemination.loads import ENTRY_BYTES, LoadSum, OthersLoad
+from dissemination.messages import Holding, HoldingNews, HoldingReport, LoadNews, LoadReport, UpstreamLoad
 from mastturn.engines.demand import Asked
 from mastturn.engines.engine import Engine
 from mastturn.engines.jobs import Figures, Job
@@ -14,10 +18,6 @@
 from passpost.upstream import Outgoing
 from screen.configuration import Configuration, Upstream
 from screen.settings import Bounds, CloudApi, Limits, Settings
-from sonde.holdings import Holdings
-from sonde.load_steps import Loads
-from sonde.loads import ENTRY_BYTES, LoadSum, OthersLoad
-from sonde.messages import Holding, HoldingNews, HoldingReport, LoadNews, LoadReport, UpstreamLoad
 from station.balancing import HOLDINGS_S
 from windvane.balancer import Balancer
 from windvane.ingress import RoutedCall
--- a/mastturn/engines/fleet.py
+++ b/mastturn/engines/fleet.py
@@ -5,6 +5,8 @@
 import asyncio
 
 from control.orders import Outcome, Rejected, Taken
+from dissemination.messages import Present
+from dissemination.relays import parent_of
 from mastturn.emulator.chance import Stream
 from mastturn.engines.balancer import MakeTiers, Node, Root
 from mastturn.engines.clients import User
@@ -16,8 +18,6 @@
 from mastturn.engines.sheet import Sheet
 from mastturn.engines.wire import Network
 from screen.configuration import Configuration, Route, Service, Upstream
-from sonde.messages import Present
-from sonde.relays import parent_of
 
 GONE_S = 3.0  # an upstream that has crashed stays on the list so long
 DRAIN_MORE_S = 1.0  # an upstream that leaves goes on so long beyond the time it was given
--- a/raingauge/account.py
+++ b/quota/account.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from raingauge.messages import Ask, Grant, Recall
+from quota.messages import Ask, Grant, Recall
 
 
 class Account:
--- a/raingauge/ledger.py
+++ b/quota/ledger.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
-from raingauge.messages import Ask, Grant, Recall
+from quota.messages import Ask, Grant, Recall
 
 SPARE = 4  # what is granted beyond need is at most a part in so many, for each replica, of what is left
 
--- a/station/balancing.py
+++ b/station/balancing.py
@@ -9,20 +9,14 @@
 from loguru import logger
 
 from control.platform import PlatformList
-from screen.checking import parse_configuration, parse_upstreams
-from screen.errors import InvalidConfigurationError, StationError
-from screen.links import Links
-from screen.settings import Settings, parse_address
-from screen.tasks import keep_on
-from screen.wire import EDITION, Kinds, Link
-from sonde import messages
-from sonde.bulletin import Bulletin
-from sonde.counting import Headcount
-from sonde.doubts import DoubtExchange
-from sonde.feed import Feed
-from sonde.follower import STALE_S, Follower
-from sonde.holdings import Holdings
-from sonde.messages import (
+from dissemination import messages
+from dissemination.bulletin import Bulletin
+from dissemination.counting import Headcount
+from dissemination.doubts import DoubtExchange
+from dissemination.feed import Feed
+from dissemination.follower import STALE_S, Follower
+from dissemination.holdings import Holdings
+from dissemination.messages import (
     Attach,
     ConfigurationNews,
     DoubtNews,
@@ -42,6 +36,12 @@
     UpstreamChange,
     UpstreamNews,
 )
+from screen.checking import parse_configuration, parse_upstreams
+from screen.errors import InvalidConfigurationError, StationError
+from screen.links import Links
+from screen.settings import Settings, parse_address
+from screen.tasks import keep_on
+from screen.wire import EDITION, Kinds, Link
 from station import draining, logs
 from station.alone import LoneReader
 from station.load_exchange import LoadExchange
--- a/station/load_exchange.py
+++ b/station/load_exchange.py
@@ -6,13 +6,13 @@
 from collections.abc import Callable
 from typing import Any
 
+from dissemination.bulletin import Bulletin
+from dissemination.feed import Feed
+from dissemination.follower import Follower
+from dissemination.load_steps import Figures, Loads
+from dissemination.loads import BYTES_S, ENTRY_BYTES, PERIOD_S, LoadSum, OthersLoad
+from dissemination.messages import LoadNews, LoadReport, LoadReportStep, LoadStep, UpstreamLoad
 from screen.wire import Link
-from sonde.bulletin import Bulletin
-from sonde.feed import Feed
-from sonde.follower import Follower
-from sonde.load_steps import Figures, Loads
-from sonde.loads import BYTES_S, ENTRY_BYTES, PERIOD_S, LoadSum, OthersLoad
-from sonde.messages import LoadNews, LoadReport, LoadReportStep, LoadStep, UpstreamLoad
 
 
 class LoadExchange:
--- a/station/version.py
+++ b/station/version.py
@@ -7,7 +7,16 @@
 import os
 from pathlib import Path
 
-PACKAGES = ("station", "windvane", "consensus", "control", "sonde", "screen", "passpost", "umberworks")
+PACKAGES = (
+    "station",
+    "windvane",
+    "consensus",
+    "control",
+    "dissemination",
+    "screen",
+    "passpost",
+    "umberworks",
+)
 
 
 @functools.cache
--- a/tests/fabric_world.py
+++ b/tests/fabric_world.py
@@ -21,11 +21,11 @@
 from consensus.codec import revive
 from consensus.views import View
 from control.node import KINDS, ControlNode
+from dissemination import messages as news
 from screen import settings as settings_file
 from screen.errors import WireError
 from screen.settings import Settings
 from screen.wire import FrameReader
-from sonde import messages as news
 from station.balancing import BalancerRole
 from tests.fabric import OUTSIDE, PROCESS, End, Loop, Process
 from tests.fabric_callers import PLATFORM, DataPlane, Operator, Platform
--- a/tests/test_allowances.py
+++ b/tests/test_allowances.py
@@ -7,9 +7,9 @@
 import pytest
 
 from mastturn.allowance_check.week import Week
-from raingauge.account import Account
-from raingauge.ledger import SPARE, Ledger
-from raingauge.messages import Ask, Recall
+from quota.account import Account
+from quota.ledger import SPARE, Ledger
+from quota.messages import Ask, Recall
 
 
 def account(name: str, life: str = "1") -> Account:
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -12,6 +12,7 @@
 
 import pytest
 
+from dissemination.messages import ConfigurationNews, Pulse
 from mastturn.capacity import budget, choices, lists, remedies, tables
 from mastturn.capacity.clockwork import Loop, Program
 from mastturn.capacity.days import run_day
@@ -26,7 +27,6 @@
 from mastturn.files import LabError
 from screen.checking import check
 from screen.wire import packed
-from sonde.messages import ConfigurationNews, Pulse
 
 SMALL = Shape(balancers=8, upstreams=40, zones=2, regions=2, services=3, routes=6, requests_s=2_400.0)
 
--- a/tests/test_control_host_cuts.py
+++ b/tests/test_control_host_cuts.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from sonde.messages import Pulse
+from dissemination.messages import Pulse
 from tests.fabric_callers import Answer, ask, call, configuration
 from tests.fabric_scenes import ACK_S, APPLY_S, begun, in_force
 from tests.fabric_world import CTL_PORT, World, play
--- a/tests/test_control_host_platform.py
+++ b/tests/test_control_host_platform.py
@@ -8,7 +8,7 @@
 import pytest
 
 from control.platform import RATE_SHARE, PlatformError, PlatformList, pack
-from sonde.messages import Pulse
+from dissemination.messages import Pulse
 from tests.fabric_callers import PLATFORM, DataPlane, upstream
 from tests.fabric_scenes import begun
 from tests.fabric_world import World, play
--- a/tests/test_sonde_feed.py
+++ b/tests/test_dissemination_feed.py
@@ -4,11 +4,11 @@
 
 from typing import Any, cast
 
+from dissemination import messages
+from dissemination.bulletin import Bulletin
+from dissemination.feed import Feed
+from dissemination.messages import Attach, ConfigurationNews, Moved, Present, Pulse, Roll
 from screen.wire import Kinds, Link
-from sonde import messages
-from sonde.bulletin import Bulletin
-from sonde.feed import Feed
-from sonde.messages import Attach, ConfigurationNews, Moved, Present, Pulse, Roll
 
 KINDS = Kinds().include(messages.KINDS)
 
--- a/tests/test_sonde_holdings.py
+++ b/tests/test_dissemination_holdings.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from sonde.holdings import MOST_HOLDERS, MOST_SUBJECTS, Holdings
-from sonde.messages import KINDS, Holding, HoldingNews, HoldingReport
+from dissemination.holdings import MOST_HOLDERS, MOST_SUBJECTS, Holdings
+from dissemination.messages import KINDS, Holding, HoldingNews, HoldingReport
 
 
 def test_only_what_is_new_goes_on() -> None:
--- a/tests/test_sonde_loads.py
+++ b/tests/test_dissemination_loads.py
@@ -6,12 +6,12 @@
 
 import pytest
 
-from sonde.load_steps import Loads
-from sonde.loads import BYTES_S, ENTRY_BYTES, LoadSum, OthersLoad, add, pack, unpack
-from sonde.messages import Attach, LoadNews, LoadReport, LoadStep, UpstreamLoad
+from dissemination.load_steps import Loads
+from dissemination.loads import BYTES_S, ENTRY_BYTES, LoadSum, OthersLoad, add, pack, unpack
+from dissemination.messages import Attach, LoadNews, LoadReport, LoadStep, UpstreamLoad
 from tests.fabric_scenes import begun
 from tests.fabric_world import Machine, World, play
-from tests.test_sonde_news import settled
+from tests.test_dissemination_news import settled
 
 UP_S = 0.5  # a change is known everywhere within this
 
--- a/tests/test_sonde_news.py
+++ b/tests/test_dissemination_news.py
@@ -9,9 +9,9 @@
 import pytest
 
 from control.node import KINDS
+from dissemination.messages import Attach, MemberNews, Moved, Present, Pulse, UpstreamNews
+from dissemination.relays import heads_of, parent_of
 from screen.links import Links
-from sonde.messages import Attach, MemberNews, Moved, Present, Pulse, UpstreamNews
-from sonde.relays import heads_of, parent_of
 from station.alone import LEAST_S, MISSED, turn_of
 from tests.fabric import Process
 from tests.fabric_callers import PLATFORM, configuration, upstream
--- a/tests/test_sonde_steps.py
+++ b/tests/test_dissemination_steps.py
@@ -10,11 +10,19 @@
 
 from control.herald import Herald
 from control.node import KINDS
-from screen.errors import GapError
-from sonde.bulletin import Bulletin
-from sonde.load_steps import BYTES_S, MOST, MOST_PLACES, SAVED_S, Figures, Loads, LoadTable, LoadTeller
-from sonde.loads import LoadSum, OthersLoad
-from sonde.messages import (
+from dissemination.bulletin import Bulletin
+from dissemination.load_steps import (
+    BYTES_S,
+    MOST,
+    MOST_PLACES,
+    SAVED_S,
+    Figures,
+    Loads,
+    LoadTable,
+    LoadTeller,
+)
+from dissemination.loads import LoadSum, OthersLoad
+from dissemination.messages import (
     Attach,
     LoadNews,
     LoadReport,
@@ -26,12 +34,13 @@
     UpstreamLoad,
     UpstreamNews,
 )
+from screen.errors import GapError
 from tests.fabric_callers import upstream
 from tests.fabric_scenes import begun
 from tests.fabric_world import Machine, World, play
+from tests.test_dissemination_loads import UP_S, is_right, seen, work
+from tests.test_dissemination_news import settled
 from tests.test_screen_strangers import connect
-from tests.test_sonde_loads import UP_S, is_right, seen, work
-from tests.test_sonde_news import settled
 
 
 async def listed(world: World, entries: list[dict[str, Any]]) -> None:
--- a/tests/test_sonde_tables.py
+++ b/tests/test_dissemination_tables.py
@@ -8,10 +8,18 @@
 
 import pytest
 
-from sonde.bulletin import Bulletin
-from sonde.counting import COUNT_S, Headcount
-from sonde.messages import ConfigurationNews, LoadNews, MemberNews, Moved, Present, Pulse, UpstreamNews
-from sonde.relays import DEGREE, parent_of, watched_by
+from dissemination.bulletin import Bulletin
+from dissemination.counting import COUNT_S, Headcount
+from dissemination.messages import (
+    ConfigurationNews,
+    LoadNews,
+    MemberNews,
+    Moved,
+    Present,
+    Pulse,
+    UpstreamNews,
+)
+from dissemination.relays import DEGREE, parent_of, watched_by
 
 KINDS: dict[str, Any] = {
     "upstreams": lambda e, n: UpstreamNews(e, n, b"%d.%d" % (e, n)),
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -28,6 +28,7 @@
 from control.operators import CALLS
 from control.orders import change_phase
 from control.platform import PlatformError, PlatformList, pack
+from dissemination import messages as news
 from passpost.http1 import Answer
 from passpost.validation import BadRequestError
 from screen.calls import _Caller
@@ -36,7 +37,6 @@
 from screen.errors import DiskError, InvalidConfigurationError, SettingsError, StationError, WireError
 from screen.settings import parse
 from screen.wire import MOST_FRAME, FrameReader, Kinds, Link, plain
-from sonde import messages as news
 from station import asking, dashboard, draining, fleet_status
 from station.tracing import pairs_of
 from tests import fuzz_inputs
--- a/tests/test_screen_later_kinds.py
+++ b/tests/test_screen_later_kinds.py
@@ -6,9 +6,9 @@
 import struct
 from typing import Any
 
+from dissemination import messages
+from dissemination.messages import Pulse
 from screen.wire import MOST_NUMBER, Kinds, Link
-from sonde import messages
-from sonde.messages import Pulse
 
 KINDS = Kinds().include(messages.KINDS)
 
--- a/tests/test_screen_links.py
+++ b/tests/test_screen_links.py
@@ -10,10 +10,10 @@
 
 import pytest
 
+from dissemination import messages
+from dissemination.messages import Moved, Pulse
 from screen.links import DIAL_S, DROP_S, HELD_FRAMES, STAGGER_S, USER_TIMEOUT_MS, Links, harden
 from screen.wire import Kinds, Link
-from sonde import messages
-from sonde.messages import Moved, Pulse
 from tests.fabric import Process
 from tests.fabric_world import World, play
 
--- a/tests/test_screen_strangers.py
+++ b/tests/test_screen_strangers.py
@@ -11,10 +11,10 @@
 
 from consensus import messages as control
 from control.node import KINDS
+from dissemination import messages as news
 from screen.calls import MOST_BODY
 from screen.errors import WireError
 from screen.wire import MOST_FRAME, FrameReader
-from sonde import messages as news
 from tests.fabric import End
 from tests.fabric_callers import Answer, ask, call, configuration
 from tests.fabric_scenes import begun, in_force
--- a/tests/test_station_cli_balancer.py
+++ b/tests/test_station_cli_balancer.py
@@ -14,9 +14,9 @@
 from loguru import logger
 from prometheus_client.parser import text_string_to_metric_families
 
+from dissemination.messages import ConfigurationNews, UpstreamNews
 from screen.metrics import by, counter, gauge, histogram, render
 from screen.settings import Settings, parse
-from sonde.messages import ConfigurationNews, UpstreamNews
 from station import balancer_calls, explaining, logs
 from station.balancing import BalancerRole
 from station.pace import MOST, Pace
--- a/tests/test_windvane_trust.py
+++ b/tests/test_windvane_trust.py
@@ -8,13 +8,13 @@
 
 import pytest
 
+from dissemination.doubts import DoubtSum, pack, unpack
+from dissemination.messages import Doubt, DoubtReport
 from passpost.http1 import Answer
 from screen.configuration import Upstream
-from sonde.doubts import DoubtSum, pack, unpack
-from sonde.messages import Doubt, DoubtReport
 from tests.fabric_scenes import begun
 from tests.fabric_world import World, play
-from tests.test_sonde_news import settled
+from tests.test_dissemination_news import settled
 from tests.windvane_stage import Stage as Stand
 from tests.windvane_stage import answer, configuration, playing, route
 from umberworks.interface import Outcome
--- a/windvane/balancer.py
+++ b/windvane/balancer.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from dissemination.doubts import Doubts
 from passpost.engine import Client
 from passpost.http1 import Headers
 from passpost.server import ClientManner, Server
@@ -16,7 +17,6 @@
 from passpost.validation import BadRequestError, Call
 from screen.configuration import Configuration, Upstream
 from screen.settings import Settings, parse_address
-from sonde.doubts import Doubts
 from windvane import manners, readiness
 from windvane.answer_log import AnswerLog
 from windvane.budget import RetryBudget
