Split the package screen in two: transport, and config

Cause: a name from the withdrawn house style, and two jobs in one package: how processes talk, and what they are told. Change: calls, links, schema, tasks and wire are transport; settings, configuration, checking and errors are config; the text form of figures goes to the program. StationError is FleetError. Renamed mechanically, no behaviour.

--- a/screen/checking.py
+++ b/config/checking.py
@@ -16,7 +16,7 @@
 
 import dacite
 
-from screen.configuration import (
+from config.configuration import (
     Backend,
     ClientLimits,
     Configuration,
@@ -27,8 +27,8 @@
     Split,
     Upstream,
 )
-from screen.errors import InvalidConfigurationError, SettingsError, WireError
-from screen.settings import parse_address
+from config.errors import InvalidConfigurationError, SettingsError, WireError
+from config.settings import parse_address
 
 MOST_NESTED = 32
 MOST_VERSION = 2**63 - 1
--- a/screen/errors.py
+++ b/config/errors.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 
-class StationError(Exception):
+class FleetError(Exception):
     """Something that a person can put right: what is wrong, and what to do about it."""
 
     def __init__(self, wrong: str, remedy: str) -> None:
@@ -11,21 +11,21 @@
         self.wrong, self.remedy = wrong, remedy
 
 
-class SettingsError(StationError):
+class SettingsError(FleetError):
     """The settings file of this process can't be used."""
 
 
-class InvalidConfigurationError(StationError):
+class InvalidConfigurationError(FleetError):
     """An operator's configuration can't be taken."""
 
 
-class WireError(StationError):
+class WireError(FleetError):
     """Another process sent what can't be read as one of our messages."""
 
 
-class DiskError(StationError):
+class DiskError(FleetError):
     """The disk refuses a write, or holds what we never wrote."""
 
 
-class GapError(StationError):
+class GapError(FleetError):
     """A change has come whose beginning we do not have."""
--- a/screen/settings.py
+++ b/config/settings.py
@@ -11,7 +11,7 @@
 import dacite
 import yaml
 
-from screen.errors import SettingsError
+from config.errors import SettingsError
 
 Address = tuple[str, int]
 VARIABLE = "MASTTURN_CONFIG"
--- a/consensus/codec.py
+++ b/consensus/codec.py
@@ -7,7 +7,7 @@
 
 from consensus.messages import DOCUMENT, VIEW
 from consensus.views import Document, Member, Memory, Taken, View
-from screen.wire import FrameReader, Kinds
+from transport.wire import FrameReader, Kinds
 
 RECORDS = Kinds()
 
--- a/consensus/disk_queue.py
+++ b/consensus/disk_queue.py
@@ -13,8 +13,8 @@
 from dataclasses import dataclass
 from typing import TypeVar
 
+from config.errors import DiskError
 from consensus.slots import MOST_RECORD_BYTES, Loaded, Store
-from screen.errors import DiskError
 
 MOST_GROUP_BYTES = 1 << 20
 _T = TypeVar("_T")
--- a/consensus/keeper.py
+++ b/consensus/keeper.py
@@ -9,12 +9,12 @@
 
 from loguru import logger
 
+from config.errors import DiskError, WireError
 from consensus.codec import Record, apply, read_record, whole, write_record
 from consensus.disk_queue import DiskQueue
 from consensus.files import OsFiles
 from consensus.slots import Store
 from consensus.views import Memory
-from screen.errors import DiskError, WireError
 
 LOG_BYTES = 1 << 20  # a longer log is folded into the next slot
 AGAIN_S = 0.25  # after a refusal
--- a/consensus/messages.py
+++ b/consensus/messages.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from screen.wire import Kinds
+from transport.wire import Kinds
 
 KINDS = Kinds()
 
--- a/consensus/slots.py
+++ b/consensus/slots.py
@@ -40,8 +40,8 @@
 from pathlib import Path
 from typing import TypeVar
 
+from config.errors import DiskError
 from consensus.files import Files
-from screen.errors import DiskError
 
 _MARK = b"bgs1"
 _SLOT = struct.Struct("<4sQQ")  # mark, generation, length of the state
--- a/control/herald.py
+++ b/control/herald.py
@@ -8,6 +8,7 @@
 
 from loguru import logger
 
+from config.settings import Settings, parse_address
 from consensus.views import Document, Member, View
 from control.mover import LOOK_S, Mover, Prove
 from control.platform import RATE_SHARE, PlatformError, PlatformList, pack
@@ -41,10 +42,9 @@
     UpstreamLoad,
     UpstreamNews,
 )
-from screen.links import Links
-from screen.settings import Settings, parse_address
-from screen.tasks import keep_on
-from screen.wire import EDITION, Link
+from transport.links import Links
+from transport.tasks import keep_on
+from transport.wire import EDITION, Link
 
 LIST_S = 1.0  # the platform's list is read so often; a drain is told within this and its lag
 LEAST_S = 0.02  # between two readings of a list of many pages, which takes longer
--- a/control/mover.py
+++ b/control/mover.py
@@ -8,10 +8,10 @@
 
 from loguru import logger
 
+from config.checking import parse_upstreams
+from config.configuration import Upstream
 from control.orders import Rejected, Taken, change_phase, is_there
 from control.phases import Order, PhasePlan
-from screen.checking import parse_upstreams
-from screen.configuration import Upstream
 
 LOOK_S = 0.1
 LEASE_SPARE = 1.2  # the holder before us may have ordered something just now: so many leases are waited
--- a/control/node.py
+++ b/control/node.py
@@ -10,6 +10,7 @@
 
 from loguru import logger
 
+from config.settings import Settings, parse_address
 from consensus import messages
 from consensus.codec import revive
 from consensus.effects import Committed, Effect, Lead, Persist, Reply, Send, Spec, Verdict
@@ -20,10 +21,9 @@
 from control.herald import Herald
 from control.operators import CALLS
 from dissemination import messages as news
-from screen.calls import CallServer
-from screen.links import Links
-from screen.settings import Settings, parse_address
-from screen.wire import Kinds, Link
+from transport.calls import CallServer
+from transport.links import Links
+from transport.wire import Kinds, Link
 
 TICK_S = 0.03
 PROOF_S = 0.5
--- a/control/operators.py
+++ b/control/operators.py
@@ -6,13 +6,13 @@
 import json
 from typing import Protocol
 
+from config.checking import check
+from config.errors import InvalidConfigurationError
 from consensus.effects import Reply as Outcome
 from consensus.effects import Verdict
 from consensus.primary import Command, Get, Put
 from consensus.views import Member
-from screen.calls import Call, Calls, Reply, say
-from screen.checking import check
-from screen.errors import InvalidConfigurationError
+from transport.calls import Call, Calls, Reply, say
 
 CALLS = Calls()
 HELD_S = 0.75  # callers go elsewhere after a second of silence
--- a/control/orders.py
+++ b/control/orders.py
@@ -6,9 +6,9 @@
 import json
 from dataclasses import dataclass
 
+from config.configuration import Upstream
+from config.settings import parse_address
 from passpost.http1 import AnswerReader, BadAnswerError
-from screen.configuration import Upstream
-from screen.settings import parse_address
 
 CALL_S = 1.0
 
--- a/control/phases.py
+++ b/control/phases.py
@@ -12,7 +12,7 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 
-from screen.configuration import Upstream
+from config.configuration import Upstream
 
 PREFILL, DECODE = "prefill", "decode"
 MEMORY_S = 2.0  # measures are smoothed over this
--- a/control/platform.py
+++ b/control/platform.py
@@ -8,9 +8,9 @@
 from typing import Any
 from urllib.parse import quote
 
+from config.settings import Address
 from dissemination.lists import page_of
 from passpost.discovery import Line
-from screen.settings import Address
 
 CALL_S = 1.0  # for one page
 MOST_PAGES = 256
--- a/dissemination/bulletin.py
+++ b/dissemination/bulletin.py
@@ -4,6 +4,7 @@
 
 from typing import Any
 
+from config.errors import GapError
 from dissemination.load_steps import Loads, LoadTable
 from dissemination.loads import pack
 from dissemination.messages import (
@@ -15,7 +16,6 @@
     Pulse,
     UpstreamNews,
 )
-from screen.errors import GapError
 
 News = ConfigurationNews | UpstreamNews | MemberNews | Pulse | LoadNews | LoadStep | DoubtNews
 
--- a/dissemination/feed.py
+++ b/dissemination/feed.py
@@ -20,7 +20,7 @@
     UpstreamChange,
     UpstreamNews,
 )
-from screen.wire import STEPS_EDITION, Kinds, Link, packed
+from transport.wire import STEPS_EDITION, Kinds, Link, packed
 
 LONG = ConfigurationNews | UpstreamNews | MemberNews  # what may be, and is worth to be packed
 
--- a/dissemination/follower.py
+++ b/dissemination/follower.py
@@ -9,6 +9,7 @@
 
 from loguru import logger
 
+from config.errors import GapError
 from dissemination.bulletin import Bulletin
 from dissemination.lists import changed, digest_of
 from dissemination.messages import (
@@ -28,9 +29,8 @@
     UpstreamNews,
 )
 from dissemination.relays import parent_of
-from screen.errors import GapError
-from screen.links import Links
-from screen.wire import EDITION, STEPS_EDITION, Link
+from transport.links import Links
+from transport.wire import EDITION, STEPS_EDITION, Link
 
 PULSE_S = 0.3  # the control state is heard of so often
 STALE_S = 0.9  # without a newer pulse for so long whoever tells us is behind itself
--- a/dissemination/lists.py
+++ b/dissemination/lists.py
@@ -6,8 +6,8 @@
 import json
 from typing import Any
 
+from config.errors import GapError
 from dissemination.messages import UpstreamChange, UpstreamNews
-from screen.errors import GapError
 
 DIGEST_BYTES = 8
 
--- a/dissemination/messages.py
+++ b/dissemination/messages.py
@@ -4,8 +4,8 @@
 
 from dataclasses import dataclass
 
-from screen.schema import Int32
-from screen.wire import Kinds
+from transport.schema import Int32
+from transport.wire import Kinds
 
 KINDS = Kinds()
 
@@ -159,7 +159,7 @@
     digest: bytes
 
 
-# 112 is `screen.wire.PACKED`: any other message, compressed
+# 112 is `transport.wire.PACKED`: any other message, compressed
 
 
 @KINDS.declare(113)
--- a/mastturn/capacity/choices.py
+++ b/mastturn/capacity/choices.py
@@ -12,11 +12,11 @@
 from dataclasses import replace
 from typing import Any
 
+from config.checking import parse_upstreams
+from config.configuration import Upstream
 from control.platform import pack
 from mastturn.capacity.shapes import TARGET, Shape, list_entries
 from mastturn.capacity.sources import spin_ns
-from screen.checking import parse_upstreams
-from screen.configuration import Upstream
 from windvane.prompt import Prompt
 from windvane.tiers import DECODE, PREFILL, Peer, Tiers
 
--- a/mastturn/capacity/fleet.py
+++ b/mastturn/capacity/fleet.py
@@ -13,14 +13,14 @@
 
 from loguru import logger
 
+from config.configuration import Configuration, Upstream
+from config.settings import CloudApi, Faults, Limits, Listen, Settings
 from control.node import ControlNode
 from dissemination.follower import Follower
 from mastturn.capacity.clockwork import Loop, Program
 from mastturn.capacity.disk import InlineQueue, MemoryFiles
 from mastturn.capacity.network import CTL_PORT, PLATFORM_PORT, STATION_PORT, Owner
 from mastturn.capacity.shapes import Shape, configuration, list_entries
-from screen.configuration import Configuration, Upstream
-from screen.settings import CloudApi, Faults, Limits, Listen, Settings
 from station.balancing import BalancerRole
 from windvane.balancer import Balancer
 
--- a/mastturn/capacity/links.py
+++ b/mastturn/capacity/links.py
@@ -14,8 +14,8 @@
 from dissemination.messages import ConfigurationNews, Pulse
 from mastturn.capacity.children import Child, child
 from mastturn.capacity.network import KINDS
-from screen.links import Links
-from screen.wire import Link
+from transport.links import Links
+from transport.wire import Link
 
 SIZES = (0, 1_000, 10_000, 40_000, 100_000)  # bytes beside a small frame's
 FRAMES = 400
--- a/mastturn/capacity/memory.py
+++ b/mastturn/capacity/memory.py
@@ -12,6 +12,7 @@
 import uvloop
 from loguru import logger
 
+from config.settings import CloudApi, Limits, Settings
 from control.platform import pack
 from dissemination.holdings import MOST_HOLDERS, MOST_SUBJECTS
 from dissemination.loads import pack as pack_loads
@@ -29,7 +30,6 @@
 from mastturn.capacity.network import KINDS
 from mastturn.capacity.parts import present
 from mastturn.capacity.shapes import TARGET, Shape, configuration, list_entries
-from screen.settings import CloudApi, Limits, Settings
 from station.balancing import BalancerRole
 from windvane.kept import MOST_PAIRS
 
--- a/mastturn/capacity/network.py
+++ b/mastturn/capacity/network.py
@@ -15,7 +15,7 @@
 
 import consensus.messages
 import dissemination.messages
-from screen.wire import PACKED, Kinds
+from transport.wire import PACKED, Kinds
 
 HEAD = struct.Struct(">IH")
 KINDS = Kinds().include(consensus.messages.KINDS).include(dissemination.messages.KINDS)
@@ -23,7 +23,7 @@
 STATION_PORT, CTL_PORT, PLATFORM_PORT = 7720, 8166, 8169
 IN_ZONE_S, CROSS_ZONE_S, CROSS_REGION_S = 0.0001, 0.0014, 0.012  # one way
 NEXT_S = 1e-9  # what is sent at once arrives one after the other: timers of one moment have no order
-GIVEN_UP_S = 1.5  # bytes without an answer for so long end a connection, as `screen.links` asks for
+GIVEN_UP_S = 1.5  # bytes without an answer for so long end a connection, as `transport.links` asks for
 
 
 def kind_of(port: int, data: bytes) -> str:
--- a/mastturn/capacity/parts.py
+++ b/mastturn/capacity/parts.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from config.checking import check, parse_configuration, parse_upstreams
 from control.platform import pack
 from dissemination.holdings import Holdings
 from dissemination.lists import change_of, changed
@@ -32,7 +33,6 @@
 from mastturn.capacity.network import KINDS
 from mastturn.capacity.shapes import TARGET, Shape, configuration, list_entries
 from mastturn.capacity.sources import as_quiet, spin_ns
-from screen.checking import check, parse_configuration, parse_upstreams
 from windvane.routes import RouteTable
 from windvane.tiers import Tiers
 
--- a/mastturn/capacity/plane.py
+++ b/mastturn/capacity/plane.py
@@ -13,12 +13,12 @@
 
 import uvloop
 
+from config.checking import parse_configuration
+from config.configuration import Configuration, Route, Upstream
+from config.settings import Bounds, CloudApi, Limits, Listen, Settings
 from mastturn.capacity.children import Child, child
 from mastturn.capacity.shapes import TARGET, configuration, list_entries
 from mastturn.capacity.sources import spin_ns
-from screen.checking import parse_configuration
-from screen.configuration import Configuration, Route, Upstream
-from screen.settings import Bounds, CloudApi, Limits, Listen, Settings
 from windvane.balancer import Balancer
 
 EVENTS = (1, 8, 32, 64, 128)  # events of one answer
--- a/mastturn/engines/balancer.py
+++ b/mastturn/engines/balancer.py
@@ -7,6 +7,8 @@
 from collections.abc import Callable
 from typing import Any
 
+from config.configuration import Configuration, Upstream
+from config.settings import Bounds, CloudApi, Limits, Settings
 from dissemination.holdings import Holdings
 from dissemination.load_steps import Loads
 from dissemination.loads import ENTRY_BYTES, LoadSum, OthersLoad
@@ -16,8 +18,6 @@
 from mastturn.engines.jobs import Figures, Job
 from mastturn.engines.wire import HEAD_BYTES, Network, SimulatedUpstreams, extra
 from passpost.upstream import Outgoing
-from screen.configuration import Configuration, Upstream
-from screen.settings import Bounds, CloudApi, Limits, Settings
 from station.balancing import HOLDINGS_S
 from windvane.balancer import Balancer
 from windvane.ingress import RoutedCall
--- a/mastturn/engines/control.py
+++ b/mastturn/engines/control.py
@@ -6,12 +6,12 @@
 from collections.abc import Sequence
 from typing import Any
 
+from config.configuration import Upstream
 from control.mover import LOOK_S, Mover
 from dissemination.follower import STALE_S
 from mastturn.engines.balancer import Node, Root
 from mastturn.engines.engine import Engine
 from mastturn.engines.wire import Network
-from screen.configuration import Upstream
 
 LIST_S = 1.0  # between two readings of the platform's list
 LEASE_S = 3.0
--- a/mastturn/engines/fleet.py
+++ b/mastturn/engines/fleet.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+from config.configuration import Configuration, Route, Service, Upstream
 from control.orders import Outcome, Rejected, Taken
 from dissemination.messages import Present
 from dissemination.relays import parent_of
@@ -17,7 +18,6 @@
 from mastturn.engines.records import Record
 from mastturn.engines.sheet import Sheet
 from mastturn.engines.wire import Network
-from screen.configuration import Configuration, Route, Service, Upstream
 
 GONE_S = 3.0  # an upstream that has crashed stays on the list so long
 DRAIN_MORE_S = 1.0  # an upstream that leaves goes on so long beyond the time it was given
--- a/mastturn/engines/play.py
+++ b/mastturn/engines/play.py
@@ -10,6 +10,7 @@
 
 from loguru import logger
 
+from config.configuration import Upstream
 from control.orders import Outcome, Unclear
 from mastturn.engines import troubles
 from mastturn.engines.clock import SimulatedLoop
@@ -18,7 +19,6 @@
 from mastturn.engines.fleet import Fleet
 from mastturn.engines.judge import Worth, judge
 from mastturn.engines.sheet import Day, Sheet
-from screen.configuration import Upstream
 from windvane.tiers import Tiers
 
 LEAD_S = 3.0  # long enough for lists, counts and measures to settle
--- a/screen/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""What all programs of the system share: settings, configuration, errors, logs, messages."""
--- a/station/__main__.py
+++ b/station/__main__.py
@@ -23,9 +23,9 @@
 from absl import flags
 from loguru import logger
 
-from screen import settings as settings_file
-from screen.errors import SettingsError, StationError
-from screen.settings import Settings
+from config import settings as settings_file
+from config.errors import FleetError, SettingsError
+from config.settings import Settings
 from station import logs
 from station.roles import BALANCER, CONTROL, ROLES, current_name
 
@@ -115,7 +115,7 @@
         changed.clear()
         try:
             newer = settings_file.read()
-        except StationError as error:
+        except FleetError as error:
             if str(error) != unread:
                 unread = str(error)
                 logger.warning("event=settings_unread error={!r}", unread)
@@ -157,7 +157,7 @@
         settings = settings_file.read()
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
             runner.run(serve(role, settings))
-    except StationError as error:
+    except FleetError as error:
         print(str(error), file=sys.stderr)
         return 1
     except OSError as error:
--- a/station/alone.py
+++ b/station/alone.py
@@ -14,14 +14,14 @@
 
 from loguru import logger
 
+from config.errors import GapError
 from control.platform import PlatformError, PlatformList, pack
 from dissemination.bulletin import Bulletin
 from dissemination.lists import change_of, changed, same_as
 from dissemination.messages import Present, UpstreamChange, UpstreamNews
 from dissemination.relays import heads_of
-from screen.errors import GapError
-from screen.links import Links
-from screen.wire import packed
+from transport.links import Links
+from transport.wire import packed
 
 ALONE_S = 1.8  # without news for so long we read the platform's list ourselves
 SHARE = 0.25  # of the platform's rate that all balancers may use when they are alone
--- a/station/asking.py
+++ b/station/asking.py
@@ -11,8 +11,8 @@
 from dataclasses import dataclass
 from typing import Any
 
-from screen.errors import SettingsError
-from screen.settings import parse_address
+from config.errors import SettingsError
+from config.settings import parse_address
 from station.wrong import UnansweredError, WrongCallError
 
 SILENT_S = 2.0  # of one process; then another is asked
--- a/station/balancer_calls.py
+++ b/station/balancer_calls.py
@@ -13,9 +13,9 @@
 
 from loguru import logger
 
-from screen.calls import REASONS
 from station import balancer_report, explaining, figures
 from station.pace import Pace
+from transport.calls import REASONS
 
 if TYPE_CHECKING:
     from station.balancing import BalancerRole
--- a/station/balancer_figures.py
+++ b/station/balancer_figures.py
@@ -5,8 +5,8 @@
 from typing import TYPE_CHECKING
 
 from passpost.answer_end import Misuse
-from screen.metrics import Metric, by, by_labels, counter, gauge, histogram
 from station.balancer_report import status
+from station.exposition import Metric, by, by_labels, counter, gauge, histogram
 from windvane.tally import FIRST_EVENT_S
 
 if TYPE_CHECKING:
--- a/station/balancer_report.py
+++ b/station/balancer_report.py
@@ -5,9 +5,9 @@
 import time
 from typing import TYPE_CHECKING, Any
 
-from screen.wire import EDITION
 from station.roles import BALANCER
 from station.version import memory_kb, processor_s, program
+from transport.wire import EDITION
 from windvane.tiers import Peer
 
 if TYPE_CHECKING:
--- a/station/balancing.py
+++ b/station/balancing.py
@@ -8,6 +8,9 @@
 
 from loguru import logger
 
+from config.checking import parse_configuration, parse_upstreams
+from config.errors import FleetError, InvalidConfigurationError
+from config.settings import Settings, parse_address
 from control.platform import PlatformList
 from dissemination import messages
 from dissemination.bulletin import Bulletin
@@ -36,15 +39,12 @@
     UpstreamChange,
     UpstreamNews,
 )
-from screen.checking import parse_configuration, parse_upstreams
-from screen.errors import InvalidConfigurationError, StationError
-from screen.links import Links
-from screen.settings import Settings, parse_address
-from screen.tasks import keep_on
-from screen.wire import EDITION, Kinds, Link
 from station import draining, logs
 from station.alone import LoneReader
 from station.load_exchange import LoadExchange
+from transport.links import Links
+from transport.tasks import keep_on
+from transport.wire import EDITION, Kinds, Link
 from windvane.balancer import Balancer
 
 KINDS = Kinds().include(messages.KINDS)
@@ -250,7 +250,7 @@
     def _list(self, message: UpstreamNews) -> None:
         try:
             entries, _ = parse_upstreams(message.page)
-        except StationError as error:
+        except FleetError as error:
             logger.error("event=list_unusable error={!r}", str(error))
             return
         self._lone.listed = len(entries)
--- a/station/commands.py
+++ b/station/commands.py
@@ -15,9 +15,9 @@
 
 from absl import flags
 
-from screen import settings as settings_file
-from screen.errors import StationError
-from screen.settings import Settings, parse_address
+from config import settings as settings_file
+from config.errors import FleetError
+from config.settings import Settings, parse_address
 from station import asking, configuring, fleet_status, present, salvage, tracing
 from station.draining import names_of
 from station.tables import table
@@ -399,7 +399,7 @@
     except flags.Error as error:
         print(f"{str(error).splitlines()[0]}; see `python3 -m station status --help`", file=sys.stderr)
         return WRONG_CALL
-    except StationError as error:
+    except FleetError as error:
         print(str(error), file=sys.stderr)
         return getattr(error, "code", FAILED)
     print(json.dumps(report.data) if given.json else "\n".join(report.lines))
--- a/station/configuring.py
+++ b/station/configuring.py
@@ -9,8 +9,8 @@
 from pathlib import Path
 from typing import Any
 
-from screen.checking import check
-from screen.errors import InvalidConfigurationError
+from config.checking import check
+from config.errors import InvalidConfigurationError
 from station import asking
 from station.draining import FIELD, names_of
 from station.wrong import FailedError, RefusedError, WrongCallError
--- a/station/control_calls.py
+++ b/station/control_calls.py
@@ -10,8 +10,8 @@
 from weakref import WeakKeyDictionary
 
 from control.operators import CALLS
-from screen.calls import Call, Reply, say
 from station.pace import Pace
+from transport.calls import Call, Reply, say
 
 if TYPE_CHECKING:
     from control.node import ControlNode
--- a/station/control_report.py
+++ b/station/control_report.py
@@ -5,11 +5,11 @@
 import asyncio
 from typing import TYPE_CHECKING, Any
 
-from screen.checking import parse_upstreams
-from screen.errors import WireError
-from screen.wire import EDITION
+from config.checking import parse_upstreams
+from config.errors import WireError
 from station.roles import CONTROL
 from station.version import memory_kb, processor_s, program
+from transport.wire import EDITION
 
 if TYPE_CHECKING:
     from consensus.replica import Replica
--- a/station/dashboard.py
+++ b/station/dashboard.py
@@ -11,11 +11,11 @@
 import time
 from typing import Any
 
-from screen.calls import Reply, say
-from screen.settings import Settings, parse_address
+from config.settings import Settings, parse_address
 from station import fleet_status
 from station.tables import is_number, shown
 from station.wrong import UnansweredError
+from transport.calls import Reply, say
 
 FRESH_S = 2.0  # a page is shown to all who ask within this
 RELOAD_S = 5  # a browser asks again
--- a/station/figures.py
+++ b/station/figures.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from typing import Any
 
-WRITER = "screen.metrics"
+WRITER = "station.exposition"
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
 
--- a/station/load_exchange.py
+++ b/station/load_exchange.py
@@ -12,7 +12,7 @@
 from dissemination.load_steps import Figures, Loads
 from dissemination.loads import BYTES_S, ENTRY_BYTES, PERIOD_S, LoadSum, OthersLoad
 from dissemination.messages import LoadNews, LoadReport, LoadReportStep, LoadStep, UpstreamLoad
-from screen.wire import Link
+from transport.wire import Link
 
 
 class LoadExchange:
--- a/station/salvage.py
+++ b/station/salvage.py
@@ -10,11 +10,11 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from config.errors import DiskError, WireError
 from consensus.codec import apply, read_record
 from consensus.files import OsFiles
 from consensus.slots import Store
 from consensus.views import Memory
-from screen.errors import DiskError, WireError
 from station.wrong import FailedError, WrongCallError
 
 FILES = ("slot.0", "slot.1", "log.0", "log.1")
--- a/station/version.py
+++ b/station/version.py
@@ -13,7 +13,8 @@
     "consensus",
     "control",
     "dissemination",
-    "screen",
+    "config",
+    "transport",
     "passpost",
     "umberworks",
 )
--- a/station/wrong.py
+++ b/station/wrong.py
@@ -2,18 +2,18 @@
 
 from __future__ import annotations
 
-from screen.errors import StationError
+from config.errors import FleetError
 
 DONE, FAILED, WRONG_CALL, DIFFERS = 0, 1, 2, 3  # exit codes
 
 
-class WrongCallError(StationError):
+class WrongCallError(FleetError):
     """The command can't be understood, or names what is not there."""
 
     code = WRONG_CALL
 
 
-class FailedError(StationError):
+class FailedError(FleetError):
     """It was understood, and is not done."""
 
     code = FAILED
--- a/tests/fabric_callers.py
+++ b/tests/fabric_callers.py
@@ -8,8 +8,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from screen.configuration import Configuration, Upstream
-from screen.settings import Settings
+from config.configuration import Configuration, Upstream
+from config.settings import Settings
 from tests.fabric import End, Loop
 
 PLATFORM = ("10.200.0.1", 8169)
--- a/tests/fabric_disk.py
+++ b/tests/fabric_disk.py
@@ -9,8 +9,8 @@
 from pathlib import Path
 from typing import Any
 
+from config.errors import DiskError
 from consensus.slots import Loaded, Store
-from screen.errors import DiskError
 from tests.fabric import PROCESS
 
 
--- a/tests/fabric_world.py
+++ b/tests/fabric_world.py
@@ -17,19 +17,19 @@
 import yaml
 from loguru import logger
 
+from config import settings as settings_file
+from config.errors import WireError
+from config.settings import Settings
 from consensus import messages as control
 from consensus.codec import revive
 from consensus.views import View
 from control.node import KINDS, ControlNode
 from dissemination import messages as news
-from screen import settings as settings_file
-from screen.errors import WireError
-from screen.settings import Settings
-from screen.wire import FrameReader
 from station.balancing import BalancerRole
 from tests.fabric import OUTSIDE, PROCESS, End, Loop, Process
 from tests.fabric_callers import PLATFORM, DataPlane, Operator, Platform
 from tests.fabric_disk import Disk, InlineQueue, own_disk
+from transport.wire import FrameReader
 
 STATION_PORT, CTL_PORT = 7720, 8166
 APPROVED = Path(__file__).parent / "approved"
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -12,6 +12,7 @@
 
 import pytest
 
+from config.checking import check
 from dissemination.messages import ConfigurationNews, Pulse
 from mastturn.capacity import budget, choices, lists, remedies, tables
 from mastturn.capacity.clockwork import Loop, Program
@@ -25,8 +26,7 @@
 from mastturn.capacity.slopes import agrees, fit, quantile
 from mastturn.capacity.troubles import run_troubles
 from mastturn.files import LabError
-from screen.checking import check
-from screen.wire import packed
+from transport.wire import packed
 
 SMALL = Shape(balancers=8, upstreams=40, zones=2, regions=2, services=3, routes=6, requests_s=2_400.0)
 
--- a/tests/test_checking.py
+++ b/tests/test_checking.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from screen.checking import (
+from config.checking import (
     MOST_NESTED,
     canonical,
     check,
@@ -19,8 +19,8 @@
     parse_configuration,
     parse_upstreams,
 )
-from screen.configuration import ClientLimits, Configuration, LoadedModel, Route, Split, Upstream
-from screen.errors import InvalidConfigurationError, WireError
+from config.configuration import ClientLimits, Configuration, LoadedModel, Route, Split, Upstream
+from config.errors import InvalidConfigurationError, WireError
 
 WHOLE: dict[str, Any] = {
     "ver": 7,
--- a/tests/test_screen_settings.py
+++ b/tests/test_config_settings.py
@@ -9,9 +9,9 @@
 import pytest
 import yaml
 
-from screen import settings as settings_file
-from screen.errors import SettingsError
-from screen.settings import parse, parse_address
+from config import settings as settings_file
+from config.errors import SettingsError
+from config.settings import parse, parse_address
 
 WHOLE: dict[str, Any] = {
     "node": "edge-hall-a-1",
--- a/tests/test_control_host_disk.py
+++ b/tests/test_control_host_disk.py
@@ -9,12 +9,12 @@
 
 import pytest
 
+from config.errors import DiskError
 from consensus import messages as control
 from consensus.codec import PromiseRecord, WriteRecord, whole, write_record
 from consensus.keeper import AGAIN_S, LOG_BYTES, STUCK_S, Keeper
 from consensus.slots import Loaded, Store
 from consensus.views import Document, Memory
-from screen.errors import DiskError
 from tests.fabric import Process
 from tests.fabric_callers import configuration
 from tests.fabric_disk import Disk
--- a/tests/test_days_found_moves.py
+++ b/tests/test_days_found_moves.py
@@ -7,10 +7,10 @@
 import pytest
 
 import control.mover
+from config.configuration import Upstream
 from control.mover import LEASE_SPARE, MOVING_S, UNHEARD, Mover
 from control.orders import Outcome, Rejected, Taken, Unclear
 from control.platform import pack
-from screen.configuration import Upstream
 from tests.loopback import run
 
 LEASE_S = 3.0
--- a/tests/test_dissemination_feed.py
+++ b/tests/test_dissemination_feed.py
@@ -8,7 +8,7 @@
 from dissemination.bulletin import Bulletin
 from dissemination.feed import Feed
 from dissemination.messages import Attach, ConfigurationNews, Moved, Present, Pulse, Roll
-from screen.wire import Kinds, Link
+from transport.wire import Kinds, Link
 
 KINDS = Kinds().include(messages.KINDS)
 
--- a/tests/test_dissemination_lists.py
+++ b/tests/test_dissemination_lists.py
@@ -10,16 +10,16 @@
 
 import pytest
 
+from config.errors import GapError, WireError
 from control.node import KINDS
 from control.platform import pack
 from dissemination.lists import change_of, changed, digest_of, same_as
 from dissemination.messages import Attach, ConfigurationNews, Pulse, Speaks, UpstreamChange, UpstreamNews
-from screen.errors import GapError, WireError
-from screen.wire import MOST_FRAME, PACKED, packed, unpacked
 from tests.fabric_callers import upstream
 from tests.fabric_scenes import begun
 from tests.fabric_world import World, play
 from tests.test_dissemination_feed import Desk, Wire, attach, link
+from transport.wire import MOST_FRAME, PACKED, packed, unpacked
 
 
 def news(entries: list[dict[str, Any]], number: int = 1) -> UpstreamNews:
--- a/tests/test_dissemination_steps.py
+++ b/tests/test_dissemination_steps.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from config.errors import GapError
 from control.herald import Herald
 from control.node import KINDS
 from dissemination.bulletin import Bulletin
@@ -34,13 +35,12 @@
     UpstreamLoad,
     UpstreamNews,
 )
-from screen.errors import GapError
 from tests.fabric_callers import upstream
 from tests.fabric_scenes import begun
 from tests.fabric_world import Machine, World, play
 from tests.test_dissemination_loads import UP_S, is_right, seen, work
 from tests.test_dissemination_news import settled
-from tests.test_screen_strangers import connect
+from tests.test_transport_strangers import connect
 
 
 async def listed(world: World, entries: list[dict[str, Any]]) -> None:
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -21,6 +21,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from config.checking import check, digest, parse_configuration, parse_upstreams
+from config.configuration import ClientLimits
+from config.errors import DiskError, FleetError, InvalidConfigurationError, SettingsError, WireError
+from config.settings import parse
 from consensus import messages as control
 from consensus.codec import RECORDS, read_record, revive
 from consensus.files import OsFiles
@@ -31,19 +35,15 @@
 from dissemination import messages as news
 from passpost.http1 import Answer
 from passpost.validation import BadRequestError
-from screen.calls import _Caller
-from screen.checking import check, digest, parse_configuration, parse_upstreams
-from screen.configuration import ClientLimits
-from screen.errors import DiskError, InvalidConfigurationError, SettingsError, StationError, WireError
-from screen.settings import parse
-from screen.wire import MOST_FRAME, FrameReader, Kinds, Link, plain
 from station import asking, dashboard, draining, fleet_status
 from station.tracing import pairs_of
 from tests import fuzz_inputs
 from tests.fabric_callers import configuration
 from tests.fuzz_inputs import LIMITS, as_text, changed, deep, json_of, of_schema, spoilt
-from tests.test_screen_settings import WHOLE
+from tests.test_config_settings import WHOLE
 from tests.test_station_cli_commands import PRESENT, UPSTREAMS, _balancer, _control
+from transport.calls import _Caller
+from transport.wire import MOST_FRAME, FrameReader, Kinds, Link, plain
 from windvane.ingress import read_head
 from windvane.prompt import read_prompt
 from windvane.readiness import MOST, _Asked
@@ -512,7 +512,7 @@
     for read in (answer.json, partial(asking.address, body.decode("latin-1"))):
         try:
             read()
-        except StationError as error:
+        except FleetError as error:
             assert error.remedy
 
 
--- a/tests/test_fuzz_found.py
+++ b/tests/test_fuzz_found.py
@@ -8,17 +8,17 @@
 
 import pytest
 
+from config.checking import parse_upstreams
 from consensus.codec import revive
 from consensus.messages import KINDS, Known
 from consensus.views import Member, View
 from control.platform import PlatformError, PlatformList
 from passpost.http1 import Answer
-from screen.checking import parse_upstreams
-from screen.wire import FrameReader
 from station import asking, draining, fleet_status
 from station.answers import is_status
 from station.wrong import UnansweredError
 from tests.test_station_cli_commands import PRESENT, _balancer, _control
+from transport.wire import FrameReader
 from windvane.wire import read_handle
 
 DEEP = b"[" * 100_000
--- a/tests/test_phases.py
+++ b/tests/test_phases.py
@@ -4,8 +4,8 @@
 
 from dataclasses import replace
 
+from config.configuration import Upstream
 from control.phases import PAUSE_S, Order, PhasePlan
-from screen.configuration import Upstream
 
 Loads = dict[str, tuple[int, int]]
 
--- a/tests/test_replica_messages.py
+++ b/tests/test_replica_messages.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from config.errors import WireError
 from consensus.codec import (
     PromiseRecord,
     Record,
@@ -36,8 +37,7 @@
     Written,
 )
 from consensus.views import Document, Member, Memory, Taken, View
-from screen.errors import WireError
-from screen.wire import FrameReader
+from transport.wire import FrameReader
 
 A = Member("a", "core-a", "10.0.0.1", 7700, "10.0.0.1:8166", "hall-a")
 B = Member("b", "core-b", "10.0.1.1", 7700, "10.0.1.1:8166")
--- a/tests/test_schema.py
+++ b/tests/test_schema.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from screen.schema import Int32, fields_of, reader_of
-from screen.wire import FrameReader, Kinds
+from transport.schema import Int32, fields_of, reader_of
+from transport.wire import FrameReader, Kinds
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -20,12 +20,12 @@
 
 import pytest
 
+from config.errors import DiskError
 from consensus.disk_queue import MOST_GROUP_BYTES, DiskQueue
 from consensus.files import Files, OsFiles
 from consensus.slots import _CHAIN as CHAIN
 from consensus.slots import MOST_RECORD_BYTES, Loaded, Store
 from consensus.slots import _frame as frame_of
-from screen.errors import DiskError
 
 FOLDER = Path("/data")
 MOST_S = 10.0  # a wait as long as this is a failure
--- a/tests/test_station_cli_balancer.py
+++ b/tests/test_station_cli_balancer.py
@@ -14,11 +14,11 @@
 from loguru import logger
 from prometheus_client.parser import text_string_to_metric_families
 
+from config.settings import Settings, parse
 from dissemination.messages import ConfigurationNews, UpstreamNews
-from screen.metrics import by, counter, gauge, histogram, render
-from screen.settings import Settings, parse
 from station import balancer_calls, explaining, logs
 from station.balancing import BalancerRole
+from station.exposition import by, counter, gauge, histogram, render
 from station.pace import MOST, Pace
 from station.tap import StepLog, listen
 from tests.fabric_callers import configuration as document
--- a/tests/test_station_cli_commands.py
+++ b/tests/test_station_cli_commands.py
@@ -14,11 +14,11 @@
 
 import pytest
 
+from config import settings as settings_file
 from consensus.codec import whole, write_record
 from consensus.files import OsFiles
 from consensus.slots import Store
 from consensus.views import Document, Member, Memory, View
-from screen import settings as settings_file
 from station import __main__ as station
 from station import asking, configuring, explaining, fleet_status, tracing
 from station.tables import table
@@ -541,6 +541,6 @@
 LAZY = (
     "station.commands", "station.asking", "station.fleet_status", "station.tap", "station.explaining",
     "station.balancer_calls", "station.balancer_report", "station.balancer_figures", "station.figures",
-    "station.dashboard", "station.control_figures", "station.control_report", "screen.metrics",
+    "station.dashboard", "station.control_figures", "station.control_report", "station.exposition",
     "station.version", "station.salvage", "prometheus_client",
 )  # fmt: skip
--- a/tests/test_station_cli_present.py
+++ b/tests/test_station_cli_present.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from screen import settings as settings_file
+from config import settings as settings_file
 from station import __main__ as station
 from station import asking, fleet_status, present
 from station.answers import is_status
--- a/tests/test_station_cli_reports.py
+++ b/tests/test_station_cli_reports.py
@@ -9,7 +9,7 @@
 import pytest
 from prometheus_client.parser import text_string_to_metric_families
 
-import screen.metrics  # noqa: F401 - on the fabric's clock no thread loads it
+import station.exposition  # noqa: F401 - on the fabric's clock no thread loads it
 from station import control_calls
 from station.pace import MOST, Pace
 from tests.fabric_callers import DataPlane, ask, call, configuration, upstream
--- a/tests/test_station_command.py
+++ b/tests/test_station_command.py
@@ -20,8 +20,8 @@
 from absl import flags
 from loguru import logger
 
-from screen import settings as settings_file
-from screen.settings import Settings
+from config import settings as settings_file
+from config.settings import Settings
 from station import __main__ as station
 from station import logs
 from station.roles import ROLES
--- a/tests/test_station_dashboard.py
+++ b/tests/test_station_dashboard.py
@@ -12,9 +12,8 @@
 
 import pytest
 
+from config.settings import Listen, Settings, parse
 from control.operators import CALLS
-from screen.calls import CallServer, Reply
-from screen.settings import Listen, Settings, parse
 from station import control_calls, dashboard, fleet_status
 from station.pace import MOST, Pace
 from tests.fabric_callers import ask, call
@@ -22,6 +21,7 @@
 from tests.loopback import run
 from tests.test_station_cli_commands import PRESENT, UPSTREAMS, Ctl, _balancer, _control
 from tests.windvane_stage import free_port
+from transport.calls import CallServer, Reply
 
 
 class Node:
--- a/tests/test_station_figures.py
+++ b/tests/test_station_figures.py
@@ -16,8 +16,8 @@
 from prometheus_client.parser import text_string_to_metric_families
 
 from passpost.counters import Final
-from screen.metrics import render
 from station import balancer_figures, control_calls, control_figures
+from station.exposition import render
 from station.pace import Pace
 from tests.fabric_callers import configuration
 from tests.fabric_world import World, play
@@ -199,8 +199,8 @@
 from station import figures
 report = types.ModuleType("report")
 def metrics(owner):
-    from screen.metrics import gauge
-    by_thread = "screen.metrics" in seen
+    from station.exposition import gauge
+    by_thread = "station.exposition" in seen
     return [gauge("loaded_by_main", "L.", not by_thread), gauge("own", "O.", owner)]
 report.metrics = metrics
 sys.modules["report"] = report
--- a/tests/test_screen_later_kinds.py
+++ b/tests/test_transport_later_kinds.py
@@ -8,7 +8,7 @@
 
 from dissemination import messages
 from dissemination.messages import Pulse
-from screen.wire import MOST_NUMBER, Kinds, Link
+from transport.wire import MOST_NUMBER, Kinds, Link
 
 KINDS = Kinds().include(messages.KINDS)
 
--- a/tests/test_screen_links.py
+++ b/tests/test_transport_links.py
@@ -12,10 +12,10 @@
 
 from dissemination import messages
 from dissemination.messages import Moved, Pulse
-from screen.links import DIAL_S, DROP_S, HELD_FRAMES, STAGGER_S, USER_TIMEOUT_MS, Links, harden
-from screen.wire import Kinds, Link
 from tests.fabric import Process
 from tests.fabric_world import World, play
+from transport.links import DIAL_S, DROP_S, HELD_FRAMES, STAGGER_S, USER_TIMEOUT_MS, Links, harden
+from transport.wire import Kinds, Link
 
 KINDS = Kinds().include(messages.KINDS)
 PORT = 7720
--- a/tests/test_screen_strangers.py
+++ b/tests/test_transport_strangers.py
@@ -9,16 +9,16 @@
 
 import pytest
 
+from config.errors import WireError
 from consensus import messages as control
 from control.node import KINDS
 from dissemination import messages as news
-from screen.calls import MOST_BODY
-from screen.errors import WireError
-from screen.wire import MOST_FRAME, FrameReader
 from tests.fabric import End
 from tests.fabric_callers import Answer, ask, call, configuration
 from tests.fabric_scenes import begun, in_force
 from tests.fabric_world import CTL_PORT, STATION_PORT, World, play
+from transport.calls import MOST_BODY
+from transport.wire import MOST_FRAME, FrameReader
 
 
 class Stranger(asyncio.Protocol):
--- a/tests/test_windvane_balancer.py
+++ b/tests/test_windvane_balancer.py
@@ -6,8 +6,8 @@
 
 import pytest
 
+from config.configuration import ClientLimits
 from passpost import server
-from screen.configuration import ClientLimits
 from tests.loopback import Got, Writer, run, until
 from tests.windvane_stage import (
     HOST,
--- a/tests/test_windvane_draw.py
+++ b/tests/test_windvane_draw.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from screen.configuration import Upstream
+from config.configuration import Upstream
 from windvane.kept import MOST_PAIRS, KeptParts
 from windvane.prompt import Prompt
 from windvane.tiers import (
--- a/tests/test_windvane_draw_properties.py
+++ b/tests/test_windvane_draw_properties.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from screen.configuration import Upstream
+from config.configuration import Upstream
 from windvane.tiers import DECODE, Peer, Tiers
 
 SVC = "pool"
--- a/tests/test_windvane_parts.py
+++ b/tests/test_windvane_parts.py
@@ -8,8 +8,8 @@
 
 import pytest
 
+from config.configuration import ClientLimits, Configuration, Route, Service, Split
 from passpost.validation import BadRequestError
-from screen.configuration import ClientLimits, Configuration, Route, Service, Split
 from tests.windvane_stage import event, route
 from windvane import manners
 from windvane.budget import LATE_S, SAFETY, RetryBudget
--- a/tests/test_windvane_trust.py
+++ b/tests/test_windvane_trust.py
@@ -8,10 +8,10 @@
 
 import pytest
 
+from config.configuration import Upstream
 from dissemination.doubts import DoubtSum, pack, unpack
 from dissemination.messages import Doubt, DoubtReport
 from passpost.http1 import Answer
-from screen.configuration import Upstream
 from tests.fabric_scenes import begun
 from tests.fabric_world import World, play
 from tests.test_dissemination_news import settled
--- a/tests/test_windvane_urgency.py
+++ b/tests/test_windvane_urgency.py
@@ -4,7 +4,7 @@
 
 import random
 
-from screen.configuration import Route
+from config.configuration import Route
 from windvane.urgency import LAST, MIDDLE, Urgency
 
 
--- a/tests/test_wire_held.py
+++ b/tests/test_wire_held.py
@@ -14,8 +14,8 @@
 from consensus.codec import RECORDS
 from consensus.messages import KINDS as CONTROL
 from dissemination.messages import KINDS as NEWS
-from screen.wire import EDITION, FrameReader, Kinds, plain
 from tests.fabric_world import APPROVED, approve
+from transport.wire import EDITION, FrameReader, Kinds, plain
 
 TABLES = {"control": CONTROL, "news": NEWS, "disk": RECORDS}
 
--- a/tests/windvane_stage.py
+++ b/tests/windvane_stage.py
@@ -10,8 +10,8 @@
 from dataclasses import dataclass, field, replace
 from typing import Any
 
-from screen.configuration import Backend, ClientLimits, Configuration, Route, Service, Upstream
-from screen.settings import Bounds, CloudApi, Limits, Listen, Settings
+from config.configuration import Backend, ClientLimits, Configuration, Route, Service, Upstream
+from config.settings import Bounds, CloudApi, Limits, Listen, Settings
 from tests.loopback import CuttingServer, Got, Reader, Writer, read_request
 from windvane.balancer import Balancer
 
--- a/screen/links.py
+++ b/transport/links.py
@@ -7,8 +7,8 @@
 from collections.abc import Callable, Sequence
 from typing import Any
 
-from screen.settings import Address
-from screen.wire import Kinds, Link
+from config.settings import Address
+from transport.wire import Kinds, Link
 
 DIAL_S = 0.5  # a connection comes up within this, or the peer is out of reach
 STAGGER_S = 0.1  # where one of several is wanted, the next is dialled if the one before is not up by then
--- a/screen/wire.py
+++ b/transport/wire.py
@@ -19,8 +19,8 @@
 import fastavro
 from loguru import logger
 
-from screen.errors import WireError
-from screen.schema import Reader, fields_of, reader_of
+from config.errors import WireError
+from transport.schema import Reader, fields_of, reader_of
 
 EDITION = 4  # of all kinds together, as reports show it: the next number with each new kind
 STEPS_EDITION = 3  # and later ones take packed frames, changes of the list and steps of loads
--- a/windvane/balancer.py
+++ b/windvane/balancer.py
@@ -9,14 +9,14 @@
 from collections.abc import Callable
 from typing import Any
 
+from config.configuration import Configuration, Upstream
+from config.settings import Settings, parse_address
 from dissemination.doubts import Doubts
 from passpost.engine import Client
 from passpost.http1 import Headers
 from passpost.server import ClientManner, Server
 from passpost.upstream import Outgoing, Upstreams
 from passpost.validation import BadRequestError, Call
-from screen.configuration import Configuration, Upstream
-from screen.settings import Settings, parse_address
 from windvane import manners, readiness
 from windvane.answer_log import AnswerLog
 from windvane.budget import RetryBudget
--- a/windvane/ingress.py
+++ b/windvane/ingress.py
@@ -7,9 +7,9 @@
 from collections import Counter
 from dataclasses import dataclass
 
+from config.configuration import ClientLimits, Route
 from passpost.http1 import Headers, end_to_end
 from passpost.validation import BadRequestError, Call
-from screen.configuration import ClientLimits, Route
 from windvane.prompt import Prompt, read_prompt
 from windvane.routes import RouteTable
 
--- a/windvane/manners.py
+++ b/windvane/manners.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
+from config.configuration import ClientLimits
 from passpost.server import ClientManner
 from passpost.upstream import Manner
-from screen.configuration import ClientLimits
 from windvane.wire import is_event_stream, outcome
 
 DARK_MS = 700  # an upstream that acknowledges nothing for so long is dark
--- a/windvane/passage.py
+++ b/windvane/passage.py
@@ -7,10 +7,10 @@
 
 from loguru import logger
 
+from config.configuration import Route
 from passpost.engine import Client
 from passpost.http1 import Answer
 from passpost.upstream import Outgoing
-from screen.configuration import Route
 from umberworks.interface import Outcome
 from windvane import pair as steps
 from windvane.errand import Errand
--- a/windvane/readiness.py
+++ b/windvane/readiness.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import cast
 
-from screen.settings import Address
+from config.settings import Address
 
 MOST = 4096  # bytes of one question
 MOST_OPEN = 64  # connections at once: the platform needs one or two; beyond that the oldest goes
--- a/windvane/routes.py
+++ b/windvane/routes.py
@@ -6,7 +6,7 @@
 from bisect import bisect
 from itertools import accumulate
 
-from screen.configuration import Configuration, Route
+from config.configuration import Configuration, Route
 
 
 class RouteTable:
--- a/windvane/tiers.py
+++ b/windvane/tiers.py
@@ -11,7 +11,7 @@
 import random
 from collections.abc import Callable, Collection, Iterable
 
-from screen.configuration import Upstream
+from config.configuration import Upstream
 from umberworks import interface as face
 from umberworks.choice import Choice
 from umberworks.members import Server
--- a/windvane/trust.py
+++ b/windvane/trust.py
@@ -4,9 +4,9 @@
 nothing comes (which counts half: it may be load). Failures of the last `WINDOW_S` are held against the calls
 that an upstream usually gets in that time. With many balancers each sees too few: all are summed up the tree
 (`dissemination.doubts`). An upstream is distrusted on the word of one's own calls, of two balancers of the
-own zone, or of balancers of two zones: one balancer's bad link, or one zone's, condemns nothing
-elsewhere.
-Once most failures are older it gets, for `WARY_S`, what may be repeated, and a third of the evidence is enough then.
+own zone, or of balancers of two zones: one balancer's bad link, or one zone's, condemns nothing elsewhere.
+Once most failures are older it gets, for `WARY_S`, what may be repeated, and a third of the evidence is
+enough then.
 """
 
 from __future__ import annotations
--- a/windvane/urgency.py
+++ b/windvane/urgency.py
@@ -10,7 +10,7 @@
 import math
 from collections.abc import Collection
 
-from screen.configuration import Route
+from config.configuration import Route
 
 USUAL_SHARE = 0.05  # of a smoothed length that the latest one makes up
 LAST = 9
