--- a/windvane/balancer.py
+++ b/balancer/balancer.py
@@ -9,6 +9,19 @@
 from collections.abc import Callable
 from typing import Any
 
+from balancer import manners, readiness
+from balancer.answer_log import AnswerLog
+from balancer.budget import RetryBudget
+from balancer.ingress import RoutedCall, read_head
+from balancer.pair import Handle
+from balancer.passage import Passage
+from balancer.prompt import Prompt
+from balancer.routes import RouteTable, draw_service
+from balancer.standing import Standing
+from balancer.tally import Refusal, Tally
+from balancer.tiers import Peer, Tiers
+from balancer.urgency import Urgency
+from balancer.wire import free_handle
 from config.configuration import Configuration, Upstream
 from config.settings import Settings, parse_address
 from dissemination.doubts import Doubts
@@ -17,19 +30,6 @@
 from passpost.server import ClientManner, Server
 from passpost.upstream import Outgoing, Upstreams
 from passpost.validation import BadRequestError, Call
-from windvane import manners, readiness
-from windvane.answer_log import AnswerLog
-from windvane.budget import RetryBudget
-from windvane.ingress import RoutedCall, read_head
-from windvane.pair import Handle
-from windvane.passage import Passage
-from windvane.prompt import Prompt
-from windvane.routes import RouteTable, draw_service
-from windvane.standing import Standing
-from windvane.tally import Refusal, Tally
-from windvane.tiers import Peer, Tiers
-from windvane.urgency import Urgency
-from windvane.wire import free_handle
 
 TOLD_TOKENS = 512  # shared parts that are shorter are not worth a word to others
 CONNECT_S = 0.5
--- a/windvane/errand.py
+++ b/balancer/errand.py
@@ -6,17 +6,17 @@
 import time
 from typing import TYPE_CHECKING
 
+from balancer.patience import Watch, patience
+from balancer.tiers import Peer
+from balancer.wire import Staged
 from passpost.http1 import Answer
 from passpost.upstream import Attempt, Done, Sink
 from umberworks.interface import Outcome
-from windvane.patience import Watch, patience
-from windvane.tiers import Peer
-from windvane.wire import Staged
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from windvane.balancer import Balancer
+    from balancer.balancer import Balancer
 
 GRACE_S = 0.25  # past the deadline: so long the upstream's own word is awaited
 MISPLACED_S = 0.5  # so long nothing is sent to an upstream that says that it plays another part
--- a/windvane/ingress.py
+++ b/balancer/ingress.py
@@ -7,11 +7,11 @@
 from collections import Counter
 from dataclasses import dataclass
 
+from balancer.prompt import Prompt, read_prompt
+from balancer.routes import RouteTable
 from config.configuration import ClientLimits, Route
 from passpost.http1 import Headers, end_to_end
 from passpost.validation import BadRequestError, Call
-from windvane.prompt import Prompt, read_prompt
-from windvane.routes import RouteTable
 
 REQUEST_ID, DEADLINE = b"mastturn-request-id", b"mastturn-deadline-ms"
 
--- a/windvane/manners.py
+++ b/balancer/manners.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
+from balancer.wire import is_event_stream, outcome
 from config.configuration import ClientLimits
 from passpost.server import ClientManner
 from passpost.upstream import Manner
-from windvane.wire import is_event_stream, outcome
 
 DARK_MS = 700  # an upstream that acknowledges nothing for so long is dark
 CLIENT_DARK_MS = 8000
--- a/windvane/passage.py
+++ b/balancer/passage.py
@@ -7,21 +7,21 @@
 
 from loguru import logger
 
+from balancer import pair as steps
+from balancer.errand import Errand
+from balancer.ingress import RoutedCall
+from balancer.relay import Relay
+from balancer.tally import Refusal
+from balancer.tiers import DECODE, ITSELF, PREFILL, Peer
+from balancer.wire import Staged, is_sound, read_handle
 from config.configuration import Route
 from passpost.engine import Client
 from passpost.http1 import Answer
 from passpost.upstream import Outgoing
 from umberworks.interface import Outcome
-from windvane import pair as steps
-from windvane.errand import Errand
-from windvane.ingress import RoutedCall
-from windvane.relay import Relay
-from windvane.tally import Refusal
-from windvane.tiers import DECODE, ITSELF, PREFILL, Peer
-from windvane.wire import Staged, is_sound, read_handle
 
 if TYPE_CHECKING:
-    from windvane.balancer import Balancer
+    from balancer.balancer import Balancer
 
 PROMISES = (408, 421, 429, 503)  # statuses that promise what an error which ran does not: not passed on
 RUN_LEFT = 1.6  # times its patience after which a run that may be repeated is left
--- a/windvane/relay.py
+++ b/balancer/relay.py
@@ -8,10 +8,10 @@
 
 from typing import Protocol
 
+from balancer.streams import BadStreamError, EventReader
+from balancer.wire import is_event_stream, is_sound
 from passpost.engine import Client
 from passpost.http1 import Flow, Start
-from windvane.streams import BadStreamError, EventReader
-from windvane.wire import is_event_stream, is_sound
 
 
 class Owner(Protocol):
--- a/windvane/standing.py
+++ b/balancer/standing.py
@@ -1,4 +1,4 @@
-"""What our calls tell of the upstreams: silence is looked after, failures go to `windvane.trust`."""
+"""What our calls tell of the upstreams: silence is looked after, failures go to `balancer.trust`."""
 
 from __future__ import annotations
 
@@ -8,11 +8,11 @@
 
 from loguru import logger
 
+from balancer.tiers import Peer, Tiers
+from balancer.trust import HARD, SILENT, WINDOW_S, is_failure
 from passpost.http1 import Answer
 from passpost.upstream import Upstreams
 from umberworks.interface import Outcome
-from windvane.tiers import Peer, Tiers
-from windvane.trust import HARD, SILENT, WINDOW_S, is_failure
 
 PROBE_S = 0.5  # between two looks whether a silent upstream can be reached again
 
--- a/windvane/tiers.py
+++ b/balancer/tiers.py
@@ -1,7 +1,7 @@
 """The upstreams of the list, each tier's ready ones, and the choice among them.
 
 The rule is `umberworks.choice`; here the ready set is filtered before the draw: by state, part, silence,
-trust (`windvane.trust`), home and zone.
+trust (`balancer.trust`), home and zone.
 """
 
 from __future__ import annotations
@@ -11,13 +11,13 @@
 import random
 from collections.abc import Callable, Collection, Iterable
 
+from balancer.kept import KeptParts
+from balancer.prompt import Prompt
+from balancer.trust import Trust
 from config.configuration import Upstream
 from umberworks import interface as face
 from umberworks.choice import Choice
 from umberworks.members import Server
-from windvane.kept import KeptParts
-from windvane.prompt import Prompt
-from windvane.trust import Trust
 
 PREFILL, DECODE = "prefill", "decode"
 SPOILT, SPOILT_S = 2, 1.0  # so many handles in a row that could not be fetched, and it is avoided so long
--- a/windvane/trust.py
+++ b/balancer/trust.py
@@ -24,7 +24,7 @@
 from umberworks.interface import Outcome
 
 if TYPE_CHECKING:
-    from windvane.tiers import Peer
+    from balancer.tiers import Peer
 
 WINDOW_S = 4.0  # failures count for so long
 SHARE = 0.15  # of an upstream's usual calls that fail, from which on it is distrusted
--- a/mastturn/capacity/choices.py
+++ b/mastturn/capacity/choices.py
@@ -12,13 +12,13 @@
 from dataclasses import replace
 from typing import Any
 
+from balancer.prompt import Prompt
+from balancer.tiers import DECODE, PREFILL, Peer, Tiers
 from config.checking import parse_upstreams
 from config.configuration import Upstream
 from control.platform import pack
 from mastturn.capacity.shapes import TARGET, Shape, list_entries
 from mastturn.capacity.sources import spin_ns
-from windvane.prompt import Prompt
-from windvane.tiers import DECODE, PREFILL, Peer, Tiers
 
 SIZES = (20, 50, 104, 200, 400)  # upstreams of one service; 104 is the target's mean: 2,800 over 27 services
 HELD_OUT = 800
--- a/mastturn/capacity/fleet.py
+++ b/mastturn/capacity/fleet.py
@@ -13,6 +13,7 @@
 
 from loguru import logger
 
+from balancer.balancer import Balancer
 from config.configuration import Configuration, Upstream
 from config.settings import CloudApi, Faults, Limits, Listen, Settings
 from control.node import ControlNode
@@ -22,7 +23,6 @@
 from mastturn.capacity.network import CTL_PORT, PLATFORM_PORT, STATION_PORT, Owner
 from mastturn.capacity.shapes import Shape, configuration, list_entries
 from station.balancing import BalancerRole
-from windvane.balancer import Balancer
 
 PLATFORM_IP = "10.200.0.79"
 PAGE = 50  # entries on a page of the platform's list
--- a/mastturn/capacity/memory.py
+++ b/mastturn/capacity/memory.py
@@ -12,6 +12,7 @@
 import uvloop
 from loguru import logger
 
+from balancer.kept import MOST_PAIRS
 from config.settings import CloudApi, Limits, Settings
 from control.platform import pack
 from dissemination.holdings import MOST_HOLDERS, MOST_SUBJECTS
@@ -31,7 +32,6 @@
 from mastturn.capacity.parts import present
 from mastturn.capacity.shapes import TARGET, Shape, configuration, list_entries
 from station.balancing import BalancerRole
-from windvane.kept import MOST_PAIRS
 
 STEPS = ("program", "configuration", "members", "list", "list again", "loads", "holdings", "kept, full")
 SIZES = (0.125, 0.25, 0.5, 0.75)  # of the target's entries, members and routes
--- a/mastturn/capacity/parts.py
+++ b/mastturn/capacity/parts.py
@@ -11,6 +11,8 @@
 from collections.abc import Callable
 from typing import Any
 
+from balancer.routes import RouteTable
+from balancer.tiers import Tiers
 from config.checking import check, parse_configuration, parse_upstreams
 from control.platform import pack
 from dissemination.holdings import Holdings
@@ -33,8 +35,6 @@
 from mastturn.capacity.network import KINDS
 from mastturn.capacity.shapes import TARGET, Shape, configuration, list_entries
 from mastturn.capacity.sources import as_quiet, spin_ns
-from windvane.routes import RouteTable
-from windvane.tiers import Tiers
 
 ENTRIES = (100, 200, 400, 700, 1_000, 1_400, 2_000)
 MEMBERS = (20, 50, 100, 150, 200, 250)
--- a/mastturn/capacity/plane.py
+++ b/mastturn/capacity/plane.py
@@ -13,13 +13,13 @@
 
 import uvloop
 
+from balancer.balancer import Balancer
 from config.checking import parse_configuration
 from config.configuration import Configuration, Route, Upstream
 from config.settings import Bounds, CloudApi, Limits, Listen, Settings
 from mastturn.capacity.children import Child, child
 from mastturn.capacity.shapes import TARGET, configuration, list_entries
 from mastturn.capacity.sources import spin_ns
-from windvane.balancer import Balancer
 
 EVENTS = (1, 8, 32, 64, 128)  # events of one answer
 HELD_OUT = 258  # 620,000 tokens a second over 2,400 requests, one token an event
--- a/mastturn/capacity/sources.py
+++ b/mastturn/capacity/sources.py
@@ -17,7 +17,7 @@
     "station",
     "config",
     "transport",
-    "windvane",
+    "balancer",
     "passpost",
     "umberworks",
 )
--- a/mastturn/capacity/traffic.py
+++ b/mastturn/capacity/traffic.py
@@ -5,8 +5,8 @@
 import random
 from collections import Counter
 
+from balancer.tiers import Peer
 from mastturn.capacity.fleet import Fleet, Machine
-from windvane.tiers import Peer
 
 LOOKED_AT = 20  # balancers whose knowledge is held against what is so
 
--- a/mastturn/engines/balancer.py
+++ b/mastturn/engines/balancer.py
@@ -7,6 +7,12 @@
 from collections.abc import Callable
 from typing import Any
 
+from balancer.balancer import Balancer
+from balancer.ingress import RoutedCall
+from balancer.prompt import Prompt
+from balancer.standing import Standing
+from balancer.tiers import Tiers
+from balancer.wire import Staged
 from config.configuration import Configuration, Upstream
 from config.settings import Bounds, CloudApi, Limits, Settings
 from dissemination.holdings import Holdings
@@ -19,12 +25,6 @@
 from mastturn.engines.wire import HEAD_BYTES, Network, SimulatedUpstreams, extra
 from passpost.upstream import Outgoing
 from station.balancing import HOLDINGS_S
-from windvane.balancer import Balancer
-from windvane.ingress import RoutedCall
-from windvane.prompt import Prompt
-from windvane.standing import Standing
-from windvane.tiers import Tiers
-from windvane.wire import Staged
 
 MakeTiers = Callable[[random.Random, Callable[[str], bool]], Tiers]
 
--- a/mastturn/engines/choosers.py
+++ b/mastturn/engines/choosers.py
@@ -9,8 +9,8 @@
 from collections.abc import Callable, Collection
 from itertools import count
 
-from windvane.prompt import Prompt
-from windvane.tiers import DECODE, PREFILL, Group, Peer, Tiers, _weight
+from balancer.prompt import Prompt
+from balancer.tiers import DECODE, PREFILL, Group, Peer, Tiers, _weight
 
 
 class _Plain(Tiers):
--- a/mastturn/engines/play.py
+++ b/mastturn/engines/play.py
@@ -10,6 +10,7 @@
 
 from loguru import logger
 
+from balancer.tiers import Tiers
 from config.configuration import Upstream
 from control.orders import Outcome, Unclear
 from mastturn.engines import troubles
@@ -19,7 +20,6 @@
 from mastturn.engines.fleet import Fleet
 from mastturn.engines.judge import Worth, judge
 from mastturn.engines.sheet import Day, Sheet
-from windvane.tiers import Tiers
 
 LEAD_S = 3.0  # long enough for lists, counts and measures to settle
 SETTLE_S = 10.0  # after the last request
@@ -59,7 +59,7 @@
     loop = SimulatedLoop()
     state = random.getstate()
     orders = _Orders()
-    logger.disable("windvane")
+    logger.disable("balancer")
     logger.disable("consensus")
     logger.disable("control")
     try:
@@ -69,7 +69,7 @@
         ):
             outcome = loop.run_until_complete(_play(sheet, day, seed, tiers, orders))
     finally:
-        logger.enable("windvane")
+        logger.enable("balancer")
         logger.enable("consensus")
         logger.enable("control")
         random.setstate(state)
--- a/mastturn/engines/wire.py
+++ b/mastturn/engines/wire.py
@@ -9,13 +9,13 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
+from balancer import manners
+from balancer.wire import Staged
 from mastturn.engines.engine import Engine
 from mastturn.engines.jobs import MISPLACED, Figures, Job
 from passpost.http1 import Answer, Headers, Start
 from passpost.upstream import Done, Outgoing, Sink
 from umberworks.interface import Outcome
-from windvane import manners
-from windvane.wire import Staged
 
 CONNECT_S = 0.5
 HEAD_BYTES, EVENT_BYTES = 600, 180  # of a request, and of an event with its packet
--- a/mastturn/smallfleet/layout.py
+++ b/mastturn/smallfleet/layout.py
@@ -97,7 +97,7 @@
         for i in range(cores)
     )
     balancers = tuple(
-        Machine(f"edge-{_name(i)}", "windvane", f"127.{subnet}.{i + 1}.2", EDGE_ZONES[i % len(EDGE_ZONES)])
+        Machine(f"edge-{_name(i)}", "balancer", f"127.{subnet}.{i + 1}.2", EDGE_ZONES[i % len(EDGE_ZONES)])
         for i in range(edges)
     )
     around = [f"127.{subnet}.255.{i + 1}" for i in range(upstreams + 1)]
--- a/mastturn/soak/fleet.py
+++ b/mastturn/soak/fleet.py
@@ -91,7 +91,7 @@
         (self._folder / machine.node).mkdir(exist_ok=True)
         raw = self.layout.settings(machine, self._folder, bootstrap)
         raw["bounds"] = {"grace_s": GRACE_S, "retry_slack": 1_000, "fenced": True}
-        raw["log_levels"] = {"windvane": "INFO", "control": "INFO"}
+        raw["log_levels"] = {"balancer": "INFO", "control": "INFO"}
         layout.write(settings, raw)
         environment = {"MASTTURN_CONFIG": str(settings)}
         member.started_at = time.monotonic()
--- a/mastturn/soak/planted.py
+++ b/mastturn/soak/planted.py
@@ -20,7 +20,7 @@
 
 
 def _stale_error_taken() -> None:
-    from windvane import wire
+    from balancer import wire
 
     def is_ours(status: int, headers: Headers, request_id: bytes) -> bool:
         told = wire.header(headers, wire.REQUEST_ID)
@@ -30,7 +30,7 @@
 
 
 def _id_not_looked_at() -> None:
-    from windvane import wire
+    from balancer import wire
 
     wire.is_ours = lambda status, headers, request_id: True
 
@@ -73,7 +73,7 @@
 
 
 def _repeated_after_reset() -> None:
-    from windvane.pair import Pair, Purse
+    from balancer.pair import Pair, Purse
 
     made = Pair.__init__
 
@@ -84,14 +84,14 @@
 
 
 def _dropped_at_sigterm() -> None:
-    from windvane.balancer import Balancer
+    from balancer.balancer import Balancer
 
     _replace(Balancer, "drain", Balancer.stop)
 
 
 def _gap_in_resumed_stream() -> None:
-    from windvane.passage import Passage
-    from windvane.streams import EventReader
+    from balancer.passage import Passage
+    from balancer.streams import EventReader
 
     common = Passage._common
 
@@ -128,7 +128,7 @@
 
 
 def _held_past_deadline() -> None:
-    from windvane import manners
+    from balancer import manners
 
     made = manners.of_upstreams
     manners.of_upstreams = lambda: dataclasses.replace(made(), bounds_answers=False)
--- a/station/balancer_figures.py
+++ b/station/balancer_figures.py
@@ -4,10 +4,10 @@
 
 from typing import TYPE_CHECKING
 
+from balancer.tally import FIRST_EVENT_S
 from passpost.answer_end import Misuse
 from station.balancer_report import status
 from station.exposition import Metric, by, by_labels, counter, gauge, histogram
-from windvane.tally import FIRST_EVENT_S
 
 if TYPE_CHECKING:
     from station.balancing import BalancerRole
--- a/station/balancer_report.py
+++ b/station/balancer_report.py
@@ -5,10 +5,10 @@
 import time
 from typing import TYPE_CHECKING, Any
 
+from balancer.tiers import Peer
 from station.roles import BALANCER
 from station.version import memory_kb, processor_s, program
 from transport.wire import EDITION
-from windvane.tiers import Peer
 
 if TYPE_CHECKING:
     from station.balancing import BalancerRole
--- a/station/balancing.py
+++ b/station/balancing.py
@@ -8,6 +8,7 @@
 
 from loguru import logger
 
+from balancer.balancer import Balancer
 from config.checking import parse_configuration, parse_upstreams
 from config.errors import FleetError, InvalidConfigurationError
 from config.settings import Settings, parse_address
@@ -45,7 +46,6 @@
 from transport.links import Links
 from transport.tasks import keep_on
 from transport.wire import EDITION, Kinds, Link
-from windvane.balancer import Balancer
 
 KINDS = Kinds().include(messages.KINDS)
 HOLDINGS_S = 0.1  # what was seen read is reported no sooner after the report before
--- a/station/explaining.py
+++ b/station/explaining.py
@@ -11,10 +11,10 @@
 import time
 from typing import Any
 
+from balancer.balancer import Balancer
+from balancer.tiers import Group, Peer, Tiers
 from station.tap import listen
 from umberworks.choice import DRAWS, Choice
-from windvane.balancer import Balancer
-from windvane.tiers import Group, Peer, Tiers
 
 MOST_CHOICES = 20  # that are recorded for one question
 RECORD_S = 3.0  # it is answered after this, with what there is
--- a/station/fleet_status.py
+++ b/station/fleet_status.py
@@ -46,7 +46,7 @@
         asked = [f"{p['ip']}:{readyz_port}" for p in present] if readyz_port else []
         if most is not None and len(asked) > most:
             asked = []
-        answers = [a if a and a["role"] == BALANCER else None for a in pool.map(status_of, asked)]
+        answers = [a if a and current_name(a["role"]) == BALANCER else None for a in pool.map(status_of, asked)]
     view = primary or max(told.values(), key=lambda a: int(a["epoch"]))
     names = [m["node"] for m in view["members"]]
     control = [
--- a/station/roles.py
+++ b/station/roles.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-BALANCER, CONTROL = "windvane", "control"
+BALANCER, CONTROL = "balancer", "control"
 ROLES = (BALANCER, CONTROL)
-FORMER_NAMES = {"barograph": CONTROL}  # accepted for one release
+FORMER_NAMES = {"barograph": CONTROL, "windvane": BALANCER}  # accepted for one release
 
 
 def current_name(name: str) -> str:
--- a/station/tap.py
+++ b/station/tap.py
@@ -10,11 +10,11 @@
 
 from loguru import logger
 
+from balancer.balancer import Balancer
+from balancer.ingress import RoutedCall
+from balancer.tiers import Group, Peer
 from passpost.upstream import Outgoing
 from umberworks.interface import Outcome
-from windvane.balancer import Balancer
-from windvane.ingress import RoutedCall
-from windvane.tiers import Group, Peer
 
 Hear = Callable[[str, dict[str, Any]], None]
 
--- a/station/version.py
+++ b/station/version.py
@@ -9,7 +9,7 @@
 
 PACKAGES = (
     "station",
-    "windvane",
+    "balancer",
     "consensus",
     "control",
     "dissemination",
--- a/tests/windvane_stage.py
+++ b/tests/balancer_stage.py
@@ -10,10 +10,10 @@
 from dataclasses import dataclass, field, replace
 from typing import Any
 
+from balancer.balancer import Balancer
 from config.configuration import Backend, ClientLimits, Configuration, Route, Service, Upstream
 from config.settings import Bounds, CloudApi, Limits, Listen, Settings
 from tests.loopback import CuttingServer, Got, Reader, Writer, read_request
-from windvane.balancer import Balancer
 
 HOST, PATH = "shop.example", "/run/1"
 Act = Callable[["Stage", Got, Writer], Awaitable[None]]
--- a/tests/fabric_callers.py
+++ b/tests/fabric_callers.py
@@ -230,7 +230,7 @@
 
 
 class DataPlane:
-    """Stands in for `windvane.balancer.Balancer`: keeps what the control side says, with the time of it."""
+    """Stands in for `balancer.balancer.Balancer`: keeps what the control side says, with the time of it."""
 
     def __init__(self, settings: Settings, seed: int) -> None:
         self.settings = settings
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -5,10 +5,10 @@
 import pytest
 from loguru import logger
 
+from balancer.wire import is_ours
 from passpost.answer_end import Misuse
 from passpost.http1 import AnswerReader, EndKind, Framing, Headers
-from tests.loopback import Got, Writer, run
-from tests.windvane_stage import (
+from tests.balancer_stage import (
     Act,
     CuttingStage,
     Stage,
@@ -21,7 +21,7 @@
     reset,
     route,
 )
-from windvane.wire import is_ours
+from tests.loopback import Got, Writer, run
 
 UNSAFE = configuration(1, route(route_type="unsafe", tries=1))
 
--- a/tests/test_windvane_balancer.py
+++ b/tests/test_balancer_balancer.py
@@ -6,10 +6,10 @@
 
 import pytest
 
+from balancer import manners, patience
 from config.configuration import ClientLimits
 from passpost import server
-from tests.loopback import Got, Writer, run, until
-from tests.windvane_stage import (
+from tests.balancer_stage import (
     HOST,
     PATH,
     Act,
@@ -34,7 +34,7 @@
     stream_head,
     whole,
 )
-from windvane import manners, patience
+from tests.loopback import Got, Writer, run, until
 
 PROMPT = "Mastturn-Token-Count: 1460,80\r\nMastturn-Prompt-Prefix: 5c1e07a2:800,e4402b7d:660\r\n"
 OURS = ("mastturn-stage", "kv-from", "mastturn-target-upstream", "last-event-id", "priority")
--- a/tests/test_windvane_deadlines.py
+++ b/tests/test_balancer_deadlines.py
@@ -6,8 +6,8 @@
 
 import pytest
 
+from tests.balancer_stage import Stage, chunk, configuration, event, playing, route, stream_head
 from tests.loopback import Got, Writer, run
-from tests.windvane_stage import Stage, chunk, configuration, event, playing, route, stream_head
 
 
 @pytest.mark.parametrize("resumable", [False, True])
--- a/tests/test_windvane_draw.py
+++ b/tests/test_balancer_draw.py
@@ -8,10 +8,9 @@
 
 import pytest
 
-from config.configuration import Upstream
-from windvane.kept import MOST_PAIRS, KeptParts
-from windvane.prompt import Prompt
-from windvane.tiers import (
+from balancer.kept import MOST_PAIRS, KeptParts
+from balancer.prompt import Prompt
+from balancer.tiers import (
     AGAIN,
     DECODE,
     MANY,
@@ -23,6 +22,7 @@
     Peer,
     Tiers,
 )
+from config.configuration import Upstream
 
 SVC = "pool"
 
--- a/tests/test_windvane_draw_properties.py
+++ b/tests/test_balancer_draw_properties.py
@@ -8,8 +8,8 @@
 
 import pytest
 
+from balancer.tiers import DECODE, Peer, Tiers
 from config.configuration import Upstream
-from windvane.tiers import DECODE, Peer, Tiers
 
 SVC = "pool"
 
--- a/tests/test_windvane_once.py
+++ b/tests/test_balancer_once.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from tests.windvane_stage import (
+from tests.balancer_stage import (
     Act,
     Play,
     Reply,
--- a/tests/test_windvane_pair.py
+++ b/tests/test_balancer_pair.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from windvane.pair import UNSENT_MOST, BreakOff, End, Fail, Handle, Pair, Read, Refuse, Run, Step
+from balancer.pair import UNSENT_MOST, BreakOff, End, Fail, Handle, Pair, Read, Refuse, Run, Step
 
 KV = Handle("p", "10.0.0.1:80", "h1", 0.0)
 
--- a/tests/test_windvane_parts.py
+++ b/tests/test_balancer_parts.py
@@ -8,15 +8,15 @@
 
 import pytest
 
+from balancer import manners
+from balancer.budget import LATE_S, SAFETY, RetryBudget
+from balancer.ingress import RoutedCall, read_head
+from balancer.prompt import Prompt, read_prompt
+from balancer.routes import RouteTable, draw_service
+from balancer.streams import MOST_HELD, BadStreamError, EventReader
 from config.configuration import ClientLimits, Configuration, Route, Service, Split
 from passpost.validation import BadRequestError
-from tests.windvane_stage import event, route
-from windvane import manners
-from windvane.budget import LATE_S, SAFETY, RetryBudget
-from windvane.ingress import RoutedCall, read_head
-from windvane.prompt import Prompt, read_prompt
-from windvane.routes import RouteTable, draw_service
-from windvane.streams import MOST_HELD, BadStreamError, EventReader
+from tests.balancer_stage import event, route
 
 # ---- routes
 
--- a/tests/test_windvane_readiness.py
+++ b/tests/test_balancer_readiness.py
@@ -4,8 +4,8 @@
 
 import asyncio
 
+from balancer import readiness
 from tests.loopback import run
-from windvane import readiness
 
 
 def test_only_so_many_connections_stay_open() -> None:
--- a/tests/test_windvane_trust.py
+++ b/tests/test_balancer_trust.py
@@ -8,19 +8,19 @@
 
 import pytest
 
+from balancer.prompt import Prompt
+from balancer.tiers import Peer, Tiers
+from balancer.trust import HARD, KEPT, SILENT, WARY_S, WINDOW_S, is_failure
 from config.configuration import Upstream
 from dissemination.doubts import DoubtSum, pack, unpack
 from dissemination.messages import Doubt, DoubtReport
 from passpost.http1 import Answer
+from tests.balancer_stage import Stage as Stand
+from tests.balancer_stage import answer, configuration, playing, route
 from tests.fabric_scenes import begun
 from tests.fabric_world import World, play
 from tests.test_dissemination_news import settled
-from tests.windvane_stage import Stage as Stand
-from tests.windvane_stage import answer, configuration, playing, route
 from umberworks.interface import Outcome
-from windvane.prompt import Prompt
-from windvane.tiers import Peer, Tiers
-from windvane.trust import HARD, KEPT, SILENT, WARY_S, WINDOW_S, is_failure
 
 PROMPT = Prompt(1000, 800, b"s")
 
--- a/tests/test_windvane_urgency.py
+++ b/tests/test_balancer_urgency.py
@@ -4,8 +4,8 @@
 
 import random
 
+from balancer.urgency import LAST, MIDDLE, Urgency
 from config.configuration import Route
-from windvane.urgency import LAST, MIDDLE, Urgency
 
 
 def route(prio: int) -> Route:
--- a/tests/test_windvane_whole_answers.py
+++ b/tests/test_balancer_whole_answers.py
@@ -6,8 +6,7 @@
 
 import pytest
 
-from tests.loopback import Got, Writer, run
-from tests.windvane_stage import (
+from tests.balancer_stage import (
     Act,
     Stage,
     answer,
@@ -17,6 +16,7 @@
     playing,
     route,
 )
+from tests.loopback import Got, Writer, run
 
 LONG = "0123456789abcdef" * 8_192  # twice of what is held of a body whose length is known
 PLAIN = configuration(1, route(route_type="safe", tries=2))
--- a/tests/test_config_settings.py
+++ b/tests/test_config_settings.py
@@ -15,7 +15,7 @@
 
 WHOLE: dict[str, Any] = {
     "node": "edge-hall-a-1",
-    "role": "windvane",
+    "role": "balancer",
     "machine_class": "edge",
     "serves": ["edge"],
     "ip": "10.1.0.13",
--- a/tests/test_days_found_late.py
+++ b/tests/test_days_found_late.py
@@ -6,9 +6,9 @@
 
 import pytest
 
-import windvane.passage
+import balancer.passage
+from tests.balancer_stage import Stage, configuration, playing, reject, route
 from tests.loopback import Got, Writer, run
-from tests.windvane_stage import Stage, configuration, playing, reject, route
 
 
 class Clock:
@@ -26,7 +26,7 @@
     monkeypatch: pytest.MonkeyPatch, phase: str
 ) -> None:
     clock = Clock()
-    monkeypatch.setattr(windvane.passage, "time", clock)
+    monkeypatch.setattr(balancer.passage, "time", clock)
 
     async def too_late(stage: Stage, got: Got, writer: Writer) -> None:
         clock.ahead = 10.0
--- a/tests/test_engines_play.py
+++ b/tests/test_engines_play.py
@@ -9,6 +9,7 @@
 import msgspec
 import pytest
 
+from balancer.tiers import Tiers
 from mastturn.engines import __main__ as command
 from mastturn.engines import page
 from mastturn.engines.choosers import CHOOSERS
@@ -23,7 +24,6 @@
 from mastturn.engines.troubles import is_modelled
 from mastturn.files import LabError
 from tests.engines_sheet import sheet
-from windvane.tiers import Tiers
 
 DAY = Day("day", 1)
 OWN_SITE = Path("deploy/sites/quayside-desk.toml")
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -21,6 +21,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from balancer.ingress import read_head
+from balancer.prompt import read_prompt
+from balancer.readiness import MOST, _Asked
+from balancer.routes import RouteTable
+from balancer.streams import MOST_HELD, BadStreamError, EventReader
+from balancer.tiers import Tiers
+from balancer.wire import free_handle, read_handle
 from config.checking import check, digest, parse_configuration, parse_upstreams
 from config.configuration import ClientLimits
 from config.errors import DiskError, FleetError, InvalidConfigurationError, SettingsError, WireError
@@ -44,13 +51,6 @@
 from tests.test_station_cli_commands import PRESENT, UPSTREAMS, _balancer, _control
 from transport.calls import _Caller
 from transport.wire import MOST_FRAME, FrameReader, Kinds, Link, plain
-from windvane.ingress import read_head
-from windvane.prompt import read_prompt
-from windvane.readiness import MOST, _Asked
-from windvane.routes import RouteTable
-from windvane.streams import MOST_HELD, BadStreamError, EventReader
-from windvane.tiers import Tiers
-from windvane.wire import free_handle, read_handle
 
 BETWEEN = Kinds().include(control.KINDS).include(news.KINDS)
 CONVERSATIONS = {"between processes": BETWEEN, "on disk": RECORDS}
--- a/tests/test_fuzz_found.py
+++ b/tests/test_fuzz_found.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from balancer.wire import read_handle
 from config.checking import parse_upstreams
 from consensus.codec import revive
 from consensus.messages import KINDS, Known
@@ -19,7 +20,6 @@
 from station.wrong import UnansweredError
 from tests.test_station_cli_commands import PRESENT, _balancer, _control
 from transport.wire import FrameReader
-from windvane.wire import read_handle
 
 DEEP = b"[" * 100_000
 ENTRY = {"id": "u-1", "svc": "pool", "addr": "10.0.0.1:80"}
@@ -98,7 +98,7 @@
 @pytest.mark.parametrize("ended", [{"served": "5"}, {"served": True}, [], None])
 def test_a_balancer_whose_counts_are_none_counts_as_no_answer(ended: Any) -> None:
     assert is_status(_balancer("edge-1")) and not is_status(_balancer("edge-1", ended=ended))
-    assert not is_status({"role": ["windvane"]})
+    assert not is_status({"role": ["balancer"]})
 
 
 def test_a_balancer_in_the_place_of_a_control_process_leads_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
--- a/tests/test_station_cli_balancer.py
+++ b/tests/test_station_cli_balancer.py
@@ -21,9 +21,9 @@
 from station.exposition import by, counter, gauge, histogram, render
 from station.pace import MOST, Pace
 from station.tap import StepLog, listen
+from tests.balancer_stage import Stage, decode, playing, reject
 from tests.fabric_callers import configuration as document
 from tests.loopback import run, until
-from tests.windvane_stage import Stage, decode, playing, reject
 
 SPLIT = "Mastturn-Token-Count: 900,3\r\nMastturn-Prompt-Prefix: aa:400,bb:500\r\n"
 
@@ -108,7 +108,7 @@
             equip(role)
             status, told = await get(role, "/api/status")
             assert (told["role"], told["node"], told["ready"], told["drained"]) == (
-                "windvane",
+                "balancer",
                 "edge-1",
                 True,
                 False,
@@ -327,10 +327,10 @@
 
     monkeypatch.setattr(logs, "write_from", write_from)
     monkeypatch.setattr(logs, "_written", ["INFO"])
-    level = logs.LogLevel("windvane")
+    level = logs.LogLevel("balancer")
     assert not level.follow({}) and not level.follow({"control": "DEBUG"})
-    assert level.follow({"windvane": "debug"}) and logs.is_debug()
-    assert not level.follow({"windvane": "LOUD"}) and logs.is_debug()
+    assert level.follow({"balancer": "debug"}) and logs.is_debug()
+    assert not level.follow({"balancer": "LOUD"}) and logs.is_debug()
     assert level.follow({}) and not logs.is_debug()
     assert written == ["DEBUG", "INFO"]
 
@@ -379,4 +379,4 @@
     base = "node: n\nip: 1.1.1.1\nzone: a\nmachine_class: edge\nport_range: [7720, 7735]\n"
     base += "cloud_api: {addr: '1.1.1.1:1'}\n"
     assert parse(base).log_levels == {}
-    assert parse(base + "log_levels: {windvane: DEBUG}\n").log_levels == {"windvane": "DEBUG"}
+    assert parse(base + "log_levels: {balancer: DEBUG}\n").log_levels == {"balancer": "DEBUG"}
--- a/tests/test_station_cli_commands.py
+++ b/tests/test_station_cli_commands.py
@@ -352,7 +352,7 @@
 
 def _balancer(node: str, ver: int = 7, **more: Any) -> dict[str, Any]:
     return {
-        "role": "windvane", "node": node, "ver": ver, "program": "aa", "ready": True, "drained": False,
+        "role": "balancer", "node": node, "ver": ver, "program": "aa", "ready": True, "drained": False,
         "fresh": True, "told_by": "10.0.0.1", "in_flight": 2, "ended": {"served": 5, "failed": 1},
         "memory_kb": 20_480,
     } | more  # fmt: skip
--- a/tests/test_station_command.py
+++ b/tests/test_station_command.py
@@ -75,9 +75,9 @@
     [
         [],
         ["unknown"],
-        ["windvane", "control"],
-        ["--nothing", "windvane"],
-        ["--log_level=LOUD", "windvane"],
+        ["balancer", "control"],
+        ["--nothing", "balancer"],
+        ["--log_level=LOUD", "balancer"],
         ["--log_level"],
         ["WINDVANE"],
         ["--help"],
@@ -92,7 +92,7 @@
     assert told.out == ""
     assert told.err.count("\n") == 1
     assert "usage: python3 -m station [--log_level=LEVEL] ROLE" in told.err
-    assert "windvane, control" in told.err
+    assert "balancer, control" in told.err
 
 
 @pytest.mark.parametrize("role", ROLES)
@@ -113,11 +113,11 @@
         ("control", {"listen": {}}, "there is no listen.ctl; name the address for operators"),
         ("control", {"node": 7}, "node is 7; make it a text"),
         (
-            "windvane",
+            "balancer",
             {"listen": {"readyz": "127.0.0.1:1"}},
             "there is no listen.http; name the address for clients",
         ),
-        ("windvane", {"listen": {"http": "127.0.0.1:1"}}, "there is no listen.readyz; name the address"),
+        ("balancer", {"listen": {"http": "127.0.0.1:1"}}, "there is no listen.readyz; name the address"),
     ],
 )
 def test_settings_that_a_role_cant_use_are_one_line_and_1(
@@ -179,7 +179,7 @@
     loop = Loop()
 
     async def scene() -> None:
-        serving = loop.create_task(station.serve("windvane", settings_file.read()))
+        serving = loop.create_task(station.serve("balancer", settings_file.read()))
         await asyncio.sleep(0.1)
         await story(loop, path, role)
         loop.signals[signal.SIGTERM]()
@@ -240,9 +240,9 @@
             said[name] = [line.partition("event=")[2] for line in lines]
 
         await after("of another role", {"control": "DEBUG"}, True, 0.1)
-        await after("by a signal", {"windvane": "DEBUG"}, True, 0.1)
-        await after("without a signal", {"windvane": "ERROR"}, False, 2.5)
-        await after("a bad one", {"windvane": "LOUD"}, True, 0.1)
+        await after("by a signal", {"balancer": "DEBUG"}, True, 0.1)
+        await after("without a signal", {"balancer": "ERROR"}, False, 2.5)
+        await after("a bad one", {"balancer": "LOUD"}, True, 0.1)
         await after("none any more", None, True, 0.1)
 
     monkeypatch.setattr(logs, "_written", ["INFO"])
@@ -329,13 +329,14 @@
     assert "event=stopped" in lines[-1]
 
 
+@pytest.mark.parametrize(("former", "name"), [("barograph", "control"), ("windvane", "balancer")])
 def test_a_role_is_known_by_its_former_name_for_one_release(
-    capsys: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch
+    former: str, name: str, capsys: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch
 ) -> None:
     monkeypatch.delenv(settings_file.VARIABLE, raising=False)
-    assert station.main(["station", "barograph"]) == 1
+    assert station.main(["station", former]) == 1
     told = capsys.readouterr().err.splitlines()
-    assert told[0] == "the role barograph is named control now; name it so"
+    assert told[0] == f"the role {former} is named {name} now; name it so"
     assert told[1] == "MASTTURN_CONFIG is not set; let it name the settings file"
 
 
--- a/tests/test_station_figures.py
+++ b/tests/test_station_figures.py
@@ -15,16 +15,16 @@
 import pytest
 from prometheus_client.parser import text_string_to_metric_families
 
+from balancer.balancer import Balancer
+from balancer.tally import FIRST_EVENT_S, Refusal, Tally
 from passpost.counters import Final
 from station import balancer_figures, control_calls, control_figures
 from station.exposition import render
 from station.pace import Pace
+from tests.balancer_stage import Play, Stage, cut_after, decode, playing, prefill, reject, reset
 from tests.fabric_callers import configuration
 from tests.fabric_world import World, play
 from tests.loopback import run
-from tests.windvane_stage import Play, Stage, cut_after, decode, playing, prefill, reject, reset
-from windvane.balancer import Balancer
-from windvane.tally import FIRST_EVENT_S, Refusal, Tally
 
 ROOT = Path(__file__).parent.parent
 SPLIT = "Mastturn-Token-Count: 900,3\r\n"
