--- a/consensus/views.py
+++ b/consensus/views.py
@@ -12,7 +12,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Member:
-    """One control process: `identity` is drawn with its disk and lost with it; `port` is the station port."""
+    """One control process: `identity` is drawn with its disk and lost with it; `port` is its links'."""
 
     identity: str
     node: str
--- a/mastturn/capacity/fleet.py
+++ b/mastturn/capacity/fleet.py
@@ -22,7 +22,7 @@
 from mastturn.capacity.disk import InlineQueue, MemoryFiles
 from mastturn.capacity.network import CTL_PORT, PLATFORM_PORT, STATION_PORT, Owner
 from mastturn.capacity.shapes import Shape, configuration, list_entries
-from station.balancing import BalancerRole
+from mastturnd.balancing import BalancerRole
 
 PLATFORM_IP = "10.200.0.79"
 PAGE = 50  # entries on a page of the platform's list
@@ -286,17 +286,17 @@
     """Disks without threads, and data planes without sockets."""
     logger.disable("consensus")
     logger.disable("control")
-    logger.disable("station")
+    logger.disable("mastturnd")
     logger.disable("dissemination")
     with (
         mock.patch("consensus.keeper.DiskQueue", InlineQueue),
         mock.patch("consensus.keeper.OsFiles", MemoryFiles),
-        mock.patch("station.balancing.Balancer", HollowBalancer),
+        mock.patch("mastturnd.balancing.Balancer", HollowBalancer),
     ):
         try:
             yield
         finally:
-            for name in ("consensus", "control", "station", "dissemination"):
+            for name in ("consensus", "control", "mastturnd", "dissemination"):
                 logger.enable(name)
 
 
--- a/mastturn/capacity/memory.py
+++ b/mastturn/capacity/memory.py
@@ -31,7 +31,7 @@
 from mastturn.capacity.network import KINDS
 from mastturn.capacity.parts import present
 from mastturn.capacity.shapes import TARGET, Shape, configuration, list_entries
-from station.balancing import BalancerRole
+from mastturnd.balancing import BalancerRole
 
 STEPS = ("program", "configuration", "members", "list", "list again", "loads", "holdings", "kept, full")
 SIZES = (0.125, 0.25, 0.5, 0.75)  # of the target's entries, members and routes
--- a/mastturn/capacity/sources.py
+++ b/mastturn/capacity/sources.py
@@ -14,7 +14,7 @@
     "dissemination",
     "consensus",
     "control",
-    "station",
+    "mastturnd",
     "config",
     "transport",
     "balancer",
--- a/mastturn/engines/balancer.py
+++ b/mastturn/engines/balancer.py
@@ -23,8 +23,8 @@
 from mastturn.engines.engine import Engine
 from mastturn.engines.jobs import Figures, Job
 from mastturn.engines.wire import HEAD_BYTES, Network, SimulatedUpstreams, extra
+from mastturnd.balancing import HOLDINGS_S
 from passpost.upstream import Outgoing
-from station.balancing import HOLDINGS_S
 
 MakeTiers = Callable[[random.Random, Callable[[str], bool]], Tiers]
 
--- a/mastturn/smallfleet/__main__.py
+++ b/mastturn/smallfleet/__main__.py
@@ -12,6 +12,7 @@
 from absl import flags
 
 from mastturn.files import LabError
+from mastturn.smallfleet.layout import program_of
 from mastturn.smallfleet.play import Play, as_json, left
 
 USAGE = "usage: python3 -m mastturn.smallfleet [--seconds=S] [--calm] [--folder=DIR] [--other=DIR] [--json]"
@@ -36,8 +37,8 @@
     if not name:
         return None
     folder = Path(name).resolve()
-    if not (folder / "station" / "__main__.py").is_file():
-        raise LabError(f"{folder} holds no station/: name a checkout of this project")
+    if not program_of(folder):
+        raise LabError(f"{folder} holds no mastturnd/: name a checkout of this project")
     return folder
 
 
--- a/mastturn/smallfleet/layout.py
+++ b/mastturn/smallfleet/layout.py
@@ -15,6 +15,7 @@
 ZONES = ("hall-a", "hall-b", "hall-c")
 EDGE_ZONES = ("hall-a", "hall-a", "hall-b")  # two in one, so that one of them can be drained
 PORTS = 8  # that are looked for side by side
+PROGRAM, FORMER_PROGRAM = "mastturnd", "station"  # packages; the latter in checkouts of earlier releases
 HTTP, READYZ, CTL, STATION, PLATFORM, UPSTREAM = range(6)  # their places from the first
 
 
@@ -115,6 +116,12 @@
     return letters[number] if number < len(letters) else str(number)
 
 
+def program_of(checkout: Path) -> str:
+    """The package of the program in a checkout; empty where there is none."""
+    found = (p for p in (PROGRAM, FORMER_PROGRAM) if (checkout / p / "__main__.py").is_file())
+    return next(found, "")
+
+
 def _is_free(ip: str, port: int) -> bool:
     with socket.socket() as probe:
         probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
--- a/mastturn/smallfleet/play.py
+++ b/mastturn/smallfleet/play.py
@@ -129,10 +129,11 @@
         (self._folder / machine.node).mkdir(exist_ok=True)
         layout.write(settings, self._layout.settings(machine, self._folder, bootstrap))
         process = self._processes.setdefault(machine.node, Process(machine.node, self._folder))
-        environment = {"MASTTURN_CONFIG": str(settings)}
+        environment, program = {"MASTTURN_CONFIG": str(settings)}, layout.PROGRAM
         if self._other is not None and machine.node.endswith(OTHERS):
             environment |= {"PYTHONPATH": str(self._other), "PYTHONSAFEPATH": "1"}
-        await process.start("station", machine.role, environment=environment)
+            program = layout.program_of(self._other)
+        await process.start(program, machine.role, environment=environment)
 
     async def _stop_all(self) -> None:
         await asyncio.gather(*(process.stop() for process in self._processes.values()))
--- a/mastturn/soak/fleet.py
+++ b/mastturn/soak/fleet.py
@@ -100,7 +100,7 @@
                 "mastturn.soak.planted", self._defect, machine.role, environment=environment
             )
         else:
-            await member.process.start("station", machine.role, environment=environment)
+            await member.process.start("mastturnd", machine.role, environment=environment)
 
     # ---- troubles of processes
 
--- a/mastturn/soak/planted.py
+++ b/mastturn/soak/planted.py
@@ -169,8 +169,8 @@
     """Plant a defect and run the role."""
     name, *words = argv
     _PLANTS[known(name)][1]()
-    sys.argv = ["station", *words]
-    runpy.run_module("station", run_name="__main__")
+    sys.argv = ["mastturnd", *words]
+    runpy.run_module("mastturnd", run_name="__main__")
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/mastturnd/__init__.py
@@ -0,0 +1,1 @@
+"""The one program of the system: `python3 -m mastturnd ROLE`."""
--- a/station/answers.py
+++ b/mastturnd/answers.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from station.roles import BALANCER, CONTROL, current_name
+from mastturnd.roles import BALANCER, CONTROL, current_name
 
 TEXT, NUMBER, YES = (str,), (int,), (bool,)
 MAYBE = (int, type(None))
--- a/station/asking.py
+++ b/mastturnd/asking.py
@@ -13,7 +13,7 @@
 
 from config.errors import SettingsError
 from config.settings import parse_address
-from station.wrong import UnansweredError, WrongCallError
+from mastturnd.wrong import UnansweredError, WrongCallError
 
 SILENT_S = 2.0  # of one process; then another is asked
 MOST_WORDS = 500  # characters of an error
--- a/station/balancer_calls.py
+++ b/mastturnd/balancer_calls.py
@@ -13,12 +13,12 @@
 
 from loguru import logger
 
-from station import balancer_report, explaining, figures
-from station.pace import Pace
+from mastturnd import balancer_report, explaining, figures
+from mastturnd.pace import Pace
 from transport.calls import REASONS
 
 if TYPE_CHECKING:
-    from station.balancing import BalancerRole
+    from mastturnd.balancing import BalancerRole
 
 _PACES = {target: Pace() for target in ("/api/status", "/api/explain", "/metrics")}
 _tasks: set[asyncio.Task[None]] = set()
@@ -60,7 +60,7 @@
 
 
 async def _figures(role: BalancerRole, transport: asyncio.Transport) -> None:
-    _write(transport, 200, await figures.text("station.balancer_figures", role), figures.CONTENT_TYPE)
+    _write(transport, 200, await figures.text("mastturnd.balancer_figures", role), figures.CONTENT_TYPE)
 
 
 async def _explain(role: BalancerRole, query: str, transport: asyncio.Transport) -> None:
--- a/station/balancer_figures.py
+++ b/mastturnd/balancer_figures.py
@@ -5,12 +5,12 @@
 from typing import TYPE_CHECKING
 
 from balancer.tally import FIRST_EVENT_S
+from mastturnd.balancer_report import status
+from mastturnd.exposition import Metric, by, by_labels, counter, gauge, histogram
 from passpost.answer_end import Misuse
-from station.balancer_report import status
-from station.exposition import Metric, by, by_labels, counter, gauge, histogram
 
 if TYPE_CHECKING:
-    from station.balancing import BalancerRole
+    from mastturnd.balancing import BalancerRole
 
 
 def metrics(role: BalancerRole) -> list[Metric]:
--- a/station/balancer_report.py
+++ b/mastturnd/balancer_report.py
@@ -6,12 +6,12 @@
 from typing import TYPE_CHECKING, Any
 
 from balancer.tiers import Peer
-from station.roles import BALANCER
-from station.version import memory_kb, processor_s, program
+from mastturnd.roles import BALANCER
+from mastturnd.version import memory_kb, processor_s, program
 from transport.wire import EDITION
 
 if TYPE_CHECKING:
-    from station.balancing import BalancerRole
+    from mastturnd.balancing import BalancerRole
 
 
 def _peers(role: BalancerRole) -> list[Peer]:
--- a/station/balancing.py
+++ b/mastturnd/balancing.py
@@ -40,9 +40,9 @@
     UpstreamChange,
     UpstreamNews,
 )
-from station import draining, logs
-from station.alone import LoneReader
-from station.load_exchange import LoadExchange
+from mastturnd import draining, logs
+from mastturnd.alone import LoneReader
+from mastturnd.load_exchange import LoadExchange
 from transport.links import Links
 from transport.tasks import keep_on
 from transport.wire import EDITION, Kinds, Link
@@ -118,7 +118,7 @@
     # ---- what operators ask; nothing of it is loaded until they do
 
     def _asked(self, head: bytes, transport: asyncio.Transport) -> bool:
-        from station import balancer_calls
+        from mastturnd import balancer_calls
 
         return balancer_calls.take(self, head, transport)
 
@@ -130,7 +130,7 @@
             self._tap.remove()
             self._tap = None
             return
-        from station.tap import StepLog
+        from mastturnd.tap import StepLog
 
         self._tap = StepLog(self.balancer)
 
--- a/station/commands.py
+++ b/mastturnd/commands.py
@@ -1,4 +1,4 @@
-"""Operators' commands of the one program: `python3 -m station COMMAND`; loaded only for them.
+"""Operators' commands of the one program: `python3 -m mastturnd COMMAND`; loaded only for them.
 
 Exit codes: 0 done, or all is alike; 1 not done; 2 a wrong call; 3 something differs or is missing.
 """
@@ -18,12 +18,12 @@
 from config import settings as settings_file
 from config.errors import FleetError
 from config.settings import Settings, parse_address
-from station import asking, configuring, fleet_status, present, salvage, tracing
-from station.draining import names_of
-from station.tables import table
-from station.wrong import DIFFERS, DONE, FAILED, WRONG_CALL, FailedError, UnansweredError, WrongCallError
+from mastturnd import asking, configuring, fleet_status, present, salvage, tracing
+from mastturnd.draining import names_of
+from mastturnd.tables import table
+from mastturnd.wrong import DIFFERS, DONE, FAILED, WRONG_CALL, FailedError, UnansweredError, WrongCallError
 
-USAGE = """usage: python3 -m station COMMAND [FLAGS]
+USAGE = """usage: python3 -m mastturnd COMMAND [FLAGS]
   status                     who leads, what each process has, who is present, what differs
   config get                 the configuration in force, as it was sent
   config put FILE            have a file taken on top of the configuration in force
@@ -394,10 +394,10 @@
         print(USAGE)
         return DONE
     try:
-        rest = given(["station", *words])[1:]
+        rest = given(["mastturnd", *words])[1:]
         report = _find(Commands(given), rest)()
     except flags.Error as error:
-        print(f"{str(error).splitlines()[0]}; see `python3 -m station status --help`", file=sys.stderr)
+        print(f"{str(error).splitlines()[0]}; see `python3 -m mastturnd status --help`", file=sys.stderr)
         return WRONG_CALL
     except FleetError as error:
         print(str(error), file=sys.stderr)
--- a/station/configuring.py
+++ b/mastturnd/configuring.py
@@ -11,9 +11,9 @@
 
 from config.checking import check
 from config.errors import InvalidConfigurationError
-from station import asking
-from station.draining import FIELD, names_of
-from station.wrong import FailedError, RefusedError, WrongCallError
+from mastturnd import asking
+from mastturnd.draining import FIELD, names_of
+from mastturnd.wrong import FailedError, RefusedError, WrongCallError
 
 MOST_FILE = 4 * 1024 * 1024  # bytes; more is not taken
 
--- a/station/control_calls.py
+++ b/mastturnd/control_calls.py
@@ -10,12 +10,12 @@
 from weakref import WeakKeyDictionary
 
 from control.operators import CALLS
-from station.pace import Pace
+from mastturnd.pace import Pace
 from transport.calls import Call, Reply, say
 
 if TYPE_CHECKING:
     from control.node import ControlNode
-    from station.dashboard import Dashboard
+    from mastturnd.dashboard import Dashboard
 
 _STATUS, _METRICS, _DASHBOARD = Pace(), Pace(), Pace()  # so that a stranger takes nothing from a collector
 _pages: WeakKeyDictionary[ControlNode, Dashboard] = WeakKeyDictionary()  # made once somebody asks
@@ -38,7 +38,7 @@
     """This process's own word on who leads, what is kept here and who is present."""
     if _is_too_often(_STATUS):
         return _wait()
-    from station import control_report
+    from mastturnd import control_report
 
     return Reply(200, json.dumps(control_report.status(control)).encode())
 
@@ -48,9 +48,9 @@
     """The same as figures for a collector."""
     if _is_too_often(_METRICS):
         return _wait()
-    from station import figures
+    from mastturnd import figures
 
-    found = await figures.text("station.control_figures", control)
+    found = await figures.text("mastturnd.control_figures", control)
     return Reply(200, found, content_type=figures.CONTENT_TYPE)
 
 
@@ -59,9 +59,9 @@
     """A page for a browser on the whole fleet, as this process finds it."""
     if _is_too_often(_DASHBOARD):
         return _wait()
-    if "station.dashboard" not in sys.modules:  # what asks others takes time and memory, once
-        await asyncio.to_thread(importlib.import_module, "station.dashboard")
-    from station.dashboard import Dashboard as Page
+    if "mastturnd.dashboard" not in sys.modules:  # what asks others takes time and memory, once
+        await asyncio.to_thread(importlib.import_module, "mastturnd.dashboard")
+    from mastturnd.dashboard import Dashboard as Page
 
     if control not in _pages:
         _pages[control] = Page()
--- a/station/control_figures.py
+++ b/mastturnd/control_figures.py
@@ -4,8 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-from station.control_report import status
-from station.exposition import Metric, by, counter, gauge
+from mastturnd.control_report import status
+from mastturnd.exposition import Metric, by, counter, gauge
 
 if TYPE_CHECKING:
     from control.node import ControlNode
--- a/station/control_report.py
+++ b/mastturnd/control_report.py
@@ -7,8 +7,8 @@
 
 from config.checking import parse_upstreams
 from config.errors import WireError
-from station.roles import CONTROL
-from station.version import memory_kb, processor_s, program
+from mastturnd.roles import CONTROL
+from mastturnd.version import memory_kb, processor_s, program
 from transport.wire import EDITION
 
 if TYPE_CHECKING:
--- a/station/dashboard.py
+++ b/mastturnd/dashboard.py
@@ -12,9 +12,9 @@
 from typing import Any
 
 from config.settings import Settings, parse_address
-from station import fleet_status
-from station.tables import is_number, shown
-from station.wrong import UnansweredError
+from mastturnd import fleet_status
+from mastturnd.tables import is_number, shown
+from mastturnd.wrong import UnansweredError
 from transport.calls import Reply, say
 
 FRESH_S = 2.0  # a page is shown to all who ask within this
--- a/station/explaining.py
+++ b/mastturnd/explaining.py
@@ -13,7 +13,7 @@
 
 from balancer.balancer import Balancer
 from balancer.tiers import Group, Peer, Tiers
-from station.tap import listen
+from mastturnd.tap import listen
 from umberworks.choice import DRAWS, Choice
 
 MOST_CHOICES = 20  # that are recorded for one question
--- a/station/exposition.py
+++ b/mastturnd/exposition.py
@@ -1,7 +1,7 @@
 """Figures in the text form that metrics collectors read (exposition format 0.0.4).
 
 They are written by prometheus-client, which takes 1.8 MB and 30 ms of processor time when it is first loaded:
-nothing loads this module until somebody asks for figures, and then `station.figures` has a thread do it.
+nothing loads this module until somebody asks for figures, and then `mastturnd.figures` has a thread do it.
 """
 
 from __future__ import annotations
--- a/station/figures.py
+++ b/mastturnd/figures.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from typing import Any
 
-WRITER = "station.exposition"
+WRITER = "mastturnd.exposition"
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
 
--- a/station/fleet_status.py
+++ b/mastturnd/fleet_status.py
@@ -8,11 +8,11 @@
 from collections.abc import Iterable
 from typing import Any
 
-from station import asking, judged
-from station.answers import is_status
-from station.roles import BALANCER, CONTROL, current_name
-from station.tables import table
-from station.wrong import UnansweredError
+from mastturnd import asking, judged
+from mastturnd.answers import is_status
+from mastturnd.roles import BALANCER, CONTROL, current_name
+from mastturnd.tables import table
+from mastturnd.wrong import UnansweredError
 
 SILENT_S = 2.0
 AT_ONCE = 16
@@ -46,7 +46,7 @@
         asked = [f"{p['ip']}:{readyz_port}" for p in present] if readyz_port else []
         if most is not None and len(asked) > most:
             asked = []
-        answers = [a if a and current_name(a["role"]) == BALANCER else None for a in pool.map(status_of, asked)]
+        answers = [a if a and _is_balancer(a) else None for a in pool.map(status_of, asked)]
     view = primary or max(told.values(), key=lambda a: int(a["epoch"]))
     names = [m["node"] for m in view["members"]]
     control = [
@@ -76,6 +76,11 @@
     return bool(found["balancers"]) and (found["leads_ms"] is None or found["leads_ms"] >= NEW_MS)
 
 
+def _is_balancer(answer: dict[str, Any]) -> bool:
+    """Whether a process says that it is one, of whatever release."""
+    return current_name(answer["role"]) == BALANCER
+
+
 def _control_processes(answers: Iterable[dict[str, Any] | None]) -> dict[str, dict[str, Any]]:
     """Those of control processes, by their addresses for operators."""
     return {a["ctl"]: a for a in answers if a is not None and current_name(a["role"]) == CONTROL}
--- a/station/logs.py
+++ b/mastturnd/logs.py
@@ -7,7 +7,7 @@
 
 from loguru import logger
 
-from station.roles import current_name
+from mastturnd.roles import current_name
 
 LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 LINE = "time={time:HH:mm:ss.SSS} level={level} module={name} {message}"
--- a/station/present.py
+++ b/mastturnd/present.py
@@ -10,8 +10,8 @@
 from collections.abc import Callable
 from typing import Any
 
-from station import fleet_status
-from station.wrong import UnansweredError
+from mastturnd import fleet_status
+from mastturnd.wrong import UnansweredError
 
 NAMED_SHARE = 1 / 3  # of the whole time: one primary's word that doesn't suit is asked for again for so long
 AGAIN_S = 0.4  # a process answers eight times a second, to all who ask
--- a/station/salvage.py
+++ b/mastturnd/salvage.py
@@ -15,7 +15,7 @@
 from consensus.files import OsFiles
 from consensus.slots import Store
 from consensus.views import Memory
-from station.wrong import FailedError, WrongCallError
+from mastturnd.wrong import FailedError, WrongCallError
 
 FILES = ("slot.0", "slot.1", "log.0", "log.1")
 
--- a/station/tap.py
+++ b/mastturnd/tap.py
@@ -19,7 +19,7 @@
 Hear = Callable[[str, dict[str, Any]], None]
 
 
-_KEY = "tap of the station"
+_KEY = "tap of the request steps"
 
 
 def listen(balancer: Balancer, hear: Hear) -> Callable[[], None]:
--- a/station/tracing.py
+++ b/mastturnd/tracing.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from station.wrong import WrongCallError
+from mastturnd.wrong import WrongCallError
 
 _PAIR = re.compile(r"""(\w+)=('(?:[^'\\]|\\.)*'|"(?:[^"\\]|\\.)*"|\S*)""")
 _TIME = re.compile(r"(\d\d):(\d\d):(\d\d\.\d{3})")
--- a/station/version.py
+++ b/mastturnd/version.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 
 PACKAGES = (
-    "station",
+    "mastturnd",
     "balancer",
     "consensus",
     "control",
--- a/station/__init__.py
+++ b/station/__init__.py
@@ -1,1 +1,1 @@
-"""The one program of the system: `python3 -m station ROLE`."""
+"""The former name of `mastturnd`; see docs/NAMING.md."""
--- a/station/__main__.py
+++ b/station/__main__.py
@@ -1,170 +1,21 @@
-"""`python3 -m station ROLE`: one program, and the role is a subcommand.
-
-Settings come from the YAML file that `MASTTURN_CONFIG` names. SIGHUP reads it again, SIGTERM ends the
-process in order.
-"""
+"""`python3 -m station` is `python3 -m mastturnd` under its former name, for one release."""
 
 from __future__ import annotations
 
 import signal
 
-if (
-    __name__ == "__main__"
-):  # unhandled it ends us, and to import the rest takes time; the file is read after that
+if __name__ == "__main__":  # unhandled it ends us, and to import the rest takes time
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
-import asyncio
-import gc
-import os
+import runpy
 import sys
-from typing import Protocol
-
-import uvloop
-from absl import flags
-from loguru import logger
-
-from config import settings as settings_file
-from config.errors import FleetError, SettingsError
-from config.settings import Settings
-from station import logs
-from station.roles import BALANCER, CONTROL, ROLES, current_name
-
-FLAGS = flags.FLAGS
-flags.DEFINE_enum(
-    "log_level", "INFO", ["DEBUG", "INFO", "WARNING", "ERROR"], "Lines below this are not written."
-)
-
-OPERATORS = ("status", "config", "drain", "undrain", "trace", "explain")  # their commands
-USAGE = (
-    "usage: python3 -m station [--log_level=LEVEL] ROLE, with ROLE one of: "
-    + ", ".join(ROLES)
-    + "; or an operator's command: "
-    + ", ".join(OPERATORS)
-)
-LOOK_S = 2.0  # the settings file may change without a signal
-
-
-class Role(Protocol):
-    """What every role of the program does."""
-
-    async def start(self) -> None:
-        """Take up work."""
-
-    async def stop(self) -> None:
-        """End in order."""
-
-    def reconfigure(self, settings: Settings) -> None:
-        """The settings file has changed."""
-
-
-def _check(name: str, settings: Settings) -> None:
-    """Whether the settings hold what a role needs; raises SettingsError."""
-    needed = {
-        BALANCER: [
-            ("listen.http", settings.listen.http, "name the address for clients"),
-            ("listen.readyz", settings.listen.readyz, "name the address at which readiness is asked for"),
-        ],
-        CONTROL: [
-            ("listen.ctl", settings.listen.ctl, "name the address for operators"),
-            ("data_dir", settings.data_dir, "name the folder of this machine's disk"),
-        ],
-    }
-    for field, value, remedy in needed[name]:
-        if not value:
-            raise SettingsError(f"there is no {field}", remedy)
-    if name == CONTROL and not os.path.isdir(settings.data_dir or ""):
-        raise SettingsError(
-            f"data_dir is {settings.data_dir!r}, which is no folder", "name one that is there"
-        )
-
-
-def _role(name: str, settings: Settings) -> Role:
-    """The role of that name; nothing of another is imported. Raises SettingsError."""
-    _check(name, settings)
-    if name == BALANCER:
-        from station.balancing import BalancerRole
-
-        return BalancerRole(settings)
-    from control.node import ControlNode
-    from station import control_calls
-
-    control_calls.declare()
-    return ControlNode(settings)
-
-
-async def serve(name: str, settings: Settings) -> None:
-    """Run a role until the process is told to end."""
-    loop = asyncio.get_running_loop()
-    ended, changed = asyncio.Event(), asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, ended.set)
-    loop.add_signal_handler(signal.SIGHUP, changed.set)
-    unread = ""
-    level = logs.LogLevel(name)
-    level.follow(settings.log_levels)
-    role = _role(name, settings)
-    await role.start()
-    gc.collect()
-    gc.freeze()
-    logger.info("event=started role={} node={}", name, settings.node)
-    while not ended.is_set():
-        waits = [loop.create_task(ended.wait()), loop.create_task(changed.wait())]
-        await asyncio.wait(waits, timeout=LOOK_S, return_when=asyncio.FIRST_COMPLETED)
-        for wait in waits:
-            wait.cancel()
-        changed.clear()
-        try:
-            newer = settings_file.read()
-        except FleetError as error:
-            if str(error) != unread:
-                unread = str(error)
-                logger.warning("event=settings_unread error={!r}", unread)
-            continue
-        unread = ""
-        if newer != settings:
-            settings = newer
-            level.follow(settings.log_levels)
-            role.reconfigure(settings)
-            logger.info("event=settings_read")
-    logger.info("event=stopping")
-    await role.stop()
-    logger.info("event=stopped")
-
-
-def main(argv: list[str]) -> int:
-    """Run the program; the exit code is 2 for a wrong call and 1 for settings that can't be used.
 
-    Operators' commands have codes of their own (docs/OPERATE.md).
-    """
-    has_role = any(current_name(word) in ROLES for word in argv[1:])
-    if any(word in OPERATORS for word in argv[1:]) and not has_role:
-        from station.commands import main as operate
 
-        return operate(argv[1:])
-    try:
-        rest = FLAGS(argv)[1:]
-    except flags.Error as error:
-        print(f"{error}; {USAGE}", file=sys.stderr)
-        return 2
-    role = current_name(rest[0]) if len(rest) == 1 else ""
-    if role not in ROLES:
-        print(USAGE, file=sys.stderr)
-        return 2
-    if role != rest[0]:
-        print(f"the role {rest[0]} is named {role} now; name it so", file=sys.stderr)
-    logs.write_from(FLAGS.log_level)
-    try:
-        settings = settings_file.read()
-        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(serve(role, settings))
-    except FleetError as error:
-        print(str(error), file=sys.stderr)
-        return 1
-    except OSError as error:
-        print(f"{error}; free the address, or name another in the settings", file=sys.stderr)
-        return 1
-    return 0
+def main() -> None:
+    """Run the program, with a line on its name."""
+    print("the program station is named mastturnd now; run python3 -m mastturnd", file=sys.stderr)
+    runpy.run_module("mastturnd", run_name="__main__", alter_sys=True)
 
 
 if __name__ == "__main__":
-    sys.exit(main(sys.argv))
+    main()
--- a/tests/fabric_world.py
+++ b/tests/fabric_world.py
@@ -25,7 +25,7 @@
 from consensus.views import View
 from control.node import KINDS, ControlNode
 from dissemination import messages as news
-from station.balancing import BalancerRole
+from mastturnd.balancing import BalancerRole
 from tests.fabric import OUTSIDE, PROCESS, End, Loop, Process
 from tests.fabric_callers import PLATFORM, DataPlane, Operator, Platform
 from tests.fabric_disk import Disk, InlineQueue, own_disk
@@ -394,10 +394,10 @@
     with (
         mock.patch("consensus.keeper.secrets", dice),
         mock.patch("control.node.secrets", dice),
-        mock.patch("station.balancing.secrets", dice),
+        mock.patch("mastturnd.balancing.secrets", dice),
         mock.patch("consensus.keeper.DiskQueue", InlineQueue),
         mock.patch("consensus.keeper.OsFiles", own_disk),
-        mock.patch("station.balancing.Balancer", DataPlane),
+        mock.patch("mastturnd.balancing.Balancer", DataPlane),
     ):
         try:
             yield
--- a/tests/test_dissemination_news.py
+++ b/tests/test_dissemination_news.py
@@ -11,7 +11,7 @@
 from control.node import KINDS
 from dissemination.messages import Attach, MemberNews, Moved, Present, Pulse, UpstreamNews
 from dissemination.relays import heads_of, parent_of
-from station.alone import LEAST_S, MISSED, turn_of
+from mastturnd.alone import LEAST_S, MISSED, turn_of
 from tests.fabric import Process
 from tests.fabric_callers import PLATFORM, configuration, upstream
 from tests.fabric_scenes import APPLY_S, begun, in_force
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -40,15 +40,15 @@
 from control.orders import change_phase
 from control.platform import PlatformError, PlatformList, pack
 from dissemination import messages as news
+from mastturnd import asking, dashboard, draining, fleet_status
+from mastturnd.tracing import pairs_of
 from passpost.http1 import Answer
 from passpost.validation import BadRequestError
-from station import asking, dashboard, draining, fleet_status
-from station.tracing import pairs_of
 from tests import fuzz_inputs
 from tests.fabric_callers import configuration
 from tests.fuzz_inputs import LIMITS, as_text, changed, deep, json_of, of_schema, spoilt
 from tests.test_config_settings import WHOLE
-from tests.test_station_cli_commands import PRESENT, UPSTREAMS, _balancer, _control
+from tests.test_mastturnd_cli_commands import PRESENT, UPSTREAMS, _balancer, _control
 from transport.calls import _Caller
 from transport.wire import MOST_FRAME, FrameReader, Kinds, Link, plain
 
--- a/tests/test_fuzz_found.py
+++ b/tests/test_fuzz_found.py
@@ -14,11 +14,11 @@
 from consensus.messages import KINDS, Known
 from consensus.views import Member, View
 from control.platform import PlatformError, PlatformList
+from mastturnd import asking, draining, fleet_status
+from mastturnd.answers import is_status
+from mastturnd.wrong import UnansweredError
 from passpost.http1 import Answer
-from station import asking, draining, fleet_status
-from station.answers import is_status
-from station.wrong import UnansweredError
-from tests.test_station_cli_commands import PRESENT, _balancer, _control
+from tests.test_mastturnd_cli_commands import PRESENT, _balancer, _control
 from transport.wire import FrameReader
 
 DEEP = b"[" * 100_000
--- a/tests/test_station_cli_balancer.py
+++ b/tests/test_mastturnd_cli_balancer.py
@@ -16,11 +16,11 @@
 
 from config.settings import Settings, parse
 from dissemination.messages import ConfigurationNews, UpstreamNews
-from station import balancer_calls, explaining, logs
-from station.balancing import BalancerRole
-from station.exposition import by, counter, gauge, histogram, render
-from station.pace import MOST, Pace
-from station.tap import StepLog, listen
+from mastturnd import balancer_calls, explaining, logs
+from mastturnd.balancing import BalancerRole
+from mastturnd.exposition import by, counter, gauge, histogram, render
+from mastturnd.pace import MOST, Pace
+from mastturnd.tap import StepLog, listen
 from tests.balancer_stage import Stage, decode, playing, reject
 from tests.fabric_callers import configuration as document
 from tests.loopback import run, until
--- a/tests/test_station_cli_commands.py
+++ b/tests/test_mastturnd_cli_commands.py
@@ -19,9 +19,9 @@
 from consensus.files import OsFiles
 from consensus.slots import Store
 from consensus.views import Document, Member, Memory, View
-from station import __main__ as station
-from station import asking, configuring, explaining, fleet_status, tracing
-from station.tables import table
+from mastturnd import __main__ as mastturnd
+from mastturnd import asking, configuring, explaining, fleet_status, tracing
+from mastturnd.tables import table
 from tests.fabric_callers import configuration
 
 ROOT = Path(__file__).parent.parent
@@ -110,7 +110,7 @@
 
 
 def run(*words: str) -> int:
-    return station.main(["station", *words])
+    return mastturnd.main(["mastturnd", *words])
 
 
 @pytest.mark.parametrize(
@@ -123,8 +123,8 @@
         (["drain", "a", "b"], "say `drain NODE`"),
         (["trace", "id"], "say `trace ID LOG...`"),
         (["explain"], "say `explain NODE` or `explain IP:PORT`"),
-        (["status", "--nothing"], "see `python3 -m station status --help`"),
-        (["status", "--within_s=soon"], "see `python3 -m station status --help`"),
+        (["status", "--nothing"], "see `python3 -m mastturnd status --help`"),
+        (["status", "--within_s=soon"], "see `python3 -m mastturnd status --help`"),
         (["status"], "give --ctl=IP:PORT, or let MASTTURN_CONFIG name a settings file"),
         (["status", "--ctl=here"], "write it as IP:PORT"),
         (["config", "check", "/nowhere"], "name a readable file"),
@@ -155,7 +155,7 @@
     os.close(reads)
     with os.fdopen(writes, "w") as pipe:
         done = subprocess.run(
-            [sys.executable, "-m", "station", *words],
+            [sys.executable, "-m", "mastturnd", *words],
             cwd=tmp_path,
             env=os.environ | {"PYTHONPATH": str(ROOT)},
             stdout=pipe,
@@ -529,9 +529,9 @@
 # ---- nothing of it is loaded by a role
 
 
-@pytest.mark.parametrize("module", ["station.balancing", "control.node"])
+@pytest.mark.parametrize("module", ["mastturnd.balancing", "control.node"])
 def test_a_role_loads_nothing_of_the_operators_commands(module: str) -> None:
-    code = f"import sys, station.__main__, {module}; print([m for m in sys.modules if m in {LAZY!r}])"
+    code = f"import sys, mastturnd.__main__, {module}; print([m for m in sys.modules if m in {LAZY!r}])"
     done = subprocess.run(
         [sys.executable, "-c", code], cwd=ROOT, env=os.environ, capture_output=True, text=True, check=True
     )
@@ -539,8 +539,9 @@
 
 
 LAZY = (
-    "station.commands", "station.asking", "station.fleet_status", "station.tap", "station.explaining",
-    "station.balancer_calls", "station.balancer_report", "station.balancer_figures", "station.figures",
-    "station.dashboard", "station.control_figures", "station.control_report", "station.exposition",
-    "station.version", "station.salvage", "prometheus_client",
+    "mastturnd.commands", "mastturnd.asking", "mastturnd.fleet_status", "mastturnd.tap",
+    "mastturnd.explaining", "mastturnd.balancer_calls", "mastturnd.balancer_report",
+    "mastturnd.balancer_figures", "mastturnd.figures", "mastturnd.dashboard",
+    "mastturnd.control_figures", "mastturnd.control_report", "mastturnd.exposition",
+    "mastturnd.version", "mastturnd.salvage", "prometheus_client",
 )  # fmt: skip
--- a/tests/test_station_cli_fleet.py
+++ b/tests/test_mastturnd_cli_fleet.py
@@ -25,7 +25,7 @@
 
     def operate(*words: str) -> subprocess.CompletedProcess[str]:
         return subprocess.run(
-            [sys.executable, "-m", "station", *words],
+            [sys.executable, "-m", "mastturnd", *words],
             cwd=ROOT,
             env=os.environ | {"MASTTURN_CONFIG": str(tmp_path / "operator.yaml")},
             capture_output=True,
--- a/tests/test_station_cli_present.py
+++ b/tests/test_mastturnd_cli_present.py
@@ -9,11 +9,11 @@
 import pytest
 
 from config import settings as settings_file
-from station import __main__ as station
-from station import asking, fleet_status, present
-from station.answers import is_status
+from mastturnd import __main__ as mastturnd
+from mastturnd import asking, fleet_status, present
+from mastturnd.answers import is_status
 from tests.fabric_callers import configuration
-from tests.test_station_cli_commands import Answer, Ctl, _balancer
+from tests.test_mastturnd_cli_commands import Answer, Ctl, _balancer
 
 NAMES = ("edge-a", "edge-b", "edge-c")
 
@@ -126,7 +126,7 @@
     capsys: pytest.CaptureFixture[str],
 ) -> None:
     fleets.append(fleet := Fleet(*words))
-    assert station.main(["station", *command.split(), *fleet.flags]) == 0
+    assert mastturnd.main(["mastturnd", *command.split(), *fleet.flags]) == 0
     told = capsys.readouterr()
     assert told.err == "" and fleet.asked >= len(words)
     if command == "explain edge-a":
@@ -139,7 +139,7 @@
     clock: Clock, fleets: list[Fleet], capsys: pytest.CaptureFixture[str]
 ) -> None:
     fleets.append(fleet := Fleet(("edge-b",), ("edge-b", "edge-c"), NAMES))
-    assert station.main(["station", "drain", "edge-b", *fleet.flags]) == 0
+    assert mastturnd.main(["mastturnd", "drain", "edge-b", *fleet.flags]) == 0
     assert fleet.drained == {"edge-b"} and capsys.readouterr().err == ""
 
 
@@ -148,7 +148,7 @@
     command: str, clock: Clock, fleets: list[Fleet], capsys: pytest.CaptureFixture[str]
 ) -> None:
     fleets.append(fleet := Fleet(NAMES))
-    assert station.main(["station", *command.split(), *fleet.flags]) == 2
+    assert mastturnd.main(["mastturnd", *command.split(), *fleet.flags]) == 2
     assert "no balancer 'edge-x' is present; name one of: edge-a, edge-b, edge-c" in capsys.readouterr().err
     assert 8 * present.NAMED_SHARE <= clock.now - 100 <= 8 * present.NAMED_SHARE + present.AGAIN_S
 
@@ -157,17 +157,17 @@
     clock: Clock, fleets: list[Fleet], capsys: pytest.CaptureFixture[str]
 ) -> None:
     fleets.append(fleet := Fleet(NAMES))
-    assert station.main(["station", "drain", "edge-c", *fleet.flags]) == 1
+    assert mastturnd.main(["mastturnd", "drain", "edge-c", *fleet.flags]) == 1
     assert "that leaves 0 of 1 balancers of hall-b" in capsys.readouterr().err
     assert clock.now - 100 <= 8 * present.NAMED_SHARE + present.AGAIN_S
-    assert station.main(["station", "drain", "edge-c", "--force", *fleet.flags]) == 0
+    assert mastturnd.main(["mastturnd", "drain", "edge-c", "--force", *fleet.flags]) == 0
 
 
 def test_a_fleet_without_balancers_is_told_so_in_the_end(
     clock: Clock, fleets: list[Fleet], capsys: pytest.CaptureFixture[str]
 ) -> None:
     fleets.append(fleet := Fleet(()))
-    assert station.main(["station", "explain", "edge-a", *fleet.flags]) == 2
+    assert mastturnd.main(["mastturnd", "explain", "edge-a", *fleet.flags]) == 2
     assert "name one of: none" in capsys.readouterr().err
     assert 8 <= clock.now - 100 <= 8 + present.AGAIN_S
 
@@ -176,7 +176,7 @@
     clock: Clock, fleets: list[Fleet], capsys: pytest.CaptureFixture[str]
 ) -> None:
     fleets.append(fleet := Fleet(*((epoch, "edge-c") for epoch in range(3, 99))))
-    assert station.main(["station", "explain", "edge-a", *fleet.flags]) == 2
+    assert mastturnd.main(["mastturnd", "explain", "edge-a", *fleet.flags]) == 2
     assert "name one of: edge-c" in capsys.readouterr().err
     assert 8 <= clock.now - 100 <= 8 + present.AGAIN_S
 
@@ -186,7 +186,7 @@
     command: str, clock: Clock, fleets: list[Fleet], capsys: pytest.CaptureFixture[str]
 ) -> None:
     fleets.append(fleet := Fleet("nobody leads"))
-    assert station.main(["station", *command.split(), *fleet.flags]) == 1
+    assert mastturnd.main(["mastturnd", *command.split(), *fleet.flags]) == 1
     assert "nobody leads within 8 s" in capsys.readouterr().err
     assert 8 <= clock.now - 100 <= 8 + present.AGAIN_S
 
@@ -195,7 +195,7 @@
     clock: Clock, fleets: list[Fleet], capsys: pytest.CaptureFixture[str]
 ) -> None:
     fleets.append(fleet := Fleet(NAMES, 503))
-    assert station.main(["station", "drain", "edge-b", *fleet.flags]) == 0
+    assert mastturnd.main(["mastturnd", "drain", "edge-b", *fleet.flags]) == 0
     told = capsys.readouterr()
     assert "edge-b is drained since version 6" in told.out and "does not say so yet" in told.out
 
@@ -205,9 +205,9 @@
 ) -> None:
     fleets.append(fleet := Fleet(NAMES))
     fleet.busy = 3
-    assert station.main(["station", "explain", "edge-a", *fleet.flags]) == 0
+    assert mastturnd.main(["mastturnd", "explain", "edge-a", *fleet.flags]) == 0
     fleet.busy = 10_000
-    assert station.main(["station", "explain", "edge-a", *fleet.flags]) == 1
+    assert mastturnd.main(["mastturnd", "explain", "edge-a", *fleet.flags]) == 1
     assert "says: asked too often" in capsys.readouterr().err and clock.now <= 120
 
 
@@ -223,7 +223,7 @@
     words: tuple[Any, ...], clock: Clock, fleets: list[Fleet], capsys: pytest.CaptureFixture[str]
 ) -> None:
     fleets.append(fleet := Fleet(*words))
-    assert station.main(["station", "status", *fleet.flags]) == 0
+    assert mastturnd.main(["mastturnd", "status", *fleet.flags]) == 0
     told = capsys.readouterr()
     assert "3 of 3 balancers answer" in told.out and told.err == "" and fleet.asked == len(words)
 
@@ -233,7 +233,7 @@
 ) -> None:
     fleets.append(fleet := Fleet(("edge-a",), ("edge-a",), NAMES))
     fleet.leads_ms = 1_000
-    assert station.main(["station", "status", *fleet.flags]) == 0
+    assert mastturnd.main(["mastturnd", "status", *fleet.flags]) == 0
     assert "3 of 3 balancers answer" in capsys.readouterr().out
 
 
@@ -241,12 +241,12 @@
     clock: Clock, fleets: list[Fleet], capsys: pytest.CaptureFixture[str]
 ) -> None:
     fleets.append(fleet := Fleet(()))
-    assert station.main(["station", "status", *fleet.flags]) == 3
+    assert mastturnd.main(["mastturnd", "status", *fleet.flags]) == 3
     assert "! core-a: names no balancer: start one" in capsys.readouterr().out
     assert clock.now - 100 <= 8 * present.NAMED_SHARE + present.AGAIN_S
     fleets.append(fleet := Fleet(NAMES))
     fleet.leads_ms = 400
-    assert station.main(["station", "status", "--within_s=0", *fleet.flags]) == 3
+    assert mastturnd.main(["mastturnd", "status", "--within_s=0", *fleet.flags]) == 3
     assert "! core-a: leads for 400 ms, may not name all yet" in capsys.readouterr().out
 
 
--- a/tests/test_station_cli_reports.py
+++ b/tests/test_mastturnd_cli_reports.py
@@ -9,9 +9,9 @@
 import pytest
 from prometheus_client.parser import text_string_to_metric_families
 
-import station.exposition  # noqa: F401 - on the fabric's clock no thread loads it
-from station import control_calls
-from station.pace import MOST, Pace
+import mastturnd.exposition  # noqa: F401 - on the fabric's clock no thread loads it
+from mastturnd import control_calls
+from mastturnd.pace import MOST, Pace
 from tests.fabric_callers import DataPlane, ask, call, configuration, upstream
 from tests.fabric_world import CTL_PORT, Machine, World, play
 
--- a/tests/test_station_command.py
+++ b/tests/test_mastturnd_command.py
@@ -22,9 +22,9 @@
 
 from config import settings as settings_file
 from config.settings import Settings
-from station import __main__ as station
-from station import logs
-from station.roles import ROLES
+from mastturnd import __main__ as mastturnd
+from mastturnd import logs
+from mastturnd.roles import ROLES
 from tests.fabric import Loop
 from tests.fabric_callers import configuration
 
@@ -87,11 +87,11 @@
     argv: list[str], capsys: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch
 ) -> None:
     monkeypatch.delenv(settings_file.VARIABLE, raising=False)
-    assert station.main(["station", *argv]) == 2
+    assert mastturnd.main(["mastturnd", *argv]) == 2
     told = capsys.readouterr()
     assert told.out == ""
     assert told.err.count("\n") == 1
-    assert "usage: python3 -m station [--log_level=LEVEL] ROLE" in told.err
+    assert "usage: python3 -m mastturnd [--log_level=LEVEL] ROLE" in told.err
     assert "balancer, control" in told.err
 
 
@@ -100,7 +100,7 @@
     role: str, capsys: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch
 ) -> None:
     monkeypatch.delenv(settings_file.VARIABLE, raising=False)
-    assert station.main(["station", role]) == 1
+    assert mastturnd.main(["mastturnd", role]) == 1
     told = capsys.readouterr()
     assert told.err == "MASTTURN_CONFIG is not set; let it name the settings file\n"
 
@@ -129,7 +129,7 @@
     tmp_path: Path,
 ) -> None:
     monkeypatch.setenv(settings_file.VARIABLE, str(write(tmp_path, settings_of(tmp_path, **changes))))
-    assert station.main(["station", role]) == 1
+    assert mastturnd.main(["mastturnd", role]) == 1
     told = capsys.readouterr().err
     assert told.startswith(said) and told.count("\n") == 1
 
@@ -142,7 +142,7 @@
     with socket.socket() as taken:
         taken.bind(("127.0.0.1", raw["port_range"][0]))
         taken.listen()
-        assert station.main(["station", "control"]) == 1
+        assert mastturnd.main(["mastturnd", "control"]) == 1
     told = [line for line in capsys.readouterr().err.splitlines() if "level=" not in line]
     assert len(told) == 1 and "free the address, or name another in the settings" in told[0]
 
@@ -173,13 +173,13 @@
     path = write(tmp_path, settings_of(tmp_path))
     monkeypatch.setenv(settings_file.VARIABLE, str(path))
     role, lines = Recorder(), list[str]()
-    monkeypatch.setattr(station, "_role", lambda name, settings: role)
+    monkeypatch.setattr(mastturnd, "_role", lambda name, settings: role)
     logger.remove()
     logger.add(lambda line: lines.append(str(line)), format="{message}")
     loop = Loop()
 
     async def scene() -> None:
-        serving = loop.create_task(station.serve("balancer", settings_file.read()))
+        serving = loop.create_task(mastturnd.serve("balancer", settings_file.read()))
         await asyncio.sleep(0.1)
         await story(loop, path, role)
         loop.signals[signal.SIGTERM]()
@@ -278,7 +278,7 @@
 def start(tmp_path: Path, raw: dict[str, Any]) -> subprocess.Popen[str]:
     environment = os.environ | {settings_file.VARIABLE: str(write(tmp_path, raw))}
     return subprocess.Popen(
-        [sys.executable, "-m", "station", "control"],
+        [sys.executable, "-m", "mastturnd", "control"],
         cwd=ROOT,
         env=environment,
         stderr=subprocess.PIPE,
@@ -334,7 +334,7 @@
     former: str, name: str, capsys: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch
 ) -> None:
     monkeypatch.delenv(settings_file.VARIABLE, raising=False)
-    assert station.main(["station", former]) == 1
+    assert mastturnd.main(["mastturnd", former]) == 1
     told = capsys.readouterr().err.splitlines()
     assert told[0] == f"the role {former} is named {name} now; name it so"
     assert told[1] == "MASTTURN_CONFIG is not set; let it name the settings file"
@@ -347,3 +347,15 @@
         assert level.follow({"barograph": "ERROR"})
     finally:
         logs.write_from(before)
+
+
+def test_the_program_is_known_by_its_former_name_for_one_release() -> None:
+    environment = {key: value for key, value in os.environ.items() if key != settings_file.VARIABLE}
+    command = [sys.executable, "-m", "station", "control"]
+    root = Path(__file__).parent.parent
+    done = subprocess.run(command, cwd=root, env=environment, capture_output=True, text=True, check=False)
+    assert done.returncode == 1
+    assert done.stderr.splitlines() == [
+        "the program station is named mastturnd now; run python3 -m mastturnd",
+        "MASTTURN_CONFIG is not set; let it name the settings file",
+    ]
--- a/tests/test_station_dashboard.py
+++ b/tests/test_mastturnd_dashboard.py
@@ -14,13 +14,13 @@
 
 from config.settings import Listen, Settings, parse
 from control.operators import CALLS
-from station import control_calls, dashboard, fleet_status
-from station.pace import MOST, Pace
+from mastturnd import control_calls, dashboard, fleet_status
+from mastturnd.pace import MOST, Pace
 from tests.balancer_stage import free_port
 from tests.fabric_callers import ask, call
 from tests.fabric_world import approve
 from tests.loopback import run
-from tests.test_station_cli_commands import PRESENT, UPSTREAMS, Ctl, _balancer, _control
+from tests.test_mastturnd_cli_commands import PRESENT, UPSTREAMS, Ctl, _balancer, _control
 from transport.calls import CallServer, Reply
 
 
--- a/tests/test_station_figures.py
+++ b/tests/test_mastturnd_figures.py
@@ -17,10 +17,10 @@
 
 from balancer.balancer import Balancer
 from balancer.tally import FIRST_EVENT_S, Refusal, Tally
+from mastturnd import balancer_figures, control_calls, control_figures
+from mastturnd.exposition import render
+from mastturnd.pace import Pace
 from passpost.counters import Final
-from station import balancer_figures, control_calls, control_figures
-from station.exposition import render
-from station.pace import Pace
 from tests.balancer_stage import Play, Stage, cut_after, decode, playing, prefill, reject, reset
 from tests.fabric_callers import configuration
 from tests.fabric_world import World, play
@@ -196,11 +196,11 @@
 
 LOADS = """
 import asyncio, sys, threading, types
-from station import figures
+from mastturnd import figures
 report = types.ModuleType("report")
 def metrics(owner):
-    from station.exposition import gauge
-    by_thread = "station.exposition" in seen
+    from mastturnd.exposition import gauge
+    by_thread = "mastturnd.exposition" in seen
     return [gauge("loaded_by_main", "L.", not by_thread), gauge("own", "O.", owner)]
 report.metrics = metrics
 sys.modules["report"] = report
@@ -224,7 +224,7 @@
 
 
 def test_figures_that_fail_cost_that_question_alone(monkeypatch: pytest.MonkeyPatch) -> None:
-    from station import balancer_calls
+    from mastturnd import balancer_calls
 
     answers: list[bytes] = []
     transport: Any = SimpleNamespace(is_closing=lambda: False, write=answers.append, close=lambda: None)
