--- a/mastturn/smallfleet/layout.py
+++ b/mastturn/smallfleet/layout.py
@@ -16,6 +16,7 @@
 EDGE_ZONES = ("hall-a", "hall-a", "hall-b")  # two in one, so that one of them can be drained
 PORTS = 8  # that are looked for side by side
 PROGRAM, FORMER_PROGRAM = "mastturnd", "station"  # packages; the latter in checkouts of earlier releases
+FORMER_ROLES = {"balancer": "windvane"}  # as that program names them
 HTTP, READYZ, CTL, STATION, PLATFORM, UPSTREAM = range(6)  # their places from the first
 
 
--- a/mastturn/smallfleet/play.py
+++ b/mastturn/smallfleet/play.py
@@ -133,7 +133,10 @@
         if self._other is not None and machine.node.endswith(OTHERS):
             environment |= {"PYTHONPATH": str(self._other), "PYTHONSAFEPATH": "1"}
             program = layout.program_of(self._other)
-        await process.start(program, machine.role, environment=environment)
+        role = machine.role
+        if program == layout.FORMER_PROGRAM:
+            role = layout.FORMER_ROLES.get(role, role)
+        await process.start(program, role, environment=environment)
 
     async def _stop_all(self) -> None:
         await asyncio.gather(*(process.stop() for process in self._processes.values()))
