Split the search of the control state by concern: state, messages, reduction, judging, steps

No behaviour. Measured: tests/test_replica_defects.py and test_replica_search.py pass, with the same numbers of states.

--- a/mastturn/control_check/explore.py
+++ b/mastturn/control_check/explore.py
@@ -14,7 +14,8 @@
 from consensus.replica import Replica
 from mastturn.control_check.local import Make
 from mastturn.control_check.rules import BrokenRuleError
-from mastturn.control_check.steps import Bounds, State, Steps
+from mastturn.control_check.state import Bounds, State
+from mastturn.control_check.steps import Steps
 
 
 @dataclass(slots=True)
--- a/mastturn/control_check/kept.py
+++ b/mastturn/control_check/kept.py
@@ -10,7 +10,7 @@
 
 from mastturn.control_check.explore import Found
 from mastturn.control_check.history import History
-from mastturn.control_check.steps import Bounds
+from mastturn.control_check.state import Bounds
 from mastturn.control_check.world import Shape, Takeover
 from mastturn.files import LabError
 
--- a/tests/test_replica_defects.py
+++ b/tests/test_replica_defects.py
@@ -27,7 +27,7 @@
     shrinks,
 )
 from mastturn.control_check.rules import BrokenRuleError
-from mastturn.control_check.steps import Bounds
+from mastturn.control_check.state import Bounds
 from mastturn.control_check.world import Shape, World
 
 
--- a/tests/test_replica_search.py
+++ b/tests/test_replica_search.py
@@ -7,7 +7,7 @@
 import pytest
 
 from mastturn.control_check.explore import explore, walk
-from mastturn.control_check.steps import Bounds
+from mastturn.control_check.state import Bounds
 
 
 def test_one_take_over_beside_a_write_is_whole() -> None:
