Write a balancer's figures by concern

Cause: one function of 85 lines listed them all. Change: standing, requests, answers, news and upstreams are functions of their own. No behaviour.

--- a/mastturnd/balancer_figures.py
+++ b/mastturnd/balancer_figures.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
-from balancer.tally import FIRST_EVENT_S
+from balancer.answer_log import AnswerLog
+from balancer.tally import FIRST_EVENT_S, Tally
 from mastturnd.balancer_report import status
 from mastturnd.exposition import Metric, by, by_labels, counter, gauge, histogram
 from passpost.answer_end import Misuse
@@ -12,39 +13,39 @@
 if TYPE_CHECKING:
     from mastturnd.balancing import BalancerRole
 
+Told = dict[str, Any]  # what `status` tells
+
 
 def metrics(role: BalancerRole) -> list[Metric]:
     """The same as figures."""
     told = status(role)
-    age = told["news_age_s"]
-    names = ("up", "silent", "distrusted", "calls", "tokens")
-    parts: dict[str, dict[str, float]] = {name: {} for name in names}
-    for entry in told["upstreams"]:
-        part = entry["part"] or "whole"
-        for name, more in (
-            ("up", entry["state"] == "up"),
-            ("silent", entry["silent"]),
-            ("distrusted", entry["trust"] == "distrusted"),
-            ("calls", entry["calls"]),
-            ("tokens", entry["tokens"]),
-        ):
-            parts[name][part] = parts[name].get(part, 0) + more
-    counters = role.balancer.counters
-    ended = {name: float(count) for name, count in told["ended"].items()}
+    return [
+        *_standing(told),
+        *_requests(told, role.balancer.counters),
+        *_answers(role.balancer.answers),
+        *_news(told),
+        *_upstreams(told),
+        gauge("process_resident_memory_bytes", "Memory in use.", told["memory_kb"] * 1024),
+        counter("process_cpu_seconds_total", "Processor time.", told["processor_s"]),
+    ]
+
+
+def _standing(told: Told) -> list[Metric]:
     return [
         gauge("station_ready", "1 while readiness is answered with 200.", told["ready"]),
         gauge("station_drained", "1 while the configuration drains this balancer.", told["drained"]),
         gauge("station_news_fresh", "1 while the control state is heard of.", told["fresh"]),
         gauge("station_configuration_version", "Version in force here, 0 without one.", told["ver"]),
+    ]
+
+
+def _requests(told: Told, counters: Tally) -> list[Metric]:
+    ended = {name: float(count) for name, count in told["ended"].items()}
+    refused, read = told["refused"], counters.tokens_read
+    return [
         gauge("station_requests_in_flight", "Requests taken and not answered.", told["in_flight"]),
         by("station_requests_total", "counter", "Requests that have ended, by how.", "end", ended),
-        by(
-            "station_refusals_total",
-            "counter",
-            "Requests that got no run, by why.",
-            "reason",
-            told["refused"],
-        ),
+        by("station_refusals_total", "counter", "Requests that got no run, by why.", "reason", refused),
         histogram(
             "station_first_event_seconds",
             "From the whole request to the first event of its stream.",
@@ -57,33 +58,47 @@
             "counter",
             "Prompt tokens sent to be read; again: of a request that was sent to be read before.",
             "read",
-            {"first": counters.tokens_read, "again": counters.tokens_read_again},
+            {"first": read, "again": counters.tokens_read_again},
         ),
         counter(
             "station_shared_tokens_again_total",
             "Tokens of shared parts sent to be read while another upstream has them.",
             counters.shared_again,
         ),
+    ]
+
+
+def _answers(answers: AnswerLog) -> list[Metric]:
+    return [
         by_labels(
             "station_upstream_answers_total",
             "Answers of upstreams that have ended, by how they tell their end and by what ended them.",
             ("framing", "end"),
-            {(framing.value, end.value): n for (framing, end), n in role.balancer.answers.ends.items()},
+            {(framing.value, end.value): n for (framing, end), n in answers.ends.items()},
         ),
         by(
             "station_upstream_misuses_total",
             "counter",
             "What upstreams sent that belongs to no request that is out; its connection is given up.",
             "by",
-            {misuse.value: role.balancer.answers.misuses[misuse] for misuse in Misuse},
+            {misuse.value: answers.misuses[misuse] for misuse in Misuse},
         ),
+    ]
+
+
+def _news(told: Told) -> list[Metric]:
+    age = told["news_age_s"]
+    since = "Since the control state was last heard of."
+    return [
         gauge("station_epoch", "The epoch of whoever leads, as last heard of.", told["epoch"]),
-        *(
-            [gauge("station_news_age_seconds", "Since the control state was last heard of.", age)]
-            if age is not None
-            else []
-        ),
+        *([gauge("station_news_age_seconds", since, age)] if age is not None else []),
         counter("station_list_calls_total", "Pages of the platform's list asked for.", told["list_calls"]),
+    ]
+
+
+def _upstreams(told: Told) -> list[Metric]:
+    parts = _by_part(told)
+    return [
         by("station_upstreams_up", "gauge", "Upstreams that are up.", "part", parts["up"]),
         by("station_upstreams_silent", "gauge", "Upstreams that owe us a word.", "part", parts["silent"]),
         by(
@@ -95,6 +110,21 @@
         ),
         by("station_upstream_calls", "gauge", "Our calls out.", "part", parts["calls"]),
         by("station_upstream_tokens", "gauge", "Prompt tokens read for us.", "part", parts["tokens"]),
-        gauge("process_resident_memory_bytes", "Memory in use.", told["memory_kb"] * 1024),
-        counter("process_cpu_seconds_total", "Processor time.", told["processor_s"]),
     ]
+
+
+def _by_part(told: Told) -> dict[str, dict[str, float]]:
+    """Counts of the upstreams by their part in a split request."""
+    names = ("up", "silent", "distrusted", "calls", "tokens")
+    parts: dict[str, dict[str, float]] = {name: {} for name in names}
+    for entry in told["upstreams"]:
+        part = entry["part"] or "whole"
+        for name, more in (
+            ("up", entry["state"] == "up"),
+            ("silent", entry["silent"]),
+            ("distrusted", entry["trust"] == "distrusted"),
+            ("calls", entry["calls"]),
+            ("tokens", entry["tokens"]),
+        ):
+            parts[name][part] = parts[name].get(part, 0) + more
+    return parts
