Judge a process that SIGTERM ends by whether its log says that it had come up

The soak excused that for 2 s after a start; on a machine with 15 at work a process may need longer until it hears signals. Change: in place of a time, the process's own word: ended outright after event=started is a finding, before it is none.

--- a/mastturn/soak/fleet.py
+++ b/mastturn/soak/fleet.py
@@ -20,7 +20,7 @@
 DOWN_S = 0.3  # a process that has ended is started again after this
 LOOK_S = 0.4  # between two questions whether balancers are ready
 READY_S = 30.0
-YOUNG_S = 2.0  # who ends so soon after its start may not have come as far as to hear signals
+UP = b"event=started"  # in the log, once a process hears signals and serves
 AT_ONCE = 16  # processes that are started side by side
 LEAD_S = 30.0
 
@@ -31,9 +31,13 @@
 
     machine: Machine
     process: Process
-    started_at: float = 0.0
+    log_from: int = 0  # bytes of its log that are of earlier starts
     turn: asyncio.Lock = field(default_factory=asyncio.Lock)  # one trouble after the other
 
+    def has_come_up(self) -> bool:
+        """Whether the process has said that it serves; before that a SIGTERM may end it outright."""
+        return UP in self.process.log.read_bytes()[self.log_from :]
+
 
 class Fleet:
     """Control processes and balancers."""
@@ -94,7 +98,8 @@
         raw["log_levels"] = {"balancer": "INFO", "control": "INFO"}
         layout.write(settings, raw)
         environment = {"MASTTURN_CONFIG": str(settings)}
-        member.started_at = time.monotonic()
+        log = member.process.log
+        member.log_from = log.stat().st_size if log.exists() else 0
         if self._defect:
             await member.process.start(
                 "mastturn.soak.planted", self._defect, machine.role, environment=environment
@@ -117,8 +122,8 @@
 
     async def _await_end(self, member: Member) -> None:
         if await _ends(member.process, GRACE_S):
-            is_young = time.monotonic() - member.started_at < YOUNG_S
-            if member.process.status != 0 and not (is_young and member.process.status == -signal.SIGTERM):
+            never_up = member.process.status == -signal.SIGTERM and not member.has_come_up()
+            if member.process.status != 0 and not never_up:
                 self._records.unclean.append(f"{member.machine.node} ended with {member.process.status}")
             return
         kill = self._records.begin("kill", member.machine.node, time.monotonic())
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,17 +4,20 @@
 
 import json
 from dataclasses import replace
+from pathlib import Path
 
 import pytest
 from click.testing import CliRunner
 
 from mastturn.cli import main
 from mastturn.files import LabError
+from mastturn.smallfleet.layout import Machine
 from mastturn.soak import faults, planted
 from mastturn.soak.answers import Content, Framing, frame
 from mastturn.soak.checker import Checker, Finding
 from mastturn.soak.clients import Answers
 from mastturn.soak.faults import Fault, Lot
+from mastturn.soak.fleet import Member
 from mastturn.soak.plan import Plan, check
 from mastturn.soak.records import (
     Arrival,
@@ -30,6 +33,7 @@
     Style,
 )
 from mastturn.soak.upstream import event
+from mastturn.standins.process import Process
 
 SEALED = {"mastturn-server-seal": "u1.1"}
 CONTENT = Content("200 OK", (("Mastturn-Request-Id", "r1"),), (b"one,", b"two,", b"three"))
@@ -244,6 +248,20 @@
     assert rules(Checker(changed).findings()) == ["configuration"]
 
 
+# ---- the fleet
+
+
+def test_a_process_has_come_up_once_its_log_says_so_since_its_last_start(tmp_path: Path) -> None:
+    member = Member(Machine("edge-a", "balancer", "127.0.0.1", "a"), Process("edge-a", tmp_path))
+    member.process.log.write_bytes(b"event=started role=balancer\nevent=stopped\n")
+    assert member.has_come_up()
+    member.log_from = member.process.log.stat().st_size
+    assert not member.has_come_up()
+    with member.process.log.open("ab") as log:
+        log.write(b"event=started role=balancer\n")
+    assert member.has_come_up()
+
+
 # ---- the command
 
 
