Play a planted defect until the rule that names it is broken

Streams that are held keep their balancer from ending; it is killed after its grace, and the kill excuses all that was open there, so that held can't be found at that balancer. The test ended with the first seed that found anything, and asked for held afterwards.

--- a/mastturn/soak/checker.py
+++ b/mastturn/soak/checker.py
@@ -1,20 +1,4 @@
-"""Reads the records of a soak and finds what breaks a rule. It has seen nothing of the run but them.
-
-| rule | what breaks it |
-| --- | --- |
-| `mixed` | an answer framed as complete is not its own request's, or not its upstream's whole answer |
-| `gap` | a stream's events do not follow one another, or it ends as complete before its last |
-| `twice` | what may run once has run twice |
-| `promise` | a status that says that nothing was run, though it ran |
-| `unserved` | an upstream's whole answer was there, and the waiting client got another end |
-| `lost` | a request that a sound upstream got is closed on unanswered |
-| `stop` | the same at a balancer that was told to end |
-| `held` | no end in the request's time |
-| `ends` | a request has two ends, or a client gets bytes that it asked nothing for |
-| `drain` | a request reaches an upstream long after the list has shown that it leaves |
-| `configuration` | two changes on one base are acknowledged, or the last acknowledged one is not read back |
-| `process` | a process does not end as told |
-"""
+"""Reads the records of a soak and finds what breaks a rule. It has seen nothing of the run but them. The rules: `rules.py`."""
 
 from __future__ import annotations
 
@@ -27,6 +11,7 @@
 from mastturn.soak import faults
 from mastturn.soak.clients import PATIENCE_S
 from mastturn.soak.records import Arrival, Ask, End, EndKind, Records, Style
+from mastturn.soak.rules import Rule
 
 PROMISES = (408, 421, 429, 503)
 TOUCH_S = 0.1  # a kill or a stop so shortly before a request is sent, or after its end, is an excuse
@@ -42,7 +27,7 @@
 class Finding:
     """One broken rule: what the request met, and in words what is wrong. `at` on the monotonic clock."""
 
-    rule: str
+    rule: Rule
     at: float
     request: str
     words: str
@@ -66,7 +51,7 @@
         found += [*self._drains(), *self._configuration(), *self._others()]
         return sorted(found, key=lambda f: f.at)
 
-    def _finding(self, rule: str, ask: Ask, words: str) -> Finding:
+    def _finding(self, rule: Rule, ask: Ask, words: str) -> Finding:
         arrivals = self._arrivals[ask.request]
         at = ask.ends[0].at if ask.ends else ask.sent_at
         return Finding(rule, at, ask.request, words, tuple(a.fault.value for a in arrivals), ask.balancer)
@@ -76,15 +61,15 @@
     def _check(self, ask: Ask) -> Iterator[Finding]:
         runs = [a for a in self._arrivals[ask.request] if a.ran]
         if len(ask.ends) != 1:
-            yield self._finding("ends", ask, f"{len(ask.ends)} ends")
+            yield self._finding(Rule.ENDS, ask, f"{len(ask.ends)} ends")
             return
         if not ask.kind.is_idempotent and len(runs) > 1:
-            yield self._finding("twice", ask, f"{ask.kind.value} ran {len(runs)} times")
+            yield self._finding(Rule.TWICE, ask, f"{ask.kind.value} ran {len(runs)} times")
         end = ask.ends[0]
         if end.kind is EndKind.WHOLE:
             yield from self._check_answer(ask, end, runs)
         elif end.kind is EndKind.INVALID:
-            yield self._finding("mixed", ask, "the client got what is no answer")
+            yield self._finding(Rule.MIXED, ask, "the client got what is no answer")
         if end.kind in (EndKind.WHOLE, EndKind.LEFT) and not _is_failure(end):
             return
         yield from self._check_loss(ask, end, runs)
@@ -93,22 +78,24 @@
         seal = end.headers.get("mastturn-server-seal")
         if seal is None:
             if end.status < 300:
-                yield self._finding("mixed", ask, f"status {end.status} without a seal")
+                yield self._finding(Rule.MIXED, ask, f"status {end.status} without a seal")
             elif end.status in PROMISES and runs and not ask.kind.is_idempotent:
-                yield self._finding("promise", ask, f"status {end.status}, and it ran")
+                yield self._finding(Rule.PROMISE, ask, f"status {end.status}, and it ran")
             elif end.body:
-                yield self._finding("mixed", ask, f"status {end.status} with a body of its own")
+                yield self._finding(Rule.MIXED, ask, f"status {end.status} with a body of its own")
             return
         run = self._runs.get(seal)
         if run is None or run.request != ask.request:
             whose = "nobody's" if run is None else run.request
-            yield self._finding("mixed", ask, f"it got the answer of {whose}")
+            yield self._finding(Rule.MIXED, ask, f"it got the answer of {whose}")
         elif run.status != end.status:
-            yield self._finding("mixed", ask, f"status {end.status}, the upstream gave {run.status}")
+            yield self._finding(Rule.MIXED, ask, f"status {end.status}, the upstream gave {run.status}")
         elif ask.kind.is_stream and end.status == 200:
             yield from self._check_events(ask, end, run)
         elif run.body != end.body:
-            yield self._finding("mixed", ask, f"{len(end.body)} of {len(run.body)} bytes, framed as complete")
+            yield self._finding(
+                Rule.MIXED, ask, f"{len(end.body)} of {len(run.body)} bytes, framed as complete"
+            )
 
     def _check_events(self, ask: Ask, end: End, run: Arrival) -> Iterator[Finding]:
         """Each event follows the one before, and is one of a run of this request; the last is there."""
@@ -117,28 +104,28 @@
             number, seal, request = int(found[1]), found[2].decode(), found[3].decode()
             event_run = self._runs.get(seal)
             if request != ask.request or event_run is None or event_run.request != ask.request:
-                yield self._finding("mixed", ask, f"event {number} of {request}")
+                yield self._finding(Rule.MIXED, ask, f"event {number} of {request}")
                 return
             if number != last + 1:
-                yield self._finding("gap", ask, f"event {number} behind {last}")
+                yield self._finding(Rule.GAP, ask, f"event {number} behind {last}")
                 return
             last, rest = number, rest[found.end() :]
         if rest:
-            yield self._finding("mixed", ask, f"{len(rest)} bytes that are no event behind event {last}")
+            yield self._finding(Rule.MIXED, ask, f"{len(rest)} bytes that are no event behind event {last}")
         elif last != run.events:
-            yield self._finding("gap", ask, f"complete with {last} of {run.events} events")
+            yield self._finding(Rule.GAP, ask, f"complete with {last} of {run.events} events")
 
     def _check_loss(self, ask: Ask, end: End, runs: list[Arrival]) -> Iterator[Finding]:
         """What the client missed, where nobody but the balancer can be to blame."""
         if self._is_excused(ask, end) or any(a.dirty_s < CROSSING_S for a in self._arrivals[ask.request]):
             return
         if end.kind is EndKind.NONE and ask.style is not Style.SLOW:
-            yield self._finding("held", ask, f"no end {PATIENCE_S:g} s after its deadline")
+            yield self._finding(Rule.HELD, ask, f"no end {PATIENCE_S:g} s after its deadline")
             return
         served = [a for a in runs if a.whole_at is not None and a.fault in faults.SOUND and a.status == 200]
         in_time = [a for a in served if a.whole_at is not None and a.whole_at < ask.deadline_at - DUE_S]
         if in_time and end.status != 200:
-            yield self._finding("unserved", ask, f"{_words(end)} though {in_time[0].seal} was whole")
+            yield self._finding(Rule.UNSERVED, ask, f"{_words(end)} though {in_time[0].seal} was whole")
             return
         if end.at >= ask.deadline_at:
             return
@@ -149,7 +136,7 @@
             and is_sound
             and not self._has_crashed(runs, end)
         ):
-            rule = "stop" if self._meets("term", ask, end) else "lost"
+            rule = Rule.STOP if self._meets("term", ask, end) else Rule.LOST
             yield self._finding(rule, ask, f"{_words(end)} at a sound upstream")
 
     def _is_excused(self, ask: Ask, end: End) -> bool:
@@ -186,7 +173,9 @@
             balancer = balancers.get(arrival.request, "")
             if self._longest_calm(since, arrival.at, balancer) >= NEWS_S:
                 words = f"reaches {arrival.upstream} {arrival.at - since:.1f} s after it began to leave"
-                yield Finding("drain", arrival.at, arrival.request, words, (arrival.fault.value,), balancer)
+                yield Finding(
+                    Rule.DRAIN, arrival.at, arrival.request, words, (arrival.fault.value,), balancer
+                )
 
     def _longest_calm(self, begin: float, end: float, balancer: str) -> float:
         """The longest time between in which nothing that brings news to a balancer was in trouble."""
@@ -207,22 +196,22 @@
         for put in acked:
             if not put.is_valid:
                 yield Finding(
-                    "configuration", put.answered_at, "", f"invalid version {put.ver} is acknowledged"
+                    Rule.CONFIGURATION, put.answered_at, "", f"invalid version {put.ver} is acknowledged"
                 )
             by_base[put.base].add(put.body)
             if len(by_base[put.base]) == 2:
                 words = f"two changes on top of {put.base} are acknowledged"
-                yield Finding("configuration", put.answered_at, "", words)
+                yield Finding(Rule.CONFIGURATION, put.answered_at, "", words)
         yield from self._reads()
         newest = max((put.ver for put in acked), default=0)
         if self._records.settled_ver < newest:
             words = f"version {self._records.settled_ver} is read back, {newest} was acknowledged"
-            yield Finding("configuration", 0.0, "", words)
+            yield Finding(Rule.CONFIGURATION, 0.0, "", words)
         sent = {put.ver: json.loads(put.body) for put in self._records.puts if put.status == 200}
         wanted = sent.get(self._records.settled_ver)
         if wanted is not None and json.loads(self._records.settled_body) != wanted:
             words = f"version {self._records.settled_ver} is not as it was sent"
-            yield Finding("configuration", 0.0, "", words)
+            yield Finding(Rule.CONFIGURATION, 0.0, "", words)
 
     def _reads(self) -> Iterator[Finding]:
         """A read that was sent after an acknowledgement shows that version or a later one."""
@@ -230,13 +219,13 @@
             before = [p.ver for p in self._records.puts if p.status == 200 and p.answered_at < read.sent_at]
             if read.ver and before and read.ver < max(before):
                 words = f"{read.by} shows version {read.ver} after {max(before)} was acknowledged"
-                yield Finding("configuration", read.sent_at, "", words)
+                yield Finding(Rule.CONFIGURATION, read.sent_at, "", words)
 
     def _others(self) -> Iterator[Finding]:
         for words in self._records.unclean:
-            yield Finding("process", 0.0, "", words)
+            yield Finding(Rule.PROCESS, 0.0, "", words)
         for words in self._records.unasked:
-            yield Finding("ends", 0.0, "", f"bytes that nobody asked for: {words}")
+            yield Finding(Rule.ENDS, 0.0, "", f"bytes that nobody asked for: {words}")
 
 
 def _is_failure(end: End) -> bool:
--- a/mastturn/soak/commands.py
+++ b/mastturn/soak/commands.py
@@ -10,6 +10,7 @@
 from rich.console import Console
 
 from mastturn.files import LabError
+from mastturn.soak.rules import Rule
 
 FOUND = 1
 SEEDS = 1 << 15  # drawn seeds lie below
@@ -41,7 +42,12 @@
 @click.option("--clients", type=int, default=24, show_default=True)
 @click.option("--defect", default="", help="Play with a planted defect: see `--defect list`.")
 @click.option("--only", default="", help="Of the troubles, those whose names hold this.")
-@click.option("--until-found", is_flag=True, help="End with the first soak that finds something.")
+@click.option(
+    "--until",
+    multiple=True,
+    type=click.Choice(list(Rule), case_sensitive=False),
+    help="End with the first soak that finds this; may be repeated.",
+)
 @click.option("--out", type=click.Path(file_okay=False, path_type=Path), help="Keep findings and logs there.")
 @click.option("--quiet", is_flag=True, help="No line for each trouble, and no table.")
 def soak(
@@ -55,7 +61,7 @@
     clients: int,
     defect: str,
     only: str,
-    until_found: bool,
+    until: tuple[Rule, ...],
     out: Path | None,
     quiet: bool,
 ) -> None:
@@ -91,7 +97,7 @@
             (out / f"{number}.jsonl").write_text("".join(f"{line}\n" for line in lines), encoding="utf-8")
         click.echo(report.summary(result))
         count += len(lines)
-        if count and until_found:
+        if any(finding.rule in until for finding in result.findings):
             break
     if count:
         sys.exit(FOUND)
--- a/tests/test_soak_defects.py
+++ b/tests/test_soak_defects.py
@@ -36,9 +36,10 @@
 
 
 def with_defect(name: str) -> subprocess.CompletedProcess[str]:
-    _, only = RULES[name]
-    words = ["--defect", name, "--only", only, "--seed", "1", "--seeds", str(MOST_SEEDS)]
-    return soak(*words, "--until-found", "--seconds", "10")
+    rules, only = RULES[name]
+    until = [word for rule in sorted(rules) for word in ("--until", rule)]
+    words = ["--defect", name, "--only", only, "--seed", "1", "--seeds", str(MOST_SEEDS), "--seconds", "10"]
+    return soak(*words, *until)
 
 
 @pytest.fixture(scope="module")
