--- a/mastturn/soak/checker.py
+++ b/mastturn/soak/checker.py
@@ -1,4 +1,4 @@
-"""Reads the records of a soak and finds what breaks a rule. It has seen nothing of the run but them. The rules: `rules.py`."""
+"""Reads the records of a soak and finds what breaks a rule (`rules.py`). Nothing else of the run is seen."""
 
 from __future__ import annotations
 
