Let upstreams of a soak compare request bodies, and let its overlapping troubles not collide

Bodies were 4,000 bytes at the most, never in chunks, and no upstream looked at them; no control process lost its disk. Change: crashes and leaves choose among those that stand; what a trouble raises ends the soak. Upstreams take small segments and read late, so that a body waits at its sender. All control processes killed at once; one that loses its disk, in calm. A folder of an earlier soak is refused. Planted defect body-altered.

--- a/mastturn/soak/checker.py
+++ b/mastturn/soak/checker.py
@@ -65,6 +65,9 @@
             return
         if not ask.kind.is_idempotent and len(runs) > 1:
             yield self._finding(Rule.TWICE, ask, f"{ask.kind.value} ran {len(runs)} times")
+        for arrival in self._arrivals[ask.request]:
+            if arrival.size is not None and arrival.size != ask.size:
+                yield self._finding(Rule.UNASKED, ask, f"{arrival.size} of {ask.size} bytes at an upstream")
         end = ask.ends[0]
         if end.kind is EndKind.WHOLE:
             yield from self._check_answer(ask, end, runs)
@@ -224,6 +227,9 @@
     def _others(self) -> Iterator[Finding]:
         for words in self._records.unclean:
             yield Finding(Rule.PROCESS, 0.0, "", words)
+        for altered in self._records.altered:
+            words = f"{altered.upstream} got {altered.words}"
+            yield Finding(Rule.UNASKED, altered.at, altered.request, words)
         for words in self._records.unasked:
             yield Finding(Rule.ENDS, 0.0, "", f"bytes that nobody asked for: {words}")
 
--- a/mastturn/soak/clients.py
+++ b/mastturn/soak/clients.py
@@ -11,6 +11,7 @@
 
 import httptools
 
+from mastturn.soak import bodies
 from mastturn.soak.records import Ask, End, EndKind, Kind, Records, Style
 from mastturn.soak.wire import Reader, Writer
 
@@ -21,7 +22,7 @@
 READ_BYTES, SLOW_BYTES = 65_536, 700
 SLOW_S = 0.02  # between two reads of a slow client
 MOST_PIPELINED = 3
-BODY_BYTES = (1, 100, 4_000)
+PIECE_S = 0.02  # between two pieces of a body
 EVENTS = (1, 2, 8, 25)
 PROMPT = (200, 3_000)  # tokens
 LEAVE_S = (0.0, 0.3)  # after sending
@@ -122,13 +123,14 @@
             self._records.asks += asks
             is_first = False
             answered = len(answers.found)
+            pieces = [piece for ask in asks for piece in self._write(ask)]
+            sending = asyncio.create_task(self._send(pieces, writer))
             try:
-                writer.write(b"".join(self._write(ask) for ask in asks))
-                if self._style is Style.HALF_CLOSED:
-                    writer.write_eof()
-            except (OSError, RuntimeError):
-                pass  # the end is read below
-            if not await self._read(asks, answers, answered, reader, writer):
+                goes_on = await self._read(asks, answers, answered, reader, writer)
+            finally:
+                is_sent = sending.done()
+                sending.cancel()
+            if not goes_on or not is_sent:
                 return
             await self._think()
 
@@ -143,14 +145,32 @@
         kind, now = self._dice.choice(list(Kind)), time.monotonic()
         return Ask(request, kind, self._style, machine, now, now + DEADLINE_S, is_first)
 
-    def _write(self, ask: Ask) -> bytes:
-        body = b"b" * self._dice.choice(BODY_BYTES)
+    async def _send(self, pieces: list[bytes], writer: Writer) -> None:
+        """Send requests; with pauses between their pieces, so that an answer may come before a body's end."""
+        try:
+            for piece in pieces:
+                writer.write(piece)
+                await writer.drain()
+                await asyncio.sleep(PIECE_S if len(piece) >= bodies.LARGE_PIECE else 0.0)
+            if self._style is Style.HALF_CLOSED:
+                writer.write_eof()
+        except (OSError, RuntimeError):
+            pass  # the end of the connection is read
+
+    def _write(self, ask: Ask) -> list[bytes]:
+        """A request as it is sent, in pieces."""
+        body = bodies.draw(self._dice, ask.request)
+        ask.size = body.size
+        first, *rest = body.pieces
+        return [self._head(ask, body) + first, *rest]
+
+    def _head(self, ask: Ask, body: bodies.Body) -> bytes:
         lines = [
             f"POST /{ask.kind.value}/1 HTTP/1.1",
             "Host: llm.example",
             f"Mastturn-Request-Id: {ask.request}",
             f"Mastturn-Deadline-Ms: {DEADLINE_S * 1000:.0f}",
-            f"Content-Length: {len(body)}",
+            body.header,
         ]
         if ask.kind.is_stream:
             tokens, out = self._dice.randint(*PROMPT), self._dice.choice(EVENTS)
@@ -159,7 +179,7 @@
                 f"Mastturn-Token-Count: {tokens},{out}",
                 f"Mastturn-Prompt-Prefix: c0ffee:{tokens // 2},{ask.request}:{tokens - tokens // 2}",
             ]
-        return "\r\n".join([*lines, "", ""]).encode() + body
+        return "\r\n".join([*lines, "", ""]).encode()
 
     # ---- answers
 
--- a/mastturn/soak/fleet.py
+++ b/mastturn/soak/fleet.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import shutil
 import signal
 import time
 from collections.abc import Callable
@@ -131,13 +132,15 @@
         await member.process.kill()
         kill.end = time.monotonic()
 
-    async def kill(self, member: Member) -> None:
-        """SIGKILL, and a new start."""
+    async def kill(self, member: Member, wipes: bool = False) -> None:
+        """SIGKILL, and a new start; if told so, on an empty disk."""
         async with member.turn:
             if self.is_ending or not member.process.runs:
                 return
             span = self._records.begin("kill", member.machine.node, time.monotonic())
             await member.process.kill()
+            if wipes:
+                shutil.rmtree(self._folder / member.machine.node)
             await self._start_again(member)
             span.end = time.monotonic()
 
@@ -163,6 +166,12 @@
         if not self.is_ending:
             await self._launch(member, False)
 
+    def control_calm_s(self) -> float:
+        """Since the last trouble of a control process, in seconds."""
+        names = {member.machine.node for member in self.control()}
+        ends = [span.end for span in self._records.spans if span.who in names]
+        return time.monotonic() - max(ends, default=float("-inf"))
+
     async def leader(self) -> Member | None:
         """The control process that says that it leads."""
         told = await asyncio.gather(*(callers.ask(place, "/api/status") for place in self.layout.ctl()))
--- a/mastturn/soak/planted.py
+++ b/mastturn/soak/planted.py
@@ -134,10 +134,23 @@
     manners.of_upstreams = lambda: dataclasses.replace(made(), bounds_answers=False)
 
 
+def _body_altered() -> None:
+    from balancer.wire import Staged
+
+    write = Staged.write
+
+    def alter(self: Staged, remaining: float) -> bytes:
+        data = write(self, remaining)
+        return data[:-BYTES_ALTERED] + bytes(BYTES_ALTERED) if len(self.body) > BYTES_LONG else data
+
+    _replace(Staged, "write", alter)
+
+
 def _replace(where: type, name: str, method: Any) -> None:
     setattr(where, name, method)
 
 
+BYTES_LONG, BYTES_ALTERED = 65_536, 100
 LISTS_LATE = 5  # a list that is so many calls old
 _PLANTS: dict[str, tuple[str, Plant]] = {
     "stale-error-taken": ("a late error without an id passes for the next answer", _stale_error_taken),
@@ -149,6 +162,7 @@
     "dropped-at-sigterm": ("requests are dropped at SIGTERM", _dropped_at_sigterm),
     "gap-in-resumed-stream": ("a stream that is resumed skips an event", _gap_in_resumed_stream),
     "late-list-taken": ("an older list is taken over a newer one", _late_list_taken),
+    "body-altered": ("a long body reaches its upstream with other bytes at its end", _body_altered),
     "held-past-deadline": ("an answer that has begun has no deadline", _held_past_deadline),
 }
 
--- a/mastturn/soak/play.py
+++ b/mastturn/soak/play.py
@@ -91,6 +91,8 @@
 def _folder(keep: Path | None) -> Iterator[Path]:
     if keep is not None:
         keep.mkdir(parents=True, exist_ok=True)
+        if any(keep.iterdir()):  # old disks would make the new fleet go on from an older one's state
+            raise LabError(f"--out: {keep} is not empty; name another folder")
         yield keep
         return
     with tempfile.TemporaryDirectory(prefix="mastturn-soak-") as name:
--- a/mastturn/soak/records.py
+++ b/mastturn/soak/records.py
@@ -73,6 +73,7 @@
     sent_at: float
     deadline_at: float
     is_first: bool  # on its connection
+    size: int = 0  # bytes of its body
     ends: list[End] = field(default_factory=list)
 
 
@@ -85,6 +86,7 @@
     at: float
     fault: Fault
     is_read: bool = False  # a prefill call
+    size: int | None = None  # bytes of the request's body, once all of it was there
     after: int = 0  # the event behind which a stream goes on
     ran: bool = False
     status: int = 0
@@ -140,6 +142,16 @@
     at: float
 
 
+@dataclass(frozen=True, slots=True)
+class Altered:
+    """What an upstream got that no client has sent: another body, or bytes that are no request."""
+
+    upstream: str
+    at: float
+    request: str
+    words: str
+
+
 @dataclass(slots=True)
 class Records:
     """All of one soak."""
@@ -152,6 +164,7 @@
     delisted: list[Delisted] = field(default_factory=list)
     unclean: list[str] = field(default_factory=list)  # processes that did not end as told
     unasked: list[str] = field(default_factory=list)  # bytes that clients got with no request open
+    altered: list[Altered] = field(default_factory=list)
     settled_ver: int = 0  # read back at the end
     settled_body: bytes = b""
 
--- a/mastturn/soak/rules.py
+++ b/mastturn/soak/rules.py
@@ -9,6 +9,7 @@
     """A rule by the name that stands in findings; the comment says what breaks it."""
 
     MIXED = "mixed"  # a complete answer is not its own request's, or not its upstream's whole one
+    UNASKED = "unasked"  # an upstream gets a body that is not its client's, or what is no request
     GAP = "gap"  # a stream's events do not follow one another, or it ends as complete before its last
     TWICE = "twice"  # what may run once has run twice
     PROMISE = "promise"  # a status that says that nothing was run, though it ran
--- a/mastturn/soak/surroundings.py
+++ b/mastturn/soak/surroundings.py
@@ -57,11 +57,18 @@
         self._tasks.add(work)
         work.add_done_callback(self._tasks.discard)
 
+    def _standing(self) -> list[Upstream]:
+        """Those that neither leave nor have crashed."""
+        return [u for u in self.listed if u.state == "up" and u.is_running]
+
     # ---- troubles
 
     async def crash(self, dice: random.Random) -> None:
         """One ends without a word and is back at its address, as a new incarnation or at another's."""
-        old = dice.choice(self.listed)
+        standing = self._standing()
+        if not standing:
+            return
+        old = dice.choice(standing)
         span = self._records.begin("crash", old.name, time.monotonic())
         old.crash()
         await asyncio.sleep(CRASH_S)
@@ -72,9 +79,10 @@
 
     async def leave(self, dice: random.Random) -> None:
         """One drains, is off the list and serves on for a while; another comes in its place."""
-        if len(self.listed) <= SMALLEST or not self._places:
+        standing = self._standing()
+        if len(standing) <= SMALLEST or not self._places:
             return
-        old = dice.choice([u for u in self.listed if u.state == "up"])
+        old = dice.choice(standing)
         old.state = "draining"
         self._records.delisted.append(Delisted(old.name, time.monotonic()))
         new = self._new(self._places.pop(0), old.phase)
--- a/mastturn/soak/troubles.py
+++ b/mastturn/soak/troubles.py
@@ -17,6 +17,7 @@
 LIST_S = (0.5, 4.0)
 ROLL_GAP_S = (0.2, 1.5)
 HERD_SHARE = 0.5  # of the balancers are killed at once
+WIPE_CALM_S = 6.0  # since the last trouble of a control process, before one loses its disk
 QUIET_END_S = 1.0  # none begins so shortly before the end
 
 
@@ -29,7 +30,7 @@
         """`only`: of the kinds, those whose names hold this; raises LabError where there is none."""
         self._fleet, self._around, self._say = fleet, around, say
         self._dice = random.Random(f"{seed}/troubles")
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks: list[asyncio.Task[None]] = []
         self.counts: dict[str, int] = {}
         self._kinds: dict[str, tuple[float, Callable[[], Awaitable[None]]]] = {
             "term of a balancer": (3.0, lambda: fleet.terminate(self._any(fleet.balancers()))),
@@ -42,6 +43,8 @@
             "kill of a control process": (0.7, lambda: fleet.kill(self._any(fleet.control()))),
             "kill of the leader": (0.5, self._kill_leader),
             "stop of a control process": (0.7, lambda: self._still(self._any(fleet.control()))),
+            "kill of all control processes": (0.3, self._kill_control),
+            "wipe of a control process": (0.5, self._wipe),
             "crash of an upstream": (1.5, lambda: around.crash(self._dice)),
             "an upstream leaves": (2.5, lambda: around.leave(self._dice)),
             "list busy": (0.5, lambda: self._list(Trouble.BUSY)),
@@ -54,7 +57,7 @@
             raise LabError(f"--only {only!r}: no trouble's name holds it; for example 'balancer'")
 
     async def run(self, seconds: float) -> None:
-        """Begin one after the other for so long, and wait for the last to be over."""
+        """Begin one after the other for so long, and wait for all to be over; raises what one of them did."""
         loop = asyncio.get_running_loop()
         until = loop.time() + seconds - QUIET_END_S
         names, weights = list(self._kinds), [weight for weight, _ in self._kinds.values()]
@@ -64,12 +67,11 @@
             self._say(f"trouble: {name}")
             self._begin(self._befall(self._kinds[name][1]))
             await asyncio.sleep(self._dice.uniform(*EVERY_S))
-        await asyncio.gather(*self._tasks)
+        for task in self._tasks:  # a series begins further ones meanwhile
+            await task
 
     def _begin(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._tasks.append(asyncio.create_task(work))
 
     async def _befall(self, act: Callable[[], Awaitable[None]]) -> None:
         await act()
@@ -97,5 +99,13 @@
         if leader is not None:
             await self._fleet.kill(leader)
 
+    async def _kill_control(self) -> None:
+        await asyncio.gather(*(self._fleet.kill(member) for member in self._fleet.control()))
+
+    async def _wipe(self) -> None:
+        """One loses its disk; not while another may still have to be brought up to date."""
+        if self._fleet.control_calm_s() >= WIPE_CALM_S:
+            await self._fleet.kill(self._any(self._fleet.control()), wipes=True)
+
     async def _list(self, trouble: Trouble) -> None:
         await self._around.trouble_list(trouble, self._dice.uniform(*LIST_S))
--- a/mastturn/soak/upstream.py
+++ b/mastturn/soak/upstream.py
@@ -5,17 +5,32 @@
 import asyncio
 import contextlib
 import json
+import socket
 import time
 from collections import Counter
 from dataclasses import dataclass
 from typing import Any
 
-from mastturn.soak import answers, faults
+from mastturn.soak import answers, bodies, faults
 from mastturn.soak.answers import Content, Wire
 from mastturn.soak.faults import Fault, Lot
-from mastturn.soak.records import Arrival, Records
-from mastturn.soak.wire import Got, Reader, Writer, read_body, read_head, reset, say, write
-
+from mastturn.soak.records import Altered, Arrival, Records
+from mastturn.soak.wire import (
+    SHOWN,
+    BadRequestError,
+    Got,
+    Reader,
+    Writer,
+    read_body,
+    read_head,
+    reset,
+    say,
+    write,
+)
+
+RECEIVE_BYTES = 16_384  # of what is not read yet: a large body waits at its sender
+SEGMENT_BYTES = 1_460  # with those of loopback a sender's buffer would take megabytes
+EARLY_S = 0.05  # between an early rejection and the first look at the body
 READ_S = 1 / 100_000  # for each token of a prompt
 STEP_S = 0.004  # for each event
 SILENCE_S = 6.0  # a silent connection is held so long, if its other side does not end it
@@ -87,7 +102,7 @@
     def __init__(self, name: str, address: str, zone: str, phase: str, seed: int, records: Records,
                  handles: Handles) -> None:  # fmt: skip
         self.name, self.address, self.zone, self.phase = name, address, zone, phase
-        self.state = "up"
+        self.state, self.is_running = "up", False
         self._seed, self._records, self._handles = seed, records, handles
         self._server: asyncio.Server | None = None
         self._writers: set[Writer] = set()
@@ -105,12 +120,23 @@
     async def start(self) -> None:
         """Listen; raises OSError."""
         host, _, port = self.address.rpartition(":")
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BYTES)
+        listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
+        try:
+            listener.bind((host, int(port)))
+        except OSError:
+            listener.close()
+            raise
         self._server = await asyncio.start_server(
-            self._serve, host, int(port), reuse_address=True, backlog=512
+            self._serve, sock=listener, backlog=512, limit=RECEIVE_BYTES
         )
+        self.is_running = True
 
     def crash(self) -> None:
         """End at once: every connection is reset."""
+        self.is_running = False
         if self._server is not None:
             self._server.close()
         for task in self._tasks:
@@ -132,6 +158,8 @@
                 if not await self._answer(got, reader, writer, late):
                     break
                 late.release()
+        except BadRequestError as error:
+            self._altered("", f"bytes that are no request: {error}")
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass  # the last: a crash, after which nobody waits for this task
         finally:
@@ -147,7 +175,7 @@
         self._handles.arrivals[got.request] += 1
         lot = faults.draw(self._seed, got.request, number)
         if got.headers.get("mastturn-target-upstream", self.name) != self.name:
-            await read_body(got, reader)
+            await self._take_body(got, reader)
             return await say(writer, "421 Misdirected Request", got)
         arrival = Arrival(got.request, self.name, time.monotonic(), lot.fault)
         arrival.is_read = got.headers.get("mastturn-stage") == "prefill"
@@ -156,9 +184,10 @@
         self._records.arrivals.append(arrival)
         if lot.fault is Fault.EARLY:
             await say(writer, "503 Full", got, NOT_RUN)
-            await read_body(got, reader)
+            await asyncio.sleep(EARLY_S)
+            arrival.size = await self._take_body(got, reader)
             return True
-        await read_body(got, reader)
+        arrival.size = await self._take_body(got, reader)
         if arrival.is_read != (self.phase == "prefill") and not self._runs_anything(got, arrival):
             return await say(writer, "421 Misdirected Request", got)
         if lot.fault is Fault.REJECTED or not self._fetches(got):
@@ -166,6 +195,26 @@
         content = await (self._read if arrival.is_read else self._run)(got, arrival, lot)
         return await self._send(content, arrival, lot, reader, writer, late)
 
+    async def _take_body(self, got: Got, reader: Reader) -> int:
+        """The size of a request's body, in bytes; what is not its client's is told."""
+        try:
+            body = await read_body(got, reader)
+        except asyncio.IncompleteReadError as error:
+            if not got.is_chunked:
+                self._check_body(got, error.partial)
+            raise
+        self._check_body(got, body)
+        return len(body)
+
+    def _check_body(self, got: Got, body: bytes) -> None:
+        wanted = bodies.content(got.request, len(body))
+        if body != wanted:
+            at = next(n for n, pair in enumerate(zip(body, wanted, strict=True)) if pair[0] != pair[1])
+            self._altered(got.request, f"another body from byte {at} on: {body[at : at + SHOWN]!r}")
+
+    def _altered(self, request: str, words: str) -> None:
+        self._records.altered.append(Altered(self.name, time.monotonic(), request, words))
+
     def _runs_anything(self, got: Got, arrival: Arrival) -> bool:
         """What names no prompt is run by whoever it is sent to."""
         return not arrival.is_read and got.tokens[0] == 0
@@ -306,8 +355,3 @@
     """A body of about that many bytes, each stretch of which tells the run and the request."""
     mark = f"{arrival.seal} {arrival.request};".encode()
     return mark * max(length // len(mark), 1)
-
-
-def _write_late(writer: Writer, data: bytes) -> None:
-    if not writer.is_closing():
-        writer.write(data)
--- a/mastturn/soak/wire.py
+++ b/mastturn/soak/wire.py
@@ -9,6 +9,8 @@
 
 from mastturn.soak.records import Kind
 
+METHODS = (b"POST", b"GET", b"DELETE")
+SHOWN = 60  # bytes of what is no request
 RESET = struct.pack("ii", 1, 0)  # SO_LINGER: a close is a reset
 
 Reader = asyncio.StreamReader
@@ -28,9 +30,14 @@
         """Its id."""
         return self.headers.get("mastturn-request-id", "")
 
+    @property
+    def is_chunked(self) -> bool:
+        """Whether its body comes in chunks."""
+        return self.headers.get("transfer-encoding", "").lower() == "chunked"
+
     @property
     def length(self) -> int:
-        """Bytes of its body."""
+        """Bytes of its body, unless that is chunked."""
         return int(self.headers.get("content-length", 0))
 
     @property
@@ -46,21 +53,47 @@
         return Kind(name) if name in {kind.value for kind in Kind} else None
 
 
+class BadRequestError(Exception):
+    """What came is no request: bytes of a body in the place of a head, for example."""
+
+
 async def read_head(reader: Reader) -> Got | None:
-    """The head of the next request; None once there is none."""
+    """The head of the next request; None once there is none. Raises BadRequestError."""
     try:
         head = await reader.readuntil(b"\r\n\r\n")
-    except (asyncio.IncompleteReadError, asyncio.LimitOverrunError):
-        return None
+    except asyncio.IncompleteReadError as error:
+        if error.partial.split(b" ")[0] in METHODS or not error.partial:
+            return None  # nothing, or the beginning of a head
+        raise BadRequestError(repr(error.partial[:SHOWN])) from None
+    except asyncio.LimitOverrunError:
+        raise BadRequestError("no end of a head") from None
     line, *rest = head.decode("latin-1").strip().split("\r\n")
-    method, path, _ = line.split(" ")
+    try:
+        method, path, _ = line.split(" ")
+        if method.encode() not in METHODS:
+            raise ValueError
+    except ValueError:
+        raise BadRequestError(repr(line[:SHOWN])) from None
     fields = (item.partition(":") for item in rest)
     return Got(method, path, {name.lower(): value.strip() for name, _, value in fields})
 
 
 async def read_body(got: Got, reader: Reader) -> bytes:
-    """The body that a head announces."""
-    return await reader.readexactly(got.length)
+    """The body that a head announces. Raises BadRequestError."""
+    if not got.is_chunked:
+        return await reader.readexactly(got.length)
+    body = bytearray()
+    while True:
+        line = (await reader.readuntil(b"\r\n")).strip()
+        try:
+            size = int(line, 16)
+        except ValueError:
+            raise BadRequestError(repr(line[:SHOWN])) from None
+        body += await reader.readexactly(size)
+        if await reader.readexactly(2) != b"\r\n":
+            raise BadRequestError("a chunk without its end")
+        if size == 0:
+            return bytes(body)
 
 
 async def say(writer: Writer, status: str, got: Got, *headers: tuple[str, str], body: bytes = b"") -> bool:
--- a/tests/test_soak_defects.py
+++ b/tests/test_soak_defects.py
@@ -25,6 +25,7 @@
     "dropped-at-sigterm": ({"stop", "unserved", "lost"}, "term of a balancer"),
     "gap-in-resumed-stream": ({"gap"}, ""),
     "late-list-taken": ({"drain"}, "an upstream leaves"),
+    "body-altered": ({"unasked"}, ""),
     "held-past-deadline": ({"held"}, ""),
 }
 
