Take no operator's answer that is cut short

A control process that ends in the middle of an answer was shown as having given all of it ('config get', 'status', the history). Change: asking.once takes an answer only with chunks or with all of its length; our processes give each one of the two.

--- a/mastturnd/asking.py
+++ b/mastturnd/asking.py
@@ -75,13 +75,22 @@
             connection.request(method, target, body, dict(headers or {}))
             answer = connection.getresponse()
             held = answer.read(most + 1)
+            is_whole = _is_whole(answer)
     except (OSError, http.client.HTTPException, SettingsError, UnicodeError):  # the last: no host's name
         return None
-    if len(held) > most:
+    if len(held) > most or not is_whole:
         return None
     return Answer(answer.status, {k.lower(): v for k, v in answer.getheaders()}, held, by)
 
 
+def _is_whole(answer: http.client.HTTPResponse) -> bool:
+    """Whether all of an answer was read: http.client takes a connection's end for that of a head or a length.
+
+    Our processes give each answer a length or chunks; a cut in the latter raises while it is read.
+    """
+    return answer.chunked or answer.length == 0
+
+
 def patiently(by: str, target: str, within_s: float) -> Answer | None:
     """One process's answer, asked again where it gives none or is asked too often; None after `within_s`."""
     until = time.monotonic() + within_s
