End an answer without length and chunks by a reset wherever it ends before it is whole

A client of HTTP/1.0 gets a long answer of unknown length up to the end of its connection; where the balancer itself ended (a kill, the end of a drain) or let a stuck client go, that end was a FIN, and half an answer looked complete. Change: from the head of such an answer on a close is a reset (SO_LINGER), until the answer is whole; so is the kernel's close of a killed process. A line of a test is put into the linter's form.

--- a/passpost/server.py
+++ b/passpost/server.py
@@ -212,6 +212,7 @@
         self._continues = False  # its client waits for word to go on
         self._flow: Flow | None = None  # of the answer that is being passed on
         self._chunked = False  # how that goes
+        self._resets = False  # a close now is a reset
         self._clogged_at = 0.0
         self._unparsed = b""  # what came behind requests that wait
         self._parsing: asyncio.Handle | None = None  # it is looked at again in the loop's next turn
@@ -547,6 +548,7 @@
         self._chunked = start.length is None and request.version != "1.0"
         if start.length is None and not self._chunked:
             request.keep_alive = False
+            self._reset_at_close(True)  # whatever ends it before it is whole, the end of this process too
         framing = b"" if start.length is None else b"Content-Length: %d\r\n" % start.length
         if self._chunked:
             framing = b"Transfer-Encoding: chunked\r\n"
@@ -563,6 +565,8 @@
         """It has ended in order."""
         if self._chunked:
             self._write(b"0\r\n\r\n")
+        elif self._resets:
+            self._reset_at_close(False)
         self._flow, self._chunked = None, False
         self._finish(200, sent=True)
 
@@ -575,10 +579,16 @@
             self._count(request, Final.FAILED)
             self._release()
         if self._transport is not None:
-            client = self._transport.get_extra_info("socket")
-            client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            self._reset_at_close(True)
             self._transport.abort()
 
+    def _reset_at_close(self, resets: bool) -> None:
+        """Whether a close from now on is a reset, which no client takes for the end of an answer."""
+        self._resets = resets
+        if self._transport is not None:
+            client = self._transport.get_extra_info("socket")
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", resets, 0))
+
     def serve(self, answer: Answer) -> None:
         """Pass on an upstream's answer."""
         self._finish(answer.status, end_to_end(answer.headers), answer.body)
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -178,6 +178,39 @@
     run(test())
 
 
+@pytest.mark.parametrize("end", ["process", "stuck"])
+def test_an_answer_without_length_and_chunks_never_ends_in_order_before_it_is_whole(
+    end: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """An old caller takes the end of its connection for the end of its answer: any sooner one is a reset."""
+    monkeypatch.setattr(server, "STUCK_S", 0.0)
+
+    async def reply(request: Got, writer: Writer) -> None:
+        writer.write(HEAD + b"Transfer-Encoding: chunked\r\n\r\n")
+        while end == "stuck":  # more than all buffers between hold
+            writer.write(b"10000\r\n%b\r\n" % bytes(65536))
+            await writer.drain()
+        writer.write(b"5\r\nfirst\r\n")
+
+    async def test() -> None:
+        async with balancer(FakeServer(reply)) as b:
+            with socket.create_connection(("127.0.0.1", b.node.server.port)) as client:
+                client.setblocking(False)
+                client.sendall(b"GET /read HTTP/1.0\r\nX-Txn: old\r\n\r\n")
+                loop, got = asyncio.get_running_loop(), b""
+                while b"\r\n\r\n" not in got or (end == "process" and not got.endswith(b"first")):
+                    got += await loop.sock_recv(client, 65536)
+                if end == "process":
+                    b.node.server.stop()
+                else:  # nothing is read meanwhile
+                    await until(lambda: not _open(b))
+                with pytest.raises(ConnectionResetError):
+                    while await loop.sock_recv(client, 65536):
+                        pass
+
+    run(test())
+
+
 def test_an_old_caller_is_told_that_its_connection_is_kept() -> None:
     async def test() -> None:
         async with balancer(FakeServer()) as b:
--- a/tests/test_mastturnd_cut_answers.py
+++ b/tests/test_mastturnd_cut_answers.py
@@ -32,7 +32,7 @@
 
         thread = threading.Thread(target=answer)
         thread.start()
-        yield "127.0.0.1:{}".format(listener.getsockname()[1])
+        yield f"127.0.0.1:{listener.getsockname()[1]}"
         thread.join()
 
 
