Let a soak know how far behind its own process is, and find log lines in one look

Cause: a soak with 185 processes and 300 clients took minutes to write its findings down, as each looked through 61 MB of logs anew, and nothing told whether moments that its own loop had seen late were to be trusted. Its roll over 180 balancers took 150 s. Change: an index of log lines by request; the soak's loop is watched, and what rests on moments alone (held, unserved, drain) is no finding while it was over 0.1 s behind; what rests on content still is. The most is told with the counts. A roll begins its last stop after 20 s at the latest.

--- a/mastturn/soak/checker.py
+++ b/mastturn/soak/checker.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-from mastturn.soak import faults
+from mastturn.soak import faults, lag
 from mastturn.soak.clients import PATIENCE_S
 from mastturn.soak.records import Arrival, Ask, End, EndKind, Records, Style
 from mastturn.soak.rules import Rule
@@ -122,12 +122,13 @@
         """What the client missed, where nobody but the balancer can be to blame."""
         if self._is_excused(ask, end) or any(a.dirty_s < CROSSING_S for a in self._arrivals[ask.request]):
             return
-        if end.kind is EndKind.NONE and ask.style is not Style.SLOW:
+        is_timed = not self._lags(ask.sent_at, end.at)
+        if end.kind is EndKind.NONE and ask.style is not Style.SLOW and is_timed:
             yield self._finding(Rule.HELD, ask, f"no end {PATIENCE_S:g} s after its deadline")
             return
         served = [a for a in runs if a.whole_at is not None and a.fault in faults.SOUND and a.status == 200]
         in_time = [a for a in served if a.whole_at is not None and a.whole_at < ask.deadline_at - DUE_S]
-        if in_time and end.status != 200:
+        if in_time and end.status != 200 and is_timed:
             yield self._finding(Rule.UNSERVED, ask, f"{_words(end)} though {in_time[0].seal} was whole")
             return
         if end.at >= ask.deadline_at:
@@ -156,6 +157,10 @@
             for span in self._records.spans
         )
 
+    def _lags(self, begin: float, end: float) -> bool:
+        """Whether the soak itself was behind meanwhile: by its own clock nothing can be late then."""
+        return any(span.what == lag.LAG and span.meets(begin, end) for span in self._records.spans)
+
     def _has_crashed(self, runs: list[Arrival], end: End) -> bool:
         """Whether one of its upstreams crashed while it was there."""
         return any(
@@ -174,6 +179,8 @@
             if since is None or arrival.at - since <= DRAIN_S:
                 continue
             balancer = balancers.get(arrival.request, "")
+            if self._lags(since, arrival.at):
+                continue
             if self._longest_calm(since, arrival.at, balancer) >= NEWS_S:
                 words = f"reaches {arrival.upstream} {arrival.at - since:.1f} s after it began to leave"
                 yield Finding(
--- a/mastturn/soak/records.py
+++ b/mastturn/soak/records.py
@@ -165,6 +165,7 @@
     unclean: list[str] = field(default_factory=list)  # processes that did not end as told
     unasked: list[str] = field(default_factory=list)  # bytes that clients got with no request open
     altered: list[Altered] = field(default_factory=list)
+    worst_lag_s: float = 0.0  # of the soak's own event loop
     settled_ver: int = 0  # read back at the end
     settled_body: bytes = b""
 
--- a/mastturn/soak/report.py
+++ b/mastturn/soak/report.py
@@ -79,7 +79,7 @@
             for arrival in records.arrivals
             if finding.request and arrival.request == finding.request
         ],
-        "log": result.lines_about(finding.request),
+        "log": result.logs.about(finding.request),
     }
     return json.dumps(told)
 
@@ -125,5 +125,5 @@
     found = ", ".join(f"{rule} {count}" for rule, count in sorted(rules.items())) or "nothing found"
     return (
         f"seed {result.plan.seed}: {len(asks)} requests, {served} served, {troubles} troubles, "
-        f"{puts} changes acknowledged: {found}"
+        f"{puts} changes acknowledged, {result.records.worst_lag_s:.2f} s behind at most: {found}"
     )
--- a/mastturn/soak/troubles.py
+++ b/mastturn/soak/troubles.py
@@ -16,6 +16,7 @@
 STILL_S = (0.1, 2.0)
 LIST_S = (0.5, 4.0)
 ROLL_GAP_S = (0.2, 1.5)
+ROLL_S = 20.0  # a roll over however many begins its last stop after this
 HERD_SHARE = 0.5  # of the balancers are killed at once
 WIPE_CALM_S = 6.0  # since the last trouble of a control process, before one loses its disk
 QUIET_END_S = 1.0  # none begins so shortly before the end
@@ -84,8 +85,9 @@
 
     async def _roll(self) -> None:
         """SIGTERM to each balancer in turn; the next gets it though the one before may not be back."""
-        gap = self._dice.uniform(*ROLL_GAP_S)
-        for member in self._fleet.balancers():
+        members = self._fleet.balancers()
+        gap = min(self._dice.uniform(*ROLL_GAP_S), ROLL_S / len(members))
+        for member in members:
             self._begin(self._fleet.terminate(member))
             await asyncio.sleep(gap)
 
--- a/tests/test_soak_troubles.py
+++ b/tests/test_soak_troubles.py
@@ -11,11 +11,13 @@
 
 from mastturn.files import LabError
 from mastturn.smallfleet.layout import lay_out
-from mastturn.soak import surroundings
+from mastturn.soak import lag, surroundings
+from mastturn.soak.checker import Checker
 from mastturn.soak.fleet import Fleet
+from mastturn.soak.logs import Logs
 from mastturn.soak.plan import Plan
 from mastturn.soak.play import play
-from mastturn.soak.records import Records, Span
+from mastturn.soak.records import Ask, End, EndKind, Kind, Records, Span, Style
 from mastturn.soak.surroundings import Surroundings
 from mastturn.soak.troubles import Troubles
 from tests.loopback import run
@@ -78,3 +80,37 @@
     (tmp_path / "core-a").mkdir()
     with pytest.raises(LabError, match="not empty; name another folder"):
         play(Plan(1), lambda text: None, tmp_path)
+
+
+def test_what_the_soak_itself_saw_late_is_no_finding_of_time_but_of_content(tmp_path: Path) -> None:
+    behind = Span(lag.LAG, lag.SOAK, 11.0, 11.5)
+    asked = Ask("r1", Kind.ONCE, Style.KEPT, "edge-a", 10.0, 14.0, False)
+    asked.ends.append(End(EndKind.NONE, 15.5))
+    assert [f.rule for f in Checker(Records([asked])).findings()] == ["held"]
+    assert Checker(Records([asked], spans=[behind])).findings() == []
+    asked.ends[0] = End(EndKind.INVALID, 12.0)
+    assert [f.rule for f in Checker(Records([asked], spans=[behind])).findings()] == ["mixed"]
+
+
+def test_a_loop_that_has_no_turn_is_noticed() -> None:
+    async def be_late(records: Records) -> None:
+        watching = asyncio.create_task(lag.watch(records))
+        await asyncio.sleep(0.0)
+        time.sleep(lag.PERIOD_S + 2 * lag.LATE_S)  # the event loop is held up
+        while not records.spans:
+            await asyncio.sleep(0.0)
+        watching.cancel()
+
+    records = Records()
+    asyncio.run(be_late(records))
+    (span,) = records.spans
+    assert (span.what, span.who) == (lag.LAG, lag.SOAK)
+    assert span.end - span.begin == pytest.approx(records.worst_lag_s) >= lag.LATE_S
+
+
+def test_log_lines_are_found_by_their_request(tmp_path: Path) -> None:
+    (tmp_path / "edge-a.log").write_text("event=cut request=r1 status=200\nevent=started\n")
+    (tmp_path / "core-a.log").write_text("event=cut request=r2\n")
+    logs = Logs(tmp_path)
+    assert logs.about("r1") == ["edge-a: event=cut request=r1 status=200"]
+    assert logs.about("") == logs.about("r9") == []
