--- a/balancer/passage.py
+++ b/balancer/active_request.py
@@ -8,11 +8,11 @@
 from loguru import logger
 
 from balancer import pair as steps
-from balancer.errand import Errand
 from balancer.ingress import RoutedCall
 from balancer.relay import Relay
-from balancer.tally import Refusal
+from balancer.request_counters import Refusal
 from balancer.tiers import DECODE, ITSELF, PREFILL, Peer
+from balancer.upstream_call import UpstreamCall
 from balancer.wire import Staged, is_sound, read_handle
 from config.configuration import Route
 from passpost.engine import Client
@@ -31,7 +31,7 @@
 EMPTY_AGAIN_MS = 400.0  # the same where no upstream is there
 
 
-class Passage:
+class ActiveRequest:
     """One request from its last byte to its answer."""
 
     def __init__(
@@ -48,10 +48,10 @@
         self._balancer, self._number, self._call, self._service = balancer, number, call, service
         self._out, self._client, self._ends = out, client, ends
         route = call.route
-        purse = balancer.purse(service)
-        self._pair = steps.Pair(route.tries, route.is_idempotent(), route.resumable, purse)
+        budget = balancer.budget(service)
+        self._pair = steps.Pair(route.tries, route.is_idempotent(), route.resumable, budget)
         self._run_rank = balancer.urgency.of_run(route, call.prompt.tokens)
-        self._errand = Errand(balancer, self.wants, self._may_leave)
+        self._upstream_call = UpstreamCall(balancer, self.wants, self._may_leave)
         self._zone = balancer.settings.zone  # where the memory of the prompt is
         after = int(call.after) if call.after is not None and call.after.isdigit() else None
         self._relay = Relay(self, client, after)
@@ -80,7 +80,7 @@
         """The client has gone: nobody needs what is under way."""
         if not self._finished:
             self._finish()
-            self._errand.cancel()
+            self._upstream_call.cancel()
             self._free()
 
     def _finish(self) -> None:
@@ -121,7 +121,9 @@
 
     def _read(self) -> None:
         now = time.monotonic()
-        peer = self._balancer.tiers.pick_reader(self._service, self._call.prompt, self._errand.avoid, now)
+        peer = self._balancer.tiers.pick_reader(
+            self._service, self._call.prompt, self._upstream_call.avoid, now
+        )
         if peer is None:
             self._follow(self._pair.no_reader(), self._none_left())
             return
@@ -131,12 +133,12 @@
             peer.home,
             self._common(rank),
         )
-        self._errand.send(peer, self._request(extra), missing, None, self._read_done)
+        self._upstream_call.send(peer, self._request(extra), missing, None, self._read_done)
 
     def _run(self, handle: steps.Handle | None) -> None:
         now = time.monotonic()
         prompt = self._call.prompt if handle is None else None
-        avoid, repeatable = self._errand.avoid, self._call.route.is_idempotent()
+        avoid, repeatable = self._upstream_call.avoid, self._call.route.is_idempotent()
         peer = self._balancer.tiers.pick_runner(self._service, prompt, self._zone, avoid, now, repeatable)
         if peer is None:
             self._follow(self._pair.no_runner(), self._none_left())
@@ -152,10 +154,10 @@
         extra = b"Mastturn-Target-Upstream: %b\r\n%b%b" % (peer.home, kv, self._common(rank))
         self._relay.begin_anew()
         self._fetching = handle
-        self._errand.send(peer, self._request(extra), tokens, self._relay, self._run_done)
+        self._upstream_call.send(peer, self._request(extra), tokens, self._relay, self._run_done)
 
     def _none_left(self) -> Refusal:
-        return Refusal.TURNED_AWAY if self._errand.avoid else Refusal.NO_UPSTREAM
+        return Refusal.TURNED_AWAY if self._upstream_call.avoid else Refusal.NO_UPSTREAM
 
     def _to_read(self, peer: Peer) -> int:
         """The tokens that an upstream has to read for it, counted."""
@@ -184,7 +186,7 @@
     # ---- prefill
 
     def _read_done(self, outcome: Outcome, answer: Answer | None) -> None:
-        peer = self._errand.ended(outcome, answer, good=True)
+        peer = self._upstream_call.ended(outcome, answer, good=True)
         if outcome is not Outcome.SERVED and not self._finished:
             _log(peer, "read_ended", outcome, answer, self._call)
         told = read_handle(answer.body) if outcome is Outcome.SERVED and answer is not None else None
@@ -196,12 +198,12 @@
                 self._balancer.free(handle)
             return
         if handle is None:
-            self._errand.avoid.add(peer.entry.id)
+            self._upstream_call.avoid.add(peer.entry.id)
         else:
-            peer.read(self._errand.age(), self._errand.booked)
+            peer.read(self._upstream_call.age(), self._upstream_call.booked)
             self._balancer.kept(peer, self._call.prompt)
             self._zone = peer.entry.zone
-            self._errand.avoid.clear()
+            self._upstream_call.avoid.clear()
         end = steps.End.TAKEN if handle else _end(outcome)
         why = Refusal.LATE if end is steps.End.LATE else Refusal.TURNED_AWAY
         self._follow(self._pair.read_ended(end, handle), why)
@@ -214,15 +216,15 @@
 
     def heard(self) -> None:
         """Something has come from the upstream."""
-        if self._errand.peer is not None:
-            self._errand.peer.heard(time.monotonic())
+        if self._upstream_call.peer is not None:
+            self._upstream_call.peer.heard(time.monotonic())
 
     def spoilt(self) -> None:
         """The stream is broken: nothing more of this upstream is wanted."""
-        peer = self._errand.peer
+        peer = self._upstream_call.peer
         name = peer.entry.id if peer is not None else ""
         logger.warning("event=bad_stream upstream={} request={}", name, self._call.txn.decode("latin-1"))
-        self._errand.cancel()
+        self._upstream_call.cancel()
 
     def passes(self) -> None:
         """Events, or pieces of another answer, go to the client now."""
@@ -230,11 +232,11 @@
         if self._fetching is not None:
             self._fetched(True)
         else:
-            self._errand.prompt_is_read()
+            self._upstream_call.prompt_is_read()
         if not self._relay.begun:
             self._balancer.counters.first_event(time.monotonic() - self._taken_at)
-        if not self._relay.begun and self._errand.peer is not None:
-            self._balancer.kept(self._errand.peer, self._call.prompt)
+        if not self._relay.begun and self._upstream_call.peer is not None:
+            self._balancer.kept(self._upstream_call.peer, self._call.prompt)
 
     def _fetched(self, well: bool) -> None:
         handle, self._fetching = self._fetching, None
@@ -249,10 +251,10 @@
         passing = relay.is_streaming()
         if passing and outcome is Outcome.SERVED and not relay.is_whole():
             relay.bad = True  # it ends in the middle of an event
-        peer = self._errand.ended(outcome, answer, not relay.bad)
+        peer = self._upstream_call.ended(outcome, answer, not relay.bad)
         if self._finished:
             return
-        if relay.bad or self._errand.left:
+        if relay.bad or self._upstream_call.left:
             outcome = Outcome.BROKEN
         if outcome is Outcome.SERVED and passing:
             relay.show_head()
--- a/balancer/balancer.py
+++ b/balancer/balancer.py
@@ -9,16 +9,16 @@
 from collections.abc import Callable
 from typing import Any
 
-from balancer import manners, readiness
+from balancer import options, readiness
+from balancer.active_request import ActiveRequest
 from balancer.answer_log import AnswerLog
 from balancer.budget import RetryBudget
 from balancer.ingress import RoutedCall, read_head
 from balancer.pair import Handle
-from balancer.passage import Passage
 from balancer.prompt import Prompt
+from balancer.request_counters import Refusal, RequestCounters
 from balancer.routes import RouteTable, draw_service
 from balancer.standing import Standing
-from balancer.tally import Refusal, Tally
 from balancer.tiers import Peer, Tiers
 from balancer.urgency import Urgency
 from balancer.wire import free_handle
@@ -27,7 +27,7 @@
 from dissemination.doubts import Doubts
 from passpost.engine import Client
 from passpost.http1 import Headers
-from passpost.server import ClientManner, Server
+from passpost.server import ClientOptions, Server
 from passpost.upstream import Outgoing, Upstreams
 from passpost.validation import BadRequestError, Call
 
@@ -45,23 +45,23 @@
 FREE_S = 2.0  # a call that frees a handle is given up after this
 
 
-class Purse:
+class ServiceBudget:
     """The budget of one service on the steady clock, as a request's decision sees it."""
 
-    def __init__(self, budget: RetryBudget) -> None:
-        self.budget = budget
+    def __init__(self, retries: RetryBudget) -> None:
+        self.retries = retries
 
     def allows(self, extra: int) -> bool:
         """Whether so many extra arrivals may be caused now."""
-        return self.budget.allows(extra, time.monotonic())
+        return self.retries.allows(extra, time.monotonic())
 
     def spend(self) -> None:
         """One is caused."""
-        self.budget.spend(time.monotonic())
+        self.retries.spend(time.monotonic())
 
     def refund(self) -> None:
         """It did not arrive after all."""
-        self.budget.refund()
+        self.retries.refund()
 
 
 def _nothing() -> None:
@@ -73,10 +73,10 @@
 
     def __init__(self, settings: Settings, seed: int) -> None:
         self.settings = settings
-        self.counters = Tally()
+        self.counters = RequestCounters()
         files = max(settings.limits.max_fds - RESERVED_FILES, 64)
         to_upstreams = max(int(files * UPSTREAM_SHARE), 16)
-        self.upstreams = Upstreams(CONNECT_S, IDLE_S * 2, to_upstreams, manners.of_upstreams())
+        self.upstreams = Upstreams(CONNECT_S, IDLE_S * 2, to_upstreams, options.upstream_options())
         self.answers = AnswerLog()
         self.upstreams.watch_answers = self.answers.ended
         self.upstreams.watch_misuse = self.answers.misused
@@ -91,8 +91,8 @@
         self._readyz: asyncio.Server | None = None
         self._configuration: Configuration | None = None
         self._table = RouteTable(Configuration(0))
-        self._purses: dict[str, Purse] = {}
-        self._passages: dict[int, Passage] = {}
+        self._budgets: dict[str, ServiceBudget] = {}
+        self._requests: dict[int, ActiveRequest] = {}
         self.urgency = Urgency()
         self._count, self._balancers = 0, 0
         self._allowed, self._draining = False, False
@@ -109,7 +109,7 @@
         if listen.http is not None:
             address = parse_address(listen.http)
             self._server = Server(
-                self, address, self._max_open, held=HELD_BODIES, manner=self._client_manner()
+                self, address, self._max_open, held=HELD_BODIES, options=self._client_options()
             )
             asyncio.get_running_loop().call_later(DOOR_S, self._open_door)
         self.upstreams.start()
@@ -127,7 +127,7 @@
         self._table = RouteTable(configuration)
         self.urgency.keep_only({r.name for r in configuration.routes})
         if self._server is not None:
-            self._server.treat(self._client_manner())
+            self._server.treat(self._client_options())
         self._limit_connections()
         if self.tiers.has_any():
             self._open_door()
@@ -144,8 +144,8 @@
         if n != self._balancers:
             self._balancers = n
             self.tiers.trust.balancers = max(n, 1)
-            for purse in self._purses.values():
-                purse.budget.count_balancers(n)
+            for budget in self._budgets.values():
+                budget.retries.count_balancers(n)
             self._limit_connections()
 
     def allow_ready(self, allowed: bool) -> None:
@@ -223,9 +223,9 @@
         """Allowed, configured and not draining."""
         return self._allowed and self._configuration is not None and not self._draining
 
-    def _client_manner(self) -> ClientManner:
+    def _client_options(self) -> ClientOptions:
         limits = (self._configuration or Configuration(0)).limits
-        return manners.of_clients(limits, self.settings.bounds.grace_s)
+        return options.client_options(limits, self.settings.bounds.grace_s)
 
     def _limit_connections(self) -> None:
         services = self._configuration.svcs if self._configuration is not None else ()
@@ -234,18 +234,18 @@
             part = CONNS_SHARE * most / (self._balancers or UNKNOWN_BALANCERS)
             self.upstreams.limit_each(max(CONNS_LEAST, part))
 
-    def purse(self, service: str) -> Purse:
+    def budget(self, service: str) -> ServiceBudget:
         """What pays for extra arrivals at a service."""
-        purse = self._purses.get(service)
-        if purse is None:
+        budget = self._budgets.get(service)
+        if budget is None:
             bounds = self.settings.bounds
-            budget = RetryBudget(
+            retries = RetryBudget(
                 bounds.retry_ratio, bounds.retry_window_s, bounds.retry_slack, time.monotonic()
             )
             if self._balancers:
-                budget.count_balancers(self._balancers)
-            purse = self._purses[service] = Purse(budget)
-        return purse
+                retries.count_balancers(self._balancers)
+            budget = self._budgets[service] = ServiceBudget(retries)
+        return budget
 
     def free(self, handle: Handle) -> None:
         """Free memory that nobody will fetch."""
@@ -275,8 +275,8 @@
         self._count += 1
         number = self._count
         service = draw_service(call.route, self._chance)
-        self.purse(service).budget.arrived(now)
-        passage = self._passages[number] = Passage(
+        self.budget(service).retries.arrived(now)
+        passage = self._requests[number] = ActiveRequest(
             self, number, call, service, now + remaining, outgoing, client
         )
         passage.begin()
@@ -287,10 +287,10 @@
 
     def left(self, number: int) -> None:
         """The client has gone."""
-        passage = self._passages.get(number)
+        passage = self._requests.get(number)
         if passage is not None:
             passage.left()
 
     def ended(self, number: int) -> None:
         """A request has its answer."""
-        self._passages.pop(number, None)
+        self._requests.pop(number, None)
--- a/balancer/manners.py
+++ b/balancer/options.py
@@ -4,8 +4,8 @@
 
 from balancer.wire import is_event_stream, outcome
 from config.configuration import ClientLimits
-from passpost.server import ClientManner
-from passpost.upstream import Manner
+from passpost.server import ClientOptions
+from passpost.upstream import UpstreamOptions
 
 DARK_MS = 700  # an upstream that acknowledges nothing for so long is dark
 CLIENT_DARK_MS = 8000
@@ -17,9 +17,9 @@
 LAST_CALL_S, DRAIN_STEP_S = 2.2, 0.1
 
 
-def of_upstreams() -> Manner:
+def upstream_options() -> UpstreamOptions:
     """How upstreams are spoken to."""
-    return Manner(
+    return UpstreamOptions(
         outcome=outcome,
         at_once=is_event_stream,
         stall_s=STALL_S,
@@ -29,10 +29,10 @@
     )
 
 
-def of_clients(limits: ClientLimits, grace_s: float) -> ClientManner:
+def client_options(limits: ClientLimits, grace_s: float) -> ClientOptions:
     """How clients are treated under these limits, and at a stop that leaves us so long."""
     idle = limits.idle_timeout_ms / 1000
-    return ClientManner(
+    return ClientOptions(
         max_head=limits.max_header_bytes,
         max_body=limits.max_body_bytes,
         read_s=limits.header_timeout_ms / 1000,
--- a/balancer/pair.py
+++ b/balancer/pair.py
@@ -66,7 +66,7 @@
 Step = Read | Run | Refuse | Fail | BreakOff
 
 
-class Purse(Protocol):
+class Budget(Protocol):
     """What extra arrivals are paid from."""
 
     def allows(self, extra: int) -> bool:
@@ -82,12 +82,12 @@
 class Pair:
     """The steps of one request."""
 
-    def __init__(self, tries: int, idempotent: bool, resumable: bool, purse: Purse) -> None:
-        self._tries, self._idempotent, self._resumable, self._purse = (
+    def __init__(self, tries: int, idempotent: bool, resumable: bool, budget: Budget) -> None:
+        self._tries, self._idempotent, self._resumable, self._budget = (
             max(tries, 1),
             idempotent,
             resumable,
-            purse,
+            budget,
         )
         self._arrivals, self._unsent, self._reads = 0, 0, 0
         self._read_is_free = True  # until an upstream has taken up a prefill call
@@ -198,23 +198,23 @@
     def _may(self, more: int) -> bool:
         """Whether so many more arrivals are allowed."""
         paid = self._arrivals + self._doubtful
-        return self._arrivals + more <= self._tries and self._purse.allows(paid + more - max(paid, 1))
+        return self._arrivals + more <= self._tries and self._budget.allows(paid + more - max(paid, 1))
 
     def _arrive(self) -> None:
         self._arrivals += 1
         if self._arrivals + self._doubtful > 1:
-            self._purse.spend()
+            self._budget.spend()
 
     def _withdraw(self) -> None:
         if self._arrivals + self._doubtful > 1:
-            self._purse.refund()
+            self._budget.refund()
         self._arrivals -= 1
 
     def _doubt(self, doubtful: bool) -> None:
         """Whether the budget counts a prefill call that may have arrived without being taken up."""
         if doubtful != self._doubtful and self._arrivals:
             if doubtful:
-                self._purse.spend()
+                self._budget.spend()
             else:
-                self._purse.refund()
+                self._budget.refund()
         self._doubtful = doubtful
--- a/balancer/tally.py
+++ b/balancer/request_counters.py
@@ -20,7 +20,7 @@
     UNCONFIGURED = "unconfigured"  # no configuration has been heard of yet
 
 
-class Tally:
+class RequestCounters:
     """How many requests were taken, and how they ended; tokens are those of prompts."""
 
     def __init__(self) -> None:
--- a/balancer/errand.py
+++ b/balancer/upstream_call.py
@@ -23,7 +23,7 @@
 FULL_S = 0.1  # the same where it had no place
 
 
-class Errand:
+class UpstreamCall:
     """The calls of one request, of which one is out at a time. Times in seconds on the steady clock."""
 
     def __init__(
--- a/control/node.py
+++ b/control/node.py
@@ -18,8 +18,8 @@
 from consensus.primary import Command, Get
 from consensus.replica import Replica
 from consensus.views import Member
-from control.herald import Herald
 from control.operators import CALLS
+from control.publisher import Publisher
 from dissemination import messages as news
 from transport.calls import CallServer
 from transport.links import Links
@@ -48,7 +48,7 @@
         self._keeper = Keeper(settings.data_dir, self._disk)
         self._replica: Replica | None = None
         self._links = Links(KINDS, (settings.ip, settings.station_port), self._heard, self._ended)
-        self._herald = Herald(settings, self._links, self._prove)
+        self._publisher = Publisher(settings, self._links, self._prove)
         self._calls = CallServer(CALLS, self)
         self._local: deque[messages.Message] = deque()
         self._tokens, self._owed = 0, dict[int, asyncio.Future[Reply]]()
@@ -69,7 +69,7 @@
         await self._links.start()
         if ctl:
             await self._calls.start(parse_address(ctl))
-        self._herald.start()
+        self._publisher.start()
         self._tick()
 
     async def stop(self) -> None:
@@ -82,10 +82,10 @@
             replica.resign(self._now())
             self._carry_out()
             await self._until(lambda: self._is_followed(replica), FOLLOWED_S)
-            self._herald.led_by(self.leader())  # whoever hears the news from us goes there at once
+            self._publisher.led_by(self.leader())  # whoever hears the news from us goes there at once
         if self._ticker is not None:
             self._ticker.cancel()
-        self._herald.stop()
+        self._publisher.stop()
         self._calls.stop()
         self._links.stop()
 
@@ -102,7 +102,7 @@
     def reconfigure(self, settings: Settings) -> None:
         """The settings file has changed."""
         self.settings = settings
-        self._herald.reconfigure(settings)
+        self._publisher.reconfigure(settings)
         if self._replica is not None:
             self._replica.follow_seeds(tuple(parse_address(a)[0] for a in settings.seed_addrs))
 
@@ -120,9 +120,9 @@
         leader = replica.heard_leader(self._now())
         return None if leader is None or leader.identity == replica.me.identity else leader
 
-    def parts(self) -> tuple[Replica | None, Herald, Keeper]:
+    def parts(self) -> tuple[Replica | None, Publisher, Keeper]:
         """What a report of this process is read off."""
-        return self._replica, self._herald, self._keeper
+        return self._replica, self._publisher, self._keeper
 
     def token(self) -> int:
         """A number for a command."""
@@ -166,7 +166,7 @@
         self._keeper.look()
         self._replica.tick(self._now())
         self._carry_out()
-        self._herald.led_by(self.leader())
+        self._publisher.led_by(self.leader())
 
     def _disk(self, well: bool) -> None:
         if self._replica is not None:
@@ -177,7 +177,7 @@
         if self._replica is None:
             return
         if not isinstance(message, messages.Message):
-            self._herald.heard(link, message)
+            self._publisher.heard(link, message)
             return
         try:
             revived = revive(message)
@@ -191,7 +191,7 @@
         self._carry_out()
 
     def _ended(self, link: Link) -> None:
-        self._herald.ended(link)
+        self._publisher.ended(link)
 
     def _carry_out(self) -> None:
         """Do what the machine asks for, also what that leads to at once."""
@@ -223,9 +223,9 @@
                     future.set_result(effect)
             case Committed(_, document):
                 if document.ver:
-                    self._herald.committed(document)
+                    self._publisher.committed(document)
             case Lead(view, goes_on):
-                self._herald.lead(view, goes_on)
+                self._publisher.lead(view, goes_on)
 
     def _synced(self, then: tuple[Send, ...]) -> None:
         assert self._replica is not None
--- a/control/mover.py
+++ b/control/phase_controller.py
@@ -24,7 +24,7 @@
 Prove = Callable[[], Awaitable[int]]
 
 
-class Mover:
+class PhaseController:
     """Decides and gives the orders of one primary."""
 
     def __init__(
--- a/control/herald.py
+++ b/control/publisher.py
@@ -10,7 +10,7 @@
 
 from config.settings import Settings, parse_address
 from consensus.views import Document, Member, View
-from control.mover import LOOK_S, Mover, Prove
+from control.phase_controller import LOOK_S, PhaseController, Prove
 from control.platform import RATE_SHARE, PlatformError, PlatformList, pack
 from dissemination.bulletin import Bulletin
 from dissemination.counting import COUNT_S
@@ -53,7 +53,7 @@
 LINGER_S = 1.5  # one that has gone stays a member for so long: most only hear the news from elsewhere now
 
 
-class Herald:
+class Publisher:
     """Owns the bulletin of one control process; only the primary's goes out."""
 
     def __init__(self, settings: Settings, links: Links, prove: Prove) -> None:
@@ -69,7 +69,7 @@
         self._dressed: list[dict[str, Any]] = []  # the same as balancers are to see it,
         self._page = pack([])  # and as it goes to them
         lease_s = settings.bounds.lease_ms / 1000
-        self._mover = Mover(settings.node, lease_s, prove, self._loads.total, self._list)
+        self._phase_controller = PhaseController(settings.node, lease_s, prove, self._loads.total, self._list)
         self._platform = PlatformList(
             parse_address(settings.cloud_api.addr), settings.cloud_api.rate_per_s * RATE_SHARE
         )
@@ -129,7 +129,7 @@
         self._view = view
         if view is not None:
             self._leads.set()
-        self._mover.lead(view is not None, asyncio.get_running_loop().time(), goes_on)
+        self._phase_controller.lead(view is not None, asyncio.get_running_loop().time(), goes_on)
         logger.info("event=lead epoch={}", view.epoch if view is not None else 0)
         if view is not None:
             self._tell(MemberNews(view.epoch, self._next(), self._members(), self._cores(view)))
@@ -286,14 +286,14 @@
 
     def _list(self) -> None:
         """Tell the list if it is not what was told last; others may have told another since our last term."""
-        dressed = self._mover.dress(self._entries, asyncio.get_running_loop().time())
+        dressed = self._phase_controller.dress(self._entries, asyncio.get_running_loop().time())
         if dressed != self._dressed:  # entries that were told again as they were are the same objects
             self._dressed, self._page = dressed, pack(dressed)
         page = self._page
         known = self.bulletin.upstreams
         is_told = known is not None and known.epoch >= self._first_epoch and known.page == page
         if self._view is not None and not is_told:
-            self._mover.listed(page)
+            self._phase_controller.listed(page)
             self._holdings.keep_only({str(e.get("id")) for e in self._entries})
             news = UpstreamNews(self._view.epoch, self._next(), page)
             if self.bulletin.take(news):
@@ -303,4 +303,4 @@
         """See now and then whether an upstream should play another part."""
         while True:
             await asyncio.sleep(LOOK_S)
-            self._mover.look(asyncio.get_running_loop().time())
+            self._phase_controller.look(asyncio.get_running_loop().time())
--- a/mastturn/capacity/fleet.py
+++ b/mastturn/capacity/fleet.py
@@ -241,7 +241,7 @@
 
     def children(self, machine: Machine) -> int:
         """How many hear the news from it."""
-        feed = machine.role._herald._feed if hasattr(machine.role, "_herald") else machine.role._feed
+        feed = machine.role._publisher._feed if hasattr(machine.role, "_publisher") else machine.role._feed
         return len(feed._children)
 
     # ---- orders
--- a/mastturn/engines/balancer.py
+++ b/mastturn/engines/balancer.py
@@ -198,7 +198,7 @@
         """The process ends, with all that is open."""
         self.up = False
         self.handshakes += self.upstreams.handshakes
-        passages = list(self.plane._passages.values())
+        passages = list(self.plane._requests.values())
         clients, self._clients = self._clients, {}
         for passage in passages:
             passage.left()
--- a/mastturn/engines/control.py
+++ b/mastturn/engines/control.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from config.configuration import Upstream
-from control.mover import LOOK_S, Mover
+from control.phase_controller import LOOK_S, PhaseController
 from dissemination.follower import STALE_S
 from mastturn.engines.balancer import Node, Root
 from mastturn.engines.engine import Engine
@@ -71,11 +71,13 @@
         self._told: list[dict[str, Any]] = []
         self._read: list[dict[str, Any]] = []
         self._silent_until = 0.0
-        self._mover = Mover("core", LEASE_S, self._prove, lambda: self._root.loaded_by, self._list)
+        self._phase_controller = PhaseController(
+            "core", LEASE_S, self._prove, lambda: self._root.loaded_by, self._list
+        )
 
     def start(self) -> None:
         """Lead, read the list and look after the parts from now on."""
-        self._mover.lead(True, asyncio.get_running_loop().time())
+        self._phase_controller.lead(True, asyncio.get_running_loop().time())
         self._read_list()
         self._look()
 
@@ -86,7 +88,7 @@
 
     def _list(self) -> None:
         loop = asyncio.get_running_loop()
-        shown = self._mover.dress(self._read, loop.time())
+        shown = self._phase_controller.dress(self._read, loop.time())
         if shown == self._told or loop.time() < self._silent_until:
             return
         self._told = shown
@@ -103,13 +105,13 @@
             for e in shown
         )
         self.entries = entries
-        self._mover._entries = entries
+        self._phase_controller._entries = entries
         for node in self._nodes:
             loop.call_later(self._network.way(self._root.zone, node.zone), node.list_upstreams, entries)
 
     def _look(self) -> None:
         loop = asyncio.get_running_loop()
-        self._mover.look(loop.time())
+        self._phase_controller.look(loop.time())
         loop.call_later(LOOK_S, self._look)
 
     async def _prove(self) -> int:
@@ -120,7 +122,7 @@
         loop = asyncio.get_running_loop()
         self._silent_until = max(self._silent_until, loop.time() + for_s)
         self._root.silent_until = self._silent_until
-        self._mover.lead(False, loop.time())
+        self._phase_controller.lead(False, loop.time())
         loop.call_later(for_s, self._lead_again)
         if for_s >= STALE_S:
             loop.call_later(STALE_S, self._forget_loads)
@@ -128,7 +130,7 @@
     def _lead_again(self) -> None:
         now = asyncio.get_running_loop().time()
         if now >= self._silent_until:
-            self._mover.lead(True, now)
+            self._phase_controller.lead(True, now)
             self._list()
 
     def _forget_loads(self) -> None:
--- a/mastturn/engines/play.py
+++ b/mastturn/engines/play.py
@@ -65,7 +65,7 @@
     try:
         with (
             mock.patch("time.monotonic", loop.time),
-            mock.patch("control.mover.change_phase", orders.give),
+            mock.patch("control.phase_controller.change_phase", orders.give),
         ):
             outcome = loop.run_until_complete(_play(sheet, day, seed, tiers, orders))
     finally:
--- a/mastturn/engines/wire.py
+++ b/mastturn/engines/wire.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
-from balancer import manners
+from balancer import options
 from balancer.wire import Staged
 from mastturn.engines.engine import Engine
 from mastturn.engines.jobs import MISPLACED, Figures, Job
@@ -98,7 +98,7 @@
         engine = self._engine
         if engine.down or serial != engine.serial:
             if engine.dark:
-                self._loop.call_later(manners.DARK_MS / 1000, self.end, Outcome.BROKEN)
+                self._loop.call_later(options.DARK_MS / 1000, self.end, Outcome.BROKEN)
             else:
                 self._back(self.end, Outcome.BROKEN)
             return
--- a/mastturn/soak/planted.py
+++ b/mastturn/soak/planted.py
@@ -73,12 +73,12 @@
 
 
 def _repeated_after_reset() -> None:
-    from balancer.pair import Pair, Purse
+    from balancer.pair import Budget, Pair
 
     made = Pair.__init__
 
-    def make(self: Pair, tries: int, idempotent: bool, resumable: bool, purse: Purse) -> None:
-        made(self, tries, True, resumable, purse)
+    def make(self: Pair, tries: int, idempotent: bool, resumable: bool, budget: Budget) -> None:
+        made(self, tries, True, resumable, budget)
 
     _replace(Pair, "__init__", make)
 
@@ -90,12 +90,12 @@
 
 
 def _gap_in_resumed_stream() -> None:
-    from balancer.passage import Passage
+    from balancer.active_request import ActiveRequest
     from balancer.streams import EventReader
 
-    common = Passage._common
+    common = ActiveRequest._common
 
-    def skip_one(self: Passage, rank: int) -> bytes:
+    def skip_one(self: ActiveRequest, rank: int) -> bytes:
         last = self._relay.last
         told = common(self, rank)
         return told if last is None else told.replace(b"Event-Id: %d" % last, b"Event-Id: %d" % (last + 1))
@@ -109,7 +109,7 @@
             check(self, data, start, end)
         return True
 
-    _replace(Passage, "_common", skip_one)
+    _replace(ActiveRequest, "_common", skip_one)
     _replace(EventReader, "_check", accept)
 
 
@@ -128,10 +128,10 @@
 
 
 def _held_past_deadline() -> None:
-    from balancer import manners
+    from balancer import options
 
-    made = manners.of_upstreams
-    manners.of_upstreams = lambda: dataclasses.replace(made(), bounds_answers=False)
+    made = options.upstream_options
+    options.upstream_options = lambda: dataclasses.replace(made(), bounds_answers=False)
 
 
 def _body_altered() -> None:
--- a/mastturnd/balancer_figures.py
+++ b/mastturnd/balancer_figures.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Any
 
 from balancer.answer_log import AnswerLog
-from balancer.tally import FIRST_EVENT_S, Tally
+from balancer.request_counters import FIRST_EVENT_S, RequestCounters
 from mastturnd.balancer_report import status
 from mastturnd.exposition import Metric, by, by_labels, counter, gauge, histogram
 from passpost.answer_end import Misuse
@@ -39,7 +39,7 @@
     ]
 
 
-def _requests(told: Told, counters: Tally) -> list[Metric]:
+def _requests(told: Told, counters: RequestCounters) -> list[Metric]:
     ended = {name: float(count) for name, count in told["ended"].items()}
     refused, read = told["refused"], counters.tokens_read
     return [
--- a/mastturnd/control_report.py
+++ b/mastturnd/control_report.py
@@ -27,7 +27,7 @@
 
 def status(node: ControlNode) -> dict[str, Any]:
     """All that an operator may want of one control process; times in milliseconds."""
-    replica, herald, keeper = node.parts()
+    replica, publisher, keeper = node.parts()
     settings = node.settings
     found: dict[str, Any] = {
         "role": CONTROL,
@@ -40,9 +40,9 @@
         "standing": _standing(replica),
         "disk_well": keeper.is_well(),
         "synced": keeper.synced,
-        "take_overs": herald.take_overs,
-        "leads_ms": herald.leads_ms(),
-        "list_calls": herald.list_calls(),
+        "take_overs": publisher.take_overs,
+        "leads_ms": publisher.leads_ms(),
+        "list_calls": publisher.list_calls(),
         "memory_kb": memory_kb(),
         "processor_s": processor_s(),
         "epoch": 0,
@@ -83,11 +83,11 @@
             if member is not None
         ]
     if replica.primary is not None:
-        present, loads = herald.told()
+        present, loads = publisher.told()
         found["present"] = [
             {"node": p.node, "ip": p.ip, "zone": p.zone} for p in sorted(present, key=lambda p: p.node)
         ]
-        found["upstreams"] = _upstreams(herald.bulletin.upstreams, loads)
+        found["upstreams"] = _upstreams(publisher.bulletin.upstreams, loads)
     return found
 
 
--- a/passpost/server.py
+++ b/passpost/server.py
@@ -86,7 +86,7 @@
 _FINALS = {200: Final.SERVED, 503: Final.REFUSED}  # what a status says of a call; all others: failed
 
 
-class Tally(Protocol):
+class RequestCounter(Protocol):
     """Counts the requests that were taken and how they ended."""
 
     def taken(self) -> None:
@@ -100,7 +100,7 @@
     """Whoever reads the heads of requests, takes them up and answers them."""
 
     @property
-    def counters(self) -> Tally:
+    def counters(self) -> RequestCounter:
         """What counts them."""
 
     @property
@@ -123,7 +123,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ClientManner:
+class ClientOptions:
     """How clients are treated; spans in seconds. `in_service` makes that of the program in service."""
 
     max_head: int
@@ -137,16 +137,16 @@
     told_idle_s: int  # what Keep-Alive tells clients; 0: nothing
     reads_past_end: bool  # what crosses our end between requests is read and dropped; else left unread
     sweep_s: float
-    dark_ms: int  # as upstream.Manner's
+    dark_ms: int  # as upstream.UpstreamOptions's
     closes_at_stop: bool  # each answer closes its connection from the stop on
     accept_after_stop_s: float
     last_call_s: float
     drain_step_s: float
 
 
-def in_service() -> ClientManner:
+def in_service() -> ClientOptions:
     """How the program in service treats its clients."""
-    return ClientManner(
+    return ClientOptions(
         max_head=MAX_HEAD,
         max_body=MAX_BODY,
         read_s=READ_S,
@@ -233,8 +233,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """A client has connected."""
         self._transport = cast(asyncio.Transport, transport)  # uvloop's do not derive from it
-        if self._server.manner.dark_ms:
-            notice_darkness(transport.get_extra_info("socket"), self._server.manner.dark_ms)
+        if self._server.options.dark_ms:
+            notice_darkness(transport.get_extra_info("socket"), self._server.options.dark_ms)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """The client has gone, or we have closed."""
@@ -335,7 +335,7 @@
                 self._waiting[-1].keep_alive = False
         except httptools.HttpParserError:
             self._bad = self._bad or 400
-        if self._in_head and self._head_size > self._server.manner.max_head:
+        if self._in_head and self._head_size > self._server.options.max_head:
             self._bad = self._bad or 431
 
     # ---- httptools' callbacks
@@ -390,16 +390,16 @@
         now = time.monotonic()
         self._body_size += len(data)
         if not self._held_back:
-            limit = max(self._body_until, now) + len(data) / self._server.manner.body_rate
+            limit = max(self._body_until, now) + len(data) / self._server.options.body_rate
             self._body_until = min(limit, now + BODY_SPAN_S)
-        if self._body_size > self._server.manner.max_body:
+        if self._body_size > self._server.options.max_body:
             self._bad = 413
         elif self._upload is not None:
             self._upload.feed(data)
         else:
             self._body += data
             if len(self._body) > HELD_BODY + self._held and not self._hold_more():
-                if self._server.manner.uploads:
+                if self._server.options.uploads:
                     self._begin_upload()
                 else:
                     self._bad = 503  # no memory for it now
@@ -407,7 +407,7 @@
     def _hold_more(self) -> bool:
         """Whether this body may be held whole further on; one that is known to grow too long never is."""
         size = max(len(self._body), self._length or 0)
-        if size > self._server.manner.held_each or not self._server.hold(HELD_BODY):
+        if size > self._server.options.held_each or not self._server.hold(HELD_BODY):
             return False
         self._held += HELD_BODY
         return len(self._body) <= HELD_BODY + self._held or self._hold_more()
@@ -607,7 +607,7 @@
         if not request.keep_alive or (self._is_last() and not self._waiting):
             request.keep_alive = False
             return b"Connection: close\r\n"
-        told = self._server.manner.told_idle_s
+        told = self._server.options.told_idle_s
         kept = b"Keep-Alive: timeout=%d\r\n" % told if told else b""
         return b"Connection: keep-alive\r\n%b" % kept if request.version == "1.0" else kept
 
@@ -735,7 +735,7 @@
 
         To close outright would reset the connection if a byte came just then, and take the last answer along.
         """
-        self._linger(END_S, self._server.manner.reads_past_end)
+        self._linger(END_S, self._server.options.reads_past_end)
 
     def abort(self) -> None:
         """Close at once, whatever is unsent."""
@@ -777,17 +777,17 @@
                 transport.abort()
         elif self._reading:
             # A byte more of a head gains no time; of a body its client has to keep the rate.
-            if age > self._server.manner.read_s and (self._in_head or now > self._body_until):
+            if age > self._server.options.read_s and (self._in_head or now > self._body_until):
                 self._bad = self._bad or 408
                 self._next()
         elif age > self._idle_limit() and self.is_spare(now):
             self.close()
 
     def _idle_limit(self) -> float:
-        manner = self._server.manner
+        options = self._server.options
         if not self._useful:
-            return manner.first_s
-        return CROWDED_IDLE_S if self._server.is_crowded() else manner.idle_s
+            return options.first_s
+        return CROWDED_IDLE_S if self._server.is_crowded() else options.idle_s
 
 
 def _framing(request: _Request) -> bytes:
@@ -825,14 +825,14 @@
         listener: socket.socket | None = None,
         shared: bool = False,
         held: int = 0,
-        manner: ClientManner | None = None,
+        options: ClientOptions | None = None,
     ) -> None:
         """With a `listener` of the old process that one is used; `shared`: another process may listen too.
 
         `held`: how many bytes of long bodies may be held whole at once.
         """
         self.engine = engine
-        self._given, self.manner = manner, manner or in_service()
+        self._given, self.options = options, options or in_service()
         self.draining, self.closing = False, False  # not ready any more; each answer closes its connection
         self._ends, self._dealt_until = math.inf, math.inf
         self._stopping, self._started, self._yielding = False, False, False
@@ -852,9 +852,9 @@
         self._sweeper: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task[object]] = set()
 
-    def treat(self, manner: ClientManner) -> None:
+    def treat(self, options: ClientOptions) -> None:
         """Treat clients so from now on."""
-        self._given = self.manner = manner
+        self._given = self.options = options
 
     @property
     def port(self) -> int:
@@ -986,10 +986,10 @@
         self._stopping = True
         self.draining, self._ends = True, time.monotonic() + within
         self._dealt_until = time.monotonic() + DEALT_AFTER_STOP_S
-        self.manner = self._given or in_service()
-        self.closing, step = self.closing or self.manner.closes_at_stop, self.manner.drain_step_s
-        await asyncio.sleep(self.manner.accept_after_stop_s)
-        while self._connections and self.time_left() > self.manner.last_call_s:
+        self.options = self._given or in_service()
+        self.closing, step = self.closing or self.options.closes_at_stop, self.options.drain_step_s
+        await asyncio.sleep(self.options.accept_after_stop_s)
+        while self._connections and self.time_left() > self.options.last_call_s:
             if self.closing:
                 self._send_off_idle()
             await asyncio.sleep(step)
@@ -1104,8 +1104,8 @@
         return next((c for _, _, c in ranked if not c.has_unread()), None)
 
     def _sweep(self) -> None:
-        self.manner = self._given or in_service()
-        self._sweeper = asyncio.get_running_loop().call_later(self.manner.sweep_s, self._sweep)
+        self.options = self._given or in_service()
+        self._sweeper = asyncio.get_running_loop().call_later(self.options.sweep_s, self._sweep)
         now = time.monotonic()
         for connection in list(self._connections):
             connection.sweep(now)
--- a/passpost/upstream.py
+++ b/passpost/upstream.py
@@ -59,7 +59,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Manner:
+class UpstreamOptions:
     """How upstreams are spoken to; spans in seconds. What stands here is the program in service."""
 
     outcome: Callable[[Answer], Outcome] = outcome_of
@@ -295,7 +295,7 @@
         self._attempt = attempt
         held = HELD_BODY if attempt.is_holding() else None
         is_due = attempt.request.is_due
-        self._reader = AnswerReader(held=held, at_once=self._pool.manner.at_once, is_due=is_due)
+        self._reader = AnswerReader(held=held, at_once=self._pool.options.at_once, is_due=is_due)
         attempt.connection = self
         self._moved = time.monotonic()
         # The transport says at once if it could not write it all: see pause_writing.
@@ -397,8 +397,8 @@
         self._transport.set_write_buffer_limits(high=0)
         peer = transport.get_extra_info("socket")
         self._poll.register(peer, select.POLLIN | select.POLLRDHUP)
-        if self._pool.manner.dark_ms:
-            notice_darkness(peer, self._pool.manner.dark_ms)
+        if self._pool.options.dark_ms:
+            notice_darkness(peer, self._pool.options.dark_ms)
 
     def pause_writing(self) -> None:
         """Part of the request is still with us: the upstream can't have begun it."""
@@ -478,10 +478,10 @@
             if self._waiting:
                 self.resume()
             self._attempt, self._reader, self._upload, attempt.connection = None, None, None, None
-            if self._pool.manner.heeds_keep_alive:
+            if self._pool.options.heeds_keep_alive:
                 self._heed(answer.headers)
             self._pool.rest(self, self._upstream)
-        attempt.end(self._pool.manner.outcome(answer), answer)
+        attempt.end(self._pool.options.outcome(answer), answer)
 
     def _heed(self, headers: Headers) -> None:
         """Its upstream closes it after so many idle seconds; we do before: a request must not cross that."""
@@ -548,9 +548,13 @@
     """All upstreams by name, and the connections to them, of which there are `max_open` at most."""
 
     def __init__(
-        self, connect_timeout: float, idle_timeout: float, max_open: int, manner: Manner | None = None
+        self,
+        connect_timeout: float,
+        idle_timeout: float,
+        max_open: int,
+        options: UpstreamOptions | None = None,
     ) -> None:
-        self.manner = manner or Manner()
+        self.options = options or UpstreamOptions()
         self.watch_answers: WatchAnswers = _unwatched
         self.watch_misuse: WatchMisuse = _unwatched_misuse
         self._connect_timeout = connect_timeout
@@ -603,7 +607,7 @@
         `wanted` is asked again where it has had to wait for its connection. What has not been written within
         so many seconds is not any more.
         """
-        bounded = self.manner.bounds_answers
+        bounded = self.options.bounds_answers
         attempt = Attempt(request, timeout, done, written, sink, wanted, write_within, bounded)
         upstream = self._upstreams.get(server)
         if upstream is None or not request.is_sendable():
@@ -765,12 +769,12 @@
         self._said_full = False
         now = time.monotonic()
         limit = now - self._idle_limit
-        stalled = now - (self.manner.stall_s or STALL_S)
+        stalled = now - (self.options.stall_s or STALL_S)
         for upstream in self._upstreams.values():
             for connection in [c for c in upstream.open if c.stalls(stalled)]:
                 connection.give_up()
             while upstream.idle and upstream.idle[0].idle_since < limit:
                 upstream.idle[0].drop()
-            if self.manner.heeds_keep_alive:
+            if self.options.heeds_keep_alive:
                 for connection in [c for c in upstream.idle if now - c.idle_since >= c.kept]:
                     connection.drop()
--- a/tests/test_balancer_balancer.py
+++ b/tests/test_balancer_balancer.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from balancer import manners, patience
+from balancer import options, patience
 from config.configuration import ClientLimits
 from passpost import server
 from tests.balancer_stage import (
@@ -579,8 +579,8 @@
 
 @pytest.fixture
 def quick_drain(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(manners, "ACCEPT_AFTER_STOP_S", 0.1)
-    monkeypatch.setattr(manners, "DRAIN_STEP_S", 0.005)
+    monkeypatch.setattr(options, "ACCEPT_AFTER_STOP_S", 0.1)
+    monkeypatch.setattr(options, "DRAIN_STEP_S", 0.005)
     monkeypatch.setattr(server, "LAST_LOOK_S", 0.02)
 
 
--- a/tests/test_balancer_parts.py
+++ b/tests/test_balancer_parts.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from balancer import manners
+from balancer import options
 from balancer.budget import LATE_S, SAFETY, RetryBudget
 from balancer.ingress import RoutedCall, read_head
 from balancer.prompt import Prompt, read_prompt
@@ -257,6 +257,6 @@
     grace_s: float, accepts_s: float, last_call_s: float
 ) -> None:
     """Found by hand: with 1.5 s to end, a balancer went on accepting for 3.2 s."""
-    manner = manners.of_clients(ClientLimits(), grace_s)
-    assert manner.accept_after_stop_s == pytest.approx(accepts_s)
-    assert manner.last_call_s == pytest.approx(last_call_s)
+    chosen = options.client_options(ClientLimits(), grace_s)
+    assert chosen.accept_after_stop_s == pytest.approx(accepts_s)
+    assert chosen.last_call_s == pytest.approx(last_call_s)
--- a/tests/test_control_host_platform.py
+++ b/tests/test_control_host_platform.py
@@ -192,9 +192,9 @@
 
     async def scene(world: World) -> None:
         await begun(world)
-        herald = world.node(world.primary())._herald
-        counted, faults = herald._count, [1, 1]
-        monkeypatch.setattr(herald, "_count", lambda: faults.pop() // 0 if faults else counted())
+        publisher = world.node(world.primary())._publisher
+        counted, faults = publisher._count, [1, 1]
+        monkeypatch.setattr(publisher, "_count", lambda: faults.pop() // 0 if faults else counted())
         await world.wait(3.0)
         assert not faults
         assert [at for at, *_, m in world.transcript.said(Pulse) if at > world.now() - 500]
--- a/tests/test_days_found_late.py
+++ b/tests/test_days_found_late.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-import balancer.passage
+import balancer.active_request
 from tests.balancer_stage import Stage, configuration, playing, reject, route
 from tests.loopback import Got, Writer, run
 
@@ -26,7 +26,7 @@
     monkeypatch: pytest.MonkeyPatch, phase: str
 ) -> None:
     clock = Clock()
-    monkeypatch.setattr(balancer.passage, "time", clock)
+    monkeypatch.setattr(balancer.active_request, "time", clock)
 
     async def too_late(stage: Stage, got: Got, writer: Writer) -> None:
         clock.ahead = 10.0
--- a/tests/test_days_found_moves.py
+++ b/tests/test_days_found_moves.py
@@ -6,10 +6,10 @@
 
 import pytest
 
-import control.mover
+import control.phase_controller
 from config.configuration import Upstream
-from control.mover import LEASE_SPARE, MOVING_S, UNHEARD, Mover
 from control.orders import Outcome, Rejected, Taken, Unclear
+from control.phase_controller import LEASE_SPARE, MOVING_S, UNHEARD, PhaseController
 from control.platform import pack
 from tests.loopback import run
 
@@ -33,9 +33,9 @@
     async def is_there(upstream: Upstream) -> bool:
         return True
 
-    monkeypatch.setattr(control.mover, "change_phase", change)
-    monkeypatch.setattr(control.mover, "is_there", is_there)
-    monkeypatch.setattr(control.mover, "TOLD_S", 0.0)
+    monkeypatch.setattr(control.phase_controller, "change_phase", change)
+    monkeypatch.setattr(control.phase_controller, "is_there", is_there)
+    monkeypatch.setattr(control.phase_controller, "TOLD_S", 0.0)
     return orders
 
 
@@ -50,22 +50,24 @@
         await asyncio.gather(*others)
 
 
-def mover_of(*entries: dict[str, object], loads: dict[str, tuple[int, int]] | None = None) -> Mover:
-    mover = Mover("core-1", LEASE_S, epoch, lambda: loads or {}, lambda: None)
-    mover.lead(True, 0.0)
-    mover.listed(pack(list(entries)))
-    return mover
+def controller_of(
+    *entries: dict[str, object], loads: dict[str, tuple[int, int]] | None = None
+) -> PhaseController:
+    controller = PhaseController("core-1", LEASE_S, epoch, lambda: loads or {}, lambda: None)
+    controller.lead(True, 0.0)
+    controller.listed(pack(list(entries)))
+    return controller
 
 
-def crowded() -> tuple[list[dict[str, object]], Mover]:
+def crowded() -> tuple[list[dict[str, object]], PhaseController]:
     """Three that read, the first without work, and one that makes answers and has more calls than places."""
     entries = [*(entry(name, "prefill") for name in ("r1", "r2", "r3")), entry("a1", "decode")]
-    return entries, mover_of(*entries, loads={"r2": (2, 900), "r3": (3, 900), "a1": (90, 0)})
+    return entries, controller_of(*entries, loads={"r2": (2, 900), "r3": (3, 900), "a1": (90, 0)})
 
 
-async def look(mover: Mover, first: float, last: float) -> None:
+async def look(controller: PhaseController, first: float, last: float) -> None:
     for tick in range(round(first * 10), round(last * 10)):
-        mover.look(tick / 10)
+        controller.look(tick / 10)
         await settle()
 
 
@@ -73,10 +75,10 @@
     """Found in a day without an upstream to answer: what was due and not allowed used up its pause."""
 
     async def scene() -> None:
-        mover = mover_of(entry("r1", "prefill"), entry("r2", "prefill"), entry("r3", "prefill"))
-        await look(mover, 0.0, LEASE_SPARE * LEASE_S)
+        controller = controller_of(entry("r1", "prefill"), entry("r2", "prefill"), entry("r3", "prefill"))
+        await look(controller, 0.0, LEASE_SPARE * LEASE_S)
         assert given == []
-        await look(mover, LEASE_SPARE * LEASE_S, LEASE_SPARE * LEASE_S + 0.2)
+        await look(controller, LEASE_SPARE * LEASE_S, LEASE_SPARE * LEASE_S + 0.2)
         assert given == [("r1", "decode", 7), ("r2", "decode", 7)]
 
     run(scene())
@@ -84,14 +86,14 @@
 
 def test_nothing_more_is_ordered_while_upstreams_move(given: Given) -> None:
     async def scene() -> None:
-        mover = mover_of(entry("r1", "prefill"), entry("r2", "prefill"), entry("r3", "prefill"))
-        await look(mover, 0.0, 8.0)
+        controller = controller_of(entry("r1", "prefill"), entry("r2", "prefill"), entry("r3", "prefill"))
+        await look(controller, 0.0, 8.0)
         assert len(given) == 2
-        page = mover.dress([entry(f"r{n}", "prefill") for n in (1, 2, 3)], 8.0)
+        page = controller.dress([entry(f"r{n}", "prefill") for n in (1, 2, 3)], 8.0)
         assert [e["phase"] for e in page] == ["moving", "moving", "prefill"]
-        mover.dress([entry("r1", "decode"), entry("r2", "decode"), entry("r3", "prefill")], 8.5)
-        mover.listed(pack([entry("r3", "prefill")]))  # both are gone again
-        await look(mover, 8.5, 9.0)
+        controller.dress([entry("r1", "decode"), entry("r2", "decode"), entry("r3", "prefill")], 8.5)
+        controller.listed(pack([entry("r3", "prefill")]))  # both are gone again
+        await look(controller, 8.5, 9.0)
         assert given[2:] == [("r3", "decode", 7)]
 
     run(scene())
@@ -106,17 +108,17 @@
         given.append((upstream.id, phase, fence))
         return Unclear("refused") if upstream.id == "r1" else Taken()
 
-    monkeypatch.setattr(control.mover, "change_phase", refused)
+    monkeypatch.setattr(control.phase_controller, "change_phase", refused)
 
     async def scene() -> None:
-        entries, mover = crowded()
+        entries, controller = crowded()
         lease = LEASE_SPARE * LEASE_S
-        await look(mover, 0.0, lease + 0.2)
+        await look(controller, 0.0, lease + 0.2)
         assert [name for name, _, _ in given] == ["r1", "r2"]
-        page = mover.dress(entries, lease + 0.2)
+        page = controller.dress(entries, lease + 0.2)
         assert [e["phase"] for e in page] == ["moving", "moving", "prefill", "decode"]
-        mover.listed(pack(page))
-        await look(mover, lease + 0.2, lease + 7.0)
+        controller.listed(pack(page))
+        await look(controller, lease + 0.2, lease + 7.0)
         assert len(given) == 2  # the second one moves
 
     run(scene())
@@ -132,19 +134,19 @@
         given.append((upstream.id, phase, fence))
         return answers.pop(0) if answers else Unclear("nobody answers")
 
-    monkeypatch.setattr(control.mover, "change_phase", unheard)
+    monkeypatch.setattr(control.phase_controller, "change_phase", unheard)
 
     async def scene() -> None:
         entries = [entry(f"r{n}", "prefill") for n in range(1, 8)] + [entry("a1", "decode")]
         loads = {f"r{n}": (1, 0) for n in range(1, 8)} | {"a1": (90, 0)}
-        mover = mover_of(*entries, loads=loads)
+        controller = controller_of(*entries, loads=loads)
         lease = LEASE_SPARE * LEASE_S
-        await look(mover, 0.0, lease + 5.0)
+        await look(controller, 0.0, lease + 5.0)
         assert len(given) == UNHEARD
-        await look(mover, lease + 5.0, lease + MOVING_S + 1.0)
+        await look(controller, lease + 5.0, lease + MOVING_S + 1.0)
         assert len(given) == UNHEARD + 1  # one more, when the first ones are given up
         answers.append(Rejected(409))
-        await look(mover, lease + MOVING_S + 1.0, lease + 3 * MOVING_S)
+        await look(controller, lease + MOVING_S + 1.0, lease + 3 * MOVING_S)
         assert len(given) > UNHEARD + 2  # one has answered: the way is there
 
     run(scene())
@@ -155,18 +157,18 @@
 
     async def scene() -> None:
         entries = [entry("r1", "prefill"), entry("r2", "prefill"), entry("r3", "prefill")]
-        mover = mover_of(*entries)
+        controller = controller_of(*entries)
         lease = LEASE_SPARE * LEASE_S
-        await look(mover, 0.0, lease + 0.2)
+        await look(controller, 0.0, lease + 0.2)
         assert given == [("r1", "decode", 7), ("r2", "decode", 7)]
-        mover.lead(False, lease + 3.0)
-        await look(mover, lease + 3.0, lease + 3.2)
-        mover.lead(True, lease + 3.2, goes_on=True)
-        page = mover.dress(entries, lease + 3.2)
+        controller.lead(False, lease + 3.0)
+        await look(controller, lease + 3.0, lease + 3.2)
+        controller.lead(True, lease + 3.2, goes_on=True)
+        page = controller.dress(entries, lease + 3.2)
         assert [e["phase"] for e in page] == ["moving", "moving", "prefill"]
-        mover.dress([entry("r1", "decode"), entry("r2", "decode"), entry("r3", "prefill")], lease + 3.3)
-        mover.listed(pack([entry("r3", "prefill")]))  # both are gone again
-        await look(mover, lease + 3.3, lease + 4.3)  # only the pause after the first two is waited for
+        controller.dress([entry("r1", "decode"), entry("r2", "decode"), entry("r3", "prefill")], lease + 3.3)
+        controller.listed(pack([entry("r3", "prefill")]))  # both are gone again
+        await look(controller, lease + 3.3, lease + 4.3)  # only the pause after the first two is waited for
         assert given[2:] == [("r3", "decode", 7)]
 
     run(scene())
@@ -174,17 +176,17 @@
 
 def test_a_primary_that_comes_back_after_another_waits_for_the_lease(given: Given) -> None:
     async def scene() -> None:
-        mover = mover_of(entry("r1", "prefill"), entry("r2", "prefill"), entry("r3", "prefill"))
+        controller = controller_of(entry("r1", "prefill"), entry("r2", "prefill"), entry("r3", "prefill"))
         lease = LEASE_SPARE * LEASE_S
-        await look(mover, 0.0, lease + 0.2)
+        await look(controller, 0.0, lease + 0.2)
         assert len(given) == 2
-        mover.lead(False, lease + 0.2)
-        mover.lead(True, 20.0)
-        page = mover.dress([entry("r1", "prefill")], 20.0)
+        controller.lead(False, lease + 0.2)
+        controller.lead(True, 20.0)
+        page = controller.dress([entry("r1", "prefill")], 20.0)
         assert [e["phase"] for e in page] == ["prefill"]
-        await look(mover, 20.0, 20.0 + lease)
+        await look(controller, 20.0, 20.0 + lease)
         assert len(given) == 2
-        await look(mover, 20.0 + lease, 20.2 + lease)
+        await look(controller, 20.0 + lease, 20.2 + lease)
         assert len(given) == 4
 
     run(scene())
@@ -199,15 +201,15 @@
         async def prove() -> int:
             return epochs.pop(0)
 
-        mover = Mover("core-1", LEASE_S, prove, lambda: {}, lambda: None)
-        mover.lead(True, 0.0)
-        mover.listed(pack([entry("r1", "prefill"), entry("r2", "prefill"), entry("r3", "prefill")]))
+        controller = PhaseController("core-1", LEASE_S, prove, lambda: {}, lambda: None)
+        controller.lead(True, 0.0)
+        controller.listed(pack([entry("r1", "prefill"), entry("r2", "prefill"), entry("r3", "prefill")]))
         lease = LEASE_SPARE * LEASE_S
-        await look(mover, 0.0, lease + 0.1)
+        await look(controller, 0.0, lease + 0.1)
         assert given == [] and epochs == [8]
-        mover.lead(False, lease + 0.1)
-        mover.lead(True, lease + 0.2, goes_on=True)
-        await look(mover, lease + 0.2, lease + 0.4)
+        controller.lead(False, lease + 0.1)
+        controller.lead(True, lease + 0.2, goes_on=True)
+        await look(controller, lease + 0.2, lease + 0.4)
         assert [fence for _, _, fence in given] == [8, 8]
 
 
@@ -221,19 +223,19 @@
         asked.append(upstream.id)
         return upstream.id != "r1"
 
-    monkeypatch.setattr(control.mover, "is_there", is_there)
+    monkeypatch.setattr(control.phase_controller, "is_there", is_there)
 
     async def scene() -> None:
-        entries, mover = crowded()
+        entries, controller = crowded()
         lease = LEASE_SPARE * LEASE_S
-        await look(mover, 0.0, lease + 0.9)
+        await look(controller, 0.0, lease + 0.9)
         assert [name for name, _, _ in given] == ["r1"] and not asked
-        await look(mover, lease + 0.9, lease + 1.5)
+        await look(controller, lease + 0.9, lease + 1.5)
         assert asked == ["r1"]
         assert [name for name, _, _ in given] == ["r1", "r2"]
-        page = mover.dress(entries, lease + 1.5)
+        page = controller.dress(entries, lease + 1.5)
         assert [e["phase"] for e in page] == ["moving", "moving", "prefill", "decode"]
-        await look(mover, lease + 1.5, lease + 6.9)
+        await look(controller, lease + 1.5, lease + 6.9)
         assert set(asked) == {"r1", "r2"} and len(asked) <= 7  # one look a second, none at what is lost
         assert len(given) == 2  # the second one is there and moves
 
@@ -242,10 +244,10 @@
 
 def test_who_leads_no_longer_orders_nothing(given: Given) -> None:
     async def scene() -> None:
-        mover = mover_of(entry("r1", "prefill"), entry("r2", "prefill"))
-        await look(mover, 0.0, 3.0)
-        mover.lead(False, 3.0)
-        await look(mover, 3.0, 20.0)
+        controller = controller_of(entry("r1", "prefill"), entry("r2", "prefill"))
+        await look(controller, 0.0, 3.0)
+        controller.lead(False, 3.0)
+        await look(controller, 3.0, 20.0)
         assert given == []
 
     run(scene())
--- a/tests/test_dissemination_steps.py
+++ b/tests/test_dissemination_steps.py
@@ -9,8 +9,8 @@
 import pytest
 
 from config.errors import GapError
-from control.herald import Herald
 from control.node import KINDS
+from control.publisher import Publisher
 from dissemination.bulletin import Bulletin
 from dissemination.load_steps import (
     BYTES_S,
@@ -262,8 +262,10 @@
 
 
 def test_balancers_of_this_edition_below_a_core_of_the_one_before(monkeypatch: pytest.MonkeyPatch) -> None:
-    heard = Herald.heard
-    monkeypatch.setattr(Herald, "heard", lambda self, link, m: None if earlier(m) else heard(self, link, m))
+    heard = Publisher.heard
+    monkeypatch.setattr(
+        Publisher, "heard", lambda self, link, m: None if earlier(m) else heard(self, link, m)
+    )
 
     async def scene(world: World) -> None:
         await begun(world)
--- a/tests/test_mastturnd_figures.py
+++ b/tests/test_mastturnd_figures.py
@@ -16,7 +16,7 @@
 from prometheus_client.parser import text_string_to_metric_families
 
 from balancer.balancer import Balancer
-from balancer.tally import FIRST_EVENT_S, Refusal, Tally
+from balancer.request_counters import FIRST_EVENT_S, Refusal, RequestCounters
 from mastturnd import balancer_figures, control_calls, control_figures
 from mastturnd.exposition import render
 from mastturnd.pace import Pace
@@ -157,7 +157,7 @@
 
 
 def test_the_first_event_counts_up_to_its_bound() -> None:
-    tally = Tally()
+    tally = RequestCounters()
     for seconds in (0.0, FIRST_EVENT_S[0], FIRST_EVENT_S[0] + 1e-9, FIRST_EVENT_S[-1] + 1):
         tally.first_event(seconds)
     assert tally.first_events == [2, 1, *[0] * (len(FIRST_EVENT_S) - 2), 1]
