--- a/balancer/balancer.py
+++ b/balancer/balancer.py
@@ -20,6 +20,7 @@
 from balancer.routes import RouteTable, draw_service
 from balancer.standing import Standing
 from balancer.tiers import Peer, Tiers
+from balancer.upstream_call import ANSWER_GRACE_S
 from balancer.urgency import Urgency
 from balancer.wire import free_handle
 from config.configuration import Configuration, Upstream
@@ -41,7 +42,8 @@
 CONNS_SHARE = 0.9  # of a service's max_conns that all balancers together use
 CONNS_LEAST = 4.0  # connections to one upstream that each balancer may have
 UNKNOWN_BALANCERS = 24  # until their number is known
-END_MARGIN_S = 0.5  # before the platform kills us
+END_MARGIN_S = 0.5  # before the platform kills us: for the end of the process itself
+LEAST_DRAIN_S = 0.5
 FREE_S = 2.0  # a call that frees a handle is given up after this
 
 
@@ -200,7 +202,9 @@
         """Not ready from now on; returns when all is answered, or shortly before `bounds.grace_s` ends."""
         self._draining = True
         if self._server is not None:
-            await self._server.drain(max(self.settings.bounds.grace_s - END_MARGIN_S, 0.5))
+            # What is open at the end has its upstream's word awaited for a moment more.
+            within = self.settings.bounds.grace_s - END_MARGIN_S - ANSWER_GRACE_S
+            await self._server.drain(max(within, LEAST_DRAIN_S))
         await self.stop()
 
     async def stop(self) -> None:
--- a/balancer/upstream_call.py
+++ b/balancer/upstream_call.py
@@ -18,7 +18,7 @@
 
     from balancer.balancer import Balancer
 
-GRACE_S = 0.25  # past the deadline: so long the upstream's own word is awaited
+ANSWER_GRACE_S = 0.25  # past the deadline: so long the upstream's own word is awaited
 MISPLACED_S = 0.5  # so long nothing is sent to an upstream that says that it plays another part
 FULL_S = 0.1  # the same where it had no place
 
@@ -54,7 +54,13 @@
         self._balancer.load_changed()
         left = max(request.ends - now, 0.0)
         attempt = self._balancer.upstreams.send(
-            peer.entry.id, request, left + GRACE_S, done, sink=sink, wanted=self._wants, write_within=left
+            peer.entry.id,
+            request,
+            left + ANSWER_GRACE_S,
+            done,
+            sink=sink,
+            wanted=self._wants,
+            write_within=left,
         )
         if not attempt.is_over():
             self._attempt = attempt
--- a/tests/balancer_stage.py
+++ b/tests/balancer_stage.py
@@ -232,13 +232,13 @@
 
 @asynccontextmanager
 async def playing(
-    *stages: Stage, config: Configuration | None = None, slack: float = 100.0
+    *stages: Stage, config: Configuration | None = None, slack: float = 100.0, grace_s: float = 8.0
 ) -> AsyncIterator[Play]:
     http, readyz = free_port(), free_port()
     settings = Settings(
         "edge-1", "127.0.0.1", "a", "edge", (7000, 7001), CloudApi("127.0.0.1:1"),
         listen=Listen(f"127.0.0.1:{http}", f"127.0.0.1:{readyz}"), limits=Limits(max_fds=1000),
-        bounds=Bounds(retry_slack=slack),
+        bounds=Bounds(retry_slack=slack, grace_s=grace_s),
     )  # fmt: skip
     balancer = Balancer(settings, 1)
     await balancer.start()
--- a/tests/test_balancer_deadlines.py
+++ b/tests/test_balancer_deadlines.py
@@ -6,9 +6,12 @@
 
 import pytest
 
+from balancer.balancer import END_MARGIN_S
 from tests.balancer_stage import Stage, chunk, configuration, event, playing, route, stream_head
 from tests.loopback import Got, Writer, run
 
+SLACK_S = 0.15  # of the machine that plays this
+
 
 @pytest.mark.parametrize("resumable", [False, True])
 def test_a_stream_that_falls_silent_is_broken_off_at_its_deadline(resumable: bool) -> None:
@@ -27,6 +30,29 @@
     run(test())
 
 
+@pytest.mark.parametrize("after_s", [0.0, 0.3])
+def test_a_stop_leaves_time_to_end_though_an_upstream_is_silent(after_s: float) -> None:
+    """An upstream's own word is awaited for a moment beyond the deadline: that is no time to end in."""
+
+    async def silent(stage: Stage, got: Got, writer: Writer) -> None:
+        await asyncio.sleep(30)
+
+    async def test() -> None:
+        grace_s = 2.0
+        config = configuration(1, route(tries=1))
+        async with playing(Stage("u1", "", silent), config=config, grace_s=grace_s) as play:
+            loop = asyncio.get_running_loop()
+            begun = loop.time()
+            ending = asyncio.create_task(play.balancer.drain())
+            await asyncio.sleep(after_s)
+            reply = await play.ask(headers="Mastturn-Deadline-Ms: 9000\r\n")
+            assert reply.status == 504
+            await ending
+            assert loop.time() - begun <= grace_s - END_MARGIN_S + SLACK_S
+
+    run(test())
+
+
 def test_a_stream_that_is_still_coming_at_its_deadline_is_broken_off() -> None:
     async def without_end(stage: Stage, got: Got, writer: Writer) -> None:
         writer.write(stream_head(got))
