Untie the import circles of the data plane

Cause: a request and its calls imported the balancer that makes them, for the sake of types; the trust in upstreams imported the tiers that use it. Change: what requests use of their balancer is a protocol (balancer/context.py); Peer has a module of its own. No behaviour.

--- a/balancer/active_request.py
+++ b/balancer/active_request.py
@@ -3,15 +3,16 @@
 from __future__ import annotations
 
 import time
-from typing import TYPE_CHECKING
 
 from loguru import logger
 
 from balancer import pair as steps
+from balancer.context import RequestContext
 from balancer.ingress import RoutedCall
+from balancer.peer import Peer
 from balancer.relay import Relay
 from balancer.request_counters import Refusal
-from balancer.tiers import DECODE, ITSELF, PREFILL, Peer
+from balancer.tiers import DECODE, ITSELF, PREFILL
 from balancer.upstream_call import UpstreamCall
 from balancer.wire import Staged, is_sound, read_handle
 from config.configuration import Route
@@ -20,9 +21,6 @@
 from passpost.upstream import Outgoing
 from umberworks.interface import Outcome
 
-if TYPE_CHECKING:
-    from balancer.balancer import Balancer
-
 PROMISES = (408, 421, 429, 503)  # statuses that promise what an error which ran does not: not passed on
 RUN_LEFT = 1.6  # times its patience after which a run that may be repeated is left
 QUEUED_S = 0.25  # a prefill upstream's queue that is no shorter may make a decode upstream read by itself
@@ -36,7 +34,7 @@
 
     def __init__(
         self,
-        balancer: Balancer,
+        context: RequestContext,
         number: int,
         call: RoutedCall,
         service: str,
@@ -45,14 +43,14 @@
         client: Client,
     ) -> None:
         """`ends`: when the client stops waiting, in seconds on the steady clock."""
-        self._balancer, self._number, self._call, self._service = balancer, number, call, service
+        self._context, self._number, self._call, self._service = context, number, call, service
         self._out, self._client, self._ends = out, client, ends
         route = call.route
-        budget = balancer.budget(service)
+        budget = context.budget(service)
         self._pair = steps.Pair(route.tries, route.is_idempotent(), route.resumable, budget)
-        self._run_rank = balancer.urgency.of_run(route, call.prompt.tokens)
-        self._upstream_call = UpstreamCall(balancer, self.wants, self._may_leave)
-        self._zone = balancer.settings.zone  # where the memory of the prompt is
+        self._run_rank = context.urgency.of_run(route, call.prompt.tokens)
+        self._upstream_call = UpstreamCall(context, self.wants, self._may_leave)
+        self._zone = context.settings.zone  # where the memory of the prompt is
         after = int(call.after) if call.after is not None and call.after.isdigit() else None
         self._relay = Relay(self, client, after)
         self._fetching: steps.Handle | None = None  # by the run that is out
@@ -63,7 +61,7 @@
     def begin(self) -> None:
         """Take the first step."""
         # What tells of no prompt is run by whoever it is sent to, prefill call or not.
-        tokens, tiers = self._call.prompt.tokens, self._balancer.tiers
+        tokens, tiers = self._call.prompt.tokens, self._context.tiers
         split = tokens > 0 and tiers.is_split(self._service)
         if split:
             now = time.monotonic()
@@ -85,13 +83,13 @@
 
     def _finish(self) -> None:
         self._finished = True
-        self._balancer.ended(self._number)
+        self._context.ended(self._number)
 
     def _free(self) -> None:
         """Free memory that was read for this request and is not fetched."""
         handle, self._pair.handle = self._pair.handle, None
         if handle is not None:
-            self._balancer.free(handle)
+            self._context.free(handle)
 
     # ---- steps
 
@@ -107,8 +105,8 @@
             case steps.Refuse():
                 self._finish()
                 self._free()
-                self._balancer.counters.refused(why)
-                wait = AGAIN_MS if self._balancer.tiers.has_any() else EMPTY_AGAIN_MS
+                self._context.counters.refused(why)
+                wait = AGAIN_MS if self._context.tiers.has_any() else EMPTY_AGAIN_MS
                 self._client.refuse(wait)
             case steps.Fail(status):
                 self._finish()
@@ -121,14 +119,14 @@
 
     def _read(self) -> None:
         now = time.monotonic()
-        peer = self._balancer.tiers.pick_reader(
+        peer = self._context.tiers.pick_reader(
             self._service, self._call.prompt, self._upstream_call.avoid, now
         )
         if peer is None:
             self._follow(self._pair.no_reader(), self._none_left())
             return
         missing = self._to_read(peer)
-        rank = self._balancer.urgency.of_reading(self._call.route, missing)
+        rank = self._context.urgency.of_reading(self._call.route, missing)
         extra = b"Mastturn-Target-Upstream: %b\r\nMastturn-Stage: prefill\r\n%b" % (
             peer.home,
             self._common(rank),
@@ -139,7 +137,7 @@
         now = time.monotonic()
         prompt = self._call.prompt if handle is None else None
         avoid, repeatable = self._upstream_call.avoid, self._call.route.is_idempotent()
-        peer = self._balancer.tiers.pick_runner(self._service, prompt, self._zone, avoid, now, repeatable)
+        peer = self._context.tiers.pick_runner(self._service, prompt, self._zone, avoid, now, repeatable)
         if peer is None:
             self._follow(self._pair.no_runner(), self._none_left())
             return
@@ -149,7 +147,7 @@
             else b""
         )
         tokens = 0 if prompt is None else self._to_read(peer)
-        urgency, route = self._balancer.urgency, self._call.route
+        urgency, route = self._context.urgency, self._call.route
         rank = urgency.of_reading(route, tokens) if tokens else self._run_rank
         extra = b"Mastturn-Target-Upstream: %b\r\n%b%b" % (peer.home, kv, self._common(rank))
         self._relay.begin_anew()
@@ -161,11 +159,11 @@
 
     def _to_read(self, peer: Peer) -> int:
         """The tokens that an upstream has to read for it, counted."""
-        prompt, balancer = self._call.prompt, self._balancer
-        tokens = balancer.tiers.missing(peer, prompt)
-        balancer.counters.reads(tokens, self._was_read)
-        if prompt.shared and tokens == prompt.tokens and balancer.tiers.kept.holders(prompt.subject):
-            balancer.counters.shared_again += prompt.shared
+        prompt, context = self._call.prompt, self._context
+        tokens = context.tiers.missing(peer, prompt)
+        context.counters.reads(tokens, self._was_read)
+        if prompt.shared and tokens == prompt.tokens and context.tiers.kept.holders(prompt.subject):
+            context.counters.shared_again += prompt.shared
         self._was_read = True
         return tokens
 
@@ -195,13 +193,13 @@
             handle = steps.Handle(peer.entry.id, peer.entry.addr, told[0], time.monotonic())
         if self._finished:
             if handle is not None:
-                self._balancer.free(handle)
+                self._context.free(handle)
             return
         if handle is None:
             self._upstream_call.avoid.add(peer.entry.id)
         else:
             peer.read(self._upstream_call.age(), self._upstream_call.booked)
-            self._balancer.kept(peer, self._call.prompt)
+            self._context.kept(peer, self._call.prompt)
             self._zone = peer.entry.zone
             self._upstream_call.avoid.clear()
         end = steps.End.TAKEN if handle else _end(outcome)
@@ -234,13 +232,13 @@
         else:
             self._upstream_call.prompt_is_read()
         if not self._relay.begun:
-            self._balancer.counters.first_event(time.monotonic() - self._taken_at)
+            self._context.counters.first_event(time.monotonic() - self._taken_at)
         if not self._relay.begun and self._upstream_call.peer is not None:
-            self._balancer.kept(self._upstream_call.peer, self._call.prompt)
+            self._context.kept(self._upstream_call.peer, self._call.prompt)
 
     def _fetched(self, well: bool) -> None:
         handle, self._fetching = self._fetching, None
-        holder = self._balancer.tiers.peer(handle.holder) if handle is not None else None
+        holder = self._context.tiers.peer(handle.holder) if handle is not None else None
         if holder is not None:
             holder.fetched(time.monotonic(), well)
         if well:
--- a/balancer/balancer.py
+++ b/balancer/balancer.py
@@ -15,11 +15,12 @@
 from balancer.budget import RetryBudget
 from balancer.ingress import RoutedCall, read_head
 from balancer.pair import Handle
+from balancer.peer import Peer
 from balancer.prompt import Prompt
 from balancer.request_counters import Refusal, RequestCounters
 from balancer.routes import RouteTable, draw_service
 from balancer.standing import Standing
-from balancer.tiers import Peer, Tiers
+from balancer.tiers import Tiers
 from balancer.upstream_call import ANSWER_GRACE_S
 from balancer.urgency import Urgency
 from balancer.wire import free_handle
--- a/balancer/patience.py
+++ b/balancer/patience.py
@@ -6,7 +6,8 @@
 import time
 from collections.abc import Callable
 
-from balancer.tiers import ITSELF, LEAST_TOKENS, PACE_S, Peer
+from balancer.peer import LEAST_TOKENS, Peer
+from balancer.tiers import ITSELF, PACE_S
 
 READ_PATIENCE_S, READ_PATIENCE = 0.6, 3.0  # reading may take so long, and so many times what we expect
 READ_PATIENCE_MOST_S = 2.0
--- /dev/null
+++ b/balancer/peer.py
@@ -0,0 +1,71 @@
+"""One upstream as a balancer knows it: its entry in the list, our calls there, and what they have told."""
+
+from __future__ import annotations
+
+from config.configuration import Upstream
+from umberworks import interface as face
+from umberworks.members import Server
+
+SPOILT, SPOILT_S = 2, 1.0  # so many handles in a row that could not be fetched, and it is avoided so long
+LEAST_TOKENS = 500  # a shorter prompt tells the pace no better
+PACE_SHARE = 0.2  # of the smoothed pace that the latest call makes up
+
+
+class Peer:
+    """One upstream: its list entry, and what we know of it. Times in seconds on the steady clock."""
+
+    __slots__ = (
+        "blocked_until",
+        "entry",
+        "heard_at",
+        "home",
+        "pace",
+        "server",
+        "silent",
+        "spoilt",
+        "tokens",
+    )
+
+    def __init__(self, entry: Upstream, now: float, rank: float) -> None:
+        self.entry = entry
+        self.server = Server(face.Member(entry.id, zone=entry.zone), now * 1000, rank)
+        self.tokens = 0  # of prompts that are being read there for us
+        self.blocked_until = 0.0
+        self.heard_at, self.silent = now, False  # silent: it owes us a word for too long, or can't be reached
+        self.spoilt = 0  # handles from here that could not be fetched, since the last one that was
+        self.pace = 0.0  # seconds for each of our outstanding tokens that a prefill call has taken, smoothed
+        self.home = entry.id.encode()
+
+    def sent(self, now: float, tokens: int) -> None:
+        """A call goes out to it."""
+        self.server.catch_up(now * 1000)
+        self.server.in_flight += 1
+        self.server.last_sent = now * 1000
+        self.tokens += tokens
+
+    def read(self, seconds: float, tokens: int) -> None:
+        """A prompt was read, with so many tokens outstanding when it was sent."""
+        pace = seconds / max(tokens, LEAST_TOKENS)
+        self.pace += (pace - self.pace) * (PACE_SHARE if self.pace else 1.0)
+
+    def fetched(self, now: float, well: bool) -> None:
+        """Memory from here was fetched, or could not be: if that goes on nothing is read here for a while."""
+        self.spoilt = 0 if well else self.spoilt + 1
+        if self.spoilt >= SPOILT:
+            self.avoid(now, SPOILT_S)
+
+    def ended(self, now: float, tokens: int, served: bool) -> None:
+        """A call there is over; one that did not run adds nothing to its rate."""
+        self.server.catch_up(now * 1000)
+        self.server.in_flight -= 1
+        self.tokens -= tokens
+        if served:
+            self.server.served += 1
+
+    def heard(self, now: float) -> None:
+        """Something has come from it."""
+        self.heard_at, self.silent = now, False
+
+    def avoid(self, now: float, span: float) -> None:
+        """Send nothing there for so long."""
+        self.blocked_until = max(self.blocked_until, now + span)
--- a/balancer/standing.py
+++ b/balancer/standing.py
@@ -8,7 +8,8 @@
 
 from loguru import logger
 
-from balancer.tiers import Peer, Tiers
+from balancer.peer import Peer
+from balancer.tiers import Tiers
 from balancer.trust import HARD, SILENT, WINDOW_S, is_failure
 from passpost.http1 import Answer
 from passpost.upstream import Upstreams
--- a/balancer/trust.py
+++ b/balancer/trust.py
@@ -15,17 +15,14 @@
 from collections import deque
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
 
 from loguru import logger
 
+from balancer.peer import Peer
 from dissemination.doubts import Doubts
 from passpost.http1 import Answer
 from umberworks.interface import Outcome
 
-if TYPE_CHECKING:
-    from balancer.tiers import Peer
-
 WINDOW_S = 4.0  # failures count for so long
 SHARE = 0.15  # of an upstream's usual calls that fail, from which on it is distrusted
 LEAST = 2  # failures that raise a distrust at the least
--- a/balancer/upstream_call.py
+++ b/balancer/upstream_call.py
@@ -4,20 +4,16 @@
 
 import math
 import time
-from typing import TYPE_CHECKING
+from collections.abc import Callable
 
+from balancer.context import RequestContext
 from balancer.patience import Watch, patience
-from balancer.tiers import Peer
+from balancer.peer import Peer
 from balancer.wire import Staged
 from passpost.http1 import Answer
 from passpost.upstream import Attempt, Done, Sink
 from umberworks.interface import Outcome
 
-if TYPE_CHECKING:
-    from collections.abc import Callable
-
-    from balancer.balancer import Balancer
-
 ANSWER_GRACE_S = 0.25  # past the deadline: so long the upstream's own word is awaited
 MISPLACED_S = 0.5  # so long nothing is sent to an upstream that says that it plays another part
 FULL_S = 0.1  # the same where it had no place
@@ -28,12 +24,12 @@
 
     def __init__(
         self,
-        balancer: Balancer,
+        context: RequestContext,
         wants: Callable[[], bool],
         may_leave: Callable[[float, float], bool],
     ) -> None:
         """`may_leave`: whether a run that was quiet so long, beyond its patience, is left for another."""
-        self._balancer, self._wants, self._may_leave = balancer, wants, may_leave
+        self._context, self._wants, self._may_leave = context, wants, may_leave
         self._attempt: Attempt | None = None
         self._watch = Watch(self._silent)
         self._sent = 0.0
@@ -50,10 +46,10 @@
         self.peer, self.tokens, self._sent = peer, tokens, now
         self.left, self.reads = False, sink is None
         peer.sent(now, tokens)
-        self.booked = self._balancer.tiers.outstanding(peer)
-        self._balancer.load_changed()
+        self.booked = self._context.tiers.outstanding(peer)
+        self._context.load_changed()
         left = max(request.ends - now, 0.0)
-        attempt = self._balancer.upstreams.send(
+        attempt = self._context.upstreams.send(
             peer.entry.id,
             request,
             left + ANSWER_GRACE_S,
@@ -84,14 +80,14 @@
         if answer is not None:
             peer.heard(now)
         peer.ended(now, self.tokens, good and outcome is Outcome.SERVED)
-        self._balancer.standing.ended(peer, outcome, answer, good)
-        self._balancer.load_changed()
+        self._context.standing.ended(peer, outcome, answer, good)
+        self._context.load_changed()
         if outcome is Outcome.TURNED_AWAY and answer is not None:
             peer.avoid(now, MISPLACED_S if answer.status == 421 else FULL_S)
             self.avoid.add(peer.entry.id)
         elif outcome in (Outcome.UNREACHED, Outcome.BROKEN, Outcome.TIMED_OUT):
             if outcome is Outcome.UNREACHED:
-                self._balancer.standing.unreached(peer)
+                self._context.standing.unreached(peer)
             self.avoid.add(peer.entry.id)
         return peer
 
@@ -105,12 +101,12 @@
         peer = self.peer
         if peer is None:
             return math.inf
-        outstanding = max(self.booked, self._balancer.tiers.outstanding(peer))
+        outstanding = max(self.booked, self._context.tiers.outstanding(peer))
         return patience(peer, self.tokens, outstanding, self.reads)
 
     def _silent(self, peer: Peer, quiet: float, most: float) -> None:
         """The upstream is silent; what may be sent again moves on."""
-        self._balancer.standing.silent(peer)
+        self._context.standing.silent(peer)
         if self.reads or self._may_leave(quiet, most):
             self.left = True
             self.cancel()
--- a/mastturn/capacity/choices.py
+++ b/mastturn/capacity/choices.py
@@ -12,8 +12,9 @@
 from dataclasses import replace
 from typing import Any
 
+from balancer.peer import Peer
 from balancer.prompt import Prompt
-from balancer.tiers import DECODE, PREFILL, Peer, Tiers
+from balancer.tiers import DECODE, PREFILL, Tiers
 from config.checking import parse_upstreams
 from config.configuration import Upstream
 from control.platform import pack
--- a/mastturn/capacity/traffic.py
+++ b/mastturn/capacity/traffic.py
@@ -5,7 +5,7 @@
 import random
 from collections import Counter
 
-from balancer.tiers import Peer
+from balancer.peer import Peer
 from mastturn.capacity.fleet import Fleet, Machine
 
 LOOKED_AT = 20  # balancers whose knowledge is held against what is so
--- a/mastturn/engines/choosers.py
+++ b/mastturn/engines/choosers.py
@@ -9,8 +9,9 @@
 from collections.abc import Callable, Collection
 from itertools import count
 
+from balancer.peer import Peer
 from balancer.prompt import Prompt
-from balancer.tiers import DECODE, PREFILL, Group, Peer, Tiers, _weight
+from balancer.tiers import DECODE, PREFILL, Group, Tiers, _weight
 
 
 class _Plain(Tiers):
--- a/mastturnd/balancer_report.py
+++ b/mastturnd/balancer_report.py
@@ -5,7 +5,7 @@
 import time
 from typing import TYPE_CHECKING, Any
 
-from balancer.tiers import Peer
+from balancer.peer import Peer
 from mastturnd.roles import BALANCER
 from mastturnd.version import memory_kb, processor_s, program
 from transport.wire import EDITION
--- a/mastturnd/explaining.py
+++ b/mastturnd/explaining.py
@@ -12,7 +12,8 @@
 from typing import Any
 
 from balancer.balancer import Balancer
-from balancer.tiers import Group, Peer, Tiers
+from balancer.peer import Peer
+from balancer.tiers import Group, Tiers
 from mastturnd.tap import listen
 from umberworks.choice import DRAWS, Choice
 
--- a/mastturnd/tap.py
+++ b/mastturnd/tap.py
@@ -12,7 +12,8 @@
 
 from balancer.balancer import Balancer
 from balancer.ingress import RoutedCall
-from balancer.tiers import Group, Peer
+from balancer.peer import Peer
+from balancer.tiers import Group
 from passpost.upstream import Outgoing
 from umberworks.interface import Outcome
 
--- a/tests/test_balancer_draw.py
+++ b/tests/test_balancer_draw.py
@@ -9,19 +9,9 @@
 import pytest
 
 from balancer.kept import MOST_PAIRS, KeptParts
+from balancer.peer import SPOILT, SPOILT_S, Peer
 from balancer.prompt import Prompt
-from balancer.tiers import (
-    AGAIN,
-    DECODE,
-    MANY,
-    PREFILL,
-    SPARE_CALLS,
-    SPARE_TOKENS,
-    SPOILT,
-    SPOILT_S,
-    Peer,
-    Tiers,
-)
+from balancer.tiers import AGAIN, DECODE, MANY, PREFILL, SPARE_CALLS, SPARE_TOKENS, Tiers
 from config.configuration import Upstream
 
 SVC = "pool"
--- a/tests/test_balancer_draw_properties.py
+++ b/tests/test_balancer_draw_properties.py
@@ -8,7 +8,8 @@
 
 import pytest
 
-from balancer.tiers import DECODE, Peer, Tiers
+from balancer.peer import Peer
+from balancer.tiers import DECODE, Tiers
 from config.configuration import Upstream
 
 SVC = "pool"
--- a/tests/test_balancer_trust.py
+++ b/tests/test_balancer_trust.py
@@ -8,8 +8,9 @@
 
 import pytest
 
+from balancer.peer import Peer
 from balancer.prompt import Prompt
-from balancer.tiers import Peer, Tiers
+from balancer.tiers import Tiers
 from balancer.trust import HARD, KEPT, SILENT, WARY_S, WINDOW_S, is_failure
 from config.configuration import Upstream
 from dissemination.doubts import DoubtSum, pack, unpack
