Untie the last import circles: reports of a balancer, and the parts of an emulated engine

Cause: reports imported the role that answers with them, and an engine's batch, handover and jobs the engine that holds them, each for the sake of a type. Change: protocols say what each uses (mastturnd/reported.py, in batch.py, handover.py and jobs.py); Handle stands with the engine's memory. No behaviour.

--- a/mastturn/engines/batch.py
+++ b/mastturn/engines/batch.py
@@ -8,24 +8,45 @@
 
 import asyncio
 import heapq
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from mastturn.engines.jobs import LATE, PREFILL, Figures, Job
 from mastturn.engines.memory import Memory
 from mastturn.engines.sheet import Llm
 
-if TYPE_CHECKING:
-    from mastturn.engines.engine import Engine
-
 ITSELF = 2.0  # times as long a decode upstream takes to read
 ITSELF_PIECE = 4  # its pieces are so many times smaller
 Queue = list[tuple[int, int, Job]]  # the most urgent first, then the oldest
 
 
+class Owner(Protocol):
+    """The engine that it belongs to."""
+
+    @property
+    def phase(self) -> str:
+        """The part that it plays."""
+
+    @property
+    def speed(self) -> float:
+        """A factor of the sheet's times."""
+
+    def settle(self) -> None:
+        """See whether all that ran has ended."""
+
+    def has_read(self, job: Job) -> None:
+        """A prompt is read."""
+
+    def leave(self, job: Job) -> None:
+        """A call is over."""
+
+    def reject(self, job: Job, why: str) -> None:
+        """It did not run and never will."""
+
+
 class Batch:
     """What one incarnation of an engine is at work on."""
 
-    def __init__(self, engine: Engine, llm: Llm, memory: Memory, figures: Figures) -> None:
+    def __init__(self, engine: Owner, llm: Llm, memory: Memory, figures: Figures) -> None:
         self._engine, self._llm, self._memory, self._figures = engine, llm, memory, figures
         self.waiting: Queue = []  # whose prompts are to be read
         self.arrived: Queue = []  # whose memory has been fetched
--- a/mastturn/engines/engine.py
+++ b/mastturn/engines/engine.py
@@ -11,7 +11,7 @@
 from mastturn.engines.batch import Batch
 from mastturn.engines.handover import Handover
 from mastturn.engines.jobs import FULL, GONE, MISPLACED, PREFILL, SWITCHING, Figures, Job
-from mastturn.engines.memory import Memory, Part
+from mastturn.engines.memory import Handle, Memory, Part
 from mastturn.engines.sheet import Service
 
 
@@ -117,12 +117,20 @@
 
     def _fetched(self, job: Job, serial: int) -> None:
         assert job.source is not None
-        job.source.handover.fetched(job.handle)
+        job.source.fetched(job.handle)
         if serial == self.serial:
             self._fetching.discard(job)
             if not job.over:
                 self.batch.let_run(job)
 
+    def held(self, ref: str) -> Handle | None:
+        """The memory behind a handle, unless it is gone or the engine is down."""
+        return None if self.down else self.handover.handles.get(ref)
+
+    def fetched(self, ref: str) -> None:
+        """Somebody has fetched it."""
+        self.handover.fetched(ref)
+
     def let_go(self, parts: tuple[Part, ...]) -> None:
         """What a handle held is free."""
         self.memory.release(parts)
--- a/mastturn/engines/handover.py
+++ b/mastturn/engines/handover.py
@@ -3,34 +3,44 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from mastturn.engines.jobs import Figures, Job
-from mastturn.engines.memory import Part
+from mastturn.engines.memory import Handle, Part
 from mastturn.engines.sheet import Llm
 
-if TYPE_CHECKING:
-    from mastturn.engines.engine import Engine
-
 MOVE_WAIT_S = 2.0  # a move that would wait longer is not begun
 FAR = 2.0  # times as long a move takes between zones, and as dear
 SHORT_S = 0.05  # a handle lapses after this where they lapse soon: the bench's are still there for us
 
 
-@dataclass(slots=True)
-class Handle:
-    """Memory of a prompt that was read."""
+class Owner(Protocol):
+    """The engine that it belongs to."""
+
+    @property
+    def handover(self) -> Handover:
+        """Of its present incarnation."""
+
+    @property
+    def lapses_soon(self) -> bool:
+        """Whether its handles do."""
+
+    @property
+    def zone(self) -> str:
+        """Where it is."""
+
+    @property
+    def move_x(self) -> float:
+        """Moves take so many times as long."""
 
-    parts: tuple[Part, ...]
-    tokens: int
-    taken: bool = False
+    def let_go(self, parts: tuple[Part, ...]) -> None:
+        """What a handle held is free."""
 
 
 class Handover:
     """The handles and the link of one engine in one incarnation."""
 
-    def __init__(self, engine: Engine, llm: Llm, figures: Figures) -> None:
+    def __init__(self, engine: Owner, llm: Llm, figures: Figures) -> None:
         self._engine, self._llm, self._figures = engine, llm, figures
         self.handles: dict[str, Handle] = {}
         self._link_free = 0.0
@@ -62,7 +72,7 @@
     def fetch(self, job: Job, now: float) -> float | None:
         """Begin to fetch what a job names; how many seconds that takes, None if it can't be had."""
         source, engine = job.source, self._engine
-        handle = source.handover.handles.get(job.handle) if source is not None and not source.down else None
+        handle = source.held(job.handle) if source is not None else None
         wait = max(self._link_free - now, 0.0)
         if source is None or handle is None or handle.taken or wait > MOVE_WAIT_S:
             return None
--- a/mastturn/engines/jobs.py
+++ b/mastturn/engines/jobs.py
@@ -3,13 +3,9 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Protocol
-
-from mastturn.engines.memory import Part
-
-if TYPE_CHECKING:
-    from mastturn.engines.engine import Engine
+from typing import Protocol
 
+from mastturn.engines.memory import Handle, Part
 
 PREFILL, DECODE = "prefill", "decode"
 FULL, LATE, GONE, MISPLACED, SWITCHING = "full", "deadline", "gone", "misplaced", "switching"
@@ -34,6 +30,24 @@
         """The connection broke."""
 
 
+class Holder(Protocol):
+    """An engine that holds memory for another."""
+
+    @property
+    def zone(self) -> str:
+        """Where it is."""
+
+    @property
+    def move_x(self) -> float:
+        """Moves take so many times as long."""
+
+    def held(self, ref: str) -> Handle | None:
+        """The memory behind a handle, unless it is gone or the engine is down."""
+
+    def fetched(self, ref: str) -> None:
+        """Somebody has fetched it."""
+
+
 @dataclass(slots=True, eq=False)
 class Job:
     """One call at an engine; `pieces`: events of the whole answer, of which `after` are there already."""
@@ -48,7 +62,7 @@
     reads_only: bool
     after: int = 0
     handle: str = ""  # to be fetched
-    source: Engine | None = None
+    source: Holder | None = None
     seq: int = 0
     left: int = 0  # tokens of the prompt still to be read
     seen: int = 0  # tokens of it that are there
--- a/mastturn/engines/memory.py
+++ b/mastturn/engines/memory.py
@@ -8,10 +8,20 @@
 
 from collections import OrderedDict
 from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
 
 Part = tuple[str, int]  # id, tokens
 
 
+@dataclass(slots=True)
+class Handle:
+    """Memory of a prompt that was read."""
+
+    parts: tuple[Part, ...]
+    tokens: int
+    taken: bool = False
+
+
 class Memory:
     """What an engine holds."""
 
--- a/mastturnd/balancer_calls.py
+++ b/mastturnd/balancer_calls.py
@@ -8,23 +8,21 @@
 import asyncio
 import json
 from collections.abc import Coroutine
-from typing import TYPE_CHECKING, Any
+from typing import Any
 from urllib.parse import parse_qs
 
 from loguru import logger
 
 from mastturnd import balancer_report, explaining, figures
 from mastturnd.pace import Pace
+from mastturnd.reported import ReportedRole
 from transport.calls import REASONS
 
-if TYPE_CHECKING:
-    from mastturnd.balancing import BalancerRole
-
 _PACES = {target: Pace() for target in ("/api/status", "/api/explain", "/metrics")}
 _tasks: set[asyncio.Task[None]] = set()
 
 
-def take(role: BalancerRole, head: bytes, transport: asyncio.Transport) -> bool:
+def take(role: ReportedRole, head: bytes, transport: asyncio.Transport) -> bool:
     """Answer a question and end its connection; False if it is none of ours."""
     words = head.split(b"\r\n", 1)[0].split(b" ")
     if len(words) != 3 or words[0] != b"GET":
@@ -59,11 +57,11 @@
     task.add_done_callback(_tasks.discard)
 
 
-async def _figures(role: BalancerRole, transport: asyncio.Transport) -> None:
+async def _figures(role: ReportedRole, transport: asyncio.Transport) -> None:
     _write(transport, 200, await figures.text("mastturnd.balancer_figures", role), figures.CONTENT_TYPE)
 
 
-async def _explain(role: BalancerRole, query: str, transport: asyncio.Transport) -> None:
+async def _explain(role: ReportedRole, query: str, transport: asyncio.Transport) -> None:
     wanted = (parse_qs(query[:200]).get("next") or ["0"])[0]
     if not wanted.isascii() or not wanted.isdigit() or int(wanted[:6]) > explaining.MOST_CHOICES:
         _write(transport, 400, _error(f"next is no number up to {explaining.MOST_CHOICES}; give one"))
--- a/mastturnd/balancer_figures.py
+++ b/mastturnd/balancer_figures.py
@@ -2,21 +2,19 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from balancer.answer_log import AnswerLog
 from balancer.request_counters import FIRST_EVENT_S, RequestCounters
 from mastturnd.balancer_report import status
 from mastturnd.exposition import Metric, by, by_labels, counter, gauge, histogram
+from mastturnd.reported import ReportedRole
 from passpost.answer_end import Misuse
 
-if TYPE_CHECKING:
-    from mastturnd.balancing import BalancerRole
-
 Told = dict[str, Any]  # what `status` tells
 
 
-def metrics(role: BalancerRole) -> list[Metric]:
+def metrics(role: ReportedRole) -> list[Metric]:
     """The same as figures."""
     told = status(role)
     return [
--- a/mastturnd/balancer_report.py
+++ b/mastturnd/balancer_report.py
@@ -3,24 +3,22 @@
 from __future__ import annotations
 
 import time
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from balancer.peer import Peer
+from mastturnd.reported import ReportedRole
 from mastturnd.roles import BALANCER
 from mastturnd.version import memory_kb, processor_s, program
 from transport.wire import EDITION
 
-if TYPE_CHECKING:
-    from mastturnd.balancing import BalancerRole
 
-
-def _peers(role: BalancerRole) -> list[Peer]:
+def _peers(role: ReportedRole) -> list[Peer]:
     tiers = role.balancer.tiers
     found = (tiers.peer(name) for name, _ in tiers.addresses())
     return [peer for peer in found if peer is not None]
 
 
-def status(role: BalancerRole) -> dict[str, Any]:
+def status(role: ReportedRole) -> dict[str, Any]:
     """All that an operator may want of one balancer."""
     settings, balancer = role.settings, role.balancer
     figures = balancer.figures()
