Split the clients' side of a balancer by concern

Change: request_reader.py (heads and bodies), exchange.py (the open request, which its host answers), answer_writer.py, client_transport.py (bytes out, ends, what the kernel knows), client_connection.py (asyncio's callbacks and the turn of requests), connection_bounds.py (what is closed and when), acceptor.py (the listening socket), client_options.py, and server.py (readiness, drains, a handover). No behaviour; tests name the new places, their assertions are as they were.

--- a/balancer/balancer.py
+++ b/balancer/balancer.py
@@ -27,9 +27,10 @@
 from config.configuration import Configuration, Upstream
 from config.settings import Settings, parse_address
 from dissemination.doubts import Doubts
+from passpost.client_options import ClientOptions
 from passpost.engine import Client
 from passpost.http1 import Headers
-from passpost.server import ClientOptions, Server
+from passpost.server import Server
 from passpost.upstream import Outgoing, Upstreams
 from passpost.validation import BadRequestError, Call
 
@@ -119,7 +120,7 @@
 
     def _open_door(self) -> None:
         """Take in clients; those that came while we knew nothing have waited in the socket's queue."""
-        if self._server is not None and not self._server.is_serving() and not self._draining:
+        if self._server is not None and not self._server.acceptor.is_serving() and not self._draining:
             self._server.start()
 
     def configure(self, configuration: Configuration) -> None:
--- a/balancer/options.py
+++ b/balancer/options.py
@@ -4,7 +4,7 @@
 
 from balancer.wire import is_event_stream, outcome
 from config.configuration import ClientLimits
-from passpost.server import ClientOptions
+from passpost.client_options import ClientOptions
 from passpost.upstream import UpstreamOptions
 
 DARK_MS = 700  # an upstream that acknowledges nothing for so long is dark
--- a/passpost/__main__.py
+++ b/passpost/__main__.py
@@ -124,7 +124,7 @@
             self.server.send_off()
         elif old.draining:
             self.server.quiesce()
-        self.server.lend(old.callers)
+        self.server.acceptor.lend(old.callers)
         self.upstreams.share(True)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(LIST_S):
@@ -141,7 +141,7 @@
         heir = self._heir = handover.Channel(line, self._heard, self._heir_ended)
         self.upstreams.share(True)
         heir.give(
-            self.server.listener().fileno(),
+            self.server.acceptor.listener.fileno(),
             cordoned=sorted(self.engine.cordoned()),
             draining=self.server.draining,
             closing=self.server.closing,
@@ -161,7 +161,7 @@
 
     def _heard(self, message: dict[str, Any], handed: socket.socket | None) -> None:
         if handed is not None:
-            self.server.adopt(handed, bool(message["useful"]), float(message["age"]))
+            self.server.acceptor.adopt(handed, bool(message["useful"]), float(message["age"]))
         elif "cordon" in message:
             self.engine.cordon(str(message["cordon"]), bool(message["out"]))
         elif "draining" in message:
@@ -174,16 +174,16 @@
         elif "beside" in message:
             self.engine.told(face.CallsBeside(int(message["beside"])))
         elif message.get("serving"):
-            self.server.stand_back(True)
+            self.server.acceptor.stand_back(True)
             self._heir_serves.set()
 
     def _heir_ended(self) -> None:
         self._heir_serves.clear()
-        self.server.stand_back(False)
+        self.server.acceptor.stand_back(False)
         self._alone()
 
     def _old_ended(self) -> None:
-        self.server.lend(0)
+        self.server.acceptor.lend(0)
         self.engine.told(face.CallsBeside(0))
         self._alone()
 
@@ -202,7 +202,7 @@
 
     def is_serving(self) -> bool:
         """Whether this process takes clients."""
-        return self.server.is_serving()
+        return self.server.acceptor.is_serving()
 
     def figures(self) -> dict[str, Any]:
         """The counters."""
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -14,7 +14,7 @@
 
 import pytest
 
-from passpost import config, control, server
+from passpost import client_options, config, connection_bounds, control, server
 from passpost.discovery import Discovery, Listing
 from tests.loopback import (
     AWAY,
@@ -362,7 +362,7 @@
 
 
 def test_quiesce_ends_readiness_at_once_and_callers_a_little_later(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(server, "FRESH_S", 0.0)
+    monkeypatch.setattr(connection_bounds, "FRESH_S", 0.0)
 
     async def test() -> None:
         release = asyncio.Event()
@@ -418,13 +418,13 @@
     async def test() -> None:
         async with balancer(FakeServer(), change=operated) as b:
             with socket.create_connection(("127.0.0.1", b.node.server.port)) as client:
-                await until(lambda: bool(b.node.server._connections))
-                (connection,) = b.node.server._connections
-                await until(lambda: connection._transport is not None)
-                assert connection.is_spare(math.inf)
+                await until(lambda: bool(b.node.server.acceptor.connections))
+                (connection,) = b.node.server.acceptor.connections
+                await until(lambda: connection.transport._transport is not None)
+                assert connection_bounds.is_spare(connection, math.inf)
                 client.sendall(b"GET /read HTTP/1.1\r\nX-Txn: a\r\n\r\n")  # the loop has had no turn since
-                assert not connection.is_spare(math.inf)
-                await until(lambda: connection._useful and connection.is_spare(math.inf))
+                assert not connection_bounds.is_spare(connection, math.inf)
+                await until(lambda: connection.is_useful and connection_bounds.is_spare(connection, math.inf))
                 assert client.recv(65536).startswith(b"HTTP/1.1 200 ")
 
     run(test())
@@ -432,7 +432,7 @@
 
 def test_a_stop_in_a_drain_ends_in_order_and_can_not_be_taken_back(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(server, "QUIESCE_KEPT_S", 0.0)
-    monkeypatch.setattr(server, "ACCEPT_AFTER_STOP_S", 0.05)
+    monkeypatch.setattr(client_options, "ACCEPT_AFTER_STOP_S", 0.05)
 
     async def test() -> None:
         upstream = FakeServer(silent)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -103,7 +103,7 @@
             new = await start()
             assert await new.call(b"health") == b"ERR not taking clients\n"
             await serving(new)
-            await until(lambda: old.node.server._yielding)
+            await until(lambda: old.node.server.acceptor._is_yielding)
             assert new.node.server.port == old.node.server.port
             stopped = asyncio.get_running_loop().create_task(old.node.stop())
             await until(lambda: new.node.server.count() == 2)
@@ -116,7 +116,10 @@
             assert answer is not None and answer.status == 200 and answer.reusable
             await stopped  # with nothing left to answer it ends early
             await answered(busy)  # its connection has been handed over too
-            assert new.node.server._lent == 0 and new.node.upstreams._allowed == new.node.upstreams._max_open
+            assert (
+                new.node.server.acceptor._lent == 0
+                and new.node.upstreams._allowed == new.node.upstreams._max_open
+            )
 
     run(test())
 
@@ -128,7 +131,7 @@
             old = await start()
             with socket.create_connection(("127.0.0.1", old.node.server.port)) as client:
                 await until(lambda: old.node.server.count() == 1)
-                (connection,) = old.node.server._connections
+                (connection,) = old.node.server.acceptor.connections
                 await until(connection.is_whole)
                 new = await start()
                 await serving(new)
@@ -162,7 +165,7 @@
             stopped = asyncio.get_running_loop().create_task(old.node.stop())
             await until(old.node.server.is_handing_over)
             old.node.server._ends = 0.0  # all the time there was has passed
-            await until(lambda: not old.node.server._accepting)
+            await until(lambda: not old.node.server.acceptor._is_accepting)
             release.set()
             assert len(await client.reader.readexactly(200_000)) == 200_000
             await stopped
@@ -320,11 +323,11 @@
             old = await start()
             new = await start()
             await serving(new)
-            await until(lambda: old.node.server._yielding)
-            new.node.server._pause()
-            new.node.server._socket.close()
+            await until(lambda: old.node.server.acceptor._is_yielding)
+            new.node.server.acceptor.pause()
+            new.node.server.acceptor.listener.close()
             new.node.close()
-            await until(lambda: old.node.server._accepting)
+            await until(lambda: old.node.server.acceptor._is_accepting)
             await answered(await old.connect())
             assert old.node.upstreams._allowed == old.node.upstreams._max_open
 
@@ -337,12 +340,12 @@
             old = await start()
             await old.connect()
             new = await start()
-            old.node.server._pause()
-            old.node.server._socket.close()
+            old.node.server.acceptor.pause()
+            old.node.server.acceptor.listener.close()
             old.node.close()  # with no word, before the new one serves
             await serving(new)
             await answered(await new.connect())
-            assert new.node.server._lent == 0
+            assert new.node.server.acceptor._lent == 0
 
     run(test())
 
@@ -406,7 +409,7 @@
         node = Node(plain)
         assert node.door is None and node._post is None
         # Nobody else can listen on the same address beside it.
-        assert not node.server.listener().getsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT)
+        assert not node.server.acceptor.listener.getsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT)
         node.close()
         assert os.listdir(tmp_path) == []
 
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from passpost import server
+from passpost import client_options, connection_bounds, request_reader, server
 from passpost import upstream as upstream_module
 from passpost.discovery import Discovery
 from passpost.http1 import HELD_BODY, AnswerReader, BadAnswerError
@@ -183,7 +183,7 @@
     end: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """An old caller takes the end of its connection for the end of its answer: any sooner one is a reset."""
-    monkeypatch.setattr(server, "STUCK_S", 0.0)
+    monkeypatch.setattr(connection_bounds, "STUCK_S", 0.0)
 
     async def reply(request: Got, writer: Writer) -> None:
         writer.write(HEAD + b"Transfer-Encoding: chunked\r\n\r\n")
@@ -242,15 +242,15 @@
             client = await b.connect()
             client.writer.transport.pause_reading()  # type: ignore[attr-defined]
             client.send()
-            await until(lambda: any(c._clogged for c in b.node.server._connections))
-            (connection,) = b.node.server._connections
-            assert connection._transport is not None
+            await until(lambda: any(c.answer.is_clogged for c in b.node.server.acceptor.connections))
+            (connection,) = b.node.server.acceptor.connections
+            assert connection.transport._transport is not None
             before = -1
             while before != sent:  # until nothing moves any more
                 before = sent
                 await asyncio.sleep(0.05)
             assert sent < total
-            assert connection._transport.get_write_buffer_size() < 1024 * 1024
+            assert connection.transport._transport.get_write_buffer_size() < 1024 * 1024
             client.writer.transport.resume_reading()  # type: ignore[attr-defined]
             answer = await client.answer()
             assert answer is not None and len(answer.body) == total
@@ -262,7 +262,7 @@
 def test_a_caller_that_goes_or_stops_reading_frees_the_upstream(
     monkeypatch: pytest.MonkeyPatch, how: str
 ) -> None:
-    monkeypatch.setattr(server, "STUCK_S", PATIENCE if how == "leaves" else 0.0)
+    monkeypatch.setattr(connection_bounds, "STUCK_S", PATIENCE if how == "leaves" else 0.0)
 
     async def reply(request: Got, writer: Writer) -> None:
         writer.write(HEAD + b"Content-Length: 33000000\r\n\r\n" + bytes(33_000_000))
@@ -273,10 +273,10 @@
             client = await b.connect()
             client.writer.transport.pause_reading()  # type: ignore[attr-defined]
             client.send()
-            await until(lambda: any(c._clogged for c in b.node.server._connections))
+            await until(lambda: any(c.answer.is_clogged for c in b.node.server.acceptor.connections))
             if how == "leaves":
                 client.writer.transport.abort()
-            await until(lambda: not _open(b) and not b.node.server._connections)
+            await until(lambda: not _open(b) and not b.node.server.acceptor.connections)
             await until(lambda: b.node.upstreams._open == 0)
             assert not b.node.engine._balancer._requests
             assert (await b.figures())["in_flight"] == 0
@@ -319,7 +319,7 @@
 
 def test_a_stop_does_not_cut_off_a_long_answer(monkeypatch: pytest.MonkeyPatch) -> None:
     # Cut off by us it is lost; whoever has no time left kills us.
-    monkeypatch.setattr(server, "ACCEPT_AFTER_STOP_S", 0.0)
+    monkeypatch.setattr(client_options, "ACCEPT_AFTER_STOP_S", 0.0)
     monkeypatch.setattr(server, "LAST_LOOK_S", 0.0)
 
     async def test() -> None:
@@ -336,7 +336,7 @@
             sending.writer.write(PAY + b"Content-Length: 9000000\r\n\r\n" + bytes(100_000))
             seen = await client.reader.readuntil(b"\r\n\r\n")
             stopped = asyncio.get_running_loop().create_task(b.node.server.drain(0.0))
-            await until(lambda: b.node.server._socket.fileno() < 0)
+            await until(lambda: b.node.server.acceptor.listener.fileno() < 0)
             assert not stopped.done()
             release.set()
             seen += await client.reader.readexactly(len(LONG))
@@ -456,13 +456,13 @@
     async def test() -> None:
         upstream = Sized()
         upstream.reads.clear()
-        budget = 2 * server.HELD_EACH
+        budget = 2 * client_options.HELD_EACH
         async with one(upstream, budget) as b:
             client = await b.connect()
             sending = asyncio.get_running_loop().create_task(post(client, bytes(3_000_000), framing))
             await until(lambda: len(upstream.heads) == 1)
             taken = budget - b.node.server._may_hold  # for a length that is known nothing is held in vain
-            assert taken == 0 if framing == "length" else 0 < taken <= server.HELD_EACH
+            assert taken == 0 if framing == "length" else 0 < taken <= client_options.HELD_EACH
             upstream.reads.set()
             await sending
             answer = await client.answer()
@@ -480,13 +480,15 @@
             client = await b.connect()
             total = 32 * 1024 * 1024
             sending = asyncio.get_running_loop().create_task(post(client, bytes(total)))
-            await until(lambda: any(c._body_until == float("inf") for c in b.node.server._connections))
+            await until(
+                lambda: any(c.reader.body_until == float("inf") for c in b.node.server.acceptor.connections)
+            )
             before = -1
-            (connection,) = b.node.server._connections
-            while before != connection._body_size:
-                before = connection._body_size
+            (connection,) = b.node.server.acceptor.connections
+            while before != connection.reader.body_size:
+                before = connection.reader.body_size
                 await asyncio.sleep(0.05)
-            assert connection._body_size < total
+            assert connection.reader.body_size < total
             assert not sending.done()
             upstream.reads.set()
             await sending
@@ -559,8 +561,8 @@
         async with one(upstream, held) as b:
             client = await b.connect()
             if status == 408:
-                monkeypatch.setattr(server, "BODY_SPAN_S", 0.1)
-                monkeypatch.setattr(server, "READ_S", 0.1)
+                monkeypatch.setattr(request_reader, "BODY_SPAN_S", 0.1)
+                monkeypatch.setattr(client_options, "READ_S", 0.1)
             client.writer.write(b"POST /pay HTTP/1.1\r\nX-Txn: a\r\n" + raw)
             answer = await client.answer()
             assert answer is not None and answer.status == status
@@ -590,8 +592,8 @@
 
 
 def test_a_slow_but_proper_body_is_waited_for(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(server, "READ_S", 0.05)
-    monkeypatch.setattr(server, "SWEEP_S", 0.01)
+    monkeypatch.setattr(client_options, "READ_S", 0.05)
+    monkeypatch.setattr(client_options, "SWEEP_S", 0.01)
 
     async def test() -> None:
         upstream = Sized()
@@ -618,9 +620,9 @@
             client.send()
             await until(lambda: len(upstream.got) == 1)
             sending = asyncio.get_running_loop().create_task(post(client, LONG * 8))
-            (connection,) = b.node.server._connections
-            await until(lambda: bool(connection._waiting))
-            assert len(upstream.got) == 1 and connection._body_size < len(LONG) * 8
+            (connection,) = b.node.server.acceptor.connections
+            await until(lambda: bool(connection.reader.waiting))
+            assert len(upstream.got) == 1 and connection.reader.body_size < len(LONG) * 8
             upstream.reply = OK
             upstream.writers[0].write(OK)
             await sending
@@ -669,8 +671,8 @@
             client.send()
             await until(lambda: len(upstream.got) == 1)
             client.writer.write(PAY + b"Expect: 100-continue\r\nContent-Length: 2\r\n\r\n")
-            (connection,) = b.node.server._connections
-            await until(lambda: connection._continues)
+            (connection,) = b.node.server.acceptor.connections
+            await until(lambda: connection.reader._continues)
             upstream.reply = OK
             upstream.writers[0].write(OK)
             assert await client.reader.readexactly(len(OK)) == OK
--- a/tests/test_orders_clients.py
+++ b/tests/test_orders_clients.py
@@ -14,7 +14,7 @@
 
 import pytest
 
-from passpost import server, upstream
+from passpost import client_connection, client_options, exchange, request_reader, server, upstream
 from passpost.__main__ import Node
 from tests.loopback import AWAY, OK, Balancer, FakeServer, Got, Writer, balancer, run, silent, until
 from umberworks.interface import CallsBeside
@@ -52,11 +52,11 @@
     """So many clients, each of which has been of use already."""
     clients = []
     for i in range(count):
-        known = set(b.node.server._connections)
+        known = set(b.node.server.acceptor.connections)
         raw = Raw(b)
-        await until(lambda known=known: len(b.node.server._connections) > len(known))  # type: ignore[misc]
-        (connection,) = set(b.node.server._connections) - known
-        await until(lambda c=connection: c._transport is not None)  # type: ignore[misc]
+        await until(lambda known=known: len(b.node.server.acceptor.connections) > len(known))  # type: ignore[misc]
+        (connection,) = set(b.node.server.acceptor.connections) - known
+        await until(lambda c=connection: c.transport._transport is not None)  # type: ignore[misc]
         if asks:
             raw.put(ONE % b"first%d" % i)
             while not (await asyncio.get_running_loop().sock_recv(raw.socket, 65536)).endswith(b"ok"):
@@ -66,7 +66,7 @@
 
 
 def only(b: Balancer) -> Any:
-    (connection,) = b.node.server._connections
+    (connection,) = b.node.server.acceptor.connections
     return connection
 
 
@@ -101,18 +101,18 @@
             if why == "crowded":
                 monkeypatch.setattr(server, "KEEP_SHARE", 0.0)
             b.node.server.closing = why == "drain"
-            before(monkeypatch, server._Connection, "serve", lambda: raw.put(b"GET /re"))
+            before(monkeypatch, exchange.Exchange, "serve", lambda: raw.put(b"GET /re"))
             asked = b"X-Txn: b\r\nConnection: close" if why == "asked" else b"X-Txn: b"
             raw.put((ONE % b"b").replace(b"X-Txn: b", asked))
             answer = await raw.rest()
             assert answer.startswith(b"HTTP/1.1 200 ") and answer.endswith(b"\r\n\r\nok")
-            await until(lambda: not b.node.server._connections)
+            await until(lambda: not b.node.server.acceptor.connections)
 
     run(test())
 
 
 def _idle_end(b: Balancer) -> None:
-    only(b).sweep(asyncio.get_running_loop().time() + 1e6)
+    b.node.server._sweep_one(only(b), asyncio.get_running_loop().time() + 1e6)
 
 
 def _sent_off(b: Balancer) -> None:
@@ -132,9 +132,9 @@
 
 @pytest.fixture
 def quick_drain(monkeypatch: pytest.MonkeyPatch) -> None:
-    for name in ("ACCEPT_AFTER_STOP_S", "LAST_LOOK_S"):
-        monkeypatch.setattr(server, name, 0.0)
-    monkeypatch.setattr(server, "LAST_CALL_S", 1000.0)
+    monkeypatch.setattr(client_options, "ACCEPT_AFTER_STOP_S", 0.0)
+    monkeypatch.setattr(server, "LAST_LOOK_S", 0.0)
+    monkeypatch.setattr(client_options, "LAST_CALL_S", 1000.0)
 
 
 @pytest.mark.usefixtures("quick_drain")
@@ -151,7 +151,7 @@
                 looks = b.node.server.time_left
 
                 def time_left() -> float:
-                    if b.node.server._socket.fileno() < 0 and late:
+                    if b.node.server.acceptor.listener.fileno() < 0 and late:
                         raw.put(late.pop())
                     return looks()
 
@@ -176,10 +176,10 @@
     async def test() -> None:
         async with balancer(FakeServer()) as b:
             (raw,) = await come(b)
-            before(monkeypatch, server._Connection, "close", lambda: raw.put(ONE % b"late"))
+            before(monkeypatch, client_connection.ClientConnection, "close", lambda: raw.put(ONE % b"late"))
             place(b)
             assert await raw.rest() == b""
-            await until(lambda: not b.node.server._connections)
+            await until(lambda: not b.node.server.acceptor.connections)
             assert [u.got for u in b.upstreams] == [[b.upstreams[0].got[0]]]
 
     run(test())
@@ -189,10 +189,10 @@
     async def test() -> None:
         async with balancer(FakeServer()) as b:
             first, second = await come(b, 2)
-            b.node.server._max_open = 2
+            b.node.server.acceptor._most = 2
             first.put(ONE % b"late")  # it has been idle for longer
             third = Raw(b)
-            b.node.server._accept()
+            b.node.server.acceptor.accept()
             assert await second.rest() == b""
             third.put(ONE % b"third")
             for raw in (first, third):
@@ -210,17 +210,17 @@
     async def test() -> None:
         async with balancer(FakeServer()) as b:
             (first,) = await come(b)
-            b.node.server._max_open = 1
+            b.node.server.acceptor._most = 1
             second = Raw(b)
-            serve, answers = server._Connection.serve, ["second", "first"]
+            serve, answers = exchange.Exchange.serve, ["second", "first"]
 
-            def served(connection: Any, answer: Any) -> None:
-                serve(connection, answer)
+            def served(answered: Any, answer: Any) -> None:
+                serve(answered, answer)
                 if answers.pop() == "first":
                     first.put(b"GET /re")
-                    b.node.server._accept()
+                    b.node.server.acceptor.accept()
 
-            monkeypatch.setattr(server._Connection, "serve", served)
+            monkeypatch.setattr(exchange.Exchange, "serve", served)
             first.put(ONE % b"a")
             assert (await first.rest()).endswith(b"\r\n\r\nok")
             second.put(ONE % b"b")
@@ -234,7 +234,7 @@
         async with balancer(FakeServer()) as b:
             await come(b)
             (pooled,) = next(iter(b.node.upstreams._upstreams.values())).idle
-            for transport in (only(b)._transport, pooled._transport):
+            for transport in (only(b).transport._transport, pooled._transport):
                 assert transport is not None
                 peer = transport.get_extra_info("socket")
                 assert peer.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
@@ -259,7 +259,7 @@
         async with balancer(upstream) as b:
             module, room = b.node.engine._balancer, False
             module._has_room = lambda: room  # type: ignore[method-assign]
-            b.node.server._max_open = 2 * clients
+            b.node.server.acceptor._most = 2 * clients
             raws = await come(b, clients, asks=False)
             for i, raw in enumerate(raws):
                 raw.put(b"".join(ONE % b"%d-%d" % (i, j) for j in range(1 + ahead)))
@@ -268,7 +268,7 @@
                 raw.go(how)
             room = True  # in the very turn in which they go
             b.node.engine.told(CallsBeside(0))
-            await until(lambda: not b.node.server._connections)
+            await until(lambda: not b.node.server.acceptor.connections)
             await until(empty(b.node))
             assert upstream.got == [] and upstream.connections == 0
 
@@ -297,7 +297,7 @@
             await up.wait()
             raw.go(how)
             go.set()
-            await until(lambda: not b.node.server._connections)
+            await until(lambda: not b.node.server.acceptor.connections)
             await until(empty(b.node))
             await until(lambda: server.closed == server.connections)
             assert server.got == [] and b.node.upstreams._open == 0
@@ -318,7 +318,7 @@
         async with balancer(*upstreams) as b:
             raws.extend(await come(b, asks=False))
             raws[0].put(ONE % b"a" + ONE % b"b")
-            await until(lambda: not b.node.server._connections)
+            await until(lambda: not b.node.server.acceptor.connections)
             await until(empty(b.node))
             assert sum(len(u.got) for u in upstreams) == 1
 
@@ -338,7 +338,7 @@
         async with balancer(upstream) as b:
             raws.extend(await come(b, asks=False))
             raws[0].put(ONE % b"a" + ONE % b"b")
-            await until(lambda: not b.node.server._connections)
+            await until(lambda: not b.node.server.acceptor.connections)
             await until(empty(b.node))
             assert len(upstream.got) == 1
 
@@ -355,7 +355,7 @@
             raw.put(ONE % b"a" + ONE % b"b")
             await until(lambda: len(upstream.got) == 1)
             raw.go(how)
-            async with asyncio.timeout(server.SWEEP_S * 8):
+            async with asyncio.timeout(client_options.SWEEP_S * 8):
                 await until(empty(b.node))
                 await until(lambda: upstream.closed == 1)
 
@@ -374,21 +374,21 @@
         async with balancer(upstream) as b:
             (raw, other) = await come(b, 2)
             most = 0
-            take = server._Connection._take
+            take = exchange.Exchange.take
 
-            def watched(connection: Any, request: Any) -> None:
+            def watched(taken: Any, request: Any) -> None:
                 nonlocal most
-                most = max(most, len(connection._waiting))
-                take(connection, request)
+                most = max(most, len(taken._owner.reader.waiting))
+                take(taken, request)
 
-            monkeypatch.setattr(server._Connection, "_take", watched)
+            monkeypatch.setattr(exchange.Exchange, "take", watched)
             flood = b"".join(ONE % b"%d" % i for i in range(1_500))
             raw.put(flood)
             other.put(ONE % b"other")
             if goes:
                 await until(lambda: len(upstream.got) > 4)
                 raw.go()
-                await until(lambda: len(b.node.server._connections) == 1)
+                await until(lambda: len(b.node.server.acceptor.connections) == 1)
                 await until(empty(b.node))
                 assert len(upstream.got) < 200
             else:
@@ -396,7 +396,7 @@
                 while answered.count(b"\r\n\r\nok") < 1_500:
                     answered += await asyncio.get_running_loop().sock_recv(raw.socket, 65536)
                 raw.go()
-            assert most * len(ONE) <= server.HEAD_AT_ONCE
+            assert most * len(ONE) <= request_reader.HEAD_AT_ONCE
             assert (await asyncio.get_running_loop().sock_recv(other.socket, 65536)).endswith(b"ok")
             other.go()
 
@@ -407,8 +407,8 @@
     async def test() -> None:
         async with balancer(FakeServer()) as b:
             (raw,) = await come(b)
-            monkeypatch.setattr(server, "READ_S", 0.05)
-            monkeypatch.setattr(server, "BODY_SPAN_S", 0.05)
+            monkeypatch.setattr(client_options, "READ_S", 0.05)
+            monkeypatch.setattr(request_reader, "BODY_SPAN_S", 0.05)
             raw.put(b"POST /pay HTTP/1.1\r\nX-Txn: slow\r\nContent-Length: 60000\r\n\r\n")
             answer = asyncio.get_running_loop().create_task(
                 asyncio.get_running_loop().sock_recv(raw.socket, 65536)
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -15,7 +15,7 @@
 
 import pytest
 
-from passpost import server
+from passpost import client_options, connection_bounds, server
 from passpost.discovery import parse_address
 from tests.loopback import (
     OK,
@@ -345,12 +345,12 @@
 
 def test_a_drain_serves_its_callers_to_the_last_call(monkeypatch: pytest.MonkeyPatch) -> None:
     # With one balancer in a zone they have nowhere else to go until it is back.
-    monkeypatch.setattr(server, "ACCEPT_AFTER_STOP_S", 0.0)
+    monkeypatch.setattr(client_options, "ACCEPT_AFTER_STOP_S", 0.0)
 
     async def test() -> None:
         async with balancer(FakeServer()) as b:
             first = await b.connect()
-            await until(lambda: bool(b.node.server._connections))
+            await until(lambda: bool(b.node.server.acceptor.connections))
             drained = asyncio.get_running_loop().create_task(b.node.server.drain(100.0))
             for client in (first, first, await b.connect()):
                 answer = await client.ask()
@@ -371,7 +371,7 @@
         upstreams = [FakeServer(silent) for _ in range(4)]
         async with balancer(*upstreams) as b:
             callers = [await b.connect() for _ in range(8)]
-            await until(lambda: len(b.node.server._connections) == 8)
+            await until(lambda: len(b.node.server.acceptor.connections) == 8)
             drained = asyncio.get_running_loop().create_task(b.node.server.drain(100.0))
             await until(lambda: b.node.server.draining)
             for caller in callers[:6]:
@@ -407,7 +407,7 @@
             drained = asyncio.get_running_loop().create_task(b.node.server.drain(PATIENCE))
             await asyncio.sleep(0)
             late = await b.connect()
-            b.node.server._ends -= PATIENCE - server.LAST_CALL_S  # the last call
+            b.node.server._ends -= PATIENCE - client_options.LAST_CALL_S  # the last call
             await until(lambda: b.node.server.closing)
             answer = await late.ask()
             assert answer is not None and answer.status == 200 and not answer.reusable
@@ -454,11 +454,11 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     # Callers that ask once and stay would hold what others need to come in at all.
-    monkeypatch.setattr(server, "CROWDED_IDLE_S", 0.0)
+    monkeypatch.setattr(connection_bounds, "CROWDED_IDLE_S", 0.0)
 
     async def test() -> None:
         async with balancer(FakeServer()) as b:
-            b.node.server._max_open = 4
+            b.node.server.acceptor._most = 4
             first, second = await b.connect(), await b.connect()
             for client in (first, second):
                 answer = await client.ask()
@@ -499,7 +499,7 @@
 
         upstream = FakeServer(reply)
         async with balancer(upstream) as b:
-            b.node.server._max_open = 2
+            b.node.server.acceptor._most = 2
             first, second = await b.connect(), await b.connect()
             assert await first.ask(X_Txn="quick") is not None
             second.send()
@@ -510,8 +510,8 @@
             await until(lambda: len(upstream.got) == 3)
             fourth = await b.connect()  # in the queue: both others are busy
             fourth.send()
-            await until(lambda: not b.node.server._accepting)
-            assert len(b.node.server._connections) == 2
+            await until(lambda: not b.node.server.acceptor._is_accepting)
+            assert len(b.node.server.acceptor.connections) == 2
             second.writer.close()
             await until(lambda: len(upstream.got) == 4)
 
@@ -526,13 +526,15 @@
 
     async def test() -> None:
         async with balancer(FakeServer()) as b:
-            b.node.server._max_open = 2
+            b.node.server.acceptor._most = 2
             used = await b.connect()
             assert await used.ask() is not None
             useless = await b.connect()
             useless.writer.write(sent)
-            await until(lambda: sum(c._reading for c in b.node.server._connections) == bool(sent))
-            await until(lambda: len(b.node.server._connections) == 2)
+            await until(
+                lambda: sum(c.reader.is_in_request for c in b.node.server.acceptor.connections) == bool(sent)
+            )
+            await until(lambda: len(b.node.server.acceptor.connections) == 2)
             another = await b.connect()
             assert await useless.answer() is None
             for client in (used, another):
@@ -543,21 +545,21 @@
 
 
 def test_a_caller_that_does_not_read_does_not_fill_our_memory(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(server, "UNREAD_S", PATIENCE)
+    monkeypatch.setattr(connection_bounds, "UNREAD_S", PATIENCE)
 
     async def test() -> None:
         async with balancer(FakeServer()) as b:
             client = await b.connect()
             one = b"GET /health/ready HTTP/1.1\r\n\r\n"
             sent = 0
-            await until(lambda: bool(b.node.server._connections))
-            (connection,) = b.node.server._connections
-            while not (connection._clogged and connection._waiting):
+            await until(lambda: bool(b.node.server.acceptor.connections))
+            (connection,) = b.node.server.acceptor.connections
+            while not (connection.answer.is_clogged and connection.reader.waiting):
                 if client.writer.transport.get_write_buffer_size() == 0:
                     client.writer.write(one * 1_000)
                     sent += 1_000
                 await asyncio.sleep(0)
-            assert connection._transport is not None and not connection._transport.is_reading()
+            assert connection.transport.is_attached() and not connection.transport.is_reading()
             answered = 0
             while answered < sent:  # no request was dropped meanwhile
                 answered += (await client.reader.readuntil(b"\r\n\r\n")).count(b" 200 ")
@@ -569,21 +571,21 @@
 def test_an_unread_answer_holds_up_neither_us_nor_a_drain(
     monkeypatch: pytest.MonkeyPatch, draining: bool
 ) -> None:
-    monkeypatch.setattr(server, "UNREAD_S", PATIENCE)
+    monkeypatch.setattr(connection_bounds, "UNREAD_S", PATIENCE)
 
     async def test() -> None:
         async with balancer(FakeServer()) as b:
             client = await b.connect()
-            await until(lambda: bool(b.node.server._connections))
-            (connection,) = b.node.server._connections
-            connection._write(b"x" * 64 * 1024 * 1024)  # more than the kernel's buffers take
+            await until(lambda: bool(b.node.server.acceptor.connections))
+            (connection,) = b.node.server.acceptor.connections
+            connection.transport.write(b"x" * 64 * 1024 * 1024)  # more than the kernel's buffers take
             if draining:
                 await b.node.server.drain(0.0)
             else:
                 client.send()  # ahead: it waits until the answer before it has been read
-                await until(lambda: bool(connection._waiting))
-                monkeypatch.setattr(server, "UNREAD_S", 0.0)
-            await until(lambda: not b.node.server._connections)
+                await until(lambda: bool(connection.reader.waiting))
+                monkeypatch.setattr(connection_bounds, "UNREAD_S", 0.0)
+            await until(lambda: not b.node.server.acceptor.connections)
             assert not client.writer.is_closing()  # it was we who ended it
 
     run(test())
@@ -595,9 +597,9 @@
         async with balancer(FakeServer()) as b:
             client = await b.connect()
             assert await client.ask() is not None
-            (connection,) = b.node.server._connections
+            (connection,) = b.node.server.acceptor.connections
             client.writer.write(b"\r\n")
-            await until(lambda: connection._head_size == 2)
+            await until(lambda: connection.reader._head_size == 2)
             assert connection.is_idle()
             answer = await client.ask()
             assert answer is not None and answer.status == 200
@@ -651,8 +653,8 @@
             client = await b.connect()
             if used:
                 assert await client.ask() is not None
-            monkeypatch.setattr(server, "READ_S", 0.05)
-            monkeypatch.setattr(server, "IDLE_S", 0.05)
+            monkeypatch.setattr(client_options, "READ_S", 0.05)
+            monkeypatch.setattr(client_options, "IDLE_S", 0.05)
             client.writer.write(first)
             waiting = asyncio.get_running_loop().create_task(client.answer())
             while not waiting.done():
