--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -45,3 +45,10 @@
         word for word in deploy["build"].replace("(", " ").replace(")", " ").split() if word.isalnum()
     }
     assert commands & {"python3", "touch", "cmp", "cp", "git", "make", "gcc", "cc"} == {"python3", "touch"}
+
+
+def test_each_role_names_where_its_figures_are() -> None:
+    """PORT/PATH: the purpose of a port in `listen`, and a path that the role answers."""
+    deploy = tomllib.loads((DEPLOY.parent / "system.toml").read_text())
+    told = {name: role["metrics"] for name, role in deploy["roles"].items()}
+    assert told == {"balancer": "readyz/metrics", "control": "ctl/metrics"}
