Split the simulator of the control state by concern: bounds, and troubles of machines and of links

Change: shape.py, liveness.py (what has to happen within a time, and how long it took), machine_troubles.py and network_troubles.py. No behaviour.

--- a/mastturn/control_check/__main__.py
+++ b/mastturn/control_check/__main__.py
@@ -23,8 +23,8 @@
 from mastturn.control_check.losses import cases, losses_table, play_cases
 from mastturn.control_check.pictures import takeovers
 from mastturn.control_check.planted import SEARCHED, brief, ends_at_once, failed_syncs, shrinks
+from mastturn.control_check.shape import STORM_AIR, Shape
 from mastturn.control_check.state import Bounds
-from mastturn.control_check.world import STORM_AIR, Shape
 from mastturn.files import LabError
 
 SEARCHES = {
--- a/mastturn/control_check/history.py
+++ b/mastturn/control_check/history.py
@@ -10,8 +10,9 @@
 from consensus.replica import Replica
 from mastturn.control_check.overlaps import Overlaps
 from mastturn.control_check.rules import BrokenRuleError
+from mastturn.control_check.shape import Make, Shape, Takeover
 from mastturn.control_check.troubles import Troubles
-from mastturn.control_check.world import Make, Shape, Takeover, World
+from mastturn.control_check.world import World
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,9 +57,9 @@
         world.rules.acknowledged,
         world.rules.reads,
         world.views,
-        tuple(world.gaps),
-        tuple(world.slots_taken),
-        tuple(world.healed),
+        tuple(world.liveness.gaps),
+        tuple(world.liveness.slots_taken),
+        tuple(world.liveness.healed),
         max(o.slowest for o in world.operators),
         tuple(world.story or ()),
     )
--- a/mastturn/control_check/kept.py
+++ b/mastturn/control_check/kept.py
@@ -10,8 +10,8 @@
 
 from mastturn.control_check.explore import Found
 from mastturn.control_check.history import History
+from mastturn.control_check.shape import Shape, Takeover
 from mastturn.control_check.state import Bounds
-from mastturn.control_check.world import Shape, Takeover
 from mastturn.files import LabError
 
 AIM_MS = 1_500.0
--- a/mastturn/control_check/overlaps.py
+++ b/mastturn/control_check/overlaps.py
@@ -10,9 +10,11 @@
 from collections.abc import Callable
 
 from mastturn.control_check.machine import Machine
+from mastturn.control_check.machine_troubles import LOOK_MS
 from mastturn.control_check.rules import BrokenRuleError
-from mastturn.control_check.troubles import BEGIN_MS, END_MS, LOOK_MS, Troubles
-from mastturn.control_check.world import Takeover, World
+from mastturn.control_check.shape import Takeover
+from mastturn.control_check.troubles import BEGIN_MS, END_MS, Troubles
+from mastturn.control_check.world import World
 
 WAVE_MS = 2_000.0  # the troubles of a wave begin within this
 RECOVERY_MS = 6_000.0  # after the last return somebody answers, and all are members; half of what is allowed
@@ -29,20 +31,21 @@
         self._pending = 0
         self._began = 0.0
         self._stays = [
-            self._kill,
-            self._power,
-            self._freeze,
-            self._isolate,
-            self._deaf,
-            self._mute,
-            self._pair,
-            self._full,
-            self._hang,
-            self._slow,
-            self._term,
-            self._flap,
+            self._machine.kill,
+            self._machine.power,
+            self._machine.freeze,
+            self._network.isolate,
+            self._network.deaf,
+            self._network.mute,
+            self._network.pair,
+            self._machine.full,
+            self._machine.hang,
+            self._machine.slow,
+            self._machine.term,
+            self._network.flap,
         ]
-        self._loses = [self._wipe, self._wipe, self._replace, self._replace_planned]
+        machine = self._machine
+        self._loses = [machine.wipe, machine.wipe, machine.replace, machine.replace_planned]
 
     def begin(self) -> None:
         """The first wave."""
@@ -52,7 +55,7 @@
         world, chance = self._world, self._world.chance
         if world.now > world.shape.length_ms - END_MS - RECOVERY_MS - HALVES_MS[1]:
             return
-        world.is_disturbed = True
+        world.liveness.is_disturbed = True
         machines = [m for m in world.machines.values() if m.replica is not None]
         chance.shuffle(machines)
         struck = machines[: chance.randint(1, len(machines))]
@@ -114,10 +117,10 @@
         self._began = max(self._began, self._herd_at + 1_000.0)
         running = [m for m in world.machines.values() if m.replica is not None]
         whole = len(running) == len(world.machines) and all(map(world.is_member, running))
-        if whole and world.answered_at > self._began:
-            world.healed.append(Takeover("recovery", world.now - self._began))
-            world.is_disturbed = False
-            world.calm_since = world.now
+        if whole and world.liveness.answered_at > self._began:
+            world.liveness.healed.append(Takeover("recovery", world.now - self._began))
+            world.liveness.is_disturbed = False
+            world.liveness.changed()
             world.later(self._ago(0.0, 1_000.0), self._wave)
         elif world.now - self._began > RECOVERY_MS:
             raise BrokenRuleError(
--- a/mastturn/control_check/planted.py
+++ b/mastturn/control_check/planted.py
@@ -27,8 +27,8 @@
 from mastturn.control_check.history import History, play
 from mastturn.control_check.local import Make
 from mastturn.control_check.losses import Outcome, Replacement, cases
+from mastturn.control_check.shape import STORM_AIR, Shape
 from mastturn.control_check.state import Bounds
-from mastturn.control_check.world import STORM_AIR, Shape
 
 PROMISED_TO_1 = ("run 1", "sync 1", "deliver Prepare 1 2")
 TAKEN_OVER = (
--- a/mastturn/control_check/troubles.py
+++ b/mastturn/control_check/troubles.py
@@ -5,11 +5,12 @@
 from collections.abc import Callable
 
 from mastturn.control_check.machine import Machine
-from mastturn.control_check.world import Takeover, World
+from mastturn.control_check.machine_troubles import LOOK_MS, MachineTroubles
+from mastturn.control_check.network_troubles import NetworkTroubles
+from mastturn.control_check.shape import Takeover
+from mastturn.control_check.world import World
 
 SYNC_MS = 4_000.0  # a machine counts as lost for so long after its return
-LOOK_MS = 25.0
-STAY_MS = 5_600.0  # a process that is told to stop is killed after that
 BEGIN_MS = 5_000.0
 END_MS = 8_000.0  # the last of a history: no new troubles, so that what was acknowledged is read back
 
@@ -23,28 +24,29 @@
         self._troubled: set[str] = set()  # those of them whose trouble is not over
         self._herd_at = -1e9
         self._successors: dict[str, str] = {}  # who came in the place of a machine that is gone, by IP
-        self._machines_made = world.shape.machines
+        machine, network = MachineTroubles(world, self._joined, self._wiped), NetworkTroubles(world)
+        self._machine, self._network = machine, network
         self._kinds: list[Callable[[Machine, Callable[[], None]], None]] = [
-            self._kill,
-            self._power,
-            self._wipe,
-            self._wipe,
-            self._replace,
-            self._freeze,
-            self._freeze,
-            self._isolate,
-            self._isolate,
-            self._deaf,
-            self._mute,
-            self._pair,
-            self._full,
-            self._hang,
-            self._slow,
-            self._term,
-            self._flap,
+            machine.kill,
+            machine.power,
+            machine.wipe,
+            machine.wipe,
+            machine.replace,
+            machine.freeze,
+            machine.freeze,
+            network.isolate,
+            network.isolate,
+            network.deaf,
+            network.mute,
+            network.pair,
+            machine.full,
+            machine.hang,
+            machine.slow,
+            machine.term,
+            network.flap,
         ]
         if world.shape.eager:
-            self._kinds += [self._replace_planned, self._replace_planned]
+            self._kinds += [machine.replace_planned, machine.replace_planned]
 
     def begin(self) -> None:
         """Let the lanes run, and something befall everybody now and then."""
@@ -78,11 +80,11 @@
         ip = machine.ip
 
         def returned() -> None:
-            world.calm_since = world.now
+            world.liveness.changed()
             self._troubled.discard(ip)
             world.tell(f"over {ip}")
             if world.shape.eager:
-                self._await_member(kind.__name__.strip("_"), ip, world.now, over)
+                self._await_member(kind.__name__, ip, world.now, over)
             else:
                 world.later(SYNC_MS, rested)
 
@@ -113,9 +115,23 @@
             world.later(LOOK_MS, lambda: self._await_member(what, ip, since, over))
             return
         if what:
-            world.healed.append(Takeover(what, world.now - since))
+            world.liveness.healed.append(Takeover(what, world.now - since))
         over()
 
+    def _joined(self, gone: str, ip: str) -> None:
+        """Another machine runs in the place of one: it counts as lost until it is a member."""
+        self._successors[gone] = ip
+        self._lost.add(ip)
+        if self._world.shape.eager:
+            self._await_member("", ip, self._world.now, lambda: self._lost.discard(ip))
+        else:
+            self._world.later(SYNC_MS, lambda: self._lost.discard(ip))
+
+    def _wiped(self) -> None:
+        """Some lose their disks while all others lose power."""
+        if self._world.shape.storm and self._world.chance.random() < 0.5:
+            self._herd()
+
     def _somebody_waits(self) -> bool:
         """Whether a process runs that has no slot."""
         running = [m.replica for m in self._world.machines.values() if m.replica is not None]
@@ -124,211 +140,6 @@
     def _ago(self, least: float, most: float) -> float:
         return self._world.chance.uniform(least, most)
 
-    def _kill(self, machine: Machine, returned: Callable[[], None]) -> None:
-        self._down("kill", machine, returned, wipe=False, power=False)
-
-    def _power(self, machine: Machine, returned: Callable[[], None]) -> None:
-        self._down("power", machine, returned, wipe=False, power=True)
-
-    def _wipe(self, machine: Machine, returned: Callable[[], None]) -> None:
-        self._down("wipe", machine, returned, wipe=True, power=True)
-        if self._world.shape.storm and self._world.chance.random() < 0.5:
-            self._herd()  # some lose their disks while all others lose power
-
-    def _down(
-        self, what: str, machine: Machine, returned: Callable[[], None], wipe: bool, power: bool
-    ) -> None:
-        world = self._world
-        world.trouble(f"{what} {machine.ip}", machine)
-        machine.end(power)
-        if wipe:
-            machine.disk.wipe(world.identity())
-
-        def back() -> None:
-            world.restart(machine)
-            returned()
-
-        world.later(self._ago(100, 900) if world.chance.random() < 0.7 else self._ago(900, 5_000), back)
-
-    def _replace(self, machine: Machine, returned: Callable[[], None]) -> None:
-        world = self._world
-        world.trouble(f"replace {machine.ip}", machine)
-        if world.chance.random() < 0.5 and machine.replica is not None:
-            replica = machine.replica
-            machine.run(lambda: replica.stop(machine.clock()))
-        other_ip = self._next_ip()
-
-        def back() -> None:
-            self._join(machine, other_ip)
-            returned()
-
-        world.later(self._ago(0, 300), lambda: world.remove(machine.ip))
-        world.later(self._ago(300, 3_000), back)
-
-    def _next_ip(self) -> str:
-        index = self._machines_made
-        self._machines_made += 1
-        return f"10.0.{index}.1"
-
-    def _join(self, machine: Machine, ip: str) -> None:
-        """Another machine starts in the place of one, with an empty disk."""
-        world = self._world
-        other = world.add(f"core-{ip.split('.')[2]}", ip, machine.zone)
-        self._successors[machine.ip] = ip
-        self._lost.add(ip)
-        world.restart(other)
-        world.calm_since = world.now
-        if world.shape.eager:
-            self._await_member("", ip, world.now, lambda: self._lost.discard(ip))
-        else:
-            world.later(SYNC_MS, lambda: self._lost.discard(ip))
-
-    def _replace_planned(self, machine: Machine, returned: Callable[[], None]) -> None:
-        """The new one comes first; the old one is told to stop, and goes for good once it has ended."""
-        world = self._world
-        self._join(machine, self._next_ip())
-
-        def stop() -> None:
-            world.trouble(f"planned {machine.ip}", machine)
-            self._stop(machine, gone)
-
-        def gone() -> None:
-            if machine.ip in world.machines:
-                world.remove(machine.ip)
-            returned()
-
-        world.later(self._ago(200, 4_000), stop)
-
-    def _stop(self, machine: Machine, ended: Callable[[], None]) -> None:
-        """Tell a process to stop; it ends once it may, or is killed after a while."""
-        world = self._world
-        replica = machine.replica
-        until = world.now + STAY_MS
-        if replica is None:
-            ended()
-            return
-        machine.run(lambda: replica.stop(machine.clock()))
-
-        def look() -> None:
-            if machine.replica is not replica:
-                ended()
-            elif world.now >= until or replica.may_end():
-                machine.run(lambda: replica.resign(machine.clock()))
-                world.later(LOOK_MS, end)
-            else:
-                world.later(LOOK_MS, look)
-
-        def end() -> None:
-            if machine.replica is replica:
-                machine.end(False)
-            ended()
-
-        look()
-
-    def _freeze(self, machine: Machine, returned: Callable[[], None]) -> None:
-        world = self._world
-        world.trouble(f"freeze {machine.ip}", machine)
-        machine.freeze()
-
-        def thaw() -> None:
-            world.calm_since = world.now
-            if machine.frozen:
-                machine.thaw()
-            returned()
-
-        world.later(self._ago(100, 7_000), thaw)
-
-    def _cut(
-        self, what: str, machine: Machine, pairs: set[tuple[str, str]], returned: Callable[[], None]
-    ) -> None:
-        world = self._world
-        world.trouble(f"{what} {machine.ip}", machine)
-        world.network.cut(pairs)
-
-        def heal() -> None:
-            world.calm_since = world.now
-            world.network.join(pairs)
-            returned()
-
-        world.later(self._ago(200, 8_000), heal)
-
-    def _others(self, machine: Machine) -> list[str]:
-        made = [f"10.0.{i}.1" for i in range(self._machines_made + 4)]
-        return [ip for ip in made if ip != machine.ip]
-
-    def _isolate(self, machine: Machine, returned: Callable[[], None]) -> None:
-        others = self._others(machine)
-        pairs = {(machine.ip, o) for o in others} | {(o, machine.ip) for o in others}
-        self._cut("isolate", machine, pairs, returned)
-
-    def _deaf(self, machine: Machine, returned: Callable[[], None]) -> None:
-        self._cut("deaf", machine, {(o, machine.ip) for o in self._others(machine)}, returned)
-
-    def _mute(self, machine: Machine, returned: Callable[[], None]) -> None:
-        self._cut("mute", machine, {(machine.ip, o) for o in self._others(machine)}, returned)
-
-    def _pair(self, machine: Machine, returned: Callable[[], None]) -> None:
-        other = self._world.chance.choice([ip for ip in self._world.machines if ip != machine.ip])
-        pairs = {(machine.ip, other), (other, machine.ip)}
-        if self._world.chance.random() < 0.3:
-            pairs = {(machine.ip, other)}
-        self._cut("pair", machine, pairs, returned)
-
-    def _flap(self, machine: Machine, returned: Callable[[], None]) -> None:
-        """Cut and healed again and again."""
-        world = self._world
-        others = self._others(machine)
-        pairs = {(machine.ip, o) for o in others} | {(o, machine.ip) for o in others}
-        world.trouble(f"flap {machine.ip}", machine)
-        at = 0.0
-        for _ in range(world.chance.randint(2, 6)):
-            world.later(at, lambda: self._change(pairs, True))
-            at += self._ago(50, 900)
-            world.later(at, lambda: self._change(pairs, False))
-            at += self._ago(50, 900)
-        world.later(at, returned)
-
-    def _change(self, pairs: set[tuple[str, str]], cut: bool) -> None:
-        self._world.calm_since = self._world.now
-        if cut:
-            self._world.network.cut(pairs)
-        else:
-            self._world.network.join(pairs)
-
-    def _disk(self, what: str, machine: Machine, returned: Callable[[], None]) -> None:
-        world = self._world
-        world.trouble(f"{what} {machine.ip}", machine)
-
-        def well() -> None:
-            world.calm_since = world.now
-            machine.disk.well()
-            returned()
-
-        world.later(self._ago(300, 7_000), well)
-
-    def _full(self, machine: Machine, returned: Callable[[], None]) -> None:
-        machine.disk.refuses = True
-        self._disk("full", machine, returned)
-
-    def _hang(self, machine: Machine, returned: Callable[[], None]) -> None:
-        machine.disk.hangs = True
-        self._disk("hang", machine, returned)
-
-    def _slow(self, machine: Machine, returned: Callable[[], None]) -> None:
-        machine.disk.slow = self._world.chance.choice((10.0, 60.0, 300.0))
-        self._disk("slow", machine, returned)
-
-    def _term(self, machine: Machine, returned: Callable[[], None]) -> None:
-        """The process is told to stop, and starts again."""
-        world = self._world
-        world.trouble(f"term {machine.ip}", machine)
-
-        def back() -> None:
-            world.restart(machine)
-            returned()
-
-        self._stop(machine, lambda: world.later(self._ago(50, 2_000), back))
-
     def _herd(self) -> None:
         """All processes are killed, or lose power, at once; those that were down stay so."""
         world = self._world
@@ -363,7 +174,7 @@
 
     def _back(self, machine: Machine) -> Callable[[], None]:
         def back() -> None:
-            self._world.calm_since = self._world.now
+            self._world.liveness.changed()
             self._world.restart(machine)
 
         return back
--- a/mastturn/control_check/world.py
+++ b/mastturn/control_check/world.py
@@ -5,53 +5,22 @@
 import heapq
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 
-from consensus.effects import Committed, Lead, Reply, Spec, Verdict
+from consensus.effects import Committed, Lead, Reply, Spec
 from consensus.messages import Message
 from consensus.primary import Command, Get
 from consensus.replica import Replica
 from consensus.views import Member, Memory
+from mastturn.control_check.liveness import Liveness
 from mastturn.control_check.machine import Machine
-from mastturn.control_check.network import Air, Network
+from mastturn.control_check.network import Network
 from mastturn.control_check.operators import Operator
 from mastturn.control_check.rules import BrokenRuleError, Rules
+from mastturn.control_check.shape import Make, Shape
 
 SEED_LAG_MS = 3_000.0
 SETTINGS_MS = 2_000.0  # a process looks for new settings so often
-DISK_TROUBLES = ("full", "hang", "slow")
-PROBE_MS = 500.0
-GAP_PROBE_MS = 20.0
-ANSWER_MS = 3_000.0  # a majority that is calm for so long has a primary that answers
-
-Make = Callable[[Member, Memory, Spec, tuple[str, ...], bool, int], Replica]
-
-
-@dataclass(frozen=True, slots=True)
-class Shape:
-    """What is played."""
-
-    machines: int
-    losses: int
-    sync_ms: float = 1.0
-    length_ms: float = 60_000.0
-    air: Air = field(default_factory=Air)
-    jumps: bool = False  # the clocks that processes measure by jump, which steady clocks never do
-    repeats: bool = False  # operators send changes of before once more
-    eager: bool = False  # the next machine is lost as soon as the one before is a full member again
-    overlaps: bool = False  # any number in trouble at once, with no more disks lost than may be
-    storm: bool = False  # all are killed every few seconds: only what must never happen is judged
-
-
-STORM_AIR = Air(slow_share=0.08, slow_ms=1_500.0, lost_share=0.02, repeated_share=0.05)
-
-
-@dataclass(frozen=True, slots=True)
-class Takeover:
-    """How long it took after a trouble until somebody answered, or until it was healed; milliseconds."""
-
-    trouble: str
-    took_ms: float
 
 
 class World:
@@ -73,17 +42,9 @@
         ]
         self._calls: dict[int, tuple[Operator | None, Command, float]] = {}
         self._identities = 0
-        self.calm_since = 0.0  # the last change of any trouble
-        self.answered_at = 0.0  # when a question asked since then was last answered
-        self._probe_asked = 0.0
-        self.gaps: list[Takeover] = []
-        self._open: tuple[str, float] | None = None  # a trouble of the primary that nobody has made up for
-        self._open_write: tuple[str, float] | None = None  # a trouble of the primary's disk
         self.views = 0
-        self.slots_taken: list[float] = []
-        self.healed: list[Takeover] = []  # from the return of a machine until it was a full member again
-        self._slotless: dict[str, tuple[float, int]] = {}  # ip: since when it runs without a slot, its life
-        self.is_disturbed = False  # more may be in trouble than is to be borne: nothing has to be answered
+        self.made = shape.machines  # machines, in all
+        self.liveness = Liveness(self)
         self.on_acknowledged: Callable[[], None] | None = None
         self.heeds_refusals = True
         self.story: list[str] | None = None  # kept on request
@@ -115,9 +76,7 @@
             self.later(self.chance.uniform(0, 300), self._starter(machine, ips[:3], index == 0))
         for operator in self.operators:
             self.later(1_500.0 + self.chance.uniform(0, 300), operator.begin)
-        self.later(2_000.0, self._probe)
-        if not self.shape.storm:
-            self.later(100.0, self._watch)
+        self.liveness.begin(watches=not self.shape.storm)
 
     def _starter(self, machine: Machine, seeds: tuple[str, ...], founder: bool) -> Callable[[], None]:
         return lambda: machine.start(seeds, founder)
@@ -131,6 +90,11 @@
         self._list()
         return machine
 
+    def next_ip(self) -> str:
+        """The address of a machine to come."""
+        self.made += 1
+        return f"10.0.{self.made - 1}.1"
+
     def remove(self, ip: str) -> None:
         """A machine goes for good."""
         machine = self.machines.pop(ip)
@@ -154,8 +118,7 @@
             assert machine.replica is not None
             if self.shape.eager or self.shape.overlaps:
                 self.later(SETTINGS_MS, lambda: self._follow(machine))
-            if machine.replica.memory.slot() is None:
-                self._slotless[machine.ip] = (self.now, machine.life)
+            self.liveness.started(machine)
 
     def identity(self) -> str:
         """A new one."""
@@ -199,28 +162,16 @@
             self.story.append(f"{self.now:9.1f} {what}")
 
     def trouble(self, what: str, machine: Machine | None) -> None:
-        """Something changes; of what befalls the primary it is measured how long nobody answers."""
+        """Something changes."""
         self.tell(what)
-        self.calm_since = self.now
-        kind = what.split()[0]
-        if self._open is not None:
-            self._open = (f"{self._open[0]}+{kind}", self._open[1])
-        elif machine is None or machine is self.primary():
-            self._open = (kind, self.now)
-            self.later(0.0, self._probe_gap)
-        if kind in DISK_TROUBLES and machine is self.primary():
-            self._open_write = (f"{kind}, write", self.now)
-        elif self._open_write is not None:
-            self._open_write = None  # two at once tell nothing of one
+        self.liveness.troubled(what.split()[0], machine)
 
     def acknowledged(self, operator: Operator) -> None:
         """An operator's change was acknowledged."""
         then, self.on_acknowledged = self.on_acknowledged, None
         if then is not None:
             self.later(self.chance.uniform(0.0, 5.0), then)
-        if self._open_write is not None and operator.since >= self._open_write[1]:
-            self.gaps.append(Takeover(self._open_write[0], self.now - operator.since))
-            self._open_write = None
+        self.liveness.acknowledged(operator)
 
     # ---- what the machines ask for
 
@@ -253,7 +204,7 @@
         if command is None:
             raise BrokenRuleError("one answer", f"a second one for call {reply.token}")
         if operator is None:
-            self._probed(reply, asked)
+            self.liveness.probed(reply, asked)
             return
         replica = machine.replica
         leader = replica.leader() if replica is not None else None
@@ -271,6 +222,10 @@
         ip = operator.hint if operator.hint in self.machines else ips[operator.tried % len(ips)]
         self.later(self.chance.uniform(2, 5), lambda: self._submit(ip, command, operator))
 
+    def ask(self, machine: Machine) -> None:
+        """Bring a read to a machine, on behalf of nobody."""
+        self._submit(machine.ip, Get(0), None)
+
     def _submit(self, ip: str, command: Command, operator: Operator | None) -> None:
         machine = self.machines.get(ip)
         if machine is None or machine.replica is None:
@@ -284,69 +239,3 @@
                 machine.replica.submit(replace(command, token=token), machine.clock())
 
         machine.run(call)
-
-    def _probe(self) -> None:
-        machine = self.primary()
-        if machine is not None:
-            self._submit(machine.ip, Get(0), None)
-        self.later(PROBE_MS, self._probe)
-
-    def _probe_gap(self) -> None:
-        if self._open is None:
-            return
-        machine = self.primary()
-        if machine is not None:
-            self._submit(machine.ip, Get(0), None)
-        self.later(GAP_PROBE_MS, self._probe_gap)
-
-    def _probed(self, reply: Reply, asked: float) -> None:
-        if reply.verdict is not Verdict.DONE:
-            return
-        self.answered_at = max(self.answered_at, asked)
-        if self._open is not None and asked >= self._open[1]:
-            trouble, since = self._open
-            self._open = None
-            self.gaps.append(Takeover(trouble, self.now - since))
-
-    def _is_apart(self, ip: str) -> bool:
-        """Whether a machine and the primary can't speak to each other."""
-        primary = self.primary()
-        cuts = self.network.cuts
-        return primary is not None and ((ip, primary.ip) in cuts or (primary.ip, ip) in cuts)
-
-    def _reaches_a_seed(self, machine: Machine) -> bool:
-        """Whether one of the seeds that a process knows is in touch with it: they are all that it is told."""
-        assert machine.replica is not None
-        return any(self._are_in_touch(machine.ip, seed) for seed in machine.replica.seeds())
-
-    def _are_in_touch(self, ip: str, other: str) -> bool:
-        """Whether another machine is there, runs, and both hear one another."""
-        there, cuts = self.machines.get(other), self.network.cuts
-        runs = there is not None and there.replica is not None and not there.frozen
-        return runs and (ip, other) not in cuts and (other, ip) not in cuts
-
-    def _watch(self) -> None:
-        """What has to happen within a time does."""
-        self.later(100.0, self._watch)
-        if self.is_disturbed:
-            self.calm_since = self.now
-            self._slotless = {ip: (self.now, life) for ip, (_, life) in self._slotless.items()}
-            return
-        since = max(self.calm_since, 1_000.0)
-        if self.now - since > ANSWER_MS and self.now - max(self.answered_at, since) > ANSWER_MS:
-            raise BrokenRuleError("an answer", f"nobody has answered since {self.answered_at:.0f}")
-        for operator in self.operators:
-            waits = operator.is_waiting() and operator.since
-            if waits and self.now - max(waits, since) > ANSWER_MS + 1_000.0:
-                raise BrokenRuleError("an answer", f"{operator.name} has waited since {waits:.0f}")
-        for ip, (began, life) in list(self._slotless.items()):
-            machine = self.machines.get(ip)
-            if machine is None or machine.replica is None or machine.life != life or machine.frozen:
-                del self._slotless[ip]
-            elif machine.replica.memory.slot() is not None:
-                self.slots_taken.append(self.now - began)
-                del self._slotless[ip]
-            elif self._is_apart(ip) or not self._reaches_a_seed(machine):
-                self._slotless[ip] = (self.now, life)
-            elif self.now - max(began, self.calm_since) > 4_000.0:
-                raise BrokenRuleError("a slot", f"{ip} has none since {began:.0f}")
--- a/tests/test_consensus_history.py
+++ b/tests/test_consensus_history.py
@@ -17,7 +17,7 @@
 from mastturn.control_check.history import play
 from mastturn.control_check.lockstep import Lockstep
 from mastturn.control_check.network import Air
-from mastturn.control_check.world import STORM_AIR, Shape
+from mastturn.control_check.shape import STORM_AIR, Shape
 
 BODY = b"x" * 2_000
 
--- a/tests/test_control_check.py
+++ b/tests/test_control_check.py
@@ -10,7 +10,7 @@
 from mastturn.control_check.__main__ import SEARCHES, main
 from mastturn.control_check.history import History
 from mastturn.control_check.kept import Series, keep, read, summed, takeovers_table
-from mastturn.control_check.world import Shape, Takeover
+from mastturn.control_check.shape import Shape, Takeover
 from mastturn.files import LabError
 
 
--- a/tests/test_replica_defects.py
+++ b/tests/test_replica_defects.py
@@ -27,8 +27,9 @@
     shrinks,
 )
 from mastturn.control_check.rules import BrokenRuleError
+from mastturn.control_check.shape import Shape
 from mastturn.control_check.state import Bounds
-from mastturn.control_check.world import Shape, World
+from mastturn.control_check.world import World
 
 
 def caught(found: Found, rule: str) -> None:
--- a/tests/test_replica_histories.py
+++ b/tests/test_replica_histories.py
@@ -6,7 +6,8 @@
 
 from mastturn.control_check.history import History, play
 from mastturn.control_check.network import Air
-from mastturn.control_check.world import STORM_AIR, Shape, World
+from mastturn.control_check.shape import STORM_AIR, Shape
+from mastturn.control_check.world import World
 
 FOUND = ((3, 159), (3, 814), (5, 426), (5, 30531), (3, 40151))  # histories that have shown a fault
 
