--- a/passpost/request_reader.py
+++ b/passpost/request_reader.py
@@ -94,12 +94,18 @@
         self.upload: Upload | None = None  # its body, if that is passed on as it comes
         self.sending: Request | None = None  # the request with that body
         self.unparsed = b""  # what came behind requests that wait
+        self._came = 0.0  # when its last byte did
         self.is_held_back = False  # whoever gets its body is behind
         self.waiting: deque[Request] = deque()
         self.bad = 0  # the status that ends this connection once all before it is answered
 
     # ---- parsing
 
+    def feed(self, data: bytes | memoryview) -> None:
+        """Bytes have come, split anywhere; `parse` takes what there is a use for."""
+        self.unparsed += data
+        self._came = time.monotonic()
+
     def parse(self) -> None:
         """Take what has come up to the next whole request; with one that waits, others have their turn."""
         while self.unparsed and self.may_parse() and not self.bad:
@@ -199,7 +205,7 @@
                 self._begin_upload()
 
     def on_message_complete(self) -> None:
-        """A request is whole: its time has started."""
+        """A request is whole: its time has started, also if it has lain unparsed behind others since."""
         self.is_in_request, self.is_in_head = False, True
         if self.bad:
             return
@@ -208,7 +214,7 @@
             self._complete_upload(self.sending, keep_alive)
             return
         body, self._body = bytes(self._body), bytearray()
-        self.waiting.append(Request(self._call, body, keep_alive, time.monotonic(), version))
+        self.waiting.append(Request(self._call, body, keep_alive, self._came, version))
         if self._call is not None:
             self._server.request_is_read()
 
@@ -235,11 +241,11 @@
         self.upload = Upload(self._length, bytes(self._body), self._owner)
         self._body = bytearray()  # what it has taken of the memory stays so until its request ends
         version = self._parser.get_http_version()
-        self.sending = Request(self._call, b"", True, time.monotonic(), version, self.upload, False)
+        self.sending = Request(self._call, b"", True, self._came, version, self.upload, False)
         self.waiting.append(self.sending)
 
     def _complete_upload(self, request: Request, keep_alive: bool) -> None:
-        request.keep_alive, request.came = keep_alive, time.monotonic()
+        request.keep_alive, request.came = keep_alive, self._came
         upload, self.upload, self.sending = self.upload, None, None
         if not request.is_counted:
             request.is_counted = True
--- a/tests/test_balancer_deadlines.py
+++ b/tests/test_balancer_deadlines.py
@@ -7,7 +7,20 @@
 import pytest
 
 from balancer.balancer import END_MARGIN_S
-from tests.balancer_stage import Stage, chunk, configuration, event, playing, route, stream_head
+from balancer.upstream_call import ANSWER_GRACE_S
+from passpost.request_reader import HEAD_AT_ONCE
+from tests.balancer_stage import (
+    HOST,
+    PATH,
+    Stage,
+    chunk,
+    configuration,
+    event,
+    playing,
+    read_reply,
+    route,
+    stream_head,
+)
 from tests.loopback import Got, Writer, run
 
 SLACK_S = 0.15  # of the machine that plays this
@@ -30,6 +43,29 @@
     run(test())
 
 
+def test_time_counts_for_a_request_that_waits_behind_others_of_its_connection() -> None:
+    """Two are open or next; the third lies unparsed until the first has its answer."""
+
+    async def silent(stage: Stage, got: Got, writer: Writer) -> None:
+        await asyncio.sleep(30)
+
+    async def test() -> None:
+        async with playing(Stage("u1", "", silent), config=configuration(1, route(tries=1))) as play:
+            loop = asyncio.get_running_loop()
+            reader, writer = await asyncio.open_connection("127.0.0.1", play.port)
+            begun = loop.time()
+            for number in range(3):
+                lines = f"Host: {HOST}\r\nMastturn-Request-Id: r{number}\r\nMastturn-Deadline-Ms: 600\r\n"
+                head = f"POST {PATH} HTTP/1.1\r\n{lines}Content-Length: {2 * HEAD_AT_ONCE}\r\n\r\n"
+                writer.write(head.encode() + bytes(2 * HEAD_AT_ONCE))
+            replies = [await read_reply(reader) for _ in range(3)]
+            assert [reply.status for reply in replies] == [504, 504, 504]
+            assert loop.time() - begun < 0.6 + ANSWER_GRACE_S + SLACK_S
+            writer.close()
+
+    run(test())
+
+
 @pytest.mark.parametrize("after_s", [0.0, 0.3])
 def test_a_stop_leaves_time_to_end_though_an_upstream_is_silent(after_s: float) -> None:
     """An upstream's own word is awaited for a moment beyond the deadline: that is no time to end in."""
