Leave a process that is told to stop a sixth of its grace to end, a second at most

Half a second is little for the end of a process on a busy machine. Change: the margin is the last sixth of the grace, in which a request that is cut off is not counted, and 1 s at the most.

--- a/balancer/balancer.py
+++ b/balancer/balancer.py
@@ -44,7 +44,9 @@
 CONNS_SHARE = 0.9  # of a service's max_conns that all balancers together use
 CONNS_LEAST = 4.0  # connections to one upstream that each balancer may have
 UNKNOWN_BALANCERS = 24  # until their number is known
-END_MARGIN_S = 0.5  # before the platform kills us: for the end of the process itself
+# Before the platform kills us, for the end of the process itself: no more than the last sixth, in which the
+# operators count no request that is cut off while its upstream is at work.
+END_MARGIN_S, END_MARGIN_SHARE = 1.0, 1 / 6
 LEAST_DRAIN_S = 0.5
 FREE_S = 2.0  # a call that frees a handle is given up after this
 
@@ -68,6 +70,11 @@
         self.retries.refund()
 
 
+def end_margin(grace_s: float) -> float:
+    """So long before a process that is told to stop would be killed all its requests are over, in seconds."""
+    return min(END_MARGIN_S, END_MARGIN_SHARE * grace_s)
+
+
 def _nothing() -> None:
     """Nobody wants to be told."""
 
@@ -204,8 +211,9 @@
         """Not ready from now on; returns when all is answered, or shortly before `bounds.grace_s` ends."""
         self._draining = True
         if self._server is not None:
+            grace_s = self.settings.bounds.grace_s
             # What is open at the end has its upstream's word awaited for a moment more.
-            within = self.settings.bounds.grace_s - END_MARGIN_S - ANSWER_GRACE_S
+            within = grace_s - end_margin(grace_s) - ANSWER_GRACE_S
             await self._server.drain(max(within, LEAST_DRAIN_S))
         await self.stop()
 
--- a/tests/test_balancer_deadlines.py
+++ b/tests/test_balancer_deadlines.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from balancer.balancer import END_MARGIN_S
+from balancer.balancer import end_margin
 from balancer.upstream_call import ANSWER_GRACE_S
 from passpost.request_reader import HEAD_AT_ONCE
 from tests.balancer_stage import (
@@ -84,7 +84,7 @@
             reply = await play.ask(headers="Mastturn-Deadline-Ms: 9000\r\n")
             assert reply.status == 504
             await ending
-            assert loop.time() - begun <= grace_s - END_MARGIN_S + SLACK_S
+            assert loop.time() - begun <= grace_s - end_margin(grace_s) + SLACK_S
 
     run(test())
 
@@ -102,3 +102,9 @@
             assert reply.status == 200 and not reply.whole and reply.body.startswith(event(1).encode())
 
     run(test())
+
+
+@pytest.mark.parametrize(("grace_s", "margin_s"), [(8.0, 1.0), (6.0, 1.0), (4.5, 0.75), (3.0, 0.5)])
+def test_nothing_is_cut_off_before_the_last_sixth_of_the_grace(grace_s: float, margin_s: float) -> None:
+    assert end_margin(grace_s) == pytest.approx(margin_s)
+    assert end_margin(grace_s) <= grace_s / 6
