Let a test of moving leases wait for the renewal that moves them

The stopped one's acknowledgement had reached the next replica by way of the third, behind the registrant's first renewal there: both are turn 1, and of equal turns the greater name wins. It moves with the next renewal, 0.2 s later; the instance is listed as alive all the while. The test asked at once. Change: that order of events as a test of the core (holder b, turn 1, then a, turn 2); the test on sockets waits for the holder, and holds at each look that the instance is alive.

--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -619,8 +619,15 @@
             await fleet.stop(first)
             await until(lambda: answers[-1]["replica"] != first)
             second = answers[-1]["replica"]
-            entry = fleet.running[second].replica.history.get(("", "s-1"))
-            assert entry is not None and entry.holder == second and entry.phase == "active"
+            history = fleet.running[second].replica.history
+
+            def holds() -> bool:
+                """With its next renewal at the latest; all the while the instance is listed as alive."""
+                entry = history.get(("", "s-1"))
+                assert entry is not None and entry.phase == "active"
+                return entry.holder == second
+
+            await until(holds)
             await held.stop()
             await until_ids(client, fleet.addresses[second], set())
 
--- a/tests/test_registry_core.py
+++ b/tests/test_registry_core.py
@@ -343,6 +343,22 @@
     assert fleet.lists()[0] == fleet.lists()[1]
 
 
+def test_a_lease_moves_with_the_second_renewal_where_the_first_went_before_the_news() -> None:
+    """The holder is gone; what it acknowledged reaches the next one only behind the first renewal there."""
+    fleet = Fleet("a", "b", "c")
+    assert fleet.put("b", entry(lease_ms=600.0)).status == 200
+    fleet.sync(("b", "c"))
+    assert fleet.put("a", entry(lease_ms=600.0)).status == 200  # knows nothing of b's
+    fleet.sync(("c", "a"))
+    held = fleet.replicas["a"].history.get(("", "x"))
+    assert held is not None and (held.holder, held.turn) == ("b", 1)  # of equal turns the greater name wins
+    fleet.wait(300.0)
+    assert fleet.phase("a") == "active"
+    assert fleet.put("a", entry(lease_ms=600.0)).status == 200
+    held = fleet.replicas["a"].history.get(("", "x"))
+    assert held is not None and (held.holder, held.turn, held.phase) == ("a", 2, "active")
+
+
 def test_only_the_first_that_can_be_heard_takes_over_the_leases_of_a_silent_replica() -> None:
     fleet = Fleet("a", "b", "c")
     fleet.put("a", entry(lease_ms=LEASE), 1)
