--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -625,7 +625,7 @@
                 """With its next renewal at the latest; all the while the instance is listed as alive."""
                 entry = history.get(("", "s-1"))
                 assert entry is not None and entry.phase == "active"
-                return entry.holder == second
+                return bool(entry.holder == second)
 
             await until(holds)
             await held.stop()
