Count answers that end in order at an upstream of which nothing is left

Change: where a FIN would end an answer without length and chunks, the upstream is asked for: a new connection (kept for the next request), or another one that stays open. The end is counted as fin or gone, and gone is logged. Nothing is decided by it yet.

--- a/passpost/http1.py
+++ b/passpost/http1.py
@@ -92,6 +92,7 @@
     WHOLE = "whole"  # its own framing: a length or the last chunk
     FIN = "fin"  # its connection was closed in order
     RESET = "reset"  # its connection was reset, or is dead
+    GONE = "gone"  # its connection was closed in order, and nothing of its sender is left: it has crashed
     INVALID = "invalid"  # what came is no answer
 
 
@@ -150,11 +151,15 @@
         A body without length and chunks ends with a close in order (RFC 9112, section 8); after a reset
         nobody can tell what is missing.
         """
-        ends = kind is EndKind.FIN and self.framing() is Framing.CLOSE and not self._is_stale
-        if ends and self._whole is None and not self._bad:
-            self._whole = Answer(self._status, self._headers, self._rest(), False)
-            return self._whole
-        return None
+        if kind is not EndKind.FIN or not self.ends_with_connection():
+            return None
+        self._whole = Answer(self._status, self._headers, self._rest(), False)
+        return self._whole
+
+    def ends_with_connection(self) -> bool:
+        """Whether the answer that is coming would be whole if its connection ended in order now."""
+        is_coming = self._whole is None and not self._bad and not self._is_stale
+        return is_coming and self.framing() is Framing.CLOSE
 
     def start(self, waited: bool = False) -> Start | None:
         """The beginning, once, of an answer too long to be held, or too slow if we have `waited` for it."""
--- a/passpost/upstream.py
+++ b/passpost/upstream.py
@@ -283,6 +283,7 @@
         self._upload: Upload | None = None
         self._clogged = False  # the transport holds bytes that the upstream has not taken
         self._waiting = False  # for whoever gets the answer
+        self._has_closed = False  # the upstream, in order; whether it still stands is being asked
         self._moved = 0.0  # when the last byte of a long message moved
         self._length_timer: asyncio.TimerHandle | None = None
         self.unwritten = True
@@ -342,13 +343,13 @@
 
     def pause(self) -> None:
         """Whoever gets the answer is behind: read no more for now."""
-        if self._transport is not None and not self._transport.is_closing():
+        if self._transport is not None and not self._transport.is_closing() and not self._has_closed:
             self._waiting = True
             self._transport.pause_reading()
 
     def resume(self) -> None:
         """Read on."""
-        if self._transport is not None and not self._transport.is_closing():
+        if self._transport is not None and not self._transport.is_closing() and not self._has_closed:
             self._waiting, self._moved = False, time.monotonic()
             self._transport.resume_reading()
 
@@ -490,21 +491,47 @@
                 self.kept = max(int(told[1]) - KEEP_MARGIN_S, int(told[1]) * IDLE_SHARE)
                 return
 
-    def eof_received(self) -> None:
+    def eof_received(self) -> bool:
         """The upstream has closed: an idle connection must not be used again, an answer may end so.
 
-        Only a close in order ends an answer: the loop reports an end of file for some resets too.
+        Only a close in order ends an answer: the loop reports an end of file for some resets too. True: our
+        side stays open while the upstream is asked for.
         """
         if self._transport is None:
-            return
+            return False
         kind = connection_end(self._transport.get_extra_info("socket"))
+        if kind is EndKind.FIN and self._reader is not None and self._reader.ends_with_connection():
+            self._has_closed = True
+            self._pool.find_after_close(self, self._upstream, self._found_after_close)
+            return True
         self._tell_end(kind)
+        self._end_answer(kind)
+        return False
+
+    def _found_after_close(self, stands: bool) -> None:
+        """Whether the upstream that has closed in order still stands; a reset may have come meanwhile."""
+        if self._attempt is None or self._transport is None:
+            return
+        kind = connection_end(self._transport.get_extra_info("socket"))
+        self._tell_end(kind if stands or kind is EndKind.RESET else EndKind.GONE)
+        self._end_answer(EndKind.FIN)
+
+    def _end_answer(self, kind: EndKind) -> None:
+        """The connection has ended so: that may be the end of the answer, or cut it."""
         attempt, reader = self._attempt, self._reader
         if attempt is not None and reader is not None and (answer := reader.end(kind)) is not None:
             self._answered(attempt, answer)
         else:
             self._ended()
 
+    def has_ended(self) -> bool:
+        """Whether its upstream has closed or reset it, though the loop may not have told so yet."""
+        if self._transport is None or self._transport.is_closing():
+            return True
+        return any(
+            told & (select.POLLRDHUP | select.POLLHUP | select.POLLERR) for _, told in self._poll.poll(0)
+        )
+
     def connection_lost(self, exc: Exception | None) -> None:
         """As eof_received."""
         self._tell_end(EndKind.RESET)
@@ -649,7 +676,28 @@
         Where none can be opened, for want of a descriptor, nothing is known against the upstream.
         """
         upstream = self._upstreams.get(server)
-        if upstream is None or not self._has_room():
+        if upstream is None:
+            asyncio.get_running_loop().call_soon(found, True)
+        else:
+            self._begin_probe(upstream, found)
+
+    def find_after_close(
+        self, connection: _Connection, upstream: _Upstream, found: Callable[[bool], None]
+    ) -> None:
+        """See whether an upstream that has closed a connection in order still stands; `found` is told later.
+
+        A process that dies closes its listener and all of its connections, in order where it has read all.
+        One that takes a new connection, or keeps another one, is there; the new one is kept.
+        """
+        others = upstream.open - {connection}
+
+        def probed(reached: bool) -> None:
+            found(reached or any(c in upstream.open and not c.has_ended() for c in others))
+
+        self._begin_probe(upstream, probed)
+
+    def _begin_probe(self, upstream: _Upstream, found: Callable[[bool], None]) -> None:
+        if not self._has_room():
             asyncio.get_running_loop().call_soon(found, True)
             return
         probe = asyncio.get_running_loop().create_task(self._probe(self._new(upstream), upstream, found))
--- /dev/null
+++ b/tests/test_dead_upstreams.py
@@ -0,0 +1,87 @@
+"""Incident MIXED, second report: an upstream that dies in the middle of an answer (docs/incidents/mixed.md).
+
+Seen: two requests got a 200 with the upstream's seal, framed as complete, with a part of the upstream's body.
+How: the upstream broke off an answer with neither length nor chunks, 1 ms after it had begun. A reset there
+is no end since the first report; a FIN still was one, whoever had sent it.
+Cause: a FIN was taken for the word of a program that had finished. The kernel sends one for each socket of a
+process that dies as well, if nothing unread lies in it.
+Proof: upstreams that kill themselves in such an answer: 20 of 20 reached the client as complete, of 40 with
+a length or chunks none. Each time the upstream took no new connection and kept none of its others.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import subprocess
+import sys
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import replace
+from pathlib import Path
+
+from loguru import logger
+
+from passpost.http1 import EndKind, Framing
+from tests.balancer_stage import Stage, answer, configuration, head, playing, route
+from tests.loopback import Got, Writer, run
+
+UNSAFE = configuration(1, route(route_type="unsafe", tries=1))
+
+
+class DyingStage(Stage):
+    """An upstream of a process of its own (`dying_upstream.py`)."""
+
+    def __init__(self, framing: str = "close", is_stream: bool = False, name: str = "dying") -> None:
+        super().__init__(name)
+        program = str(Path(__file__).with_name("dying_upstream.py"))
+        self._command = [sys.executable, program, framing, str(int(is_stream))]
+
+    async def start(self) -> None:
+        self._process = subprocess.Popen(self._command, stdout=subprocess.PIPE, text=True)
+        assert self._process.stdout is not None
+        port = await asyncio.to_thread(self._process.stdout.readline)
+        self.entry = replace(self.entry, addr=f"127.0.0.1:{port.strip()}")
+
+    def stop(self) -> None:
+        self._process.kill()
+        with self._process:
+            pass
+
+
+@contextmanager
+def log_lines() -> Iterator[list[str]]:
+    lines: list[str] = []
+    sink = logger.add(lines.append, format="{message}", level="INFO")
+    try:
+        yield lines
+    finally:
+        logger.remove(sink)
+
+
+def test_an_answer_whose_upstream_is_gone_is_counted_and_logged_as_such() -> None:
+    async def test() -> None:
+        async with playing(DyingStage(), config=UNSAFE) as play:
+            with log_lines() as lines:
+                await play.ask("r7")
+            assert play.balancer.answers.ends == {(Framing.CLOSE, EndKind.GONE): 1}
+        said = "event=answer_cut upstream=dying request=r7 end=gone framing=close status=200 bytes=4\n"
+        assert said in lines
+
+    run(test())
+
+
+def test_an_answer_whose_upstream_still_stands_is_whole_and_its_new_connection_is_used() -> None:
+    async def test() -> None:
+        async def unframed(stage: Stage, got: Got, writer: Writer) -> None:
+            writer.write((head(got, "\r\n") + "whole").encode())
+            writer.close()
+
+        stage = Stage("u1", "", unframed, answer("200 OK", body="next"))
+        async with playing(stage, config=UNSAFE) as play:
+            reply = await play.ask("r1")
+            assert (reply.whole, reply.body) == (True, b"whole")
+            assert play.balancer.answers.ends == {(Framing.CLOSE, EndKind.FIN): 1}
+            assert (await play.ask("r2")).body == b"next"
+            assert stage.connections == 2
+
+    run(test())
