--- a/tests/test_dead_upstreams.py
+++ b/tests/test_dead_upstreams.py
@@ -19,12 +19,14 @@
 from dataclasses import replace
 from pathlib import Path
 
+import pytest
 from loguru import logger
 
 from passpost.http1 import EndKind, Framing
 from tests.balancer_stage import Stage, answer, configuration, head, playing, route
 from tests.loopback import Got, Writer, run
 
+SAFE = configuration(1, route(route_type="safe", tries=2))
 UNSAFE = configuration(1, route(route_type="unsafe", tries=1))
 
 
@@ -48,6 +50,30 @@
             pass
 
 
+@pytest.mark.parametrize("is_stream", [False, True], ids=["plain", "stream"])
+@pytest.mark.parametrize("framing", ["close", "length", "chunks"])
+def test_what_a_dying_upstream_cuts_never_reaches_a_client_as_whole(framing: str, is_stream: bool) -> None:
+    async def test() -> None:
+        async with playing(DyingStage(framing, is_stream), config=UNSAFE) as play:
+            reply = await play.ask()
+            assert reply.status == 502 or not reply.whole
+
+    run(test())
+
+
+def test_a_request_that_may_be_repeated_is_answered_by_another_upstream() -> None:
+    async def test() -> None:
+        async with playing(DyingStage(), Stage("standing"), config=SAFE) as play:
+            ends = play.balancer.answers.ends
+            number = 0
+            while not ends[Framing.CLOSE, EndKind.GONE]:  # until it is drawn
+                number += 1
+                reply = await play.ask(f"r{number}")
+                assert (reply.status, reply.whole, reply.body) == (200, True, b"standing")
+
+    run(test())
+
+
 @contextmanager
 def log_lines() -> Iterator[list[str]]:
     lines: list[str] = []
