Let a close in order end an answer only if its upstream still answers

An answer without length and chunks was whole at a FIN, whoever had sent it; the kernel sends one for each socket of a process that dies, and a reset may follow. Change: at such an end the upstream is asked for its report, which takes no place there, on an idle connection or a new one that is kept. Any answer but 421 shows that it lives; without one, or after a reset meanwhile, the answer is cut: the request is repeated where it may be, a stream resumed, else 502 or a break. Where no connection can be had the end is believed. Our own calls are no longer counted among the ends of answers.

--- a/balancer/answer_log.py
+++ b/balancer/answer_log.py
@@ -6,6 +6,7 @@
 
 from loguru import logger
 
+from balancer.wire import Staged
 from passpost.answer_end import AnswerEnd, Misuse
 from passpost.http1 import EndKind, Framing
 from passpost.upstream import Outgoing
@@ -24,7 +25,9 @@
         logger.info("event=connection_misused upstream={} by={}", upstream, misuse.value)
 
     def ended(self, upstream: str, request: Outgoing, end: AnswerEnd) -> None:
-        """An answer, or the wait for one, is over."""
+        """An answer, or the wait for one, is over; those to calls of our own are not counted."""
+        if not isinstance(request, Staged):
+            return
         self.ends[end.framing, end.kind] += 1
         if end.kind is EndKind.WHOLE:
             return
@@ -34,7 +37,7 @@
             "DEBUG" if usual else "INFO",
             "event=answer_cut upstream={} request={} end={} framing={} status={} bytes={}",
             upstream,
-            getattr(request, "request_id", b"").decode("latin-1"),
+            request.request_id.decode("latin-1"),
             end.kind.value,
             end.framing.value,
             end.status,
--- a/balancer/options.py
+++ b/balancer/options.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from balancer.wire import is_event_stream, outcome
+from balancer.wire import ask_for_report, is_event_stream, outcome
 from config.configuration import ClientLimits
 from passpost.client_options import ClientOptions
 from passpost.upstream import UpstreamOptions
@@ -25,6 +25,7 @@
         stall_s=STALL_S,
         heeds_keep_alive=True,
         bounds_answers=True,
+        question=ask_for_report,
         dark_ms=DARK_MS,
     )
 
--- a/balancer/wire.py
+++ b/balancer/wire.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from passpost.http1 import Answer, Headers
+from passpost.http1 import Address, Answer, Headers
 from passpost.upstream import Outgoing
 from umberworks.interface import Outcome
 
@@ -83,8 +83,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Freed(Outgoing):
-    """The call that frees a handle; it carries no id, and neither does its answer."""
+class CallWithoutId(Outgoing):
+    """A call of the balancer's own; it carries no request's id, and neither does its answer."""
 
     def write(self, remaining: float) -> bytes:
         """The bytes for the wire."""
@@ -96,15 +96,21 @@
         return lambda status, headers: not header(headers, REQUEST_ID)
 
 
-def free_handle(address: str, holder: str, ref: str) -> Freed:
+def _call(line: str, address: str, upstream: str) -> CallWithoutId:
+    """A call without a body; any other upstream at that address answers 421."""
+    fields = (f"Host: {address}", f"Mastturn-Target-Upstream: {upstream}", "Content-Length: 0")
+    return CallWithoutId("\r\n".join([line, *fields, "", ""]).encode("latin-1"), b"")
+
+
+def free_handle(address: str, holder: str, ref: str) -> CallWithoutId:
     """Frees the memory behind `ref` at its holder."""
-    lines = (
-        f"DELETE /api/kv-handle/{ref} HTTP/1.1",
-        f"Host: {address}",
-        f"Mastturn-Target-Upstream: {holder}",
-        "Content-Length: 0",
-    )
-    return Freed("\r\n".join([*lines, "", ""]).encode("latin-1"), b"")
+    return _call(f"DELETE /api/kv-handle/{ref} HTTP/1.1", address, holder)
+
+
+def ask_for_report(upstream: str, address: Address) -> CallWithoutId:
+    """Asks an upstream how it stands, which takes no place there (PROTOCOL, "Requests")."""
+    host, port = address
+    return _call("GET /api/report HTTP/1.1", f"{host}:{port}", upstream)
 
 
 def read_handle(body: bytes) -> tuple[str, int] | None:
--- a/mastturn/soak/upstream.py
+++ b/mastturn/soak/upstream.py
@@ -323,6 +323,8 @@
 
     async def _answer_call(self, got: Got, reader: Reader, writer: Writer) -> bool:
         body = await read_body(got, reader)
+        if got.headers.get("mastturn-target-upstream", self.name) != self.name:
+            return await say(writer, "421 Misdirected Request", got)
         if got.path == "/healthz":
             return await say(writer, "200 OK", got, ("Mastturn-Upstream-Id", self.name))
         if got.path == "/api/report":
--- a/passpost/http1.py
+++ b/passpost/http1.py
@@ -92,7 +92,7 @@
     WHOLE = "whole"  # its own framing: a length or the last chunk
     FIN = "fin"  # its connection was closed in order
     RESET = "reset"  # its connection was reset, or is dead
-    GONE = "gone"  # its connection was closed in order, and nothing of its sender is left: it has crashed
+    GONE = "gone"  # its connection was closed in order, and its sender answers no more: it has crashed
     INVALID = "invalid"  # what came is no answer
 
 
--- a/passpost/upstream.py
+++ b/passpost/upstream.py
@@ -37,6 +37,8 @@
 STALL_S = 10.0  # an upstream that neither takes nor gives a byte of a long message for so long is given up
 LENGTH_S = 0.1  # an answer of unknown length is held so long from its head on, and then passed on as it comes
 KEEP_MARGIN_S = 0.7  # so long before the upstream would we close an idle connection
+ASK_S = 0.5  # an upstream that has closed in order is asked for so long whether it lives on
+MISDIRECTED = 421  # status: the address has another upstream by now
 REST_S = 0.005  # an upstream that closes behind an answer, or sends more than it, does so within this
 
 Done = Callable[[Outcome, Answer | None], None]
@@ -67,6 +69,7 @@
     stall_s: float | None = None  # STALL_S
     heeds_keep_alive: bool = False  # idle connections live as long as the upstream's Keep-Alive tells
     bounds_answers: bool = False  # an answer that is passed on as it comes has to end in its attempt's time
+    question: Callable[[str, Address], Outgoing] | None = None  # that a live upstream of that name answers
     dark_ms: int = 0  # TCP_USER_TIMEOUT and keep-alive probes: a peer that says nothing so long is gone
 
 
@@ -283,7 +286,7 @@
         self._upload: Upload | None = None
         self._clogged = False  # the transport holds bytes that the upstream has not taken
         self._waiting = False  # for whoever gets the answer
-        self._has_closed = False  # the upstream, in order; whether it still stands is being asked
+        self._has_closed = False  # the upstream, in order; it is asked whether it lives on
         self._moved = 0.0  # when the last byte of a long message moved
         self._length_timer: asyncio.TimerHandle | None = None
         self.unwritten = True
@@ -494,44 +497,36 @@
     def eof_received(self) -> bool:
         """The upstream has closed: an idle connection must not be used again, an answer may end so.
 
-        Only a close in order ends an answer: the loop reports an end of file for some resets too. True: our
-        side stays open while the upstream is asked for.
+        Only a close in order by an upstream that lives on ends an answer: the loop reports an end of file for
+        some resets, and the kernel closes the connections of a dead process as that would have done itself.
+        True: our side stays open while the upstream is asked.
         """
         if self._transport is None:
             return False
         kind = connection_end(self._transport.get_extra_info("socket"))
         if kind is EndKind.FIN and self._reader is not None and self._reader.ends_with_connection():
             self._has_closed = True
-            self._pool.find_after_close(self, self._upstream, self._found_after_close)
+            self._pool.ask_after_close(self._upstream, self._found_after_close)
             return True
-        self._tell_end(kind)
         self._end_answer(kind)
         return False
 
-    def _found_after_close(self, stands: bool) -> None:
-        """Whether the upstream that has closed in order still stands; a reset may have come meanwhile."""
+    def _found_after_close(self, lives: bool) -> None:
+        """Whether the upstream that has closed in order lives on; a reset may have come meanwhile."""
         if self._attempt is None or self._transport is None:
             return
         kind = connection_end(self._transport.get_extra_info("socket"))
-        self._tell_end(kind if stands or kind is EndKind.RESET else EndKind.GONE)
-        self._end_answer(EndKind.FIN)
+        self._end_answer(kind if lives or kind is EndKind.RESET else EndKind.GONE)
 
     def _end_answer(self, kind: EndKind) -> None:
         """The connection has ended so: that may be the end of the answer, or cut it."""
+        self._tell_end(kind)
         attempt, reader = self._attempt, self._reader
         if attempt is not None and reader is not None and (answer := reader.end(kind)) is not None:
             self._answered(attempt, answer)
         else:
             self._ended()
 
-    def has_ended(self) -> bool:
-        """Whether its upstream has closed or reset it, though the loop may not have told so yet."""
-        if self._transport is None or self._transport.is_closing():
-            return True
-        return any(
-            told & (select.POLLRDHUP | select.POLLHUP | select.POLLERR) for _, told in self._poll.poll(0)
-        )
-
     def connection_lost(self, exc: Exception | None) -> None:
         """As eof_received."""
         self._tell_end(EndKind.RESET)
@@ -639,7 +634,12 @@
         upstream = self._upstreams.get(server)
         if upstream is None or not request.is_sendable():
             attempt.end(Outcome.NOT_SENT)
-            return attempt
+        else:
+            self._dispatch(attempt, upstream)
+        return attempt
+
+    def _dispatch(self, attempt: Attempt, upstream: _Upstream) -> None:
+        """Find or open a connection for an attempt."""
         if (connection := self._idle(upstream)) is not None:
             self._carry(connection, attempt)
         elif len(upstream.open) >= self._most_each:
@@ -652,9 +652,26 @@
         else:
             if not self._said_full:  # one line a second at most: a shortage must not flood the log
                 self._said_full = True
-                log.warning("no descriptor left for a connection to %s", server)
+                log.warning("no descriptor left for a connection to %s", upstream.name)
             attempt.end(Outcome.UNREACHED)
-        return attempt
+
+    def ask_after_close(self, upstream: _Upstream, found: Callable[[bool], None]) -> None:
+        """See whether an upstream that has closed a connection in order still answers; `found` is told once.
+
+        The kernel closes the connections of a dead process as the process would have done itself, and its
+        listener a little later: only an answer shows that it lives.
+        """
+        question = self.options.question
+        can_ask = bool(upstream.idle) or (len(upstream.open) < self._most_each and self._has_room())
+        if question is None or not can_ask:
+            asyncio.get_running_loop().call_soon(found, True)  # nothing can be known against it
+            return
+
+        def answered(outcome: Outcome, answer: Answer | None) -> None:
+            found(answer is not None and answer.status != MISDIRECTED)
+
+        attempt = Attempt(question(upstream.name, upstream.address), ASK_S, answered)
+        self._dispatch(attempt, upstream)
 
     def limit_each(self, most: float) -> None:
         """From now on at most so many connections are opened to one upstream; those that are open go on."""
@@ -676,28 +693,7 @@
         Where none can be opened, for want of a descriptor, nothing is known against the upstream.
         """
         upstream = self._upstreams.get(server)
-        if upstream is None:
-            asyncio.get_running_loop().call_soon(found, True)
-        else:
-            self._begin_probe(upstream, found)
-
-    def find_after_close(
-        self, connection: _Connection, upstream: _Upstream, found: Callable[[bool], None]
-    ) -> None:
-        """See whether an upstream that has closed a connection in order still stands; `found` is told later.
-
-        A process that dies closes its listener and all of its connections, in order where it has read all.
-        One that takes a new connection, or keeps another one, is there; the new one is kept.
-        """
-        others = upstream.open - {connection}
-
-        def probed(reached: bool) -> None:
-            found(reached or any(c in upstream.open and not c.has_ended() for c in others))
-
-        self._begin_probe(upstream, probed)
-
-    def _begin_probe(self, upstream: _Upstream, found: Callable[[bool], None]) -> None:
-        if not self._has_room():
+        if upstream is None or not self._has_room():
             asyncio.get_running_loop().call_soon(found, True)
             return
         probe = asyncio.get_running_loop().create_task(self._probe(self._new(upstream), upstream, found))
--- a/tests/balancer_stage.py
+++ b/tests/balancer_stage.py
@@ -125,6 +125,8 @@
         self.acts = list(acts) or [prefill if phase == "prefill" else decode if phase else whole]
         self.got: list[Got] = []
         self.freed: list[str] = []
+        self.reports: list[str] = []  # for whom each was asked
+        self.report = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
         self.connections = 0
         self.entry = Upstream(name, "pool", "", zone, phase=phase)
 
@@ -143,6 +145,10 @@
                 self.freed.append(got.line.split(" ")[1].rsplit("/", 1)[1])
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
                 continue
+            if got.line.startswith("GET /api/report "):
+                self.reports.append(got.headers["mastturn-target-upstream"])
+                writer.write(self.report)
+                continue
             act = self.acts.pop(0) if len(self.acts) > 1 else self.acts[0]
             self.got.append(got)
             await act(self, got, writer)
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -91,8 +91,12 @@
             self.closed += 1
             writer.close()
 
-    def stop(self) -> None:
+    def refuse(self) -> None:
+        """Take no new connections; those that are open go on."""
         self._server.close()
+
+    def stop(self) -> None:
+        self.refuse()
         for writer in self.writers:
             writer.close()
 
@@ -137,6 +141,9 @@
                 await asyncio.sleep(0)
             if (got := reading.result()) is None:
                 return
+            if got.line.startswith("GET /api/report "):
+                peer.sendall(OK)
+                return
             self.got.append(got)
             peer.sendall(self._answer(got))
             if self._by_reset:
--- a/tests/test_dead_upstreams.py
+++ b/tests/test_dead_upstreams.py
@@ -6,7 +6,8 @@
 Cause: a FIN was taken for the word of a program that had finished. The kernel sends one for each socket of a
 process that dies as well, if nothing unread lies in it.
 Proof: upstreams that kill themselves in such an answer: 20 of 20 reached the client as complete, of 40 with
-a length or chunks none. Each time the upstream took no new connection and kept none of its others.
+a length or chunks none. A new connection is no sign of life: in 2 of 20 trials it still came up, as the
+kernel closes the listener of a dead process last. An answer is one.
 """
 
 from __future__ import annotations
@@ -23,10 +24,11 @@
 from loguru import logger
 
 from passpost.http1 import EndKind, Framing
-from tests.balancer_stage import Stage, answer, configuration, head, playing, route
+from tests.balancer_stage import Stage, answer, configuration, decode, head, playing, route
 from tests.loopback import Got, Writer, run
 
 SAFE = configuration(1, route(route_type="safe", tries=2))
+RESUMABLE = configuration(1, route(route_type="stream", resumable=True, tries=2))
 UNSAFE = configuration(1, route(route_type="unsafe", tries=1))
 
 
@@ -74,6 +76,22 @@
     run(test())
 
 
+def test_a_stream_that_may_be_resumed_goes_on_at_another_upstream() -> None:
+    async def test() -> None:
+        stages = DyingStage(is_stream=True), Stage("standing", "", decode)
+        async with playing(*stages, config=RESUMABLE) as play:
+            ends = play.balancer.answers.ends
+            number = 0
+            while not ends[Framing.CLOSE, EndKind.GONE]:  # until it is drawn
+                number += 1
+                reply = await play.ask(f"r{number}")
+                lines = reply.body.decode().splitlines()
+                assert reply.whole
+                assert [n for n in lines if n.startswith("id: ")] == ["id: 1", "id: 2", "id: 3"]
+
+    run(test())
+
+
 @contextmanager
 def log_lines() -> Iterator[list[str]]:
     lines: list[str] = []
@@ -96,18 +114,30 @@
     run(test())
 
 
-def test_an_answer_whose_upstream_still_stands_is_whole_and_its_new_connection_is_used() -> None:
-    async def test() -> None:
-        async def unframed(stage: Stage, got: Got, writer: Writer) -> None:
-            writer.write((head(got, "\r\n") + "whole").encode())
-            writer.close()
+async def unframed(stage: Stage, got: Got, writer: Writer) -> None:
+    writer.write((head(got, "\r\n") + "whole").encode())
+    writer.close()
+
 
+def test_an_answer_whose_upstream_lives_on_is_whole_and_the_connection_that_asked_is_used_again() -> None:
+    async def test() -> None:
         stage = Stage("u1", "", unframed, answer("200 OK", body="next"))
         async with playing(stage, config=UNSAFE) as play:
             reply = await play.ask("r1")
             assert (reply.whole, reply.body) == (True, b"whole")
             assert play.balancer.answers.ends == {(Framing.CLOSE, EndKind.FIN): 1}
             assert (await play.ask("r2")).body == b"next"
-            assert stage.connections == 2
+            assert (stage.connections, stage.reports) == (2, ["u1"])
+
+    run(test())
+
+
+def test_an_answer_is_cut_where_another_upstream_has_the_address_by_now() -> None:
+    async def test() -> None:
+        stage = Stage("u1", "", unframed)
+        stage.report = b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n"
+        async with playing(stage, config=UNSAFE) as play:
+            assert (await play.ask()).status == 502
+            assert play.balancer.answers.ends == {(Framing.CLOSE, EndKind.GONE): 1}
 
     run(test())
--- /dev/null
+++ b/tests/test_upstream_closes.py
@@ -0,0 +1,174 @@
+"""Upstreams that close a connection in order: whether that ends an answer without length and chunks."""
+
+from __future__ import annotations
+
+import socket
+import struct
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import pytest
+
+from passpost.answer_end import connection_end
+from passpost.discovery import parse_address
+from passpost.http1 import Address, EndKind
+from passpost.upstream import Attempt, Outgoing, UpstreamOptions, Upstreams
+from tests.loopback import OK, FakeServer, Got, Writer, run, silent, until
+from tests.test_upstream import Calls
+from umberworks.interface import Outcome
+
+QUESTION = "GET /alive HTTP/1.1"
+
+
+def question(name: str, address: Address) -> Outgoing:
+    return Outgoing(f"{QUESTION}\r\nHost: {name}\r\n".encode(), b"")
+
+
+@asynccontextmanager
+async def asking(server: FakeServer, max_open: int = 10) -> AsyncIterator[Calls]:
+    await server.start()
+    upstreams = Upstreams(5.0, 30.0, max_open, UpstreamOptions(question=question))
+    upstreams.route({"s0": parse_address(server.host_port)})
+    try:
+        yield Calls(upstreams)
+    finally:
+        upstreams.stop()
+        server.stop()
+
+
+async def half_close(request: Got, writer: Writer) -> None:
+    """An answer that ends with a FIN; the other direction stays open."""
+    writer.write(b"HTTP/1.1 200 OK\r\n\r\nhalf")
+    writer.write_eof()
+
+
+def answering(answer: bytes) -> FakeServer:
+    """Half-closes behind each request's answer, and answers the question so."""
+
+    async def reply(request: Got, writer: Writer) -> None:
+        if request.line == QUESTION:
+            writer.write(answer)
+        else:
+            await half_close(request, writer)
+
+    return FakeServer(reply)
+
+
+@pytest.mark.parametrize(
+    ("answer", "outcome"),
+    [
+        (OK, Outcome.SERVED),
+        (OK.replace(b"200 OK", b"404 Oh"), Outcome.SERVED),  # whatever it says, it is there
+        (OK.replace(b"200 OK", b"503 Full"), Outcome.SERVED),
+        (OK.replace(b"200 OK", b"421 Misdirected Request"), Outcome.BROKEN),
+        (b"noise\r\n\r\n", Outcome.BROKEN),
+    ],
+)
+def test_a_close_in_order_ends_an_answer_if_its_upstream_still_answers(
+    answer: bytes, outcome: Outcome
+) -> None:
+    async def test() -> None:
+        async with asking(answering(answer)) as made:
+            assert await made.outcome() is outcome
+            assert made.outcomes == [outcome]
+
+    run(test())
+
+
+def test_an_upstream_that_takes_no_new_connections_is_asked_on_one_that_is_open() -> None:
+    async def test() -> None:
+        server = FakeServer(OK)
+        async with asking(server) as made:
+            made.send()
+            made.send()
+            await until(lambda: len(made.outcomes) == 2)
+            server.refuse()
+            server.reply = answering(OK).reply
+            assert await made.outcome() is Outcome.SERVED
+            assert server.connections == 2
+
+    run(test())
+
+
+def test_a_close_by_an_upstream_that_takes_no_new_connection_and_keeps_none_cuts_the_answer() -> None:
+    async def test() -> None:
+        server = FakeServer(silent)
+        async with asking(server) as made:
+            made.send()
+            await until(lambda: len(server.got) == 1)
+            server.refuse()
+            await half_close(server.got[0], server.writers[0])
+            await until(lambda: bool(made.outcomes))
+            assert made.outcomes == [Outcome.BROKEN]
+
+    run(test())
+
+
+def test_an_upstream_that_can_not_be_asked_is_believed() -> None:
+    async def test() -> None:
+        server = answering(OK)
+        async with asking(server, max_open=1) as made:
+            assert await made.outcome() is Outcome.SERVED
+            assert server.connections == 1
+
+    run(test())
+
+
+async def ask(server: FakeServer, made: Calls) -> Attempt:
+    """Half-close the only connection, and wait for the question."""
+    attempt = made.send()
+    await until(lambda: len(server.got) == 1)
+    await half_close(server.got[0], server.writers[0])
+    await until(lambda: len(server.got) == 2)
+    return attempt
+
+
+def kernel_ends(upstreams: Upstreams) -> set[EndKind]:
+    """How the connections have ended, by the kernel's word."""
+    (upstream,) = upstreams._upstreams.values()
+    return {connection_end(c._transport.get_extra_info("socket")) for c in upstream.open if c._transport}
+
+
+def test_a_reset_behind_a_close_in_order_cuts_the_answer() -> None:
+    async def test() -> None:
+        server = FakeServer(silent)
+        async with asking(server) as made:
+            await ask(server, made)
+            peer: socket.socket = server.writers[0].get_extra_info("socket")
+            peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            server.writers[0].transport.abort()
+            await until(lambda: EndKind.RESET in kernel_ends(made.upstreams))
+            server.writers[1].write(OK)
+            await until(lambda: bool(made.outcomes))
+            assert made.outcomes == [Outcome.BROKEN]
+
+    run(test())
+
+
+def test_a_request_that_is_given_up_while_its_upstream_is_asked_ends_once() -> None:
+    async def test() -> None:
+        server = FakeServer(silent)
+        async with asking(server) as made:
+            attempt = await ask(server, made)
+            attempt.cancel()
+            server.writers[1].write(OK)
+            await until(lambda: made.upstreams.has_idle("s0"))
+            assert made.outcomes == [Outcome.CANCELLED]
+
+    run(test())
+
+
+def test_an_upstream_that_has_left_the_list_is_asked_where_it_was() -> None:
+    async def test() -> None:
+        server = FakeServer(silent)
+        async with asking(server) as made:
+            made.send()
+            await until(lambda: len(server.got) == 1)
+            made.upstreams.route({})
+            await half_close(server.got[0], server.writers[0])
+            await until(lambda: len(server.got) == 2)
+            server.writers[1].write(OK)
+            await until(lambda: bool(made.outcomes))
+            assert made.outcomes == [Outcome.SERVED]
+
+    run(test())
