Let upstreams of a soak die amid an answer, with the ends that the kernel gives a killed process

Cause: a soak's upstreams crashed by resetting all connections; a real process that is killed ends them with a FIN, so that no soak could find an answer that its upstream's death had ended (incident MIXED). Change: the fault "cut as its upstream dies", seldom, as it takes the upstream's other answers along; another incarnation comes at the address. The planted defect death-taken-as-end (nobody is asked).

--- a/mastturn/soak/answers.py
+++ b/mastturn/soak/answers.py
@@ -44,7 +44,7 @@
 
 def framing_of(lot: Lot, is_stream: bool) -> Framing:
     """How an answer with this lot is framed."""
-    if lot.fault in (Fault.UNFRAMED, Fault.UNFRAMED_RESET):
+    if lot.fault in (Fault.UNFRAMED, Fault.UNFRAMED_RESET, Fault.DEATH):
         return Framing.CLOSE
     if lot.fault is Fault.NO_LAST_CHUNK:
         return Framing.CHUNKED
--- a/mastturn/soak/faults.py
+++ b/mastturn/soak/faults.py
@@ -18,6 +18,7 @@
     FIN = "cut by a FIN"  # of an answer with a length or chunks
     RESET = "cut by a reset"
     UNFRAMED_RESET = "unframed, cut by a reset"
+    DEATH = "unframed, cut as its upstream dies"  # whose connections the kernel closes
     SILENCE = "silence"  # nothing more comes
     LENGTH_TOO_LONG = "length too long"  # more is promised than comes; then a FIN
     LENGTH_TOO_SHORT = "length too short"  # surplus bytes come behind what was promised
@@ -43,7 +44,9 @@
 SOON_S = 0.05  # half of what comes later comes within this
 PAUSE_S = 0.15  # the longest pause between two pieces
 GOOD_SHARE = 0.6
+DEATH_WEIGHT = 0.15  # against 1 for any other fault: it takes the upstream's other answers along
 _FAULTS = tuple(fault for fault in Fault if fault is not Fault.GOOD)
+_WEIGHTS = tuple(DEATH_WEIGHT if fault is Fault.DEATH else 1.0 for fault in _FAULTS)
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,7 +63,7 @@
 def draw(seed: int, request: str, arrival: int) -> Lot:
     """The lot of a request's answer; alike for the same seed, request and number of its arrival."""
     dice = random.Random(f"{seed}/{request}/{arrival}")
-    fault = Fault.GOOD if dice.random() < GOOD_SHARE else dice.choice(_FAULTS)
+    fault = Fault.GOOD if dice.random() < GOOD_SHARE else dice.choices(_FAULTS, _WEIGHTS)[0]
     return Lot(
         fault,
         share=dice.random(),
--- a/mastturn/soak/planted.py
+++ b/mastturn/soak/planted.py
@@ -54,6 +54,13 @@
     upstream.__dict__["connection_end"] = lambda peer: EndKind.FIN
 
 
+def _death_taken_as_end() -> None:
+    from balancer import options
+
+    made = options.upstream_options
+    options.upstream_options = lambda: dataclasses.replace(made(), question=None)
+
+
 def _kept_after_surplus() -> None:
     from passpost.http1 import AnswerReader
     from passpost.upstream import _Connection
@@ -157,6 +164,7 @@
     "id-not-looked-at": ("whatever comes next passes for the answer", _id_not_looked_at),
     "fin-taken-as-end": ("a FIN ends an answer that has a length or chunks", _fin_taken_as_end),
     "reset-taken-as-end": ("a reset ends an answer as if in order", _reset_taken_as_end),
+    "death-taken-as-end": ("a FIN ends an answer whose upstream has died", _death_taken_as_end),
     "kept-after-surplus": ("a connection is used again after bytes of no request", _kept_after_surplus),
     "repeated-after-reset": ("what may run once is sent again after a reset", _repeated_after_reset),
     "dropped-at-sigterm": ("requests are dropped at SIGTERM", _dropped_at_sigterm),
--- a/mastturn/soak/surroundings.py
+++ b/mastturn/soak/surroundings.py
@@ -51,7 +51,10 @@
     def _new(self, address: str, phase: str) -> Upstream:
         self._count += 1
         zone = ZONES[self._count % len(ZONES)]
-        return Upstream(f"u{self._count}", address, zone, phase, self._seed, self._records, self._handles)
+        name = f"u{self._count}"
+        upstream = Upstream(name, address, zone, phase, self._seed, self._records, self._handles)
+        upstream.on_death = self._died
+        return upstream
 
     def _begin(self, work: asyncio.Task[None]) -> None:
         self._tasks.add(work)
@@ -69,8 +72,20 @@
         if not standing:
             return
         old = dice.choice(standing)
-        span = self._records.begin("crash", old.name, time.monotonic())
         old.crash()
+        await self._replace(old)
+
+    def _died(self, upstream: Upstream) -> None:
+        """One that leaves is missed by nobody; another comes for any other."""
+        if upstream in self.listed and upstream.state == "up":
+            self._begin(asyncio.create_task(self._replace(upstream)))
+        else:
+            span = self._records.begin("crash", upstream.name, time.monotonic())
+            span.end = span.begin
+
+    async def _replace(self, old: Upstream) -> None:
+        """Another comes at the address of one that has crashed."""
+        span = self._records.begin("crash", old.name, time.monotonic())
         await asyncio.sleep(CRASH_S)
         new = self._new(old.address, old.phase)
         await new.start()
--- a/mastturn/soak/upstream.py
+++ b/mastturn/soak/upstream.py
@@ -8,6 +8,7 @@
 import socket
 import time
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -108,6 +109,7 @@
         self._writers: set[Writer] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._runs, self._fence, self._seq = 0, 0, 0
+        self.on_death: Callable[[Upstream], None] = lambda upstream: None
 
     def entry(self) -> dict[str, Any]:
         """Its entry in the platform's list."""
@@ -144,6 +146,17 @@
         for writer in list(self._writers):
             reset(writer)
 
+    def die(self) -> None:
+        """End like a process that is killed: the kernel closes its connections and its listener."""
+        self.is_running = False
+        for writer in list(self._writers):
+            writer.transport.abort()
+        if self._server is not None:
+            self._server.close()
+        for task in self._tasks - {asyncio.current_task()}:
+            task.cancel()
+        self.on_death(self)
+
     # ---- connections
 
     async def _serve(self, reader: Reader, writer: Writer) -> None:
@@ -272,7 +285,7 @@
             case Fault.NO_ANSWER:
                 await write(writer, b"\x00\x01 this is no answer\r\n\r\n")
                 return False
-            case Fault.FIN | Fault.RESET | Fault.UNFRAMED_RESET | Fault.SILENCE:
+            case Fault.FIN | Fault.RESET | Fault.UNFRAMED_RESET | Fault.DEATH | Fault.SILENCE:
                 await self._send_part(wire, lot, is_stream, reader, writer)
                 return False
         surplus = {Fault.GARBAGE: GARBAGE, Fault.TWICE: whole}.get(lot.fault, b"")
@@ -314,6 +327,8 @@
                 await asyncio.sleep(STEP_S)
         if lot.fault in (Fault.RESET, Fault.UNFRAMED_RESET):
             reset(writer)
+        elif lot.fault is Fault.DEATH:
+            self.die()
         elif lot.fault is Fault.SILENCE:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(SILENCE_S):
--- a/tests/test_soak_defects.py
+++ b/tests/test_soak_defects.py
@@ -20,6 +20,7 @@
     "id-not-looked-at": ({"mixed", "unserved"}, ""),
     "fin-taken-as-end": ({"mixed", "gap", "held"}, ""),
     "reset-taken-as-end": ({"mixed"}, ""),
+    "death-taken-as-end": ({"mixed", "gap"}, ""),
     "kept-after-surplus": ({"unserved", "mixed", "lost"}, ""),
     "repeated-after-reset": ({"twice"}, ""),
     "dropped-at-sigterm": ({"stop", "unserved", "lost"}, "term of a balancer"),
