Split the upstreams' side of a balancer: attempts, one connection, the pool

Change: attempts and uploads in passpost/attempt.py, a connection and how it judges an answer's end in upstream_connection.py, options in upstream_options.py; the pool stays. The soak sends pieces by functions. No behaviour.

--- a/balancer/active_request.py
+++ b/balancer/active_request.py
@@ -16,9 +16,9 @@
 from balancer.upstream_call import UpstreamCall
 from balancer.wire import Staged, is_sound, read_handle
 from config.configuration import Route
+from passpost.attempt import Outgoing
 from passpost.engine import Client
 from passpost.http1 import Answer
-from passpost.upstream import Outgoing
 from umberworks.interface import Outcome
 
 PROMISES = (408, 421, 429, 503)  # statuses that promise what an error which ran does not: not passed on
--- a/balancer/answer_log.py
+++ b/balancer/answer_log.py
@@ -8,8 +8,8 @@
 
 from balancer.wire import Staged
 from passpost.answer_end import AnswerEnd, Misuse
+from passpost.attempt import Outgoing
 from passpost.http1 import EndKind, Framing
-from passpost.upstream import Outgoing
 
 
 class AnswerLog:
--- a/balancer/balancer.py
+++ b/balancer/balancer.py
@@ -27,11 +27,12 @@
 from config.configuration import Configuration, Upstream
 from config.settings import Settings, parse_address
 from dissemination.doubts import Doubts
+from passpost.attempt import Outgoing
 from passpost.client_options import ClientOptions
 from passpost.engine import Client
 from passpost.http1 import Headers
 from passpost.server import Server
-from passpost.upstream import Outgoing, Upstreams
+from passpost.upstream import Upstreams
 from passpost.validation import BadRequestError, Call
 
 TOLD_TOKENS = 512  # shared parts that are shorter are not worth a word to others
--- a/balancer/options.py
+++ b/balancer/options.py
@@ -5,7 +5,7 @@
 from balancer.wire import ask_for_report, is_event_stream, outcome
 from config.configuration import ClientLimits
 from passpost.client_options import ClientOptions
-from passpost.upstream import UpstreamOptions
+from passpost.upstream_options import UpstreamOptions
 
 DARK_MS = 700  # an upstream that acknowledges nothing for so long is dark
 CLIENT_DARK_MS = 8000
--- a/balancer/upstream_call.py
+++ b/balancer/upstream_call.py
@@ -10,8 +10,8 @@
 from balancer.patience import Watch, patience
 from balancer.peer import Peer
 from balancer.wire import Staged
+from passpost.attempt import Attempt, Done, Sink
 from passpost.http1 import Answer
-from passpost.upstream import Attempt, Done, Sink
 from umberworks.interface import Outcome
 
 ANSWER_GRACE_S = 0.25  # past the deadline: so long the upstream's own word is awaited
--- a/balancer/wire.py
+++ b/balancer/wire.py
@@ -8,8 +8,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from passpost.attempt import Outgoing
 from passpost.http1 import Address, Answer, Headers
-from passpost.upstream import Outgoing
 from umberworks.interface import Outcome
 
 SEAL, REQUEST_ID, NOT_RUN = b"mastturn-server-seal", b"mastturn-request-id", b"mastturn-not-run"
--- a/mastturn/engines/balancer.py
+++ b/mastturn/engines/balancer.py
@@ -24,7 +24,7 @@
 from mastturn.engines.jobs import Figures, Job
 from mastturn.engines.wire import HEAD_BYTES, Network, SimulatedUpstreams, extra
 from mastturnd.balancing import HOLDINGS_S
-from passpost.upstream import Outgoing
+from passpost.attempt import Outgoing
 
 MakeTiers = Callable[[random.Random, Callable[[str], bool]], Tiers]
 
--- a/mastturn/engines/wire.py
+++ b/mastturn/engines/wire.py
@@ -13,8 +13,8 @@
 from balancer.wire import Staged
 from mastturn.engines.engine import Engine
 from mastturn.engines.jobs import MISPLACED, Figures, Job
+from passpost.attempt import Done, Outgoing, Sink
 from passpost.http1 import Answer, Headers, Start
-from passpost.upstream import Done, Outgoing, Sink
 from umberworks.interface import Outcome
 
 CONNECT_S = 0.5
--- a/mastturn/soak/planted.py
+++ b/mastturn/soak/planted.py
@@ -48,10 +48,10 @@
 
 
 def _reset_taken_as_end() -> None:
-    from passpost import upstream
+    from passpost import upstream_connection
     from passpost.http1 import EndKind
 
-    upstream.__dict__["connection_end"] = lambda peer: EndKind.FIN
+    upstream_connection.__dict__["connection_end"] = lambda peer: EndKind.FIN
 
 
 def _death_taken_as_end() -> None:
@@ -63,20 +63,20 @@
 
 def _kept_after_surplus() -> None:
     from passpost.http1 import AnswerReader
-    from passpost.upstream import _Connection
+    from passpost.upstream_connection import Connection
 
-    taken = _Connection.data_received
+    taken = Connection.data_received
 
-    def data_received(self: _Connection, data: bytes) -> None:
+    def data_received(self: Connection, data: bytes) -> None:
         if self._attempt is not None:
             taken(self, data)
 
-    def is_spent(self: _Connection) -> bool:
+    def is_spent(self: Connection) -> bool:
         return self._transport is None or self._transport.is_closing()
 
     _replace(AnswerReader, "has_surplus", lambda self: False)
-    _replace(_Connection, "data_received", data_received)
-    _replace(_Connection, "is_spent", is_spent)
+    _replace(Connection, "data_received", data_received)
+    _replace(Connection, "is_spent", is_spent)
 
 
 def _repeated_after_reset() -> None:
--- a/mastturn/soak/upstream.py
+++ b/mastturn/soak/upstream.py
@@ -286,10 +286,12 @@
                 await write(writer, b"\x00\x01 this is no answer\r\n\r\n")
                 return False
             case Fault.FIN | Fault.RESET | Fault.UNFRAMED_RESET | Fault.DEATH | Fault.SILENCE:
-                await self._send_part(wire, lot, is_stream, reader, writer)
+                await send_part(wire, lot, is_stream, reader, writer)
+                if lot.fault is Fault.DEATH:
+                    self.die()
                 return False
         surplus = {Fault.GARBAGE: GARBAGE, Fault.TWICE: whole}.get(lot.fault, b"")
-        await self._send_pieces((*wire.pieces[:-1], wire.pieces[-1] + surplus), lot, is_stream, writer)
+        await send_pieces((*wire.pieces[:-1], wire.pieces[-1] + surplus), lot, is_stream, writer)
         if lot.fault in (Fault.LENGTH_TOO_LONG, Fault.NO_LAST_CHUNK):
             return False
         arrival.whole_at = time.monotonic()
@@ -304,36 +306,6 @@
                 asyncio.get_running_loop().call_later(lot.late_s, late.send, STALE_ERROR)
         return True
 
-    async def _send_pieces(
-        self, pieces: tuple[bytes, ...], lot: Lot, is_stream: bool, writer: Writer
-    ) -> None:
-        """All of an answer, as fast as it is made."""
-        if not is_stream and lot.pieces == 1:
-            await write(writer, b"".join(pieces))
-            return
-        for piece in pieces:
-            await write(writer, piece)
-            await asyncio.sleep(faults.PAUSE_S * lot.share if lot.pieces > 1 else STEP_S)
-
-    async def _send_part(self, wire: Wire, lot: Lot, is_stream: bool, reader: Reader, writer: Writer) -> None:
-        """The first bytes of an answer, and the end that its fault gives the connection."""
-        left = int(lot.share * (sum(len(piece) for piece in wire.pieces) - 1))
-        for piece in wire.pieces:
-            await write(writer, piece[:left])
-            left -= min(len(piece), left)
-            if not left:
-                break
-            if is_stream:
-                await asyncio.sleep(STEP_S)
-        if lot.fault in (Fault.RESET, Fault.UNFRAMED_RESET):
-            reset(writer)
-        elif lot.fault is Fault.DEATH:
-            self.die()
-        elif lot.fault is Fault.SILENCE:
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(SILENCE_S):
-                    await reader.read(1)
-
     # ---- calls of the control state and of balancers that are no requests
 
     async def _answer_call(self, got: Got, reader: Reader, writer: Writer) -> bool:
@@ -372,3 +344,31 @@
     """A body of about that many bytes, each stretch of which tells the run and the request."""
     mark = f"{arrival.seal} {arrival.request};".encode()
     return mark * max(length // len(mark), 1)
+
+
+async def send_pieces(pieces: tuple[bytes, ...], lot: Lot, is_stream: bool, writer: Writer) -> None:
+    """All of an answer, as fast as it is made."""
+    if not is_stream and lot.pieces == 1:
+        await write(writer, b"".join(pieces))
+        return
+    for piece in pieces:
+        await write(writer, piece)
+        await asyncio.sleep(faults.PAUSE_S * lot.share if lot.pieces > 1 else STEP_S)
+
+
+async def send_part(wire: Wire, lot: Lot, is_stream: bool, reader: Reader, writer: Writer) -> None:
+    """The first bytes of an answer, and the end that its fault gives the connection alone."""
+    left = int(lot.share * (sum(len(piece) for piece in wire.pieces) - 1))
+    for piece in wire.pieces:
+        await write(writer, piece[:left])
+        left -= min(len(piece), left)
+        if not left:
+            break
+        if is_stream:
+            await asyncio.sleep(STEP_S)
+    if lot.fault in (Fault.RESET, Fault.UNFRAMED_RESET):
+        reset(writer)
+    elif lot.fault is Fault.SILENCE:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(SILENCE_S):
+                await reader.read(1)
--- a/mastturnd/tap.py
+++ b/mastturnd/tap.py
@@ -14,7 +14,7 @@
 from balancer.ingress import RoutedCall
 from balancer.peer import Peer
 from balancer.tiers import Group
-from passpost.upstream import Outgoing
+from passpost.attempt import Outgoing
 from umberworks.interface import Outcome
 
 Hear = Callable[[str, dict[str, Any]], None]
--- a/passpost/client_connection.py
+++ b/passpost/client_connection.py
@@ -10,7 +10,7 @@
 from passpost.client_transport import LINGER_S, ClientTransport, Phase
 from passpost.exchange import Exchange, ExchangeServer
 from passpost.request_reader import ReaderServer, Request, RequestReader
-from passpost.upstream import notice_darkness
+from passpost.upstream_connection import notice_darkness
 
 READ_HEAD, READ_BODY = 8 * 1024, 64 * 1024  # so much is read at once: what lies unparsed is ours to hold
 END_S = 0.1  # what crosses our end between requests comes within this, and is dropped; then we are gone
--- a/passpost/engine.py
+++ b/passpost/engine.py
@@ -13,10 +13,11 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from passpost.attempt import Attempt, Outgoing
 from passpost.counters import Counters
 from passpost.http1 import Address, Answer, Flow, Headers, Start
 from passpost.reports import LoadReports
-from passpost.upstream import Attempt, Outgoing, Upstreams
+from passpost.upstream import Upstreams
 from passpost.validation import Call, check
 from umberworks import interface as face
 from umberworks.interface import Outcome
--- a/passpost/exchange.py
+++ b/passpost/exchange.py
@@ -7,13 +7,13 @@
 from typing import Protocol
 
 from passpost.answer_writer import AnswerWriter, is_framed
+from passpost.attempt import Outgoing
 from passpost.client_options import ClientOptions
 from passpost.client_transport import ClientTransport
 from passpost.counters import Final
 from passpost.engine import Client
 from passpost.http1 import Answer, Flow, Headers, Start, end_to_end, write_headers
 from passpost.request_reader import Request, RequestReader
-from passpost.upstream import Outgoing
 from passpost.validation import Call
 
 log = logging.getLogger(__name__)
--- a/passpost/request_reader.py
+++ b/passpost/request_reader.py
@@ -10,9 +10,9 @@
 
 import httptools
 
+from passpost.attempt import Upload
 from passpost.client_options import ClientOptions
 from passpost.http1 import HELD_BODY, OWS, Headers
-from passpost.upstream import Upload
 from passpost.validation import BadRequestError, Call
 
 # So much of what lies there is parsed at once: what many small requests take, in time and memory, is bounded.
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -10,9 +10,11 @@
 import pytest
 
 from passpost import upstream as module
+from passpost.attempt import Attempt, Outgoing
 from passpost.discovery import parse_address
 from passpost.http1 import Answer
-from passpost.upstream import Attempt, Outgoing, Upstreams
+from passpost.upstream import Upstreams
+from passpost.upstream_connection import Connection
 from tests.loopback import AWAY, OK, CuttingServer, FakeServer, Got, Writer, balancer, run, silent, until
 from umberworks.interface import Outcome
 
@@ -292,7 +294,7 @@
 
     async def test() -> None:
         async with calls(FakeServer()) as c:
-            monkeypatch.setattr(module._Connection, "carry", fail)
+            monkeypatch.setattr(Connection, "carry", fail)
             assert await c.outcome() is Outcome.BROKEN
             assert c.upstreams._open == 0
 
--- a/tests/test_upstream_closes.py
+++ b/tests/test_upstream_closes.py
@@ -10,9 +10,11 @@
 import pytest
 
 from passpost.answer_end import connection_end
+from passpost.attempt import Attempt, Outgoing
 from passpost.discovery import parse_address
 from passpost.http1 import Address, EndKind
-from passpost.upstream import Attempt, Outgoing, UpstreamOptions, Upstreams
+from passpost.upstream import Upstreams
+from passpost.upstream_options import UpstreamOptions
 from tests.loopback import OK, FakeServer, Got, Writer, run, silent, until
 from tests.test_upstream import Calls
 from umberworks.interface import Outcome
