Close connections of a soak's upstreams unannounced, and count requests that failed unseen

Change: two faults, a connection that is closed or reset some time behind a whole answer; `failed unseen` in the summary, by cause in report.unseen_failures.

--- a/mastturn/soak/faults.py
+++ b/mastturn/soak/faults.py
@@ -28,6 +28,8 @@
     TWICE_LATE = "again later"  # with its own id
     STALE_ERROR_LATE = "an error without id later"
     HALF_LATE = "half an answer later"  # the rest comes later still
+    CLOSED_LATE = "closed later"  # the answer is whole; its connection ends unannounced, maybe amid a request
+    RESET_LATE = "reset later"
     NO_ANSWER = "bytes that are no answer"
     EARLY = "early rejection"  # before the body was read
 
@@ -38,7 +40,8 @@
 SURPLUS = frozenset(  # the answer is whole, and something comes behind it
     {Fault.GARBAGE, Fault.TWICE, Fault.TWICE_LATE, Fault.STALE_ERROR_LATE, Fault.HALF_LATE}
 )
-SOUND = HARMLESS | SURPLUS  # the answer is there for whoever reads on
+ENDED_LATE = frozenset({Fault.CLOSED_LATE, Fault.RESET_LATE})  # the answer is whole, its connection is not
+SOUND = HARMLESS | SURPLUS | ENDED_LATE  # the answer is there for whoever reads on
 REJECTING = frozenset({Fault.REJECTED, Fault.EARLY})
 LATE_S = (0.001, 2.0)  # of what comes later
 SOON_S = 0.05  # half of what comes later comes within this
--- a/mastturn/soak/report.py
+++ b/mastturn/soak/report.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import re
 from collections import Counter
 from typing import Any
 
@@ -14,6 +15,7 @@
 
 NOT_SENT = "reached no upstream"
 LAST_BYTES = 120  # of a body that are shown with a finding
+_CUT = re.compile(r"event=answer_cut .* end=(\w+) framing=(\w+)")
 SEVERAL = "several faults"
 OWN_STATUSES: dict[int, str] = {
     503: "refused",
@@ -50,6 +52,20 @@
     return "good" if not wrong else wrong.pop() if len(wrong) == 1 else SEVERAL
 
 
+def unseen_failures(result: Result) -> Counter[str]:
+    """Requests that failed with a 502 of the balancer's own though no upstream's program saw a run of theirs.
+
+    By how their calls ended, as the balancers' logs tell: `end/framing` of each, or "-" without a line.
+    """
+    seen = {arrival.request for arrival in result.records.arrivals if not arrival.is_read}
+    found: Counter[str] = Counter()
+    for ask in result.records.asks:
+        if ask.ends and outcome(ask.ends[0]) == OWN_STATUSES[502] and ask.request not in seen:
+            cuts = (_CUT.search(line) for line in result.logs.about(ask.request))
+            found[" ".join(f"{cut[1]}/{cut[2]}" for cut in cuts if cut) or "-"] += 1
+    return found
+
+
 def table(result: Result) -> Table:
     """The counts, for a terminal."""
     counts = by_fault(result)
@@ -122,8 +138,10 @@
     puts = sum(put.status == 200 for put in result.records.puts)
     troubles = sum(result.troubles.values())
     rules = Counter(finding.rule for finding in result.findings)
+    unseen = sum(unseen_failures(result).values())
     found = ", ".join(f"{rule} {count}" for rule, count in sorted(rules.items())) or "nothing found"
     return (
         f"seed {result.plan.seed}: {len(asks)} requests, {served} served, {troubles} troubles, "
-        f"{puts} changes acknowledged, {result.records.worst_lag_s:.2f} s behind at most: {found}"
+        f"{puts} changes acknowledged, {unseen} failed unseen, "
+        f"{result.records.worst_lag_s:.2f} s behind at most: {found}"
     )
--- a/mastturn/soak/upstream.py
+++ b/mastturn/soak/upstream.py
@@ -74,6 +74,15 @@
         self._writer.write(STALE_ERROR[:half])
         asyncio.get_running_loop().call_later(REST_LATE_S, self._send_rest)
 
+    def end(self, by_reset: bool) -> None:
+        """End the connection, which may cross a request that is on its way; not while one is there."""
+        if self._is_busy or self._writer.is_closing():
+            return
+        if by_reset:
+            reset(self._writer)
+        else:
+            self._writer.transport.abort()
+
     def _send_rest(self) -> None:
         rest, self._rest = self._rest, b""
         if not self._writer.is_closing():
@@ -302,6 +311,10 @@
                 asyncio.get_running_loop().call_later(lot.late_s, late.send, whole)
             case Fault.HALF_LATE:
                 asyncio.get_running_loop().call_later(lot.late_s, late.send_half)
+            case Fault.CLOSED_LATE:
+                asyncio.get_running_loop().call_later(lot.late_s, late.end, False)
+            case Fault.RESET_LATE:
+                asyncio.get_running_loop().call_later(lot.late_s, late.end, True)
             case Fault.STALE_ERROR_LATE:
                 asyncio.get_running_loop().call_later(lot.late_s, late.send, STALE_ERROR)
         return True
