Test cut answers in each order of head, body, FIN and reset, for each framing and client

Change: 648 cuts (three framings, short, long and streamed answers, each order of head, body, FIN and reset in one look or several, clients of HTTP/1.0 and 1.1, closing and sending ahead).

--- a/tests/balancer_stage.py
+++ b/tests/balancer_stage.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import json
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
@@ -15,6 +16,7 @@
 from config.settings import Bounds, CloudApi, Limits, Listen, Settings
 from tests.loopback import CuttingServer, Got, Reader, Writer, read_request
 
+PORT_TRIES = 5
 HOST, PATH = "shop.example", "/run/1"
 Act = Callable[["Stage", Got, Writer], Awaitable[None]]
 
@@ -236,18 +238,32 @@
     return Configuration(ver, routes or (route(),), (service,), limits or ClientLimits())
 
 
+async def _started(slack: float, grace_s: float) -> tuple[Balancer, int, int]:
+    """A balancer and its ports; any connection may take a free port before it is bound."""
+    for _ in range(PORT_TRIES):
+        http, readyz = free_port(), free_port()
+        settings = Settings(
+            "edge-1", "127.0.0.1", "a", "edge", (7000, 7001), CloudApi("127.0.0.1:1"),
+            listen=Listen(f"127.0.0.1:{http}", f"127.0.0.1:{readyz}"), limits=Limits(max_fds=1000),
+            bounds=Bounds(retry_slack=slack, grace_s=grace_s),
+        )  # fmt: skip
+        balancer = Balancer(settings, 1)
+        try:
+            await balancer.start()
+        except OSError as error:
+            await balancer.stop()
+            if error.errno != errno.EADDRINUSE:
+                raise
+        else:
+            return balancer, http, readyz
+    raise AssertionError("no free port")
+
+
 @asynccontextmanager
 async def playing(
     *stages: Stage, config: Configuration | None = None, slack: float = 100.0, grace_s: float = 8.0
 ) -> AsyncIterator[Play]:
-    http, readyz = free_port(), free_port()
-    settings = Settings(
-        "edge-1", "127.0.0.1", "a", "edge", (7000, 7001), CloudApi("127.0.0.1:1"),
-        listen=Listen(f"127.0.0.1:{http}", f"127.0.0.1:{readyz}"), limits=Limits(max_fds=1000),
-        bounds=Bounds(retry_slack=slack, grace_s=grace_s),
-    )  # fmt: skip
-    balancer = Balancer(settings, 1)
-    await balancer.start()
+    balancer, http, readyz = await _started(slack, grace_s)
     for stage in stages:
         await stage.start()
     play = Play(balancer, http, readyz, list(stages))
--- /dev/null
+++ b/tests/test_cut_answer_orders.py
@@ -0,0 +1,213 @@
+"""Answers that are cut, in each order in which head, body, FIN and reset can lie in the socket.
+
+Whatever the framing on either side, a client never reads a cut answer as complete. The one exception: an
+answer without length and chunks that a FIN cuts at an upstream that lives on is not to be told from a whole.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import socket
+import struct
+from collections.abc import Callable, Coroutine, Iterator
+from dataclasses import dataclass, replace
+from typing import Any
+
+import pytest
+
+from tests.balancer_stage import HOST, PATH, Stage, chunk, configuration, event, head, playing, route
+from tests.loopback import OK, Got, Reader, read_request, run
+
+UNSAFE = configuration(1, route(route_type="unsafe", tries=1))
+LINGER = struct.pack("ii", 1, 0)
+LONG = 70_000  # bytes: too long to be held, so that it is passed on as it comes
+PATIENCE_S = 5.0
+ORDERS = [
+    (*answer, *ends)
+    for answer, ends in itertools.product(
+        (("head",), ("head", "body")), (("reset",), ("FIN",), ("FIN", "reset"))
+    )
+]
+TURNS = (0, 1, 3)  # of the event loop between two of these
+
+
+@dataclass(frozen=True)
+class Cut:
+    """How an answer is cut. `turns`: with none the balancer finds all of it in one look."""
+
+    framing: str
+    body: str
+    is_stream: bool
+    order: tuple[str, ...]
+    turns: int
+
+    def can_be_told(self) -> bool:
+        """Whether anything shows that it is cut, before a reset that may come too late to be seen."""
+        return (
+            self.framing != "close" or "FIN" not in self.order or (self.turns == 0 and "reset" in self.order)
+        )
+
+
+class OrderedStage(Stage):
+    """An upstream that cuts each answer as `cut` says."""
+
+    def __init__(self) -> None:
+        super().__init__("u1")
+        self.cut = Cut("length", "", False, (), 0)
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self._listener.setblocking(False)
+        self.entry = replace(self.entry, addr=f"127.0.0.1:{self._listener.getsockname()[1]}")
+        self._begin(self._accept())
+
+    def stop(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        self._listener.close()
+
+    def _begin(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _accept(self) -> None:
+        while True:
+            peer, _ = await asyncio.get_running_loop().sock_accept(self._listener)
+            self._begin(self._answer(peer))
+
+    async def _answer(self, peer: socket.socket) -> None:
+        with peer:
+            got = await _read(peer)
+            if got is None:
+                return
+            if got.line.startswith("GET /api/report "):
+                peer.sendall(OK)
+                return
+            self.got.append(got)
+            for step in self.cut.order:
+                for _ in range(self.cut.turns):
+                    await asyncio.sleep(0)
+                await self._take(step, peer, got)
+            if "reset" not in self.cut.order:
+                await asyncio.get_running_loop().sock_recv(peer, 1)  # until the balancer closes
+
+    async def _take(self, step: str, peer: socket.socket, got: Got) -> None:
+        loop = asyncio.get_running_loop()
+        match step:
+            case "head":
+                await loop.sock_sendall(peer, self._head(got))
+            case "body":
+                body = self.cut.body
+                await loop.sock_sendall(peer, chunk(body) if self.cut.framing == "chunks" else body.encode())
+            case "FIN":
+                peer.shutdown(socket.SHUT_WR)
+            case "reset":
+                peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER)
+                peer.close()
+
+    def _head(self, got: Got) -> bytes:
+        kind = "Content-Type: text/event-stream\r\n" if self.cut.is_stream else ""
+        framing = {
+            "length": f"Content-Length: {2 * len(self.cut.body)}\r\n",
+            "chunks": "Transfer-Encoding: chunked\r\n",
+            "close": "",
+        }[self.cut.framing]
+        return (head(got, kind + framing) + "\r\n").encode()
+
+
+async def _read(peer: socket.socket) -> Got | None:
+    loop, reader = asyncio.get_running_loop(), Reader()
+    reading = loop.create_task(read_request(reader))
+    while not reading.done():
+        data = await loop.sock_recv(peer, 65536)
+        if data:
+            reader.feed_data(data)
+        else:
+            reader.feed_eof()
+        await asyncio.sleep(0)
+    return reading.result()
+
+
+@dataclass(frozen=True)
+class Caller:
+    """A client, on a plain socket: an event loop may take a reset for an end of file."""
+
+    version: str = "1.1"
+    closes: bool = False
+    ahead: int = 0  # requests that it sends behind the first
+
+    async def is_served(self, port: int) -> bool:
+        """Whether it reads a complete 200."""
+        loop = asyncio.get_running_loop()
+        with socket.socket() as peer:
+            peer.setblocking(False)
+            await loop.sock_connect(peer, ("127.0.0.1", port))
+            await loop.sock_sendall(peer, b"".join(self._request(n) for n in range(1 + self.ahead)))
+            data, ended = b"", False
+            try:
+                async with asyncio.timeout(PATIENCE_S):
+                    while not ended and not is_complete(data, ended):
+                        more = await loop.sock_recv(peer, 65536)
+                        data, ended = data + more, not more
+            except ConnectionError:
+                ended = False
+            return data.startswith(b"HTTP/1.1 200") and is_complete(data, ended)
+
+    def _request(self, number: int) -> bytes:
+        closes = "Connection: close\r\n" if self.closes else ""
+        return (
+            f"POST {PATH} HTTP/{self.version}\r\nHost: {HOST}\r\nMastturn-Request-Id: r{number}\r\n"
+            f"{closes}Content-Length: 1\r\n\r\nb"
+        ).encode()
+
+
+def is_complete(data: bytes, ended: bool) -> bool:
+    """Whether an answer is complete by its framing; `ended`: its connection has ended in order."""
+    lines, found, body = data.partition(b"\r\n\r\n")
+    if not found:
+        return False
+    fields = dict(line.lower().split(b": ", 1) for line in lines.split(b"\r\n")[1:])
+    if b"content-length" in fields:
+        return len(body) >= int(fields[b"content-length"])
+    if b"transfer-encoding" in fields:
+        return body.endswith(b"0\r\n\r\n")
+    return ended
+
+
+def cuts(framing: str, body: str, is_stream: bool) -> Iterator[Cut]:
+    for order, turns in itertools.product(ORDERS, TURNS):
+        yield Cut(framing, body, is_stream, order, turns)
+
+
+CALLERS = {
+    "kept": Caller(),
+    "closing": Caller(closes=True),
+    "1.0": Caller(version="1.0"),
+    "sending ahead": Caller(ahead=1),
+}
+ANSWERS: dict[str, Callable[[str], Iterator[Cut]]] = {
+    "short": lambda framing: cuts(framing, "part", False),
+    "long": lambda framing: cuts(framing, "p" * LONG, False),
+    "stream": lambda framing: cuts(framing, event(1) + event(2), True),
+}
+
+
+@pytest.mark.parametrize("caller", CALLERS.values(), ids=list(CALLERS))
+@pytest.mark.parametrize("answers", ANSWERS.values(), ids=list(ANSWERS))
+@pytest.mark.parametrize("framing", ["length", "chunks", "close"])
+def test_a_cut_answer_never_looks_complete(
+    framing: str, answers: Callable[[str], Iterator[Cut]], caller: Caller
+) -> None:
+    async def test() -> None:
+        stage = OrderedStage()
+        async with playing(stage, config=UNSAFE) as play:
+            for cut in answers(framing):
+                stage.cut, had = cut, len(stage.got)
+                is_served = await caller.is_served(play.port)
+                assert len(stage.got) > had
+                assert not (is_served and cut.can_be_told()), cut
+
+    run(test())
