--- a/tests/test_balancer_deadlines.py
+++ b/tests/test_balancer_deadlines.py
@@ -23,6 +23,7 @@
 )
 from tests.loopback import Got, Writer, run
 
+READ_S = 0.1  # in which a request that was sent is read
 SLACK_S = 0.15  # of the machine that plays this
 
 
@@ -66,6 +67,35 @@
     run(test())
 
 
+def test_time_counts_for_a_request_that_lies_in_the_kernel_behind_others_of_its_connection() -> None:
+    """Found by a soak, once: a request had no end 1.5 s after its deadline.
+
+    How: a client sent three ahead; two were read, and the third came while nothing was read for them.
+    Cause: its time began as it was read, once the first had its answer.
+    Proof: an upstream that is silent; the third ends 0.85 s, the first's whole time, too late.
+    """
+
+    async def silent(stage: Stage, got: Got, writer: Writer) -> None:
+        await asyncio.sleep(30)
+
+    async def test() -> None:
+        async with playing(Stage("u1", "", silent), config=configuration(1, route(tries=1))) as play:
+            loop = asyncio.get_running_loop()
+            reader, writer = await asyncio.open_connection("127.0.0.1", play.port)
+            for number in range(3):
+                if number == 2:
+                    await asyncio.sleep(READ_S)
+                    begun = loop.time()
+                lines = f"Host: {HOST}\r\nMastturn-Request-Id: r{number}\r\nMastturn-Deadline-Ms: 600\r\n"
+                writer.write(f"POST {PATH} HTTP/1.1\r\n{lines}Content-Length: 1\r\n\r\nb".encode())
+            replies = [await read_reply(reader) for _ in range(3)]
+            assert [reply.status for reply in replies] == [504, 504, 504]
+            assert loop.time() - begun < 0.6 + ANSWER_GRACE_S + SLACK_S
+            writer.close()
+
+    run(test())
+
+
 @pytest.mark.parametrize("after_s", [0.0, 0.3])
 def test_a_stop_leaves_time_to_end_though_an_upstream_is_silent(after_s: float) -> None:
     """An upstream's own word is awaited for a moment beyond the deadline: that is no time to end in."""
