Let a request's time begin as its bytes come, also while they lie in the kernel

Cause: while a request of a connection waits nothing more is read there, and what lay in the kernel was taken to have come as it was read. Change: once reading has been paused, the kernel is asked when a connection's last bytes came; not before the pause, and now where it does not tell. Clients that send one request at a time are never paused, and nothing is asked.

--- a/passpost/client_connection.py
+++ b/passpost/client_connection.py
@@ -84,7 +84,7 @@
         """Bytes of a request, split anywhere."""
         if self.transport.phase is not Phase.OPEN or self.reader.bad:
             return  # nothing behind a bad request can be trusted
-        self.reader.feed(self._server.buffer[:nbytes])
+        self.reader.feed(self._server.buffer[:nbytes], self.transport.came_at())
         self._parse()
 
     def _parse(self) -> None:
--- a/passpost/client_transport.py
+++ b/passpost/client_transport.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import select
 import socket
 import struct
+import time
 from enum import Enum, auto
 from typing import Any, cast
 
+_LAST_RECEIVED_MS = struct.Struct("=52xI")  # Linux's tcp_info up to tcpi_last_data_recv, in milliseconds
 LINGER_S = 2.0  # an error is left so long to be read before its connection goes
 
 
@@ -27,6 +30,7 @@
         self._transport: asyncio.Transport | None = None
         self._poll: select.poll | None = None
         self._resets = False  # a close now is a reset
+        self._unread_from = math.inf  # when we last began to leave what comes in the kernel
         self.phase = Phase.OPEN
         self.linger_s = LINGER_S  # once our side has ended, it is closed after this
 
@@ -73,8 +77,29 @@
 
     def read_on(self, reads: bool) -> None:
         """Read what comes from now on, or leave it in the kernel."""
-        if self._transport is not None:
-            (self._transport.resume_reading if reads else self._transport.pause_reading)()
+        if self._transport is None:
+            return
+        if reads:
+            self._transport.resume_reading()
+        else:
+            self._transport.pause_reading()
+            self._unread_from = time.monotonic()
+
+    def came_at(self) -> float:
+        """When the bytes that were just read came, in seconds on the steady clock; not before they were left.
+
+        Of what lay in the kernel that knows when its last byte came. Where it does not tell, that is now.
+        """
+        now = time.monotonic()
+        if now < self._unread_from:
+            return now
+        age_ms: int
+        try:
+            told = self._socket().getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _LAST_RECEIVED_MS.size)
+            (age_ms,) = _LAST_RECEIVED_MS.unpack(told)
+        except (OSError, struct.error):
+            return now
+        return max(now - age_ms / 1000, self._unread_from)
 
     # ---- ends
 
--- a/passpost/request_reader.py
+++ b/passpost/request_reader.py
@@ -101,10 +101,10 @@
 
     # ---- parsing
 
-    def feed(self, data: bytes | memoryview) -> None:
-        """Bytes have come, split anywhere; `parse` takes what there is a use for."""
+    def feed(self, data: bytes | memoryview, came: float) -> None:
+        """Bytes that `came` then, split anywhere; `parse` takes what there is a use for."""
         self.unparsed += data
-        self._came = time.monotonic()
+        self._came = came
 
     def parse(self) -> None:
         """Take what has come up to the next whole request; with one that waits, others have their turn."""
