Let a core that is begun anew lead above every epoch that balancers and upstreams have heard of

Cause: a core on empty disks counted epochs from 1. Balancers believed none of its news until they were started again, and upstreams that check fences refused its orders with 412, which it went on giving with the same fence. Measured: with three balancers, all three disks lost after some terms: the new core is believed, the changed list is there within 3 s and configurations are in force, without a restart; the same scene failed before (nobody fresh).

--- a/consensus/replica.py
+++ b/consensus/replica.py
@@ -170,6 +170,15 @@
                     self._run(now, handover=True)
         self._advance(now)
 
+    def outrun(self, epoch: int) -> None:
+        """Others believe only a leader of a later epoch than this, that of a core that is gone for good.
+
+        Nothing is bound by it: as leader we begin a view above that epoch, as every view is begun.
+        """
+        self.candidate.seen = max(self.candidate.seen, epoch)
+        if self.primary is not None:
+            self.primary.above = max(self.primary.above, epoch)
+
     def stalled(self, stall_ms: float, now: float) -> None:
         """The process stood still for so long, in a time that its clock leaves out (`AwakeClock`)."""
         self.acceptor.detector.stalled(stall_ms, now)
--- a/control/node.py
+++ b/control/node.py
@@ -50,7 +50,7 @@
         self._replica: Replica | None = None
         self._clock = AwakeClock(self._stalled)
         self._links = Links(KINDS, (settings.ip, settings.station_port), self._heard, self._ended)
-        self._publisher = Publisher(settings, self._links, self._prove)
+        self._publisher = Publisher(settings, self._links, self._prove, self._outrun)
         self._calls = CallServer(CALLS, self)
         self._local: deque[messages.Message] = deque()
         self._tokens, self._owed = 0, dict[int, asyncio.Future[Reply]]()
@@ -157,6 +157,12 @@
         still = replica.primary is not None and replica.primary.view.epoch == epoch
         return epoch if reply.verdict is Verdict.DONE and still else 0
 
+    def _outrun(self, epoch: int) -> None:
+        """Somebody believes no leader of this epoch or an earlier one."""
+        if self._replica is not None:
+            logger.warning("event=epoch_outrun heard={}", epoch)
+            self._replica.outrun(epoch)
+
     # ---- the machine
 
     def now(self) -> float:
--- a/control/phase_controller.py
+++ b/control/phase_controller.py
@@ -21,7 +21,11 @@
 WATCH_S = 1.0  # what moves is looked in on so often: one that goes meanwhile must not hold up other orders
 MOVING = "moving"  # the part that an upstream plays meanwhile, so that nobody sends to it
 
+FENCED = 412  # an upstream has seen a higher fence
+MOST_STEP = 2**40
+
 Prove = Callable[[], Awaitable[int]]
+Outrun = Callable[[int], None]
 
 
 class PhaseController:
@@ -34,8 +38,15 @@
         prove: Prove,
         loads: Callable[[], Mapping[str, tuple[int, int]]],
         changed: Callable[[], None],
+        outrun: Outrun,
     ) -> None:
-        """`prove`: our epoch, once it is sure that nobody has taken our place; else 0."""
+        """`prove`: our epoch, once it is sure that nobody has taken our place; else 0.
+
+        `outrun`: we are to lead in a later epoch than this one.
+        """
+        self._outrun = outrun
+        self._refused_fence = 0  # the highest that an upstream has refused for a higher one: not used again
+        self._step = 1  # by which the next fence is to be above it at least
         self._owner, self._lease_s, self._prove = owner, lease_s, prove
         self._loads, self._changed = loads, changed
         self._plan = PhasePlan()
@@ -123,7 +134,7 @@
         self._changed()
         await asyncio.sleep(TOLD_S)
         epoch = await self._prove()
-        if epoch:
+        if epoch > self._refused_fence:
             answered = await asyncio.gather(*(self._give(order, epoch) for order in orders))
             self._unheard = 0 if any(answered) else self._unheard + 1
             self._unheard_at = self._looked_at
@@ -142,7 +153,22 @@
         )
         if isinstance(outcome, Rejected):
             self._moving.pop(name, None)
+            if outcome.status == FENCED:
+                self._fence_refused(epoch)
         elif not isinstance(outcome, Taken):
             self._ask_another(order.upstream)
             return False
+        else:
+            self._step = 1
         return True
+
+    def _fence_refused(self, fence: int) -> None:
+        """A holder before us, of a core that is no more, has used a higher one, and nobody tells how high.
+
+        So the next epoch is above it by a step that doubles with each refusal in a row.
+        """
+        if fence <= self._refused_fence:
+            return  # another upstream refuses the same
+        self._refused_fence = fence
+        self._outrun(fence + self._step)
+        self._step = min(2 * self._step, MOST_STEP)
--- a/control/publisher.py
+++ b/control/publisher.py
@@ -10,7 +10,7 @@
 
 from config.settings import Settings, parse_address
 from consensus.views import Document, Member, View
-from control.phase_controller import LOOK_S, PhaseController, Prove
+from control.phase_controller import LOOK_S, Outrun, PhaseController, Prove
 from control.platform import RATE_SHARE, PlatformError, PlatformList, pack
 from dissemination.bulletin import Bulletin
 from dissemination.counting import COUNT_S
@@ -27,6 +27,7 @@
     Doubt,
     DoubtNews,
     DoubtReport,
+    EpochHeard,
     HoldingNews,
     HoldingReport,
     LoadNews,
@@ -50,14 +51,19 @@
 LEAST_S = 0.02  # between two readings of a list of many pages, which takes longer
 SILENT_S = 2.5  # a balancer that says nothing for so long has gone
 COUNTED_S = 2.0  # a new primary has heard of all balancers after this
+MOST_EPOCH = 2**53  # no word of another makes ours larger: fences are written as JSON numbers
 LINGER_S = 1.5  # one that has gone stays a member for so long: most only hear the news from elsewhere now
 
 
 class Publisher:
     """Owns the bulletin of one control process; only the primary's goes out."""
 
-    def __init__(self, settings: Settings, links: Links, prove: Prove) -> None:
-        """`prove`: our epoch once it is sure that nobody has taken our place, else 0."""
+    def __init__(self, settings: Settings, links: Links, prove: Prove, outrun: Outrun) -> None:
+        """`prove`: our epoch once it is sure that nobody has taken our place, else 0.
+
+        `outrun`: we are to lead in a later epoch than this one, as others believe nobody else.
+        """
+        self._outrun = outrun
         self._settings, self._links = settings, links
         self.bulletin = Bulletin()
         self._feed = Feed(self.bulletin, links.kinds, lambda: None)
@@ -69,7 +75,9 @@
         self._dressed: list[dict[str, Any]] = []  # the same as balancers are to see it,
         self._page = pack([])  # and as it goes to them
         lease_s = settings.bounds.lease_ms / 1000
-        self._phase_controller = PhaseController(settings.node, lease_s, prove, self._loads.total, self._list)
+        self._phase_controller = PhaseController(
+            settings.node, lease_s, prove, self._loads.total, self._list, outrun
+        )
         self._platform = PlatformList(
             parse_address(settings.cloud_api.addr), settings.cloud_api.rate_per_s * RATE_SHARE
         )
@@ -79,6 +87,7 @@
         self._leads = asyncio.Event()
         self._since = 0.0
         self._first_epoch = 0  # of those that we have led since
+        self._epoch_heard = 0  # the latest that a balancer had heard of
         self._number = 0
         self.take_overs = 0  # how often this process came to lead, its first time too
         self._counts: deque[tuple[float, int]] = deque()
@@ -126,6 +135,8 @@
             self.take_overs += 1
             self.bulletin.forget_loads()
             self.bulletin.forget_doubts()
+        if view is not None and self._first_epoch <= self._epoch_heard < view.epoch:
+            self._first_epoch = view.epoch  # what was told before was not believed, and is told anew
         self._view = view
         if view is not None:
             self._leads.set()
@@ -137,6 +148,7 @@
             self._hear_waiting()
             self._doubts.again()
             self._loads.again()  # what was reported while nobody led was told to nobody
+            self._look_at_epochs(view)
 
     def committed(self, document: Document) -> None:
         """This configuration is in force."""
@@ -172,6 +184,10 @@
             case Speaks():
                 self._feed.speaks(link, message)
                 link.send(Speaks(EDITION, b""))
+            case EpochHeard(epoch):
+                self._epoch_heard = max(self._epoch_heard, min(epoch, MOST_EPOCH))
+                if self._view is not None:
+                    self._look_at_epochs(self._view)
             case LoadReport():
                 self._loads.report(link, message)
             case LoadReportStep():
@@ -183,6 +199,11 @@
                 if new := self._holdings.add(holdings):
                     self._feed.tell(HoldingNews(new))
 
+    def _look_at_epochs(self, view: View) -> None:
+        """Lead in a later epoch if balancers have heard of one above ours: of a core that is no more."""
+        if self._epoch_heard > view.epoch:
+            self._outrun(self._epoch_heard)
+
     def _attach(self, link: Link, message: Attach) -> None:
         """A balancer wants the news: from us if we lead, from who does; while nobody does it waits here."""
         if self._view is not None:
--- a/dissemination/bulletin.py
+++ b/dissemination/bulletin.py
@@ -32,6 +32,11 @@
         self.table: LoadTable | None = None  # or from whoever tells steps
         self.doubts: DoubtNews | None = None
 
+    def epoch(self) -> int:
+        """The newest epoch of which there is news; 0 without any."""
+        news = (self.upstreams, self.members, self.pulse, self.loads, self.table, self.doubts)
+        return max((known.epoch for known in news if known is not None), default=0)
+
     def take(self, message: Any) -> bool:
         """Keep a message if it is newer than what we have; whether it was."""
         match message:
--- a/dissemination/follower.py
+++ b/dissemination/follower.py
@@ -16,6 +16,7 @@
     Attach,
     ConfigurationNews,
     DoubtNews,
+    EpochHeard,
     HoldingNews,
     LoadNews,
     LoadStep,
@@ -270,6 +271,8 @@
                 listed.number if listed is not None else 0,
             )
         )
+        if epoch := self._bulletin.epoch():
+            link.send(EpochHeard(epoch))
         self._rolled = (None, -1e9)
         self._call_roll(asyncio.get_running_loop().time())
         self._attached()
--- a/dissemination/messages.py
+++ b/dissemination/messages.py
@@ -217,3 +217,11 @@
     epoch: int
     number: int
     doubts: tuple[Doubt, ...]
+
+
+@KINDS.declare(119)
+@dataclass(frozen=True, slots=True)
+class EpochHeard:
+    """The newest epoch of which a balancer has news: a leader of an earlier one is not believed."""
+
+    epoch: int
--- a/mastturn/engines/control.py
+++ b/mastturn/engines/control.py
@@ -72,7 +72,7 @@
         self._read: list[dict[str, Any]] = []
         self._silent_until = 0.0
         self._phase_controller = PhaseController(
-            "core", LEASE_S, self._prove, lambda: self._root.loaded_by, self._list
+            "core", LEASE_S, self._prove, lambda: self._root.loaded_by, self._list, lambda epoch: None
         )
 
     def start(self) -> None:
--- a/mastturnd/balancing.py
+++ b/mastturnd/balancing.py
@@ -25,6 +25,7 @@
     ConfigurationNews,
     DoubtNews,
     DoubtReport,
+    EpochHeard,
     Holding,
     HoldingNews,
     HoldingReport,
@@ -173,6 +174,8 @@
                 self._doubts.sum.report(link, message)
             case HoldingReport(holdings):
                 self._say_later(self._hold(holdings))
+            case EpochHeard(epoch) if epoch > self._bulletin.epoch():
+                self._follower.say(message)
             case UpstreamNews() | UpstreamChange():
                 self._lone.heard(link.peer, message)
 
--- a/tests/test_control_host_losses.py
+++ b/tests/test_control_host_losses.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from tests.fabric_callers import configuration
+from tests.fabric_callers import configuration, upstream
 from tests.fabric_scenes import ACK_S, begun, in_force
 from tests.fabric_world import Scenario, World, approve, play
 
@@ -194,3 +194,43 @@
 def test_exchange(name: str) -> None:
     world = play(SCENES[name], edges=2)
     approve(f"losses-{name}", world.transcript.text())
+
+
+async def begun_anew(world: World) -> None:
+    """All disks of the core are lost, and it is begun anew: balancers that ran on hear its news again."""
+    await begun(world)
+    await order(world, 6, 5)
+    for _ in range(3):  # some terms, so that balancers have heard of a later epoch
+        gone = world.primary()
+        world.kill(gone)
+        await world.wait(1.5)
+        world.boot(gone)
+        await world.wait(1.5)
+    heard = [m.role._bulletin.epoch() for m in world.edges()]
+    assert min(heard) >= 4
+    cores = [m.name for m in world.cores()]
+    world.power_off(*cores)
+    for name in cores:
+        world.machines[name].disk.wipe()
+    await world.wait(3.0)
+    world.platform.entries = [upstream("i-1"), upstream("i-2"), upstream("i-3")]
+    world.is_first = True  # `bootstrap`, as at the first start
+    world.boot(*cores)
+    await world.served(8.0)
+    replica = world.node(world.primary())._replica
+    assert replica is not None and replica.primary is not None
+    assert replica.primary.view.epoch > max(heard)
+    ended = await world.operator().put(configuration(7), 0)
+    assert ended.status == 200
+    await in_force(world, 7)
+
+    def has_list() -> bool:
+        wanted = {"i-1", "i-2", "i-3"}
+        return all({e.id for e in m.plane.listed[-1][1]} == wanted for m in world.edges())
+
+    await world.until(has_list, 3.0, "the list of the core that was begun anew")
+
+
+def test_a_core_that_is_begun_anew_is_believed_by_balancers_that_ran_on() -> None:
+    """Its epochs counted from 1: balancers took no list, members or pulse until they were started again."""
+    play(begun_anew, edges=3)
