Send what may run once on unused connections to upstreams that send stray bytes

Cause: an upstream that writes an answer a second time and closes never reads what was sent on that connection meanwhile. Change: after one misuse of a connection (15 s) requests that may run once, and those of which a call has broken off, go to that upstream on connections that have carried nothing; after two all do; where a quarter of the upstreams misuse theirs, what may run once does so everywhere. The soak has the fault ('again later, and closed'), a filter for faults, and its summary tells failed-unseen by kind.

--- a/balancer/active_request.py
+++ b/balancer/active_request.py
@@ -131,7 +131,9 @@
             peer.home,
             self._common(rank),
         )
-        self._upstream_call.send(peer, self._request(extra), missing, None, self._read_done)
+        self._upstream_call.send(
+            peer, self._request(extra, self._pair.has_broken), missing, None, self._read_done
+        )
 
     def _run(self, handle: steps.Handle | None) -> None:
         now = time.monotonic()
@@ -152,7 +154,8 @@
         extra = b"Mastturn-Target-Upstream: %b\r\n%b%b" % (peer.home, kv, self._common(rank))
         self._relay.begin_anew()
         self._fetching = handle
-        self._upstream_call.send(peer, self._request(extra), tokens, self._relay, self._run_done)
+        request = self._request(extra, self._pair.has_broken or not repeatable)
+        self._upstream_call.send(peer, request, tokens, self._relay, self._run_done)
 
     def _none_left(self) -> Refusal:
         return Refusal.TURNED_AWAY if self._upstream_call.avoid else Refusal.NO_UPSTREAM
@@ -175,8 +178,8 @@
             return prio if self._call.after is None else b"%bLast-Event-Id: %b\r\n" % (prio, self._call.after)
         return b"%bLast-Event-Id: %d\r\n" % (prio, last)
 
-    def _request(self, extra: bytes) -> Staged:
-        return Staged(self._out.head, self._out.body, None, self._ends, self._call.txn, extra)
+    def _request(self, extra: bytes, is_careful: bool) -> Staged:
+        return Staged(self._out.head, self._out.body, None, self._ends, self._call.txn, extra, is_careful)
 
     def _may_leave(self, quiet: float, most: float) -> bool:
         return quiet >= RUN_LEFT * most and self._pair.may_repeat()
--- a/balancer/options.py
+++ b/balancer/options.py
@@ -26,6 +26,7 @@
         heeds_keep_alive=True,
         bounds_answers=True,
         question=ask_for_report,
+        doubts_misused=True,
         dark_ms=DARK_MS,
     )
 
--- a/balancer/pair.py
+++ b/balancer/pair.py
@@ -95,6 +95,7 @@
         self._doubtful = False  # a prefill call broke off, and none has been taken up since
         self.handle: Handle | None = None  # that is ours to use or to free
         self.may_have_run = False
+        self.has_broken = False  # a call of it broke off: nobody knows whether it was read
         self.started = False  # its answer has begun at the client
 
     def first(self, split: bool) -> Step:
@@ -112,6 +113,7 @@
 
     def read_ended(self, end: End, handle: Handle | None = None) -> Step:
         """A prefill call is over."""
+        self.has_broken |= end is End.BROKEN
         if end is End.TAKEN and handle is not None:
             self._read_is_free, self.handle = False, handle
             self._doubt(False)
@@ -147,6 +149,7 @@
 
     def run_ended(self, end: End, keeps_handle: bool = False) -> Step:
         """A run is over without an answer that can be passed on; `keeps_handle`: it may still be fetched."""
+        self.has_broken |= end is End.BROKEN
         if end is End.UNSENT:
             self._withdraw()
             self._unsent += 1
--- a/balancer/wire.py
+++ b/balancer/wire.py
@@ -49,12 +49,18 @@
     ends: float = 0.0
     request_id: bytes = b""
     extra: bytes = b""  # header lines of this stage
+    is_careful: bool = False  # it may run once, or a call of its request has broken off already
 
     def write(self, remaining: float) -> bytes:
         """The bytes for the wire, with the milliseconds that are left now."""
         left = max(self.ends - time.monotonic(), 0.0) * 1000
         return b"%bMastturn-Deadline-Ms: %d\r\n%b\r\n%b" % (self.head, left, self.extra, self.body)
 
+    @property
+    def needs_unused(self) -> bool:
+        """What crosses an upstream's stray bytes and its close is never read, and nobody can tell."""
+        return self.is_careful
+
     @property
     def is_due(self) -> IsDue:
         """By its id; see `is_ours`."""
--- a/mastturn/soak/commands.py
+++ b/mastturn/soak/commands.py
@@ -42,6 +42,7 @@
 @click.option("--clients", type=int, default=24, show_default=True)
 @click.option("--defect", default="", help="Play with a planted defect: see `--defect list`.")
 @click.option("--only", default="", help="Of the troubles, those whose names hold this.")
+@click.option("--answers", default="", help="Of the faults of answers, those whose names hold this.")
 @click.option(
     "--until",
     multiple=True,
@@ -61,6 +62,7 @@
     clients: int,
     defect: str,
     only: str,
+    answers: str,
     until: tuple[Rule, ...],
     out: Path | None,
     quiet: bool,
@@ -84,7 +86,9 @@
     first = replay if replay is not None else seed if seed is not None else secrets.randbelow(SEEDS)
     count = 0
     for number in range(first, first + seeds):
-        plan = Plan(number, seconds, balancers, control, upstreams, clients, planted.known(defect), only)
+        plan = Plan(
+            number, seconds, balancers, control, upstreams, clients, planted.known(defect), only, answers
+        )
         check(plan)
         click.echo(f"seed {number}: {plan.balancers} balancers, {plan.control} control processes")
         result = play(plan, (lambda text: None) if quiet else click.echo, out / str(number) if out else None)
--- a/mastturn/soak/faults.py
+++ b/mastturn/soak/faults.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import functools
 import random
 from dataclasses import dataclass
 
@@ -27,6 +28,7 @@
     TWICE = "twice at once"
     TWICE_LATE = "again later"  # with its own id
     STALE_ERROR_LATE = "an error without id later"
+    AGAIN_AND_CLOSED = "again later, and closed"  # and what was sent meanwhile is never read
     HALF_LATE = "half an answer later"  # the rest comes later still
     CLOSED_LATE = "closed later"  # the answer is whole; its connection ends unannounced, maybe amid a request
     RESET_LATE = "reset later"
@@ -38,7 +40,14 @@
     {Fault.GOOD, Fault.PAUSES, Fault.UNFRAMED}
 )  # the answer is whole, and nothing else comes
 SURPLUS = frozenset(  # the answer is whole, and something comes behind it
-    {Fault.GARBAGE, Fault.TWICE, Fault.TWICE_LATE, Fault.STALE_ERROR_LATE, Fault.HALF_LATE}
+    {
+        Fault.GARBAGE,
+        Fault.TWICE,
+        Fault.TWICE_LATE,
+        Fault.STALE_ERROR_LATE,
+        Fault.AGAIN_AND_CLOSED,
+        Fault.HALF_LATE,
+    }
 )
 ENDED_LATE = frozenset({Fault.CLOSED_LATE, Fault.RESET_LATE})  # the answer is whole, its connection is not
 SOUND = HARMLESS | SURPLUS | ENDED_LATE  # the answer is there for whoever reads on
@@ -63,10 +72,18 @@
     length: int = 0  # bytes of padding in a whole answer, or events of a stream
 
 
-def draw(seed: int, request: str, arrival: int) -> Lot:
-    """The lot of a request's answer; alike for the same seed, request and number of its arrival."""
+def are_there(only: str) -> bool:
+    """Whether some faults' names hold this."""
+    return any(only in fault.value for fault in _FAULTS)
+
+
+def draw(seed: int, request: str, arrival: int, only: str = "") -> Lot:
+    """The lot of a request's answer; alike for the same seed, request and number of its arrival.
+
+    `only`: of the faults, those whose names hold this.
+    """
     dice = random.Random(f"{seed}/{request}/{arrival}")
-    fault = Fault.GOOD if dice.random() < GOOD_SHARE else dice.choices(_FAULTS, _WEIGHTS)[0]
+    fault = Fault.GOOD if dice.random() < GOOD_SHARE else dice.choices(*_held(only))[0]
     return Lot(
         fault,
         share=dice.random(),
@@ -74,3 +91,10 @@
         pieces=dice.randint(2, 6) if fault is Fault.PAUSES else 1,
         length=dice.choice((0, 1, 40, 700, 5_000, 70_000)),
     )
+
+
+@functools.cache
+def _held(only: str) -> tuple[tuple[Fault, ...], tuple[float, ...]]:
+    """The faults whose names hold this, and their weights."""
+    held = [(f, w) for f, w in zip(_FAULTS, _WEIGHTS, strict=True) if only in f.value]
+    return tuple(f for f, _ in held), tuple(w for _, w in held)
--- a/mastturn/soak/plan.py
+++ b/mastturn/soak/plan.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from mastturn.files import LabError
+from mastturn.soak.faults import are_there
 
 MOST_PROCESSES = 250
 PROCESS_MB = 45  # of memory that one process of the fleet takes at its start, with what it shares counted in
@@ -25,6 +26,7 @@
     clients: int = 24
     defect: str = ""
     only: str = ""  # of the troubles, those whose names hold this
+    answers: str = ""  # of the faults of answers, those whose names hold this
 
 
 def check(plan: Plan) -> Plan:
@@ -39,6 +41,8 @@
     for name, value, least, most in bounds:
         if not least <= value <= most:
             raise LabError(f"--{name} {value:g}: allowed: {least:g} to {most:g}")
+    if not are_there(plan.answers):
+        raise LabError(f"--answers {plan.answers!r}: no fault of answers has such a name; see docs/soak.md")
     processes = plan.balancers + plan.control
     if processes > MOST_PROCESSES:
         raise LabError(f"{processes} processes: ask for {MOST_PROCESSES} at the most")
--- a/mastturn/soak/play.py
+++ b/mastturn/soak/play.py
@@ -43,7 +43,7 @@
 async def _play(plan: Plan, folder: Path, say: Say) -> Result:
     records = Records()
     layout = lay_out(plan.upstreams + SPARE_PLACES, plan.control, plan.balancers)
-    around = Surroundings(layout, plan.upstreams, plan.seed, records)
+    around = Surroundings(layout, plan.upstreams, plan.seed, records, plan.answers)
     fleet = Fleet(layout, folder, records, plan.defect)
     troubles = Troubles(fleet, around, plan.seed, say, plan.only)
     stop, began = asyncio.Event(), time.monotonic()
--- a/mastturn/soak/report.py
+++ b/mastturn/soak/report.py
@@ -52,17 +52,17 @@
     return "good" if not wrong else wrong.pop() if len(wrong) == 1 else SEVERAL
 
 
-def unseen_failures(result: Result) -> Counter[str]:
+def unseen_failures(result: Result) -> Counter[tuple[str, str]]:
     """Requests that failed with a 502 of the balancer's own though no upstream's program saw a run of theirs.
 
-    By how their calls ended, as the balancers' logs tell: `end/framing` of each, or "-" without a line.
+    By kind, and by how their calls ended, as the balancers' logs tell: `end/framing` of each, or "-".
     """
     seen = {arrival.request for arrival in result.records.arrivals if not arrival.is_read}
-    found: Counter[str] = Counter()
+    found: Counter[tuple[str, str]] = Counter()
     for ask in result.records.asks:
         if ask.ends and outcome(ask.ends[0]) == OWN_STATUSES[502] and ask.request not in seen:
             cuts = (_CUT.search(line) for line in result.logs.about(ask.request))
-            found[" ".join(f"{cut[1]}/{cut[2]}" for cut in cuts if cut) or "-"] += 1
+            found[ask.kind.value, " ".join(f"{cut[1]}/{cut[2]}" for cut in cuts if cut) or "-"] += 1
     return found
 
 
@@ -138,10 +138,12 @@
     puts = sum(put.status == 200 for put in result.records.puts)
     troubles = sum(result.troubles.values())
     rules = Counter(finding.rule for finding in result.findings)
-    unseen = sum(unseen_failures(result).values())
+    unseen = unseen_failures(result)
+    kinds = Counter(kind for kind, _ in unseen.elements())
+    told = "".join(f" {kind} {count}" for kind, count in sorted(kinds.items()))
     found = ", ".join(f"{rule} {count}" for rule, count in sorted(rules.items())) or "nothing found"
     return (
         f"seed {result.plan.seed}: {len(asks)} requests, {served} served, {troubles} troubles, "
-        f"{puts} changes acknowledged, {unseen} failed unseen, "
+        f"{puts} changes acknowledged, {unseen.total()} failed unseen{f' ({told.strip()})' if told else ''}, "
         f"{result.records.worst_lag_s:.2f} s behind at most: {found}"
     )
--- a/mastturn/soak/surroundings.py
+++ b/mastturn/soak/surroundings.py
@@ -22,7 +22,9 @@
 class Surroundings:
     """Upstreams on the layout's addresses; the last of them are free for those that come later."""
 
-    def __init__(self, layout: Layout, count: int, seed: int, records: Records) -> None:
+    def __init__(self, layout: Layout, count: int, seed: int, records: Records, answers: str = "") -> None:
+        """`answers`: of the faults of answers, those whose names hold this."""
+        self._answers = answers
         self._seed, self._records, self._count = seed, records, 0
         self._places = list(layout.upstreams)
         self._handles = Handles({}, Counter())
@@ -52,7 +54,9 @@
         self._count += 1
         zone = ZONES[self._count % len(ZONES)]
         name = f"u{self._count}"
-        upstream = Upstream(name, address, zone, phase, self._seed, self._records, self._handles)
+        upstream = Upstream(
+            name, address, zone, phase, self._seed, self._records, self._handles, self._answers
+        )
         upstream.on_death = self._died
         return upstream
 
--- a/mastturn/soak/upstream.py
+++ b/mastturn/soak/upstream.py
@@ -110,7 +110,9 @@
     """One incarnation of an upstream."""
 
     def __init__(self, name: str, address: str, zone: str, phase: str, seed: int, records: Records,
-                 handles: Handles) -> None:  # fmt: skip
+                 handles: Handles, only: str = "") -> None:  # fmt: skip
+        """`only`: of the faults of answers, those whose names hold this."""
+        self._only = only
         self.name, self.address, self.zone, self.phase = name, address, zone, phase
         self.state, self.is_running = "up", False
         self._seed, self._records, self._handles = seed, records, handles
@@ -195,7 +197,7 @@
             return await self._answer_call(got, reader, writer)
         number = self._handles.arrivals[got.request]
         self._handles.arrivals[got.request] += 1
-        lot = faults.draw(self._seed, got.request, number)
+        lot = faults.draw(self._seed, got.request, number, self._only)
         if got.headers.get("mastturn-target-upstream", self.name) != self.name:
             await self._take_body(got, reader)
             return await say(writer, "421 Misdirected Request", got)
@@ -311,6 +313,10 @@
                 asyncio.get_running_loop().call_later(lot.late_s, late.send, whole)
             case Fault.HALF_LATE:
                 asyncio.get_running_loop().call_later(lot.late_s, late.send_half)
+            case Fault.AGAIN_AND_CLOSED:
+                await asyncio.sleep(lot.late_s)  # what is sent meanwhile is never read
+                await write(writer, whole)
+                return False
             case Fault.CLOSED_LATE:
                 asyncio.get_running_loop().call_later(lot.late_s, late.end, False)
             case Fault.RESET_LATE:
--- a/passpost/attempt.py
+++ b/passpost/attempt.py
@@ -98,6 +98,11 @@
         """Whether an attempt can be made: nothing of it is gone."""
         return self.upload is None or self.upload.is_fresh()
 
+    @property
+    def needs_unused(self) -> bool:
+        """Whether it goes out on no connection that an upstream which misuses its connections has used."""
+        return False
+
     @property
     def is_due(self) -> Callable[[int, Headers], bool] | None:
         """Tells by an answer's status and headers whether it is to this request; None: all are."""
--- a/passpost/upstream.py
+++ b/passpost/upstream.py
@@ -22,6 +22,8 @@
 
 SWEEP_S = 1.0
 STALL_S = 10.0  # an upstream that neither takes nor gives a byte of a long message for so long is given up
+MISUSED_S = 15.0  # so long after an upstream has misused a connection, used ones are held to be in doubt
+MISUSED_SHARE = 0.25  # of all upstreams, two at least: with so many the others are in doubt, too
 REST_S = 0.005  # an upstream that closes behind an answer, or sends more than it, does so within this
 
 
@@ -107,9 +109,10 @@
 
     def dispatch(self, attempt: Attempt, upstream: Upstream) -> None:
         """Find or open a connection for an attempt."""
-        if (connection := self._idle(upstream)) is not None:
+        unused = self._needs_unused(attempt.request, upstream)
+        if (connection := self._idle(upstream, unused)) is not None:
             self._carry(connection, attempt)
-        elif len(upstream.open) >= self._most_each:
+        elif len(upstream.open) >= self._most_each and not self._give_way(upstream):
             attempt.end(Outcome.UNREACHED)
         elif self._has_room():
             connection = attempt.opening = self._new(upstream)
@@ -122,6 +125,36 @@
                 log.warning("no descriptor left for a connection to %s", upstream.name)
             attempt.end(Outcome.UNREACHED)
 
+    def _needs_unused(self, request: Outgoing, upstream: Upstream) -> bool:
+        """Whether a request goes out on no connection that has carried another.
+
+        What is sent while an upstream sends stray bytes and closes is never read. It may be tried again where
+        a request may run twice: those that may not are careful after one misuse, and all after two.
+        """
+        if not self.options.doubts_misused:
+            return False
+        since = time.monotonic() - MISUSED_S
+        if upstream.misused_before > since:
+            return True
+        if not request.needs_unused:
+            return False
+        return upstream.misused_at > since or self._are_many_misused(since)
+
+    def _are_many_misused(self, since: float) -> bool:
+        count = sum(upstream.misused_at > since for upstream in self._upstreams.values())
+        return count >= max(2.0, MISUSED_SHARE * len(self._upstreams))
+
+    def _give_way(self, upstream: Upstream) -> bool:
+        """Close the connection that has been idle for longest, for one that is to be unused."""
+        if upstream.idle:
+            upstream.idle[0].drop()
+        return len(upstream.open) < self._most_each
+
+    def misused(self, upstream: Upstream, misuse: Misuse) -> None:
+        """An upstream has sent what belongs to no request of ours that is out."""
+        upstream.misused_before, upstream.misused_at = upstream.misused_at, time.monotonic()
+        self.watch_misuse(upstream.name, misuse)
+
     def can_dispatch(self, upstream: Upstream) -> bool:
         """Whether an attempt would find a connection to this upstream, or could open one."""
         return bool(upstream.idle) or (len(upstream.open) < self._most_each and self._has_room())
@@ -186,12 +219,17 @@
         while self._open > self._allowed and self._drop_oldest():
             pass
 
-    def _idle(self, upstream: Upstream) -> Connection | None:
-        """The idle connection to use: the latest that has rested, else the one idle for longest."""
+    def _idle(self, upstream: Upstream, unused: bool = False) -> Connection | None:
+        """The idle connection to use: the latest that has rested, else the one idle for longest.
+
+        `unused`: only one that has carried nothing yet.
+        """
         now = time.monotonic()
         limit = now - REST_S
         rested = [c for c in upstream.idle if c.idle_since <= limit]
         for connection in [*reversed(rested), *upstream.idle[len(rested) :]]:
+            if unused and connection.is_used:
+                continue
             if now - connection.idle_since < connection.kept and not connection.is_spent():
                 upstream.idle.remove(connection)
                 return connection
--- a/passpost/upstream_connection.py
+++ b/passpost/upstream_connection.py
@@ -39,6 +39,9 @@
         self.name, self.address = name, address
         self.idle: list[Connection] = []  # the most recently used last
         self.open: set[Connection] = set()
+        self.misused_at = (
+            self.misused_before
+        ) = -math.inf  # when it last sent what belongs to no request, twice
 
 
 class Pool(Protocol):
@@ -46,7 +49,9 @@
 
     options: UpstreamOptions
     watch_answers: WatchAnswers
-    watch_misuse: WatchMisuse
+
+    def misused(self, upstream: Upstream, misuse: Misuse) -> None:
+        """An upstream has sent what belongs to no request that is out."""
 
     def rest(self, connection: Connection, upstream: Upstream) -> None:
         """Keep a connection for the next attempt."""
@@ -100,13 +105,14 @@
         self._moved = 0.0  # when the last byte of a long message moved
         self._length_timer = Countdown(LENGTH_S, self._waited)
         self.unwritten = True
+        self.is_used = False  # it has carried a request
         self.idle_since = 0.0
         self.kept = math.inf  # so many idle seconds its upstream grants it
 
     def carry(self, attempt: Attempt) -> None:
         """Write the attempt's request."""
         assert self._transport is not None
-        self._attempt = attempt
+        self._attempt, self.is_used = attempt, True
         held = HELD_BODY if attempt.is_holding() else None
         is_due = attempt.request.is_due
         self._reader = AnswerReader(held=held, at_once=self._pool.options.at_once, is_due=is_due)
@@ -189,7 +195,7 @@
             return True
         told = next((told for _, told in self._poll.poll(0)), 0)
         if told == select.POLLIN:
-            self._pool.watch_misuse(self._upstream.name, Misuse.UNASKED)
+            self._pool.misused(self._upstream, Misuse.UNASKED)
         return bool(told)
 
     def drop(self) -> None:
@@ -232,7 +238,7 @@
         """A piece of the answer; without an attempt it is stray, and the connection can't be trusted."""
         attempt, reader = self._attempt, self._reader
         if attempt is None or reader is None:
-            self._pool.watch_misuse(self._upstream.name, Misuse.UNASKED)
+            self._pool.misused(self._upstream, Misuse.UNASKED)
             self.drop()
             return
         self._moved = time.monotonic()
@@ -245,7 +251,7 @@
             attempt.end(Outcome.BROKEN)
             return
         for _ in range(reader.stale - had_stale):
-            self._pool.watch_misuse(self._upstream.name, Misuse.STALE_ANSWER)
+            self._pool.misused(self._upstream, Misuse.STALE_ANSWER)
         self._pass_on(attempt, reader)
         if answer is None and not attempt.is_over():
             if reader.is_open_ended() and not attempt.started:
@@ -253,7 +259,7 @@
         elif answer is not None:
             self._tell_end(EndKind.WHOLE)
             if reader.has_surplus():
-                self._pool.watch_misuse(self._upstream.name, Misuse.SURPLUS)
+                self._pool.misused(self._upstream, Misuse.SURPLUS)
             self._answered(attempt, answer)
 
     def _tell_end(self, kind: EndKind) -> None:
--- a/passpost/upstream_options.py
+++ b/passpost/upstream_options.py
@@ -30,4 +30,5 @@
     heeds_keep_alive: bool = False  # idle connections live as long as the upstream's Keep-Alive tells
     bounds_answers: bool = False  # an answer that is passed on as it comes has to end in its attempt's time
     question: Callable[[str, Address], Outgoing] | None = None  # that a live upstream of that name answers
+    doubts_misused: bool = False  # upstreams that send stray bytes get requests on unused connections
     dark_ms: int = 0  # TCP_USER_TIMEOUT and keep-alive probes: a peer that says nothing so long is gone
