--- a/balancer/answer_log.py
+++ b/balancer/answer_log.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from http import HTTPStatus
 
 from loguru import logger
 
@@ -11,6 +12,8 @@
 from passpost.attempt import Outgoing
 from passpost.http1 import EndKind, Framing
 
+MOST_NAMED = 4_096  # upstreams of which it is kept that they were named in the log
+
 
 class AnswerLog:
     """Watches one balancer's upstream connections; counts since the process started."""
@@ -18,6 +21,7 @@
     def __init__(self) -> None:
         self.ends: Counter[tuple[Framing, EndKind]] = Counter()
         self.misuses: Counter[Misuse] = Counter()
+        self.unframed: dict[str, None] = {}  # upstreams whose answers end with their connection
 
     def misused(self, upstream: str, misuse: Misuse) -> None:
         """An upstream has sent what belongs to no request of ours that is out."""
@@ -29,6 +33,8 @@
         if not isinstance(request, Staged):
             return
         self.ends[end.framing, end.kind] += 1
+        if end.framing is Framing.CLOSE and end.status == HTTPStatus.OK:
+            self._name_unframed(upstream)
         if end.kind is EndKind.WHOLE:
             return
         # An upstream may close after each answer without a length: those ends are no trouble.
@@ -43,3 +49,12 @@
             end.status,
             end.body_bytes,
         )
+
+    def _name_unframed(self, upstream: str) -> None:
+        """Say once of each upstream that the end of its answers can be taken for that of a broken one."""
+        if upstream in self.unframed:
+            return
+        if len(self.unframed) >= MOST_NAMED:
+            del self.unframed[next(iter(self.unframed))]
+        self.unframed[upstream] = None
+        logger.warning("event=answers_unframed upstream={}", upstream)
--- a/mastturnd/balancer_figures.py
+++ b/mastturnd/balancer_figures.py
@@ -74,6 +74,11 @@
             ("framing", "end"),
             {(framing.value, end.value): n for (framing, end), n in answers.ends.items()},
         ),
+        gauge(
+            "station_upstreams_unframed",
+            "Upstreams seen since the start whose answers have neither length nor chunks.",
+            len(answers.unframed),
+        ),
         by(
             "station_upstream_misuses_total",
             "counter",
