Send requests to upstreams that hold the version of a model's weights that the configuration names

Change: a model of the configuration may have 'ver'; once every part of a service has an upstream with those weights or later ones, its ready sets hold only such. Calls that are not there are logged (call_unknown). Not played: stand-ins that change their version under load.

--- a/balancer/balancer.py
+++ b/balancer/balancer.py
@@ -23,6 +23,7 @@
 from balancer.tiers import Tiers
 from balancer.upstream_call import ANSWER_GRACE_S
 from balancer.urgency import Urgency
+from balancer.versions import wanted_versions
 from balancer.wire import free_handle
 from config.configuration import Configuration, Upstream
 from config.settings import Settings, parse_address
@@ -138,6 +139,7 @@
         self._configuration = configuration
         self._table = RouteTable(configuration)
         self.urgency.keep_only({r.name for r in configuration.routes})
+        self.tiers.want_versions(wanted_versions(configuration), time.monotonic())
         if self._server is not None:
             self._server.treat(self._client_options())
         self._limit_connections()
--- a/balancer/tiers.py
+++ b/balancer/tiers.py
@@ -9,12 +9,13 @@
 import hashlib
 import math
 import random
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Iterable, Mapping
 
 from balancer.kept import KeptParts
 from balancer.peer import Peer
 from balancer.prompt import Prompt
 from balancer.trust import Trust
+from balancer.versions import Wanted, with_wanted
 from config.configuration import Upstream
 from umberworks import interface as face
 from umberworks.choice import Choice
@@ -63,6 +64,7 @@
         self._peers: dict[str, Peer] = {}
         self._groups: dict[tuple[str, str], Group] = {}
         self._entries: tuple[Upstream, ...] | None = None
+        self._versions: Mapping[str, Wanted] = {}  # of models' weights, by service
         self.kept = KeptParts()
 
     def take(self, entries: tuple[Upstream, ...], now: float) -> bool:
@@ -72,7 +74,6 @@
         self._entries = entries
         known, self._peers = self._peers, {}
         emptied = set(known)
-        ready: dict[tuple[str, str], list[Peer]] = {}
         for entry in entries:
             peer = known.get(entry.id)
             if peer is None or peer.entry.addr != entry.addr or peer.entry.svc != entry.svc:
@@ -84,17 +85,30 @@
                 emptied.discard(entry.id)
             peer.entry = entry
             self._peers[entry.id] = peer
-            if entry.state == "up":
-                ready.setdefault((entry.svc, entry.phase), []).append(peer)
-        for key in self._groups.keys() | ready.keys():
-            if key not in self._groups:
-                self._groups[key] = Group(self._chance)
-            self._groups[key].take(sorted(ready.get(key, []), key=lambda p: p.entry.id), now)
+        self._regroup(now)
         self.kept.forget(emptied)
         self.trust.keep_only(self._peers)
         self.trust.zones = len({entry.zone for entry in entries})
         return True
 
+    def want_versions(self, versions: Mapping[str, Wanted], now: float) -> None:
+        """The versions of models' weights that services are to run, where upstreams hold them."""
+        if versions != self._versions:
+            self._versions = versions
+            self._regroup(now)
+
+    def _regroup(self, now: float) -> None:
+        """Make the ready sets anew."""
+        ready: dict[tuple[str, str], list[Peer]] = {}
+        for peer in self._peers.values():
+            if peer.entry.state == "up":
+                ready.setdefault((peer.entry.svc, peer.entry.phase), []).append(peer)
+        ready = with_wanted(ready, self._versions)
+        for key in self._groups.keys() | ready.keys():
+            if key not in self._groups:
+                self._groups[key] = Group(self._chance)
+            self._groups[key].take(sorted(ready.get(key, []), key=lambda p: p.entry.id), now)
+
     def _size(self, part: tuple[str, str]) -> int:
         group = self._groups.get(part)
         return len(group.peers) if group is not None else 0
--- a/config/configuration.py
+++ b/config/configuration.py
@@ -45,9 +45,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Model:
-    """A model that a service runs."""
+    """A model that a service runs; `ver`: the version of its weights that is to be used, 0 for any."""
 
     name: str
+    ver: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/transport/calls.py
+++ b/transport/calls.py
@@ -29,6 +29,7 @@
 MOST_BODY = 4 * 1024 * 1024  # a quarter of what a frame and a record of the disk hold
 HEAD_S = 5.0  # a call has to be whole so long after its first byte
 IDLE_S = 60.0  # a connection with nothing under way is ended after this
+MOST_SHOWN = 80  # of a path, in the log
 MOST_WAITING = 16  # calls of one connection that wait for their turn, until we read no further
 
 
@@ -81,6 +82,7 @@
         handler = self._handlers.get((call.method, call.path))
         if handler is None:
             known = any(path == call.path for _, path in self._handlers)
+            logger.info("event=call_unknown method={} path={!r}", call.method, call.path[:MOST_SHOWN])
             return say(405 if known else 404, "no such call")
         try:
             return await handler(owner, call)
