End our sending on a connection that is dropped before the next attempt is written

An attempt that is given up drops its connection by abort, which the loop (asyncio's and uvloop's) carries out in its next turn, while the next attempt is written on an idle connection at once. An order test shows it: after cancel the upstream's side has seen no end. Change: a connection that is dropped while it carries an attempt ends its sending (shutdown) in the same turn. Measured: the order test fails before and passes now, on both loops.

--- a/passpost/upstream_connection.py
+++ b/passpost/upstream_connection.py
@@ -200,6 +200,8 @@
 
     def drop(self) -> None:
         """Close at once; an attempt on it has been told its end."""
+        if self._reader is not None and self._transport is not None:
+            end_sending(self._transport)
         self._attempt, self._reader, self._upload = None, None, None
         self._length_timer.stop()
         self._pool.forget(self, self._upstream)
@@ -358,6 +360,23 @@
     pool.dispatch(Attempt(question(upstream.name, upstream.address), ASK_S, answered), upstream)
 
 
+def end_sending(transport: asyncio.Transport) -> None:
+    """Tell the other side now that we have gone: the loop closes a connection only in its next turn.
+
+    By then the next attempt may be at another upstream, while this one still works on the request.
+    """
+    peer = transport.get_extra_info("socket")
+    if peer is None or (number := peer.fileno()) < 0:
+        return
+    held = socket.socket(socket.AF_INET, socket.SOCK_STREAM, fileno=number)
+    try:
+        held.shutdown(socket.SHUT_WR)
+    except OSError:
+        pass  # it is over already
+    finally:
+        held.detach()  # it is the transport's to close
+
+
 def told_idle_s(headers: Headers) -> float | None:
     """For how many idle seconds an upstream says that it keeps a connection."""
     for name, value in headers:
--- a/tests/test_upstream_closes.py
+++ b/tests/test_upstream_closes.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import asyncio
+import select
 import socket
 import struct
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
 import pytest
+import uvloop
 
 from passpost.answer_end import connection_end
 from passpost.attempt import Attempt, Outgoing
@@ -174,3 +177,29 @@
             assert made.outcomes == [Outcome.SERVED]
 
     run(test())
+
+
+@pytest.mark.parametrize("loops", ["asyncio", "uvloop"])
+def test_an_upstream_hears_of_the_end_of_an_attempt_before_the_next_one_goes_out(loops: str) -> None:
+    """Found once by the fleet rig: a request was at one upstream while still out at another.
+
+    The loop closes a connection in its next turn, and writes at once on an idle one.
+    """
+
+    def has_ended(writer: Writer) -> bool:
+        poll = select.poll()
+        poll.register(writer.get_extra_info("socket").fileno(), select.POLLRDHUP)
+        return bool(poll.poll(100))
+
+    async def test() -> None:
+        server = FakeServer(silent)
+        async with asking(server) as made:
+            attempt = made.send()
+            await until(lambda: len(server.got) == 1)
+            attempt.cancel()
+            assert has_ended(server.writers[0])  # in the same turn of the loop
+
+    if loops == "asyncio":
+        asyncio.run(asyncio.wait_for(test(), 10.0))
+    else:
+        uvloop.run(asyncio.wait_for(test(), 10.0))
