Hold the ports that tests and rigs pick until their servers listen on them

Cause: free ports were picked by binding and letting go again, in six copies; another program could take one before the server was there, as a test of cut answers seems to have met once. The data plane's tests tried five times. Change: mastturn/standins/ports.py binds a socket that does not listen and holds it for the life of the process: the kernel gives the port to nobody else, and a server of ours may listen there. One function in place of the copies.

--- a/mastturn/bench/registry.py
+++ b/mastturn/bench/registry.py
@@ -24,7 +24,7 @@
 from mastturn.files import LabError
 from mastturn.registry.http import session
 from mastturn.registry.registrant import put
-from mastturn.standins.balancers import free_port
+from mastturn.standins.ports import free_port
 from mastturn.standins.process import Process, answers
 
 TICK_S = os.sysconf("SC_CLK_TCK")
--- a/mastturn/capacity/links.py
+++ b/mastturn/capacity/links.py
@@ -14,6 +14,7 @@
 from dissemination.messages import ConfigurationNews, Pulse
 from mastturn.capacity.children import Child, child
 from mastturn.capacity.network import KINDS
+from mastturn.standins.ports import free_port
 from transport.links import Links
 from transport.wire import Link
 
@@ -39,9 +40,7 @@
         if link not in there:
             there.append(link)
 
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port = int(probe.getsockname()[1])
+    port = free_port()
     links = Links(KINDS, ("127.0.0.1", port), heard, lambda link: None)
     await links.start()
     pipe.send(port)
--- a/mastturn/capacity/plane.py
+++ b/mastturn/capacity/plane.py
@@ -5,7 +5,6 @@
 import asyncio
 import json
 import os
-import socket
 import time
 from dataclasses import replace
 from multiprocessing.connection import Connection
@@ -20,6 +19,7 @@
 from mastturn.capacity.children import Child, child
 from mastturn.capacity.shapes import TARGET, configuration, list_entries
 from mastturn.capacity.sources import spin_ns
+from mastturn.standins.ports import free_port
 
 EVENTS = (1, 8, 32, 64, 128)  # events of one answer
 HELD_OUT = 258  # 620,000 tokens a second over 2,400 requests, one token an event
@@ -30,12 +30,6 @@
 GAP_S = 0.002  # between the events of an answer: each is a wake-up of its own
 
 
-def _free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
-
-
 def _configuration() -> Configuration:
     """The target's configuration; clients ask for its first route."""
     return parse_configuration(configuration(1, TARGET.routes, TARGET.services))
@@ -48,7 +42,7 @@
 
 async def _host(pipe: Connection, upstreams: list[tuple[str, str]], listed: int) -> None:
     """One balancer before the upstreams that answer, and as many more of other services as are listed."""
-    port = _free_port()
+    port = free_port()
     settings = Settings(
         "edge-1",
         "127.0.0.1",
@@ -56,7 +50,7 @@
         "edge",
         (0, 1),
         CloudApi("127.0.0.1:1"),
-        listen=Listen(f"127.0.0.1:{port}", f"127.0.0.1:{_free_port()}"),
+        listen=Listen(f"127.0.0.1:{port}", f"127.0.0.1:{free_port()}"),
         limits=Limits(max_fds=4100),
         bounds=Bounds(retry_slack=100.0),
     )
--- a/mastturn/chaos/fleet.py
+++ b/mastturn/chaos/fleet.py
@@ -19,7 +19,8 @@
 from mastturn.chaos.plan import NAMES, SCRATCH_AGENT, Plan, agents
 from mastturn.chaos.upstream import Told
 from mastturn.standins import plan as standins
-from mastturn.standins.balancers import Balancer, free_port, settings
+from mastturn.standins.balancers import Balancer, settings
+from mastturn.standins.ports import free_port
 from mastturn.standins.process import Process, answers
 
 DRAIN_S = 2.5  # an upstream that leaves serves on for so long: balancers hear of it meanwhile
--- a/mastturn/standins/balancers.py
+++ b/mastturn/standins/balancers.py
@@ -3,22 +3,15 @@
 from __future__ import annotations
 
 import json
-import socket
 import time
 from pathlib import Path
 from typing import Any
 
 from mastturn.standins.plan import Plan
+from mastturn.standins.ports import free_port
 from mastturn.standins.process import Process, answers
 
 
-def free_port() -> int:
-    """A port that the system has free."""
-    with socket.socket() as found:
-        found.bind(("127.0.0.1", 0))
-        return int(found.getsockname()[1])
-
-
 def settings(plan: Plan, tier: int, balancers: int) -> dict[str, Any]:
     """The settings of one tier's balancers, by the names of the simulator's first message."""
     return {
--- a/tests/balancer_stage.py
+++ b/tests/balancer_stage.py
@@ -3,9 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-import errno
 import json
-import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field, replace
@@ -14,19 +12,13 @@
 from balancer.balancer import Balancer
 from config.configuration import Backend, ClientLimits, Configuration, Route, Service, Upstream
 from config.settings import Bounds, CloudApi, Limits, Listen, Settings
+from mastturn.standins.ports import free_port
 from tests.loopback import CuttingServer, Got, Reader, Writer, read_request
 
-PORT_TRIES = 5
 HOST, PATH = "shop.example", "/run/1"
 Act = Callable[["Stage", Got, Writer], Awaitable[None]]
 
 
-def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
-
-
 def head(got: Got, extra: str = "", status: str = "200 OK", sealed: bool = True) -> str:
     seal = "Mastturn-Server-Seal: s.1\r\n" if sealed else ""
     return f"HTTP/1.1 {status}\r\nMastturn-Request-Id: {got.headers['mastturn-request-id']}\r\n{seal}{extra}"
@@ -239,24 +231,16 @@
 
 
 async def _started(slack: float, grace_s: float) -> tuple[Balancer, int, int]:
-    """A balancer and its ports; any connection may take a free port before it is bound."""
-    for _ in range(PORT_TRIES):
-        http, readyz = free_port(), free_port()
-        settings = Settings(
-            "edge-1", "127.0.0.1", "a", "edge", (7000, 7001), CloudApi("127.0.0.1:1"),
-            listen=Listen(f"127.0.0.1:{http}", f"127.0.0.1:{readyz}"), limits=Limits(max_fds=1000),
-            bounds=Bounds(retry_slack=slack, grace_s=grace_s),
-        )  # fmt: skip
-        balancer = Balancer(settings, 1)
-        try:
-            await balancer.start()
-        except OSError as error:
-            await balancer.stop()
-            if error.errno != errno.EADDRINUSE:
-                raise
-        else:
-            return balancer, http, readyz
-    raise AssertionError("no free port")
+    """A balancer and its ports."""
+    http, readyz = free_port(), free_port()
+    settings = Settings(
+        "edge-1", "127.0.0.1", "a", "edge", (7000, 7001), CloudApi("127.0.0.1:1"),
+        listen=Listen(f"127.0.0.1:{http}", f"127.0.0.1:{readyz}"), limits=Limits(max_fds=1000),
+        bounds=Bounds(retry_slack=slack, grace_s=grace_s),
+    )  # fmt: skip
+    balancer = Balancer(settings, 1)
+    await balancer.start()
+    return balancer, http, readyz
 
 
 @asynccontextmanager
--- a/tests/test_mastturnd_command.py
+++ b/tests/test_mastturnd_command.py
@@ -22,6 +22,7 @@
 
 from config import settings as settings_file
 from config.settings import Settings
+from mastturn.standins.ports import free_port
 from mastturnd import __main__ as mastturnd
 from mastturnd import logs
 from mastturnd.roles import ROLES
@@ -31,12 +32,6 @@
 ROOT = Path(__file__).parent.parent
 
 
-def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
-
-
 @pytest.fixture(autouse=True)
 def _fresh() -> Iterator[None]:
     yield
@@ -139,9 +134,7 @@
 ) -> None:
     raw = settings_of(tmp_path)
     monkeypatch.setenv(settings_file.VARIABLE, str(write(tmp_path, raw)))
-    with socket.socket() as taken:
-        taken.bind(("127.0.0.1", raw["port_range"][0]))
-        taken.listen()
+    with socket.create_server(("127.0.0.1", raw["port_range"][0])):
         assert mastturnd.main(["mastturnd", "control"]) == 1
     told = [line for line in capsys.readouterr().err.splitlines() if "level=" not in line]
     assert len(told) == 1 and "free the address, or name another in the settings" in told[0]
--- a/tests/test_mastturnd_dashboard.py
+++ b/tests/test_mastturnd_dashboard.py
@@ -14,9 +14,9 @@
 
 from config.settings import Listen, Settings, parse
 from control.operators import CALLS
+from mastturn.standins.ports import free_port
 from mastturnd import control_calls, dashboard, fleet_status
 from mastturnd.pace import MOST, Pace
-from tests.balancer_stage import free_port
 from tests.fabric_callers import ask, call
 from tests.fabric_world import approve
 from tests.loopback import run
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -27,6 +27,7 @@
 from mastturn.registry.form import PATH, FormError, read_listing
 from mastturn.registry.registrant import Registrant
 from mastturn.registry.store import Store
+from mastturn.standins.ports import free_port
 from passpost import config
 from tests.loopback import FakeServer, balancer, config_data, run, until
 
@@ -74,12 +75,7 @@
 
 @asynccontextmanager
 async def three(folder: Path) -> AsyncIterator[tuple[Three, ClientSession]]:
-    import socket
-
-    held = [socket.create_server(("127.0.0.1", 0)) for _ in "abc"]
-    addresses = {n: f"127.0.0.1:{s.getsockname()[1]}" for n, s in zip("abc", held, strict=True)}
-    for item in held:
-        item.close()
+    addresses = {name: f"127.0.0.1:{free_port()}" for name in "abc"}
     fleet = Three(folder, addresses)
     async with ClientSession(timeout=ClientTimeout(total=15.0)) as client:
         try:
--- a/tests/test_soak_bodies.py
+++ b/tests/test_soak_bodies.py
@@ -14,7 +14,7 @@
 from mastturn.soak.records import Altered, Arrival, Ask, End, EndKind, Kind, Records, Style
 from mastturn.soak.upstream import Handles, Upstream
 from mastturn.soak.wire import BadRequestError, Got, Reader, read_body, read_head
-from tests.balancer_stage import free_port
+from mastturn.standins.ports import free_port
 from tests.loopback import run
 
 SEED = next(seed for seed in range(99) if faults.draw(seed, "r1", 0).fault is Fault.GOOD)
--- a/tests/test_transport_links.py
+++ b/tests/test_transport_links.py
@@ -12,6 +12,7 @@
 
 from dissemination import messages
 from dissemination.messages import Moved, Pulse
+from mastturn.standins.ports import free_port
 from tests.fabric import Process
 from tests.fabric_world import World, play
 from transport.links import DIAL_S, DROP_S, HELD_FRAMES, STAGGER_S, USER_TIMEOUT_MS, Links, harden
@@ -232,9 +233,7 @@
     async def story() -> None:
         ended = asyncio.Event()
         heard: list[Any] = []
-        with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            port = probe.getsockname()[1]
+        port = free_port()
         links = Links(KINDS, ("127.0.0.1", port), lambda link, m: heard.append(m), lambda link: ended.set())
         await links.start()
         link = await links.dial("127.0.0.1")
