Go on after allocations that fail while a control process writes its disk, and keep a soak's logs on a finding

Brought about apart: a MemoryError (anything but DiskError) while the whole memory was written anew ended the mending for good, so the process neither led nor voted until it was started again; one in the disk's thread ended that thread, and one as a record was handed over left a sync that never ended. Change: the keeper writes anew after any failure, the queue's thread answers whoever waits and goes on, a record that can't be handed over counts as refused, and effects after a failed one are carried out.

--- a/consensus/disk_queue.py
+++ b/consensus/disk_queue.py
@@ -9,14 +9,16 @@
 import asyncio
 import queue
 import threading
+import time
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
-from typing import TypeVar
+from typing import Any, TypeVar
 
 from config.errors import DiskError
 from consensus.slots import MOST_RECORD_BYTES, Loaded, Store
 
 MOST_GROUP_BYTES = 1 << 20
+SHORT_S = 0.05  # without memory to answer it is tried again after this
 _T = TypeVar("_T")
 
 
@@ -58,6 +60,7 @@
         self._loop = asyncio.get_running_loop()
         self._commands: queue.SimpleQueue[_Load | _Append | _Checkpoint | _Stop] = queue.SimpleQueue()
         self._next: _Load | _Append | _Checkpoint | _Stop | None = None  # taken while a group was made
+        self._taken: list[_Load | _Append | _Checkpoint] = []  # off the queue, and not answered
         self._failures = 0  # counted by the thread
         self._era = 0  # the failures that the loop was told of
         self._waiting = 0
@@ -124,12 +127,29 @@
             if isinstance(command, _Stop):
                 self._tell(self._ended.set)
                 return
-            if isinstance(command, _Append):
-                self._append(self._group(command))
-            elif isinstance(command, _Load):
-                self._load(command)
-            else:
-                self._checkpoint(command)
+            self._taken = [command]
+            try:
+                self._carry_out(command)
+            except Exception as error:  # there is no memory to do it, or to answer
+                self._fail_taken(error)
+
+    def _carry_out(self, command: _Load | _Append | _Checkpoint) -> None:
+        if isinstance(command, _Append):
+            self._append(self._group(command))
+        elif isinstance(command, _Load):
+            self._load(command)
+        else:
+            self._checkpoint(command)
+
+    def _fail_taken(self, error: Exception) -> None:
+        """Whoever waits hears of a failure, however long there is no memory to say so."""
+        while True:
+            try:
+                waiting: list[asyncio.Future[Any]] = [command.done for command in self._taken]
+                self._fail(waiting, error, failed_now=True)
+                return
+            except MemoryError:
+                time.sleep(SHORT_S)
 
     def _group(self, first: _Append) -> list[_Append]:
         """An append and those that wait next behind it, up to a bound on their bytes."""
@@ -143,6 +163,7 @@
                 self._next = command
                 break
             group.append(command)
+            self._taken.append(command)
             size += len(command.record)
         return group
 
--- a/consensus/keeper.py
+++ b/consensus/keeper.py
@@ -71,8 +71,12 @@
         if self._refused:
             return
         number = self._count
+        try:
+            future = self._queue.append(write_record(record))
+        except Exception as error:  # there is no memory for it
+            self._failed(error)
+            return
         self._given[number] = self._now()
-        future = self._queue.append(write_record(record))
 
         def over(result: asyncio.Future[None]) -> None:
             self._given.pop(number, None)
@@ -134,7 +138,8 @@
                 await self._queue.checkpoint(write_record(whole(self.memory)))
                 if known == self._count or not self._refused:
                     break
-            except DiskError:
+            except Exception as error:  # the disk refuses, or there is no memory for it
+                logger.debug("event=disk_refused_all error={!r}", str(error) or type(error).__name__)
                 await asyncio.sleep(AGAIN_S)
         self._refused = False
         self.look()
--- a/control/node.py
+++ b/control/node.py
@@ -216,12 +216,22 @@
         try:
             while (effects := replica.take()) or self._local:
                 for effect in effects:
-                    self._do(replica, effect)
+                    self._do_in_turn(replica, effect)
                 while self._local:
                     replica.hear(replica.me.ip, self._local.popleft(), self.now())
         finally:
             self._running = False
 
+    def _do_in_turn(self, replica: Replica, effect: Effect) -> None:
+        """Do it; where that fails, for want of memory, what comes after it is done all the same.
+
+        A message may be lost at any time, and a record that can't be kept is told to the keeper.
+        """
+        try:
+            self._do(replica, effect)
+        except MemoryError:
+            logger.error("event=no_memory effect={}", type(effect).__name__)
+
     def _do(self, replica: Replica, effect: Effect) -> None:
         match effect:
             case Send(ip, message):
--- a/mastturn/soak/commands.py
+++ b/mastturn/soak/commands.py
@@ -13,6 +13,7 @@
 from mastturn.soak.rules import Rule
 
 FOUND = 1
+FOUND_FOLDER = Path("found") / "soak"  # where a soak that found something leaves its logs, without --out
 SEEDS = 1 << 15  # drawn seeds lie below
 
 
@@ -91,7 +92,8 @@
         )
         check(plan)
         click.echo(f"seed {number}: {plan.balancers} balancers, {plan.control} control processes")
-        result = play(plan, (lambda text: None) if quiet else click.echo, out / str(number) if out else None)
+        say = (lambda text: None) if quiet else click.echo
+        result = play(plan, say, out / str(number) if out else None, FOUND_FOLDER)
         if not quiet:
             Console(width=160).print(report.table(result))
         lines = [report.line(result, finding) for finding in result.findings]
--- a/mastturn/soak/play.py
+++ b/mastturn/soak/play.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import shutil
 import tempfile
 import time
 from collections.abc import Callable, Iterator
@@ -69,13 +70,21 @@
     return Result(plan, records, Checker(records).findings(), troubles.counts, began, Logs(folder))
 
 
-def play(plan: Plan, say: Say, keep: Path | None = None) -> Result:
-    """Play it; all that was started has ended then. `keep`: a folder for settings, disks and logs."""
+def play(plan: Plan, say: Say, keep: Path | None = None, found: Path | None = None) -> Result:
+    """Play it; all that was started has ended then. `keep`: a folder for settings, disks and logs.
+
+    `found`: a folder in which a soak that found something leaves them in a folder of its own, without `keep`.
+    """
     with _folder(keep) as folder:
         try:
-            return asyncio.run(_play(plan, folder, say))
+            result = asyncio.run(_play(plan, folder, say))
         except OSError as error:
             raise LabError(f"{error}; free the address, or try again") from None
+        if result.findings and keep is None and found is not None:
+            left = found / f"{plan.seed}-{time.strftime('%Y%m%dT%H%M%S')}"
+            shutil.copytree(folder, left)
+            say(f"settings, disks and logs: {left}")
+        return result
 
 
 @contextlib.contextmanager
--- /dev/null
+++ b/tests/test_memory_shortage.py
@@ -0,0 +1,118 @@
+"""Allocations that fail in a control process: it goes on once there is memory again.
+
+A soak on a machine without free memory ended with nobody giving the configuration for 20 s. One failed
+allocation while the memory of a process was written anew left its disk out of use until the process was
+started again; where that befell two of three, nobody could lead.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+import pytest
+
+from consensus import disk_queue
+from consensus.codec import PromiseRecord, Record, write_record
+from consensus.disk_queue import DiskQueue
+from consensus.files import OsFiles
+from consensus.keeper import Keeper
+from consensus.slots import Store
+from tests.loopback import run, until
+
+
+class ShortFiles(OsFiles):
+    """Writes for which there is no memory, so many."""
+
+    failing = 0
+
+    def write(self, path: Path, offset: int, data: bytes) -> None:
+        if ShortFiles.failing:
+            ShortFiles.failing -= 1
+            raise MemoryError
+        super().write(path, offset, data)
+
+
+@pytest.fixture
+def short(monkeypatch: pytest.MonkeyPatch) -> type[ShortFiles]:
+    monkeypatch.setattr("consensus.keeper.OsFiles", ShortFiles)
+    monkeypatch.setattr("consensus.keeper.AGAIN_S", 0.01)
+    ShortFiles.failing = 0
+    return ShortFiles
+
+
+@pytest.mark.parametrize("failing", [1, 2, 3, 6])
+def test_a_disk_is_written_again_once_there_is_memory(
+    tmp_path: Path, short: type[ShortFiles], failing: int
+) -> None:
+    async def test() -> None:
+        told: list[bool] = []
+        keeper = Keeper(str(tmp_path), told.append)
+        await keeper.load(True)
+        short.failing = failing
+        done: list[int] = []
+        keeper.memory.promised = 4
+        keeper.keep(PromiseRecord(4), lambda: done.append(4))
+        await until(lambda: told[-1:] == [True])
+        assert told == [False, True] and done == []  # what was refused is not told as kept
+        keeper.memory.promised = 5
+        keeper.keep(PromiseRecord(5), lambda: done.append(5))
+        await until(lambda: done == [5])
+        kept = await Keeper(str(tmp_path), told.append).load(False)
+        assert kept.promised == 5
+
+    run(test())
+
+
+def test_the_queue_to_the_disk_outlives_a_failure_between_two_commands(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    failing = [True]
+    group = DiskQueue._group
+
+    def without_memory(self: DiskQueue, first: disk_queue._Append) -> list[disk_queue._Append]:
+        if failing.pop() if failing else False:
+            raise MemoryError
+        return group(self, first)
+
+    monkeypatch.setattr(DiskQueue, "_group", without_memory)
+
+    async def test() -> None:
+        queue = DiskQueue(Store.open(tmp_path, OsFiles()))
+        await queue.load()
+        await queue.checkpoint(b"begun")
+        with pytest.raises(MemoryError):
+            await asyncio.wait_for(queue.append(b"lost"), 2.0)
+        await asyncio.wait_for(queue.append(b"kept"), 2.0)
+        await queue.close()
+
+    run(test())
+    loaded = Store.open(tmp_path, OsFiles()).load()
+    assert list(loaded.records) == [b"kept"]
+
+
+def test_a_record_that_can_not_be_handed_over_is_not_passed_over(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, short: type[ShortFiles]
+) -> None:
+    """What comes after it must not be kept on top of a hole."""
+    failing = [True]
+
+    def without_memory(record: Record) -> bytes:
+        if isinstance(record, PromiseRecord) and failing:
+            failing.clear()
+            raise MemoryError
+        return write_record(record)
+
+    async def test() -> None:
+        told: list[bool] = []
+        keeper = Keeper(str(tmp_path), told.append)
+        await keeper.load(True)
+        monkeypatch.setattr("consensus.keeper.write_record", without_memory)
+        done: list[int] = []
+        keeper.keep(PromiseRecord(4), lambda: done.append(4))
+        assert told == [False]
+        await until(lambda: told == [False, True])
+        keeper.keep(PromiseRecord(5), lambda: done.append(5))
+        await until(lambda: done == [5])
+
+    run(test())
