Keep the logs of soaks of one seed that end in the same second apart

Cause: a soak that found something copied its folder to found/soak/SEED-TIME. tests/test_soak_defects.py plays four soaks of seed 1 side by side; two that ended in one second met there, the second died of FileExistsError before it printed its findings, and its exit status was 1, as with findings. Change: the folder's name ends in letters that the system draws (mkdtemp).

--- a/mastturn/soak/play.py
+++ b/mastturn/soak/play.py
@@ -81,12 +81,22 @@
         except OSError as error:
             raise LabError(f"{error}; free the address, or try again") from None
         if result.findings and keep is None and found is not None:
-            left = found / f"{plan.seed}-{time.strftime('%Y%m%dT%H%M%S')}"
-            shutil.copytree(folder, left)
-            say(f"settings, disks and logs: {left}")
+            say(f"settings, disks and logs: {leave_copy(folder, found, plan.seed)}")
         return result
 
 
+def leave_copy(folder: Path, found: Path, seed: int) -> Path:
+    """Copy a soak's folder to one of its own below `found`; it is the copy's path.
+
+    The name is drawn by the system: soaks of one seed may end in the same second.
+    """
+    found.mkdir(parents=True, exist_ok=True)
+    stamp = time.strftime("%Y%m%dT%H%M%S")
+    copy = Path(tempfile.mkdtemp(prefix=f"{seed}-{stamp}-", dir=found))
+    shutil.copytree(folder, copy, dirs_exist_ok=True)
+    return copy
+
+
 @contextlib.contextmanager
 def _folder(keep: Path | None) -> Iterator[Path]:
     if keep is not None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -19,6 +19,7 @@
 from mastturn.soak.faults import Fault, Lot
 from mastturn.soak.fleet import Member
 from mastturn.soak.plan import Plan, check
+from mastturn.soak.play import leave_copy
 from mastturn.soak.records import (
     Arrival,
     Ask,
@@ -298,3 +299,13 @@
     done = CliRunner().invoke(main, ["soak", "--defect", "list"])
     assert done.exit_code == 0
     assert {line.split()[0] for line in done.output.splitlines()} == set(planted.described())
+
+
+def test_soaks_of_one_seed_that_end_together_keep_their_logs_apart(tmp_path: Path) -> None:
+    copies = []
+    for name in ("first", "second"):
+        folder = tmp_path / name
+        folder.mkdir()
+        (folder / "edge-a.log").write_text(name)
+        copies.append(leave_copy(folder, tmp_path / "found", seed=1))
+    assert [(copy / "edge-a.log").read_text() for copy in copies] == ["first", "second"]
