Place members of the control state so that the zones and regions that faults names may be lost

Cause: faults.zones and faults.regions were read and not used. Members were taken as they came, by address, and a machine that was replaced by one in another zone left them as they were: one zone could hold most of them, and its loss stopped the control state. Change: consensus/spread.py counts what the worst such loss takes beyond a minority. The first view takes members that stand apart; of several newcomers the best placed comes first; with all members present one of the fullest zone is exchanged for a newcomer that stands better, by Add and Remove as for one that leaves. Slots are two for each zone or region that may be lost and one more, at the least. Where faults names neither, nothing changes. Ruled out: placing holders by zone alone (most members in one zone stop everything), exchanging by Replace (its slot has no say meanwhile).

--- a/consensus/campaign.py
+++ b/consensus/campaign.py
@@ -215,9 +215,9 @@
         return False
 
 
-def founding(me: Member, others: list[Member], slots: int, holders: int) -> View:
-    """The first view; raises ValueError with too few to hold the data."""
-    members = [me, *others][:slots]
+def founding(members: list[Member], slots: int, holders: int) -> View:
+    """The first view, led by the first of its members; raises ValueError with too few to hold the data."""
+    me = members[0]
     if len(members) < holders:
         raise ValueError("too few to hold the data")
     empty: list[Member | None] = [None] * (slots - len(members))
--- a/consensus/effects.py
+++ b/consensus/effects.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import enum
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from consensus.codec import Record
 from consensus.messages import Message
+from consensus.spread import Spread
 from consensus.views import Document, View
 
 
@@ -79,3 +80,4 @@
     dead_ms: float = 1_500.0  # a member silent for so long loses its slot to one that waits
     join_ms: float = 250.0
     found_ms: float = 2_500.0  # the founder waits so long for all to come
+    spread: Spread = field(default_factory=Spread)
--- a/consensus/joining.py
+++ b/consensus/joining.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+from operator import itemgetter
 
 from consensus.acceptor import Acceptor
 from consensus.campaign import Campaign, Stage, founding
@@ -11,6 +12,7 @@
 from consensus.effects import Effect, Persist, Send, Spec
 from consensus.membership import Add, Change, Keep, Remove, Replace
 from consensus.messages import Ask, Install, Installed, Join, Known
+from consensus.spread import Spread
 from consensus.views import Member, View
 
 WAITING_MS = 1_000.0  # a newcomer that has not asked for so long has gone
@@ -30,7 +32,8 @@
 class Newcomers:
     """The processes that have asked for a slot lately."""
 
-    def __init__(self) -> None:
+    def __init__(self, spread: Spread) -> None:
+        self._spread = spread
         self._joins: dict[str, Join] = {}  # by identity
         self._came: dict[str, float] = {}  # when each last asked
 
@@ -62,20 +65,43 @@
         that names it as well.
         """
         if view.added() is not None:
-            return _removal(view, standing)
-        for join in self._joins.values():
-            newcomer = join.member
-            is_there = now - self._came[join.sender] <= FRESH_MS
-            if view.slot_of(newcomer.identity) is not None or join.promised < view.epoch or not is_there:
-                continue
-            own = [slot for slot, m in enumerate(view.members) if m is not None and _is_same(m, newcomer)]
-            empty = [slot for slot, member in enumerate(view.members) if member is None]
-            for slot in (*own, *empty):
-                if slot != view.primary:
-                    return Replace(slot, newcomer)
-            if any(slot != view.primary for slot in (*standing.dead, *standing.leaving)):
-                return Add(newcomer)
-        return Keep()
+            return _removal(view, standing, self._spread)
+        changes = [self._change_for(newcomer, view, standing) for newcomer in self._fit(view, now)]
+        due = [(after, change) for after, change in changes if change != Keep()]
+        return min(due, key=itemgetter(0))[1] if due else Keep()
+
+    def _fit(self, view: View, now: float) -> list[Member]:
+        """Those who may be named: they are there, and have promised to accept nothing older."""
+        return [
+            join.member
+            for join in self._joins.values()
+            if view.slot_of(join.sender) is None
+            and join.promised >= view.epoch
+            and now - self._came[join.sender] <= FRESH_MS
+        ]
+
+    def _change_for(self, newcomer: Member, view: View, standing: Standing) -> tuple[int, Change]:
+        """The change that brings a newcomer in, and the excess of the spread after it."""
+        own = [slot for slot, m in enumerate(view.members) if m is not None and _is_same(m, newcomer)]
+        empty = [slot for slot, member in enumerate(view.members) if member is None]
+        free = [slot for slot in (*own, *empty) if slot != view.primary]
+        if free:
+            replacement = Replace(free[0], newcomer)
+            return self._spread.excess(replacement.members(view)), replacement
+        add = Add(newcomer)
+        going = [slot for slot in (*standing.dead, *standing.leaving) if slot != view.primary]
+        if going:
+            return self._excess_without(add, going[0], view), add
+        others = set(range(len(view.members))) - {view.primary}
+        if not others <= standing.present:
+            return 0, Keep()  # nobody is exchanged while somebody may be lost
+        after = min((self._excess_without(add, slot, view) for slot in others), default=0)
+        return after, add if after < self._spread.excess(view.members) else Keep()
+
+    def _excess_without(self, add: Add, slot: int, view: View) -> int:
+        """The excess once a newcomer is in and a member is out."""
+        wider = replace(view, members=add.members(view))
+        return self._spread.excess(Remove(slot, len(wider.members)).members(wider))
 
 
 def _is_same(member: Member, newcomer: Member) -> bool:
@@ -83,11 +109,12 @@
     return member.node == newcomer.node or member.ip == newcomer.ip
 
 
-def _removal(view: View, standing: Standing) -> Change:
-    """Who goes from a view with one member more: one that leaves or is silent; else the last that came.
+def _removal(view: View, standing: Standing, spread: Spread) -> Change:
+    """Who goes from a view with one member more: one that leaves or is silent.
 
-    The last one stays only if it has accepted the view, so that it votes. Nobody goes while somebody may be
-    silent who has not been for long enough yet, or where too few of the others are there to agree.
+    Else it is the one that the spread misses least, and of those alike the last that came. The last one
+    stays only if it has accepted the view, so that it votes. Nobody goes while somebody may be silent who has
+    not been for long enough yet, or where too few of the others are there to agree.
     """
     size = len(view.members)
     last = size - 1
@@ -96,7 +123,7 @@
     if last in going:
         going = [last]
     elif not going and others <= standing.present:
-        going = [last if last in others else min(others)]
+        going = [min(others, key=lambda slot: _cost_of_removal(slot, view, spread))]
     able = standing.present | {view.primary}
     for slot in going:
         if len(able - {slot}) >= view.majority and (slot == last or last in able):
@@ -104,6 +131,12 @@
     return Keep()
 
 
+def _cost_of_removal(slot: int, view: View, spread: Spread) -> tuple[int, bool, int]:
+    """What decides who goes where all are there: the spread without it, then whether it came last."""
+    size = len(view.members)
+    return spread.excess(Remove(slot, size).members(view)), slot != size - 1, slot
+
+
 class Inquirer:
     """Asks around for those who know the view: for a slot without one, for news with one."""
 
@@ -195,13 +228,15 @@
         return campaign
 
     def found(self, others: list[Member], now: float) -> None:
-        """Make the first view once all are there, or enough after a while."""
-        enough = len(others) + 1 >= self._spec.slots
-        late = now - self.started > self._spec.found_ms and len(others) + 1 >= self._spec.holders
+        """Make the first view once all are there and well apart, or enough after a while."""
+        spec = self._spec
+        others.sort(key=lambda m: m.ip)
+        members = spec.spread.choose(self._me, others, spec.slots)
+        enough = len(members) == spec.slots and not spec.spread.excess(members)
+        late = now - self.started > spec.found_ms and len(members) >= spec.holders
         if self._acceptor.latest is not None or self.campaign is not None or not (enough or late):
             return
-        others.sort(key=lambda m: m.ip)
-        view = founding(self._me, others, self._spec.slots, self._spec.holders)
+        view = founding(members, spec.slots, spec.holders)
         self.campaign = Campaign(self._me, view, 1, self._spec.holders, now)
         self.campaign.view, self.campaign.stage, self.campaign.stage_at = view, Stage.INSTALL, now
         for member in view.members:
--- a/consensus/membership.py
+++ b/consensus/membership.py
@@ -2,7 +2,8 @@
 
 A view has `slots` members, or one more while one of them is about to give its place to a newcomer.
 
-- `Add` makes the newcomer one member more, beside one that leaves or is silent. Majorities of n and of n + 1
+- `Add` makes the newcomer one member more, beside one that leaves or is silent, or is to be exchanged for it
+  as it stands in another zone (`spread.py`). Majorities of n and of n + 1
   members, which differ in one, always share somebody, so the newcomer votes at once, and losses in between
   are borne: also if the silent one comes back, and whoever may have accepted the view or not.
 - `Remove` takes one out again; the last member moves to its slot.
--- a/consensus/replica.py
+++ b/consensus/replica.py
@@ -50,7 +50,7 @@
         self.acceptor = Acceptor(memory, spec, self._effects.append)
         self.primary: Primary | None = None
         self.candidate = Candidate(me, self.acceptor, spec, seed, self._effects.append)
-        self._newcomers = Newcomers()
+        self._newcomers = Newcomers(spec.spread)
         self._inquirer = Inquirer(me, self.acceptor, spec, seeds, self._effects.append)
         self._founding = Founding(me, self.acceptor, spec, founder, self._effects.append)
         self._hung_at = -1e12  # when the last write that hung was begun
--- a/control/node.py
+++ b/control/node.py
@@ -18,6 +18,7 @@
 from consensus.keeper import FOUNDER, Keeper
 from consensus.primary import Command, Get
 from consensus.replica import Replica
+from consensus.spread import Spread
 from consensus.views import Member
 from control.operators import CALLS
 from control.publisher import Publisher
@@ -34,9 +35,14 @@
 
 
 def spec_of(settings: Settings) -> Spec:
-    """How many slots and holders there are: what may be lost at once, and one more that has the data."""
-    lost = settings.faults.nodes
-    return Spec(slots=2 * lost + 1, holders=lost + 1)
+    """How many slots and holders there are: what may be lost at once, and one more that has the data.
+
+    Where whole zones or regions may be lost, each of them costs one slot at the least.
+    """
+    faults = settings.faults
+    lost = max(faults.nodes, faults.zones, faults.regions)
+    spread = Spread(faults.zones, faults.regions, settings.zones)
+    return Spec(slots=2 * lost + 1, holders=lost + 1, spread=spread)
 
 
 class ControlNode:
--- a/mastturn/control_check/__main__.py
+++ b/mastturn/control_check/__main__.py
@@ -39,12 +39,14 @@
     "eager": {"eager": True, "repeats": True},
     "overlaps": {"overlaps": True, "repeats": True},
     "stalls": {"stalls": True, "length_ms": 1_500_000.0},
+    "zones": {"zone_losses": True, "spares": 2, "length_ms": 120_000.0},
     "storm": {"storm": True, "repeats": True, "air": STORM_AIR},
 }
 MODES_HELP = (
     "usual: 4 s from one loss to the next; eager: the next as soon as all are members again; "
     "overlaps: any number in trouble at once; storm: all are killed again and again; "
-    "stalls: processes stand still for a moment, for 1,500 s."
+    "stalls: processes stand still for a moment, for 1,500 s; "
+    "zones: whole zones are lost, two machines more than have slots, for 120 s."
 )
 HEAD = "| machines | writes | campaigns | crashes | states | all of them | broken | seconds |"
 
--- a/mastturn/control_check/history.py
+++ b/mastturn/control_check/history.py
@@ -14,6 +14,7 @@
 from mastturn.control_check.stalls import Stalls
 from mastturn.control_check.troubles import Troubles
 from mastturn.control_check.world import World
+from mastturn.control_check.zone_losses import ZoneLosses
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,9 +69,11 @@
     )
 
 
-def _troubles(world: World) -> Overlaps | Stalls | Troubles:
+def _troubles(world: World) -> Overlaps | Stalls | Troubles | ZoneLosses:
     if world.shape.stalls:
         return Stalls(world)
+    if world.shape.zone_losses:
+        return ZoneLosses(world)
     return Overlaps(world) if world.shape.overlaps else Troubles(world)
 
 
--- a/mastturn/control_check/liveness.py
+++ b/mastturn/control_check/liveness.py
@@ -16,7 +16,7 @@
 PROBE_MS = 500.0
 GAP_PROBE_MS = 20.0
 ANSWER_MS = 3_000.0  # a majority that is calm for so long has a primary that answers
-WAIT_MS = 1_000.0  # beyond it: so long an operator's call may take besides
+WAIT_MS = 1_000.0  # beyond it: so long an operator's call may take besides, with one machine lost
 SLOT_MS = 4_000.0  # a process that is in touch has a slot within this
 LOOK_MS = 100.0
 
@@ -47,6 +47,7 @@
 
     def __init__(self, world: Watched) -> None:
         self._world = world
+        self.wait_ms = WAIT_MS
         self.calm_since = 0.0  # the last change of any trouble
         self.answered_at = 0.0  # when a question asked since then was last answered
         self.gaps: list[Takeover] = []
@@ -138,7 +139,7 @@
             raise BrokenRuleError("an answer", f"nobody has answered since {self.answered_at:.0f}")
         for operator in self._world.operators:
             waits = operator.is_waiting() and operator.since
-            if waits and now - max(waits, since) > ANSWER_MS + WAIT_MS:
+            if waits and now - max(waits, since) > ANSWER_MS + self.wait_ms:
                 raise BrokenRuleError("an answer", f"{operator.name} has waited since {waits:.0f}")
 
     def _check_slot(self, ip: str, began: float, life: int) -> None:
--- a/mastturn/control_check/shape.py
+++ b/mastturn/control_check/shape.py
@@ -27,6 +27,8 @@
     eager: bool = False  # the next machine is lost as soon as the one before is a full member again
     overlaps: bool = False  # any number in trouble at once, with no more disks lost than may be
     stalls: bool = False  # processes stand still for a moment again and again, and nothing is lost
+    zone_losses: bool = False  # whole zones are lost, and machines are replaced by others elsewhere
+    spares: int = 0  # machines that run beside those that have slots
     storm: bool = False  # all are killed every few seconds: only what must never happen is judged
 
 
--- a/mastturn/control_check/world.py
+++ b/mastturn/control_check/world.py
@@ -11,6 +11,7 @@
 from consensus.messages import Message
 from consensus.primary import Command, Get
 from consensus.replica import Replica
+from consensus.spread import Spread
 from consensus.views import Member, Memory
 from mastturn.control_check.liveness import Liveness
 from mastturn.control_check.machine import Machine
@@ -29,7 +30,8 @@
     def __init__(self, shape: Shape, seed: int, make: Make = Replica) -> None:
         self.shape, self.seed, self._make = shape, seed, make
         self.chance = random.Random(seed)
-        self.spec = Spec(shape.machines, shape.losses + 1)
+        spread = Spread(zones=1) if shape.zone_losses else Spread()
+        self.spec = Spec(shape.machines, shape.losses + 1, spread=spread)
         self.now = 0.0
         self._heap: list[tuple[float, int, Callable[[], None]]] = []
         self._count = 0
@@ -45,7 +47,7 @@
         self.views = 0
         self.leader_changes = 0
         self._leader = (0, "")  # the latest epoch that was led, and by whom
-        self.made = shape.machines  # machines, in all
+        self.made = shape.machines + shape.spares  # machines, in all
         self.liveness = Liveness(self)
         self.on_acknowledged: Callable[[], None] | None = None
         self.heeds_refusals = True
@@ -70,7 +72,7 @@
 
     def begin(self) -> None:
         """All machines start on empty disks."""
-        for index in range(self.shape.machines):
+        for index in range(self.made):
             self.add(f"core-{index}", f"10.0.{index}.1", f"zone-{index % 3}")
         ips = tuple(self.machines)
         self._listed = [(-1e9, ips)]
@@ -118,9 +120,10 @@
         if self.machines.get(machine.ip) is machine and machine.replica is None:
             machine.start(self.seeds(), False)
             assert machine.replica is not None
-            if self.shape.eager or self.shape.overlaps:
+            if self.shape.eager or self.shape.overlaps or self.shape.zone_losses:
                 self.later(SETTINGS_MS, lambda: self._follow(machine))
-            self.liveness.started(machine)
+            if not self.shape.spares:  # else somebody always waits
+                self.liveness.started(machine)
 
     def identity(self) -> str:
         """A new one."""
--- a/tests/test_consensus_departure.py
+++ b/tests/test_consensus_departure.py
@@ -11,6 +11,7 @@
 from consensus.membership import Add, Change, Keep, Remove
 from consensus.messages import Install, Join, Leaving, Prepare
 from consensus.primary import Put
+from consensus.spread import Spread
 from consensus.views import Member, Memory, View
 from mastturn.control_check.lockstep import Lockstep, ip
 from mastturn.control_check.losses import STAY_MS, Case, How, Replacement, cases
@@ -203,7 +204,7 @@
 
 
 def test_who_goes_from_a_view_with_one_member_more() -> None:
-    newcomers = Newcomers()
+    newcomers = Newcomers(Spread())
     view = View(5, 0, (0, 1), tuple(member(i) for i in range(4)))
     everybody = frozenset(range(4))
 
@@ -224,7 +225,7 @@
 
 
 def test_a_newcomer_that_has_not_asked_for_a_while_is_not_named() -> None:
-    newcomers = Newcomers()
+    newcomers = Newcomers(Spread())
     view = View(5, 0, (0, 1), tuple(member(i) for i in range(3)))
     newcomers.take(Join("i3", "", member(3), 5), 0.0)
     assert newcomers.change(view, Standing(dead=(2,)), FRESH_MS) == Add(member(3))
--- a/tests/test_replica_exchanges.py
+++ b/tests/test_replica_exchanges.py
@@ -10,6 +10,7 @@
 from consensus.messages import Ask, Beat, Install, Join, Leaving, Prepare, Promised, Succeed, Written
 from consensus.patience import Patience
 from consensus.primary import Get, Put
+from consensus.spread import Spread
 from consensus.views import Member, View
 from mastturn.control_check.lockstep import Lockstep, ip
 
@@ -141,7 +142,7 @@
 def test_nobody_is_named_who_has_not_promised_the_view_in_force() -> None:
     member = Member("n", "core-9", "10.0.9.1", 7700, "")
     view = View(5, 0, (0, 1), (Member("a", "a", "1", 1, ""), Member("b", "b", "2", 1, ""), None))
-    newcomers = Newcomers()
+    newcomers = Newcomers(Spread())
     newcomers.take(Join("n", "", member, 4), 0.0)
     assert newcomers.change(view, Standing(), 0.0) == Keep()
     newcomers.take(Join("n", "", member, 5), 0.0)
@@ -150,13 +151,13 @@
 
 def test_a_slot_goes_to_the_latest_process_of_a_machine_and_from_the_longest_silent() -> None:
     view = View(5, 0, (0, 1), tuple(Member(f"i{i}", f"core-{i}", ip(i), 1, "") for i in range(3)))
-    newcomers = Newcomers()
+    newcomers = Newcomers(Spread())
     old, new = (Member(i, "core-2", ip(2), 1, "") for i in ("old", "new"))
     newcomers.take(Join("old", "", old, 5), 0.0)
     newcomers.take(Join("new", "", new, 5), 1.0)
     assert newcomers.members() == [new] and newcomers.change(view, Standing(), 0.0) == Replace(2, new)
     other = Member("x", "core-7", ip(7), 1, "")
-    newcomers = Newcomers()
+    newcomers = Newcomers(Spread())
     newcomers.take(Join("x", "", other, 5), 0.0)
     assert newcomers.change(view, Standing(dead=(2, 1)), 0.0) == Add(other)
     added = replace(view, members=(*view.members, other))
