End the fleet of a soak that gets SIGTERM

Cause: a soak had no handler for SIGTERM, and its processes are in sessions of their own: whoever ended it left them running. Two soaks that were ended so left 12 processes; a run of the whole check that is stopped does the same, and what is played after it shares the machine with them. Change: SIGTERM cancels the soak, which ends what it has started as after any failure, and exits with 143. Ruled out: nothing; Ctrl-C did so before.

--- a/mastturn/soak/commands.py
+++ b/mastturn/soak/commands.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import secrets
+import signal
 import sys
 from pathlib import Path
 
@@ -13,6 +14,7 @@
 from mastturn.soak.rules import Rule
 
 FOUND = 1
+TERMINATED = 128 + signal.SIGTERM  # as a shell tells it
 FOUND_FOLDER = Path("found") / "soak"  # where a soak that found something leaves its logs, without --out
 SEEDS = 1 << 15  # drawn seeds lie below
 
@@ -78,7 +80,7 @@
     """
     from mastturn.soak import planted, report
     from mastturn.soak.plan import Plan, check
-    from mastturn.soak.play import play
+    from mastturn.soak.play import EndedError, play
 
     if defect == "list":
         for name, what in planted.described().items():
@@ -93,7 +95,11 @@
         check(plan)
         click.echo(f"seed {number}: {plan.balancers} balancers, {plan.control} control processes")
         say = (lambda text: None) if quiet else click.echo
-        result = play(plan, say, out / str(number) if out else None, FOUND_FOLDER)
+        try:
+            result = play(plan, say, out / str(number) if out else None, FOUND_FOLDER)
+        except EndedError as error:
+            click.echo(str(error), err=True)
+            sys.exit(TERMINATED)
         if not quiet:
             Console(width=160).print(report.table(result))
         lines = [report.line(result, finding) for finding in result.findings]
--- a/mastturn/soak/play.py
+++ b/mastturn/soak/play.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import shutil
+import signal
 import tempfile
 import time
 from collections.abc import Callable, Iterator
@@ -41,7 +42,15 @@
     logs: Logs = field(repr=False)
 
 
+class EndedError(Exception):
+    """A soak was told to end by SIGTERM; all that it had started has ended."""
+
+
 async def _play(plan: Plan, folder: Path, say: Say) -> Result:
+    soak = asyncio.current_task()
+    assert soak is not None
+    # Unhandled, the signal would end us and leave the fleet's processes running.
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, soak.cancel)
     records = Records()
     layout = lay_out(plan.upstreams + SPARE_PLACES, plan.control, plan.balancers)
     around = Surroundings(layout, plan.upstreams, plan.seed, records, plan.answers)
@@ -71,15 +80,18 @@
 
 
 def play(plan: Plan, say: Say, keep: Path | None = None, found: Path | None = None) -> Result:
-    """Play it; all that was started has ended then. `keep`: a folder for settings, disks and logs.
+    """Play it; all that was started has ended then. Raises EndedError on SIGTERM.
 
-    `found`: a folder in which a soak that found something leaves them in a folder of its own, without `keep`.
+    `keep`: a folder for settings, disks and logs. `found`: a folder in which a soak that found something
+    leaves them in a folder of its own, without `keep`.
     """
     with _folder(keep) as folder:
         try:
             result = asyncio.run(_play(plan, folder, say))
         except OSError as error:
             raise LabError(f"{error}; free the address, or try again") from None
+        except asyncio.CancelledError:
+            raise EndedError(f"seed {plan.seed}: ended by SIGTERM") from None
         if result.findings and keep is None and found is not None:
             say(f"settings, disks and logs: {leave_copy(folder, found, plan.seed)}")
         return result
