Send the simulator's operators to a leader only where the host would

The host tells callers only of a leader that was heard of a moment ago (Replica.heard_leader); the simulator told of the latest one known. Change: the simulator asks as the host does.

--- a/mastturn/control_check/planted.py
+++ b/mastturn/control_check/planted.py
@@ -154,7 +154,7 @@
     return (play(Shape(3, 1), seed, HoldersShrinkAlone) for seed in seeds)
 
 
-def failed_syncs(seeds: tuple[int, ...] = (159, 202)) -> Iterator[History]:
+def failed_syncs(seeds: tuple[int, ...] = (9, 214)) -> Iterator[History]:
     """A failed sync that is taken for done: histories of the simulator."""
     return (play(STORM, seed, heeds_refusals=False) for seed in seeds)
 
--- a/mastturn/control_check/world.py
+++ b/mastturn/control_check/world.py
@@ -215,7 +215,8 @@
             self.liveness.probed(reply, asked)
             return
         replica = machine.replica
-        leader = replica.leader() if replica is not None else None
+        # As the host tells callers: a leader that was not heard of a moment ago is nobody to go to.
+        leader = replica.heard_leader(machine.clock()) if replica is not None else None
         hint = leader.ip if leader is not None and leader.ip != machine.ip else ""
         self.tell(f"{machine.ip} answers {operator.name} {reply.verdict} {command}")
         known, of = operator, command
--- a/mastturn/emulator/day.py
+++ b/mastturn/emulator/day.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 
 from mastturn.emulator.chance import Stream
-from mastturn.emulator.site import Kind, Range, RequestKind, Site, Tier, span
+from mastturn.emulator.site import Clients, Discovery, Kind, Network, Range, RequestKind, Site, Tier, span
 
 _One = Callable[[Range], float]  # draws one figure from a range
 CELL_SIZE = 4  # machines of one cell (site file, `cell_size` 3 to 5)
@@ -193,10 +193,9 @@
     skew = one(site.clients.zone_skew)
     weights = tuple(1.0 + skew * (2 * day.uniform() - 1) for _ in zones)
     at_once = day.uniform() < site.clients.at_once_share
-    network, clients, disco = site.network, site.clients, site.discovery
+    clients = site.clients
     quota = one(clients.quota_share) * capacity
     usage = [brand.portion * one(brand.usage) for brand in site.brands]
-    low, high = span(network.front_notice_s)
     return Day(
         seed=seed,
         site=site,
@@ -208,41 +207,53 @@
             BrandFigures(b.name, u / sum(usage), quota * b.portion)
             for b, u in zip(site.brands, usage, strict=True)
         ),
-        clients=ClientFigures(
-            retries=round(one(clients.retries)),
-            try_share=one(clients.try_share),
-            backoff_ms=0.0 if at_once else one(clients.backoff_ms),
-            honour_share=one(clients.honour_share),
-            impatient_share=one(clients.impatient_share),
-            max_retry_after_ms=clients.max_retry_after_ms,
-            swing=one(clients.swing_share),
-            period_ms=day.between(15_000, 40_000),
-            bursty=day.uniform() < 0.5,
-            over_share_worth=clients.over_share_worth,
-        ),
-        network=NetworkFigures(
-            zones,
-            one(network.same_zone_ms),
-            one(network.cross_zone_ms),
-            one(network.client_ms),
-            one(network.jitter_share),
-            (low * 1000, high * 1000),
-        ),
-        discovery=DiscoveryFigures(
-            _span_ms(disco.notice_s),
-            _span_ms(disco.silent_notice_s),
-            _span_ms(disco.add_s),
-            one(disco.period_ms),
-            one(disco.spread_ms),
-            disco.watch_ms,
-            disco.told_within_ms,
-        ),
+        clients=_client_figures(clients, at_once, one, day),
+        network=_network_figures(site.network, zones, one),
+        discovery=_discovery_figures(site.discovery, one),
         passes_deadline=day.uniform() < site.passes_deadline_share,
         zone_weights=tuple(w / sum(weights) for w in weights),
         requests_per_s=fleet.load_share * capacity,
     )
 
 
+def _client_figures(clients: Clients, at_once: bool, one: _One, day: Stream) -> ClientFigures:
+    return ClientFigures(
+        retries=round(one(clients.retries)),
+        try_share=one(clients.try_share),
+        backoff_ms=0.0 if at_once else one(clients.backoff_ms),
+        honour_share=one(clients.honour_share),
+        impatient_share=one(clients.impatient_share),
+        max_retry_after_ms=clients.max_retry_after_ms,
+        swing=one(clients.swing_share),
+        period_ms=day.between(15_000, 40_000),
+        bursty=day.uniform() < 0.5,
+        over_share_worth=clients.over_share_worth,
+    )
+
+
+def _network_figures(network: Network, zones: tuple[str, ...], one: _One) -> NetworkFigures:
+    return NetworkFigures(
+        zones,
+        one(network.same_zone_ms),
+        one(network.cross_zone_ms),
+        one(network.client_ms),
+        one(network.jitter_share),
+        _span_ms(network.front_notice_s),
+    )
+
+
+def _discovery_figures(discovery: Discovery, one: _One) -> DiscoveryFigures:
+    return DiscoveryFigures(
+        _span_ms(discovery.notice_s),
+        _span_ms(discovery.silent_notice_s),
+        _span_ms(discovery.add_s),
+        one(discovery.period_ms),
+        one(discovery.spread_ms),
+        discovery.watch_ms,
+        discovery.told_within_ms,
+    )
+
+
 def _span_ms(value: Range) -> tuple[float, float]:
     low, high = span(value)
     return low * 1000, high * 1000
--- a/mastturn/lab/outcome.py
+++ b/mastturn/lab/outcome.py
@@ -7,10 +7,11 @@
 
 from hdrh.histogram import HdrHistogram
 
+from mastturn.emulator.day import Day
 from mastturn.emulator.events import START_MS
-from mastturn.emulator.judge import RULES, counted, is_served
+from mastturn.emulator.judge import RULES, Judge, Parts, counted, is_served
 from mastturn.emulator.world import Played
-from mastturn.lab.losses import losses
+from mastturn.lab.losses import Lost, losses
 
 QUANTILES = (50.0, 90.0, 99.0, 99.9)
 LOWEST_US, HIGHEST_US, DIGITS = 1, 3_600_000_000, 3
@@ -53,74 +54,95 @@
     }
 
 
+def _parts(parts: Parts) -> dict[str, Any]:
+    return {
+        "whole": _figure(parts.whole, SHARE),
+        "worst_window": _figure(parts.worst_window, f"{SHARE}, of the worst 10 s"),
+        "worst_class": _figure(parts.worst_class, SHARE),
+        "worst_tenant": _figure(parts.worst_tenant, SHARE),
+    }
+
+
+def _counts(played: Played) -> dict[str, Any]:
+    judge = played.judge
+    served = sum(is_served(f) for f in judge.firsts)
+    return {
+        "requests": _figure(len(judge.firsts), "clients' first tries"),
+        "served": _figure(served, "first tries answered within their aim"),
+        "unreached": _figure(judge.counts["unreached by clients"], "tries that met no balancer"),
+        "later_tries": _figure(judge.counts["later tries"], "tries"),
+        "list_calls": _figure(judge.counts["list calls"], "calls for the list of servers"),
+        "fallen": _figure(played.fallen, "cold boxes pushed over"),
+        "events": _figure(played.events, "simulated events"),
+    }
+
+
+def _tier(judge: Judge, number: int) -> dict[str, Any]:
+    """What the balancers before one tier did."""
+    return {
+        "calls": _figure(judge.calls[number], "requests at balancers"),
+        "sends": _figure(judge.sends[number], "attempts"),
+        "retries": _figure(judge.retries[number], "attempts after the first"),
+        "handshakes": _figure(judge.handshakes[number], "connections opened"),
+        "outcomes": dict(sorted(judge.outcomes[number].items())),
+        "answers": {final.value: count for final, count in sorted(judge.ended[number].items(), key=str)},
+    }
+
+
+def _latency(played: Played) -> dict[str, Any]:
+    histogram = latencies(played)
+    return {
+        **{f"p{q:g}": _figure(histogram.get_value_at_percentile(q) / 1000, "ms") for q in QUANTILES},
+        "histogram": histogram.encode().decode(),
+    }
+
+
+def _loss(lost: Lost) -> dict[str, Any]:
+    return {
+        "tier": lost.tier,
+        "cause": lost.cause,
+        "worth_share": round(lost.worth_share, 6),
+        "requests": lost.requests,
+        "by_class": {k: round(v, 6) for k, v in lost.by_class.items()},
+        "by_second": {str(k): round(v, 6) for k, v in lost.by_second.items()},
+    }
+
+
+def _shape(day: Day) -> dict[str, Any]:
+    """How large the day is."""
+    return {
+        "balancers": [
+            len(day.machines[tier - 1]) if tier else day.fleet.balancers_front
+            for tier in range(len(day.tiers))
+        ],
+        "boxes": [len(machines) for machines in day.machines],
+        "requests_per_s": round(day.requests_per_s, 3),
+        "load_share": round(day.fleet.load_share, 4),
+        "length_s": day.fleet.length_ms / 1000,
+        "passes_deadline": day.passes_deadline,
+    }
+
+
 def as_values(name: str, version: str, played: Played, series: bool = True) -> dict[str, Any]:
     """One run as plain values, each with its unit; nothing in it depends on when or where it ran."""
-    judge, parts, day = played.judge, played.parts, played.day
-    histogram = latencies(played)
-    tiers = [tier.name for tier in day.tiers]
-    served = sum(is_served(f) for f in judge.firsts)
+    judge, parts = played.judge, played.parts
     result: dict[str, Any] = {
         "scenario": name,
-        "seed": day.seed,
+        "seed": played.day.seed,
         "version": version,
         "digest": played.digest,
         "fault": played.fault,
         "score": _figure(parts.g, SHARE),
-        "parts": {
-            "whole": _figure(parts.whole, SHARE),
-            "worst_window": _figure(parts.worst_window, f"{SHARE}, of the worst 10 s"),
-            "worst_class": _figure(parts.worst_class, SHARE),
-            "worst_tenant": _figure(parts.worst_tenant, SHARE),
-        },
+        "parts": _parts(parts),
         "prices": {key: _figure(value, POINTS) for key, value in parts.prices.items()},
         "rules": {rule: _figure(judge.rules[rule], "times broken") for rule in RULES},
         "breaks": judge.breaks,
-        "counts": {
-            "requests": _figure(len(judge.firsts), "clients' first tries"),
-            "served": _figure(served, "first tries answered within their aim"),
-            "unreached": _figure(judge.counts["unreached by clients"], "tries that met no balancer"),
-            "later_tries": _figure(judge.counts["later tries"], "tries"),
-            "list_calls": _figure(judge.counts["list calls"], "calls for the list of servers"),
-            "fallen": _figure(played.fallen, "cold boxes pushed over"),
-            "events": _figure(played.events, "simulated events"),
-        },
-        "tiers": {
-            tier: {
-                "calls": _figure(judge.calls[i], "requests at balancers"),
-                "sends": _figure(judge.sends[i], "attempts"),
-                "retries": _figure(judge.retries[i], "attempts after the first"),
-                "handshakes": _figure(judge.handshakes[i], "connections opened"),
-                "outcomes": dict(sorted(judge.outcomes[i].items())),
-                "answers": {final.value: count for final, count in sorted(judge.ended[i].items(), key=str)},
-            }
-            for i, tier in enumerate(tiers)
-        },
-        "latency": {
-            **{f"p{q:g}": _figure(histogram.get_value_at_percentile(q) / 1000, "ms") for q in QUANTILES},
-            "histogram": histogram.encode().decode(),
-        },
-        "losses": [
-            {
-                "tier": lost.tier,
-                "cause": lost.cause,
-                "worth_share": round(lost.worth_share, 6),
-                "requests": lost.requests,
-                "by_class": {k: round(v, 6) for k, v in lost.by_class.items()},
-                "by_second": {str(k): round(v, 6) for k, v in lost.by_second.items()},
-            }
-            for lost in losses(played)
-        ],
+        "counts": _counts(played),
+        "tiers": {tier.name: _tier(judge, number) for number, tier in enumerate(played.day.tiers)},
+        "latency": _latency(played),
+        "losses": [_loss(lost) for lost in losses(played)],
         "troubles": [{"name": n, "start_s": s / 1000, "end_s": e / 1000} for n, s, e in played.marks],
-        "day": {
-            "balancers": [
-                len(day.machines[t - 1]) if t else day.fleet.balancers_front for t in range(len(tiers))
-            ],
-            "boxes": [len(machines) for machines in day.machines],
-            "requests_per_s": round(day.requests_per_s, 3),
-            "load_share": round(day.fleet.load_share, 4),
-            "length_s": day.fleet.length_ms / 1000,
-            "passes_deadline": day.passes_deadline,
-        },
+        "day": _shape(played.day),
     }
     if series:
         result["series"] = _series(played)
