--- a/tests/test_dead_upstreams.py
+++ b/tests/test_dead_upstreams.py
@@ -141,3 +141,31 @@
             assert play.balancer.answers.ends == {(Framing.CLOSE, EndKind.GONE): 1}
 
     run(test())
+
+
+def test_an_answer_is_whole_though_the_connection_that_is_asked_by_is_not_read() -> None:
+    """A soak's finding (seed 52100): an upstream that lives, while one of its idle connections is deaf."""
+
+    async def test() -> None:
+        told, over = asyncio.Event(), asyncio.Event()
+
+        async def whole_then_deaf(stage: Stage, got: Got, writer: Writer) -> None:
+            await answer("200 OK", body="first")(stage, got, writer)
+            await over.wait()  # nothing more is read from this connection
+
+        async def unframed_later(stage: Stage, got: Got, writer: Writer) -> None:
+            await told.wait()
+            await unframed(stage, got, writer)
+
+        stage = Stage("u1", "", whole_then_deaf, unframed_later)
+        async with playing(stage, config=UNSAFE) as play:
+            first = asyncio.create_task(play.ask("r1"))
+            second = asyncio.create_task(play.ask("r2"))
+            done, _ = await asyncio.wait((first, second), return_when=asyncio.FIRST_COMPLETED)
+            assert [task.result().body for task in done] == [b"first"]
+            told.set()
+            reply = await (second if first in done else first)
+            over.set()
+            assert (reply.status, reply.whole, reply.body) == (200, True, b"whole")
+
+    run(test())
