--- a/passpost/upstream.py
+++ b/passpost/upstream.py
@@ -107,9 +107,9 @@
             self.dispatch(attempt, upstream)
         return attempt
 
-    def dispatch(self, attempt: Attempt, upstream: Upstream) -> None:
-        """Find or open a connection for an attempt."""
-        unused = self._needs_unused(attempt.request, upstream)
+    def dispatch(self, attempt: Attempt, upstream: Upstream, unused: bool = False) -> None:
+        """Find or open a connection for an attempt; `unused`: one that has carried nothing."""
+        unused = unused or self._needs_unused(attempt.request, upstream)
         if (connection := self._idle(upstream, unused)) is not None:
             self._carry(connection, attempt)
         elif len(upstream.open) >= self._most_each and not self._give_way(upstream):
--- a/passpost/upstream_connection.py
+++ b/passpost/upstream_connection.py
@@ -62,8 +62,8 @@
     def can_dispatch(self, upstream: Upstream) -> bool:
         """Whether an attempt would find a connection, or could open one."""
 
-    def dispatch(self, attempt: Attempt, upstream: Upstream) -> None:
-        """Find or open a connection for an attempt."""
+    def dispatch(self, attempt: Attempt, upstream: Upstream, unused: bool = False) -> None:
+        """Find or open a connection for an attempt; `unused`: one that has carried nothing."""
 
 
 class Countdown:
@@ -347,7 +347,8 @@
     """Ask an upstream that has closed a connection in order whether it lives on; `found` is told once, later.
 
     The kernel closes the connections of a dead process as the process would have done itself, and its
-    listener a little later: only an answer shows that it lives.
+    listener a little later: only an answer shows that it lives. It is asked on a connection that has carried
+    nothing, as it may not read one whose last answer it has not done with.
     """
     question = pool.options.question
     if question is None or not pool.can_dispatch(upstream):
@@ -357,7 +358,7 @@
     def answered(outcome: Outcome, answer: Answer | None) -> None:
         found(answer is not None and answer.status != MISDIRECTED)
 
-    pool.dispatch(Attempt(question(upstream.name, upstream.address), ASK_S, answered), upstream)
+    pool.dispatch(Attempt(question(upstream.name, upstream.address), ASK_S, answered), upstream, unused=True)
 
 
 def end_sending(transport: asyncio.Transport) -> None:
