Take changes of named items by PATCH, and read only the items that have changed

Change: config/patching.py (ver, upsert, remove; what can't be taken is refused by name), the primary makes the result, keeps and tells it whole; repeats are known by the digest of the patch. ConfigurationReader keeps the items of the last configuration.

--- a/config/checking.py
+++ b/config/checking.py
@@ -12,7 +12,7 @@
 from collections import Counter
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, replace
-from typing import Any, TypeVar
+from typing import Any, Protocol, TypeVar
 
 import dacite
 
@@ -46,19 +46,46 @@
     digest: str
 
 
+class ConfigurationReader:
+    """Reads one configuration after another; items that are as they were before are not read again."""
+
+    def __init__(self) -> None:
+        self._items: dict[type, dict[bytes, Any]] = {}  # of the last one: by type, by what stands in the body
+
+    def check(self, body: bytes) -> Checked:
+        """The configuration of a body and its digest, from one reading; raises InvalidConfigurationError."""
+        raw = read_object(body)
+        return Checked(_configuration(raw, self._each), body, digest_of(raw))
+
+    def parse(self, body: bytes) -> Configuration:
+        """The configuration that a body holds; raises InvalidConfigurationError naming field and remedy.
+
+        A field with a default may be missing or null. Hosts come back in lower case. Spans are in the unit
+        that their names end with.
+        """
+        return _configuration(read_object(body), self._each)
+
+    def _each(self, kind: type[T], raw: Mapping[str, Any], name: str) -> tuple[T, ...]:
+        known, read = self._items.get(kind, {}), dict[bytes, T]()
+        found = []
+        for at, entry in enumerate(_list_of(raw, name)):
+            text = repr(entry).encode("utf-8", "surrogatepass")  # tells 1, 1.0 and true apart
+            key = hashlib.blake2b(text, digest_size=16).digest()
+            value = known.get(key) or _typed(kind, entry, f"{name}[{at}]")
+            read[key] = value
+            found.append(value)
+        self._items[kind] = read
+        return tuple(found)
+
+
 def check(body: bytes) -> Checked:
-    """The configuration of a body and its digest, from one reading; raises InvalidConfigurationError."""
-    raw = _read(body)
-    return Checked(_configuration(raw), body, _digest(raw))
+    """As `ConfigurationReader.check`, by itself."""
+    return ConfigurationReader().check(body)
 
 
 def parse_configuration(body: bytes) -> Configuration:
-    """The configuration that a body holds; raises InvalidConfigurationError naming the field and the remedy.
-
-    A field with a default may be missing or null. Hosts come back in lower case. Spans are in the unit that
-    their names end with.
-    """
-    return _configuration(_read(body))
+    """As `ConfigurationReader.parse`, by itself."""
+    return ConfigurationReader().parse(body)
 
 
 def canonical(body: bytes) -> bytes:
@@ -67,18 +94,18 @@
     The order of lists and the way a number is written (2 or 2.0) count. Raises InvalidConfigurationError
     for bytes that are no JSON object; whether it is a configuration is not checked.
     """
-    return _canonical(_read(body))
+    return _canonical(read_object(body))
 
 
 def digest(body: bytes) -> str:
     """The SHA-256 of the canonical form in hex; raises InvalidConfigurationError as `canonical` does."""
-    return _digest(_read(body))
+    return digest_of(read_object(body))
 
 
 # --- JSON
 
 
-def _read(body: bytes) -> dict[str, Any]:
+def read_object(body: bytes) -> dict[str, Any]:
     """A body's JSON object; raises InvalidConfigurationError."""
     try:
         raw = json.loads(
@@ -100,7 +127,7 @@
         raise InvalidConfigurationError("a number of the body is too long", "send smaller numbers") from None
     if not isinstance(raw, dict):
         raise InvalidConfigurationError(
-            f"the body is {_json_type(raw)}, not an object", 'send {"ver":...,"routes":[...],"svcs":[...]}'
+            f"the body is {json_type(raw)}, not an object", 'send {"ver":...,"routes":[...],"svcs":[...]}'
         )
     _check_nesting(raw)
     return raw
@@ -110,7 +137,7 @@
     found = dict(pairs)
     if len(found) != len(pairs):
         twice = next(key for key, count in Counter(key for key, _ in pairs).items() if count > 1)
-        raise InvalidConfigurationError(f"an object has the key {_shown(twice)} twice", "give each key once")
+        raise InvalidConfigurationError(f"an object has the key {shown(twice)} twice", "give each key once")
     return found
 
 
@@ -147,25 +174,27 @@
     return json.dumps(raw, sort_keys=True, separators=(",", ":"), allow_nan=False).encode("ascii")
 
 
-def _digest(raw: object) -> str:
+def digest_of(raw: object) -> str:
+    """The SHA-256 of what a JSON value says, in hex: the same however it is written."""
     return hashlib.sha256(_canonical(raw)).hexdigest()
 
 
-def _json_type(value: object) -> str:
+def json_type(value: object) -> str:
+    """What a JSON value is, in words."""
     if value is None:
         return "null"
     names = {dict: "an object", list: "a list", tuple: "a list", str: "a text", bool: "a truth value"}
     return names.get(type(value), "a number")
 
 
-def _shown(value: object) -> str:
+def shown(value: object) -> str:
     """A value in a message: short, whatever was sent."""
     if isinstance(value, dict | list | tuple):
-        return _json_type(value)
+        return json_type(value)
     try:
         text = json.dumps(value)
     except ValueError:  # an integer too long to write
-        return _json_type(value)
+        return json_type(value)
     return text if len(text) <= 60 else text[:60] + "..."
 
 
@@ -223,7 +252,7 @@
 def _typed(kind: type[T], raw: object, where: str) -> T:
     """An object of the body as a value of `kind`; raises InvalidConfigurationError."""
     if not isinstance(raw, dict):
-        raise InvalidConfigurationError(f"{where} is {_json_type(raw)}", f"make {where} an object")
+        raise InvalidConfigurationError(f"{where} is {json_type(raw)}", f"make {where} an object")
     present = {key: value for key, value in raw.items() if value is not None}
     try:
         return dacite.from_dict(kind, present, _TYPES)
@@ -234,7 +263,7 @@
         value = error.value.value if isinstance(error.value, _Unfit) else error.value
         expected = _EXPECTED.get(error.field_type, "a value of its type")
         raise InvalidConfigurationError(
-            f"{error.field_path} of {where} is {_shown(value)}", f"make it {expected}"
+            f"{error.field_path} of {where} is {shown(value)}", f"make it {expected}"
         ) from None
     except dacite.DaciteError:
         raise InvalidConfigurationError(f"{where} can't be read", "give its fields their types") from None
@@ -245,25 +274,28 @@
     if value is None:
         raise InvalidConfigurationError(f"there is no {name}", f"add {name}: a whole configuration is sent")
     if not isinstance(value, list):
-        raise InvalidConfigurationError(f"{name} is {_json_type(value)}", f"make {name} a list")
+        raise InvalidConfigurationError(f"{name} is {json_type(value)}", f"make {name} a list")
     return value
 
 
-def _each(kind: type[T], raw: Mapping[str, Any], name: str) -> tuple[T, ...]:
-    return tuple(_typed(kind, entry, f"{name}[{at}]") for at, entry in enumerate(_list_of(raw, name)))
+# --- what a configuration must hold
 
 
-# --- what a configuration must hold
+class _ReadEach(Protocol):
+    """Reads the items of one list of a body."""
 
+    def __call__(self, kind: type[T], raw: Mapping[str, Any], name: str) -> tuple[T, ...]:
+        """The items as values of `kind`; raises InvalidConfigurationError."""
 
-def _configuration(raw: Mapping[str, Any]) -> Configuration:
+
+def _configuration(raw: Mapping[str, Any], read_each: _ReadEach) -> Configuration:
     ver = raw.get("ver")
     if ver is None:
         raise InvalidConfigurationError("there is no ver", "add the version as a whole number from 1")
     if isinstance(ver, bool) or not isinstance(ver, int) or not 1 <= ver <= MOST_VERSION:
-        raise InvalidConfigurationError(f"ver is {_shown(ver)}", "make it a whole number from 1 to 2^63 - 1")
-    services = _each(Service, raw, "svcs")
-    routes = tuple(replace(route, host=route.host.lower()) for route in _each(Route, raw, "routes"))
+        raise InvalidConfigurationError(f"ver is {shown(ver)}", "make it a whole number from 1 to 2^63 - 1")
+    services = read_each(Service, raw, "svcs")
+    routes = tuple(_with_lower_host(route) for route in read_each(Route, raw, "routes"))
     limits = raw.get("limits")
     client_limits = ClientLimits() if limits is None else _typed(ClientLimits, limits, "limits")
     _check_names((service.name for service in services), "svcs")
@@ -278,6 +310,11 @@
     return Configuration(ver=ver, routes=routes, svcs=services, limits=client_limits)
 
 
+def _with_lower_host(route: Route) -> Route:
+    host = route.host.lower()
+    return route if host == route.host else replace(route, host=host)
+
+
 def _check_names(names: Iterable[str], where: str) -> None:
     seen: set[str] = set()
     for name in names:
@@ -285,16 +322,16 @@
             raise InvalidConfigurationError(f"an entry of {where} has an empty name", "give it a name")
         if name in seen:
             raise InvalidConfigurationError(
-                f"two entries of {where} have the name {_shown(name)}", "name each of them once"
+                f"two entries of {where} have the name {shown(name)}", "name each of them once"
             )
         seen.add(name)
 
 
 def _check_service(service: Service) -> None:
-    where = f"service {_shown(service.name)}"
+    where = f"service {shown(service.name)}"
     if not service.health_path.startswith("/"):
         raise InvalidConfigurationError(
-            f"health_path of {where} is {_shown(service.health_path)}", "begin it with a slash"
+            f"health_path of {where} is {shown(service.health_path)}", "begin it with a slash"
         )
     if service.max_conns < 1:
         raise InvalidConfigurationError(f"max_conns of {where} is {service.max_conns:g}", "make it 1 or more")
@@ -304,16 +341,16 @@
 
 
 def _check_route(route: Route, known: frozenset[str]) -> None:
-    where = f"route {_shown(route.name)}"
+    where = f"route {shown(route.name)}"
     if not route.host:
         raise InvalidConfigurationError(f"host of {where} is empty", "name the host")
     if not (route.path_prefix.startswith("/") and route.path_prefix.endswith("/")):
         raise InvalidConfigurationError(
-            f"path_prefix of {where} is {_shown(route.path_prefix)}", "begin and end it with a slash"
+            f"path_prefix of {where} is {shown(route.path_prefix)}", "begin and end it with a slash"
         )
     if route.route_type not in ROUTE_TYPES:
         raise InvalidConfigurationError(
-            f"route_type of {where} is {_shown(route.route_type)}", f"make it one of {', '.join(ROUTE_TYPES)}"
+            f"route_type of {where} is {shown(route.route_type)}", f"make it one of {', '.join(ROUTE_TYPES)}"
         )
     if route.deadline_ms <= 0:
         raise InvalidConfigurationError(f"deadline_ms of {where} is {route.deadline_ms:g}", "make it above 0")
@@ -321,7 +358,7 @@
         if getattr(route, name) < 0:
             raise InvalidConfigurationError(f"{name} of {where} is negative", "make it 0 or more")
     if route.tries < 1:
-        raise InvalidConfigurationError(f"tries of {where} is {_shown(route.tries)}", "make it 1 or more")
+        raise InvalidConfigurationError(f"tries of {where} is {shown(route.tries)}", "make it 1 or more")
     _check_services_of(route, known, where)
 
 
@@ -332,7 +369,7 @@
     for name in named:
         if name not in known:
             raise InvalidConfigurationError(
-                f"{where} names the unknown service {_shown(name)}", "add it to svcs or name one of svcs"
+                f"{where} names the unknown service {shown(name)}", "add it to svcs or name one of svcs"
             )
     if any(part.wt < 0 for part in route.split):
         raise InvalidConfigurationError(f"a wt in split of {where} is negative", "make every wt 0 or more")
@@ -349,7 +386,7 @@
         first = seen.setdefault((route.host, route.path_prefix), route.name)
         if first != route.name:
             raise InvalidConfigurationError(
-                f"routes {_shown(first)} and {_shown(route.name)} have the same host and path_prefix",
+                f"routes {shown(first)} and {shown(route.name)} have the same host and path_prefix",
                 "drop one of them or change its path_prefix",
             )
 
@@ -358,7 +395,7 @@
     for name in ClientLimits.__dataclass_fields__:
         if getattr(limits, name) <= 0:
             raise InvalidConfigurationError(
-                f"{name} of limits is {_shown(getattr(limits, name))}", "make it above 0"
+                f"{name} of limits is {shown(getattr(limits, name))}", "make it above 0"
             )
 
 
--- /dev/null
+++ b/config/patching.py
@@ -0,0 +1,120 @@
+"""Changes of a configuration by named items: the bytes of an operator's patch in, those of the result out.
+
+A patch names its version, items to add or to replace by their names (`upsert`) and names to remove
+(`remove`), each by the list that holds them. The result is a whole configuration and is checked as one.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Any
+
+from config.checking import Checked, ConfigurationReader, digest_of, json_type, read_object, shown
+from config.errors import InvalidConfigurationError
+
+LISTS = ("routes", "svcs")  # whose items have names
+FIELDS = ("ver", "upsert", "remove")
+
+
+@dataclass(frozen=True, slots=True)
+class Patch:
+    """A patch as it was sent; `digest` is that of what it says, for repeats."""
+
+    ver: int
+    upsert: dict[str, dict[str, dict[str, Any]]]  # by list, by name
+    remove: dict[str, frozenset[str]]  # by list
+    digest: str
+
+
+def parse_patch(body: bytes) -> Patch:
+    """The patch that a body holds; raises InvalidConfigurationError naming the field and the remedy."""
+    raw = read_object(body)
+    for field in raw:
+        if field not in FIELDS:
+            raise InvalidConfigurationError(
+                f"a patch has no field {shown(field)}",
+                f"send {', '.join(FIELDS)}; put what else changes whole",
+            )
+    ver = raw.get("ver")
+    if isinstance(ver, bool) or not isinstance(ver, int):
+        raise InvalidConfigurationError(
+            f"ver is {shown(ver)}" if "ver" in raw else "there is no ver", "add the version as a whole number"
+        )
+    upsert = {name: _items(name, items) for name, items in _lists(raw, "upsert").items()}
+    remove = {name: _names(name, names) for name, names in _lists(raw, "remove").items()}
+    for name, items in upsert.items():
+        both = sorted(items.keys() & remove.get(name, frozenset()))
+        if both:
+            raise InvalidConfigurationError(
+                f"{shown(both[0])} of {name} is in upsert and in remove", "name it in one of them"
+            )
+    return Patch(ver, upsert, remove, digest_of(raw))
+
+
+def apply_patch(body: bytes, patch: Patch, reader: ConfigurationReader) -> Checked:
+    """The configuration after a patch; raises InvalidConfigurationError for one that can't be taken."""
+    raw = read_object(body) if body else {"routes": [], "svcs": []}
+    for name in LISTS:
+        upsert, remove = patch.upsert.get(name, {}), patch.remove.get(name, frozenset())
+        raw[name] = _changed(name, raw.get(name) or [], upsert, remove)
+    raw["ver"] = patch.ver
+    return reader.check(json.dumps(raw, ensure_ascii=False, separators=(",", ":")).encode())
+
+
+def _changed(
+    name: str, items: list[Any], upsert: dict[str, dict[str, Any]], remove: frozenset[str]
+) -> list[Any]:
+    """A list after a patch: what is replaced keeps its place, what is new comes last."""
+    known = {item["name"] for item in items}
+    missing = sorted(remove - known)
+    if missing:
+        raise InvalidConfigurationError(
+            f"there is no {shown(missing[0])} in {name} to remove", "name one that is in force"
+        )
+    kept = [upsert.get(item["name"], item) for item in items if item["name"] not in remove]
+    return kept + [item for of, item in upsert.items() if of not in known]
+
+
+def _lists(raw: dict[str, Any], field: str) -> dict[str, list[Any]]:
+    """What a field of a patch holds for each list; null counts as missing."""
+    found = raw.get(field)
+    if found is None:
+        return {}
+    if not isinstance(found, dict):
+        raise InvalidConfigurationError(f"{field} is {json_type(found)}", f"make {field} an object of lists")
+    for name, items in found.items():
+        if name not in LISTS:
+            raise InvalidConfigurationError(
+                f"{field} names the unknown list {shown(name)}", f"name one of {', '.join(LISTS)}"
+            )
+        if not isinstance(items, list):
+            raise InvalidConfigurationError(f"{field}.{name} is {json_type(items)}", "make it a list")
+    return dict(found)
+
+
+def _items(name: str, items: list[Any]) -> dict[str, dict[str, Any]]:
+    for at, item in enumerate(items):
+        if not isinstance(item, dict) or not isinstance(item.get("name"), str):
+            raise InvalidConfigurationError(
+                f"upsert.{name}[{at}] has no name", "make it an object with a name"
+            )
+    _check_once(f"upsert.{name}", (item["name"] for item in items))
+    return {item["name"]: item for item in items}
+
+
+def _names(name: str, names: list[Any]) -> frozenset[str]:
+    for at, one in enumerate(names):
+        if not isinstance(one, str):
+            raise InvalidConfigurationError(f"remove.{name}[{at}] is {json_type(one)}", "make it a name")
+    _check_once(f"remove.{name}", names)
+    return frozenset(names)
+
+
+def _check_once(where: str, names: Iterable[str]) -> None:
+    seen: set[str] = set()
+    for name in names:
+        if name in seen:
+            raise InvalidConfigurationError(f"{where} names {shown(name)} twice", "name it once")
+        seen.add(name)
--- a/control/node.py
+++ b/control/node.py
@@ -10,6 +10,7 @@
 
 from loguru import logger
 
+from config.checking import ConfigurationReader
 from config.settings import Settings, parse_address
 from consensus import messages
 from consensus.awake_clock import AwakeClock
@@ -50,6 +51,7 @@
 
     def __init__(self, settings: Settings) -> None:
         self.settings = settings
+        self.reader = ConfigurationReader()
         self._loop = asyncio.get_running_loop()
         assert settings.data_dir is not None
         self._keeper = Keeper(settings.data_dir, self._disk)
--- a/control/operators.py
+++ b/control/operators.py
@@ -6,12 +6,13 @@
 import json
 from typing import Protocol
 
-from config.checking import check
+from config.checking import ConfigurationReader
 from config.errors import InvalidConfigurationError
+from config.patching import apply_patch, parse_patch
 from consensus.effects import Reply as Outcome
 from consensus.effects import Verdict
 from consensus.primary import Command, Get, Put
-from consensus.views import Member
+from consensus.views import Document, Member, Past
 from transport.calls import Call, Calls, Reply, say
 
 CALLS = Calls()
@@ -24,6 +25,8 @@
 class Control(Protocol):
     """What the calls need of the control process."""
 
+    reader: ConfigurationReader
+
     def leads(self) -> bool:
         """Whether we are the primary."""
 
@@ -60,17 +63,56 @@
 async def put_configuration(control: Control, call: Call) -> Reply:
     """Take a whole configuration on top of the version that `If-Match` names."""
     try:
-        checked = check(call.body)
+        checked = control.reader.check(call.body)
+        base = _base(call)
+    except InvalidConfigurationError as error:
+        return say(400, str(error))
+    ver = checked.configuration.ver
+    return _told(await _decide(control, Put(control.token(), base, ver, checked.digest, call.body)), ver)
+
+
+@CALLS.on("PATCH", "/api/config")
+async def patch_configuration(control: Control, call: Call) -> Reply:
+    """Change named items of the version that `If-Match` names.
+
+    The primary alone makes the result, which is kept and told whole. A base that is not in place can't come
+    back, as versions rise; so what has become of the patch is in the history.
+    """
+    try:
+        patch = parse_patch(call.body)
+        base = _base(call)
+    except InvalidConfigurationError as error:
+        return say(400, str(error))
+    found = await _decide(control, Get(control.token()))
+    if isinstance(found, Reply):
+        return found
+    document = found.document or Document()
+    if base != document.ver:
+        past = document.past(patch.ver, patch.digest)
+        return _told(Outcome(found.token, _VERDICTS[past], document), patch.ver)
+    try:
+        result = apply_patch(document.body, patch, control.reader)
     except InvalidConfigurationError as error:
         return say(400, str(error))
+    put = Put(control.token(), base, patch.ver, patch.digest, result.body)
+    return _told(await _decide(control, put), patch.ver)
+
+
+_VERDICTS = {Past.TAKEN: Verdict.DONE, Past.NEVER: Verdict.STALE, Past.FORGOTTEN: Verdict.UNSURE}
+
+
+def _base(call: Call) -> int:
+    """The version that a change builds on; raises InvalidConfigurationError."""
     base = call.headers.get("if-match", "").strip().strip('"')
     if not base.isascii() or not base.isdigit() or len(base) > MOST_DIGITS:
-        return say(
-            400, "If-Match holds no version; name the version that this one builds on, 0 for the first"
+        raise InvalidConfigurationError(
+            "If-Match holds no version", "name the version that this one builds on, 0 for the first"
         )
-    ver = checked.configuration.ver
-    command = Put(control.token(), int(base), ver, checked.digest, call.body)
-    outcome = await _decide(control, command)
+    return int(base)
+
+
+def _told(outcome: Outcome | Reply, ver: int) -> Reply:
+    """What an operator is told of a change to version `ver`."""
     if isinstance(outcome, Reply):
         return outcome
     current = outcome.document.ver if outcome.document is not None else 0
--- a/mastturnd/balancing.py
+++ b/mastturnd/balancing.py
@@ -9,7 +9,7 @@
 from loguru import logger
 
 from balancer.balancer import Balancer
-from config.checking import parse_configuration
+from config.checking import ConfigurationReader
 from config.errors import FleetError, InvalidConfigurationError
 from config.settings import Settings, parse_address
 from control.platform import PlatformList
@@ -62,6 +62,7 @@
         self.balancer = Balancer(settings, secrets.randbits(32))
         self._bulletin = Bulletin()
         self._list_reader = ListReader()
+        self._reader = ConfigurationReader()
         self._links = Links(KINDS, (settings.ip, settings.station_port), self._heard, self._ended)
         self._feed = Feed(self._bulletin, KINDS, lambda: None)
         self._loads = LoadExchange(self.balancer.loads, self._bulletin, self._feed, lambda: self._follower)
@@ -244,7 +245,7 @@
 
     def _configure(self, ver: int, body: bytes) -> None:
         try:
-            self.balancer.configure(parse_configuration(body))
+            self.balancer.configure(self._reader.parse(body))
         except InvalidConfigurationError as error:
             logger.error("event=configuration_unusable ver={} error={!r}", ver, str(error))
             return
--- a/tests/fabric_callers.py
+++ b/tests/fabric_callers.py
@@ -188,6 +188,12 @@
             ver = "?"
         return await self._order(f"PUT version {ver} on {base}", "PUT", body, tries, If_Match=str(base))
 
+    async def patch(self, change: dict[str, Any], base: int, tries: int = 12) -> Ended:
+        """Change named items of a version."""
+        body = json.dumps(change).encode()
+        what = f"PATCH version {change.get('ver', '?')} on {base}"
+        return await self._order(what, "PATCH", body, tries, If_Match=str(base))
+
     async def get(self, tries: int = 12) -> Ended:
         """Read the configuration back."""
         return await self._order("GET", "GET", b"", tries)
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -28,7 +28,7 @@
 from balancer.streams import MOST_HELD, BadStreamError, EventReader
 from balancer.tiers import Tiers
 from balancer.wire import free_handle, read_handle
-from config.checking import check, digest, parse_configuration, parse_upstreams
+from config.checking import ConfigurationReader, check, digest, parse_configuration, parse_upstreams
 from config.configuration import ClientLimits
 from config.errors import DiskError, FleetError, InvalidConfigurationError, SettingsError, WireError
 from config.settings import parse
@@ -447,6 +447,8 @@
 class Control:
     """A control process that takes nothing."""
 
+    reader = ConfigurationReader()
+
     def leads(self) -> bool:
         return False
 
@@ -458,7 +460,8 @@
 
 
 CALL = b'PUT /api/config HTTP/1.1\r\nHost: x\r\nIf-Match: "5"\r\nContent-Length: 7\r\n\r\n{"a":1}'
-GOOD_CALLS = CALL + b"GET /api/history HTTP/1.1\r\nHost: x\r\n\r\nGET /nothing HTTP/1.1\r\n\r\n"
+PATCH = b'PATCH /api/config HTTP/1.1\r\nHost: x\r\nIf-Match: 5\r\nContent-Length: 9\r\n\r\n{"ver":9}'
+GOOD_CALLS = CALL + PATCH + b"GET /api/history HTTP/1.1\r\nHost: x\r\n\r\nGET /nothing HTTP/1.1\r\n\r\n"
 
 
 @LIMITS
