Run control beside balancers on machines of one class, by a port for each kind of process

Cause: both roles listened on the first port of port_range and told processes apart by IP alone, so that nobody led where control shares the balancers' machines; and an edge machine without a disk that is given the control role ended with 1. Change: processes are told by endpoint (IP and port): control on the first port, balancers on the last; a caller of a control process is nobody by name until its message shows that it is a control process. Without a disk the role keeps nothing and leads callers on (mastturnd/referral.py). The deploy file has the role on the class edge too.

--- a/config/settings.py
+++ b/config/settings.py
@@ -106,10 +106,15 @@
     readyz_port: int = 0  # of the balancers' readiness, for the dashboard of a control process; 0: not known
 
     @property
-    def station_port(self) -> int:
-        """The port on which balancers speak to each other; the same on all machines of a day."""
+    def control_port(self) -> int:
+        """The port on which control processes hear the others; the same on all machines of a day."""
         return self.port_range[0]
 
+    @property
+    def balancer_port(self) -> int:
+        """The port on which balancers hear the others: a control process may share the machine."""
+        return self.port_range[1]
+
 
 def parse_address(text: str) -> Address:
     """`host:port` as a pair; raises SettingsError."""
--- a/control/node.py
+++ b/control/node.py
@@ -25,6 +25,7 @@
 from control.publisher import Publisher
 from dissemination import messages as news
 from transport.calls import CallServer
+from transport.endpoint import Endpoint
 from transport.links import Links
 from transport.wire import Kinds, Link
 
@@ -57,7 +58,8 @@
         self._keeper = Keeper(settings.data_dir, self._disk)
         self._replica: Replica | None = None
         self._clock = AwakeClock(self._stalled)
-        self._links = Links(KINDS, (settings.ip, settings.station_port), self._heard, self._ended)
+        own = Endpoint(settings.ip, settings.control_port)
+        self._links = Links(KINDS, own, self._heard, self._ended, callers_share_port=False)
         self._publisher = Publisher(settings, self._links, self._prove, self._outrun)
         self._calls = CallServer(CALLS, self)
         self._local: deque[messages.Message] = deque()
@@ -71,7 +73,7 @@
         ctl = settings.listen.ctl or ""
         is_first = settings.bootstrap and bool(settings.seed_addrs) and min(settings.seed_addrs) == ctl
         memory = await self._keeper.load(is_first)
-        me = Member(memory.identity, settings.node, settings.ip, settings.station_port, ctl, settings.zone)
+        me = Member(memory.identity, settings.node, settings.ip, settings.control_port, ctl, settings.zone)
         seeds = tuple(parse_address(a)[0] for a in settings.seed_addrs)
         founder = memory.identity.startswith(FOUNDER)
         self._replica = Replica(me, memory, spec_of(settings), seeds, founder, secrets.randbits(32))
@@ -209,9 +211,14 @@
             logger.warning("event=bad_message peer={} error={!r}", link.peer, str(error))
             link.close()
             return
+        self._links.identify(link, self._control_at(link.peer))
         self._replica.hear(link.peer, revived, self.now())
         self._carry_out()
 
+    def _control_at(self, ip: str) -> Endpoint:
+        """The control process of a machine, which may have a balancer beside it."""
+        return Endpoint(ip, self.settings.control_port)
+
     def _ended(self, link: Link) -> None:
         self._publisher.ended(link)
 
@@ -246,7 +253,7 @@
                 if ip == replica.me.ip:
                     self._local.append(message)
                 else:
-                    self._links.send(ip, message)
+                    self._links.send(self._control_at(ip), message)
             case Persist(record, then):
                 self._keeper.keep(record, lambda: self._synced(then))
             case Reply():
--- a/dissemination/follower.py
+++ b/dissemination/follower.py
@@ -4,7 +4,8 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 from typing import Any
 
 from loguru import logger
@@ -30,6 +31,7 @@
     UpstreamNews,
 )
 from dissemination.relays import parent_of
+from transport.endpoint import Endpoint
 from transport.links import Links
 from transport.wire import EDITION, STEPS_EDITION, Link
 
@@ -46,6 +48,14 @@
 SHUN_S = 4.0  # a process that was silent or out of reach is not asked for so long while there are others
 
 
+@dataclass(frozen=True, slots=True)
+class Ports:
+    """On which ports the processes of each kind hear others; alike on all machines."""
+
+    control: int
+    balancer: int
+
+
 class Follower:
     """Keeps one balancer attached; what it hears goes into the bulletin and to `told`."""
 
@@ -54,6 +64,7 @@
         me: Present,
         links: Links,
         bulletin: Bulletin,
+        ports: Ports,
         seeds: tuple[str, ...],
         told: Callable[[Any, Any], None],
         below: Callable[[], dict[str, Present]],
@@ -72,17 +83,21 @@
         self._list_copy = ListCopy()
         self._takes_steps = False
         self._mended_at = -1e9
-        self._seeds = list(seeds)
-        self._hints: list[str] = []
+        self._ports = ports
+        self._seeds = self._controls(seeds)
+        self._hints: list[Endpoint] = []
         self._was_led, self._moved_at = False, -1e9
         self._random = random.Random(seed)
         self._link: Link | None = None
-        self._parent = ""  # its IP
+        self._parent: Endpoint | None = None
         self._pulsed_at = -1e9
         self._ended = asyncio.Event()
         self._rolled: tuple[Any, float] = (None, -1e9)
-        self._wanted: tuple[str, float] = ("", 0.0)  # the relay that the tree gives us, and since when
-        self._shunned: dict[str, float] = {}  # by IP: when it was silent or out of reach
+        self._wanted: tuple[Endpoint | None, float] = (
+            None,
+            0.0,
+        )  # the relay that the tree gives us, and since when
+        self._shunned: dict[Endpoint, float] = {}  # when it was silent or out of reach
 
     def is_fresh(self, within_s: float = STALE_S) -> bool:
         """Whether the control state was heard of a moment ago."""
@@ -94,11 +109,15 @@
 
     def seeds(self, ips: tuple[str, ...]) -> None:
         """The settings name other seeds."""
-        self._seeds = list(ips)
+        self._seeds = self._controls(ips)
 
-    def parent(self) -> str:
-        """The IP of whoever tells us the news; empty if nobody does."""
-        return self._parent if self._link is not None else ""
+    def _controls(self, ips: Iterable[str]) -> list[Endpoint]:
+        """The control processes of machines."""
+        return [Endpoint(ip, self._ports.control) for ip in ips]
+
+    def parent(self) -> Endpoint | None:
+        """Whoever tells us the news; None if nobody does."""
+        return self._parent if self._link is not None else None
 
     def hears(self, link: Link) -> bool:
         """Whether this is the connection by which the news come."""
@@ -109,9 +128,9 @@
         now = asyncio.get_running_loop().time()
         match message:
             case Moved(ips):
-                self._hints = [ip for ip in ips if ip != self._me.ip]
+                self._hints = self._controls(ips)
                 self._was_led, self._moved_at = now - self._moved_at >= LED_S, now
-                if self._is_relay(self._parent):
+                if self._parent is not None and self._is_relay(self._parent):
                     self._shun(self._parent)  # it is behind itself
                 self._leave()
             case Pulse() if self._bulletin.take(message):
@@ -160,10 +179,10 @@
     async def run(self) -> None:
         """Stay attached for ever."""
         while True:
-            ips, moves = self._choose(), False
-            reached = await self._links.dial_any(ips)
-            for ip in ips if reached is None else ips[: ips.index(reached[0])]:
-                self._shun(ip)
+            chosen, moves = self._choose(), False
+            reached = await self._links.dial_any(chosen)
+            for endpoint in chosen if reached is None else chosen[: chosen.index(reached[0])]:
+                self._shun(endpoint)
             if reached is not None:
                 self._parent, self._link = reached
                 self._ended.clear()
@@ -180,39 +199,45 @@
 
     # ---- where to
 
-    def _relay(self) -> str:
-        """The IP of the balancer that the tree gives us; empty: the control state itself tells us."""
+    def _relay(self) -> Endpoint | None:
+        """The balancer that the tree gives us; None: the control state itself tells us."""
         members = self._bulletin.members
         if members is None:
-            return ""
+            return None
         parent = parent_of(self._me.node, self._me.zone, members.balancers)
-        return "" if parent is None or self._is_shunned(parent.ip) else parent.ip
+        if parent is None:
+            return None
+        relay = Endpoint(parent.ip, self._ports.balancer)
+        return None if self._is_shunned(relay) else relay
 
-    def _is_relay(self, ip: str) -> bool:
+    def _is_relay(self, endpoint: Endpoint | None) -> bool:
         members = self._bulletin.members
-        return members is not None and any(m.ip == ip for m in members.balancers)
+        if members is None or endpoint is None or endpoint.port != self._ports.balancer:
+            return False
+        return any(m.ip == endpoint.ip for m in members.balancers)
 
-    def _choose(self) -> list[str]:
+    def _choose(self) -> list[Endpoint]:
         """Whom to dial, one after the other until one takes us in.
 
         First the relay that the tree gives us, or the leader if we know it; then others of the control state.
         """
         members = self._bulletin.members
-        known = list(dict.fromkeys([*self._seeds, *(members.cores if members is not None else ())]))
+        cores = members.cores if members is not None else ()
+        known = list(dict.fromkeys([*self._seeds, *self._controls(cores)]))
         self._random.shuffle(known)
         known.sort(key=self._is_shunned)
         first = [relay] if (relay := self._relay()) and self.is_fresh(2 * STALE_S) else []
         if not first and self._hints:
             first = [self._hints.pop(0)]
-        return [ip for ip in dict.fromkeys([*first, *known]) if ip != self._me.ip][:MOST_DIALLED]
+        return list(dict.fromkeys([*first, *known]))[:MOST_DIALLED]
 
-    def _shun(self, ip: str) -> None:
-        self._shunned[ip] = asyncio.get_running_loop().time()
+    def _shun(self, endpoint: Endpoint) -> None:
+        self._shunned[endpoint] = asyncio.get_running_loop().time()
 
-    def _is_shunned(self, ip: str) -> bool:
-        return asyncio.get_running_loop().time() - self._shunned.get(ip, -1e9) < SHUN_S
+    def _is_shunned(self, endpoint: Endpoint) -> bool:
+        return asyncio.get_running_loop().time() - self._shunned.get(endpoint, -1e9) < SHUN_S
 
-    async def _stay(self, ip: str) -> bool:
+    async def _stay(self, parent: Endpoint) -> bool:
         """Until the connection ends, is silent, or the tree has another place for us: True for that."""
         loop = asyncio.get_running_loop()
         since = loop.time()
@@ -227,22 +252,22 @@
             now = loop.time()
             self._call_roll(now)
             if now - max(self._pulsed_at, since) >= STALE_S:
-                self._shun(ip)
+                self._shun(parent)
                 self._leave()
                 return False
-            if self._is_misplaced(ip, now):
+            if self._is_misplaced(parent, now):
                 self._leave()
                 return True
         return False
 
-    def _is_misplaced(self, ip: str, now: float) -> bool:
+    def _is_misplaced(self, parent: Endpoint, now: float) -> bool:
         """Whether the tree has had another place for us for a while."""
         wanted = self._relay()
         if wanted != self._wanted[0]:
             self._wanted = wanted, now
         if now - self._wanted[1] <= SETTLE_S or not self.is_fresh():
             return False
-        return wanted != ip if wanted else self._is_relay(ip)
+        return wanted != parent if wanted is not None else self._is_relay(parent)
 
     def _leave(self) -> None:
         link, self._link = self._link, None
--- a/features/steps/fleet.py
+++ b/features/steps/fleet.py
@@ -8,7 +8,8 @@
 from dissemination.relays import parent_of
 from tests.fabric_callers import configuration, upstream
 from tests.fabric_story import given, then, when
-from tests.fabric_world import Machine, World
+from tests.fabric_world import BALANCER_PORT, Machine, World
+from transport.endpoint import Endpoint
 
 IN_FORCE_S = 2.0
 
@@ -141,7 +142,10 @@
     world = world_of(context)
     members = [m.role._follower._me for m in world.edges()]
     heads = [m.node for m in members if parent_of(m.node, m.zone, members) is None]
-    assert any(m.role._follower.parent() == world.machines[heads[0]].ip for m in world.edges())
+    assert any(
+        m.role._follower.parent() == Endpoint(world.machines[heads[0]].ip, BALANCER_PORT)
+        for m in world.edges()
+    )
     context.stories.play(world.terminate(heads[0]))
 
 
--- a/mastturn/capacity/days.py
+++ b/mastturn/capacity/days.py
@@ -50,7 +50,9 @@
     if not fleet.children(machine):
         return "leaf"
     relay = fleet.follower(machine).parent()
-    return "head" if relay in {m.program.ip for m in fleet.cores.values()} else "relay"
+    return (
+        "head" if relay is not None and relay.ip in {m.program.ip for m in fleet.cores.values()} else "relay"
+    )
 
 
 class Meter:
--- a/mastturn/capacity/links.py
+++ b/mastturn/capacity/links.py
@@ -15,6 +15,7 @@
 from mastturn.capacity.children import Child, child
 from mastturn.capacity.network import KINDS
 from mastturn.standins.ports import free_port
+from transport.endpoint import Endpoint
 from transport.links import Links
 from transport.wire import Link
 
@@ -41,7 +42,7 @@
             there.append(link)
 
     port = free_port()
-    links = Links(KINDS, ("127.0.0.1", port), heard, lambda link: None)
+    links = Links(KINDS, Endpoint("127.0.0.1", port), heard, lambda link: None)
     await links.start()
     pipe.send(port)
     asked = asyncio.Event()
--- a/mastturnd/__main__.py
+++ b/mastturnd/__main__.py
@@ -66,13 +66,14 @@
         ],
         CONTROL: [
             ("listen.ctl", settings.listen.ctl, "name the address for operators"),
-            ("data_dir", settings.data_dir, "name the folder of this machine's disk"),
         ],
     }
     for field, value, remedy in needed[name]:
         if not value:
             raise SettingsError(f"there is no {field}", remedy)
-    if name == CONTROL and not os.path.isdir(settings.data_dir or ""):
+    if name == CONTROL and settings.quorum_member and not settings.data_dir:
+        raise SettingsError("there is no data_dir", "name the folder of this machine's disk")
+    if name == CONTROL and settings.data_dir and not os.path.isdir(settings.data_dir):
         raise SettingsError(
             f"data_dir is {settings.data_dir!r}, which is no folder", "name one that is there"
         )
@@ -85,6 +86,10 @@
         from mastturnd.balancing import BalancerRole
 
         return BalancerRole(settings)
+    if not settings.data_dir:
+        from mastturnd.referral import ReferralNode
+
+        return ReferralNode(settings)
     from control.node import ControlNode
     from mastturnd import control_calls
 
--- a/mastturnd/alone.py
+++ b/mastturnd/alone.py
@@ -20,6 +20,7 @@
 from dissemination.lists import change_of, changed, same_as
 from dissemination.messages import Present, UpstreamChange, UpstreamNews
 from dissemination.relays import heads_of
+from transport.endpoint import Endpoint
 from transport.links import Links
 from transport.wire import packed
 
@@ -71,11 +72,13 @@
         links: Links,
         is_fresh: Callable[[float], bool],
         told: Callable[[UpstreamNews, UpstreamChange | None], None],
+        port: int,
     ) -> None:
         """`is_fresh`: whether a control process was heard of within so many seconds.
 
-        `told`: a list that is new here, and what has changed in it.
+        `told`: a list that is new here, and what has changed in it. `port`: where balancers hear each other.
         """
+        self._port = port
         self._me, self._platform, self._bulletin, self._links = me, platform, bulletin, links
         self._is_fresh, self._told = is_fresh, told
         self._calls_s = math.inf
@@ -124,7 +127,7 @@
             return
         frame = packed(kinds.encode(news)) if is_new else kinds.encode(same_as(news))
         for ip in turn.tells:
-            self._links.send_frame(ip, frame)
+            self._links.send_frame(Endpoint(ip, self._port), frame)
 
     def heard(self, ip: str, message: UpstreamNews | UpstreamChange) -> None:
         """A balancer's word on the list: that of our zone's reader counts while we are alone."""
--- a/mastturnd/balancing.py
+++ b/mastturnd/balancing.py
@@ -18,7 +18,7 @@
 from dissemination.counting import Headcount
 from dissemination.doubts import DoubtExchange
 from dissemination.feed import Feed
-from dissemination.follower import STALE_S, Follower
+from dissemination.follower import STALE_S, Follower, Ports
 from dissemination.holdings import Holdings
 from dissemination.list_reader import ListReader
 from dissemination.messages import (
@@ -45,6 +45,7 @@
 from mastturnd import draining, logs
 from mastturnd.alone import LoneReader
 from mastturnd.load_exchange import LoadExchange
+from transport.endpoint import Endpoint
 from transport.links import Links
 from transport.tasks import keep_on
 from transport.wire import EDITION, Kinds, Link
@@ -63,7 +64,8 @@
         self._bulletin = Bulletin()
         self._list_reader = ListReader()
         self._reader = ConfigurationReader()
-        self._links = Links(KINDS, (settings.ip, settings.station_port), self._heard, self._ended)
+        own = Endpoint(settings.ip, settings.balancer_port)
+        self._links = Links(KINDS, own, self._heard, self._ended)
         self._feed = Feed(self._bulletin, KINDS, lambda: None)
         self._loads = LoadExchange(self.balancer.loads, self._bulletin, self._feed, lambda: self._follower)
         self._others = self._loads.others
@@ -77,6 +79,7 @@
             me,
             self._links,
             self._bulletin,
+            Ports(settings.control_port, settings.balancer_port),
             _seeds(settings),
             self._told,
             self._feed.present,
@@ -87,7 +90,13 @@
         self._doubts = DoubtExchange(self.balancer, self._bulletin, self._follower.say)
         self._platform = PlatformList(parse_address(settings.cloud_api.addr), settings.cloud_api.rate_per_s)
         self._lone = LoneReader(
-            me, self._platform, self._bulletin, self._links, self._follower.is_fresh, self._told
+            me,
+            self._platform,
+            self._bulletin,
+            self._links,
+            self._follower.is_fresh,
+            self._told,
+            settings.balancer_port,
         )
         self._lone.allow(settings.cloud_api.rate_per_s)
         self._tasks: list[asyncio.Task[None]] = []
@@ -144,7 +153,7 @@
         return {
             "drained": self._drained,
             "fresh": self._follower.is_fresh(),
-            "told_by": self._follower.parent(),
+            "told_by": str(self._follower.parent() or ""),
             "tells": sorted(self._feed.present()),
             "ver": known.configuration.ver if known.configuration is not None else 0,
             "epoch": known.pulse.epoch if known.pulse is not None else 0,
--- /dev/null
+++ b/mastturnd/referral.py
@@ -0,0 +1,154 @@
+"""The control role on a machine without a disk: it keeps nothing, and leads callers on to who leads.
+
+A deploy file may place the role on a class of machines of which only some have disks. One without a disk can
+be no member, as it could keep no promise. It asks the members who leads when somebody wants to know.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+from typing import Any
+
+from loguru import logger
+
+from config.checking import ConfigurationReader
+from config.settings import Settings, parse_address
+from consensus import messages
+from consensus.codec import revive
+from consensus.effects import Reply as Outcome
+from consensus.messages import Answer, Ask, Join, Known
+from consensus.primary import Command
+from consensus.views import Member, View
+from control.operators import CALLS, HELD_S, LOOK_S
+from dissemination import messages as news
+from dissemination.messages import Attach, Moved
+from transport.calls import Call, Calls, CallServer, Reply, say
+from transport.endpoint import Endpoint
+from transport.links import Links
+from transport.wire import Kinds, Link
+
+ASK_S = 0.25  # the members are asked no sooner after the last time
+HEARD_S = 1.0  # a leader that has answered within this is there
+KINDS = Kinds().include(messages.KINDS).include(news.KINDS)
+REFERRED = Calls().include(CALLS)  # operators' calls find no primary here, and are led on
+
+
+class ReferralNode:
+    """Answers at `ctl`, and balancers and newcomers that have it for a seed, with where to go."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.reader = ConfigurationReader()
+        self._identity = f"referral-{secrets.token_hex(8)}"
+        own = Endpoint(settings.ip, settings.control_port)
+        self._links = Links(KINDS, own, self._heard, lambda link: None, callers_share_port=False)
+        self._calls = CallServer(REFERRED, self)
+        self._view: View | None = None  # the latest that a member has told
+        self._heard_at: dict[str, float] = {}  # by member's identity: when it answered last
+        self._callers: set[str] = set()  # IPs of newcomers, where all seeds are as we are
+        self._asked_at = -1e9
+
+    async def start(self) -> None:
+        """Listen; raises OSError where an address can't be had."""
+        await self._links.start()
+        if self.settings.listen.ctl:
+            await self._calls.start(parse_address(self.settings.listen.ctl))
+
+    async def stop(self) -> None:
+        """Close everything: nothing rests on us."""
+        self._calls.stop()
+        self._links.stop()
+
+    def reconfigure(self, settings: Settings) -> None:
+        """The settings file has changed."""
+        self.settings = settings
+
+    # ---- what operators' calls need
+
+    def leads(self) -> bool:
+        """Whether we are the primary: never."""
+        return False
+
+    def leader(self) -> Member | None:
+        """The primary, if it has answered a moment ago; else the members are asked."""
+        view, now = self._view, asyncio.get_running_loop().time()
+        if view is not None and now - self._heard_at.get(view.leader().identity, -1e9) <= HEARD_S:
+            return view.leader()
+        self._ask(now)
+        return None
+
+    async def submit(self, command: Command) -> Outcome:
+        """No command is carried out here."""
+        raise NotImplementedError("a process without a disk leads nothing")
+
+    def token(self) -> int:
+        """A number for a command that is not carried out here."""
+        return 0
+
+    # ---- the members
+
+    def _ask(self, now: float) -> None:
+        if now - self._asked_at < ASK_S:
+            return
+        self._asked_at = now
+        members = self._view.members if self._view is not None else ()
+        known = {member.ip for member in members if member is not None} | self._callers
+        known |= {parse_address(seed)[0] for seed in self.settings.seed_addrs}
+        for ip in sorted(known - {self.settings.ip}):
+            self._links.send(self._control_at(ip), Ask(self._identity, "", 0, False))
+
+    def _control_at(self, ip: str) -> Endpoint:
+        return Endpoint(ip, self.settings.control_port)
+
+    def _heard(self, link: Link, message: Any) -> None:
+        if isinstance(message, Attach):
+            leader = self.leader()
+            link.send(Moved((leader.ip,) if leader is not None else ()))
+            return
+        if not isinstance(message, messages.Message):
+            return
+        try:
+            revived = revive(message)
+        except (ValueError, KeyError, TypeError) as error:
+            logger.warning("event=bad_message peer={} error={!r}", link.peer, str(error))
+            link.close()
+            return
+        self._links.identify(link, self._control_at(link.peer))
+        match revived:
+            case Answer(sender=sender, to=self._identity, view=view):
+                self._heard_at[sender] = asyncio.get_running_loop().time()
+                self._learn(view)
+            case Join(sender=sender):
+                self._callers.add(link.peer)
+                if self._view is not None:
+                    link.send(Known(self._identity, sender, self._view, 0))
+
+    def _learn(self, view: View | None) -> None:
+        if view is not None and (self._view is None or view.epoch > self._view.epoch):
+            self._view = view
+            named = {member.identity for member in view.members if member is not None}
+            self._heard_at = {i: at for i, at in self._heard_at.items() if i in named}
+
+
+async def _lead_on(node: ReferralNode, call: Call) -> Reply:
+    """Where the call is answered; the leader is waited for a little."""
+    loop = asyncio.get_running_loop()
+    until = loop.time() + HELD_S
+    while loop.time() < until:
+        if (leader := node.leader()) is not None:
+            return say(307, "ask who leads", Location=f"http://{leader.ctl}{call.path}")
+        await asyncio.sleep(LOOK_S)
+    return say(503, "no primary at the moment; ask again", Retry_After="0.2")
+
+
+REFERRED.on("GET", "/api/status")(_lead_on)
+REFERRED.on("GET", "/dashboard")(_lead_on)
+
+
+@REFERRED.on("GET", "/metrics")
+async def _metrics(node: ReferralNode, call: Call) -> Reply:
+    from mastturnd import figures
+
+    found = await figures.text("mastturnd.referral_figures", node)
+    return Reply(200, found, content_type=figures.CONTENT_TYPE)
--- a/tests/fabric_world.py
+++ b/tests/fabric_world.py
@@ -26,12 +26,13 @@
 from control.node import KINDS, ControlNode
 from dissemination import messages as news
 from mastturnd.balancing import BalancerRole
+from mastturnd.referral import ReferralNode
 from tests.fabric import OUTSIDE, PROCESS, End, Loop, Process
 from tests.fabric_callers import PLATFORM, DataPlane, Operator, Platform
 from tests.fabric_disk import Disk, InlineQueue, own_disk
 from transport.wire import FrameReader
 
-STATION_PORT, CTL_PORT = 7720, 8166
+CONTROL_PORT, BALANCER_PORT, CTL_PORT = 7720, 7735, 8166
 APPROVED = Path(__file__).parent / "approved"
 
 
@@ -98,6 +99,7 @@
         self.network.tap = self.transcript.tap
         self.rate_per_s = 42.0
         self.is_first = True
+        self.diskless = set[str]()  # names of machines with the control role that have no disk
 
     def now(self) -> float:
         """Milliseconds since the beginning."""
@@ -127,11 +129,11 @@
             "zone": zone,
             "machine_class": "core" if is_core else "edge",
             "listen": listen,
-            "port_range": [STATION_PORT, STATION_PORT + 15],
+            "port_range": [CONTROL_PORT, BALANCER_PORT],
             "seed_addrs": self.seeds,
             "bootstrap": self.is_first,
-            "quorum_member": is_core,
-            "data_dir": f"/disk/{name}" if is_core else None,
+            "quorum_member": is_core and name not in self.diskless,
+            "data_dir": f"/disk/{name}" if is_core and name not in self.diskless else None,
             "faults": {"nodes": self.faults},
             "cloud_api": {"addr": f"{PLATFORM[0]}:{PLATFORM[1]}", "rate_per_s": self.rate_per_s},
         }
@@ -150,7 +152,8 @@
             machine.starting = self.loop.create_task(self._start(machine), context=process.context)
 
     async def _start(self, machine: Machine) -> None:
-        role: Role = (ControlNode if machine.is_core else BalancerRole)(machine.settings)
+        control = ReferralNode if machine.name in self.diskless else ControlNode
+        role: Role = (control if machine.is_core else BalancerRole)(machine.settings)
         machine.role = role
         await role.start()
 
@@ -308,7 +311,7 @@
 
     def tap(self, end: End, data: bytes) -> None:
         """Bytes that one end sends."""
-        if STATION_PORT not in (end.local[1], end.remote[1]):
+        if not {CONTROL_PORT, BALANCER_PORT} & {end.local[1], end.remote[1]}:
             return
         here, there = self._world.name_of(end.local[0]), self._world.name_of(end.remote[0])
         reader = self._readers.setdefault(end, FrameReader())
@@ -436,7 +439,8 @@
 def set_up(world: World, cores: int, edges: int, zones: int) -> None:
     """The machines of a fleet, not started yet."""
     halls = [f"hall-{'abcdefgh'[i % zones]}" for i in range(max(cores, edges, 1))]
-    world.seeds = [f"10.{i + 1}.0.1:{CTL_PORT}" for i in range(min(cores, 3))]
+    if cores:
+        world.seeds = [f"10.{i + 1}.0.1:{CTL_PORT}" for i in range(min(cores, 3))]
     for i in range(cores):
         world.core(f"core-{i + 1}", f"10.{i + 1}.0.1", halls[i])
     for i in range(edges):
--- a/tests/test_config_settings.py
+++ b/tests/test_config_settings.py
@@ -65,7 +65,9 @@
 
 def test_the_whole_file_is_read() -> None:
     settings = parse(yaml.safe_dump(WHOLE))
-    assert settings.node == "edge-hall-a-1" and settings.station_port == 7720
+    assert (
+        settings.node == "edge-hall-a-1" and settings.control_port == 7720 and settings.balancer_port == 7735
+    )
     assert settings.port_range == (7720, 7735)
     assert settings.limits.cpu_frac == 0.537 and settings.limits.disk_mb == 0.0
     assert settings.bounds.apply_ms == 2000.0 and settings.bounds.fenced is True
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -51,4 +51,4 @@
     """PORT/PATH: the purpose of a port in `listen`, and a path that the role answers."""
     deploy = tomllib.loads((DEPLOY.parent / "system.toml").read_text())
     told = {name: role["metrics"] for name, role in deploy["roles"].items()}
-    assert told == {"balancer": "readyz/metrics", "control": "ctl/metrics"}
+    assert told == {"balancer": "readyz/metrics", "control": "ctl/metrics", "control-edge": "ctl/metrics"}
--- a/tests/test_dissemination_news.py
+++ b/tests/test_dissemination_news.py
@@ -15,7 +15,8 @@
 from tests.fabric import Process
 from tests.fabric_callers import PLATFORM, configuration, upstream
 from tests.fabric_scenes import APPLY_S, begun, in_force
-from tests.fabric_world import STATION_PORT, World, approve, play
+from tests.fabric_world import BALANCER_PORT, World, approve, play
+from transport.endpoint import Endpoint
 from transport.links import Links
 
 
@@ -23,7 +24,11 @@
     """Who hears the news from which balancer, as it stands."""
     names = {m.ip: m.name for m in world.edges()}
     parents = {m.name: m.role._follower.parent() for m in world.edges() if world.running(m)}
-    return {name: names[ip] for name, ip in parents.items() if ip in names}
+    return {
+        name: names[parent.ip]
+        for name, parent in parents.items()
+        if parent is not None and parent.ip in names and parent.port == BALANCER_PORT
+    }
 
 
 async def settled(world: World) -> str:
@@ -171,9 +176,9 @@
 
         async def attach() -> None:
             links = Links(
-                KINDS, ("10.1.1.9", STATION_PORT), lambda link, m: heard.append(m), lambda link: None
+                KINDS, Endpoint("10.1.1.9", BALANCER_PORT), lambda link, m: heard.append(m), lambda link: None
             )
-            link = await links.dial(world.machines["edge-1"].ip)
+            link = await links.dial(Endpoint(world.machines["edge-1"].ip, BALANCER_PORT))
             assert link is not None
             link.send(Attach("edge-9", "10.1.1.9", "hall-a", 0, 0, 0))
             await asyncio.sleep(0.5)
@@ -305,8 +310,11 @@
         plane = world.machines["edge-2"].plane
 
         async def tell() -> None:
-            links = Links(KINDS, (other.ip, STATION_PORT), lambda link, message: None, lambda link: None)
-            links.send(world.machines["edge-2"].ip, UpstreamNews(9, 9, b'{"upstreams":[]}'))
+            own = Endpoint(other.ip, BALANCER_PORT)
+            links = Links(KINDS, own, lambda link, message: None, lambda link: None)
+            links.send(
+                Endpoint(world.machines["edge-2"].ip, BALANCER_PORT), UpstreamNews(9, 9, b'{"upstreams":[]}')
+            )
             await asyncio.sleep(0.2)
 
         await world.loop.create_task(tell(), context=other.context)
--- a/tests/test_transport_links.py
+++ b/tests/test_transport_links.py
@@ -15,6 +15,7 @@
 from mastturn.standins.ports import free_port
 from tests.fabric import Process
 from tests.fabric_world import World, play
+from transport.endpoint import Endpoint
 from transport.links import DIAL_S, DROP_S, HELD_FRAMES, STAGGER_S, USER_TIMEOUT_MS, Links, harden
 from transport.wire import Kinds, Link
 
@@ -32,7 +33,7 @@
     links: Links = field(init=False)
 
     def __post_init__(self) -> None:
-        own = (self.process.ip, PORT)
+        own = Endpoint(self.process.ip, PORT)
         self.links = Links(KINDS, own, lambda link, m: self.heard.append(m), self.ended.append)
 
     def do(self, call: Callable[[], Any]) -> Any:
@@ -40,13 +41,16 @@
         return self.process.context.copy().run(call)
 
     def send(self, peer: Peer, number: int) -> None:
-        self.do(lambda: self.links.send(peer.process.ip, Pulse(1, number, 0)))
+        self.do(lambda: self.links.send(peer.own(), Pulse(1, number, 0)))
+
+    def own(self) -> Endpoint:
+        return Endpoint(self.process.ip, PORT)
 
     def numbers(self) -> list[int]:
         return [m.number for m in self.heard]
 
     def to(self, peer: Peer) -> list[Link]:
-        return self.links._by_ip.get(peer.process.ip, [])
+        return self.links._by_endpoint.get(peer.own(), [])
 
 
 async def peer(world: World, ip: str) -> Peer:
@@ -81,7 +85,7 @@
         world.network.off.add(b.process.ip)
         for number in range(500):
             a.send(b, number)
-        assert len(a.links._dialing[b.process.ip]) == HELD_FRAMES
+        assert len(a.links._dialing[b.own()]) == HELD_FRAMES
         await world.wait(DIAL_S + 0.1)
         assert not a.links._dialing and not a.links._tasks
         world.network.off.clear()
@@ -201,7 +205,7 @@
     async def story(world: World, a: Peer, b: Peer) -> None:
         with pytest.raises(OSError, match="in use"):
             await world.loop.create_task(
-                Links(KINDS, ("10.1.0.1", PORT), lambda link, m: None, lambda link: None).start()
+                Links(KINDS, Endpoint("10.1.0.1", PORT), lambda link, m: None, lambda link: None).start()
             )
 
     scene(story)
@@ -212,7 +216,7 @@
         sizes = [0, 1, 10, 5_000, 70_000, 300_000, 3]
         for size in sizes:
             moved = Moved(("x" * size,))
-            a.do(lambda m=moved: a.links.send(b.process.ip, m))  # type: ignore[misc]
+            a.do(lambda m=moved: a.links.send(b.own(), m))  # type: ignore[misc]
         await world.wait(1.0)
         assert [len(m.ips[0]) for m in b.heard] == sizes
 
@@ -234,9 +238,10 @@
         ended = asyncio.Event()
         heard: list[Any] = []
         port = free_port()
-        links = Links(KINDS, ("127.0.0.1", port), lambda link, m: heard.append(m), lambda link: ended.set())
+        own = Endpoint("127.0.0.1", port)
+        links = Links(KINDS, own, lambda link, m: heard.append(m), lambda link: ended.set())
         await links.start()
-        link = await links.dial("127.0.0.1")
+        link = await links.dial(own)
         assert link is not None and link.peer == "127.0.0.1"
         sock = link.socket()
         assert sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT) == USER_TIMEOUT_MS
@@ -253,9 +258,9 @@
         getattr(world.network, fault).add("10.9.9.9")
         since = world.loop.time()
         reached = await world.loop.create_task(
-            a.links.dial_any(["10.9.9.9", b.process.ip]), context=a.process.context
+            a.links.dial_any([Endpoint("10.9.9.9", PORT), b.own()]), context=a.process.context
         )
-        assert reached is not None and reached[0] == b.process.ip and reached[1].is_up()
+        assert reached is not None and reached[0] == b.own() and reached[1].is_up()
         assert world.loop.time() - since < (STAGGER_S if fault == "off" else 0.0) + 0.02
         await world.wait(DIAL_S)
         assert len(a.to(b)) == 1
@@ -266,14 +271,45 @@
 def test_of_several_that_take_us_in_one_is_left_and_without_any_there_is_none() -> None:
     async def story(world: World, a: Peer, b: Peer) -> None:
         world.network.delay_s = 0.08  # so that a second one is dialled before the first is up
-        dialled = a.links.dial_any([b.process.ip, b.process.ip])
+        dialled = a.links.dial_any([b.own(), b.own()])
         reached = await world.loop.create_task(dialled, context=a.process.context)
         assert reached is not None
         await world.wait(DIAL_S)
         assert reached[1].is_up() and len(a.to(b)) == 1
         world.network.off.add(b.process.ip)
-        dialled = a.links.dial_any([b.process.ip, "10.9.9.9"])
+        dialled = a.links.dial_any([b.own(), Endpoint("10.9.9.9", PORT)])
         assert await world.loop.create_task(dialled, context=a.process.context) is None
         assert await a.links.dial_any([]) is None
 
     scene(story)
+
+
+def test_callers_on_one_machine_are_told_apart_once_they_are_identified() -> None:
+    """Two processes call from one IP: what is for one of them never goes to the other."""
+
+    async def story(world: World, a: Peer, b: Peer) -> None:
+        callers = [Process(world.network, f"caller-{n}", "10.3.0.1") for n in range(2)]
+        heard: list[list[Any]] = [[], []]
+        came: list[Link] = []
+        own = Endpoint("10.4.0.1", PORT)
+        listener = Process(world.network, "listener", own.ip)
+        links = Links(
+            KINDS, own, lambda link, m: came.append(link), lambda link: None, callers_share_port=False
+        )
+        await world.loop.create_task(links.start(), context=listener.context)
+        for number, caller in enumerate(callers):
+            port = Endpoint(caller.ip, PORT + number)
+            theirs = Links(KINDS, port, lambda link, m, n=number: heard[n].append(m), lambda link: None)  # type: ignore[misc]
+            await world.loop.create_task(theirs.start(), context=caller.context)
+            caller.context.copy().run(theirs.send, own, Pulse(1, number, 0))
+            await world.wait(0.05)
+        first, second = came
+        assert links.to(Endpoint("10.3.0.1", PORT)) is None
+        links.identify(first, Endpoint("10.3.0.1", PORT))
+        assert links.to(Endpoint("10.3.0.1", PORT)) is first and second.endpoint is None
+        listener.context.copy().run(links.send, Endpoint("10.3.0.1", PORT), Pulse(1, 7, 0))
+        listener.context.copy().run(links.send, Endpoint("10.3.0.1", PORT + 1), Pulse(1, 8, 0))
+        await world.wait(0.05)
+        assert [[m.number for m in of] for of in heard] == [[7], [8]]
+
+    scene(story)
--- a/tests/test_transport_strangers.py
+++ b/tests/test_transport_strangers.py
@@ -16,7 +16,7 @@
 from tests.fabric import End
 from tests.fabric_callers import Answer, ask, call, configuration
 from tests.fabric_scenes import begun, in_force
-from tests.fabric_world import CTL_PORT, STATION_PORT, World, play
+from tests.fabric_world import BALANCER_PORT, CONTROL_PORT, CTL_PORT, World, play
 from transport.calls import MOST_BODY
 from transport.wire import MOST_FRAME, FrameReader
 
@@ -38,12 +38,17 @@
         self.lost_at = asyncio.get_running_loop().time()
 
 
-async def connect(ip: str, port: int = STATION_PORT) -> Stranger:
+async def connect(ip: str, port: int = CONTROL_PORT) -> Stranger:
     _, stranger = await asyncio.get_running_loop().create_connection(Stranger, ip, port)
     found: Stranger = stranger
     return found
 
 
+def port_of(world: World, name: str) -> int:
+    """Where the process of a machine hears the others."""
+    return CONTROL_PORT if world.machines[name].is_core else BALANCER_PORT
+
+
 async def goes_on(world: World, ver: int, base: int) -> None:
     """The fleet works as if nothing had happened."""
     assert (await world.operator().put(configuration(ver), base)).status == 200
@@ -67,11 +72,11 @@
 
 @pytest.mark.parametrize("name", GARBAGE)
 @pytest.mark.parametrize("where", ["core-1", "core-3", "edge-1"])
-def test_garbage_on_the_station_port_ends_that_connection_alone(name: str, where: str) -> None:
+def test_garbage_on_the_port_for_other_processes_ends_that_connection_alone(name: str, where: str) -> None:
     async def scene(world: World) -> None:
         await begun(world)
         lines = len(world.transcript.logs)
-        stranger = await connect(world.machines[where].ip)
+        stranger = await connect(world.machines[where].ip, port_of(world, where))
         stranger.transport.write(GARBAGE[name])
         await world.until(lambda: stranger.lost_at, 0.5, "the connection is ended")
         assert len(world.transcript.logs) <= lines + 1
@@ -132,7 +137,7 @@
     async def scene(world: World) -> None:
         await begun(world)
         for message in strange_messages():
-            stranger = await connect(world.machines[where].ip)
+            stranger = await connect(world.machines[where].ip, port_of(world, where))
             stranger.transport.write(KINDS.encode(message))
             await world.wait(0.02)
             stranger.transport.abort()
@@ -206,7 +211,7 @@
             base = ver
             await world.wait(0.1)
         await in_force(world, base)
-        held = [e for e in world.network.ends if e.remote[0] == "10.99.0.1" and e.local == (ip, STATION_PORT)]
+        held = [e for e in world.network.ends if e.remote[0] == "10.99.0.1" and e.local == (ip, CONTROL_PORT)]
         assert all(e.gone or len(e.buffer) < 8 * 2**20 for e in held)
         assert any(e.gone for e in held)
 
--- a/transport/calls.py
+++ b/transport/calls.py
@@ -77,6 +77,11 @@
 
         return take
 
+    def include(self, other: Calls) -> Calls:
+        """Answer the other's calls too, as they are declared by now."""
+        self._handlers |= other._handlers
+        return self
+
     async def answer(self, owner: object, call: Call) -> Reply:
         """The answer to a call; a handler's fault costs that call alone."""
         handler = self._handlers.get((call.method, call.path))
--- a/transport/links.py
+++ b/transport/links.py
@@ -1,4 +1,4 @@
-"""Connections between the system's processes: one listener, and a connection to each IP that is spoken to."""
+"""Connections between the system's processes: one listener, and a connection to each that is spoken to."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Sequence
 from typing import Any
 
-from config.settings import Address
+from transport.endpoint import Endpoint
 from transport.wire import Kinds, Link
 
 DIAL_S = 0.5  # a connection comes up within this, or the peer is out of reach
@@ -29,12 +29,25 @@
 
 
 class Links:
-    """All connections of this process to others of the system."""
-
-    def __init__(self, kinds: Kinds, own: Address, heard: Heard, ended: Callable[[Link], None]) -> None:
+    """All connections of this process to others of the system, by the endpoint of each."""
+
+    def __init__(
+        self,
+        kinds: Kinds,
+        own: Endpoint,
+        heard: Heard,
+        ended: Callable[[Link], None],
+        callers_share_port: bool = True,
+    ) -> None:
+        """`callers_share_port`: whoever calls us listens on our port of its own machine.
+
+        Else a caller is nobody that is spoken to by name until `identify` says who it is.
+        """
         self.kinds, self._own, self._heard, self._told_end = kinds, own, heard, ended
-        self._by_ip: dict[str, list[Link]] = {}
-        self._dialing: dict[str, list[bytes]] = {}
+        self._callers_share_port = callers_share_port
+        self._by_endpoint: dict[Endpoint, list[Link]] = {}
+        self._unidentified: set[Link] = set()
+        self._dialing: dict[Endpoint, list[bytes]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
         self._is_stopped = False
@@ -42,7 +55,7 @@
     async def start(self) -> None:
         """Listen; raises OSError."""
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(self._new, *self._own, backlog=512)
+        self._server = await loop.create_server(lambda: self._new(self._called), *self._own, backlog=512)
 
     def stop(self) -> None:
         """Close everything; nothing is sent any more."""
@@ -51,80 +64,95 @@
             task.cancel()
         if self._server is not None:
             self._server.close()
-        for links in list(self._by_ip.values()):
-            for link in list(links):
-                link.close()
+        for link in [*self._unidentified, *(k for links in self._by_endpoint.values() for k in links)]:
+            link.close()
 
-    def _new(self) -> Link:
-        return Link(self.kinds, self._heard, self._ended, self._begun)
+    def _new(self, begun: Callable[[Link], None]) -> Link:
+        return Link(self.kinds, self._heard, self._ended, begun)
 
-    def _begun(self, link: Link) -> None:
+    def _called(self, link: Link) -> None:
+        """Somebody has called us."""
         harden(link.socket())
-        self._by_ip.setdefault(link.peer, []).append(link)
+        if self._callers_share_port:
+            self._file(link, Endpoint(link.peer, self._own.port))
+        else:
+            self._unidentified.add(link)
+
+    def _file(self, link: Link, endpoint: Endpoint) -> None:
+        link.endpoint = endpoint
+        self._by_endpoint.setdefault(endpoint, []).append(link)
+
+    def identify(self, link: Link, endpoint: Endpoint) -> None:
+        """A caller has shown who it is: what is for that process may go by this connection from now on."""
+        if link in self._unidentified:
+            self._unidentified.remove(link)
+            self._file(link, endpoint)
 
     def _ended(self, link: Link) -> None:
-        links = self._by_ip.get(link.peer, [])
-        if link in links:
-            links.remove(link)
-        if not links:
-            self._by_ip.pop(link.peer, None)
+        self._unidentified.discard(link)
+        if link.endpoint is not None:
+            links = self._by_endpoint.get(link.endpoint, [])
+            if link in links:
+                links.remove(link)
+            if not links:
+                self._by_endpoint.pop(link.endpoint, None)
         self._told_end(link)
 
-    def to(self, ip: str) -> Link | None:
-        """The connection to an IP that was heard of last, if one is up."""
-        links = [k for k in self._by_ip.get(ip, ()) if k.is_up()]
+    def to(self, endpoint: Endpoint) -> Link | None:
+        """The connection to a process that was heard of last, if one is up."""
+        links = [k for k in self._by_endpoint.get(endpoint, ()) if k.is_up()]
         return max(links, key=lambda k: k.last_heard, default=None)
 
-    def send(self, ip: str, message: Any) -> None:
-        """Send to the process at an IP, by what connection there is or a new one; it may be lost."""
-        self.send_frame(ip, self.kinds.encode(message))
+    def send(self, endpoint: Endpoint, message: Any) -> None:
+        """Send to a process, by what connection there is or a new one; it may be lost."""
+        self.send_frame(endpoint, self.kinds.encode(message))
 
-    def send_frame(self, ip: str, frame: bytes) -> None:
+    def send_frame(self, endpoint: Endpoint, frame: bytes) -> None:
         """The same with a message that is encoded already."""
         if self._is_stopped:
             return
         now = asyncio.get_running_loop().time()
-        link = self.to(ip)
+        link = self.to(endpoint)
         if link is not None:
-            for old in list(self._by_ip.get(ip, ())):
+            for old in list(self._by_endpoint.get(endpoint, ())):
                 if now - old.last_heard > DROP_S and old is not link:
                     old.close()
             link.send_bytes(frame)
             if now - link.last_heard <= SILENT_S:
                 return
-        waiting = self._dialing.get(ip)
+        waiting = self._dialing.get(endpoint)
         if waiting is not None:
             if link is None and len(waiting) < HELD_FRAMES:
                 waiting.append(frame)
             return
-        self._dialing[ip] = [] if link is not None else [frame]
-        task = asyncio.get_running_loop().create_task(self._dial(ip))
+        self._dialing[endpoint] = [] if link is not None else [frame]
+        task = asyncio.get_running_loop().create_task(self._dial(endpoint))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _dial(self, ip: str) -> None:
-        link = await self.dial(ip)
-        waiting = self._dialing.pop(ip, [])
+    async def _dial(self, endpoint: Endpoint) -> None:
+        link = await self.dial(endpoint)
+        waiting = self._dialing.pop(endpoint, [])
         if link is not None:
             for frame in waiting:
                 link.send_bytes(frame)
 
-    async def dial_any(self, ips: Sequence[str]) -> tuple[str, Link] | None:
+    async def dial_any(self, endpoints: Sequence[Endpoint]) -> tuple[Endpoint, Link] | None:
         """A connection to the first of these that takes us in; None if nobody does."""
-        dials: dict[asyncio.Task[Link | None], str] = {}
-        found: tuple[str, Link] | None = None
-        waiting = list(ips)
+        dials: dict[asyncio.Task[Link | None], Endpoint] = {}
+        found: tuple[Endpoint, Link] | None = None
+        waiting = list(endpoints)
         try:
             while found is None and (waiting or dials):
                 if waiting:
-                    ip = waiting.pop(0)
-                    dials[asyncio.get_running_loop().create_task(self.dial(ip))] = ip
+                    endpoint = waiting.pop(0)
+                    dials[asyncio.get_running_loop().create_task(self.dial(endpoint))] = endpoint
                 wait_s = STAGGER_S if waiting else None
                 done, _ = await asyncio.wait(dials, timeout=wait_s, return_when=asyncio.FIRST_COMPLETED)
                 for dial in done:
-                    ip, link = dials.pop(dial), dial.result()
+                    endpoint, link = dials.pop(dial), dial.result()
                     if link is not None and found is None and link.is_up():
-                        found = ip, link
+                        found = endpoint, link
                     elif link is not None:
                         link.close()
         finally:
@@ -133,14 +161,19 @@
                 dial.cancel()
         return found
 
-    async def dial(self, ip: str) -> Link | None:
-        """A new connection to an IP; None if none comes up."""
+    async def dial(self, endpoint: Endpoint) -> Link | None:
+        """A new connection to a process; None if none comes up."""
+
+        def begun(link: Link) -> None:
+            harden(link.socket())
+            self._file(link, endpoint)
+
         try:
             async with asyncio.timeout(DIAL_S):
                 # On loopback the kernel would call from 127.0.0.1 for all of us, and IPs tell us apart.
-                here = (self._own[0], 0) if self._own[0].startswith("127.") else None
+                here = (self._own.ip, 0) if self._own.ip.startswith("127.") else None
                 _, link = await asyncio.get_running_loop().create_connection(
-                    self._new, ip, self._own[1], local_addr=here
+                    lambda: self._new(begun), endpoint.ip, endpoint.port, local_addr=here
                 )
         except (OSError, TimeoutError):
             return None
--- a/transport/wire.py
+++ b/transport/wire.py
@@ -20,6 +20,7 @@
 from loguru import logger
 
 from config.errors import WireError
+from transport.endpoint import Endpoint
 from transport.schema import Reader, fields_of, reader_of
 
 EDITION = 5  # of all kinds together, as reports show it: the next number with each new kind
@@ -184,6 +185,7 @@
         self._transport: asyncio.Transport | None = None
         self._most_unsent = most_unsent
         self.peer = ""  # the IP of the other side
+        self.endpoint: Endpoint | None = None  # of the process on the other side, once it is known
         self.last_heard = 0.0  # on the loop's clock
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
