--- a/mastturnd/commands.py
+++ b/mastturnd/commands.py
@@ -20,6 +20,7 @@
 from config.settings import Settings, parse_address
 from mastturnd import asking, configuring, fleet_status, present, salvage, tracing
 from mastturnd.draining import names_of
+from mastturnd.explanation import lines_of_explanation
 from mastturnd.tables import table
 from mastturnd.wrong import DIFFERS, DONE, FAILED, WRONG_CALL, FailedError, UnansweredError, WrongCallError
 
@@ -27,6 +28,7 @@
   status                     who leads, what each process has, who is present, what differs
   config get                 the configuration in force, as it was sent
   config put FILE            have a file taken on top of the configuration in force
+  config patch FILE          have named items changed; --dry_run says what it would change
   config diff FILE           what a file would change
   config check FILE          whether a file is a good configuration; nobody is asked
   config history             the versions that were taken
@@ -34,7 +36,8 @@
   drain NODE, undrain NODE   a balancer takes no new clients, or takes them again
   trace ID LOG...            one request's lines out of log files
   explain NODE|IP:PORT       why a balancer chooses as it does
-flags: --ctl=IP:PORT,... --readyz_port=N --json --within_s=S --base=VER --next --choices=N --force"""
+flags: --ctl=IP:PORT,... --readyz_port=N --json --within_s=S --base=VER --next --dry_run --choices=N
+       --force"""
 
 
 def _flags() -> flags.FlagValues:
@@ -51,6 +54,7 @@
         "base", -1, "The version that a file builds on; the newest if none.", flag_values=found
     )
     flags.DEFINE_bool("next", False, "Give the file the number after the newest.", flag_values=found)
+    flags.DEFINE_bool("dry_run", False, "Only say what a patch would change.", flag_values=found)
     flags.DEFINE_integer("choices", 0, "Record so many choices as they are made.", flag_values=found)
     flags.DEFINE_bool("force", False, "Drain although few balancers of the zone are left.", flag_values=found)
     found.set_gnu_getopt(True)
@@ -126,7 +130,7 @@
             raise FailedError(f"{place} gives no answer", "name the address of a balancer's readiness")
         if answer.status != 200:
             raise FailedError(f"{place} says: {answer.words()}", "ask again")
-        return Report(answer.json(), _explained(answer.json()))
+        return Report(answer.json(), lines_of_explanation(answer.json()))
 
     def _balancer(self, node: str) -> dict[str, Any]:
         found = present.balancers(self._ctl(), self._within_s, present.named(node))
@@ -157,6 +161,20 @@
         lines = [f"version {raw['ver']} is taken on top of {base}", *notes]
         return Report({"ver": raw["ver"], "base": base, "notes": notes}, lines)
 
+    def patch(self, name: str) -> Report:
+        """Have named items changed, or see what that would change."""
+        body = configuring.read_file(name)
+        now = configuring.current(self._ctl(), self._within_s)
+        base = int(self._given.base) if self._given.base >= 0 else now.ver
+        sent, patch, result = configuring.patched(body, name, now, bool(self._given.next))
+        found = configuring.differences(now.raw(), result)
+        lines = [configuring.line_of(d) for d in found]
+        data = {"ver": patch.ver, "base": base, "differs": found}
+        if self._given.dry_run:
+            return Report(data, lines, DIFFERS if found else DONE)
+        configuring.send_patch(self._ctl(), sent, base, self._within_s)
+        return Report(data, [f"version {patch.ver} is taken on top of {base}", *lines])
+
     def diff(self, name: str) -> Report:
         """What a file would change."""
         raw = configuring.checked(configuring.read_file(name), name)
@@ -289,64 +307,12 @@
         return Report(data, table(["TIME", "PROCESS", "EVENT", "FIELDS"], rows))
 
 
-def _explained(found: dict[str, Any]) -> list[str]:
-    head = [
-        "UPSTREAM",
-        "ZONE",
-        "PER S",
-        "IN FLIGHT",
-        "OTHERS",
-        "TOKENS",
-        "LOAD",
-        "DRAWN",
-        "CHOSEN",
-        "HELD BACK",
-    ]
-    lines = [f"{found['node']}: of {found['draws']} draws the lowest load is kept: (in flight + 1) / per s"]
-    for group in found["groups"]:
-        lines += ["", f"{group['svc']} {group['part'] or 'whole'}:", *table(head, _rows(group["upstreams"]))]
-    for choice in found.get("choices", []):
-        chosen = next(r for r in choice["considered"] if r["id"] == choice["chosen"])
-        lines += [
-            "",
-            f"request {choice['request'] or '-'}, {choice['part'] or 'whole'}: {chosen['id']}, one of "
-            f"{len(choice['considered'])} considered and {choice['ready']} ready",
-            *table(head, _rows(choice["considered"])),
-        ]
-    return lines
-
-
-def _rows(upstreams: list[dict[str, Any]]) -> list[list[object]]:
-    return [
-        [
-            u["id"],
-            u["zone"],
-            f"{u['capacity_per_s']:.2f}",
-            u["in_flight"],
-            u["others"],
-            u["tokens"],
-            f"{u['load']:.4f}",
-            f"{u['drawn'] * 100:.1f}%",
-            f"{u['chosen'] * 100:.1f}%",
-            _held_back(u),
-        ]
-        for u in upstreams
-    ]
-
-
-def _held_back(upstream: dict[str, Any]) -> str:
-    """Why an upstream gets less than its draws: nothing comes from it, it is avoided, or not trusted."""
-    words = ["silent"] if upstream["silent"] else []
-    words += [f"{upstream['blocked_ms']} ms"] if upstream["blocked_ms"] else []
-    words += [trust] if (trust := str(upstream.get("trust", ""))) else []  # not told by earlier releases
-    return ", ".join(words)
-
-
 def _find(commands: Commands, words: list[str]) -> Callable[[], Report]:
     """The command that the words name; raises WrongCallError."""
     one = {"drain": commands.drain, "undrain": commands.undrain, "explain": commands.explain}
     files = {
         "put": commands.put,
+        "patch": commands.patch,
         "diff": commands.diff,
         "check": commands.check,
         "salvage": commands.salvage,
@@ -358,14 +324,14 @@
             return commands.get
         case ["config", "history"]:
             return commands.history
-        case ["config", ("put" | "diff" | "check" | "salvage") as what, name]:
+        case ["config", ("put" | "patch" | "diff" | "check" | "salvage") as what, name]:
             return lambda: files[what](name)
         case [("drain" | "undrain" | "explain") as what, name]:
             return lambda: one[what](name)
         case ["trace", request, *logs] if logs:
             return lambda: commands.trace(request, *logs)
     needs = {
-        "config": "say `config get|history`, `config put|diff|check FILE`, or `config salvage FOLDER`",
+        "config": "say `config get|history`, `config put|patch|diff|check FILE`, or `config salvage FOLDER`",
         "trace": "say `trace ID LOG...`",
         "status": "say `status` alone",
         "explain": "say `explain NODE` or `explain IP:PORT`",
--- a/mastturnd/configuring.py
+++ b/mastturnd/configuring.py
@@ -9,8 +9,9 @@
 from pathlib import Path
 from typing import Any
 
-from config.checking import check
+from config.checking import ConfigurationReader, check
 from config.errors import InvalidConfigurationError
+from config.patching import Patch, apply_patch, parse_patch
 from mastturnd import asking
 from mastturnd.draining import FIELD, names_of
 from mastturnd.wrong import FailedError, RefusedError, WrongCallError
@@ -67,8 +68,17 @@
 
 def put(ctl: list[str], body: bytes, base: int, within_s: float) -> None:
     """Have it taken on top of `base`, the same bytes again until the answer is clear."""
+    _send(ctl, "PUT", body, base, within_s)
+
+
+def send_patch(ctl: list[str], body: bytes, base: int, within_s: float) -> None:
+    """Have named items of version `base` changed, as `put` does."""
+    _send(ctl, "PATCH", body, base, within_s)
+
+
+def _send(ctl: list[str], method: str, body: bytes, base: int, within_s: float) -> None:
     headers = {"If-Match": str(base), "Content-Type": "application/json"}
-    answer = asking.any_of(ctl, "PUT", "/api/config", body, headers, within_s)
+    answer = asking.any_of(ctl, method, "/api/config", body, headers, within_s)
     if answer.status == 200:
         return
     remedy = {
@@ -78,6 +88,19 @@
     raise RefusedError(f"{answer.by} says: {answer.words()}", remedy, answer.status)
 
 
+def patched(body: bytes, name: str, now: InForce, next_ver: bool) -> tuple[bytes, Patch, dict[str, Any]]:
+    """A patch as it is to be sent, what it says, and what comes of it; raises FailedError."""
+    try:
+        patch = parse_patch(body)
+        if next_ver:
+            body = json.dumps(json.loads(body) | {"ver": now.ver + 1}).encode()
+            patch = parse_patch(body)
+        result = apply_patch(now.body, patch, ConfigurationReader())
+    except InvalidConfigurationError as error:
+        raise FailedError(f"{name}: {error.wrong}", error.remedy) from None
+    return body, patch, json.loads(result.body)
+
+
 def prepared(body: bytes, name: str, now: InForce, next_ver: bool) -> tuple[bytes, dict[str, Any], list[str]]:
     """What to send for a file, its JSON, and what was changed in it: a new number, and drains that go on."""
     raw = checked(body, name)
--- /dev/null
+++ b/mastturnd/explanation.py
@@ -0,0 +1,61 @@
+"""What `explain` prints for people: ready sets, and the choices that were made, as tables."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from mastturnd.tables import table
+
+
+def lines_of_explanation(found: dict[str, Any]) -> list[str]:
+    """A balancer's ready sets, and its recorded choices, as lines for people."""
+    head = [
+        "UPSTREAM",
+        "ZONE",
+        "PER S",
+        "IN FLIGHT",
+        "OTHERS",
+        "TOKENS",
+        "LOAD",
+        "DRAWN",
+        "CHOSEN",
+        "HELD BACK",
+    ]
+    lines = [f"{found['node']}: of {found['draws']} draws the lowest load is kept: (in flight + 1) / per s"]
+    for group in found["groups"]:
+        lines += ["", f"{group['svc']} {group['part'] or 'whole'}:", *table(head, _rows(group["upstreams"]))]
+    for choice in found.get("choices", []):
+        chosen = next(r for r in choice["considered"] if r["id"] == choice["chosen"])
+        lines += [
+            "",
+            f"request {choice['request'] or '-'}, {choice['part'] or 'whole'}: {chosen['id']}, one of "
+            f"{len(choice['considered'])} considered and {choice['ready']} ready",
+            *table(head, _rows(choice["considered"])),
+        ]
+    return lines
+
+
+def _rows(upstreams: list[dict[str, Any]]) -> list[list[object]]:
+    return [
+        [
+            u["id"],
+            u["zone"],
+            f"{u['capacity_per_s']:.2f}",
+            u["in_flight"],
+            u["others"],
+            u["tokens"],
+            f"{u['load']:.4f}",
+            f"{u['drawn'] * 100:.1f}%",
+            f"{u['chosen'] * 100:.1f}%",
+            _held_back(u),
+        ]
+        for u in upstreams
+    ]
+
+
+def _held_back(upstream: dict[str, Any]) -> str:
+    """Why an upstream gets less than its draws: nothing comes from it, it is avoided, or not trusted."""
+    words = ["silent"] if upstream["silent"] else []
+    words += [f"{upstream['blocked_ms']} ms"] if upstream["blocked_ms"] else []
+    words += [trust] if (trust := str(upstream.get("trust", ""))) else []  # not told by earlier releases
+    return ", ".join(words)
--- a/tests/test_mastturnd_cli_commands.py
+++ b/tests/test_mastturnd_cli_commands.py
@@ -15,6 +15,8 @@
 import pytest
 
 from config import settings as settings_file
+from config.checking import ConfigurationReader
+from config.patching import apply_patch, parse_patch
 from consensus.codec import whole, write_record
 from consensus.files import OsFiles
 from consensus.slots import Store
@@ -47,7 +49,7 @@
                 self.end_headers()
                 self.wfile.write(answer)
 
-            do_PUT = do_GET
+            do_PUT = do_PATCH = do_GET
 
             def log_message(self, format: str, *args: object) -> None:
                 return None
@@ -98,6 +100,8 @@
         if headers["if-match"] != str(self.ver):
             return 412, {}, json.dumps({"error": f"version {self.ver} is in place"}).encode()
         self.taken.append(body)
+        if method == "PATCH":
+            body = apply_patch(self.body, parse_patch(body), ConfigurationReader()).body
         self.body = body
         return 200, {}, b"{}"
 
@@ -216,6 +220,26 @@
     assert not shop.taken
 
 
+def test_a_patch_is_shown_first_and_then_taken(
+    shop: Shop, tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    path, ctl = tmp_path / "patch.json", f"--ctl={shop.ctl.place}"
+    entry = json.loads(shop.body)["routes"][0] | {"tries": 2}
+    path.write_text(json.dumps({"ver": 1, "upsert": {"routes": [entry | {"tries": 7}]}}))
+    assert run("config", "patch", str(path), ctl, "--next", "--dry_run") == 3
+    told = capsys.readouterr().out
+    assert f"+ routes.{entry['name']}.tries: 7" in told and "~ ver: 5 -> 6" in told
+    assert not shop.taken
+    assert run("config", "patch", str(path), ctl, "--next") == 0
+    assert "version 6 is taken on top of 5" in capsys.readouterr().out
+    assert json.loads(shop.body)["routes"][0]["tries"] == 7 and shop.ver == 6
+    assert run("config", "patch", str(path), ctl, "--base=3", "--next") == 1
+    path.write_text(json.dumps({"ver": 9, "remove": {"routes": ["nobody"]}}))
+    capsys.readouterr()
+    assert run("config", "patch", str(path), ctl) == 1
+    assert capsys.readouterr().err.startswith(f'{path}: there is no "nobody" in routes to remove; name one')
+
+
 def test_a_bad_file_never_leaves(shop: Shop, tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
     path = tmp_path / "new.json"
     path.write_bytes(configuration(7, svcs=[]))
