--- a/mastturn/smallfleet/__main__.py
+++ b/mastturn/smallfleet/__main__.py
@@ -15,7 +15,7 @@
 from mastturn.smallfleet.layout import program_of
 from mastturn.smallfleet.play import Play, as_json, left
 
-USAGE = "usage: python3 -m mastturn.smallfleet [--seconds=S] [--calm] [--folder=DIR] [--other=DIR] [--json]"
+USAGE = "usage: python3 -m mastturn.smallfleet [--seconds=S] [--calm] [--folder=DIR] [--other=DIR]\n  [--shared] [--json]"
 
 
 def _flags() -> flags.FlagValues:
@@ -24,6 +24,7 @@
     flags.DEFINE_bool("calm", False, "Kill nobody.", flag_values=found)
     flags.DEFINE_string("folder", "", "Keep settings, disks and logs there.", flag_values=found)
     flags.DEFINE_string("other", "", "Another checkout, whose program core-b and edge-b run.", found)
+    flags.DEFINE_bool("shared", False, "Control processes and balancers share machines.", flag_values=found)
     flags.DEFINE_bool("json", False, "Print the result as one JSON object at the end.", flag_values=found)
     return found
 
@@ -43,7 +44,7 @@
 
 
 async def _play(folder: Path, given: flags.FlagValues) -> int:
-    play = Play(folder, _say, _other(given.other))
+    play = Play(folder, _say, _other(given.other), given.shared)
     result = await play.run(given.seconds, not given.calm)
     if given.json:
         _say(json.dumps(as_json(result)))
--- a/mastturn/smallfleet/layout.py
+++ b/mastturn/smallfleet/layout.py
@@ -4,7 +4,7 @@
 
 import random
 import socket
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
 
@@ -17,7 +17,7 @@
 PORTS = 8  # that are looked for side by side
 PROGRAM, FORMER_PROGRAM = "mastturnd", "station"  # packages; the latter in checkouts of earlier releases
 FORMER_ROLES = {"balancer": "windvane"}  # as that program names them
-HTTP, READYZ, CTL, STATION, PLATFORM, UPSTREAM = range(6)  # their places from the first
+HTTP, READYZ, CTL, PLATFORM, UPSTREAM, CONTROL, BALANCER = range(7)  # their places from the first
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,7 +74,7 @@
             "region": "loopback",
             "zones": dict.fromkeys(ZONES, "loopback"),
             "listen": listen,
-            "port_range": [self.port(STATION), self.port(STATION)],
+            "port_range": [self.port(CONTROL), self.port(BALANCER)],
             "seed_addrs": self.ctl(),
             "bootstrap": bootstrap,
             "quorum_member": is_core,
@@ -91,8 +91,13 @@
         return raw | {"node": "operator", "role": ""}
 
 
-def lay_out(upstreams: int, cores: int = len(ZONES), edges: int = len(EDGE_ZONES)) -> Layout:
-    """A layout on ports that are free now; raises LabError if there are none."""
+def lay_out(
+    upstreams: int, cores: int = len(ZONES), edges: int = len(EDGE_ZONES), shared: bool = False
+) -> Layout:
+    """A layout on ports that are free now; raises LabError if there are none.
+
+    `shared`: a balancer runs on each machine of the control state, as far as there are balancers.
+    """
     subnet = random.SystemRandom().randrange(1, 250)
     control = tuple(
         Machine(f"core-{_name(i)}", "control", f"127.{subnet}.{i + 1}.1", ZONES[i % len(ZONES)])
@@ -102,6 +107,14 @@
         Machine(f"edge-{_name(i)}", "balancer", f"127.{subnet}.{i + 1}.2", EDGE_ZONES[i % len(EDGE_ZONES)])
         for i in range(edges)
     )
+    if shared:
+        balancers = (
+            tuple(
+                replace(m, ip=beside.ip, zone=beside.zone)
+                for m, beside in zip(balancers, control, strict=False)
+            )
+            + balancers[len(control) :]
+        )
     around = [f"127.{subnet}.255.{i + 1}" for i in range(upstreams + 1)]
     ips = [m.ip for m in (*control, *balancers)] + around
     for first in random.SystemRandom().sample(range(20_000, 30_000, PORTS), 50):
--- a/mastturn/smallfleet/play.py
+++ b/mastturn/smallfleet/play.py
@@ -51,10 +51,13 @@
 class Play:
     """Three control processes, three balancers, and all that stands around them."""
 
-    def __init__(self, folder: Path, say: Say, other: Path | None = None) -> None:
-        """`other`: a checkout whose program some of the processes run, as in the middle of an upgrade."""
+    def __init__(self, folder: Path, say: Say, other: Path | None = None, shared: bool = False) -> None:
+        """`other`: a checkout whose program some of the processes run, as in the middle of an upgrade.
+
+        `shared`: control processes and balancers share their machines.
+        """
         self._folder, self._say, self._other = folder, say, other
-        self._layout: Layout = layout.lay_out(len(PHASES))
+        self._layout: Layout = layout.lay_out(len(PHASES), shared=shared)
         self._upstreams = [
             Upstream(f"u-{i}", place, layout.ZONES[i % len(layout.ZONES)], phase)
             for i, (place, phase) in enumerate(zip(self._layout.upstreams, PHASES, strict=True))
--- a/mastturn/soak/commands.py
+++ b/mastturn/soak/commands.py
@@ -43,6 +43,7 @@
 @click.option("--control", type=int, default=3, show_default=True, help="Control processes.")
 @click.option("--upstreams", type=int, default=6, show_default=True)
 @click.option("--clients", type=int, default=24, show_default=True)
+@click.option("--shared", is_flag=True, help="Control processes and balancers share machines.")
 @click.option("--defect", default="", help="Play with a planted defect: see `--defect list`.")
 @click.option("--only", default="", help="Of the troubles, those whose names hold this.")
 @click.option("--answers", default="", help="Of the faults of answers, those whose names hold this.")
@@ -63,6 +64,7 @@
     control: int,
     upstreams: int,
     clients: int,
+    shared: bool,
     defect: str,
     only: str,
     answers: str,
@@ -90,7 +92,16 @@
     count = 0
     for number in range(first, first + seeds):
         plan = Plan(
-            number, seconds, balancers, control, upstreams, clients, planted.known(defect), only, answers
+            number,
+            seconds,
+            balancers,
+            control,
+            upstreams,
+            clients,
+            planted.known(defect),
+            only,
+            answers,
+            shared,
         )
         check(plan)
         click.echo(f"seed {number}: {plan.balancers} balancers, {plan.control} control processes")
--- a/mastturn/soak/plan.py
+++ b/mastturn/soak/plan.py
@@ -27,6 +27,7 @@
     defect: str = ""
     only: str = ""  # of the troubles, those whose names hold this
     answers: str = ""  # of the faults of answers, those whose names hold this
+    shared: bool = False  # control processes and balancers share machines
 
 
 def check(plan: Plan) -> Plan:
--- a/mastturn/soak/play.py
+++ b/mastturn/soak/play.py
@@ -52,7 +52,7 @@
     # Unhandled, the signal would end us and leave the fleet's processes running.
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, soak.cancel)
     records = Records()
-    layout = lay_out(plan.upstreams + SPARE_PLACES, plan.control, plan.balancers)
+    layout = lay_out(plan.upstreams + SPARE_PLACES, plan.control, plan.balancers, plan.shared)
     around = Surroundings(layout, plan.upstreams, plan.seed, records, plan.answers)
     fleet = Fleet(layout, folder, records, plan.defect)
     troubles = Troubles(fleet, around, plan.seed, say, plan.only)
