--- a/mastturn/smallfleet/__main__.py
+++ b/mastturn/smallfleet/__main__.py
@@ -15,7 +15,10 @@
 from mastturn.smallfleet.layout import program_of
 from mastturn.smallfleet.play import Play, as_json, left
 
-USAGE = "usage: python3 -m mastturn.smallfleet [--seconds=S] [--calm] [--folder=DIR] [--other=DIR]\n  [--shared] [--json]"
+USAGE = (
+    "usage: python3 -m mastturn.smallfleet"
+    " [--seconds=S] [--calm] [--folder=DIR] [--other=DIR] [--shared] [--json]"
+)
 
 
 def _flags() -> flags.FlagValues:
