Load less when a process starts

Change: the schema and the reader of a kind of message are made when one first goes or comes; the command line's flags are loaded only where there are any; the engine of the balancer in service is not loaded for its types.

--- a/balancer/active_request.py
+++ b/balancer/active_request.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from typing import TYPE_CHECKING
 
 from loguru import logger
 
@@ -17,10 +18,12 @@
 from balancer.wire import Staged, is_sound, read_handle
 from config.configuration import Route
 from passpost.attempt import Outgoing
-from passpost.engine import Client
 from passpost.http1 import Answer
 from umberworks.interface import Outcome
 
+if TYPE_CHECKING:
+    from passpost.engine import Client
+
 PROMISES = (408, 421, 429, 503)  # statuses that promise what an error which ran does not: not passed on
 RUN_LEFT = 1.6  # times its patience after which a run that may be repeated is left
 QUEUED_S = 0.25  # a prefill upstream's queue that is no shorter may make a decode upstream read by itself
--- a/balancer/balancer.py
+++ b/balancer/balancer.py
@@ -7,7 +7,7 @@
 import random
 import time
 from collections.abc import Callable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from balancer import options, readiness
 from balancer.active_request import ActiveRequest
@@ -30,12 +30,14 @@
 from dissemination.doubts import Doubts
 from passpost.attempt import Outgoing
 from passpost.client_options import ClientOptions
-from passpost.engine import Client
 from passpost.http1 import Headers
 from passpost.server import Server
 from passpost.upstream import Upstreams
 from passpost.validation import BadRequestError, Call
 
+if TYPE_CHECKING:
+    from passpost.engine import Client
+
 TOLD_TOKENS = 512  # shared parts that are shorter are not worth a word to others
 CONNECT_S = 0.5
 IDLE_S = 120.0  # an upstream that tells no time keeps idle connections at least so long
--- a/balancer/relay.py
+++ b/balancer/relay.py
@@ -6,13 +6,15 @@
 
 from __future__ import annotations
 
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from balancer.streams import BadStreamError, EventReader
 from balancer.wire import is_event_stream, is_sound
-from passpost.engine import Client
 from passpost.http1 import Flow, Start
 
+if TYPE_CHECKING:
+    from passpost.engine import Client
+
 
 class Owner(Protocol):
     """Whoever runs the request that the answer is for."""
--- a/mastturn/capacity/network.py
+++ b/mastturn/capacity/network.py
@@ -19,7 +19,7 @@
 
 HEAD = struct.Struct(">IH")
 KINDS = Kinds().include(consensus.messages.KINDS).include(dissemination.messages.KINDS)
-NAMES = {number: cls.__name__ for number, (cls, _) in KINDS._by_number.items()}
+NAMES = {number: kind.cls.__name__ for number, kind in KINDS._by_number.items()}
 STATION_PORT, CTL_PORT, PLATFORM_PORT = 7720, 8166, 8169
 IN_ZONE_S, CROSS_ZONE_S, CROSS_REGION_S = 0.0001, 0.0014, 0.012  # one way
 NEXT_S = 1e-9  # what is sent at once arrives one after the other: timers of one moment have no order
--- a/mastturnd/__main__.py
+++ b/mastturnd/__main__.py
@@ -20,7 +20,6 @@
 from typing import Protocol
 
 import uvloop
-from absl import flags
 from loguru import logger
 
 from config import settings as settings_file
@@ -28,11 +27,7 @@
 from config.settings import Settings
 from mastturnd import logs
 from mastturnd.roles import BALANCER, CONTROL, ROLES, current_name
-
-FLAGS = flags.FLAGS
-flags.DEFINE_enum(
-    "log_level", "INFO", ["DEBUG", "INFO", "WARNING", "ERROR"], "Lines below this are not written."
-)
+from mastturnd.wrong import WrongCallError
 
 OPERATORS = ("status", "config", "drain", "undrain", "trace", "explain")  # their commands
 USAGE = (
@@ -41,6 +36,7 @@
     + "; or an operator's command: "
     + ", ".join(OPERATORS)
 )
+USUAL_LOG_LEVEL = "INFO"
 LOOK_S = 2.0  # the settings file may change without a signal
 
 
@@ -146,18 +142,22 @@
         from mastturnd.commands import main as operate
 
         return operate(argv[1:])
-    try:
-        rest = FLAGS(argv)[1:]
-    except flags.Error as error:
-        print(f"{error}; {USAGE}", file=sys.stderr)
-        return 2
+    rest, log_level = argv[1:], USUAL_LOG_LEVEL
+    if any(word.startswith("-") for word in rest):
+        from mastturnd import role_flags
+
+        try:
+            rest, log_level = role_flags.parse(argv)
+        except WrongCallError as error:
+            print(f"{error.wrong}; {USAGE}", file=sys.stderr)
+            return 2
     role = current_name(rest[0]) if len(rest) == 1 else ""
     if role not in ROLES:
         print(USAGE, file=sys.stderr)
         return 2
     if role != rest[0]:
         print(f"the role {rest[0]} is named {role} now; name it so", file=sys.stderr)
-    logs.write_from(FLAGS.log_level)
+    logs.write_from(log_level)
     try:
         settings = settings_file.read()
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -70,7 +70,7 @@
 
 def message_of(kinds: Kinds, cls: type) -> st.SearchStrategy[Any]:
     """Messages of a kind as a hostile peer may form them: fit for the schema, with any values."""
-    schema = kinds._by_type[cls][1]
+    schema = kinds._by_type[cls].schema
     return of_schema({"type": "record", "fields": schema["fields"]}).map(lambda raw: cls(**raw))
 
 
@@ -99,7 +99,7 @@
     kinds: Kinds, cls: type, data: st.DataObject
 ) -> None:
     count("record")
-    number = kinds._by_type[cls][0]
+    number = kinds._by_type[cls].number
     good = kinds.encode(data.draw(message_of(kinds, cls)))[6:]
     body = data.draw(st.one_of(st.binary(max_size=80), spoilt(good)))
     try:
--- a/tests/test_wire_held.py
+++ b/tests/test_wire_held.py
@@ -56,7 +56,7 @@
 
 
 def kinds_of(kinds: Kinds) -> list[tuple[int, type, Any]]:
-    return sorted((number, cls, schema) for cls, (number, schema) in kinds._by_type.items())
+    return sorted((kind.number, cls, kind.schema) for cls, kind in kinds._by_type.items())
 
 
 def test_each_kind_is_spoken_as_it_was() -> None:
@@ -84,7 +84,7 @@
         assert frame.number == number
         message = kinds.decode(number, frame.body)
         assert kinds.encode(message) == raw
-        schema = kinds._by_number[number][1]
+        schema = kinds._by_number[number].schema
         told = a_value({"type": "record", "fields": schema["fields"]}, type(message).__name__)
         assert json.loads(json.dumps(plain(message), default=list_of)) == json.loads(
             json.dumps(told, default=list_of)
--- a/transport/wire.py
+++ b/transport/wire.py
@@ -33,13 +33,39 @@
 _INNER = struct.Struct(">H")
 
 
+class _Kind:
+    """One kind of message; its Avro schema and reader are made when a message of it first goes or comes.
+
+    To make them takes longer than all else that a module of messages does when it is loaded.
+    """
+
+    def __init__(
+        self, cls: type, number: int, schema_fields: list[dict[str, Any]] | None, nested: tuple[type, ...]
+    ) -> None:
+        self.cls: type = cls
+        self.number: int = number
+        self._schema_fields, self._nested = schema_fields, nested
+
+    @functools.cached_property
+    def schema(self) -> Any:
+        """As fastavro takes it."""
+        listed = self._schema_fields
+        if listed is None:
+            listed = fields_of(self.cls, self._nested)
+        return fastavro.parse_schema({"type": "record", "name": self.cls.__name__, "fields": listed})
+
+    @functools.cached_property
+    def reader(self) -> Reader:
+        """Makes a message of what Avro's reader gives."""
+        return reader_of(self.cls, self._nested)
+
+
 class Kinds:
     """The kinds of message of one conversation, by number, with their Avro schemas."""
 
     def __init__(self) -> None:
-        self._by_type: dict[type, tuple[int, Any]] = {}
-        self._by_number: dict[int, tuple[type, Any]] = {}
-        self._readers: dict[int, Reader] = {}
+        self._by_type: dict[type, _Kind] = {}
+        self._by_number: dict[int, _Kind] = {}
 
     def declare(
         self, number: int, schema_fields: list[dict[str, Any]] | None = None, nested: tuple[type, ...] = ()
@@ -50,11 +76,7 @@
         """
 
         def take(cls: type) -> type:
-            listed = fields_of(cls, nested) if schema_fields is None else schema_fields
-            parsed = fastavro.parse_schema({"type": "record", "name": cls.__name__, "fields": listed})
-            self._by_type[cls] = (number, parsed)
-            self._by_number[number] = (cls, parsed)
-            self._readers[number] = reader_of(cls, nested)
+            self._by_type[cls] = self._by_number[number] = _Kind(cls, number, schema_fields, nested)
             return cls
 
         return take
@@ -63,18 +85,17 @@
         """Speak the other conversation too."""
         self._by_type |= other._by_type
         self._by_number |= other._by_number
-        self._readers |= other._readers
         return self
 
     def encode(self, message: Any) -> bytes:
         """One frame."""
-        number, schema = self._by_type[type(message)]
+        kind = self._by_type[type(message)]
         out = io.BytesIO()
         out.write(b"\0" * _HEAD.size)
-        fastavro.schemaless_writer(out, schema, plain(message))
+        fastavro.schemaless_writer(out, kind.schema, plain(message))
         size = out.tell() - _HEAD.size
         out.seek(0)
-        out.write(_HEAD.pack(size, number))
+        out.write(_HEAD.pack(size, kind.number))
         return out.getvalue()
 
     def may_be_later(self, number: int) -> bool:
@@ -85,20 +106,19 @@
         """The message of a frame, packed or not; raises WireError."""
         if number == PACKED:
             number, body = unpacked(body)
-        known = self._by_number.get(number)
-        if known is None:
+        kind = self._by_number.get(number)
+        if kind is None:
             raise WireError(
                 f"a message of unknown kind {number}", "let both programs be of editions that meet"
             )
-        cls, schema = known
         try:
             stream = io.BytesIO(body)
-            value: Any = fastavro.schemaless_reader(stream, schema, None)
+            value: Any = fastavro.schemaless_reader(stream, kind.schema, None)
             if stream.read(1):
                 raise ValueError("bytes are left over")
-            return self._readers[number](value)
+            return kind.reader(value)
         except (ValueError, TypeError, EOFError, IndexError, KeyError, struct.error, OverflowError) as error:
-            raise WireError(f"a {cls.__name__} can't be read ({error})", "drop the connection") from None
+            raise WireError(f"a {kind.cls.__name__} can't be read ({error})", "drop the connection") from None
 
 
 def packed(frame: bytes) -> bytes:
