Let clients connect to a balancer while the rest of it is loaded

Change: the socket for clients listens once the settings are read; asyncio, the log and the role are loaded after that (mastturnd/hosting.py). Who connects meanwhile waits in the socket's queue, as it did between the start and the first configuration already.

--- a/balancer/balancer.py
+++ b/balancer/balancer.py
@@ -5,6 +5,7 @@
 import asyncio
 import math
 import random
+import socket
 import time
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
@@ -86,8 +87,9 @@
 class Balancer:
     """One balancer's data plane, steered by the control side; all on one asyncio loop."""
 
-    def __init__(self, settings: Settings, seed: int) -> None:
-        self.settings = settings
+    def __init__(self, settings: Settings, seed: int, listener: socket.socket | None = None) -> None:
+        """`listener`: the socket for clients, where it listens already."""
+        self.settings, self._listener = settings, listener
         self.counters = RequestCounters()
         files = max(settings.limits.max_fds - RESERVED_FILES, 64)
         to_upstreams = max(int(files * UPSTREAM_SHARE), 16)
@@ -124,7 +126,12 @@
         if listen.http is not None:
             address = parse_address(listen.http)
             self._server = Server(
-                self, address, self._max_open, held=HELD_BODIES, options=self._client_options()
+                self,
+                address,
+                self._max_open,
+                listener=self._listener,
+                held=HELD_BODIES,
+                options=self._client_options(),
             )
             asyncio.get_running_loop().call_later(DOOR_S, self._open_door)
         self.upstreams.start()
--- a/mastturnd/__main__.py
+++ b/mastturnd/__main__.py
@@ -1,7 +1,8 @@
 """`python3 -m mastturnd ROLE`: one program, and the role is a subcommand.
 
 Settings come from the YAML file that `MASTTURN_CONFIG` names. SIGHUP reads it again, SIGTERM ends the
-process in order.
+process in order. What hosts a role (`mastturnd.hosting`) is loaded once clients can connect: to load it takes
+most of the time of a start.
 """
 
 from __future__ import annotations
@@ -13,21 +14,16 @@
 ):  # unhandled it ends us, and to import the rest takes time; the file is read after that
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
-import asyncio
-import gc
 import os
+import socket
 import sys
-from typing import Protocol
-
-import uvloop
-from loguru import logger
 
 from config import settings as settings_file
 from config.errors import FleetError, SettingsError
-from config.settings import Settings
-from mastturnd import logs
+from config.settings import Settings, parse_address
 from mastturnd.roles import BALANCER, CONTROL, ROLES, current_name
 from mastturnd.wrong import WrongCallError
+from passpost.listening import listen
 
 OPERATORS = ("status", "config", "drain", "undrain", "trace", "explain")  # their commands
 USAGE = (
@@ -37,20 +33,6 @@
     + ", ".join(OPERATORS)
 )
 USUAL_LOG_LEVEL = "INFO"
-LOOK_S = 2.0  # the settings file may change without a signal
-
-
-class Role(Protocol):
-    """What every role of the program does."""
-
-    async def start(self) -> None:
-        """Take up work."""
-
-    async def stop(self) -> None:
-        """End in order."""
-
-    def reconfigure(self, settings: Settings) -> None:
-        """The settings file has changed."""
 
 
 def _check(name: str, settings: Settings) -> None:
@@ -75,61 +57,14 @@
         )
 
 
-def _role(name: str, settings: Settings) -> Role:
-    """The role of that name; nothing of another is imported. Raises SettingsError."""
-    _check(name, settings)
-    if name == BALANCER:
-        from mastturnd.balancing import BalancerRole
-
-        return BalancerRole(settings)
-    if not settings.data_dir:
-        from mastturnd.referral import ReferralNode
-
-        return ReferralNode(settings)
-    from control.node import ControlNode
-    from mastturnd import control_calls
-
-    control_calls.declare()
-    return ControlNode(settings)
-
-
-async def serve(name: str, settings: Settings) -> None:
-    """Run a role until the process is told to end."""
-    loop = asyncio.get_running_loop()
-    ended, changed = asyncio.Event(), asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, ended.set)
-    loop.add_signal_handler(signal.SIGHUP, changed.set)
-    unread = ""
-    level = logs.LogLevel(name)
-    level.follow(settings.log_levels)
-    role = _role(name, settings)
-    await role.start()
-    gc.collect()
-    gc.freeze()
-    logger.info("event=started role={} node={}", name, settings.node)
-    while not ended.is_set():
-        waits = [loop.create_task(ended.wait()), loop.create_task(changed.wait())]
-        await asyncio.wait(waits, timeout=LOOK_S, return_when=asyncio.FIRST_COMPLETED)
-        for wait in waits:
-            wait.cancel()
-        changed.clear()
-        try:
-            newer = settings_file.read()
-        except FleetError as error:
-            if str(error) != unread:
-                unread = str(error)
-                logger.warning("event=settings_unread error={!r}", unread)
-            continue
-        unread = ""
-        if newer != settings:
-            settings = newer
-            level.follow(settings.log_levels)
-            role.reconfigure(settings)
-            logger.info("event=settings_read")
-    logger.info("event=stopping")
-    await role.stop()
-    logger.info("event=stopped")
+def _listen_early(name: str, settings: Settings) -> socket.socket | None:
+    """The socket for clients: they wait there while the rest is loaded, in place of being refused.
+
+    Raises OSError where the address can't be had.
+    """
+    if name != BALANCER or settings.listen.http is None:
+        return None
+    return listen(parse_address(settings.listen.http), shared=False)
 
 
 def main(argv: list[str]) -> int:
@@ -157,11 +92,13 @@
         return 2
     if role != rest[0]:
         print(f"the role {rest[0]} is named {role} now; name it so", file=sys.stderr)
-    logs.write_from(log_level)
     try:
         settings = settings_file.read()
-        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(serve(role, settings))
+        _check(role, settings)
+        listener = _listen_early(role, settings)
+        from mastturnd import hosting
+
+        hosting.run(role, settings, log_level, listener)
     except FleetError as error:
         print(str(error), file=sys.stderr)
         return 1
--- a/mastturnd/balancing.py
+++ b/mastturnd/balancing.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import secrets
+import socket
 from typing import Any
 
 from loguru import logger
@@ -58,9 +59,10 @@
 class BalancerRole:
     """One balancer of the fleet."""
 
-    def __init__(self, settings: Settings) -> None:
+    def __init__(self, settings: Settings, listener: socket.socket | None = None) -> None:
+        """`listener`: the socket for clients, where it listens already."""
         self.settings = settings
-        self.balancer = Balancer(settings, secrets.randbits(32))
+        self.balancer = Balancer(settings, secrets.randbits(32), listener)
         self._bulletin = Bulletin()
         self._list_reader = ListReader()
         self._reader = ConfigurationReader()
--- /dev/null
+++ b/mastturnd/hosting.py
@@ -0,0 +1,96 @@
+"""Hosts a role of the program: its event loop, signals, the log, and settings that change."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import signal
+import socket
+from typing import Protocol
+
+import uvloop
+from loguru import logger
+
+from config import settings as settings_file
+from config.errors import FleetError
+from config.settings import Settings
+from mastturnd import logs
+from mastturnd.roles import BALANCER
+
+LOOK_S = 2.0  # the settings file may change without a signal
+
+
+class Role(Protocol):
+    """What every role of the program does."""
+
+    async def start(self) -> None:
+        """Take up work."""
+
+    async def stop(self) -> None:
+        """End in order."""
+
+    def reconfigure(self, settings: Settings) -> None:
+        """The settings file has changed."""
+
+
+def make_role(name: str, settings: Settings, listener: socket.socket | None) -> Role:
+    """The role of that name; nothing of another is imported. `listener`: at which clients wait already."""
+    if name == BALANCER:
+        from mastturnd.balancing import BalancerRole
+
+        return BalancerRole(settings, listener)
+    if not settings.data_dir:
+        from mastturnd.referral import ReferralNode
+
+        return ReferralNode(settings)
+    from control.node import ControlNode
+    from mastturnd import control_calls
+
+    control_calls.declare()
+    return ControlNode(settings)
+
+
+async def serve(name: str, settings: Settings, listener: socket.socket | None = None) -> None:
+    """Run a role until the process is told to end."""
+    loop = asyncio.get_running_loop()
+    ended, changed = asyncio.Event(), asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, ended.set)
+    loop.add_signal_handler(signal.SIGHUP, changed.set)
+    unread = ""
+    level = logs.LogLevel(name)
+    level.follow(settings.log_levels)
+    role = make_role(name, settings, listener)
+    await role.start()
+    gc.collect()
+    gc.freeze()
+    logger.info("event=started role={} node={}", name, settings.node)
+    while not ended.is_set():
+        waits = [loop.create_task(ended.wait()), loop.create_task(changed.wait())]
+        await asyncio.wait(waits, timeout=LOOK_S, return_when=asyncio.FIRST_COMPLETED)
+        for wait in waits:
+            wait.cancel()
+        changed.clear()
+        try:
+            newer = settings_file.read()
+        except FleetError as error:
+            if str(error) != unread:
+                unread = str(error)
+                logger.warning("event=settings_unread error={!r}", unread)
+            continue
+        unread = ""
+        if newer != settings:
+            settings = newer
+            level.follow(settings.log_levels)
+            role.reconfigure(settings)
+            logger.info("event=settings_read")
+    logger.info("event=stopping")
+    await role.stop()
+    logger.info("event=stopped")
+
+
+def run(name: str, settings: Settings, log_level: str, listener: socket.socket | None) -> None:
+    """Run a role on a loop of its own; raises FleetError, or OSError where an address can't be had."""
+    logs.write_from(log_level)
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(serve(name, settings, listener))
--- a/passpost/acceptor.py
+++ b/passpost/acceptor.py
@@ -8,20 +8,12 @@
 
 from passpost import connection_bounds
 from passpost.client_connection import ClientConnection, ConnectionServer
-from passpost.http1 import Address
 
 log = logging.getLogger(__name__)
 
-BACKLOG = 1024
 ACCEPT_AT_ONCE = 64  # so many new connections, and then the others have their turn
 
 
-def listen(address: Address, shared: bool) -> socket.socket:
-    """A listening socket; `shared`: another process may listen there too. Raises OSError."""
-    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-    return socket.create_server(address, backlog=BACKLOG, family=family, reuse_port=shared)
-
-
 class Acceptor:
     """The listening socket and the connections that came in by it."""
 
--- a/passpost/server.py
+++ b/passpost/server.py
@@ -8,11 +8,12 @@
 import time
 
 from passpost import client_options, connection_bounds
-from passpost.acceptor import Acceptor, listen
+from passpost.acceptor import Acceptor
 from passpost.client_connection import READ_BODY, ClientConnection, Give
 from passpost.client_options import ClientOptions
 from passpost.exchange import Host
 from passpost.http1 import Address, Headers
+from passpost.listening import listen
 from passpost.validation import Call
 
 KEEP_SHARE = 0.5  # clients are many past this share of the limit; then each answer closes its connection
--- a/tests/fabric_callers.py
+++ b/tests/fabric_callers.py
@@ -238,7 +238,7 @@
 class DataPlane:
     """Stands in for `balancer.balancer.Balancer`: keeps what the control side says, with the time of it."""
 
-    def __init__(self, settings: Settings, seed: int) -> None:
+    def __init__(self, settings: Settings, seed: int, listener: Any = None) -> None:
         self.settings = settings
         self.configured: list[tuple[float, Configuration]] = []
         self.listed: list[tuple[float, tuple[Upstream, ...]]] = []
--- a/tests/test_mastturnd_command.py
+++ b/tests/test_mastturnd_command.py
@@ -24,7 +24,8 @@
 from config.settings import Settings
 from mastturn.standins.ports import free_port
 from mastturnd import __main__ as mastturnd
-from mastturnd import logs
+from mastturnd import hosting, logs
+from mastturnd.balancing import BalancerRole
 from mastturnd.roles import ROLES
 from tests.fabric import Loop
 from tests.fabric_callers import configuration
@@ -140,6 +141,42 @@
     assert len(told) == 1 and "free the address, or name another in the settings" in told[0]
 
 
+def test_clients_can_connect_to_a_balancer_while_the_rest_of_it_is_loaded(
+    monkeypatch: pytest.MonkeyPatch, tmp_path: Path
+) -> None:
+    port = free_port()
+    listen = {"http": f"127.0.0.1:{port}", "readyz": f"127.0.0.1:{free_port()}"}
+    path = write(tmp_path, settings_of(tmp_path, listen=listen))
+    monkeypatch.setenv(settings_file.VARIABLE, str(path))
+    waiting: list[socket.socket] = []
+
+    def run(name: str, settings: Settings, log_level: str, listener: socket.socket | None) -> None:
+        waiting.append(socket.create_connection(("127.0.0.1", port), timeout=1))
+        assert listener is not None
+        role = hosting.make_role(name, settings, listener)
+        assert isinstance(role, BalancerRole) and role.balancer._listener is listener
+        listener.close()
+
+    monkeypatch.setattr(hosting, "run", run)
+    assert mastturnd.main(["mastturnd", "balancer"]) == 0
+    assert len(waiting) == 1
+    waiting[0].close()
+
+
+def test_little_is_loaded_before_a_balancer_listens() -> None:
+    heavy = ("asyncio", "uvloop", "absl")
+    code = f"import sys, mastturnd.__main__; print([m for m in {heavy!r} if m in sys.modules])"
+    done = subprocess.run(
+        [sys.executable, "-S", "-c", code],
+        cwd=ROOT,
+        env=os.environ | {"PYTHONPATH": os.pathsep.join(p for p in sys.path if p)},
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    assert done.stdout == "[]\n"
+
+
 class Recorder:
     """A role that only notes what it is told."""
 
@@ -166,13 +203,13 @@
     path = write(tmp_path, settings_of(tmp_path))
     monkeypatch.setenv(settings_file.VARIABLE, str(path))
     role, lines = Recorder(), list[str]()
-    monkeypatch.setattr(mastturnd, "_role", lambda name, settings: role)
+    monkeypatch.setattr(hosting, "make_role", lambda name, settings, listener: role)
     logger.remove()
     logger.add(lambda line: lines.append(str(line)), format="{message}")
     loop = Loop()
 
     async def scene() -> None:
-        serving = loop.create_task(mastturnd.serve("balancer", settings_file.read()))
+        serving = loop.create_task(hosting.serve("balancer", settings_file.read()))
         await asyncio.sleep(0.1)
         await story(loop, path, role)
         loop.signals[signal.SIGTERM]()
