Tell seeds that keep nothing who leads, and leave those that do not know

Change: the leader tells seeds that are no members the view once a second; a process without a disk asks the members every five seconds; a balancer that is sent on to nobody leaves that process out for a while.

--- a/control/publisher.py
+++ b/control/publisher.py
@@ -9,6 +9,7 @@
 from loguru import logger
 
 from config.settings import Settings, parse_address
+from consensus.messages import Known
 from consensus.views import Document, Member, View
 from control.phase_controller import LOOK_S, Outrun, PhaseController, Prove
 from control.platform import RATE_SHARE, PlatformError, PlatformList, pack
@@ -43,6 +44,7 @@
     UpstreamLoad,
     UpstreamNews,
 )
+from transport.endpoint import Endpoint
 from transport.links import Links
 from transport.tasks import keep_on
 from transport.wire import EDITION, Link
@@ -50,6 +52,7 @@
 LIST_S = 1.0  # the platform's list is read so often; a drain is told within this and its lag
 LEAST_S = 0.02  # between two readings of a list of many pages, which takes longer
 SILENT_S = 2.5  # a balancer that says nothing for so long has gone
+ANNOUNCED_S = 1.0  # seeds that are no members hear of the view so often: they may keep nothing
 COUNTED_S = 2.0  # a new primary has heard of all balancers after this
 MOST_EPOCH = 2**53  # no word of another makes ours larger: fences are written as JSON numbers
 LINGER_S = 1.5  # one that has gone stays a member for so long: most only hear the news from elsewhere now
@@ -88,6 +91,7 @@
         self._since = 0.0
         self._first_epoch = 0  # of those that we have led since
         self._epoch_heard = 0  # the latest that a balancer had heard of
+        self._announced_at = -1e9
         self._number = 0
         self.take_overs = 0  # how often this process came to lead, its first time too
         self._counts: deque[tuple[float, int]] = deque()
@@ -274,10 +278,21 @@
             self._counts.popleft()
         return max(n for _, n in self._counts) if now - self._since > COUNTED_S else 0
 
+    def _announce(self, view: View, now: float) -> None:
+        """Tell the seeds that are no members who leads: others ask them, and they may not find us."""
+        if now - self._announced_at < ANNOUNCED_S:
+            return
+        self._announced_at = now
+        seeds = {parse_address(seed)[0] for seed in self._settings.seed_addrs} - set(self._cores(view))
+        for ip in sorted(seeds - {self._settings.ip}):
+            known = Known(view.leader().identity, "", view, view.epoch)
+            self._links.send(Endpoint(ip, self._settings.control_port), known)
+
     async def _pulse(self) -> None:
         while True:
             view = self._view
             if view is not None:
+                self._announce(view, asyncio.get_running_loop().time())
                 self._feed.sweep(asyncio.get_running_loop().time(), SILENT_S)
                 self._tell_members(view)
                 self._tell_pulse(view)
--- a/dissemination/follower.py
+++ b/dissemination/follower.py
@@ -130,8 +130,8 @@
             case Moved(ips):
                 self._hints = self._controls(ips)
                 self._was_led, self._moved_at = now - self._moved_at >= LED_S, now
-                if self._parent is not None and self._is_relay(self._parent):
-                    self._shun(self._parent)  # it is behind itself
+                if self._parent is not None and (not ips or self._is_relay(self._parent)):
+                    self._shun(self._parent)  # it is behind itself, or does not know who leads
                 self._leave()
             case Pulse() if self._bulletin.take(message):
                 self._pulsed_at = now
--- a/mastturnd/referral.py
+++ b/mastturnd/referral.py
@@ -26,10 +26,12 @@
 from transport.calls import Call, Calls, CallServer, Reply, say
 from transport.endpoint import Endpoint
 from transport.links import Links
+from transport.tasks import keep_on
 from transport.wire import Kinds, Link
 
 ASK_S = 0.25  # the members are asked no sooner after the last time
-HEARD_S = 1.0  # a leader that has answered within this is there
+HEARD_S = 1.5  # a leader that was heard within this is there
+KEEP_S = 5.0  # the members are asked so often while nobody wants to know: whom to ask is in memory alone
 KINDS = Kinds().include(messages.KINDS).include(news.KINDS)
 REFERRED = Calls().include(CALLS)  # operators' calls find no primary here, and are led on
 
@@ -48,15 +50,19 @@
         self._heard_at: dict[str, float] = {}  # by member's identity: when it answered last
         self._callers: set[str] = set()  # IPs of newcomers, where all seeds are as we are
         self._asked_at = -1e9
+        self._task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
         """Listen; raises OSError where an address can't be had."""
         await self._links.start()
         if self.settings.listen.ctl:
             await self._calls.start(parse_address(self.settings.listen.ctl))
+        self._task = asyncio.get_running_loop().create_task(keep_on(self._keep_in_touch))
 
     async def stop(self) -> None:
         """Close everything: nothing rests on us."""
+        if self._task is not None:
+            self._task.cancel()
         self._calls.stop()
         self._links.stop()
 
@@ -88,6 +94,14 @@
 
     # ---- the members
 
+    async def _keep_in_touch(self) -> None:
+        """Know the members before somebody asks: the seeds that could tell may be others by then."""
+        while True:
+            now = asyncio.get_running_loop().time()
+            if now - max(self._heard_at.values(), default=-1e9) >= KEEP_S:
+                self._ask(now)
+            await asyncio.sleep(HEARD_S)
+
     def _ask(self, now: float) -> None:
         if now - self._asked_at < ASK_S:
             return
@@ -119,6 +133,9 @@
             case Answer(sender=sender, to=self._identity, view=view):
                 self._heard_at[sender] = asyncio.get_running_loop().time()
                 self._learn(view)
+            case Known(sender=sender, view=view):
+                self._heard_at[sender] = asyncio.get_running_loop().time()
+                self._learn(view)
             case Join(sender=sender):
                 self._callers.add(link.peer)
                 if self._view is not None:
--- a/tests/test_shared_machines.py
+++ b/tests/test_shared_machines.py
@@ -130,3 +130,49 @@
         await world.until(lambda: late.role and late.plane.ver == 5, 5.0, "the late one has the news")
 
     play(scene, edges=2, before=with_diskless)
+
+
+def only_diskless_seeds(world: World) -> None:
+    """What machines that start from now on are told."""
+    world.seeds = [world.machines["core-8"].ctl, world.machines["core-9"].ctl]
+
+
+def turn_seeds_over(world: World) -> None:
+    """The settings of all name other seeds."""
+    only_diskless_seeds(world)
+    for machine in world.machines.values():
+        machine.settings = world.settings(machine.name, machine.ip, machine.zone, machine.is_core)
+        assert machine.process is not None
+        machine.process.context.copy().run(machine.role.reconfigure, machine.settings)
+
+
+def test_balancers_come_back_to_a_core_that_was_killed_although_all_seeds_keep_nothing() -> None:
+    """A hunt's finding (scale-2 of fc-kitchen-line, seed 716184633799): out of touch for four seconds."""
+
+    async def scene(world: World) -> None:
+        await begun(world)
+        turn_seeds_over(world)
+        world.kill("core-8", "core-9")  # whom they knew is forgotten
+        world.boot("core-8", "core-9")
+        await world.wait(0.1)
+        world.kill("core-1", "core-2", "core-3")
+        await world.wait(0.6)
+        world.boot("core-1", "core-2", "core-3")
+        await world.until(lambda: bool(world.primary()), 3.0, "somebody leads again")
+        await world.until(lambda: all(m.role._follower.is_fresh() for m in world.edges()), 1.5, "news")
+
+    play(scene, edges=4, before=with_diskless)
+
+
+def test_a_fleet_that_has_lost_power_finds_its_core_although_all_seeds_keep_nothing() -> None:
+    async def scene(world: World) -> None:
+        await begun(world)
+        turn_seeds_over(world)
+        world.power_off(*world.machines)
+        await world.wait(1.0)
+        world.boot(*world.machines)
+        await world.wait(0.1)
+        await world.served(4.0)
+        await in_force(world, 5, 1.0)
+
+    play(scene, edges=4, before=with_diskless)
