--- a/mastturn/capacity/fleet.py
+++ b/mastturn/capacity/fleet.py
@@ -6,6 +6,7 @@
 import contextlib
 import json
 import math
+import socket
 from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import dataclass
 from typing import Any
@@ -31,8 +32,8 @@
 class HollowBalancer(Balancer):
     """The data plane's tables without its sockets; notes when what it is told is in force."""
 
-    def __init__(self, settings: Settings, seed: int) -> None:
-        super().__init__(settings, seed)
+    def __init__(self, settings: Settings, seed: int, listener: socket.socket | None = None) -> None:
+        super().__init__(settings, seed, listener)
         self.in_force_at: dict[int, float] = {}  # by version
         self.listed_at: dict[int, float] = {}  # by how many lists came before it
         self._lists = 0
