--- a/tests/test_dissemination_steps.py
+++ b/tests/test_dissemination_steps.py
@@ -40,7 +40,7 @@
 from tests.fabric_world import Machine, World, play
 from tests.test_dissemination_loads import UP_S, is_right, seen, work
 from tests.test_dissemination_news import settled
-from tests.test_transport_strangers import connect
+from tests.test_transport_strangers import connect, port_of
 
 
 async def listed(world: World, entries: list[dict[str, Any]]) -> None:
@@ -290,7 +290,7 @@
         relay = await settled(world)
         await listed(world, [upstream(f"i-{n}") for n in range(20)])
         name = world.primary() if below == "core" else relay
-        old = await connect(world.machines[name].ip)
+        old = await connect(world.machines[name].ip, port_of(world, name))
         old.transport.write(KINDS.encode(Attach("edge-old", "10.1.1.99", "hall-a", 0, 0, 0)))
         report = LoadReport((UpstreamLoad("i-1", 7, 700),))
         old.transport.write(KINDS.encode(report))
