--- a/passpost/upstream_connection.py
+++ b/passpost/upstream_connection.py
@@ -13,7 +13,7 @@
 from typing import Protocol, cast
 
 from passpost.answer_end import AnswerEnd, Misuse, answer_end, connection_end
-from passpost.attempt import Attempt, Outgoing, Upload
+from passpost.attempt import Attempt, Done, Outgoing, Upload
 from passpost.http1 import HELD_BODY, Address, Answer, AnswerReader, BadAnswerError, EndKind, Headers
 from passpost.upstream_options import UpstreamOptions
 from umberworks.interface import Outcome
@@ -348,17 +348,27 @@
 
     The kernel closes the connections of a dead process as the process would have done itself, and its
     listener a little later: only an answer shows that it lives. It is asked on a connection that has carried
-    nothing, as it may not read one whose last answer it has not done with.
+    nothing, as it may not read one whose last answer it has not done with; if none comes up, on an idle one.
     """
     question = pool.options.question
     if question is None or not pool.can_dispatch(upstream):
         asyncio.get_running_loop().call_soon(found, True)  # nothing can be known against it
         return
 
+    def ask(done: Done, unused: bool) -> None:
+        request = question(upstream.name, upstream.address)
+        pool.dispatch(Attempt(request, ASK_S, done), upstream, unused=unused)
+
     def answered(outcome: Outcome, answer: Answer | None) -> None:
         found(answer is not None and answer.status != MISDIRECTED)
 
-    pool.dispatch(Attempt(question(upstream.name, upstream.address), ASK_S, answered), upstream, unused=True)
+    def answered_first(outcome: Outcome, answer: Answer | None) -> None:
+        if outcome is Outcome.UNREACHED and upstream.idle:  # it takes no new connection, and may live
+            ask(answered, unused=False)
+        else:
+            answered(outcome, answer)
+
+    ask(answered_first, unused=True)
 
 
 def end_sending(transport: asyncio.Transport) -> None:
