--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -311,11 +311,16 @@
     return 0
 
 
-async def read_version(fleet: Fleet, within_s: float) -> int:
-    """Read the configuration again and again until it comes; return its version, 0 if it does not come."""
+async def read_version(fleet: Fleet, within_s: float, answers: list[int] | None = None) -> int:
+    """Read the configuration again and again until it comes; return its version, 0 if it does not come.
+
+    `answers`: gets the status of each answer, 0 for none that is clear.
+    """
     until = time.monotonic() + within_s
     while time.monotonic() < until:
         answer = await call(fleet, "GET", "/api/config")
+        if answers is not None:
+            answers.append(0 if answer is None else answer[0])
         if answer is not None and answer[0] == 200:
             return int(json.loads(answer[2])["ver"])
         await asyncio.sleep(0.1)
