--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -249,8 +249,8 @@
 # ---- operators and applications
 
 
-def configuration(ver: int, routes: int, mark: str) -> bytes:
-    """Return a configuration with one route, and `routes` more whose names hold `mark`."""
+def configuration(ver: int, routes: int, marks: list[str]) -> bytes:
+    """Return a configuration with one route, and `routes` more for each mark, which their names hold."""
 
     def route(name: str) -> dict[str, Any]:
         return {
@@ -275,7 +275,7 @@
         "header_timeout_ms": 3000,
         "idle_timeout_ms": 15000,
     }
-    names = ["first", *(f"r-{mark}-{number}" for number in range(routes))]
+    names = ["first", *(f"r-{mark}-{number}" for mark in marks for number in range(routes))]
     return json.dumps(
         {"ver": ver, "routes": [route(name) for name in names], "svcs": [service], "limits": limits}
     ).encode()
