--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -365,6 +365,13 @@
     )
 
 
+def holder_beside(found: dict[str, tuple[str, int]], other: str) -> str:
+    """Return a process that holds the configuration in the latest epoch and is not `other`."""
+    epoch = max((told[1] for told in found.values()), default=0)
+    holders = [core for core, told in found.items() if told[0] in ("primary", "holder") and told[1] == epoch]
+    return min((core for core in holders if core != other), default="")
+
+
 async def wait_until_ready(fleet: Fleet, within_s: float) -> bool:
     """Wait until all balancers call themselves ready."""
     until = time.monotonic() + within_s
