--- a/review/case_2.py
+++ b/review/case_2.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import signal
 import sys
 import tempfile
 import traceback
@@ -90,6 +91,10 @@
         fleet = Fleet(Path(name), **sizes)
         platform = Platform(fleet.stand_in(0))
         surroundings = Surroundings(Path(name), record, fleet, platform)
+        playing = asyncio.current_task()
+        assert playing is not None
+        for number in (signal.SIGTERM, signal.SIGINT):  # also then all that was started is ended
+            asyncio.get_running_loop().add_signal_handler(number, playing.cancel)
         try:
             await platform.start()
             async with asyncio.timeout(LIMIT_S):
@@ -97,6 +102,9 @@
         except (NotPlayedError, TimeoutError, OSError) as error:
             record.write(f"not played: {type(error).__name__}: {error}")
             result = NOT_PLAYED
+        except asyncio.CancelledError:
+            record.write("not played: the script was told to stop")
+            result = NOT_PLAYED
         except Exception:
             record.write(f"not played: {traceback.format_exc()}")
             result = NOT_PLAYED
