Split the choice of a balancer's parent from the follower

ParentChoice holds the seeds, the latest redirect, the assigned relay and who was unreachable; the order of draws is as it was.

--- a/dissemination/follower.py
+++ b/dissemination/follower.py
@@ -4,8 +4,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from collections.abc import Callable
 from typing import Any
 
 from loguru import logger
@@ -30,7 +29,7 @@
     UpstreamChange,
     UpstreamListUpdate,
 )
-from dissemination.relay_tree import parent_of
+from dissemination.parent_choice import ParentChoice, Ports
 from transport.endpoint import Endpoint
 from transport.links import Links
 from transport.wire import EDITION, STEPS_EDITION, Link
@@ -39,23 +38,11 @@
 STALE_AFTER_S = 0.9  # a parent without a newer pulse for this long is itself out of date
 RETRY_DELAY_S = 0.1  # mean delay between two attempts
 REDIRECT_RETRY_SHARE = (0.1, 0.4)  # range of the share of that delay after a redirect
-# A redirect sooner than this after the last one is part of a loop, while there is no leader yet.
-REDIRECT_LOOP_S = 0.5
-MAX_DIALS = 3  # endpoints dialled before candidates are chosen again
 # Above so many balancers delays grow, so that all together make at most 1,000 attempts a second.
 LARGE_FLEET = 100
 ROLL_INTERVAL_S = 1.0  # a child reports to its parent at least this often
 REPARENT_DELAY_S = 1.0  # the tree has to assign another parent for this long before the follower moves
 RESYNC_INTERVAL_S = 0.5  # at least this long between two requests for complete state
-AVOID_S = 4.0  # a silent or unreachable process is tried last for this long
-
-
-@dataclass(frozen=True, slots=True)
-class Ports:
-    """The ports of each kind of process, equal on all machines."""
-
-    control: int
-    balancer: int
 
 
 class Follower:
@@ -85,18 +72,14 @@
         self._list_copy = ListCopy()
         self._takes_steps = False
         self._resynced_at = -1e9
-        self._ports = ports
-        self._seeds = self._control_endpoints(seeds)
-        self._redirects: list[Endpoint] = []
-        self._was_redirected, self._redirected_at = False, -1e9
         self._random = random.Random(seed)
+        self._choice = ParentChoice(me, latest, ports, seeds, self._random)
         self._link: Link | None = None
         self._parent: Endpoint | None = None
         self._pulsed_at = -1e9
         self._closed = asyncio.Event()
         self._last_roll: tuple[Any, float] = (None, -1e9)
         self._wanted_relay: tuple[Endpoint | None, float] = (None, 0.0)  # assigned relay, and since when
-        self._avoided_since: dict[Endpoint, float] = {}  # when a process was last silent or unreachable
 
     def is_fresh(self, within_s: float = STALE_AFTER_S) -> bool:
         """Return whether a pulse was received within this time."""
@@ -108,11 +91,7 @@
 
     def set_seeds(self, ips: tuple[str, ...]) -> None:
         """Replace the seeds."""
-        self._seeds = self._control_endpoints(ips)
-
-    def _control_endpoints(self, ips: Iterable[str]) -> list[Endpoint]:
-        """Return the endpoints of the control processes at these IPs."""
-        return [Endpoint(ip, self._ports.control) for ip in ips]
+        self._choice.set_seeds(ips)
 
     def parent(self) -> Endpoint | None:
         """Return the endpoint of the parent; None while not attached."""
@@ -127,10 +106,7 @@
         now = asyncio.get_running_loop().time()
         match message:
             case Redirect(ips):
-                self._redirects = self._control_endpoints(ips)
-                self._was_redirected, self._redirected_at = now - self._redirected_at >= REDIRECT_LOOP_S, now
-                if self._parent is not None and (not ips or self._is_relay(self._parent)):
-                    self._avoid(self._parent)  # it is out of date, or does not know the leader
+                self._choice.redirect(ips, self._parent)
                 self._close_link()
             case LeaderHeartbeat() if self._latest.store(message):
                 self._pulsed_at = now
@@ -184,17 +160,17 @@
     async def run(self) -> None:
         """Stay attached to a parent forever."""
         while True:
-            candidates, is_reparenting = self._candidates(), False
+            candidates, is_reparenting = self._choice.candidates(self.is_fresh(2 * STALE_AFTER_S)), False
             reached = await self._links.dial_any(candidates)
             for endpoint in candidates if reached is None else candidates[: candidates.index(reached[0])]:
-                self._avoid(endpoint)
+                self._choice.avoid(endpoint)
             if reached is not None:
                 self._parent, self._link = reached
                 self._closed.clear()
                 self._attach(self._link)
                 is_reparenting = await self._follow_parent(self._parent)
             if not is_reparenting:
-                shares = REDIRECT_RETRY_SHARE if self._redirects and self._was_redirected else (0.5, 1.5)
+                shares = REDIRECT_RETRY_SHARE if self._choice.follows_redirect() else (0.5, 1.5)
                 await asyncio.sleep(self._retry_delay_s() * self._random.uniform(*shares))
 
     def _retry_delay_s(self) -> float:
@@ -202,43 +178,6 @@
         members = self._latest.members
         return RETRY_DELAY_S * max(1.0, len(members.balancers) / LARGE_FLEET if members is not None else 1.0)
 
-    # ---- choice of the parent
-
-    def _relay(self) -> Endpoint | None:
-        """Return the relay that the tree assigns; None if it is avoided or there is none."""
-        members = self._latest.members
-        if members is None:
-            return None
-        parent = parent_of(self._me.node, self._me.zone, members.balancers)
-        if parent is None:
-            return None
-        relay = Endpoint(parent.ip, self._ports.balancer)
-        return None if self._is_avoided(relay) else relay
-
-    def _is_relay(self, endpoint: Endpoint | None) -> bool:
-        members = self._latest.members
-        if members is None or endpoint is None or endpoint.port != self._ports.balancer:
-            return False
-        return any(m.ip == endpoint.ip for m in members.balancers)
-
-    def _candidates(self) -> list[Endpoint]:
-        """Return the endpoints to dial: the assigned relay or the known leader, then control processes."""
-        members = self._latest.members
-        cores = members.cores if members is not None else ()
-        known = list(dict.fromkeys([*self._seeds, *self._control_endpoints(cores)]))
-        self._random.shuffle(known)
-        known.sort(key=self._is_avoided)
-        first = [relay] if (relay := self._relay()) and self.is_fresh(2 * STALE_AFTER_S) else []
-        if not first and self._redirects:
-            first = [self._redirects.pop(0)]
-        return list(dict.fromkeys([*first, *known]))[:MAX_DIALS]
-
-    def _avoid(self, endpoint: Endpoint) -> None:
-        self._avoided_since[endpoint] = asyncio.get_running_loop().time()
-
-    def _is_avoided(self, endpoint: Endpoint) -> bool:
-        return asyncio.get_running_loop().time() - self._avoided_since.get(endpoint, -1e9) < AVOID_S
-
     async def _follow_parent(self, parent: Endpoint) -> bool:
         """Follow the parent until it is lost; returns True if the tree has assigned another one."""
         loop = asyncio.get_running_loop()
@@ -254,7 +193,7 @@
             now = loop.time()
             self._send_roll(now)
             if now - max(self._pulsed_at, since) >= STALE_AFTER_S:
-                self._avoid(parent)
+                self._choice.avoid(parent)
                 self._close_link()
                 return False
             if self._is_misplaced(parent, now):
@@ -264,12 +203,12 @@
 
     def _is_misplaced(self, parent: Endpoint, now: float) -> bool:
         """Return whether the tree has assigned another parent for a while."""
-        wanted_relay = self._relay()
+        wanted_relay = self._choice.relay()
         if wanted_relay != self._wanted_relay[0]:
             self._wanted_relay = wanted_relay, now
         if now - self._wanted_relay[1] <= REPARENT_DELAY_S or not self.is_fresh():
             return False
-        return wanted_relay != parent if wanted_relay is not None else self._is_relay(parent)
+        return wanted_relay != parent if wanted_relay is not None else self._choice.is_relay(parent)
 
     def _close_link(self) -> None:
         link, self._link = self._link, None
--- a/mastturnd/balancing.py
+++ b/mastturnd/balancing.py
@@ -20,7 +20,7 @@
 from dissemination.cached_prefixes import Holdings
 from dissemination.failure_reports import FailureExchange
 from dissemination.feed import Feed
-from dissemination.follower import STALE_AFTER_S, Follower, Ports
+from dissemination.follower import STALE_AFTER_S, Follower
 from dissemination.latest_updates import LatestUpdates
 from dissemination.list_reader import ListReader
 from dissemination.messages import (
@@ -45,6 +45,7 @@
     UpstreamChange,
     UpstreamListUpdate,
 )
+from dissemination.parent_choice import Ports
 from mastturnd import draining, logs
 from mastturnd.alone import FallbackListReader
 from mastturnd.load_exchange import LoadExchange
