Log whom a process asks while nobody tells it who leads

A balancer without updates logs event=detached with the endpoints that it asks, a control process without a disk event=members_silent and event=view_learned, at most every five seconds; station_members_known counts the members that the latter knows.

--- a/dissemination/follower.py
+++ b/dissemination/follower.py
@@ -40,6 +40,7 @@
 REDIRECT_RETRY_SHARE = (0.1, 0.4)  # range of the share of that delay after a redirect
 # Above so many balancers delays grow, so that all together make at most 1,000 attempts a second.
 LARGE_FLEET = 100
+DETACHED_LOG_INTERVAL_S = 5.0  # a balancer without updates logs whom it asks at most this often
 ROLL_INTERVAL_S = 1.0  # a child reports to its parent at least this often
 REPARENT_DELAY_S = 1.0  # the tree has to assign another parent for this long before the follower moves
 RESYNC_INTERVAL_S = 0.5  # at least this long between two requests for complete state
@@ -78,6 +79,7 @@
         self._parent: Endpoint | None = None
         self._pulsed_at = -1e9
         self._closed = asyncio.Event()
+        self._detached_logged_at = -1e9  # or when updates last arrived
         self._last_roll: tuple[Any, float] = (None, -1e9)
         self._wanted_relay: tuple[Endpoint | None, float] = (None, 0.0)  # assigned relay, and since when
 
@@ -164,6 +166,7 @@
             reached = await self._links.dial_any(candidates)
             for endpoint in candidates if reached is None else candidates[: candidates.index(reached[0])]:
                 self._choice.avoid(endpoint)
+            self._log_detached(candidates)
             if reached is not None:
                 self._parent, self._link = reached
                 self._closed.clear()
@@ -173,6 +176,16 @@
                 shares = REDIRECT_RETRY_SHARE if self._choice.follows_redirect() else (0.5, 1.5)
                 await asyncio.sleep(self._retry_delay_s() * self._random.uniform(*shares))
 
+    def _log_detached(self, asked: list[Endpoint]) -> None:
+        """Log whom this process asks while it gets no updates, at most every few seconds."""
+        now = asyncio.get_running_loop().time()
+        if self.is_fresh(DETACHED_LOG_INTERVAL_S) or self._detached_logged_at < 0:
+            self._detached_logged_at = now
+        if now - self._detached_logged_at < DETACHED_LOG_INTERVAL_S:
+            return
+        self._detached_logged_at = now
+        logger.warning("event=detached age_s={} asked={}", self.age_s(), ",".join(map(str, asked)))
+
     def _retry_delay_s(self) -> float:
         """Return the delay in seconds; large fleets wait longer, to leave time for electing a primary."""
         members = self._latest.members
--- a/mastturnd/referral.py
+++ b/mastturnd/referral.py
@@ -35,6 +35,7 @@
 QUERY_INTERVAL_S = 0.25  # minimum interval between two queries of the members
 MEMBER_TIMEOUT_S = 1.5  # a member that answered within this counts as reachable
 REFRESH_INTERVAL_S = 5.0  # the members are queried at least this often, as their addresses are in memory only
+SILENCE_LOG_INTERVAL_S = 5.0  # while no member answers, those asked are logged at most this often
 KINDS = MessageKinds().include(messages.KINDS).include(news.KINDS).include(tallies.KINDS)
 # Operators' calls are redirected: this process is never the primary.
 REFERRAL_ROUTES = Routes().include(OPERATOR_ROUTES)
@@ -53,7 +54,7 @@
         self._view: View | None = None  # the latest received from a member
         self._answered_at: dict[str, float] = {}  # time of the last answer by member identity
         self._newcomer_ips: set[str] = set()  # IPs of newcomers, needed if all seeds are without a disk
-        self._queried_at = -1e9
+        self._queried_at = self._silence_logged_at = -1e9
         self._task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
@@ -109,6 +110,10 @@
         """Return a command number; no command is executed here."""
         return 0
 
+    def known_members(self) -> int:
+        """Return the number of members of the latest known view."""
+        return len([m for m in self._view.members if m is not None]) if self._view is not None else 0
+
     # ---- the members
 
     async def _refresh_members(self) -> None:
@@ -126,9 +131,20 @@
         members = self._view.members if self._view is not None else ()
         known = {member.ip for member in members if member is not None} | self._newcomer_ips
         known |= set(self.settings.seed_ips)
-        for ip in sorted(known - {self.settings.ip}):
+        asked = sorted(known - {self.settings.ip})
+        self._log_silence(asked, now)
+        for ip in asked:
             self._links.send(self._control_at(ip), PreVoteRequest(self._identity, "", 0, False))
 
+    def _log_silence(self, asked: list[str], now: float) -> None:
+        """Log whom this process asks while no member answers, at most every few seconds."""
+        heard_at = max(self._answered_at.values(), default=-1e9)
+        if self._silence_logged_at < 0:
+            self._silence_logged_at = now
+        if now - max(heard_at, self._silence_logged_at) > SILENCE_LOG_INTERVAL_S + MEMBER_TIMEOUT_S:
+            self._silence_logged_at = now
+            logger.warning("event=members_silent known={} asked={}", self.known_members(), ",".join(asked))
+
     def _control_at(self, ip: str) -> Endpoint:
         return Endpoint(ip, self.settings.control_port)
 
@@ -161,6 +177,7 @@
     def _update_view(self, view: View | None) -> None:
         if view is not None and (self._view is None or view.epoch > self._view.epoch):
             self._view = view
+            logger.info("event=view_learned epoch={} leader={}", view.epoch, view.leader().node)
             named = {member.identity for member in view.members if member is not None}
             self._answered_at = {i: at for i, at in self._answered_at.items() if i in named}
 
--- a/mastturnd/referral_figures.py
+++ b/mastturnd/referral_figures.py
@@ -15,6 +15,7 @@
     """Return the metrics of such a process."""
     return [
         gauge("station_led", "1 while a primary is heard of.", node.leader() is not None),
+        gauge("station_members_known", "Members of the latest view known here.", node.known_members()),
         gauge("process_resident_memory_bytes", "Memory in use.", memory_kb() * 1024),
         counter("process_cpu_seconds_total", "Processor time.", processor_s()),
     ]
