Keep the addresses of processes outside the group on the members' disks

Cause: balancers and control processes without a disk keep the members' addresses in memory and learn them from their seeds. Where the seeds are such processes themselves, nobody outside knows the core after a kill of all, and the core had kept no address of theirs: the leader told its view to the seeds of its own file only, and a control process without a disk didn't answer another one that asked.

Change: members keep the addresses of control processes that ask and of balancers that the leader reports, on disk beside the group's state (two slots, written on changes). The leader sends its view to known control processes outside the group and dials balancers that are not attached; other members tell those that they don't hear from. A control process without a disk answers others, asks back, and asks the members every five seconds.

Why it works: what has to outlive a kill of all now lies where a kill leaves it, on f + 1 disks or more, and contact no longer needs the outside to know a member.

--- a/control/node.py
+++ b/control/node.py
@@ -21,6 +21,7 @@
 from consensus.spread import Spread
 from consensus.state_store import FOUNDER_PREFIX, StateStore
 from consensus.views import Member
+from control.contacts import Contacts
 from control.operators import OPERATOR_ROUTES
 from control.publisher import Publisher
 from control.tally_api import TALLY_ROUTES
@@ -65,6 +66,7 @@
         own = Endpoint(settings.ip, settings.control_port)
         self._links = Links(KINDS, own, self._on_message, self._on_closed, peers_share_port=False)
         self._publisher = Publisher(settings, self._links, self._confirm_epoch, self._on_newer_epoch)
+        self.contacts = Contacts(settings, self._links)
         copies, ready_ms = spec_from_settings(settings).holders, settings.bounds.merge_ms
         self.tallies = TallyKeeper(settings.data_dir, copies, ready_ms, self.now, self._send)
         self._http_server = HttpServer(Routes().include(OPERATOR_ROUTES).include(TALLY_ROUTES), self)
@@ -96,6 +98,7 @@
         )
         self._replica.start(self.now())
         await self._links.start()
+        self.contacts.start()
         self._tallies_task = self._loop.create_task(self.tallies.load())
         if ctl:
             await self._http_server.start(parse_address(ctl))
@@ -116,6 +119,7 @@
         if self._ticker is not None:
             self._ticker.cancel()
         self._publisher.stop()
+        self.contacts.stop()
         self._http_server.stop()
         self._links.stop()
 
@@ -137,6 +141,7 @@
         """Apply a changed settings file."""
         self.settings = settings
         self._publisher.reconfigure(settings)
+        self.contacts.reconfigure(settings)
         if self._replica is not None:
             self._replica.set_seeds(settings.seed_ips)
 
@@ -214,6 +219,7 @@
         self._apply_effects()
         self.tallies.tick(self._other_members(self._replica))
         self._publisher.on_other_leader(self.leader())
+        self.contacts.tick(self._replica, self._publisher.latest.members)
 
     def _on_disk_health(self, is_healthy: bool) -> None:
         if self._replica is not None:
@@ -227,6 +233,8 @@
             self._links.identify(link, self._control_endpoint(link.peer))
             self.tallies.on_message(link.peer, message)
             return
+        if isinstance(message, updates.MembershipUpdate):
+            self.contacts.on_balancers(message.balancers)
         if not isinstance(message, messages.Message):
             self._publisher.on_message(link, message)
             return
@@ -239,6 +247,7 @@
             link.close()
             return
         self._links.identify(link, self._control_endpoint(link.peer))
+        self.contacts.on_control_message(link.peer, revived)
         self._replica.on_message(link.peer, revived, self.now())
         self._apply_effects()
 
--- a/control/publisher.py
+++ b/control/publisher.py
@@ -9,7 +9,6 @@
 
 from config.settings import Settings
 from consensus.views import Document, Member, View
-from control.announcer import Announcer
 from control.phase_controller import CONTROL_INTERVAL_S, ConfirmEpoch, OnNewerEpoch, PhaseController
 from control.reports import Reports, Stamp
 from control.update_relay import UpdateRelay
@@ -84,7 +83,6 @@
         self._leading_since = 0.0
         self._first_epoch = 0  # first epoch of the current uninterrupted leadership
         self._reported_epoch = 0  # the latest that a balancer has reported
-        self._announcer = Announcer(links)
         self._number = 0
         self.take_overs = 0  # how often this process became primary, including the first time
         self._presence = Presence()
@@ -271,7 +269,6 @@
         while True:
             view = self._view
             if view is not None:
-                self._announcer.tick(view, self._settings, asyncio.get_running_loop().time())
                 self._feed.drop_silent(asyncio.get_running_loop().time(), SILENCE_TIMEOUT_S)
                 self._publish_members(view)
                 self._publish_pulse(view)
--- a/dissemination/follower.py
+++ b/dissemination/follower.py
@@ -95,6 +95,12 @@
         """Replace the seeds."""
         self._choice.set_seeds(ips)
 
+    def suggest(self, ips: tuple[str, ...]) -> None:
+        """Handle the leader's IP, from a control process that has dialled here; ignored while attached."""
+        if not self.is_fresh():
+            logger.info("event=leader_suggested ips={}", ",".join(ips))
+            self._choice.suggest(ips)
+
     def parent(self) -> Endpoint | None:
         """Return the endpoint of the parent; None while not attached."""
         return self._parent if self._link is not None else None
--- a/dissemination/latest_updates.py
+++ b/dissemination/latest_updates.py
@@ -40,6 +40,10 @@
         self.load_table: LoadTable | None = None  # or from a source that sends steps
         self.doubts: FailureUpdate | None = None
 
+    def is_complete(self) -> bool:
+        """Return whether both a configuration and a list of upstreams are known."""
+        return self.configuration is not None and self.upstreams is not None
+
     def epoch(self) -> int:
         """Return the latest epoch of any update; 0 without updates."""
         updates = (self.upstreams, self.members, self.pulse, self.loads, self.load_table, self.doubts)
--- a/dissemination/parent_choice.py
+++ b/dissemination/parent_choice.py
@@ -60,6 +60,10 @@
         if parent is not None and (not ips or self.is_relay(parent)):
             self.avoid(parent)  # it is out of date, or does not know the leader
 
+    def suggest(self, ips: tuple[str, ...]) -> None:
+        """Try control processes at these IPs next, as one that is no parent has said."""
+        self._redirects = self._control_endpoints(ips)
+
     def follows_redirect(self) -> bool:
         """Return whether a redirect that is not part of a loop is still to be followed."""
         return bool(self._redirects) and self._was_redirected
--- a/mastturn/capacity/disk.py
+++ b/mastturn/capacity/disk.py
@@ -56,7 +56,7 @@
 class InlineQueue:
     """As `consensus.disk_queue.DiskQueue`, in the loop itself: each command takes the time of a sync."""
 
-    def __init__(self, store: Store) -> None:
+    def __init__(self, store: Store, name: str = "disk") -> None:
         self._store, self._loop = store, asyncio.get_running_loop()
         self._free_at = 0.0
         self.waiting = 0
--- a/mastturn/capacity/fleet.py
+++ b/mastturn/capacity/fleet.py
@@ -294,6 +294,8 @@
     with (
         mock.patch("consensus.state_store.DiskQueue", InlineQueue),
         mock.patch("consensus.state_store.OsFiles", MemoryFiles),
+        mock.patch("control.known_processes_store.DiskQueue", InlineQueue),
+        mock.patch("control.known_processes_store.OsFiles", MemoryFiles),
         mock.patch("mastturnd.balancing.Balancer", HollowBalancer),
     ):
         try:
--- a/mastturnd/balancing.py
+++ b/mastturnd/balancing.py
@@ -193,6 +193,8 @@
                 self._doubts.sum.report(link, message)
             case CachedPrefixReport(holdings):
                 self._report_later(self._store_holdings(holdings))
+            case Redirect(ips):
+                self._follower.suggest(ips)
             case EpochNotice(epoch) if epoch > self._latest.epoch():
                 self._follower.send(message)
             case UpstreamListUpdate() | UpstreamChange():
@@ -285,9 +287,7 @@
         self._update_readiness()
 
     def _update_readiness(self) -> None:
-        latest = self._latest
-        has_state = latest.configuration is not None and latest.upstreams is not None
-        self.balancer.allow_ready(has_state and not self._drained)
+        self.balancer.allow_ready(self._latest.is_complete() and not self._drained)
 
     def _set_drained(self, drained: bool) -> None:
         if drained != self._drained:
--- a/mastturnd/control_figures.py
+++ b/mastturnd/control_figures.py
@@ -40,6 +40,7 @@
         by("station_upstreams_up", "gauge", "Upstreams that are up; told by the primary.", "part", parts),
         by("station_upstream_calls", "gauge", "Calls out of all balancers.", "part", calls),
         by("station_upstream_tokens", "gauge", "Prompt tokens to be read, of all balancers.", "part", tokens),
+        gauge("station_known_outside", "Other processes whose addresses are kept.", node.contacts.count()),
         *_tally_metrics(report["tallies"]),
         gauge("process_resident_memory_bytes", "Memory in use.", report["memory_kb"] * 1024),
         counter("process_cpu_seconds_total", "Processor time.", report["processor_s"]),
--- a/mastturnd/referral.py
+++ b/mastturnd/referral.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import secrets
+from collections import deque
 from collections.abc import Callable
 from typing import Any
 
@@ -35,6 +36,7 @@
 QUERY_INTERVAL_S = 0.25  # minimum interval between two queries of the members
 MEMBER_TIMEOUT_S = 1.5  # a member that answered within this counts as reachable
 REFRESH_INTERVAL_S = 5.0  # the members are queried at least this often, as their addresses are in memory only
+MAX_ASKERS = 32  # processes outside the group that are remembered as they have asked here
 SILENCE_LOG_INTERVAL_S = 5.0  # while no member answers, those asked are logged at most this often
 KINDS = MessageKinds().include(messages.KINDS).include(news.KINDS).include(tallies.KINDS)
 # Operators' calls are redirected: this process is never the primary.
@@ -53,7 +55,8 @@
         self._calls = HttpServer(REFERRAL_ROUTES, self)
         self._view: View | None = None  # the latest received from a member
         self._answered_at: dict[str, float] = {}  # time of the last answer by member identity
-        self._newcomer_ips: set[str] = set()  # IPs of newcomers, needed if all seeds are without a disk
+        # Other processes outside the group that have asked here, needed if no seed knows a member.
+        self._asker_ips: deque[str] = deque(maxlen=MAX_ASKERS)
         self._queried_at = self._silence_logged_at = -1e9
         self._task: asyncio.Task[None] | None = None
 
@@ -117,10 +120,13 @@
     # ---- the members
 
     async def _refresh_members(self) -> None:
-        """Keep the members known: by the time of a request, the seeds that know them may have changed."""
+        """Keep the members known, and this process known to them.
+
+        By the time of a request, the seeds that know the members may have changed.
+        """
         while True:
             now = asyncio.get_running_loop().time()
-            if now - max(self._answered_at.values(), default=-1e9) >= REFRESH_INTERVAL_S:
+            if not self._answered_at or now - self._queried_at >= REFRESH_INTERVAL_S:
                 self._query_members(now)
             await asyncio.sleep(MEMBER_TIMEOUT_S)
 
@@ -129,8 +135,8 @@
             return
         self._queried_at = now
         members = self._view.members if self._view is not None else ()
-        known = {member.ip for member in members if member is not None} | self._newcomer_ips
-        known |= set(self.settings.seed_ips)
+        known = {member.ip for member in members if member is not None}
+        known |= set(self.settings.seed_ips) | set(self._asker_ips)
         asked = sorted(known - {self.settings.ip})
         self._log_silence(asked, now)
         for ip in asked:
@@ -164,22 +170,36 @@
         self._links.identify(link, self._control_at(link.peer))
         match decoded:
             case PreVoteResponse(sender=sender, to=self._identity, view=view):
-                self._answered_at[sender] = asyncio.get_running_loop().time()
-                self._update_view(view)
+                self._on_view(sender, view)
             case ViewUpdate(sender=sender, view=view):
-                self._answered_at[sender] = asyncio.get_running_loop().time()
-                self._update_view(view)
-            case JoinRequest(sender=sender):
-                self._newcomer_ips.add(link.peer)
-                if self._view is not None:
-                    link.send(ViewUpdate(self._identity, sender, self._view, 0))
-
-    def _update_view(self, view: View | None) -> None:
-        if view is not None and (self._view is None or view.epoch > self._view.epoch):
-            self._view = view
+                self._on_view(sender, view)
+            case JoinRequest(sender=sender) | PreVoteRequest(sender=sender):
+                self._on_asked(link, sender)
+
+    def _on_asked(self, link: Link, sender: str) -> None:
+        """Answer a process that looks for the members with the latest known view."""
+        if link.peer not in self._asker_ips:
+            self._asker_ips.append(link.peer)
+        if self._view is not None:
+            link.send(ViewUpdate(self._identity, sender, self._view, 0))
+
+    def _on_view(self, sender: str, view: View | None) -> None:
+        """Store a later view, whose members are then queried; record that a member has answered."""
+        now = asyncio.get_running_loop().time()
+        is_later = view is not None and (self._view is None or view.epoch > self._view.epoch)
+        if view is not None and is_later:
             logger.info("event=view_learned epoch={} leader={}", view.epoch, view.leader().node)
-            named = {member.identity for member in view.members if member is not None}
+            self._view = view
+            named = self._member_identities()
             self._answered_at = {i: at for i, at in self._answered_at.items() if i in named}
+        if sender in self._member_identities():
+            self._answered_at[sender] = now
+        if is_later:
+            self._query_members(now)
+
+    def _member_identities(self) -> set[str]:
+        members = self._view.members if self._view is not None else ()
+        return {member.identity for member in members if member is not None}
 
 
 async def _redirect(find: Callable[[], Member | None], request: Request) -> Response:
--- a/tests/fabric_world.py
+++ b/tests/fabric_world.py
@@ -402,6 +402,8 @@
         mock.patch("consensus.state_store.OsFiles", own_disk),
         mock.patch("tallies.journal.DiskQueue", InlineQueue),
         mock.patch("tallies.journal.OsFiles", own_disk),
+        mock.patch("control.known_processes_store.DiskQueue", InlineQueue),
+        mock.patch("control.known_processes_store.OsFiles", own_disk),
         mock.patch("mastturnd.balancing.Balancer", DataPlane),
     ):
         try:
