Soak: settings files whose seeds change, kills of all processes, control processes without a disk

The soak could not have found the edge that nobody leads back to its core: it never killed all processes, its settings files never changed, and every control process had a disk.

tests/test_soak.py asked for 17 balancers and 3 control processes to get 20 processes; with two more by default it asks for 15, the same 20.

--- a/mastturn/smallfleet/layout.py
+++ b/mastturn/smallfleet/layout.py
@@ -28,6 +28,7 @@
     role: str
     ip: str
     zone: str
+    has_disk: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,14 +40,23 @@
     edges: tuple[Machine, ...]
     platform: str
     upstreams: tuple[str, ...]
+    diskless: tuple[Machine, ...] = ()  # control processes without a disk
 
     def port(self, port_offset: int) -> int:
         """Return the port with this offset."""
         return self.first + port_offset
 
     def ctl(self) -> list[str]:
-        """Return the operator addresses of the control processes."""
-        return [f"{m.ip}:{self.port(CTL)}" for m in self.cores]
+        """Return the operator addresses of the control processes with a disk."""
+        return [self.ctl_of(machine) for machine in self.cores]
+
+    def all_ctl(self) -> list[str]:
+        """Return the operator addresses of all control processes."""
+        return [self.ctl_of(machine) for machine in (*self.cores, *self.diskless)]
+
+    def ctl_of(self, machine: Machine) -> str:
+        """Return the operator address of a control process."""
+        return f"{machine.ip}:{self.port(CTL)}"
 
     def http(self, machine: Machine) -> str:
         """Return the address at which a balancer serves clients."""
@@ -58,17 +68,17 @@
 
     def settings(self, machine: Machine, folder: Path, bootstrap: bool) -> dict[str, Any]:
         """Return the settings of a machine."""
-        is_core = machine.role == "control"
+        is_control = machine.role == "control"
         listen = (
-            {"ctl": f"{machine.ip}:{self.port(CTL)}"}
-            if is_core
+            {"ctl": self.ctl_of(machine)}
+            if is_control
             else {"http": self.http(machine), "readyz": self.readyz(machine)}
         )
         return {
             "node": machine.node,
             "role": machine.role,
-            "machine_class": "core" if is_core else "edge",
-            "serves": ["ctl" if is_core else "edge"],
+            "machine_class": "core" if machine.has_disk else "edge",
+            "serves": ["ctl" if is_control else "edge"],
             "ip": machine.ip,
             "zone": machine.zone,
             "region": "loopback",
@@ -77,9 +87,9 @@
             "port_range": [self.port(CONTROL), self.port(BALANCER)],
             "seed_addrs": self.ctl(),
             "bootstrap": bootstrap,
-            "quorum_member": is_core,
+            "quorum_member": machine.has_disk,
             "readyz_port": self.port(READYZ),
-            "data_dir": str(folder / machine.node) if is_core else None,
+            "data_dir": str(folder / machine.node) if machine.has_disk else None,
             "faults": {"nodes": 1, "zones": 0, "regions": 0},
             "bounds": {"grace_s": 5, "retry_slack": 54, "fenced": True},
             "cloud_api": {"addr": self.platform, "rate_per_s": 42.0, "max_lag_ms": 800},
@@ -92,17 +102,26 @@
 
 
 def allocate_layout(
-    upstreams: int, cores: int = len(ZONES), edges: int = len(EDGE_ZONES), shared: bool = False
+    upstreams: int,
+    cores: int = len(ZONES),
+    edges: int = len(EDGE_ZONES),
+    shared: bool = False,
+    diskless: int = 0,
 ) -> Layout:
     """Return a layout whose ports are free now; raises LabError if there are none.
 
-    `shared`: balancers run on the machines of the control processes, as far as there are any.
+    `shared`: balancers run on the machines of the control processes, as far as there are any. `diskless`:
+    the number of control processes without a disk.
     """
     subnet = random.SystemRandom().randrange(1, 250)
     control = tuple(
-        Machine(f"core-{_name_suffix(i)}", "control", f"127.{subnet}.{i + 1}.1", ZONES[i % len(ZONES)])
+        Machine(f"core-{_name_suffix(i)}", "control", f"127.{subnet}.{i + 1}.1", ZONES[i % len(ZONES)], True)
         for i in range(cores)
     )
+    referrals = tuple(
+        Machine(f"referral-{_name_suffix(i)}", "control", f"127.{subnet}.{i + 1}.3", ZONES[i % len(ZONES)])
+        for i in range(diskless)
+    )
     balancers = tuple(
         Machine(
             f"edge-{_name_suffix(i)}", "balancer", f"127.{subnet}.{i + 1}.2", EDGE_ZONES[i % len(EDGE_ZONES)]
@@ -118,13 +137,12 @@
             + balancers[len(control) :]
         )
     stand_in_ips = [f"127.{subnet}.255.{i + 1}" for i in range(upstreams + 1)]
-    ips = [m.ip for m in (*control, *balancers)] + stand_in_ips
+    ips = [m.ip for m in (*control, *balancers, *referrals)] + stand_in_ips
     for first in random.SystemRandom().sample(range(20_000, 30_000, PORT_COUNT), 50):
         if all(_is_free(ip, first + i) for ip in ips for i in range(PORT_COUNT)):
             upstream_addresses = tuple(f"{ip}:{first + UPSTREAM}" for ip in stand_in_ips[1:])
-            return Layout(
-                first, control, balancers, f"{stand_in_ips[0]}:{first + PLATFORM}", upstream_addresses
-            )
+            platform = f"{stand_in_ips[0]}:{first + PLATFORM}"
+            return Layout(first, control, balancers, platform, upstream_addresses, referrals)
     raise LabError("no free ports on loopback addresses: stop the processes that use ports 20000 to 30000")
 
 
--- a/mastturn/soak/checker.py
+++ b/mastturn/soak/checker.py
@@ -297,6 +297,8 @@
     def _check_processes_and_input(self) -> Iterator[Finding]:
         for description in self._records.unclean_exits:
             yield Finding(Rule.PROCESS, 0.0, "", description)
+        for balancer in self._records.unready:
+            yield Finding(Rule.RECOVER, 0.0, "", f"{balancer} is not ready after the last trouble")
         for item in self._records.unexpected_inputs:
             description = f"{item.upstream} received {item.description}"
             yield Finding(Rule.UNASKED, item.at, item.request_id, description)
--- a/mastturn/soak/commands.py
+++ b/mastturn/soak/commands.py
@@ -49,6 +49,7 @@
 )
 @click.option("--balancers", type=int, default=3, show_default=True)
 @click.option("--control", type=int, default=3, show_default=True, help="Control processes.")
+@click.option("--diskless", type=int, default=2, show_default=True, help="Control processes without a disk.")
 @click.option("--upstreams", type=int, default=6, show_default=True)
 @click.option("--clients", type=int, default=24, show_default=True)
 @click.option("--shared", is_flag=True, help="Control processes and balancers share machines.")
@@ -70,6 +71,7 @@
     seconds: float,
     balancers: int,
     control: int,
+    diskless: int,
     upstreams: int,
     clients: int,
     shared: bool,
@@ -112,6 +114,7 @@
             only,
             answers,
             shared,
+            diskless,
         )
         check(plan)
         click.echo(f"seed {number}: {plan.balancers} balancers, {plan.control} control processes")
--- a/mastturn/soak/fleet.py
+++ b/mastturn/soak/fleet.py
@@ -24,6 +24,7 @@
 STARTED_EVENT = b"event=started"  # logged once a process handles signals and serves
 START_BATCH = 16  # processes that are started concurrently
 LEADER_TIMEOUT_S = 30.0
+RECOVERY_S = 12.0  # `recovery_s`: all balancers are ready within this after the last trouble
 
 
 @dataclass(slots=True)
@@ -45,15 +46,20 @@
 
     def __init__(self, plan_layout: Layout, folder: Path, records: Records, defect: str = "") -> None:
         self.layout, self._folder, self._records, self._defect = plan_layout, folder, records, defect
-        machines = (*plan_layout.cores, *plan_layout.edges)
+        machines = (*plan_layout.cores, *plan_layout.edges, *plan_layout.diskless)
         self.members = {m.node: Member(m, Process(m.node, folder)) for m in machines}
         self.ready: list[tuple[str, str]] = []  # names and addresses of ready balancers
         self.is_stopping = False
+        self._seeds: dict[str, list[str]] = {}  # by machine, where they differ from the first ones
 
     def control(self) -> list[Member]:
-        """Return the control processes."""
+        """Return the control processes with a disk."""
         return [self.members[machine.node] for machine in self.layout.cores]
 
+    def diskless(self) -> list[Member]:
+        """Return the control processes without a disk."""
+        return [self.members[machine.node] for machine in self.layout.diskless]
+
     def balancers(self) -> list[Member]:
         """Return the balancers."""
         return [self.members[machine.node] for machine in self.layout.edges]
@@ -76,6 +82,15 @@
             await asyncio.sleep(READINESS_POLL_S)
         raise LabError(f"the balancers are not ready after {READY_TIMEOUT_S:g} s: {self._last_log_lines()}")
 
+    async def wait_recovered(self) -> None:
+        """Wait until all balancers are ready, and record those that are not in time."""
+        deadline = time.monotonic() + RECOVERY_S
+        while len(self.ready) < len(self.balancers()) and time.monotonic() < deadline:
+            await asyncio.sleep(READINESS_POLL_S)
+            await self.poll_readiness()
+        ready = {node for node, _ in self.ready}
+        self._records.unready += [m.machine.node for m in self.balancers() if m.machine.node not in ready]
+
     async def watch(self) -> None:
         """Poll the balancers' readiness until cancelled."""
         while True:
@@ -92,12 +107,8 @@
 
     async def _launch(self, member: Member, bootstrap: bool) -> None:
         machine = member.machine
-        settings = self._folder / f"{machine.node}.yaml"
         (self._folder / machine.node).mkdir(exist_ok=True)
-        values = self.layout.settings(machine, self._folder, bootstrap)
-        values["bounds"] = {"grace_s": GRACE_S, "retry_slack": 1_000, "fenced": True}
-        values["log_levels"] = {"balancer": "INFO", "control": "INFO"}
-        layout.write(settings, values)
+        settings = self._write_settings(machine, bootstrap)
         environment = {"MASTTURN_CONFIG": str(settings)}
         log = member.process.log
         member.log_from = log.stat().st_size if log.exists() else 0
@@ -108,6 +119,24 @@
         else:
             await member.process.start("mastturnd", machine.role, environment=environment)
 
+    def _write_settings(self, machine: Machine, bootstrap: bool = False) -> Path:
+        """Write a machine's settings file in one step, as its process may be reading it."""
+        path = self._folder / f"{machine.node}.yaml"
+        values = self.layout.settings(machine, self._folder, bootstrap)
+        values["seed_addrs"] = self._seeds.get(machine.node, values["seed_addrs"])
+        values["bounds"] = {"grace_s": GRACE_S, "retry_slack": 1_000, "fenced": True}
+        values["log_levels"] = {"balancer": "INFO", "control": "INFO"}
+        temporary = path.with_suffix(".new")
+        layout.write(temporary, values)
+        temporary.replace(path)
+        return path
+
+    def change_seeds(self, seeds: dict[str, list[str]]) -> None:
+        """Write the settings files of these machines anew, with other seeds."""
+        self._seeds |= seeds
+        for node in seeds:
+            self._write_settings(self.members[node].machine)
+
     # ---- faults of processes
 
     async def terminate(self, member: Member) -> None:
--- a/mastturn/soak/plan.py
+++ b/mastturn/soak/plan.py
@@ -28,6 +28,7 @@
     only: str = ""  # only troubles whose names contain this
     answers: str = ""  # only response faults whose names contain this
     shared: bool = False  # control processes and balancers share machines
+    diskless: int = 2  # control processes without a disk
 
 
 def check(plan: Plan) -> Plan:
@@ -36,6 +37,7 @@
         ("seconds", plan.seconds, MIN_SECONDS, MAX_SECONDS),
         ("balancers", plan.balancers, 1, MAX_PROCESSES),
         ("control", plan.control, 1, 9),
+        ("diskless", plan.diskless, 0, 9),
         ("upstreams", plan.upstreams, 4, 200),
         ("clients", plan.clients, 1, 2_000),
     )
@@ -44,7 +46,7 @@
             raise LabError(f"--{name} {value:g}: allowed: {minimum:g} to {maximum:g}")
     if not has_fault_named(plan.answers):
         raise LabError(f"--answers {plan.answers!r}: no response fault has such a name; see docs/soak.md")
-    processes = plan.balancers + plan.control
+    processes = plan.balancers + plan.control + plan.diskless
     if processes > MAX_PROCESSES:
         raise LabError(f"{processes} processes: ask for {MAX_PROCESSES} at the most")
     allowed = memory_mb() * MEMORY_SHARE
--- a/mastturn/soak/planted.py
+++ b/mastturn/soak/planted.py
@@ -157,6 +157,15 @@
     _patch(UpstreamRequest, "encode", alter)
 
 
+def _forget_addresses() -> None:
+    from control.known_processes_store import KnownProcessesStore
+
+    async def load(self: KnownProcessesStore) -> frozenset[Any]:
+        return frozenset()
+
+    _patch(KnownProcessesStore, "load", load)
+
+
 def _patch(owner: type, name: str, method: Any) -> None:
     setattr(owner, name, method)
 
@@ -178,6 +187,7 @@
     "gap-in-resumed-stream": ("a resumed stream skips an event", _skip_event_in_resumed_stream),
     "late-list-taken": ("an outdated list replaces a newer one", _accept_outdated_list),
     "body-altered": ("the last bytes of a long request body are altered", _alter_long_body),
+    "addresses-forgotten": ("members start without the addresses of others", _forget_addresses),
     "held-past-deadline": ("a response that has begun has no deadline", _drop_deadline_of_streams),
 }
 
--- a/mastturn/soak/play.py
+++ b/mastturn/soak/play.py
@@ -52,7 +52,9 @@
     # The default action would end this process and leave the fleet's processes running.
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, soak.cancel)
     records = Records()
-    layout = allocate_layout(plan.upstreams + SPARE_ADDRESSES, plan.control, plan.balancers, plan.shared)
+    layout = allocate_layout(
+        plan.upstreams + SPARE_ADDRESSES, plan.control, plan.balancers, plan.shared, plan.diskless
+    )
     environment = Environment(layout, plan.upstreams, plan.seed, records, plan.answers)
     fleet = Fleet(layout, folder, records, plan.defect)
     troubles = Troubles(fleet, environment, plan.seed, log, plan.only)
@@ -69,11 +71,14 @@
         client_list = [
             clients.Client(n, plan.seed, records, lambda: fleet.ready) for n in range(plan.clients)
         ]
-        operator_list = [operators.Operator(n, plan.seed, layout.ctl(), records) for n in range(OPERATORS)]
+        operator_list = [
+            operators.Operator(n, plan.seed, layout.all_ctl(), records) for n in range(OPERATORS)
+        ]
         load_tasks = [asyncio.create_task(clients.run_all(client_list, stop))]
         load_tasks += [asyncio.create_task(operator.run(stop)) for operator in operator_list]
         try:
             await troubles.run(plan.seconds)
+            await fleet.wait_recovered()
         finally:
             stop.set()
             await asyncio.gather(*load_tasks)
--- a/mastturn/soak/records.py
+++ b/mastturn/soak/records.py
@@ -162,6 +162,7 @@
     puts: list[ConfigurationPut] = field(default_factory=list)
     reads: list[ConfigurationRead] = field(default_factory=list)
     delisted: list[Delisted] = field(default_factory=list)
+    unready: list[str] = field(default_factory=list)  # balancers that were not ready in time at the end
     unclean_exits: list[str] = field(default_factory=list)  # processes that did not exit in order
     unsolicited: list[str] = field(default_factory=list)  # received by clients without a pending request
     unexpected_inputs: list[UnexpectedInput] = field(default_factory=list)
--- a/mastturn/soak/rules.py
+++ b/mastturn/soak/rules.py
@@ -24,4 +24,5 @@
     CONFIGURATION = (
         "configuration"  # two changes of one version acknowledged, or an acknowledged one is not read back
     )
+    RECOVER = "recover"  # a balancer is not ready in time after the last trouble
     PROCESS = "process"  # a process does not exit in order
--- a/mastturn/soak/troubles.py
+++ b/mastturn/soak/troubles.py
@@ -4,10 +4,11 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine, Sequence
 from typing import Any
 
 from mastturn.files import LabError
+from mastturn.smallfleet.layout import Machine
 from mastturn.soak.fleet import Fleet, Member
 from mastturn.soak.platform import ListFault
 from mastturn.soak.surroundings import Environment
@@ -17,8 +18,12 @@
 LIST_FAULT_S = (0.5, 4.0)
 ROLL_GAP_S = (0.2, 1.5)
 MAX_ROLL_S = 20.0  # a rolling restart begins its last stop within this, whatever its size
+CORE_SEEDS_SHARE = 0.1  # how often a change of the seeds concerns the core too
+SETTINGS_READ_S = (0.0, 3.0)  # from a change of the settings to a kill; processes read them every 2 s
 MASS_KILL_SHARE = 0.5  # share of the balancers that are killed at once
 WIPE_QUIET_S = 6.0  # least time from the last fault of a control process to a wipe
+SEED_GROUP_WEIGHTS = (1.0, 1.0, 2.0)  # of seeds with a disk, of both, and without a disk
+SEED_COUNT = 3  # addresses of control processes that a settings file names
 QUIET_END_S = 1.0  # no trouble begins this shortly before the end
 
 
@@ -46,6 +51,10 @@
             "stop of a control process": (0.7, lambda: self._pause(self._pick(fleet.control()))),
             "kill of all control processes": (0.3, self._kill_all_control),
             "wipe of a control process": (0.5, self._wipe_control_disk),
+            "kill of all processes": (0.3, self._kill_all),
+            "kill of those without a disk": (0.3, self._kill_all_diskless),
+            "change of the seeds": (0.5, self._change_seeds),
+            "change of the seeds, then kill of all processes": (0.4, self._change_seeds_and_kill_all),
             "crash of an upstream": (1.5, lambda: environment.crash(self._rng)),
             "an upstream leaves": (2.5, lambda: environment.leave(self._rng)),
             "list busy": (0.5, lambda: self._break_list(ListFault.BUSY)),
@@ -104,6 +113,37 @@
     async def _kill_all_control(self) -> None:
         await asyncio.gather(*(self._fleet.kill(member) for member in self._fleet.control()))
 
+    async def _kill_all(self) -> None:
+        await asyncio.gather(*(self._fleet.kill(member) for member in self._fleet.members.values()))
+
+    async def _kill_all_diskless(self) -> None:
+        await asyncio.gather(*(self._fleet.kill(member) for member in self._fleet.diskless()))
+
+    async def _change_seeds(self) -> None:
+        """Change the seeds of all machines outside the core, and at times of the core too.
+
+        The new seeds differ by machine. Of each group they are control processes with a disk, such without,
+        or both.
+        """
+        layout = self._fleet.layout
+        self._fleet.change_seeds(self._draw_seeds((*layout.edges, *layout.diskless)))
+        if self._rng.random() < CORE_SEEDS_SHARE:
+            self._fleet.change_seeds(self._draw_seeds(layout.cores))
+
+    async def _change_seeds_and_kill_all(self) -> None:
+        """Kill all processes, at times before they have read their new settings."""
+        await self._change_seeds()
+        await asyncio.sleep(self._rng.uniform(*SETTINGS_READ_S))
+        await self._kill_all()
+
+    def _draw_seeds(self, machines: Sequence[Machine]) -> dict[str, list[str]]:
+        layout = self._fleet.layout
+        groups = (layout.cores, (*layout.cores, *layout.diskless), layout.diskless or layout.cores)
+        chosen = self._rng.choices(groups, SEED_GROUP_WEIGHTS)[0]
+        candidates = [layout.ctl_of(machine) for machine in chosen]
+        count = min(SEED_COUNT, len(candidates))
+        return {machine.node: self._rng.sample(candidates, count) for machine in machines}
+
     async def _wipe_control_disk(self) -> None:
         """Wipe the disk of a control process, unless another may still be catching up."""
         if self._fleet.since_control_fault_s() >= WIPE_QUIET_S:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -314,7 +314,7 @@
 def test_too_many_processes_for_the_memory_are_refused(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr("mastturn.soak.plan.memory_mb", lambda: 1_000.0)
     with pytest.raises(LabError, match="20 processes need 900 MB: ask for 11 at the most"):
-        check(Plan(1, balancers=17))
+        check(Plan(1, balancers=15))
 
 
 def test_the_planted_defects_are_listed() -> None:
--- a/tests/test_soak_defects.py
+++ b/tests/test_soak_defects.py
@@ -27,6 +27,7 @@
     "gap-in-resumed-stream": ({"gap"}, ""),
     "late-list-taken": ({"drain"}, "an upstream leaves"),
     "body-altered": ({"unasked"}, ""),
+    "addresses-forgotten": ({"recover"}, "seeds, then kill"),
     "held-past-deadline": ({"held"}, ""),
 }
 RESPONSE_FAULTS = {  # the only response fault, for a defect that would show too rarely among all faults
--- a/tests/test_soak_troubles.py
+++ b/tests/test_soak_troubles.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 
 import pytest
+import yaml
 
 from mastturn.files import LabError
 from mastturn.smallfleet.layout import allocate_layout
@@ -123,3 +124,26 @@
     logs = Logs(tmp_path)
     assert logs.lines_about("r1") == ["edge-a: event=cut request=r1 status=200"]
     assert logs.lines_about("") == logs.lines_about("r9") == []
+
+
+@pytest.mark.parametrize("diskless", [0, 2, 3])
+def test_changed_seeds_name_control_processes_and_reach_the_settings_files(
+    tmp_path: Path, diskless: int
+) -> None:
+    layout = allocate_layout(UPSTREAMS, diskless=diskless)
+    fleet = Fleet(layout, tmp_path, Records())
+    environment = Environment(layout, UPSTREAMS, 1, Records())
+    troubles = Troubles(fleet, environment, 1, lambda text: None, "seeds")
+    drawn: set[str] = set()
+    for _ in range(40):
+        run(troubles._change_seeds())
+        for machine in (*layout.edges, *layout.diskless):
+            seeds = yaml.safe_load((tmp_path / f"{machine.node}.yaml").read_text())["seed_addrs"]
+            assert seeds and len(set(seeds)) == len(seeds) <= 3
+            drawn |= set(seeds)
+    assert drawn == set(layout.all_ctl())
+
+
+def test_a_balancer_that_is_not_ready_at_the_end_is_a_finding() -> None:
+    (finding,) = Checker(Records(unready=["edge-a"])).findings()
+    assert (finding.rule, finding.description) == ("recover", "edge-a is not ready after the last trouble")
