--- a/control/node.py
+++ b/control/node.py
@@ -5,7 +5,6 @@
 import asyncio
 import secrets
 from collections import deque
-from collections.abc import Callable
 from typing import Any
 
 from loguru import logger
@@ -22,6 +21,7 @@
 from consensus.state_store import FOUNDER_PREFIX, StateStore
 from consensus.views import Member
 from control.contacts import Contacts
+from control.departure import leave_group
 from control.operators import OPERATOR_ROUTES
 from control.publisher import Publisher
 from control.tally_api import TALLY_ROUTES
@@ -35,9 +35,6 @@
 
 TICK_S = 0.03
 CONFIRM_TIMEOUT_S = 0.5
-# Share of the grace period to wait for a view without this process.
-LEAVE_SHARE = 0.7
-HANDOVER_TIMEOUT_S = 0.5  # to wait for a successor to lead
 KINDS = MessageKinds().include(messages.KINDS).include(updates.KINDS).include(tallies.KINDS)
 
 
@@ -109,12 +106,7 @@
         """Leave the view, name a successor if that takes too long, and stop."""
         replica = self._replica
         if replica is not None:
-            replica.stop(self.now())
-            self._apply_effects()
-            await self._wait_until(replica.may_end, self.settings.bounds.grace_s * LEAVE_SHARE)
-            replica.resign(self.now())
-            self._apply_effects()
-            await self._wait_until(lambda: self._has_successor(replica), HANDOVER_TIMEOUT_S)
+            await leave_group(replica, self.settings.bounds.grace_s, self.now, self._apply_effects)
             self._publisher.on_other_leader(self.leader())  # redirects the balancers that are attached here
         if self._ticker is not None:
             self._ticker.cancel()
@@ -123,20 +115,6 @@
         self._http_server.stop()
         self._links.stop()
 
-    async def _wait_until(self, condition: Callable[[], bool], timeout_s: float) -> None:
-        """Wait until `condition` holds, at most `timeout_s`."""
-        deadline = self._loop.time() + timeout_s
-        while self._loop.time() < deadline and not condition():
-            await asyncio.sleep(TICK_S)
-
-    def _has_successor(self, replica: Replica) -> bool:
-        leader = replica.leader()
-        return (
-            leader is not None
-            and leader.identity != replica.me.identity
-            and replica.has_live_leader(self.now())
-        )
-
     def reconfigure(self, settings: Settings) -> None:
         """Apply a changed settings file."""
         self.settings = settings
