Ask an upstream whether it lives also at the connection limit

Cause: check_liveness asked nothing where no further connection was allowed and none was idle, and took the upstream for alive.

Change: the question takes the place of the connection that has ended, so the share of max_conns holds and the limits don't prevent it. Ends of one turn of the event loop share a question; an end behind a question waits for the next one. No answer in time means cut. Why it works: an answer that ends with its connection is whole only by a sign of life after that end, and there is always the ended connection's place to ask from.

tests/test_upstream_closes.py held that an upstream that can't be asked for want of a descriptor is believed, which is this fault; replaced by two tests: it is asked all the same, and not believed without an answer.

--- a/passpost/upstream.py
+++ b/passpost/upstream.py
@@ -109,14 +109,19 @@
             self.dispatch(attempt, upstream)
         return attempt
 
-    def dispatch(self, attempt: Attempt, upstream: Upstream, unused: bool = False) -> None:
-        """Find or open a connection for an attempt; `unused`: one that has carried no request."""
+    def dispatch(
+        self, attempt: Attempt, upstream: Upstream, unused: bool = False, replaces_ended: bool = False
+    ) -> None:
+        """Find or open a connection for an attempt; `unused`: one that has carried no request.
+
+        `replaces_ended`: the upstream has just ended a connection, whose place the new one takes.
+        """
         unused = unused or self._needs_unused(attempt.request, upstream)
         if (connection := self._find_idle(upstream, unused)) is not None:
             self._start_attempt(connection, attempt)
-        elif len(upstream.open) >= self._max_each and not self._evict_idle(upstream):
+        elif not (replaces_ended or len(upstream.open) < self._max_each or self._evict_idle(upstream)):
             attempt.finish(Outcome.UNREACHED)
-        elif self._has_room():
+        elif self._has_room() or replaces_ended:
             connection = attempt.pending_connection = self._create_connection(upstream)
             attempt.connect_task = asyncio.get_running_loop().create_task(
                 self._connect(connection, upstream, attempt)
@@ -157,10 +162,6 @@
         upstream.previous_misuse_at, upstream.last_misuse_at = upstream.last_misuse_at, time.monotonic()
         self.on_misuse(upstream.name, misuse)
 
-    def can_dispatch(self, upstream: Upstream) -> bool:
-        """Whether an attempt would find a connection to this upstream, or could open one."""
-        return bool(upstream.idle) or (len(upstream.open) < self._max_each and self._has_room())
-
     def limit_connections_each(self, max_each: float) -> None:
         """Limit new connections to each upstream; open ones are not closed."""
         self._max_each = max_each
--- a/passpost/upstream_connection.py
+++ b/passpost/upstream_connection.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 from typing import Protocol, cast
 
-from passpost.attempt import Attempt, AttemptCallback, OutgoingRequest, Upload
+from passpost.attempt import Attempt, OutgoingRequest, Upload
 from passpost.http1 import (
     MAX_BUFFERED_BODY,
     Address,
@@ -22,6 +22,7 @@
     Response,
     ResponseReader,
 )
+from passpost.liveness import LivenessCheck
 from passpost.response_end import Misuse, ResponseEnd, connection_end, response_end
 from passpost.upstream_options import UpstreamOptions
 from umberworks.interface import Outcome
@@ -31,8 +32,6 @@
 IDLE_SHARE = 0.5  # of the upstream's idle timeout, after which we close: a request must not cross its close
 LENGTH_WAIT_S = 0.1  # a response of unknown length is buffered for so long, then streamed
 KEEP_ALIVE_MARGIN_S = 0.7  # how long before the upstream's own timeout we close an idle connection
-LIVENESS_TIMEOUT_S = 0.5  # limit of the liveness check of an upstream that has closed in order
-MISDIRECTED = 421  # status: another upstream has the address now
 
 OnMisuse = Callable[[str, Misuse], None]  # upstream, what it sent
 OnResponseEnd = Callable[[str, OutgoingRequest, ResponseEnd], None]  # upstream, its request, the end
@@ -47,6 +46,7 @@
         self.name, self.address = name, address
         self.idle: list[UpstreamConnection] = []  # most recently used last
         self.open: set[UpstreamConnection] = set()
+        self.liveness = LivenessCheck()
         self.last_misuse_at = self.previous_misuse_at = -math.inf
 
 
@@ -65,11 +65,13 @@
     def remove(self, connection: UpstreamConnection, upstream: Upstream) -> None:
         """Remove a closed connection."""
 
-    def can_dispatch(self, upstream: Upstream) -> bool:
-        """Whether an attempt would find a connection, or could open one."""
+    def dispatch(
+        self, attempt: Attempt, upstream: Upstream, unused: bool = False, replaces_ended: bool = False
+    ) -> None:
+        """Find or open a connection for an attempt; `unused`: one that has carried no request.
 
-    def dispatch(self, attempt: Attempt, upstream: Upstream, unused: bool = False) -> None:
-        """Find or open a connection for an attempt; `unused`: one that has carried no request."""
+        `replaces_ended`: the upstream has just ended a connection, whose place the new one takes.
+        """
 
 
 class OneShotTimer:
@@ -325,7 +327,7 @@
         kind = connection_end(self._transport.get_extra_info("socket"))
         if kind is EndKind.FIN and self._reader is not None and self._reader.ends_with_connection():
             self._has_closed = True
-            check_liveness(self._pool, self._upstream, self._on_liveness_result)
+            self._upstream.liveness.request(self._pool, self._upstream, self._on_liveness_result)
             return True
         self._on_connection_end(kind)
         return False
@@ -358,35 +360,6 @@
             self.close()
 
 
-def check_liveness(pool: Pool, upstream: Upstream, on_result: Callable[[bool], None]) -> None:
-    """Check whether an upstream that has closed a connection is alive; calls `on_result` once, later.
-
-    The kernel closes the connections of a dead process just as the process would have, and its listening
-    socket a little later: only a response proves that it is alive. The request goes out on a connection that
-    has carried none, as the upstream may not read one whose last response it has not finished; if none can be
-    established, on an idle one.
-    """
-    liveness_request = pool.options.liveness_request
-    if liveness_request is None or not pool.can_dispatch(upstream):
-        asyncio.get_running_loop().call_soon(on_result, True)  # no evidence against it can be obtained
-        return
-
-    def send_check(on_done: AttemptCallback, unused: bool) -> None:
-        request = liveness_request(upstream.name, upstream.address)
-        pool.dispatch(Attempt(request, LIVENESS_TIMEOUT_S, on_done), upstream, unused=unused)
-
-    def on_response(outcome: Outcome, response: Response | None) -> None:
-        on_result(response is not None and response.status != MISDIRECTED)
-
-    def on_first_response(outcome: Outcome, response: Response | None) -> None:
-        if outcome is Outcome.UNREACHED and upstream.idle:  # it accepts no new connection, but may be alive
-            send_check(on_response, unused=False)
-        else:
-            on_response(outcome, response)
-
-    send_check(on_first_response, unused=True)
-
-
 def shutdown_sending(transport: asyncio.Transport) -> None:
     """Send a FIN now: the event loop closes a connection only in its next turn.
 
--- a/tests/dying_upstream.py
+++ b/tests/dying_upstream.py
@@ -1,7 +1,7 @@
 """An upstream process that kills itself in the middle of a response.
 
-python dying_upstream.py FRAMING STREAM. FRAMING: close, length or chunks. STREAM: 1 for an event stream, cut
-between two events. It prints its port.
+python dying_upstream.py FRAMING STREAM [COUNT]. FRAMING: close, length or chunks. STREAM: 1 for an event
+stream, cut between two events. COUNT: it dies once it has sent so many half responses. It prints its port.
 """
 
 from __future__ import annotations
@@ -42,20 +42,22 @@
     ).encode()
 
 
-def serve(peer: socket.socket, framing: str, is_stream: bool) -> None:
+def serve(peer: socket.socket, framing: str, is_stream: bool, is_last: threading.Barrier) -> None:
     """Answer half of a request and die; nothing is left unread, so the connections end with a FIN."""
     request = read(peer)
     if request:
         peer.sendall(half_answer(request, framing, is_stream))
+        is_last.wait()
         os.kill(os.getpid(), signal.SIGKILL)
 
 
-def main(framing: str, stream: str) -> None:
+def main(framing: str, stream: str, count: str = "1") -> None:
+    is_last = threading.Barrier(int(count))
     listener = socket.create_server(("127.0.0.1", 0))
     print(listener.getsockname()[1], flush=True)
     while True:
         peer, _ = listener.accept()
-        threading.Thread(target=serve, args=(peer, framing, stream == "1"), daemon=True).start()
+        threading.Thread(target=serve, args=(peer, framing, stream == "1", is_last), daemon=True).start()
 
 
 if __name__ == "__main__":
--- a/tests/test_dead_upstreams.py
+++ b/tests/test_dead_upstreams.py
@@ -13,27 +13,37 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import replace
+from functools import partial
 from pathlib import Path
+from typing import Any, cast
 
 import pytest
 from loguru import logger
 
-from passpost.http1 import EndKind, Framing
+from passpost.attempt import Attempt, OutgoingRequest
+from passpost.http1 import EndKind, Framing, Response
+from passpost.upstream_connection import Upstream
+from passpost.upstream_options import UpstreamOptions
 from tests.balancer_stage import FakeUpstream, answer, configuration, decode, head, route, running_balancer
 from tests.loopback import ReceivedRequest, Writer, run
+from umberworks.interface import Outcome
 
 SAFE = configuration(1, route(route_type="safe", tries=2))
 RESUMABLE = configuration(1, route(route_type="stream", resumable=True, tries=2))
 UNSAFE = configuration(1, route(route_type="unsafe", tries=1))
+LIMIT = 4  # connections to the upstream that are allowed
+ASKED = OutgoingRequest(b"", b"")
 
 
 class DyingUpstream(FakeUpstream):
     """An upstream in its own process (`dying_upstream.py`)."""
 
-    def __init__(self, framing: str = "close", is_stream: bool = False, name: str = "dying") -> None:
+    def __init__(
+        self, framing: str = "close", is_stream: bool = False, name: str = "dying", count: int = 1
+    ) -> None:
         super().__init__(name)
         program = str(Path(__file__).with_name("dying_upstream.py"))
-        self._command = [sys.executable, program, framing, str(int(is_stream))]
+        self._command = [sys.executable, program, framing, str(int(is_stream)), str(count)]
 
     async def start(self) -> None:
         self._process = subprocess.Popen(self._command, stdout=subprocess.PIPE, text=True)
@@ -58,6 +68,79 @@
     run(test())
 
 
+@pytest.mark.parametrize("is_stream", [False, True], ids=["plain", "stream"])
+def test_answers_cut_at_once_are_cut_though_no_further_connection_is_allowed(is_stream: bool) -> None:
+    """Guards against taking such cuts for whole at the connection limit: review/6, up to 46 of 48 streams."""
+
+    async def test() -> None:
+        upstream = DyingUpstream("close", is_stream, count=LIMIT)
+        async with running_balancer(upstream, config=UNSAFE) as play:
+            play.balancer.upstreams.limit_connections_each(LIMIT)
+            replies = await asyncio.gather(*(play.ask(f"r{i}") for i in range(LIMIT)))
+            assert [reply.status == 502 or not reply.whole for reply in replies] == [True] * LIMIT
+            assert play.balancer.answer_log.ends == {(Framing.CLOSE, EndKind.GONE): LIMIT}
+
+    run(test())
+
+
+def test_answers_that_end_at_once_at_the_limit_share_one_question() -> None:
+    """Guards against a question for each of many ends, and against cutting whole answers at the limit."""
+
+    async def test() -> None:
+        may_end, is_served = asyncio.Event(), []
+
+        async def respond_when_all_are_there(
+            upstream: FakeUpstream, got: ReceivedRequest, writer: Writer
+        ) -> None:
+            is_served.append(got)
+            if len(is_served) == LIMIT:
+                may_end.set()
+            await may_end.wait()
+            await respond_unframed(upstream, got, writer)
+
+        upstream = FakeUpstream("u1", "", *[respond_when_all_are_there] * LIMIT)
+        async with running_balancer(upstream, config=UNSAFE) as play:
+            play.balancer.upstreams.limit_connections_each(LIMIT)
+            replies = await asyncio.gather(*(play.ask(f"r{i}") for i in range(LIMIT)))
+            assert [(reply.whole, reply.body) for reply in replies] == [(True, b"whole")] * LIMIT
+            assert 1 <= len(upstream.reports) < LIMIT
+            assert upstream.connections == LIMIT + len(upstream.reports)
+
+    run(test())
+
+
+def test_an_end_behind_a_question_is_not_proven_by_its_answer() -> None:
+    """Guards against an upstream that answers the question of an earlier end, and dies before the next."""
+
+    class SilentPool:
+        """Keeps the requests that are dispatched."""
+
+        def __init__(self) -> None:
+            self.options = UpstreamOptions(liveness_request=lambda name, address: ASKED)
+            self.attempts: list[Attempt] = []
+
+        def dispatch(self, attempt: Attempt, upstream: Upstream, *how: bool, **more: bool) -> None:
+            self.attempts.append(attempt)
+
+    async def test() -> None:
+        pool, upstream, results = SilentPool(), Upstream("u1", ("127.0.0.1", 9)), dict[int, bool]()
+        for number in (1, 2):
+            upstream.liveness.request(cast(Any, pool), upstream, partial(results.__setitem__, number))
+        await asyncio.sleep(0)
+        assert len(pool.attempts) == 1, "two ends of one turn"
+        upstream.liveness.request(cast(Any, pool), upstream, partial(results.__setitem__, 3))
+        await asyncio.sleep(0)
+        assert len(pool.attempts) == 1, "one request at a time"
+        pool.attempts[0].finish(Outcome.SERVED, Response(200, [], b"", True))
+        assert results == {1: True, 2: True}
+        await asyncio.sleep(0)
+        assert len(pool.attempts) == 2
+        pool.attempts[1].finish(Outcome.BROKEN)
+        assert results == {1: True, 2: True, 3: False}
+
+    run(test())
+
+
 def test_a_request_that_may_be_repeated_is_answered_by_another_upstream() -> None:
     async def test() -> None:
         async with running_balancer(DyingUpstream(), FakeUpstream("standing"), config=SAFE) as play:
--- a/tests/test_upstream_closes.py
+++ b/tests/test_upstream_closes.py
@@ -109,12 +109,28 @@
     run(test())
 
 
-def test_an_upstream_that_can_not_be_asked_is_believed() -> None:
+def test_an_upstream_is_asked_though_no_descriptor_is_free_for_an_attempt() -> None:
     async def test() -> None:
         server = half_closing_server(OK)
         async with liveness_runner(server, max_connections=1) as runner:
             assert await runner.outcome() is Outcome.SERVED
-            assert server.connections == 1
+            assert server.connections == 2
+
+    run(test())
+
+
+def test_an_upstream_that_can_not_be_asked_is_not_believed() -> None:
+    """Guards against cut answers that pass for whole where no further connection is allowed."""
+
+    async def test() -> None:
+        server = FakeServer(silent)
+        async with liveness_runner(server, max_connections=1) as runner:
+            runner.send()
+            await until(lambda: len(server.got) == 1)
+            server.refuse()
+            await half_close(server.got[0], server.writers[0])
+            await until(lambda: bool(runner.outcomes))
+            assert runner.outcomes == [Outcome.BROKEN]
 
     run(test())
 
