Soak: an upstream that has died serves no connection that it had accepted

What it answers to the liveness question vouches for the dead. Such a connection is reset now, as the kernel does for a killed process.

The new test fails without the change (the dead upstream answers), and passes with it.

--- a/mastturn/soak/upstream.py
+++ b/mastturn/soak/upstream.py
@@ -172,6 +172,9 @@
     # ---- connections
 
     async def _serve(self, reader: Reader, writer: Writer) -> None:
+        if not self.is_running:  # accepted just before it died
+            reset(writer)
+            return
         task = asyncio.current_task()
         assert task is not None
         self._tasks.add(task)
--- a/tests/test_soak_troubles.py
+++ b/tests/test_soak_troubles.py
@@ -147,3 +147,31 @@
 def test_a_balancer_that_is_not_ready_at_the_end_is_a_finding() -> None:
     (finding,) = Checker(Records(unready=["edge-a"])).findings()
     assert (finding.rule, finding.description) == ("recover", "edge-a is not ready after the last trouble")
+
+
+def test_a_dead_upstream_serves_no_connection_that_it_had_accepted() -> None:
+    """Guards against a stand-in that answers after its death, which shows that it lives (soak seed 4000)."""
+
+    received: list[bytes] = []
+
+    async def ask_the_dead() -> None:
+        layout = allocate_layout(UPSTREAMS)
+        environment = Environment(layout, UPSTREAMS, 1, Records())
+        await environment.start()
+        upstream = environment.listed[0]
+        upstream.on_death = lambda dead: None
+        upstream.die()
+        server = await asyncio.start_server(upstream._serve, "127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection(*server.sockets[0].getsockname())
+        try:
+            writer.write(b"GET /api/report HTTP/1.1\r\nHost: u\r\nContent-Length: 0\r\n\r\n")
+            received.append(await reader.read(1))
+        except ConnectionError:
+            received.append(b"")
+        finally:
+            writer.close()
+            server.close()
+            environment.stop()
+
+    run(ask_the_dead())
+    assert received == [b""]
