--- a/mastturn/soak/checker.py
+++ b/mastturn/soak/checker.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-import json
 import re
 from collections import defaultdict
 from collections.abc import Iterator
-from dataclasses import dataclass
 
 from mastturn.soak import faults, lag
 from mastturn.soak.clients import RESPONSE_MARGIN_S
+from mastturn.soak.configuration_check import check_configuration
+from mastturn.soak.finding import Finding
 from mastturn.soak.records import Arrival, ClientBehavior, ClientRequest, EndKind, Records, RequestEnd
 from mastturn.soak.rules import Rule
 
@@ -25,18 +25,6 @@
 _EVENT = re.compile(rb"id: (\d+)\ndata: (\S+) (\S+) (\d+)/(\d+)\n\n")
 
 
-@dataclass(frozen=True, slots=True)
-class Finding:
-    """One violation of a rule: the faults that its request met, and a description. `at`: monotonic clock."""
-
-    rule: Rule
-    at: float
-    request_id: str
-    description: str
-    faults: tuple[str, ...] = ()
-    balancer: str = ""
-
-
 class Checker:
     """Indexes the records by request and checks them against the rules."""
 
@@ -50,7 +38,11 @@
     def findings(self) -> list[Finding]:
         """Return all findings, in order of time."""
         found = [f for client_request in self._records.requests for f in self._check(client_request)]
-        found += [*self._check_drains(), *self._check_configuration(), *self._check_processes_and_input()]
+        found += [
+            *self._check_drains(),
+            *check_configuration(self._records),
+            *self._check_processes_and_input(),
+        ]
         return sorted(found, key=lambda f: f.at)
 
     def _finding(self, rule: Rule, client_request: ClientRequest, description: str) -> Finding:
@@ -259,41 +251,6 @@
             undisturbed_since = max(undisturbed_since, recovered_at)
         return max(longest, end - undisturbed_since)
 
-    def _check_configuration(self) -> Iterator[Finding]:
-        acked = [put for put in self._records.puts if put.status == 200]
-        by_base: dict[int, set[bytes]] = defaultdict(set)
-        for put in acked:
-            if not put.is_valid:
-                yield Finding(
-                    Rule.CONFIGURATION, put.answered_at, "", f"invalid version {put.ver} was acknowledged"
-                )
-            by_base[put.base].add(put.body)
-            if len(by_base[put.base]) == 2:
-                description = f"two changes based on version {put.base} were acknowledged"
-                yield Finding(Rule.CONFIGURATION, put.answered_at, "", description)
-        yield from self._check_reads()
-        newest = max((put.ver for put in acked), default=0)
-        if self._records.final_ver < newest:
-            description = f"version {self._records.final_ver} was read back, but {newest} was acknowledged"
-            yield Finding(Rule.CONFIGURATION, 0.0, "", description)
-        sent = {put.ver: json.loads(put.body) for put in self._records.puts if put.status == 200}
-        expected = sent.get(self._records.final_ver)
-        if expected is not None and json.loads(self._records.final_body) != expected:
-            description = f"version {self._records.final_ver} differs from what was sent"
-            yield Finding(Rule.CONFIGURATION, 0.0, "", description)
-
-    def _check_reads(self) -> Iterator[Finding]:
-        """Check that reads sent after an acknowledgement return that version or a later one."""
-        for read in self._records.reads:
-            acknowledged = [
-                p.ver for p in self._records.puts if p.status == 200 and p.answered_at < read.sent_at
-            ]
-            if read.ver and acknowledged and read.ver < max(acknowledged):
-                description = (
-                    f"{read.by} returned version {read.ver} after {max(acknowledged)} was acknowledged"
-                )
-                yield Finding(Rule.CONFIGURATION, read.sent_at, "", description)
-
     def _check_processes_and_input(self) -> Iterator[Finding]:
         for description in self._records.unclean_exits:
             yield Finding(Rule.PROCESS, 0.0, "", description)
--- a/mastturn/soak/play.py
+++ b/mastturn/soak/play.py
@@ -16,7 +16,8 @@
 from mastturn.files import LabError
 from mastturn.smallfleet.layout import allocate_layout
 from mastturn.soak import clients, lag, operators
-from mastturn.soak.checker import Checker, Finding
+from mastturn.soak.checker import Checker
+from mastturn.soak.finding import Finding
 from mastturn.soak.fleet import Fleet
 from mastturn.soak.logs import Logs
 from mastturn.soak.plan import Plan
--- a/mastturn/soak/report.py
+++ b/mastturn/soak/report.py
@@ -9,7 +9,7 @@
 
 from rich.table import Table
 
-from mastturn.soak.checker import Finding
+from mastturn.soak.finding import Finding
 from mastturn.soak.play import Result
 from mastturn.soak.records import Arrival, ClientRequest, EndKind, RequestEnd
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -14,9 +14,10 @@
 from mastturn.smallfleet.layout import Machine
 from mastturn.soak import faults, planted
 from mastturn.soak.answers import Content, Framing, encode_response
-from mastturn.soak.checker import Checker, Finding
+from mastturn.soak.checker import Checker
 from mastturn.soak.clients import ResponseParser
 from mastturn.soak.faults import Fault, FaultDraw
+from mastturn.soak.finding import Finding
 from mastturn.soak.fleet import Member
 from mastturn.soak.plan import Plan, check
 from mastturn.soak.play import save_copy
